Decisions: verdicts that tell whose fault it is, and slots that are not lost

Cause: the first tests of the decisions failed in three ways. - A queued request could leave the queue and get no reply: how urgent it was was judged again after it had left. The endpoint is now chosen first. - A path fault ejected (2 of 2 expected 0 times): one late answer from another node hid that all stalls came from one reporter. The judge now asks what the evidence of the others alone would say. - A fault shared by all ejected 2 of 15 before the siblings looked bad too. The threshold now rises with the part of siblings that look bad.

Ruled out: a longer wait before each verdict (it would delay every detection); a median over siblings (the first to cross comes before half of them show).

--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -25,6 +25,8 @@
 const FULL_FOR: Duration = Duration::from_millis(5);
 /// Waiting requests for each slot at most.
 const QUEUE_PER_SLOT: usize = 8;
+/// Waiting requests at most, whatever the number of slots, so that a turn of the queue stays short.
+const MAX_QUEUE: usize = 512;
 /// Weight of a new sample in the mean time that a slot is held.
 const HOLD_GAIN: f64 = 0.05;
 /// A request takes an endpoint of the last tier when the wait times this exceeds the time left.
@@ -180,8 +182,8 @@
         if self.queue.any(|it| it.id == ask.id) {
             return Reply::Queued;
         }
-        if let Some(grant) = self.grant(now, &ask, rng) {
-            return Reply::Granted(grant);
+        if let Some(endpoint) = self.choose(now, &ask, || rng.random()) {
+            return Reply::Granted(self.grant(now, &ask, endpoint));
         }
         if !ask.wait {
             return Reply::Full;
@@ -309,8 +311,7 @@
         self.judge.rotation.take_changes()
     }
 
-    fn grant(&mut self, now: Time, ask: &Ask, rng: &mut impl Rng) -> Option<Grant> {
-        let endpoint = self.choose(now, ask, || rng.random())?;
+    fn grant(&mut self, now: Time, ask: &Ask, endpoint: usize) -> Grant {
         let it = &self.endpoints()[endpoint];
         let grant = Grant {
             addr: it.addr,
@@ -328,7 +329,7 @@
         };
         self.in_use[endpoint] += 1;
         self.permits.insert(ask.id, permit);
-        Some(grant)
+        grant
     }
 
     /// The free endpoint of the best tier with the fewest slots in use; ties are broken at random.
@@ -381,7 +382,7 @@
     fn enqueue(&mut self, now: Time, ask: Ask) -> Reply {
         let slots = self.total_slots(now);
         let wait = self.expected_wait(slots, ask.priority);
-        if wait > ask.left || self.queue.len() >= slots * QUEUE_PER_SLOT {
+        if wait > ask.left || self.queue.len() >= (slots * QUEUE_PER_SLOT).min(MAX_QUEUE) {
             return Reply::Refused { retry_after: wait.max(MIN_RETRY_AFTER) };
         }
         self.queue.push(Waiting {
@@ -413,9 +414,13 @@
         while self.queue.len() > 0 && self.has_free_slot(now) {
             let fits = |ask: &Ask| self.choose(now, ask, || 0).is_some();
             let Some(next) = self.queue.best(fits) else { break };
+            // The endpoint is chosen while the request still counts as waiting: how urgent it is
+            // depends on the queue, and a request that has left it must not be lost.
+            let ask = self.queue.get(next);
+            let Some(endpoint) = self.choose(now, ask, || rng.random()) else { break };
             let ask = self.queue.take(next).item;
-            let Some(grant) = self.grant(now, &ask, rng) else { break };
-            settled.push(Settled { id: ask.id, reply: Reply::Granted(grant) });
+            let reply = Reply::Granted(self.grant(now, &ask, endpoint));
+            settled.push(Settled { id: ask.id, reply });
         }
         settled
     }
--- a/crates/policy/src/judge.rs
+++ b/crates/policy/src/judge.rs
@@ -14,7 +14,7 @@
 use crate::rendezvous::NodeId;
 use crate::rotation::{Rotation, State};
 use crate::time::Time;
-use crate::verdict::{Class, Score, Thresholds};
+use crate::verdict::{Class, Score, Thresholds, log_ratio};
 
 /// Outcomes kept per endpoint to find whose fault a bad run is.
 const RECENT: usize = 32;
@@ -26,6 +26,15 @@
 const REFRESH: Duration = Duration::from_millis(100);
 /// Part of the baseline that is kept at each refresh: a half-life of about seven seconds.
 const KEEP: f64 = 0.99;
+/// Outcomes of others that are needed to speak for an endpoint.
+const MIN_ELSEWHERE: usize = 3;
+/// Part of the threshold that the evidence of others must stay below to speak for an endpoint.
+const ELSEWHERE_PART: f64 = 0.3;
+/// A fault is shared when this part of the siblings look bad: more than one failure domain of three.
+const SHARED_BY: f64 = 0.4;
+/// How much the part of bad siblings raises the threshold. One sick endpoint among well ones is not
+/// found any later for it.
+const SIBLING_WEIGHT: f64 = 2.0;
 /// Part of the threshold that fails a trial: one stalled request, or several late ones.
 const TRIAL_PART: f64 = 0.3;
 /// A reporter that sees this many endpoints fail while others see them work is itself at fault.
@@ -76,6 +85,8 @@
     started: Time,
     reporter: Reporter,
     bad: bool,
+    /// What it added to the score.
+    ratio: f64,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -113,7 +124,7 @@
     Endpoint,
     Path(Scope),
     Shared,
-    Reporter,
+    Reporter(Reporter),
 }
 
 /// The judge of one service on one node.
@@ -223,6 +234,7 @@
             return;
         }
         match self.whose_fault(now, it.endpoint) {
+            Fault::Endpoint if !self.is_convicted(now, it.endpoint) => {}
             Fault::Endpoint => self.rotation.eject(now, it.endpoint, "sick against its siblings"),
             Fault::Path(scope) => {
                 self.path_faults += 1;
@@ -231,9 +243,9 @@
                 evidence.score.reset();
                 evidence.avoid.push(Avoid { scope, until: now + AVOID_FOR });
             }
-            Fault::Reporter => {
+            Fault::Reporter(reporter) => {
                 self.reporter_faults += 1;
-                self.discard(it.reporter);
+                self.discard(reporter);
             }
             // Equal siblings are used alike; other failure domains, if well, are used first.
             Fault::Shared => {
@@ -243,6 +255,13 @@
         }
     }
 
+    /// Whether the evidence suffices. It takes more when siblings have begun to look bad too, so that
+    /// a shared fault has time to show at all of them.
+    fn is_convicted(&self, now: Time, i: usize) -> bool {
+        let score = self.evidence[i].score.value();
+        score >= self.thresholds.eject * (1.0 + SIBLING_WEIGHT * self.bad_siblings(now, i))
+    }
+
     /// On trial little evidence is enough: the endpoint was judged sick a moment ago.
     fn judge_trial(&mut self, now: Time, i: usize) {
         if self.evidence[i].score.value() >= self.thresholds.eject * TRIAL_PART {
@@ -262,32 +281,47 @@
     /// An endpoint that the floor kept is ejected as soon as the floor allows it.
     fn retry_ejection(&mut self, now: Time, i: usize) {
         let is_suspect = self.rotation.endpoints()[i].state == State::Suspect;
-        let is_sick = self.evidence[i].score.value() >= self.thresholds.eject;
-        if is_suspect && is_sick && self.whose_fault(now, i) == Fault::Endpoint {
+        if is_suspect && self.is_convicted(now, i) && self.whose_fault(now, i) == Fault::Endpoint {
             self.rotation.eject(now, i, "sick, and the floor now allows it");
         }
     }
 
     fn whose_fault(&self, now: Time, endpoint: usize) -> Fault {
-        let recent = || {
-            let it = self.evidence[endpoint].recent.iter();
-            it.filter(|it| now.since(it.at) < RECENT_LIFETIME)
-        };
-        let Some(first) = recent().find(|it| it.bad).copied() else { return Fault::Endpoint };
-        // Only work that began after the first bad request began can speak for the endpoint.
-        let works_for = |scope: Scope| {
-            recent().any(|it| !it.bad && it.started >= first.started && !scope.covers(it.reporter))
-        };
-        for scope in
-            [Scope::Node(first.reporter.node), Scope::FailureDomain(first.reporter.failure_domain)]
-        {
-            let alone = recent().filter(|it| it.bad).all(|it| scope.covers(it.reporter));
-            if alone && works_for(scope) {
-                let own = matches!(scope, Scope::Node(_)) && self.fails_widely(now, first.reporter);
-                return if own { Fault::Reporter } else { Fault::Path(scope) };
+        let bad = self.recent(now, endpoint).filter(|it| it.bad).map(|it| it.reporter);
+        for reporter in bad {
+            let node = Scope::Node(reporter.node);
+            for scope in [node, Scope::FailureDomain(reporter.failure_domain)] {
+                if !self.is_well_elsewhere(now, endpoint, scope) {
+                    continue;
+                }
+                let is_own = scope == node && self.fails_widely(now, reporter);
+                return if is_own { Fault::Reporter(reporter) } else { Fault::Path(scope) };
             }
         }
-        if self.is_shared(now, endpoint) { Fault::Shared } else { Fault::Endpoint }
+        let is_shared = self.bad_siblings(now, endpoint) >= SHARED_BY;
+        if is_shared { Fault::Shared } else { Fault::Endpoint }
+    }
+
+    /// Whether those outside `scope` see the endpoint work, by outcomes of requests that began after
+    /// the first bad one of the scope had begun.
+    fn is_well_elsewhere(&self, now: Time, endpoint: usize, scope: Scope) -> bool {
+        let mut covered = self.recent(now, endpoint).filter(|it| scope.covers(it.reporter));
+        let Some(first) = covered.find(|it| it.bad) else { return false };
+        let elsewhere = self
+            .recent(now, endpoint)
+            .filter(|it| !scope.covers(it.reporter) && (it.bad || it.started >= first.started));
+        let mut score = Score::default();
+        let mut seen = 0;
+        for it in elsewhere {
+            score.add_ratio(it.ratio, self.thresholds);
+            seen += 1;
+        }
+        seen >= MIN_ELSEWHERE && score.value() < self.thresholds.eject * ELSEWHERE_PART
+    }
+
+    fn recent(&self, now: Time, endpoint: usize) -> impl Iterator<Item = &Recent> {
+        let recent = self.evidence[endpoint].recent.iter();
+        recent.filter(move |it| now.since(it.at) < RECENT_LIFETIME)
     }
 
     /// Whether one reporter sees several endpoints fail.
@@ -300,18 +334,17 @@
         self.evidence.iter().filter(|it| fails(it)).count() >= OWN_FAULT_ENDPOINTS
     }
 
-    /// Whether the siblings are on their way to the same verdict.
-    fn is_shared(&self, now: Time, endpoint: usize) -> bool {
-        let mut siblings: Vec<f64> = (0..self.evidence.len())
+    /// The part of the siblings that have begun to look as bad, among those at work.
+    fn bad_siblings(&self, now: Time, endpoint: usize) -> f64 {
+        let siblings = (0..self.evidence.len())
             .filter(|i| *i != endpoint && self.rotation.endpoints()[*i].state.in_rotation())
-            .filter(|i| self.is_active(now, *i))
-            .map(|i| self.evidence[i].score.value())
-            .collect();
-        if siblings.is_empty() {
-            return false;
+            .filter(|i| self.is_active(now, *i));
+        let (mut all, mut bad) = (0, 0);
+        for i in siblings {
+            all += 1;
+            bad += usize::from(self.evidence[i].score.value() >= self.thresholds.shared);
         }
-        siblings.sort_unstable_by(f64::total_cmp);
-        siblings[siblings.len() / 2] >= self.thresholds.shared
+        bad as f64 / f64::from(all.max(1))
     }
 
     /// Whether this node has heard of work on the endpoint lately.
@@ -332,11 +365,13 @@
         if class == Class::Shed {
             return;
         }
+        let ratio = log_ratio(class, &self.baseline);
         let recent = &mut self.evidence[it.endpoint].recent;
         if recent.len() == RECENT {
             recent.pop_front();
         }
         let started = now - it.elapsed;
-        recent.push_back(Recent { at: now, started, reporter: it.reporter, bad: class.is_bad() });
+        let (reporter, bad) = (it.reporter, class.is_bad());
+        recent.push_back(Recent { at: now, started, reporter, bad, ratio });
     }
 }
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -56,11 +56,19 @@
         self.waiting.push(it);
     }
 
-    /// The position of the next request among those that `fits`.
+    /// The position of the next request among those that `fits`. Usually the first in order fits,
+    /// so `fits` is asked of the others only if it does not.
     pub(crate) fn best(&self, fits: impl Fn(&T) -> bool) -> Option<usize> {
-        (0..self.waiting.len())
-            .filter(|i| fits(&self.waiting[*i].item))
-            .min_by(|a, b| self.order(*a).partial_cmp(&self.order(*b)).expect("no NaN"))
+        let first = self.first_of(|_| true)?;
+        if fits(&self.waiting[first].item) {
+            return Some(first);
+        }
+        self.first_of(|i| fits(&self.waiting[i].item))
+    }
+
+    /// The request at a position.
+    pub(crate) fn get(&self, i: usize) -> &T {
+        &self.waiting[i].item
     }
 
     /// Takes the request at a position and accounts for its organisation.
@@ -77,6 +85,11 @@
         out
     }
 
+    fn first_of(&self, is_wanted: impl Fn(usize) -> bool) -> Option<usize> {
+        let wanted = (0..self.waiting.len()).filter(|i| is_wanted(*i));
+        wanted.min_by(|a, b| self.order(*a).partial_cmp(&self.order(*b)).expect("no NaN"))
+    }
+
     fn order(&self, i: usize) -> (Priority, f64, usize) {
         let it = &self.waiting[i];
         let served = self.served.get(&it.organisation).copied().unwrap_or(0.0);
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -89,6 +89,17 @@
     }
 }
 
+#[cfg(test)]
+impl Budget {
+    pub(crate) fn with_tokens(tokens: u32) -> Self {
+        Self { tokens: tokens.into() }
+    }
+
+    pub(crate) fn tokens(&self) -> u32 {
+        self.tokens as u32
+    }
+}
+
 impl Default for Budget {
     /// A few tokens, so that a node that has just started can retry at all.
     fn default() -> Self {
--- /dev/null
+++ b/crates/policy/src/tests/fixture.rs
@@ -0,0 +1,122 @@
+//! A service and a judge that hears made-up outcomes.
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use resources::{Bias, Endpoint, Floor, Service};
+
+use crate::judge::Judge;
+use crate::{Kind, NodeId, Observation, Reporter, State, Time};
+
+pub(super) const ROUTE: u32 = 7;
+
+/// A service whose endpoints are spread over the failure domains `a`, `b`, `c`, ….
+pub(super) fn service(sizes: &[usize], floor: usize, bias: Bias) -> Service {
+    let mut endpoints = Vec::new();
+    for (domain, n) in sizes.iter().enumerate() {
+        for i in 0..*n {
+            let port = 1000 + 100 * domain as u16 + i as u16;
+            let failure_domain = ["a", "b", "c", "d"][domain].into();
+            endpoints.push(Endpoint { addr: ([127, 0, 0, 1], port).into(), failure_domain });
+        }
+    }
+    Service {
+        name: "s".into(),
+        endpoints,
+        floor: Floor::Count(floor as u32),
+        bias,
+        slots: 3,
+        connections: 200,
+    }
+}
+
+pub(super) fn reporter(node: u64) -> Reporter {
+    Reporter { node: NodeId(node), failure_domain: node % 3 }
+}
+
+/// How an endpoint answers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Health {
+    Well,
+    Stalls(f64),
+    Fails(f64),
+    Slow(f64),
+}
+
+/// A judge before endpoints of one service, with exponential latencies of 10 ms.
+pub(super) struct Bench {
+    pub(super) judge: Judge,
+    pub(super) now: Time,
+    pub(super) health: Vec<Health>,
+    pub(super) heavy_tail: bool,
+    rng: StdRng,
+}
+
+impl Bench {
+    pub(super) fn new(service: &Service) -> Self {
+        Self {
+            judge: Judge::new(Time(0), service, &[ROUTE]),
+            now: Time(0),
+            health: vec![Health::Well; service.endpoints.len()],
+            heavy_tail: false,
+            rng: StdRng::seed_from_u64(1),
+        }
+    }
+
+    /// Sends one request to a random endpoint in rotation and lets the judge hear of it.
+    pub(super) fn step(&mut self, every: Duration) {
+        let n = self.health.len();
+        let endpoint = self.rng.random_range(0..n);
+        let node = self.rng.random_range(0..40);
+        self.now = self.now + every;
+        self.judge.tick(self.now);
+        let status = &self.judge.rotation.endpoints()[endpoint];
+        if status.admits(self.now, true) {
+            let health = self.health[endpoint];
+            self.report(endpoint, reporter(node), health);
+        }
+    }
+
+    /// Lets the judge hear of one request.
+    pub(super) fn report(&mut self, endpoint: usize, reporter: Reporter, health: Health) {
+        let (kind, elapsed) = self.outcome(health);
+        let it = Observation { reporter, endpoint, route: ROUTE, kind, elapsed };
+        self.judge.observe(self.now, it);
+    }
+
+    pub(super) fn run(&mut self, requests: usize, every: Duration) {
+        (0..requests).for_each(|_| self.step(every));
+    }
+
+    pub(super) fn states(&self) -> Vec<&'static str> {
+        self.judge.rotation.endpoints().iter().map(|it| it.state.name()).collect()
+    }
+
+    pub(super) fn ejections(&mut self) -> usize {
+        let changes = self.judge.rotation.take_changes();
+        changes.iter().filter(|it| matches!(it.to, State::Ejected { .. })).count()
+    }
+
+    fn outcome(&mut self, health: Health) -> (Kind, Duration) {
+        let exponential = -(1.0 - self.rng.random::<f64>()).ln();
+        let tail = if self.heavy_tail && self.rng.random_bool(0.01) { 20.0 } else { 1.0 };
+        let usual = Duration::from_millis(10).mul_f64(exponential * tail);
+        let stall_after = self.judge.baseline.stall_after(ROUTE);
+        match health {
+            Health::Stalls(share) if self.rng.random_bool(share) => (Kind::Stalled, stall_after),
+            Health::Fails(share) if self.rng.random_bool(share) => (Kind::Failed, usual),
+            Health::Slow(factor) => self.as_seen(usual.mul_f64(factor)),
+            _ => self.as_seen(usual),
+        }
+    }
+
+    /// A reporter says that a request is stalled before it ends.
+    fn as_seen(&self, elapsed: Duration) -> (Kind, Duration) {
+        let stall_after = self.judge.baseline.stall_after(ROUTE);
+        match elapsed > stall_after {
+            true => (Kind::Stalled, stall_after),
+            false => (Kind::Answered, elapsed),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/tests/retry.rs
@@ -0,0 +1,181 @@
+//! A model of sending one request, explored exhaustively with the rules that run in production.
+//!
+//! The environment decides how each send really went and what the sender can tell of it. Two things
+//! must hold in every reachable state: a request that may not be repeated runs at most once, and a
+//! request whose caller is told "not run" has not run.
+
+use std::time::Duration;
+
+use pathfinding::directed::bfs::{bfs, bfs_reach};
+use resources::Repeat;
+
+use crate::{Attempt, Budget, Next, Outcome, next_step};
+
+/// What really happens to one send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Reality {
+    /// No connection, or refused by the upstream before any work.
+    Refused,
+    /// Written, but lost before it ran; the sender cannot tell.
+    LostBefore,
+    /// Ran, and the answer is lost, late or cancelled.
+    LostAfter,
+    /// Ran and was answered.
+    Answered,
+}
+
+const REALITIES: [Reality; 4] =
+    [Reality::Refused, Reality::LostBefore, Reality::LostAfter, Reality::Answered];
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct State {
+    repeat: Repeat,
+    runs: u32,
+    sends: u32,
+    unknown_before: bool,
+    tokens: u32,
+    late: bool,
+    /// Sends that are cancelled but may still run: a frozen upstream wakes up late.
+    adrift: u32,
+    told: Option<Told>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Told {
+    Answer,
+    NotRun,
+    Unknown,
+}
+
+type Rule = fn(Outcome, Attempt, &mut Budget) -> Next;
+
+fn starts() -> Vec<State> {
+    let mut starts = Vec::new();
+    for repeat in [Repeat::Anytime, Repeat::IfNotRun, Repeat::Never] {
+        for tokens in 0..3 {
+            starts.push(State {
+                repeat,
+                runs: 0,
+                sends: 0,
+                unknown_before: false,
+                tokens,
+                late: false,
+                adrift: 0,
+                told: None,
+            });
+        }
+    }
+    starts
+}
+
+fn successors(state: &State, rule: Rule) -> Vec<State> {
+    let mut next = Vec::new();
+    if state.adrift > 0 {
+        // A send that was given up runs after all.
+        next.push(State { runs: state.runs + 1, adrift: state.adrift - 1, ..state.clone() });
+        next.push(State { adrift: state.adrift - 1, ..state.clone() });
+    }
+    if state.told.is_some() {
+        return next;
+    }
+    if !state.late {
+        // A pause of this process lets the deadline pass between two sends.
+        next.push(State { late: true, ..state.clone() });
+    }
+    next.extend(REALITIES.iter().map(|it| send(state, *it, rule)));
+    next
+}
+
+fn send(state: &State, reality: Reality, rule: Rule) -> State {
+    let outcome = match reality {
+        Reality::Refused => Outcome::NotRun,
+        Reality::LostBefore | Reality::LostAfter => Outcome::Unknown,
+        Reality::Answered => Outcome::Answered,
+    };
+    let attempt = Attempt {
+        repeat: state.repeat,
+        unknown_before: state.unknown_before,
+        sends: state.sends + 1,
+        left: if state.late { Duration::ZERO } else { Duration::from_secs(1) },
+    };
+    let mut budget = Budget::with_tokens(state.tokens);
+    let next = rule(outcome, attempt, &mut budget);
+    let ran = matches!(reality, Reality::LostAfter | Reality::Answered);
+    State {
+        runs: state.runs + u32::from(ran),
+        sends: state.sends + 1,
+        unknown_before: state.unknown_before || outcome == Outcome::Unknown,
+        tokens: budget.tokens(),
+        adrift: state.adrift + u32::from(reality == Reality::LostBefore),
+        told: match next {
+            Next::Again => None,
+            Next::Deliver => Some(Told::Answer),
+            Next::GiveUpNotRun => Some(Told::NotRun),
+            Next::GiveUpUnknown => Some(Told::Unknown),
+        },
+        ..state.clone()
+    }
+}
+
+fn is_broken(state: &State) -> bool {
+    let doubled = state.repeat != Repeat::Anytime && state.runs > 1;
+    let lied = state.told == Some(Told::NotRun) && state.runs > 0;
+    doubled || lied
+}
+
+/// The shortest schedule that breaks the rule, if there is one.
+fn counterexample(rule: Rule) -> Option<Vec<State>> {
+    starts().into_iter().find_map(|start| bfs(&start, |it| successors(it, rule), is_broken))
+}
+
+#[test]
+fn at_most_once_and_not_run_is_true() {
+    assert_eq!(counterexample(next_step), None);
+    let states: usize = starts()
+        .iter()
+        .map(|it| bfs_reach(it.clone(), |it| successors(it, next_step)).count())
+        .sum();
+    println!("{states} states, all that can be reached");
+    assert!(states > 200, "the model has {states} states: too few to mean anything");
+}
+
+#[test]
+fn the_check_catches_broken_rules() {
+    let ignores_earlier_unknown: Rule = |outcome, attempt, budget| {
+        next_step(outcome, Attempt { unknown_before: false, ..attempt }, budget)
+    };
+    let takes_unknown_for_not_run: Rule = |outcome, attempt, budget| {
+        let outcome = if outcome == Outcome::Unknown { Outcome::NotRun } else { outcome };
+        next_step(outcome, attempt, budget)
+    };
+    let repeats_always: Rule = |outcome, attempt, budget| {
+        next_step(outcome, Attempt { repeat: Repeat::Anytime, ..attempt }, budget)
+    };
+    for rule in [ignores_earlier_unknown, takes_unknown_for_not_run, repeats_always] {
+        assert!(counterexample(rule).is_some());
+    }
+}
+
+#[test]
+fn never_means_one_send_even_if_nothing_ran() {
+    for outcome in [Outcome::NotRun, Outcome::Unknown] {
+        let attempt = Attempt {
+            repeat: Repeat::Never,
+            unknown_before: false,
+            sends: 1,
+            left: Duration::from_secs(1),
+        };
+        assert_ne!(next_step(outcome, attempt, &mut Budget::default()), Next::Again);
+    }
+}
+
+#[test]
+fn retries_are_at_most_a_tenth_of_first_sends() {
+    let mut budget = Budget::default();
+    let mut second = 0;
+    for _ in 0..100_000 {
+        budget.first_send();
+        second += u32::from(budget.take());
+    }
+    assert!(second <= 10_010, "{second}");
+}
--- a/crates/policy/src/verdict.rs
+++ b/crates/policy/src/verdict.rs
@@ -65,7 +65,7 @@
 pub struct Thresholds {
     /// Score at which an endpoint is taken for sick.
     pub eject: f64,
-    /// Median score of the siblings from which on a fault counts as shared.
+    /// Score of the siblings from which on a fault counts as shared.
     pub shared: f64,
 }
 
@@ -97,11 +97,17 @@
     /// Adds one outcome; the sum is kept between zero and twice the threshold, so that a recovered
     /// endpoint is not held down by old evidence.
     pub(crate) fn add(&mut self, class: Class, baseline: &Baseline, thresholds: Thresholds) {
-        self.0 = (self.0 + log_ratio(class, baseline)).clamp(0.0, 2.0 * thresholds.eject);
+        self.add_ratio(log_ratio(class, baseline), thresholds);
+    }
+
+    /// Adds the log-likelihood ratio of one outcome.
+    pub(crate) fn add_ratio(&mut self, ratio: f64, thresholds: Thresholds) {
+        self.0 = (self.0 + ratio).clamp(0.0, 2.0 * thresholds.eject);
     }
 }
 
-fn log_ratio(class: Class, baseline: &Baseline) -> f64 {
+/// The log-likelihood ratio of an outcome, sick against healthy.
+pub(crate) fn log_ratio(class: Class, baseline: &Baseline) -> f64 {
     let shares = baseline.shares();
     let sick = 1.0 - SICK_CLASSES * SICK_SHARE;
     match class {
--- a/crates/resources/src/model.rs
+++ b/crates/resources/src/model.rs
@@ -179,7 +179,7 @@
 }
 
 /// Whether and when a request may be sent again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case")]
 pub enum Repeat {
     /// Running twice does no harm.
