Measurements of real processes; replies wait in a queue instead of the stack

Cause: a flood of 16,000 requests/s overflowed the control thread's stack: each delivered reply could free the next slot and recurse. Replies now wait in a queue. A node refuses at once what exceeds 4,096 requests in flight.

Ruled out: a larger stack (the depth is that of the queue).

--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -74,6 +74,10 @@
     cx.metrics.in_flight.inc();
     let guard = InFlight(cx.metrics.clone());
     let started = Instant::now();
+    if cx.metrics.in_flight.get() > cx.limits.max_in_flight as i64 {
+        cx.metrics.requests.with_label_values(&["not-run"]).inc();
+        return GiveUp::Overloaded { retry_after: RETRY_AFTER_FAILURE }.response();
+    }
     let res = match Work::new(&cx, &req) {
         None => refuse(StatusCode::NOT_FOUND, "no route: check host, path and method\n"),
         Some(work) => {
@@ -187,7 +191,10 @@
     };
     let (outcome, res) = match res {
         Ok(res) => ("answered", res),
-        Err(give_up) => (give_up.outcome(), give_up.response()),
+        Err(give_up) => {
+            debug!(work.log, "given up"; "why" => format!("{give_up:?}"));
+            (give_up.outcome(), give_up.response())
+        }
     };
     cx.metrics.requests.with_label_values(&[outcome]).inc();
     debug!(work.log, "request";
--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -26,6 +26,8 @@
     pub max_head_bytes: usize,
     /// Time for a head, and for the part of a body that is read before it is sent.
     pub read_timeout: Duration,
+    /// Requests in flight; further ones are refused at once.
+    pub max_in_flight: usize,
     /// Time for a new connection to an upstream.
     pub connect_timeout: Duration,
 }
@@ -36,6 +38,7 @@
             max_body_bytes: 64 * 1024 * 1024,
             max_head_bytes: 32 * 1024,
             read_timeout: Duration::from_secs(10),
+            max_in_flight: 4_096,
             connect_timeout: Duration::from_millis(250),
         }
     }
--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -3,6 +3,7 @@
 
 mod report;
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -92,6 +93,9 @@
     services: Services,
     waiting: FxHashMap<PermitId, Waiter>,
     open: FxHashMap<PermitId, OpenPermit>,
+    /// Replies of this node's dispatchers that are still to be delivered. A delivery may free the
+    /// next slot, so they wait here instead of on the stack.
+    undelivered: VecDeque<(Option<u64>, Settled)>,
     /// Addresses of nodes that have asked for slots.
     askers: FxHashMap<NodeId, SocketAddr>,
     staged: Option<Config>,
@@ -170,6 +174,7 @@
             services: Services::default(),
             waiting: FxHashMap::default(),
             open: FxHashMap::default(),
+            undelivered: VecDeque::new(),
             askers: FxHashMap::default(),
             staged: None,
             rejected: None,
@@ -205,11 +210,13 @@
                     return;
                 }
                 self.handle(now, event);
+                self.deliver_all(now);
             }
             self.receive_frames(now);
             if now.since(self.last_tick) >= TICK {
                 self.tick(now);
             }
+            self.deliver_all(now);
         }
     }
 
@@ -372,7 +379,7 @@
         // The service is not known any more; a permit's identity is unique among them.
         let services: Vec<u64> = self.services.hashes().collect();
         for service in services {
-            self.here(now, place, service, |it, rng| it.cancel(now, id, rng));
+            self.here(place, service, |it, rng| it.cancel(now, id, rng));
         }
     }
 
@@ -383,7 +390,7 @@
                 self.send_to(node, PermitMessage::Stalled { id, elapsed });
                 self.observe(now, &open, Kind::Stalled, elapsed);
             }
-            place => self.here(now, place, open.service, |it, _| {
+            place => self.here(place, open.service, |it, _| {
                 it.stalled(now, id, elapsed);
                 Vec::new()
             }),
@@ -401,9 +408,10 @@
                     self.observe(now, &open, kind, elapsed);
                 }
             }
-            (place, Some((kind, elapsed))) => self
-                .here(now, place, open.service, |it, rng| it.release(now, id, kind, elapsed, rng)),
-            (place, None) => self.here(now, place, open.service, |it, rng| it.cancel(now, id, rng)),
+            (place, Some((kind, elapsed))) => {
+                self.here(place, open.service, |it, rng| it.release(now, id, kind, elapsed, rng))
+            }
+            (place, None) => self.here(place, open.service, |it, rng| it.cancel(now, id, rng)),
         }
     }
 
@@ -418,7 +426,6 @@
     /// Runs `f` on a dispatcher of this node and delivers the replies that follow.
     fn here(
         &mut self,
-        now: Time,
         place: Place,
         service: u64,
         f: impl FnOnce(&mut policy::Dispatcher, &mut StdRng) -> Vec<Settled>,
@@ -430,7 +437,12 @@
         };
         let Some(dispatcher) = dispatcher else { return };
         let settled = f(dispatcher, &mut self.rng);
-        for it in settled {
+        self.undelivered.extend(settled.into_iter().map(|it| (domain, it)));
+    }
+
+    /// Delivers the replies that wait, those that follow from a delivery included.
+    fn deliver_all(&mut self, now: Time) {
+        while let Some((domain, it)) = self.undelivered.pop_front() {
             self.deliver(now, domain, it);
         }
     }
@@ -469,13 +481,13 @@
                     Some((kind, elapsed)) => it.release(now, id, kind, elapsed, rng),
                     None => it.cancel(now, id, rng),
                 };
-                self.each_own(now, settle);
+                self.each_own(settle);
             }
-            PermitMessage::Stalled { id, elapsed } => self.each_own(now, |it, _| {
+            PermitMessage::Stalled { id, elapsed } => self.each_own(|it, _| {
                 it.stalled(now, id, elapsed);
                 Vec::new()
             }),
-            PermitMessage::Renew { ids } => self.each_own(now, |it, _| {
+            PermitMessage::Renew { ids } => self.each_own(|it, _| {
                 ids.iter().for_each(|id| it.renew(now, *id));
                 Vec::new()
             }),
@@ -523,11 +535,7 @@
     }
 
     /// Runs `f` on every dispatcher for others; permits are found by their identity.
-    fn each_own(
-        &mut self,
-        now: Time,
-        f: impl Fn(&mut policy::Dispatcher, &mut StdRng) -> Vec<Settled>,
-    ) {
+    fn each_own(&mut self, f: impl Fn(&mut policy::Dispatcher, &mut StdRng) -> Vec<Settled>) {
         let rng = &mut self.rng;
         let mut settled = Vec::new();
         self.services.for_each(|_, domain, it| {
@@ -535,9 +543,7 @@
                 settled.extend(f(it, rng).into_iter().map(|it| (domain, it)));
             }
         });
-        for (domain, it) in settled {
-            self.deliver(now, domain, it);
-        }
+        self.undelivered.extend(settled);
     }
 
     // The exchange with other nodes.
@@ -546,6 +552,7 @@
         for _ in 0..BATCH {
             let Some((from, frame, n)) = self.edge.receive() else { return };
             self.receive(now, from, frame, n);
+            self.deliver_all(now);
         }
     }
 
@@ -677,9 +684,7 @@
     }
 
     fn ticked(&mut self, now: Time, ticked: Ticked) {
-        for (_, domain, it) in ticked.settled {
-            self.deliver(now, domain, it);
-        }
+        self.undelivered.extend(ticked.settled);
         for (service, domain, it) in ticked.changes {
             let name = self.services.get(service).map(|it| it.service.name.clone());
             info!(self.log, "endpoint state"; "service" => name.unwrap_or_default().as_str(),
@@ -708,7 +713,7 @@
             }
         }
         for (id, place, service) in here {
-            self.here(now, place, service, |it, _| {
+            self.here(place, service, |it, _| {
                 it.renew(now, id);
                 Vec::new()
             });
--- a/crates/dappleway/src/control/report.rs
+++ b/crates/dappleway/src/control/report.rs
@@ -42,7 +42,11 @@
         if self.draining {
             return Some("a planned stop is under way: requests in flight end first".to_owned());
         }
-        self.exchange.revisions.readiness().err().map(|it| it.to_string())
+        let reason = self.exchange.revisions.readiness().err()?;
+        Some(match &self.rejected {
+            Some(it) => format!("{reason}; revision {} was rejected: {}", it.revision, it.reason),
+            None => reason.to_string(),
+        })
     }
 
     fn members(&self, now: Time) -> Vec<MemberReport> {
--- a/crates/dappleway/src/node.rs
+++ b/crates/dappleway/src/node.rs
@@ -186,6 +186,7 @@
         let traffic = &self.settings.traffic;
         let limits = Limits {
             max_body_bytes: traffic.max_body_bytes,
+            max_in_flight: traffic.max_in_flight,
             read_timeout: Duration::from_millis(traffic.read_timeout_ms),
             connect_timeout: Duration::from_millis(traffic.connect_timeout_ms),
             ..Limits::default()
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -92,9 +92,10 @@
         self.for_each(|_, _, it| it.leave(now, addr));
     }
 
-    /// Uses an endpoint last until `until` where this node picks for itself.
+    /// Uses an endpoint last until `until`. Two nodes may both dispatch it for a while; then each
+    /// heeds the other.
     pub fn hint(&mut self, until: Time, addr: SocketAddr) {
-        self.by_hash.values_mut().for_each(|it| it.direct.hint(until, addr));
+        self.for_each(|_, _, it| it.hint(until, addr));
     }
 }
 
@@ -144,8 +145,8 @@
 /// What ticking all dispatchers brought.
 #[derive(Debug, Default)]
 pub struct Ticked {
-    /// Replies to those that waited: service, failure domain if dispatched for others, reply.
-    pub settled: Vec<(u64, Option<u64>, Settled)>,
+    /// Replies to those that waited: failure domain if dispatched for others, reply.
+    pub settled: Vec<(Option<u64>, Settled)>,
     /// State changes: service, failure domain if dispatched for others, change.
     pub changes: Vec<(u64, Option<u64>, Change)>,
 }
@@ -155,7 +156,7 @@
     pub fn tick(&mut self, now: Time, rng: &mut impl Rng) -> Ticked {
         let mut out = Ticked::default();
         self.for_each(|service, domain, it| {
-            out.settled.extend(it.tick(now, rng).into_iter().map(|it| (service, domain, it)));
+            out.settled.extend(it.tick(now, rng).into_iter().map(|it| (domain, it)));
             out.changes.extend(it.take_changes().into_iter().map(|it| (service, domain, it)));
         });
         out
@@ -164,8 +165,8 @@
     /// Forgets evidence in all dispatchers after a pause of this process.
     pub fn wake(&mut self, now: Time, rng: &mut impl Rng) -> Ticked {
         let mut out = Ticked::default();
-        self.for_each(|service, domain, it| {
-            out.settled.extend(it.wake(now, rng).into_iter().map(|it| (service, domain, it)));
+        self.for_each(|_, domain, it| {
+            out.settled.extend(it.wake(now, rng).into_iter().map(|it| (domain, it)));
         });
         out
     }
--- a/crates/dappleway/src/settings.rs
+++ b/crates/dappleway/src/settings.rs
@@ -54,6 +54,9 @@
     /// Longest request body in bytes.
     #[serde(default = "default_max_body_bytes")]
     pub max_body_bytes: u64,
+    /// Requests in flight; further ones are refused at once.
+    #[serde(default = "default_max_in_flight")]
+    pub max_in_flight: usize,
     /// Time for a request's head and for the part of its body that is read before it is sent.
     #[serde(default = "default_read_timeout_ms")]
     pub read_timeout_ms: u64,
@@ -181,6 +184,10 @@
     64 * 1024 * 1024
 }
 
+fn default_max_in_flight() -> usize {
+    4_096
+}
+
 fn default_read_timeout_ms() -> u64 {
     10_000
 }
@@ -259,6 +266,7 @@
                 listen: local(8080),
                 threads: default_threads(),
                 max_body_bytes: default_max_body_bytes(),
+                max_in_flight: default_max_in_flight(),
                 read_timeout_ms: default_read_timeout_ms(),
                 connect_timeout_ms: default_connect_timeout_ms(),
             },
@@ -306,6 +314,7 @@
         expect(self.node.addr.port() != 0, "node.addr", "write a port that peers can know");
         expect((1..=64).contains(&self.traffic.threads), "traffic.threads", "write 1 to 64");
         expect(self.traffic.max_body_bytes > 0, "traffic.max_body_bytes", "write 1 or more");
+        expect(self.traffic.max_in_flight > 0, "traffic.max_in_flight", "write 1 or more");
         expect(self.traffic.read_timeout_ms > 0, "traffic.read_timeout_ms", "write 1 or more");
         expect(
             self.traffic.connect_timeout_ms > 0,
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -123,6 +123,11 @@
         }
     }
 
+    /// Its name, which is its address.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
     /// Serves on a listener for ever.
     pub async fn serve(self, listener: TcpListener) {
         server::serve(listener, move |req| self.clone().handle(req)).await;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod ci;
 mod demo;
+mod measure;
 
 use clap::{Parser, Subcommand};
 
@@ -18,11 +19,20 @@
     Try,
     /// Checks formatting, runs the linter and all tests.
     Ci,
+    /// Measures real processes before stand-ins; writes figures under docs/measurements.
+    Measure {
+        /// What to measure.
+        what: measure::What,
+        /// Only the design chosen, with fewer trials.
+        #[arg(long)]
+        quick: bool,
+    },
 }
 
 fn main() -> anyhow::Result<()> {
     match Cli::parse().command {
         Command::Try => demo::run(),
         Command::Ci => ci::run(),
+        Command::Measure { what, quick } => measure::run(what, quick),
     }
 }
--- /dev/null
+++ b/xtask/src/measure.rs
@@ -0,0 +1,49 @@
+//! `cargo xtask measure`: figures of real processes before stand-ins, written as JSON under
+//! docs/measurements. Nothing here passes or fails; it only measures.
+
+mod bed;
+mod detect;
+mod dispatch;
+mod path;
+
+use std::path::PathBuf;
+
+use anyhow::Context;
+use clap::ValueEnum;
+use serde::Serialize;
+
+use crate::ci::root;
+use crate::demo::build;
+
+/// What to measure.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+pub enum What {
+    /// Latency that one node adds, requests a second, memory of idle connections.
+    Path,
+    /// First sends that meet a full endpoint, by way of dispatch and use.
+    Dispatch,
+    /// Detection of each fault, by way of dispatch.
+    Detect,
+}
+
+/// Builds the programs and measures.
+pub fn run(what: What, quick: bool) -> anyhow::Result<()> {
+    let bin = build()?;
+    let runtime = tokio::runtime::Runtime::new()?;
+    match what {
+        What::Path => runtime.block_on(path::run(&bin)),
+        What::Dispatch => runtime.block_on(dispatch::run(&bin, quick)),
+        What::Detect => runtime.block_on(detect::run(&bin, quick)),
+    }
+}
+
+/// Writes figures to docs/measurements.
+fn write(name: &str, figures: &impl Serialize) -> anyhow::Result<()> {
+    let dir: PathBuf = root().join("docs/measurements");
+    std::fs::create_dir_all(&dir)?;
+    let path = dir.join(format!("{name}.json"));
+    let text = serde_json::to_string_pretty(figures)?;
+    std::fs::write(&path, text + "\n").with_context(|| path.display().to_string())?;
+    println!("written to {}", path.strip_prefix(root()).unwrap_or(&path).display());
+    Ok(())
+}
--- /dev/null
+++ b/xtask/src/measure/detect.rs
@@ -0,0 +1,128 @@
+//! Detection of each fault by each way of dispatch: the time from the fault to the last new work at
+//! the sick endpoint, what it cost, and who was ejected wrongly.
+
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Serialize;
+use standin::caller;
+use standin::upstream::{Fault, Upstream};
+
+use super::bed::{Bed, Layout};
+
+/// Time that a fault lasts.
+const FAULT: Duration = Duration::from_millis(4_500);
+/// Time for the endpoint to come back.
+const REST: Duration = Duration::from_millis(4_000);
+/// Work that arrives after a pause of this length is a trial. An ejection lasts two seconds or more.
+const GAP_MS: u64 = 1_500;
+/// Share of the slots in use.
+const USED: f64 = 0.5;
+
+/// The faults, each with the share of requests that meet it and its factor.
+const FAULTS: [(&str, Fault, f64, f64); 5] = [
+    ("full stall", Fault::Stall, 1.0, 1.0),
+    ("stall of 3 in 10", Fault::Stall, 0.3, 1.0),
+    ("errors in 3 of 10", Fault::Error, 0.3, 1.0),
+    ("five times as slow", Fault::Slow, 1.0, 5.0),
+    ("answers lost", Fault::LoseAnswer, 1.0, 1.0),
+];
+
+#[derive(Debug, Serialize)]
+struct Figures {
+    mode: &'static str,
+    fault: &'static str,
+    trials: usize,
+    /// Milliseconds from the fault to the last new work, for each trial; absent if work went on.
+    detection_ms: Vec<Option<u64>>,
+    median_ms: Option<u64>,
+    worst_ms: Option<u64>,
+    /// Requests that arrived at the sick endpoint in a fault, trials included, on average.
+    arrivals: f64,
+    sent: u64,
+    answered: u64,
+    failed: u64,
+    /// p50, p99, p99.9 and worst of lookups.
+    latency_us: [u64; 4],
+    /// Ejections of endpoints that were well.
+    false_ejections: usize,
+}
+
+pub async fn run(bin: &Path, quick: bool) -> anyhow::Result<()> {
+    let modes: &[&str] = match quick {
+        true => &["permits"],
+        false => &["round-robin", "consecutive", "local", "direct", "permits"],
+    };
+    let trials = 3;
+    let mut all = Vec::new();
+    for mode in modes {
+        let layout = Layout::agenda(mode);
+        // Round robin ejects nobody, so one fault shows what that means.
+        let faults = if *mode == "round-robin" { &FAULTS[..1] } else { &FAULTS[..] };
+        for fault in faults.iter().copied() {
+            let bed = Bed::start(bin, &layout).await?;
+            caller::run(bed.lookups(layout.rate(USED), 5.0)).await;
+            let it = measure(&bed, &layout, fault, trials).await?;
+            println!("{it:?}");
+            all.push(it);
+        }
+    }
+    super::write("detect", &all)
+}
+
+async fn measure(
+    bed: &Bed,
+    layout: &Layout,
+    (name, fault, share, factor): (&'static str, Fault, f64, f64),
+    trials: usize,
+) -> anyhow::Result<Figures> {
+    let seconds = ((FAULT + REST) * trials as u32).as_secs_f64();
+    let load = tokio::spawn(caller::run(bed.lookups(layout.rate(USED), seconds)));
+    let mut detections = Vec::new();
+    let mut arrivals = 0;
+    let mut sick = Vec::new();
+    for trial in 0..trials {
+        // Another endpoint each time, so that earlier ejections do not lengthen later ones.
+        let upstream: &Upstream = &bed.upstreams[trial * 4 % bed.upstreams.len()];
+        sick.push(upstream.name().to_owned());
+        tokio::time::sleep(REST).await;
+        upstream.set_fault(fault, share, factor);
+        tokio::time::sleep(FAULT).await;
+        let counts = upstream.counts();
+        upstream.set_fault(Fault::None, 1.0, 1.0);
+        arrivals += counts.arrivals_ms.len();
+        detections.push(last_work(&counts.arrivals_ms));
+    }
+    let summary = load.await?;
+    let ejections = bed.ejections()?;
+    let mut sorted: Vec<u64> = detections.iter().flatten().copied().collect();
+    sorted.sort_unstable();
+    let all_found = sorted.len() == trials;
+    Ok(Figures {
+        mode: layout.mode,
+        fault: name,
+        trials,
+        median_ms: sorted.get(trials / 2).copied(),
+        worst_ms: sorted.last().copied().filter(|_| all_found),
+        detection_ms: detections,
+        arrivals: arrivals as f64 / trials as f64,
+        sent: summary.sent,
+        answered: summary.answered,
+        failed: summary.sent - summary.answered,
+        latency_us: summary.latency_us,
+        false_ejections: ejections.iter().filter(|it| !sick.contains(it)).count(),
+    })
+}
+
+/// The last arrival before work paused, or nothing if it never did.
+fn last_work(arrivals_ms: &[u64]) -> Option<u64> {
+    let end = FAULT.as_millis() as u64;
+    let mut last = 0;
+    for at in arrivals_ms {
+        if at - last >= GAP_MS {
+            return Some(last);
+        }
+        last = *at;
+    }
+    (end - last >= GAP_MS).then_some(last)
+}
--- /dev/null
+++ b/xtask/src/measure/dispatch.rs
@@ -0,0 +1,87 @@
+//! Ways of dispatch side by side: first sends that meet a full endpoint, latency, messages.
+
+use std::path::Path;
+
+use serde::Serialize;
+use standin::caller;
+
+use super::bed::{Bed, Layout};
+
+const SECONDS: f64 = 8.0;
+
+#[derive(Debug, Serialize)]
+struct Figures {
+    mode: &'static str,
+    used: f64,
+    sent: u64,
+    answered: u64,
+    not_run: u64,
+    /// First sends that met a full endpoint.
+    first_shed_share: f64,
+    /// p50, p99, p99.9 and worst.
+    latency_us: [u64; 4],
+    hedges: f64,
+    /// Frames and bytes about slots for each request, both ways, all nodes.
+    permit_frames_per_request: f64,
+    permit_bytes_per_request: f64,
+    /// Bytes a second of the exchange per node, both ways.
+    control_bytes_per_node_second: f64,
+    direct_slots: f64,
+    ejections: usize,
+}
+
+pub async fn run(bin: &Path, quick: bool) -> anyhow::Result<()> {
+    let modes: &[&str] = if quick { &["permits"] } else { &["round-robin", "direct", "permits"] };
+    let mut all = Vec::new();
+    for mode in modes {
+        let layout = Layout::agenda(mode);
+        let bed = Bed::start(bin, &layout).await?;
+        caller::run(bed.lookups(layout.rate(0.4), 4.0)).await;
+        for used in [0.5, 0.7, 0.85] {
+            let it = measure(&bed, &layout, used).await?;
+            println!("{it:?}");
+            all.push(it);
+        }
+    }
+    super::write("dispatch", &all)
+}
+
+async fn measure(bed: &Bed, layout: &Layout, used: f64) -> anyhow::Result<Figures> {
+    let shed = bed.metric("dappleway_first_sends_shed_total").await?;
+    let hedges = bed.metric("dappleway_hedges_total").await?;
+    let before = totals(bed).await?;
+    let ejections = bed.ejections()?.len();
+    let summary = caller::run(bed.lookups(layout.rate(used), SECONDS)).await;
+    let after = totals(bed).await?;
+    let sent = summary.sent as f64;
+    let shed = bed.metric("dappleway_first_sends_shed_total").await? - shed;
+    Ok(Figures {
+        mode: layout.mode,
+        used,
+        sent: summary.sent,
+        answered: summary.answered,
+        not_run: summary.not_run,
+        first_shed_share: shed / sent,
+        latency_us: summary.latency_us,
+        hedges: bed.metric("dappleway_hedges_total").await? - hedges,
+        // Each frame is counted where it is sent and where it is received.
+        permit_frames_per_request: (after[0] - before[0]) / 2.0 / sent,
+        permit_bytes_per_request: (after[1] - before[1]) / 2.0 / sent,
+        control_bytes_per_node_second: (after[2] - before[2]) / SECONDS / layout.nodes as f64,
+        direct_slots: after[3] - before[3],
+        ejections: bed.ejections()?.len() - ejections,
+    })
+}
+
+/// Frames and bytes about slots, bytes of the exchange, and slots picked without a dispatcher.
+async fn totals(bed: &Bed) -> anyhow::Result<[f64; 4]> {
+    let mut sums = [0.0; 4];
+    for it in &bed.nodes {
+        let report = it.report().await?;
+        let keys = ["permit_frames", "permit_bytes", "control_bytes", "direct_slots"];
+        for (sum, key) in sums.iter_mut().zip(keys) {
+            *sum += report[key].as_f64().unwrap_or_default();
+        }
+    }
+    Ok(sums)
+}
--- /dev/null
+++ b/xtask/src/measure/path.rs
@@ -0,0 +1,77 @@
+//! What one node adds to a request, how many it carries, and what idle connections cost.
+
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Serialize;
+use standin::caller::{self, Plan};
+use standin::upstream::Profile;
+use tokio::net::TcpStream;
+
+use super::bed::{Bed, Layout};
+
+/// Requests a second for the comparison of latencies.
+const RATE: f64 = 2_000.0;
+/// Requests a second that no node here carries.
+const FLOOD: f64 = 14_000.0;
+const SECONDS: f64 = 8.0;
+const IDLE: usize = 1_000;
+
+#[derive(Debug, Serialize)]
+struct Figures {
+    rate: f64,
+    /// p50, p99, p99.9 and worst.
+    straight_us: [u64; 4],
+    through_us: [u64; 4],
+    added_us: [i64; 3],
+    /// Whole answers a second when far more is offered.
+    flooded_answers_per_second: f64,
+    /// Processor seconds of the node for 1,000 answers.
+    node_cpu_s_per_1000: f64,
+    answers_per_core_second: f64,
+    idle_connections: usize,
+    idle_mb: f64,
+}
+
+pub async fn run(bin: &Path) -> anyhow::Result<()> {
+    let profile = Profile { slots: 512, service_us: 0, heavy_tail: false, piece_us: 0 };
+    let layout = Layout { nodes: 1, endpoints: 4, profile, ..Layout::agenda("permits") };
+    let bed = Bed::start(bin, &layout).await?;
+    let upstream: Vec<_> = endpoints(&bed).await?;
+    let straight = Plan { targets: upstream, ..bed.lookups(RATE, SECONDS) };
+    let warm_up = bed.lookups(RATE, 3.0);
+    caller::run(warm_up).await;
+    let straight = caller::run(straight).await;
+    let before = bed.cpu_seconds();
+    let through = caller::run(bed.lookups(RATE, SECONDS)).await;
+    let cpu = bed.cpu_seconds() - before;
+    let flooded = caller::run(bed.lookups(FLOOD, 4.0)).await;
+    let memory = bed.memory_mb().unwrap_or_default();
+    let mut idle = Vec::new();
+    for _ in 0..IDLE {
+        idle.push(TcpStream::connect(bed.nodes[0].addrs.traffic).await?);
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let idle_mb = bed.memory_mb().unwrap_or_default() - memory;
+    let added = |i: usize| through.latency_us[i] as i64 - straight.latency_us[i] as i64;
+    let per_1000 = cpu / through.answered as f64 * 1000.0;
+    let figures = Figures {
+        rate: RATE,
+        straight_us: straight.latency_us,
+        through_us: through.latency_us,
+        added_us: [added(0), added(1), added(2)],
+        flooded_answers_per_second: flooded.answered as f64 / 4.0,
+        node_cpu_s_per_1000: per_1000,
+        answers_per_core_second: 1000.0 / per_1000,
+        idle_connections: IDLE,
+        idle_mb,
+    };
+    println!("{figures:#?}");
+    super::write("path", &figures)
+}
+
+async fn endpoints(bed: &Bed) -> anyhow::Result<Vec<std::net::SocketAddr>> {
+    let report = bed.nodes[0].report().await?;
+    let endpoints = report["services"][0]["endpoints"].as_array().cloned().unwrap_or_default();
+    Ok(endpoints.iter().filter_map(|it| it["addr"].as_str()?.parse().ok()).collect())
+}
