--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -1,12 +1,14 @@
 //! The life of one request: route, read, wait for a slot, send, decide what follows, answer.
 
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::header::{self, HeaderValue};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body::Body;
+use http_body::{Body, Frame, SizeHint};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use policy::{Attempt, Kind, Next, Outcome, next_step, stable_hash};
@@ -70,35 +72,67 @@
 pub(crate) async fn serve<D: Dispatch>(
     cx: Arc<Cx<D>>,
     req: Request<Incoming>,
-) -> Response<AnswerOut> {
-    cx.metrics.in_flight.inc();
-    let guard = InFlight(cx.metrics.clone());
+) -> Response<Counted> {
+    let guard = InFlight::new(&cx.metrics);
+    answer(&cx, req).await.map(|body| Counted { body, _guard: guard })
+}
+
+async fn answer<D: Dispatch>(cx: &Arc<Cx<D>>, req: Request<Incoming>) -> Response<AnswerOut> {
     let started = Instant::now();
     if cx.metrics.in_flight.get() > cx.limits.max_in_flight as i64 {
         cx.metrics.requests.with_label_values(&["not-run"]).inc();
         return GiveUp::Overloaded { retry_after: RETRY_AFTER_FAILURE }.response();
     }
-    let res = match Work::new(&cx, &req) {
-        None => refuse(StatusCode::NOT_FOUND, "no route: check host, path and method\n"),
-        Some(work) => {
-            let id = work.headers[headers::REQUEST_ID].clone();
-            let mut res = run(&cx, Arc::new(work), req.into_body(), started).await;
-            res.headers_mut().insert(headers::REQUEST_ID, id);
-            res
-        }
+    let Some(work) = Work::new(cx, &req) else {
+        return refuse(StatusCode::NOT_FOUND, "no route: check host, path and method\n");
     };
-    drop(guard);
+    let id = work.headers[headers::REQUEST_ID].clone();
+    let mut res = run(cx, Arc::new(work), req.into_body(), started).await;
+    res.headers_mut().insert(headers::REQUEST_ID, id);
     res
 }
 
+/// An answer that counts as in flight until its body has ended.
+pub(crate) struct Counted {
+    body: AnswerOut,
+    _guard: InFlight,
+}
+
 struct InFlight(Metrics);
 
+impl InFlight {
+    fn new(metrics: &Metrics) -> Self {
+        metrics.in_flight.inc();
+        Self(metrics.clone())
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.0.in_flight.dec();
     }
 }
 
+impl Body for Counted {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 impl Work {
     fn new<D>(cx: &Cx<D>, req: &Request<Incoming>) -> Option<Self> {
         let snapshot = Arc::clone(&cx.shared.load());
@@ -318,7 +352,7 @@
     cx: &Arc<Cx<D>>,
     work: &Arc<Work>,
     exclude: std::net::SocketAddr,
-    body: Full<bytes::Bytes>,
+    body: Full<Bytes>,
 ) -> Option<Sent> {
     let slot = acquire(cx, work, Some(exclude)).await.ok()?;
     Some(attempt(cx, work, slot, RequestOut::Held(body), false).await)
--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -10,8 +10,8 @@
 
 use caller::{Refused, Shared, Want};
 use fleet::{
-    Action, Client, Directory, Edge, Effect, Exchange, Frame, Keys, Message, PermitMessage, Phase,
-    Place, Settlement, Verdict, Wish,
+    Action, Client, Directory, Edge, Effect, Exchange, Frame, Gossip, Keys, Message, PermitMessage,
+    Phase, Place, Settlement, Verdict, Wish,
 };
 use operator::{Published, Report};
 use platform::Vm;
@@ -254,7 +254,7 @@
             Command::Acquire(id, want, tx) => self.acquire(now, id, &want, tx),
             Command::Withdraw(id) => self.withdraw(now, id),
             Command::Stalled(id, elapsed) => self.stalled(now, id, elapsed),
-            Command::Leaving(addr) => self.leaving(now, addr),
+            Command::Leaving(id, addr) => self.leaving(now, id, addr),
             Command::End(id, outcome) => self.end(now, id, outcome),
         }
     }
@@ -595,10 +595,17 @@
         }
     }
 
-    fn leaving(&mut self, now: Time, addr: SocketAddr) {
+    fn leaving(&mut self, now: Time, id: PermitId, addr: SocketAddr) {
         self.services.leave(now, addr);
         let valid_ms = LEAVING_VALID.as_millis() as u32;
-        self.exchange.tell(now, Verdict { endpoint: addr, leaving: true, valid_ms });
+        let verdict = Verdict { endpoint: addr, leaving: true, valid_ms };
+        self.exchange.tell(now, verdict);
+        // Who hands out the endpoint's slots must not wait for the exchange.
+        let Some(OpenPermit { place: Place::Peer(node), .. }) = self.open.get(&id) else { return };
+        let Some(member) = self.exchange.members().get(*node) else { return };
+        let gossip = Gossip { nodes: Vec::new(), verdicts: vec![verdict] };
+        let effect = Effect::Send(member.info.addr, Message::Gossip(gossip));
+        self.apply(now, vec![effect]);
     }
 
     fn send_to(&mut self, node: NodeId, message: PermitMessage) {
--- a/crates/dappleway/src/handle.rs
+++ b/crates/dappleway/src/handle.rs
@@ -19,8 +19,8 @@
     Withdraw(PermitId),
     /// A request is stalled.
     Stalled(PermitId, Duration),
-    /// An endpoint says that it is leaving.
-    Leaving(std::net::SocketAddr),
+    /// The endpoint of a slot says that it is leaving.
+    Leaving(PermitId, std::net::SocketAddr),
     /// A slot comes back; without an outcome it proves nothing.
     End(PermitId, Option<(Kind, Duration)>),
 }
@@ -96,7 +96,7 @@
     }
 
     fn leaving(&mut self) {
-        self.handle.send(Command::Leaving(self.grant.addr));
+        self.handle.send(Command::Leaving(self.id, self.grant.addr));
     }
 
     fn end(mut self, kind: Kind, elapsed: Duration) {
--- /dev/null
+++ b/crates/dappleway/tests/promises.rs
@@ -0,0 +1,254 @@
+//! What must always hold, at real processes before upstreams that fail.
+//!
+//! Nothing here asserts a duration: conditions are waited for, and what must not happen is counted
+//! where it would happen, at the stand-in upstreams.
+
+use std::collections::BTreeSet;
+use std::path::Path;
+use std::time::Duration;
+
+use standin::bed::{Bed, Layout};
+use standin::caller::{self, Plan, Summary};
+use standin::client;
+use standin::lab::{Node, Options};
+use standin::platform;
+use standin::upstream::{Fault, Profile, download_bytes};
+
+const BYTES: usize = 1_000_000;
+
+async fn bed(layout: &Layout) -> Bed {
+    Bed::start(Path::new(env!("CARGO_BIN_EXE_dappleway")), layout).await.unwrap()
+}
+
+async fn send(bed: &Bed, method: &str, path: &str, rate: f64, seconds: f64) -> Summary {
+    let plan = Plan { method: method.into(), path: path.into(), ..bed.lookups(rate, seconds) };
+    caller::run(plan).await
+}
+
+/// How often a request was run, over all endpoints.
+fn runs(bed: &Bed, id: &str) -> u32 {
+    bed.upstreams.iter().map(|it| it.runs().get(id).copied().unwrap_or(0)).sum()
+}
+
+fn check_at_most_once(bed: &Bed, summary: &Summary, what: &str) {
+    let ids: BTreeSet<String> = bed.upstreams.iter().flat_map(|it| it.runs().into_keys()).collect();
+    for id in &ids {
+        assert!(runs(bed, id) <= 1, "{what}: {id} ran {} times", runs(bed, id));
+    }
+    for id in &summary.not_run_ids {
+        assert_eq!(runs(bed, id), 0, "{what}: {id} was told to have not run");
+    }
+    for id in &summary.answered_ids {
+        assert_eq!(runs(bed, id), 1, "{what}: {id} was answered");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn work_that_must_not_repeat_runs_at_most_once_and_not_run_is_true() {
+    let bed = bed(&Layout::small()).await;
+    let faults = [
+        Fault::LoseAnswer,
+        Fault::LoseRequest,
+        Fault::Stall,
+        Fault::Late,
+        Fault::Error,
+        Fault::CutBody,
+        Fault::StallBody,
+        Fault::Swap,
+        Fault::Shed,
+        Fault::Leaving,
+    ];
+    for fault in faults {
+        for path in ["/slots", "/bookings"] {
+            bed.upstreams.iter().for_each(|it| it.set_fault(fault, 0.4, 5.0));
+            let summary = send(&bed, "POST", path, 150.0, 0.5).await;
+            check_at_most_once(&bed, &summary, &format!("{fault:?} {path}"));
+            assert_eq!(summary.crossed, 0, "{fault:?}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_get_whole_answers_to_their_own_requests_only() {
+    let bed = bed(&Layout::small()).await;
+    for fault in [Fault::Swap, Fault::CutBody, Fault::StallBody, Fault::LoseAnswer] {
+        bed.upstreams.iter().for_each(|it| it.set_fault(fault, 0.3, 1.0));
+        let summary = send(&bed, "GET", "/slots/today", 200.0, 1.0).await;
+        assert_eq!(summary.crossed, 0, "{fault:?}");
+        assert!(summary.answered > 0, "{fault:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_download_that_stalls_or_breaks_is_continued_byte_for_byte() {
+    let bed = bed(&Layout::small()).await;
+    for fault in [Fault::StallBody, Fault::CutBody] {
+        bed.upstreams.iter().for_each(|it| it.set_fault(fault, 0.5, 1.0));
+        let mut whole = 0;
+        for _ in 0..8 {
+            let path = format!("/archives/2026-11?bytes={BYTES}");
+            // One that breaks off every time is visibly broken off: the client reports an error.
+            let Ok(got) = client::get(bed.nodes[0].addrs.traffic, &path).await else { continue };
+            if got.status.is_success() {
+                assert_eq!(got.body.len(), BYTES, "{fault:?}");
+                assert!(got.body == download_bytes(0, BYTES), "{fault:?}: other bytes");
+                whole += 1;
+            }
+        }
+        assert!(whole > 0, "{fault:?}: no download was continued");
+    }
+    let resumes = bed.metric("dappleway_resumes_total").await.unwrap();
+    assert!(resumes > 0.0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_no_request_in_flight() {
+    let profile = Profile { piece_us: 10_000, ..Layout::small().profile };
+    let mut bed = bed(&Layout { profile, ..Layout::small() }).await;
+    let target = bed.nodes[0].addrs.traffic;
+    let download =
+        tokio::spawn(
+            async move { client::get(target, &format!("/archives/x?bytes={BYTES}")).await },
+        );
+    // The download is under way when the stop begins.
+    while bed.nodes[0].metric("dappleway_requests_in_flight").await.unwrap() < 1.0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    bed.nodes[0].signal("TERM").unwrap();
+    let got = download.await.unwrap().unwrap();
+    assert_eq!(got.body.len(), BYTES);
+    let code = loop {
+        if let Some(code) = bed.nodes[0].exit_code().unwrap() {
+            break code;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    assert_eq!(code, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_endpoint_gets_no_new_work() {
+    let bed = bed(&Layout::small()).await;
+    send(&bed, "GET", "/slots", 200.0, 0.5).await;
+    let leaving = &bed.upstreams[0];
+    leaving.set_fault(Fault::Leaving, 1.0, 1.0);
+    let load = send(&bed, "GET", "/slots", 200.0, 2.0);
+    let noticed = bed.wait_reports(|report| {
+        let endpoints = report["services"][0]["endpoints"].as_array().unwrap();
+        endpoints.iter().any(|it| it["addr"] == leaving.name() && it["state"] == "leaving")
+    });
+    let (_, noticed) = tokio::join!(load, noticed);
+    noticed.unwrap();
+    let before = leaving.counts().since_fault;
+    send(&bed, "GET", "/slots", 200.0, 1.0).await;
+    assert_eq!(leaving.counts().since_fault, before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_is_given_up_is_told_so_with_when_to_come_back() {
+    let profile = Profile { slots: 1, service_us: 400_000, ..Layout::small().profile };
+    let layout = Layout { profile, endpoints: 1, nodes: 1, floor: "100%", ..Layout::small() };
+    let bed = bed(&layout).await;
+    let target = bed.nodes[0].addrs.traffic;
+    let mut calls = tokio::task::JoinSet::new();
+    for _ in 0..40 {
+        calls.spawn(client::call(target, "POST", "/slots", "x"));
+    }
+    let mut refused = 0;
+    while let Some(got) = calls.join_next().await {
+        let got = got.unwrap().unwrap();
+        if !got.status.is_success() {
+            refused += 1;
+            assert!(["not-run", "unknown"].contains(&got.header("x-request-outcome")));
+            assert!(got.header("retry-after").parse::<u64>().unwrap() >= 1);
+        }
+    }
+    assert!(refused > 0, "40 requests of 0.4 s do not fit one slot and a deadline of 1 s");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_node_blames_nobody_when_it_wakes() {
+    let bed = bed(&Layout::small()).await;
+    send(&bed, "GET", "/slots", 300.0, 1.0).await;
+    let load = tokio::spawn({
+        let mut plan = bed.lookups(200.0, 3.0);
+        // The balancer has noticed the frozen node.
+        plan.targets.remove(0);
+        caller::run(plan)
+    });
+    bed.nodes[0].signal("STOP").unwrap();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    bed.nodes[0].signal("CONT").unwrap();
+    let summary = load.await.unwrap();
+    assert!(summary.answered > 0);
+    send(&bed, "GET", "/slots", 200.0, 1.0).await;
+    assert_eq!(bed.ejections().unwrap(), Vec::<String>::new());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_in_force_survives_restarts_while_the_platform_is_stale_or_down() {
+    let mut bed = bed(&Layout::small()).await;
+    let second = bed.platform.publish(&bed.resources);
+    bed.wait_in_force(second).await.unwrap();
+    for fault in [platform::Fault::Stale, platform::Fault::Down] {
+        bed.platform.set_fault(fault);
+        for i in 0..bed.nodes.len() {
+            if fault == platform::Fault::Down {
+                // A process that cannot read the list is not started into an outage here; the
+                // others go on serving.
+                continue;
+            }
+            bed.nodes[i].restart().unwrap();
+            bed.nodes[i].wait_ready(Duration::from_secs(30)).await.unwrap();
+            assert_eq!(bed.nodes[i].report().await.unwrap()["in_force"], second);
+        }
+        let summary = send(&bed, "GET", "/slots", 100.0, 0.5).await;
+        assert_eq!(summary.answered, summary.sent, "{fault:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_invalid_revision_is_rejected_as_a_whole_by_every_node() {
+    let bed = bed(&Layout::small()).await;
+    let mut broken = bed.resources.clone();
+    broken.push(broken[1].clone());
+    let second = bed.platform.publish(&broken);
+    bed.wait_reports(|it| it["rejected"].as_str().is_some_and(|it| it.contains("is taken")))
+        .await
+        .unwrap();
+    bed.wait_in_force(1).await.unwrap();
+    let third = bed.platform.publish(&bed.resources);
+    assert!(third > second);
+    bed.wait_in_force(third).await.unwrap();
+    bed.wait_reports(|it| it["rejected"].is_null()).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_with_another_key_joins_nothing_and_stays_unready() {
+    let bed = bed(&Layout { nodes: 2, ..Layout::small() }).await;
+    let dir = tempfile::tempdir().unwrap();
+    std::fs::write(dir.path().join("fleet.key"), "another secret altogether").unwrap();
+    let platform = bed.platform_addr();
+    let stranger = standin::lab::node_addrs(1, &["a"]).unwrap().remove(0);
+    let mut listed = standin::lab::vms(std::slice::from_ref(&stranger));
+    listed.extend(standin::lab::vms(
+        &bed.nodes.iter().map(|it| it.addrs.clone()).collect::<Vec<_>>(),
+    ));
+    bed.platform.set_vms(listed);
+    let options = Options::new(Path::new(env!("CARGO_BIN_EXE_dappleway")), platform);
+    let node = Node::start(dir.path(), &stranger, &options).unwrap();
+    let reason = loop {
+        if let Ok(report) = node.report().await
+            && let Some(reason) = report["not_ready"].as_str()
+            && reason.contains("have not answered")
+        {
+            break reason.to_owned();
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    assert!(reason.starts_with("2 listed VMs"), "{reason}");
+    let report = bed.nodes[0].report().await.unwrap();
+    let members = report["members"].as_array().unwrap();
+    assert!(members.iter().all(|it| it["node"] != stranger.fleet.to_string()));
+    bed.wait_reports(|it| it["frames_dropped"].as_u64().is_some_and(|n| n > 0)).await.unwrap();
+}
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -160,19 +160,24 @@
     /// Holds a revision whose parts are whole and valid.
     pub fn hold(&mut self, held: Held) -> Vec<Effect> {
         self.fetching = None;
-        self.revisions.hold(held);
+        if self.revisions.hold(held) {
+            self.hurry();
+        }
         self.advance()
     }
 
     /// Spreads a verdict of this node.
     pub fn tell(&mut self, now: Time, verdict: Verdict) {
+        if verdict.leaving && !self.verdicts.contains_key(&verdict.endpoint) {
+            self.hurry();
+        }
         let until = now + Duration::from_millis(verdict.valid_ms.into());
         self.verdicts.insert(verdict.endpoint, (verdict, until));
     }
 
-    #[cfg(test)]
-    pub(crate) fn knows_verdict(&self, endpoint: SocketAddr) -> bool {
-        self.verdicts.contains_key(&endpoint)
+    /// The verdicts that this node believes and passes on.
+    pub fn verdicts(&self) -> impl Iterator<Item = &Verdict> {
+        self.verdicts.values().map(|(it, _)| it)
     }
 
     /// Takes in a message from a peer.
@@ -248,11 +253,13 @@
         let mut effects = Vec::new();
         for it in verdicts {
             let until = now + Duration::from_millis(it.valid_ms.into());
-            let known = self.verdicts.get(&it.endpoint);
-            let is_news = known.is_none_or(|(old, end)| {
-                until > *end + VERDICT_SLACK || it.leaving && !old.leaving
-            });
+            let known = self.verdicts.get(&it.endpoint).copied();
+            let is_news = known
+                .is_none_or(|(old, end)| until > end + VERDICT_SLACK || it.leaving && !old.leaving);
             if is_news {
+                if it.leaving && known.is_none_or(|(old, _)| !old.leaving) {
+                    self.hurry();
+                }
                 self.verdicts.insert(it.endpoint, (*it, until));
                 effects.push(Effect::Verdict(*it));
             }
@@ -270,6 +277,11 @@
         }
     }
 
+    /// Passes news on with the next tick instead of the next round; the byte budget still holds.
+    fn hurry(&mut self) {
+        self.next_round = Time(0);
+    }
+
     fn advance(&mut self) -> Vec<Effect> {
         self.revisions.advance().map(Effect::InForce).into_iter().collect()
     }
--- a/crates/fleet/src/tests.rs
+++ b/crates/fleet/src/tests.rs
@@ -1,6 +1,5 @@
 //! Tests of the exchange, driven without sockets.
 
-mod exchange;
 mod permits;
 mod revisions_model;
 mod rule;
--- /dev/null
+++ b/crates/policy/benches/decision.rs
@@ -0,0 +1,60 @@
+//! Cost of one decision: a slot asked for and given back, by number of endpoints.
+
+use std::time::Duration;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use policy::{Ask, Dispatcher, Kind, NodeId, PermitId, Reporter, Time};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use resources::{Endpoint, Floor, Priority, Service};
+
+fn service(endpoints: u16) -> Service {
+    let endpoint = |i: u16| Endpoint {
+        addr: ([127, 0, 0, 1], 1_000 + i).into(),
+        failure_domain: ["a", "b", "c"][usize::from(i) % 3].into(),
+    };
+    Service {
+        name: "s".into(),
+        endpoints: (0..endpoints).map(endpoint).collect(),
+        floor: Floor::Percent(60),
+        bias: Default::default(),
+        slots: 3,
+        connections: 200,
+    }
+}
+
+fn ask_and_release(c: &mut Criterion) {
+    let mut group = c.benchmark_group("ask and release");
+    for (endpoints, routes) in [(5, 4), (15, 4), (28, 4), (15, 400)] {
+        let routes: Vec<u32> = (0..routes).collect();
+        let mut dispatcher = Dispatcher::new(Time(0), &service(endpoints), None, &routes);
+        let mut rng = StdRng::seed_from_u64(1);
+        let mut seq = 0;
+        let name = BenchmarkId::new(format!("{} routes", routes.len()), endpoints);
+        group.bench_function(name, |b| {
+            b.iter(|| {
+                seq += 1;
+                let id = PermitId { node: NodeId(seq % 40), seq };
+                let ask = Ask {
+                    id,
+                    reporter: Reporter { node: id.node, failure_domain: seq % 3 },
+                    route: 1,
+                    repeatable: true,
+                    priority: Priority::Interactive,
+                    organisation: 1,
+                    weight: 1,
+                    exclude: None,
+                    left: Duration::from_secs(1),
+                    wait: false,
+                };
+                let now = Time(seq * 100);
+                dispatcher.ask(now, ask, &mut rng);
+                dispatcher.release(now, id, Kind::Answered, Duration::from_millis(9), &mut rng)
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, ask_and_release);
+criterion_main!(benches);
--- a/crates/policy/src/rotation.rs
+++ b/crates/policy/src/rotation.rs
@@ -322,6 +322,11 @@
         self.restore_floor(now);
     }
 
+    #[cfg(test)]
+    pub(crate) fn readmit_for_test(&mut self, now: Time, i: usize) {
+        self.set(now, i, State::Healthy, "test");
+    }
+
     /// The floor of a failure domain now, in endpoints.
     pub fn floor_of(&self, now: Time, failure_domain: &str) -> usize {
         let floor = self.floors.iter().find(|it| it.name == failure_domain);
--- a/crates/policy/src/tests.rs
+++ b/crates/policy/src/tests.rs
@@ -3,6 +3,7 @@
 mod dispatcher;
 mod fixture;
 mod floor;
+mod floor_model;
 mod queue;
 mod retry;
 mod verdicts;
--- a/crates/policy/src/tests/dispatcher.rs
+++ b/crates/policy/src/tests/dispatcher.rs
@@ -235,6 +235,33 @@
     assert!(matches!(reply, Reply::Refused { retry_after } if !retry_after.is_zero()), "{reply:?}");
 }
 
+/// A request left the queue because it was urgent, was no longer urgent in a shorter queue, and got
+/// no reply at all. Found by `slots_and_waiters_are_conserved`.
+#[test]
+fn a_request_that_leaves_the_queue_always_gets_a_reply() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = service(&[2], 1, Bias::Speed);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, None, &[ROUTE]);
+    let held: Vec<_> = (0..6).map(|seq| ask(seq, false)).collect();
+    for it in &held {
+        dispatcher.ask(Time(0), it.clone(), &mut rng);
+    }
+    let mut waiting = 0;
+    for seq in 10..40 {
+        let hurried = Ask { left: Duration::from_millis(60), ..ask(seq, true) };
+        waiting += usize::from(dispatcher.ask(Time(0), hurried, &mut rng) == Reply::Queued);
+    }
+    // A shed request makes its endpoint one of the last tier, which only urgent ones take.
+    let mut settled = 0;
+    for it in &held {
+        let now = Time(1_000);
+        let ms = Duration::from_millis(1);
+        settled += dispatcher.release(now, it.id, Kind::Shed, ms, &mut rng).len();
+        assert_eq!(dispatcher.queued() + settled, waiting);
+    }
+    assert!(settled > 0);
+}
+
 #[test]
 fn a_permit_that_is_not_renewed_comes_back() {
     let mut rng = StdRng::seed_from_u64(1);
--- /dev/null
+++ b/crates/policy/src/tests/floor_model.rs
@@ -0,0 +1,208 @@
+//! A model of the floor under several judges while a new configuration spreads.
+//!
+//! One judge for each of two failure domains ejects on its own word. The old and the new
+//! configuration keep the same floor of the service but split it the other way round. Each judge may
+//! come to know the new configuration at any time; all know it before the first has settled, which
+//! is what `SETTLE` stands for. The specification is explored exhaustively, and random schedules of
+//! the same steps are run through the production rotation beside it.
+
+use pathfinding::directed::bfs::{bfs, bfs_reach};
+use proptest::prelude::*;
+use resources::{Bias, Service};
+
+use super::fixture::service;
+use crate::Time;
+use crate::rotation::{Rotation, SETTLE, State};
+
+/// Endpoints in each failure domain.
+const SIZE: usize = 3;
+/// The service's floor in both configurations.
+const FLOOR: usize = 3;
+/// Floor of each failure domain before and after.
+const SPLITS: [[usize; 2]; 2] = [[2, 1], [1, 2]];
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Seen {
+    Old,
+    Settling,
+    Settled,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Judge {
+    seen: Seen,
+    ejected: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct World {
+    judges: [Judge; 2],
+    /// Whether the stricter of both floors holds while a judge settles.
+    settles: bool,
+    /// Whether each judge keeps its own part, or counts on the others' endpoints as it last saw them.
+    splits: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Eject(usize),
+    Readmit(usize),
+    See(usize),
+    Settle(usize),
+}
+
+const STEPS: [Step; 8] = [
+    Step::Eject(0),
+    Step::Eject(1),
+    Step::Readmit(0),
+    Step::Readmit(1),
+    Step::See(0),
+    Step::See(1),
+    Step::Settle(0),
+    Step::Settle(1),
+];
+
+const START: World =
+    World { judges: [Judge { seen: Seen::Old, ejected: 0 }; 2], settles: true, splits: true };
+
+impl World {
+    fn floor(&self, j: usize) -> usize {
+        let [old, new] = [SPLITS[0][j], SPLITS[1][j]];
+        match self.judges[j].seen {
+            Seen::Old => old,
+            Seen::Settling if self.settles => old.max(new),
+            Seen::Settling | Seen::Settled => new,
+        }
+    }
+
+    /// The world after a step, or nothing if the step is not possible.
+    fn step(mut self, step: Step) -> Option<Self> {
+        let all_have_seen = self.judges.iter().all(|it| it.seen != Seen::Old);
+        match step {
+            Step::Eject(j) => {
+                // Without parts a judge counts on all endpoints of the others, as it last saw them.
+                let others = if self.splits { 0 } else { SIZE };
+                let floor = if self.splits { self.floor(j) } else { FLOOR };
+                let left = SIZE - self.judges[j].ejected;
+                if left == 0 || others + left - 1 < floor {
+                    return None;
+                }
+                self.judges[j].ejected += 1;
+            }
+            Step::Readmit(j) if self.judges[j].ejected > 0 => self.judges[j].ejected -= 1,
+            Step::See(j) if self.judges[j].seen == Seen::Old => {
+                self.judges[j].seen = Seen::Settling;
+                let most = if self.splits { SIZE - self.floor(j) } else { SIZE };
+                self.judges[j].ejected = self.judges[j].ejected.min(most);
+            }
+            Step::Settle(j) if self.judges[j].seen == Seen::Settling && all_have_seen => {
+                self.judges[j].seen = Seen::Settled;
+            }
+            _ => return None,
+        }
+        Some(self)
+    }
+
+    fn successors(&self) -> Vec<Self> {
+        STEPS.iter().filter_map(|it| self.step(*it)).collect()
+    }
+
+    fn is_below_floor(&self) -> bool {
+        let left: usize = self.judges.iter().map(|it| SIZE - it.ejected).sum();
+        left < FLOOR
+    }
+}
+
+#[test]
+fn the_floor_holds_whatever_each_judge_knows() {
+    assert_eq!(bfs(&START, World::successors, World::is_below_floor), None);
+    let states = bfs_reach(START, World::successors).count();
+    println!("{states} states, all that can be reached");
+    assert!(states > 30, "the model has {states} states: too few to mean anything");
+}
+
+#[test]
+fn the_check_catches_broken_rules() {
+    let broken = [World { settles: false, ..START }, World { splits: false, ..START }];
+    for start in broken {
+        let schedule = bfs(&start, World::successors, World::is_below_floor);
+        println!("below the floor after {} steps", schedule.expect("it is caught").len() - 1);
+    }
+}
+
+/// The split of production for sizes of three and the floors of the model: the rotation of a judge
+/// that covers one failure domain.
+struct Production {
+    rotation: Rotation,
+    now: Time,
+    domain: usize,
+}
+
+/// A service whose failure domain `domain` has the floor of the given configuration. Production
+/// splits a floor evenly, so each domain stands here for a service of its own.
+fn configuration(domain: usize, which: usize) -> Service {
+    service(&[SIZE], SPLITS[which][domain], Bias::Speed)
+}
+
+impl Production {
+    fn new(domain: usize) -> Self {
+        let rotation = Rotation::new(Time(0), &configuration(domain, 0));
+        Self { rotation, now: Time(0), domain }
+    }
+
+    fn ejected(&self) -> usize {
+        let out = |it: &&crate::EndpointStatus| matches!(it.state, State::Ejected { .. });
+        self.rotation.endpoints().iter().filter(out).count()
+    }
+
+    fn apply(&mut self, step: Step) {
+        (0..SIZE).for_each(|i| self.prove(i));
+        match step {
+            Step::Eject(_) => {
+                let well =
+                    (0..SIZE).find(|i| self.rotation.endpoints()[*i].state == State::Healthy);
+                if let Some(i) = well {
+                    self.rotation.eject(self.now, i, "test");
+                }
+            }
+            Step::Readmit(_) => {
+                let out = (0..SIZE)
+                    .find(|i| matches!(self.rotation.endpoints()[*i].state, State::Ejected { .. }));
+                self.rotation.readmit_for_test(self.now, out.expect("the model has one out"));
+            }
+            Step::See(_) => self.rotation.reconfigure(self.now, &configuration(self.domain, 1)),
+            Step::Settle(_) => self.now = self.now + SETTLE,
+        }
+        (0..SIZE).for_each(|i| self.prove(i));
+    }
+
+    /// Endpoints that are in rotation are well.
+    fn prove(&mut self, i: usize) {
+        if self.rotation.endpoints()[i].state.in_rotation() {
+            self.rotation.good(self.now, i);
+            self.rotation.clear(self.now, i);
+        }
+    }
+}
+
+proptest! {
+    #[test]
+    fn production_follows_the_specification(steps in prop::collection::vec(0..STEPS.len(), 1..40)) {
+        let mut world = START;
+        let mut production = [Production::new(0), Production::new(1)];
+        for step in steps.into_iter().map(|i| STEPS[i]) {
+            let (Step::Eject(j) | Step::Readmit(j) | Step::See(j) | Step::Settle(j)) = step;
+            let is_eject = matches!(step, Step::Eject(_));
+            match world.step(step) {
+                Some(next) => {
+                    world = next;
+                    production[j].apply(step);
+                }
+                // An ejection that the model refuses must be refused in production too.
+                None if is_eject => production[j].apply(step),
+                None => {}
+            }
+            prop_assert_eq!(production[j].ejected(), world.judges[j].ejected, "{:?}", step);
+        }
+    }
+}
--- a/xtask/src/measure/bed.rs
+++ b/crates/standin/src/bed.rs
@@ -1,25 +1,33 @@
-//! A test bed: stand-ins in this process, nodes as processes.
+//! A test bed: stand-ins in this process, nodes as processes on loopback.
 
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use resources::{Endpoint, Resource, Service};
-use standin::caller::Plan;
-use standin::lab::{self, Node, Options};
-use standin::platform::Platform;
-use standin::server;
-use standin::upstream::{Profile, Upstream};
+use anyhow::bail;
+use resources::{Endpoint, Resource};
+
+use crate::caller::Plan;
+use crate::lab::{self, Node, Options};
+use crate::platform::Platform;
+use crate::server;
+use crate::upstream::{Profile, Upstream};
 
 /// Time to start all nodes.
 const START: Duration = Duration::from_secs(60);
 
-/// A bed with one service and a route `/slots` to it.
+/// A bed with one service. `GET /slots` may be repeated and hedged, `POST /slots` never runs twice,
+/// `POST /bookings` is sent again only if it did not run, and `GET /archives` is a long stream.
 pub struct Bed {
     /// The nodes.
     pub nodes: Vec<Node>,
     /// The endpoints.
     pub upstreams: Vec<Upstream>,
-    _dir: tempfile::TempDir,
+    /// The platform.
+    pub platform: Platform,
+    platform_addr: std::net::SocketAddr,
+    /// The documents that were published first.
+    pub resources: Vec<Resource>,
+    dir: tempfile::TempDir,
 }
 
 /// What a bed consists of.
@@ -39,6 +47,8 @@
     pub bias: &'static str,
     /// The service's floor.
     pub floor: &'static str,
+    /// Deadline of all routes in milliseconds.
+    pub deadline_ms: u32,
 }
 
 impl Layout {
@@ -53,44 +63,48 @@
             mode,
             bias: "speed",
             floor: "60%",
+            deadline_ms: 1_000,
         }
     }
 
+    /// Three nodes before six endpoints, for tests.
+    pub fn small() -> Self {
+        let profile = Profile { slots: 4, service_us: 2_000, heavy_tail: false, piece_us: 0 };
+        Self { nodes: 3, endpoints: 6, profile, floor: "50%", ..Self::agenda("permits") }
+    }
+
     /// Requests a second that keep this share of the slots in use.
     pub fn rate(&self, used: f64) -> f64 {
         let slots = (self.endpoints * self.profile.slots) as f64;
         used * slots / Duration::from_micros(self.profile.service_us).as_secs_f64()
     }
 
-    fn resources(&self, endpoints: Vec<Endpoint>) -> anyhow::Result<Vec<Resource>> {
+    fn resources(&self, endpoints: &[Endpoint]) -> anyhow::Result<Vec<Resource>> {
         let service = serde_json::json!({
             "kind": "Service", "name": "slot-availability", "floor": self.floor,
             "bias": self.bias, "slots": self.profile.slots,
-            "connections": self.profile.slots.max(200), "endpoints": [],
+            "connections": self.profile.slots.max(200), "endpoints": endpoints,
         });
-        let route = |name: &str, method: &str, repeat: &str, hedge: bool| {
+        let route = |name: &str, method: &str, path: &str, repeat: &str| {
             serde_json::json!({
-                "kind": "Route", "name": name, "path": "/slots", "methods": [method],
-                "service": "slot-availability", "deadline_ms": 1000, "repeat": repeat,
-                "hedge": hedge,
+                "kind": "Route", "name": name, "path": path, "methods": [method],
+                "service": "slot-availability", "deadline_ms": self.deadline_ms,
+                "repeat": repeat, "hedge": name == "lookup", "stream": name == "archive",
             })
         };
-        let mut service: Service =
-            serde_json::from_value::<Resource>(service).map(|it| match it {
-                Resource::Service(it) => it,
-                _ => unreachable!("the document is a service"),
-            })?;
-        service.endpoints = endpoints;
-        Ok(vec![
-            Resource::Service(service),
-            serde_json::from_value(route("lookup", "GET", "anytime", true))?,
-            serde_json::from_value(route("booking", "POST", "never", false))?,
-        ])
+        let documents = [
+            service,
+            route("lookup", "GET", "/slots", "anytime"),
+            route("hand-in", "POST", "/slots", "never"),
+            route("booking", "POST", "/bookings", "if-not-run"),
+            route("archive", "GET", "/archives", "anytime"),
+        ];
+        Ok(documents.into_iter().map(serde_json::from_value).collect::<Result<_, _>>()?)
     }
 }
 
 impl Bed {
-    /// Starts a bed and waits until all nodes are ready.
+    /// Starts a bed of the program at `bin` and waits until all nodes are ready.
     pub async fn start(bin: &Path, layout: &Layout) -> anyhow::Result<Self> {
         let dir = tempfile::tempdir()?;
         let free = lab::free_addrs(1 + layout.endpoints + 3 * layout.nodes)?;
@@ -106,10 +120,11 @@
             let failure_domain = layout.failure_domains[i % layout.failure_domains.len()].into();
             endpoints.push(Endpoint { addr: *addr, failure_domain });
         }
-        platform.publish(&layout.resources(endpoints)?);
+        let resources = layout.resources(&endpoints)?;
+        platform.publish(&resources);
         let addrs = lab::nodes_at(of_nodes, &layout.failure_domains);
         platform.set_vms(lab::vms(&addrs));
-        let mut options = Options::new(&bin.join("dappleway"), own[0]);
+        let mut options = Options::new(bin, own[0]);
         options.mode = layout.mode.into();
         let mut nodes = Vec::new();
         for it in &addrs {
@@ -118,7 +133,44 @@
         for it in &nodes {
             it.wait_ready(START).await?;
         }
-        Ok(Self { nodes, upstreams, _dir: dir })
+        Ok(Self { nodes, upstreams, platform, platform_addr: own[0], resources, dir })
+    }
+
+    /// Waits until all nodes have a revision in force.
+    pub async fn wait_in_force(&self, revision: u64) -> anyhow::Result<()> {
+        self.wait_reports(|it| it["in_force"] == revision).await
+    }
+
+    /// Waits until the reports of all nodes satisfy a condition.
+    pub async fn wait_reports(
+        &self,
+        holds: impl Fn(&serde_json::Value) -> bool,
+    ) -> anyhow::Result<()> {
+        let since = Instant::now();
+        for it in &self.nodes {
+            while !it.report().await.is_ok_and(|it| holds(&it)) {
+                if since.elapsed() > START {
+                    bail!("{} never got there: {}", it.addrs.fleet, it.report().await?);
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// The endpoint with an address.
+    pub fn upstream(&self, addr: &str) -> Option<&Upstream> {
+        self.upstreams.iter().find(|it| it.name() == addr)
+    }
+
+    /// Where the platform serves.
+    pub fn platform_addr(&self) -> std::net::SocketAddr {
+        self.platform_addr
+    }
+
+    /// Where settings and logs are.
+    pub fn dir(&self) -> &Path {
+        self.dir.path()
     }
 
     /// Lookups through all nodes in turn.
--- /dev/null
+++ b/xtask/src/faults.rs
@@ -0,0 +1,49 @@
+//! `cargo xtask faults`: every fault at every step of a request and of a change of configuration.
+//!
+//! A cell starts real nodes before stand-ins, brings the work to the step, induces the fault, waits
+//! for every answer and then checks what must always hold. The table goes into docs/PROOFS.md.
+
+mod cell;
+
+use anyhow::Context;
+
+use crate::ci::root;
+use crate::demo::build;
+use cell::{FAULTS, STEPS, run_cell};
+
+const PROOFS: &str = "docs/PROOFS.md";
+const BEGIN: &str = "<!-- fault matrix: written by `cargo xtask faults` -->";
+const END: &str = "<!-- end of the fault matrix -->";
+
+/// Runs all cells and writes the table. An error says that a cell has failed.
+pub fn run() -> anyhow::Result<()> {
+    let bin = build()?.join("dappleway");
+    let runtime = tokio::runtime::Runtime::new()?;
+    let mut table = format!("| fault | {} |\n", STEPS.map(|it| it.name).join(" | "));
+    table += &format!("|---{}|\n", "|---".repeat(STEPS.len()));
+    let mut failures = Vec::new();
+    for fault in &FAULTS {
+        let mut row = format!("| {} |", fault.name);
+        for step in &STEPS {
+            let broken = runtime.block_on(run_cell(&bin, fault, step))?;
+            println!("{} / {}: {broken:?}", fault.name, step.name);
+            row += if broken.is_empty() { " holds |" } else { " **broken** |" };
+            failures
+                .extend(broken.iter().map(|it| format!("{} / {}: {it}", fault.name, step.name)));
+        }
+        table += &row;
+        table.push('\n');
+    }
+    write_table(&table)?;
+    anyhow::ensure!(failures.is_empty(), "broken cells:\n{}", failures.join("\n"));
+    Ok(())
+}
+
+fn write_table(table: &str) -> anyhow::Result<()> {
+    let path = root().join(PROOFS);
+    let text = std::fs::read_to_string(&path)?;
+    let (before, rest) = text.split_once(BEGIN).context("docs/PROOFS.md lacks the first mark")?;
+    let (_, after) = rest.split_once(END).context("docs/PROOFS.md lacks the last mark")?;
+    std::fs::write(&path, format!("{before}{BEGIN}\n\n{table}\n{END}{after}"))?;
+    Ok(())
+}
--- /dev/null
+++ b/xtask/src/faults/cell.rs
@@ -0,0 +1,297 @@
+//! One cell of the fault matrix.
+
+use std::path::Path;
+use std::time::Duration;
+
+use standin::bed::{Bed, Layout};
+use standin::caller::{self, Summary};
+use standin::client;
+use standin::platform;
+use standin::upstream::{Fault as Gray, Profile, download_bytes};
+use tokio::task::JoinHandle;
+
+/// Length of a download.
+const BYTES: usize = 600_000;
+/// Time from the start of the work to the fault.
+const BEFORE: Duration = Duration::from_millis(250);
+/// Time for which work arrives.
+const SECONDS: f64 = 1.0;
+/// How long a frozen node sleeps.
+const FREEZE: Duration = Duration::from_millis(800);
+
+/// What breaks.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Kind {
+    Kill,
+    Freeze,
+    Stop,
+    PlatformDown,
+    PlatformStale,
+    Upstream(Gray),
+    Flap,
+    ReplaceWhileStale,
+    OperatorsRace,
+    KillAndStall,
+    FreezeAndLoseAnswers,
+}
+
+/// A fault and its name.
+pub struct Fault {
+    pub name: &'static str,
+    kind: Kind,
+}
+
+const fn fault(name: &'static str, kind: Kind) -> Fault {
+    Fault { name, kind }
+}
+
+pub const FAULTS: [Fault; 18] = [
+    fault("node killed", Kind::Kill),
+    fault("node frozen, then awake", Kind::Freeze),
+    fault("node stopped by SIGTERM", Kind::Stop),
+    fault("node replaced while the platform is stale", Kind::ReplaceWhileStale),
+    fault("platform down", Kind::PlatformDown),
+    fault("platform stale", Kind::PlatformStale),
+    fault("two operators racing", Kind::OperatorsRace),
+    fault("upstream stalls work, answers probes", Kind::Upstream(Gray::Stall)),
+    fault("upstream slow, reports low load", Kind::Upstream(Gray::Slow)),
+    fault("upstream answers late", Kind::Upstream(Gray::Late)),
+    fault("upstream loses answers", Kind::Upstream(Gray::LoseAnswer)),
+    fault("upstream loses requests", Kind::Upstream(Gray::LoseRequest)),
+    fault("upstream stops in mid-body", Kind::Upstream(Gray::StallBody)),
+    fault("upstream swaps answers", Kind::Upstream(Gray::Swap)),
+    fault("upstream leaving", Kind::Upstream(Gray::Leaving)),
+    fault("upstream flaps", Kind::Flap),
+    fault("node killed and upstream stalls", Kind::KillAndStall),
+    fault("node frozen and upstream loses answers", Kind::FreezeAndLoseAnswers),
+];
+
+/// Where the work is when the fault comes.
+pub struct Step {
+    pub name: &'static str,
+    /// Slots of an endpoint and its service time: few and long make requests queue.
+    slots: usize,
+    service_us: u64,
+}
+
+pub const STEPS: [Step; 4] = [
+    Step { name: "accepted, queued", slots: 1, service_us: 120_000 },
+    Step { name: "sent, running", slots: 8, service_us: 150_000 },
+    Step { name: "mid-answer", slots: 8, service_us: 1_000 },
+    Step { name: "configuration published", slots: 4, service_us: 5_000 },
+];
+
+/// Runs a cell and returns what did not hold.
+pub async fn run_cell(bin: &Path, fault: &Fault, step: &Step) -> anyhow::Result<Vec<String>> {
+    let profile = Profile {
+        slots: step.slots,
+        service_us: step.service_us,
+        heavy_tail: false,
+        piece_us: 15_000,
+    };
+    let mut bed = Bed::start(bin, &Layout { profile, ..Layout::small() }).await?;
+    let hand_ins = work(&bed, "POST", "/slots");
+    let bookings = work(&bed, "POST", "/bookings");
+    let lookups = work(&bed, "GET", "/slots/today");
+    let downloads = (step.name == "mid-answer").then(|| download_all(&bed));
+    tokio::time::sleep(BEFORE).await;
+    let publishes = step.name == "configuration published";
+    let mut newest = if publishes { bed.platform.publish(&bed.resources) } else { 1 };
+    let before = in_force(&bed).await;
+    newest = newest.max(induce(&mut bed, fault.kind).await?);
+    let mut broken = Vec::new();
+    for summary in [hand_ins.await?, bookings.await?, lookups.await?] {
+        check_work(&bed, &summary, &mut broken);
+    }
+    if let Some(downloads) = downloads {
+        check_downloads(fault.kind, downloads.await?, &mut broken);
+    }
+    check_configuration(&bed, fault.kind, &before, newest, &mut broken).await;
+    check_floor(&bed, &mut broken).await;
+    check_exit(&mut bed, fault.kind, &mut broken).await?;
+    Ok(broken)
+}
+
+fn work(bed: &Bed, method: &str, path: &str) -> JoinHandle<Summary> {
+    let mut plan = bed.lookups(60.0, SECONDS);
+    plan.method = method.into();
+    plan.path = path.into();
+    tokio::spawn(caller::run(plan))
+}
+
+/// Bodies of downloads through every node; an error is a visible break.
+fn download_all(bed: &Bed) -> JoinHandle<Vec<Option<bytes::Bytes>>> {
+    let targets: Vec<_> = bed.nodes.iter().map(|it| it.addrs.traffic).collect();
+    tokio::spawn(async move {
+        let mut calls = tokio::task::JoinSet::new();
+        for target in targets {
+            calls.spawn(async move {
+                let got = client::get(target, &format!("/archives/x?bytes={BYTES}")).await.ok()?;
+                got.status.is_success().then_some(got.body)
+            });
+        }
+        calls.join_all().await
+    })
+}
+
+/// Induces the fault; returns the newest revision that was published on the way.
+async fn induce(bed: &mut Bed, kind: Kind) -> anyhow::Result<u64> {
+    let sick = bed.upstreams[0].clone();
+    match kind {
+        Kind::Kill => bed.nodes[0].kill(),
+        Kind::Freeze => freeze(bed).await?,
+        Kind::Stop => bed.nodes[0].signal("TERM")?,
+        Kind::PlatformDown => bed.platform.set_fault(platform::Fault::Down),
+        Kind::PlatformStale => bed.platform.set_fault(platform::Fault::Stale),
+        Kind::Upstream(gray) => sick.set_fault(gray, 1.0, 10.0),
+        Kind::Flap => {
+            for _ in 0..4 {
+                sick.set_fault(Gray::Stall, 1.0, 1.0);
+                tokio::time::sleep(FREEZE / 4).await;
+                sick.set_fault(Gray::None, 1.0, 1.0);
+                tokio::time::sleep(FREEZE / 4).await;
+            }
+        }
+        Kind::ReplaceWhileStale => {
+            // What is published first is in force before memory is lost.
+            let revision = bed.platform.publish(&bed.resources);
+            bed.wait_in_force(revision).await?;
+            bed.platform.set_fault(platform::Fault::Stale);
+            bed.nodes[0].restart()?;
+            bed.nodes[0].wait_ready(Duration::from_secs(30)).await?;
+            return Ok(revision);
+        }
+        Kind::OperatorsRace => {
+            let (one, other) = (bed.platform.clone(), bed.platform.clone());
+            let (a, b) = (bed.resources.clone(), bed.resources.clone());
+            let one = tokio::task::spawn_blocking(move || one.publish(&a));
+            let other = tokio::task::spawn_blocking(move || other.publish(&b));
+            return Ok(one.await?.max(other.await?));
+        }
+        Kind::KillAndStall => {
+            sick.set_fault(Gray::Stall, 1.0, 1.0);
+            bed.nodes[0].kill();
+        }
+        Kind::FreezeAndLoseAnswers => {
+            sick.set_fault(Gray::LoseAnswer, 1.0, 1.0);
+            freeze(bed).await?;
+        }
+    }
+    Ok(0)
+}
+
+async fn freeze(bed: &Bed) -> anyhow::Result<()> {
+    bed.nodes[0].signal("STOP")?;
+    tokio::time::sleep(FREEZE).await;
+    bed.nodes[0].signal("CONT")
+}
+
+fn runs(bed: &Bed, id: &str) -> u32 {
+    bed.upstreams.iter().map(|it| it.runs().get(id).copied().unwrap_or(0)).sum()
+}
+
+fn check_work(bed: &Bed, summary: &Summary, broken: &mut Vec<String>) {
+    for id in bed.upstreams.iter().flat_map(|it| it.runs().into_keys()) {
+        if runs(bed, &id) > 1 {
+            broken.push(format!("{id} ran twice"));
+        }
+    }
+    for id in &summary.not_run_ids {
+        if runs(bed, id) > 0 {
+            broken.push(format!("{id} ran, and its caller was told that it did not"));
+        }
+    }
+    if summary.crossed > 0 {
+        broken.push(format!("{} answers were crossed", summary.crossed));
+    }
+    if summary.answered == 0 {
+        broken.push("nothing was answered".to_owned());
+    }
+}
+
+fn check_downloads(kind: Kind, got: Vec<Option<bytes::Bytes>>, broken: &mut Vec<String>) {
+    let whole = got.iter().flatten().filter(|it| **it == download_bytes(0, BYTES)).count();
+    let arrived = got.iter().flatten().count();
+    if whole != arrived {
+        broken.push("a download that looked whole was not".to_owned());
+    }
+    let may_lose = match kind {
+        Kind::Kill | Kind::KillAndStall => 1,
+        _ => 0,
+    };
+    if whole + may_lose < got.len() {
+        broken.push(format!("{} of {} downloads arrived", whole, got.len()));
+    }
+}
+
+async fn in_force(bed: &Bed) -> Vec<u64> {
+    let mut all = Vec::new();
+    for it in &bed.nodes {
+        let report = it.report().await.unwrap_or_default();
+        all.push(report["in_force"].as_u64().unwrap_or(0));
+    }
+    all
+}
+
+/// What was in force stays so, and what the platform still serves comes into force.
+async fn check_configuration(
+    bed: &Bed,
+    kind: Kind,
+    before: &[u64],
+    newest: u64,
+    broken: &mut Vec<String>,
+) {
+    let is_served = !matches!(kind, Kind::PlatformDown | Kind::PlatformStale);
+    let ends = matches!(kind, Kind::Kill | Kind::KillAndStall | Kind::Stop);
+    for (i, node) in bed.nodes.iter().enumerate().skip(usize::from(ends)) {
+        let mut now = 0;
+        for _ in 0..250 {
+            let report = node.report().await.unwrap_or_default();
+            now = report["in_force"].as_u64().unwrap_or(0);
+            if now >= newest || !is_served {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(40)).await;
+        }
+        if now < before[i] || (is_served && now < newest) {
+            broken.push(format!("node {i}: revision {now}, before {}, newest {newest}", before[i]));
+        }
+    }
+}
+
+async fn check_floor(bed: &Bed, broken: &mut Vec<String>) {
+    for node in &bed.nodes {
+        let Ok(report) = node.report().await else { continue };
+        let service = &report["services"][0];
+        let endpoints = service["endpoints"].as_array().cloned().unwrap_or_default();
+        let count = |states: &[&str]| {
+            let is_one = |it: &&serde_json::Value| {
+                it["state"].as_str().is_some_and(|it| states.contains(&it))
+            };
+            endpoints.iter().filter(is_one).count()
+        };
+        let floor = service["floor"].as_u64().unwrap_or(0) as usize;
+        let in_rotation = count(&["unknown", "healthy", "suspect", "ramping"]);
+        if in_rotation + count(&["leaving"]) < floor {
+            broken.push(format!("{in_rotation} endpoints in rotation, the floor is {floor}"));
+        }
+    }
+}
+
+/// A planned stop ends by itself, and well.
+async fn check_exit(bed: &mut Bed, kind: Kind, broken: &mut Vec<String>) -> anyhow::Result<()> {
+    if kind != Kind::Stop {
+        return Ok(());
+    }
+    for _ in 0..500 {
+        if let Some(code) = bed.nodes[0].exit_code()? {
+            if code != 0 {
+                broken.push(format!("the planned stop ended with exit code {code}"));
+            }
+            return Ok(());
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    broken.push("the planned stop did not end".to_owned());
+    Ok(())
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,7 +1,8 @@
-//! Automation of the project: `cargo xtask try`, `ci`, `measure`.
+//! Automation of the project: `cargo xtask try`, `ci`, `faults`, `measure`.
 
 mod ci;
 mod demo;
+mod faults;
 mod measure;
 
 use clap::{Parser, Subcommand};
@@ -19,6 +20,8 @@
     Try,
     /// Checks formatting, runs the linter and all tests.
     Ci,
+    /// Induces every fault at every step and writes the table into docs/PROOFS.md.
+    Faults,
     /// Measures real processes before stand-ins; writes figures under docs/measurements.
     Measure {
         /// What to measure.
@@ -33,6 +36,7 @@
     match Cli::parse().command {
         Command::Try => demo::run(),
         Command::Ci => ci::run(),
+        Command::Faults => faults::run(),
         Command::Measure { what, quick } => measure::run(what, quick),
     }
 }
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -1,10 +1,10 @@
 //! `cargo xtask measure`: figures of real processes before stand-ins, written as JSON under
 //! docs/measurements. Nothing here passes or fails; it only measures.
 
-mod bed;
 mod detect;
 mod dispatch;
 mod path;
+mod slopes;
 
 use std::path::PathBuf;
 
@@ -24,15 +24,18 @@
     Dispatch,
     /// Detection of each fault, by way of dispatch.
     Detect,
+    /// Cost of control by number of nodes, endpoints, services, routes and organisations.
+    Slopes,
 }
 
 /// Builds the programs and measures.
 pub fn run(what: What, quick: bool) -> anyhow::Result<()> {
-    let bin = build()?;
+    let bin = build()?.join("dappleway");
     let runtime = tokio::runtime::Runtime::new()?;
     match what {
         What::Path => runtime.block_on(path::run(&bin)),
         What::Dispatch => runtime.block_on(dispatch::run(&bin, quick)),
+        What::Slopes => runtime.block_on(slopes::run(&bin)),
         What::Detect => runtime.block_on(detect::run(&bin, quick)),
     }
 }
--- a/xtask/src/measure/detect.rs
+++ b/xtask/src/measure/detect.rs
@@ -5,11 +5,10 @@
 use std::time::Duration;
 
 use serde::Serialize;
+use standin::bed::{Bed, Layout};
 use standin::caller;
 use standin::upstream::{Fault, Upstream};
 
-use super::bed::{Bed, Layout};
-
 /// Time that a fault lasts.
 const FAULT: Duration = Duration::from_millis(4_500);
 /// Time for the endpoint to come back.
--- a/xtask/src/measure/dispatch.rs
+++ b/xtask/src/measure/dispatch.rs
@@ -3,10 +3,9 @@
 use std::path::Path;
 
 use serde::Serialize;
+use standin::bed::{Bed, Layout};
 use standin::caller;
 
-use super::bed::{Bed, Layout};
-
 const SECONDS: f64 = 8.0;
 
 #[derive(Debug, Serialize)]
--- a/xtask/src/measure/path.rs
+++ b/xtask/src/measure/path.rs
@@ -4,12 +4,11 @@
 use std::time::Duration;
 
 use serde::Serialize;
+use standin::bed::{Bed, Layout};
 use standin::caller::{self, Plan};
 use standin::upstream::Profile;
 use tokio::net::TcpStream;
 
-use super::bed::{Bed, Layout};
-
 /// Requests a second for the comparison of latencies.
 const RATE: f64 = 2_000.0;
 /// Requests a second that no node here carries.
--- /dev/null
+++ b/xtask/src/measure/slopes.rs
@@ -0,0 +1,247 @@
+//! What control costs as the system grows: nodes as processes up to 80, the exchange alone up to
+//! 850 nodes, one node with a configuration up to the size designed for.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use resources::{Endpoint, Resource};
+use serde::Serialize;
+use standin::bed::{Bed, Layout};
+use standin::caller;
+use standin::net::Net;
+
+const IDLE: Duration = Duration::from_secs(10);
+
+#[derive(Debug, Serialize)]
+struct Processes {
+    nodes: usize,
+    /// Share of one core that control takes at one node without traffic.
+    core_share: f64,
+    memory_mb: f64,
+    control_bytes_per_second: f64,
+    platform_calls_per_second: f64,
+    /// Milliseconds from a publication to the last node that has it in force.
+    in_force_ms: Vec<u64>,
+}
+
+#[derive(Debug, Serialize)]
+struct Exchange {
+    nodes: usize,
+    control_bytes_per_second: f64,
+    /// Processor time for one node's exchange, as a share of one core.
+    core_share: f64,
+    /// Virtual milliseconds from the first node that holds a revision to the last that has it in
+    /// force, fetches not counted.
+    in_force_ms: u64,
+    /// Virtual milliseconds until a restarted node is ready.
+    ready_ms: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct Configuration {
+    endpoints: usize,
+    services: usize,
+    routes: usize,
+    organisations: usize,
+    memory_mb: f64,
+    core_share: f64,
+    /// Milliseconds from the publication to in force at one node.
+    in_force_ms: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct Traffic {
+    requests_per_second: f64,
+    /// Processor microseconds for one request, at all nodes together.
+    core_us_per_request: f64,
+    control_bytes_per_node_second: f64,
+    permit_bytes_per_request: f64,
+}
+
+#[derive(Debug, Serialize)]
+struct Figures {
+    processes: Vec<Processes>,
+    exchange: Vec<Exchange>,
+    configuration: Vec<Configuration>,
+    traffic: Vec<Traffic>,
+}
+
+pub async fn run(bin: &Path) -> anyhow::Result<()> {
+    let mut figures = Figures {
+        processes: Vec::new(),
+        exchange: Vec::new(),
+        configuration: Vec::new(),
+        traffic: Vec::new(),
+    };
+    for nodes in [40, 200, 850] {
+        let it = exchange(nodes);
+        println!("{it:?}");
+        figures.exchange.push(it);
+    }
+    for part in [0.01, 0.25, 0.5, 1.0] {
+        let it = configuration(bin, part).await?;
+        println!("{it:?}");
+        figures.configuration.push(it);
+    }
+    for nodes in [5, 20, 40, 80] {
+        let it = processes(bin, nodes).await?;
+        println!("{it:?}");
+        figures.processes.push(it);
+    }
+    figures.traffic = traffic(bin).await?;
+    println!("{:?}", figures.traffic);
+    super::write("slopes", &figures)
+}
+
+fn exchange(nodes: usize) -> Exchange {
+    let mut net = Net::new(nodes, 0.01);
+    (0..nodes).for_each(|i| net.hold(i, 1));
+    net.run(Duration::from_secs(60));
+    net.control_bytes = 0;
+    let (since, virtual_time) = (Instant::now(), Duration::from_secs(10));
+    net.run(virtual_time);
+    let cpu = since.elapsed().as_secs_f64();
+    let bytes = net.control_bytes as f64;
+    let published = net.now;
+    net.hold(0, 2);
+    while net.in_force().iter().any(|it| *it < 2) {
+        net.run(Duration::from_millis(50));
+    }
+    let in_force_ms = net.now.since(published).as_millis() as u64;
+    net.restart(1);
+    let restarted = net.now;
+    net.hold(1, 2);
+    while net.ready() < nodes {
+        net.run(Duration::from_millis(50));
+    }
+    Exchange {
+        nodes,
+        control_bytes_per_second: bytes / nodes as f64 / virtual_time.as_secs_f64(),
+        core_share: cpu / nodes as f64 / virtual_time.as_secs_f64(),
+        in_force_ms,
+        ready_ms: net.now.since(restarted).as_millis() as u64,
+    }
+}
+
+async fn processes(bin: &Path, nodes: usize) -> anyhow::Result<Processes> {
+    let bed = Bed::start(bin, &Layout { nodes, ..Layout::agenda("permits") }).await?;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let (cpu, bytes, calls) = (bed.cpu_seconds(), control_bytes(&bed).await?, bed.platform.calls());
+    tokio::time::sleep(IDLE).await;
+    let per_node_second = 1.0 / nodes as f64 / IDLE.as_secs_f64();
+    let core_share = (bed.cpu_seconds() - cpu) * per_node_second;
+    let control_bytes_per_second = (control_bytes(&bed).await? - bytes) * per_node_second;
+    let platform_calls_per_second = (bed.platform.calls() - calls) as f64 / IDLE.as_secs_f64();
+    let mut in_force_ms = Vec::new();
+    for _ in 0..5 {
+        let since = Instant::now();
+        let revision = bed.platform.publish(&bed.resources);
+        bed.wait_in_force(revision).await?;
+        in_force_ms.push(since.elapsed().as_millis() as u64);
+    }
+    Ok(Processes {
+        nodes,
+        core_share,
+        memory_mb: bed.memory_mb().unwrap_or_default(),
+        control_bytes_per_second,
+        platform_calls_per_second,
+        in_force_ms,
+    })
+}
+
+async fn control_bytes(bed: &Bed) -> anyhow::Result<f64> {
+    let mut sum = 0.0;
+    for it in &bed.nodes {
+        sum += it.report().await?["control_bytes"].as_f64().unwrap_or_default();
+    }
+    Ok(sum)
+}
+
+/// One node with a part of the documents at the size designed for.
+async fn configuration(bin: &Path, part: f64) -> anyhow::Result<Configuration> {
+    let bed = Bed::start(bin, &Layout { nodes: 1, ..Layout::agenda("permits") }).await?;
+    let count = |full: usize| ((full as f64 * part) as usize).max(1);
+    let (endpoints, services) = (count(13_000), count(460));
+    let (routes, organisations) = (count(4_400), count(33_000));
+    let documents = documents(endpoints, services, routes, organisations)?;
+    let since = Instant::now();
+    let revision = bed.platform.publish(&documents);
+    bed.wait_in_force(revision).await?;
+    let in_force_ms = since.elapsed().as_millis() as u64;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let cpu = bed.cpu_seconds();
+    tokio::time::sleep(IDLE).await;
+    Ok(Configuration {
+        endpoints,
+        services,
+        routes,
+        organisations,
+        memory_mb: bed.memory_mb().unwrap_or_default(),
+        core_share: (bed.cpu_seconds() - cpu) / IDLE.as_secs_f64(),
+        in_force_ms,
+    })
+}
+
+fn documents(
+    endpoints: usize,
+    services: usize,
+    routes: usize,
+    organisations: usize,
+) -> anyhow::Result<Vec<Resource>> {
+    let per_service = endpoints.div_ceil(services);
+    let endpoint = |service: usize, i: usize| Endpoint {
+        // Loopback addresses: nothing is ever sent to them.
+        addr: ([127, 10 + (service / 250) as u8, (service % 250) as u8, i as u8], 8080).into(),
+        failure_domain: format!("d{}", i % 6).as_str().into(),
+    };
+    let mut all = Vec::new();
+    for s in 0..services {
+        let list: Vec<_> = (0..per_service).map(|i| endpoint(s, i)).collect();
+        all.push(serde_json::json!({
+            "kind": "Service", "name": format!("s{s}"), "floor": "60%", "slots": 4,
+            "endpoints": list,
+        }));
+    }
+    for r in 0..routes {
+        all.push(serde_json::json!({
+            "kind": "Route", "name": format!("r{r}"), "path": format!("/r{r}"),
+            "service": format!("s{}", r % services), "deadline_ms": 1000, "repeat": "anytime",
+        }));
+    }
+    for o in 0..organisations {
+        all.push(serde_json::json!({
+            "kind": "Organisation", "name": format!("organisation-{o}"), "weight": 1,
+        }));
+    }
+    Ok(all.into_iter().map(serde_json::from_value).collect::<Result<_, _>>()?)
+}
+
+async fn traffic(bin: &Path) -> anyhow::Result<Vec<Traffic>> {
+    let layout = Layout::agenda("permits");
+    let bed = Bed::start(bin, &layout).await?;
+    caller::run(bed.lookups(layout.rate(0.4), 3.0)).await;
+    let mut all = Vec::new();
+    for used in [0.1, 0.3, 0.6] {
+        let (cpu, bytes) = (bed.cpu_seconds(), control_bytes(&bed).await?);
+        let permits = permit_bytes(&bed).await?;
+        let summary = caller::run(bed.lookups(layout.rate(used), 6.0)).await;
+        let sent = summary.sent as f64;
+        all.push(Traffic {
+            requests_per_second: layout.rate(used),
+            core_us_per_request: (bed.cpu_seconds() - cpu) / sent * 1e6,
+            control_bytes_per_node_second: (control_bytes(&bed).await? - bytes)
+                / 6.0
+                / layout.nodes as f64,
+            permit_bytes_per_request: (permit_bytes(&bed).await? - permits) / 2.0 / sent,
+        });
+    }
+    Ok(all)
+}
+
+async fn permit_bytes(bed: &Bed) -> anyhow::Result<f64> {
+    let mut sum = 0.0;
+    for it in &bed.nodes {
+        sum += it.report().await?["permit_bytes"].as_f64().unwrap_or_default();
+    }
+    Ok(sum)
+}
