Split the control thread and the life of a request by job

Each job is now a file: slots of this node, slots for others, frames, revisions, timers, report; work, open slot, requests in flight. No behaviour changes.

Ruled out: traits between the parts of the control thread; they share one state.

--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -1,34 +1,33 @@
 //! The life of one request: route, read, wait for a slot, send, decide what follows, answer.
 
-use std::pin::{Pin, pin};
+use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{self, HeaderValue};
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body::{Body, Frame, SizeHint};
+use http::{Method, Request, Response, StatusCode};
+use http_body::Body;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use policy::{Attempt, Kind, Next, Outcome, next_step, stable_hash};
-use resources::Route;
+use policy::{Attempt, Kind, Next, Outcome, next_step};
 use slog::Logger;
-use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 use upstream::{AnswerBody, Pool, is_delimited};
 
 use crate::answer::{GiveUp, refuse};
 use crate::body::{AnswerOut, BodyError, Received, RequestOut};
-use crate::headers::{self, Span};
+use crate::headers;
+use crate::in_flight::{Counted, InFlight};
+use crate::open::Open;
 use crate::relay::Relay;
-use crate::{Dispatch, Limits, Metrics, Refused, Shared, Slot, Snapshot, Want, trace};
+use crate::work::Work;
+use crate::{Dispatch, Limits, Metrics, Refused, Shared, Slot, trace};
 
 /// Answers of known length up to this are held until they have arrived whole.
 const HOLD_ANSWER_BYTES: u64 = 256 * 1024;
 /// When to come back after an upstream failed rather than a queue.
 const RETRY_AFTER_FAILURE: Duration = Duration::from_secs(1);
-/// A timer that fires this late means that this process was paused: it blames no endpoint.
-const PAUSE: Duration = Duration::from_millis(100);
 /// The hedge starts after this part of the time after which a request is stalled.
 const HEDGE_PART: u32 = 3;
 /// The same for an endpoint on trial, where the caller must not pay for the trial.
@@ -44,19 +43,6 @@
     pub(crate) log: Logger,
 }
 
-/// One request after its route was found.
-pub(crate) struct Work {
-    pub(crate) snapshot: Arc<Snapshot>,
-    pub(crate) route: Arc<Route>,
-    pub(crate) method: Method,
-    pub(crate) uri: Uri,
-    pub(crate) headers: HeaderMap,
-    pub(crate) span: Span,
-    pub(crate) organisation: u64,
-    pub(crate) weight: u32,
-    pub(crate) deadline: Instant,
-}
-
 /// How one send ended.
 enum Sent {
     Answer(Response<AnswerOut>),
@@ -73,7 +59,7 @@
     req: Request<Incoming>,
 ) -> Response<Counted> {
     let guard = InFlight::new(&cx.metrics);
-    answer(&cx, req).await.map(|body| Counted { body, _guard: guard })
+    answer(&cx, req).await.map(|body| Counted::new(body, guard))
 }
 
 async fn answer<D: Dispatch>(cx: &Arc<Cx<D>>, req: Request<Incoming>) -> Response<AnswerOut> {
@@ -91,120 +77,6 @@
     res
 }
 
-/// An answer that counts as in flight until its body has ended.
-pub(crate) struct Counted {
-    body: AnswerOut,
-    _guard: InFlight,
-}
-
-struct InFlight(Metrics);
-
-impl InFlight {
-    fn new(metrics: &Metrics) -> Self {
-        metrics.in_flight.inc();
-        Self(metrics.clone())
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.in_flight.dec();
-    }
-}
-
-impl Body for Counted {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
-impl Work {
-    fn new(shared: &Shared, req: &Request<Incoming>) -> Option<Self> {
-        let snapshot = Arc::clone(&shared.load());
-        let host = headers::host_of(req.uri(), req.headers());
-        let path = req.uri().path();
-        let route = snapshot.config.routes.find(&host, path, req.method().as_str())?;
-        let span = Span::of(req.headers());
-        let mut out = req.headers().clone();
-        headers::strip_hop_by_hop(&mut out);
-        out.remove(header::CONTENT_LENGTH);
-        out.remove(header::EXPECT);
-        if let Some(authority) = req.uri().authority()
-            && let Ok(it) = HeaderValue::from_str(authority.as_str())
-        {
-            out.insert(header::HOST, it);
-        }
-        if !out.contains_key(headers::REQUEST_ID) {
-            let id = HeaderValue::from_str(&format!("{:032x}", span.trace));
-            out.insert(headers::REQUEST_ID, id.expect("hexadecimal digits"));
-        }
-        let org = out.get(headers::ORGANISATION).and_then(|it| it.to_str().ok()).unwrap_or("");
-        let weight = snapshot.config.organisations.get(org).copied().unwrap_or(1);
-        let limit = Duration::from_millis(route.deadline_ms.into());
-        let left = headers::deadline_of(&out).map_or(limit, |it| it.min(limit));
-        Some(Self {
-            organisation: stable_hash(org.as_bytes()),
-            weight,
-            route: route.clone(),
-            method: req.method().clone(),
-            uri: origin_form(req.uri()),
-            headers: out,
-            span,
-            deadline: Instant::now() + left,
-            snapshot,
-        })
-    }
-
-    pub(crate) fn request_id(&self) -> &str {
-        self.headers[headers::REQUEST_ID].to_str().unwrap_or("(not text)")
-    }
-
-    pub(crate) fn left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
-    }
-
-    pub(crate) fn want(&self, exclude: Option<std::net::SocketAddr>, left: Duration) -> Want {
-        Want {
-            route: self.route.clone(),
-            organisation: self.organisation,
-            weight: self.weight,
-            exclude,
-            left,
-        }
-    }
-
-    /// The request for one send, with a span of its own.
-    pub(crate) fn request(&self, span: &Span, body: RequestOut) -> Request<RequestOut> {
-        let mut req = Request::new(body);
-        *req.method_mut() = self.method.clone();
-        *req.uri_mut() = self.uri.clone();
-        *req.headers_mut() = self.headers.clone();
-        let left = self.left().as_millis() as u64;
-        req.headers_mut().insert(headers::DEADLINE, left.into());
-        req.headers_mut().insert(headers::TRACEPARENT, span.header());
-        req
-    }
-}
-
-fn origin_form(uri: &Uri) -> Uri {
-    let path = uri.path_and_query().map_or("/", |it| it.as_str());
-    path.parse().expect("the path of a valid URI is a valid URI")
-}
-
 async fn run<D: Dispatch>(
     cx: &Arc<Cx<D>>,
     work: Arc<Work>,
@@ -295,7 +167,7 @@
 async fn acquire<D: Dispatch>(
     cx: &Arc<Cx<D>>,
     work: &Work,
-    exclude: Option<std::net::SocketAddr>,
+    exclude: Option<SocketAddr>,
 ) -> Result<D::Slot, Refused> {
     let since = Instant::now();
     let acquire = cx.dispatch.acquire(work.want(exclude, work.left()));
@@ -345,7 +217,7 @@
 async fn second_send<D: Dispatch>(
     cx: &Arc<Cx<D>>,
     work: &Arc<Work>,
-    exclude: std::net::SocketAddr,
+    exclude: SocketAddr,
     body: Full<Bytes>,
 ) -> Option<Sent> {
     let slot = acquire(cx, work, Some(exclude)).await.ok()?;
@@ -440,83 +312,3 @@
         }
     }
 }
-
-/// A slot in use. Dropping it says how long the request was open, so that a request that was
-/// abandoned late still counts against the endpoint.
-pub(crate) struct Open<S: Slot> {
-    slot: Option<S>,
-    started: Instant,
-    stall_after: Duration,
-    answered_after: Option<Duration>,
-    was_paused: bool,
-}
-
-impl<S: Slot> Open<S> {
-    pub(crate) fn new(slot: S) -> Self {
-        let stall_after = slot.grant().stall_after;
-        let started = Instant::now();
-        Self { slot: Some(slot), started, stall_after, answered_after: None, was_paused: false }
-    }
-
-    pub(crate) fn addr(&self) -> std::net::SocketAddr {
-        self.slot.as_ref().expect("the slot is taken at the end only").grant().addr
-    }
-
-    /// Fixes the time that counts as latency, for answers whose body lasts on.
-    pub(crate) fn answered(&mut self) {
-        self.answered_after = Some(self.started.elapsed());
-    }
-
-    pub(crate) fn stalled(&mut self) {
-        let elapsed = self.started.elapsed();
-        if let Some(slot) = &mut self.slot {
-            slot.stalled(elapsed);
-        }
-    }
-
-    pub(crate) fn end(mut self, kind: Kind) {
-        let elapsed = self.answered_after.unwrap_or_else(|| self.started.elapsed());
-        if let Some(slot) = self.slot.take()
-            && !self.was_paused
-        {
-            slot.end(kind, elapsed);
-        }
-    }
-
-    fn leaving(&mut self) {
-        if let Some(slot) = &mut self.slot {
-            slot.leaving();
-        }
-    }
-
-    /// Waits until the deadline and reports a stall on the way. Nothing means that it passed.
-    async fn watch<F: Future>(&mut self, fut: F, deadline: Instant) -> Option<F::Output> {
-        let mut fut = pin!(fut);
-        let stall_at = (self.started + self.stall_after).min(deadline);
-        tokio::select! {
-            biased;
-            out = &mut fut => return Some(out),
-            () = sleep_until(stall_at) => {}
-        }
-        if stall_at.elapsed() < PAUSE {
-            self.stalled();
-        } else if stall_at > self.started {
-            self.was_paused = true;
-        }
-        tokio::select! {
-            biased;
-            out = &mut fut => Some(out),
-            () = sleep_until(deadline) => None,
-        }
-    }
-}
-
-impl<S: Slot> Drop for Open<S> {
-    fn drop(&mut self) {
-        if let Some(slot) = self.slot.take()
-            && !self.was_paused
-        {
-            slot.end(Kind::Abandoned, self.started.elapsed());
-        }
-    }
-}
--- /dev/null
+++ b/crates/caller/src/in_flight.rs
@@ -0,0 +1,58 @@
+//! Requests in flight, counted from the head of the request to the end of the answer's body.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+
+use crate::Metrics;
+use crate::body::{AnswerOut, BodyError};
+
+/// An answer that counts as in flight until its body has ended.
+pub(crate) struct Counted {
+    body: AnswerOut,
+    _guard: InFlight,
+}
+
+/// One request in flight; it ends when this is dropped.
+pub(crate) struct InFlight(Metrics);
+
+impl Counted {
+    pub(crate) fn new(body: AnswerOut, guard: InFlight) -> Self {
+        Self { body, _guard: guard }
+    }
+}
+
+impl InFlight {
+    pub(crate) fn new(metrics: &Metrics) -> Self {
+        metrics.in_flight.inc();
+        Self(metrics.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.dec();
+    }
+}
+
+impl Body for Counted {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -9,11 +9,14 @@
 mod dispatch;
 mod exchange;
 mod headers;
+mod in_flight;
 mod listener;
 mod metrics;
+mod open;
 mod relay;
 mod snapshot;
 mod trace;
+mod work;
 
 pub use answer::OUTCOME_HEADER;
 pub use dispatch::{Dispatch, Refused, Slot, Want};
--- /dev/null
+++ b/crates/caller/src/open.rs
@@ -0,0 +1,97 @@
+//! A slot in use, watched from the send to the end of the answer.
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::time::Duration;
+
+use policy::Kind;
+use tokio::time::{Instant, sleep_until};
+
+use crate::Slot;
+
+/// A timer that fires this late means that this process was paused: it blames no endpoint.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// A slot in use. Dropping it says how long the request was open, so that a request that was
+/// abandoned late still counts against the endpoint.
+pub(crate) struct Open<S: Slot> {
+    slot: Option<S>,
+    started: Instant,
+    stall_after: Duration,
+    answered_after: Option<Duration>,
+    was_paused: bool,
+}
+
+impl<S: Slot> Open<S> {
+    pub(crate) fn new(slot: S) -> Self {
+        let stall_after = slot.grant().stall_after;
+        let started = Instant::now();
+        Self { slot: Some(slot), started, stall_after, answered_after: None, was_paused: false }
+    }
+
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.slot.as_ref().expect("the slot is taken at the end only").grant().addr
+    }
+
+    /// Fixes the time that counts as latency, for answers whose body lasts on.
+    pub(crate) fn answered(&mut self) {
+        self.answered_after = Some(self.started.elapsed());
+    }
+
+    pub(crate) fn stalled(&mut self) {
+        let elapsed = self.started.elapsed();
+        if let Some(slot) = &mut self.slot {
+            slot.stalled(elapsed);
+        }
+    }
+
+    pub(crate) fn end(mut self, kind: Kind) {
+        let elapsed = self.answered_after.unwrap_or_else(|| self.started.elapsed());
+        if let Some(slot) = self.slot.take()
+            && !self.was_paused
+        {
+            slot.end(kind, elapsed);
+        }
+    }
+
+    pub(crate) fn leaving(&mut self) {
+        if let Some(slot) = &mut self.slot {
+            slot.leaving();
+        }
+    }
+
+    /// Waits until the deadline and reports a stall on the way. Nothing means that it passed.
+    pub(crate) async fn watch<F: Future>(
+        &mut self,
+        fut: F,
+        deadline: Instant,
+    ) -> Option<F::Output> {
+        let mut fut = pin!(fut);
+        let stall_at = (self.started + self.stall_after).min(deadline);
+        tokio::select! {
+            biased;
+            out = &mut fut => return Some(out),
+            () = sleep_until(stall_at) => {}
+        }
+        if stall_at.elapsed() < PAUSE {
+            self.stalled();
+        } else if stall_at > self.started {
+            self.was_paused = true;
+        }
+        tokio::select! {
+            biased;
+            out = &mut fut => Some(out),
+            () = sleep_until(deadline) => None,
+        }
+    }
+}
+
+impl<S: Slot> Drop for Open<S> {
+    fn drop(&mut self) {
+        if let Some(slot) = self.slot.take()
+            && !self.was_paused
+        {
+            slot.end(Kind::Abandoned, self.started.elapsed());
+        }
+    }
+}
--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -17,7 +17,9 @@
 
 use crate::Dispatch;
 use crate::body::{AnswerOut, Part, RequestOut};
-use crate::exchange::{Cx, Open, Work};
+use crate::exchange::Cx;
+use crate::open::Open;
+use crate::work::Work;
 
 /// A body that does not move for this long while the caller waits for it is stalled.
 const STALL_AFTER: Duration = Duration::from_secs(1);
--- a/crates/caller/src/trace.rs
+++ b/crates/caller/src/trace.rs
@@ -8,8 +8,8 @@
 use slog::{Logger, debug};
 
 use crate::answer::GiveUp;
-use crate::exchange::Work;
 use crate::headers::Span;
+use crate::work::Work;
 
 /// Logs the span of a request.
 pub(crate) fn request(
--- /dev/null
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -0,0 +1,225 @@
+//! Slots for the requests of this node: asked for here or at other nodes, used, given back.
+
+use std::time::Duration;
+
+use caller::{Refused, Want};
+use fleet::{Action, PermitMessage, Place, Settlement, Wish};
+use policy::{Ask, Grant, Kind, Observation, PermitId, Reply, Settled, Time};
+use rand::rngs::StdRng;
+use resources::Repeat;
+use tokio::sync::oneshot;
+
+use super::{Control, Nodes, OpenPermit, RENEW, Waiter};
+use crate::handle::Command;
+use crate::services::{name_hash, route_hash};
+use crate::settings::Mode;
+
+impl Control {
+    pub(super) fn command(&mut self, now: Time, command: Command) {
+        match command {
+            Command::Acquire(id, want, tx) => self.acquire(now, id, &want, tx),
+            Command::Withdraw(id) => self.withdraw(now, id),
+            Command::Stalled(id, elapsed) => self.stalled(now, id, elapsed),
+            Command::Leaving(id, addr) => self.leaving(now, id, addr),
+            Command::End(id, outcome) => self.end(now, id, outcome),
+        }
+    }
+
+    pub(super) fn acquire(
+        &mut self,
+        now: Time,
+        id: PermitId,
+        want: &Want,
+        tx: oneshot::Sender<Result<Grant, Refused>>,
+    ) {
+        let service = name_hash(&want.route.service);
+        let Some(state) = self.services.get(service) else {
+            let _ = tx.send(Err(Refused { retry_after: RENEW }));
+            return;
+        };
+        let ask = Ask {
+            id,
+            reporter: self.me,
+            route: route_hash(&want.route.name),
+            repeatable: want.route.repeat == Repeat::Anytime,
+            priority: want.route.priority,
+            organisation: want.organisation,
+            weight: want.weight,
+            exclude: want.exclude,
+            left: want.left,
+            wait: true,
+        };
+        self.waiting.insert(id, Waiter { tx, service, route: ask.route });
+        if self.mode != Mode::Permits {
+            self.ask_here(now, Place::Direct, service, ask);
+            return;
+        }
+        let wish = Wish {
+            ask,
+            service,
+            failure_domains: state.domains_from(self.me.failure_domain, id.seq),
+            deadline: now + want.left,
+        };
+        let directory = Nodes { now, me: self.me, exchange: &self.exchange };
+        let action = self.client.wish(now, wish, &directory);
+        self.act(now, action);
+    }
+
+    pub(super) fn act(&mut self, now: Time, action: Action) {
+        match action {
+            Action::AskHere(place, service, ask) => self.ask_here(now, place, service, ask),
+            Action::Send(node, message) => self.send_to(node, message),
+            Action::Settle(id, Settlement::Granted(grant, place)) => {
+                self.granted(now, id, grant, place);
+            }
+            Action::Settle(id, Settlement::Refused(retry_after)) => {
+                if let Some(it) = self.waiting.remove(&id) {
+                    let _ = it.tx.send(Err(Refused { retry_after }));
+                }
+            }
+        }
+    }
+
+    pub(super) fn ask_here(&mut self, now: Time, place: Place, service: u64, ask: Ask) {
+        let id = ask.id;
+        let Some(state) = self.services.get_mut(service) else { return };
+        let dispatcher = match place {
+            Place::Own(domain) => state.own(now, domain),
+            _ => Some(&mut state.direct),
+        };
+        let Some(dispatcher) = dispatcher else { return };
+        let reply = dispatcher.ask(now, ask, &mut self.rng);
+        self.reply_here(now, place, id, reply);
+    }
+
+    /// Passes a reply of one of this node's own dispatchers to the wish of this node.
+    pub(super) fn reply_here(&mut self, now: Time, place: Place, id: PermitId, reply: Reply) {
+        if self.mode != Mode::Permits {
+            match reply {
+                Reply::Granted(grant) => self.granted(now, id, grant, place),
+                Reply::Refused { retry_after } => {
+                    let action = Action::Settle(id, Settlement::Refused(retry_after));
+                    self.act(now, action);
+                }
+                Reply::Queued | Reply::Full => {}
+            }
+            return;
+        }
+        let directory = Nodes { now, me: self.me, exchange: &self.exchange };
+        match self.client.reply(now, place, id, reply, &directory) {
+            Some(action) => self.act(now, action),
+            // The wish has moved on or was withdrawn: its slot goes back.
+            None if matches!(reply, Reply::Granted(_)) => self.give_back(now, place, id),
+            None => {}
+        }
+    }
+
+    pub(super) fn granted(&mut self, now: Time, id: PermitId, grant: Grant, place: Place) {
+        let Some(waiter) = self.waiting.remove(&id) else {
+            self.give_back(now, place, id);
+            return;
+        };
+        let Waiter { tx, service, route } = waiter;
+        self.open.insert(id, OpenPermit { place, service, route, addr: grant.addr });
+        if tx.send(Ok(grant)).is_err() {
+            self.end(now, id, None);
+        }
+    }
+
+    pub(super) fn withdraw(&mut self, now: Time, id: PermitId) {
+        if self.waiting.remove(&id).is_none() {
+            // Granted meanwhile, and the slot's receiver is gone.
+            self.end(now, id, None);
+            return;
+        }
+        let place = self.client.withdraw(id).unwrap_or(Place::Direct);
+        self.give_back(now, place, id);
+    }
+
+    /// Gives back a slot, or a place in a queue, that no request wants any more.
+    pub(super) fn give_back(&mut self, now: Time, place: Place, id: PermitId) {
+        if let Place::Peer(node) = place {
+            self.send_to(node, PermitMessage::Release { id, outcome: None });
+            return;
+        }
+        // The service is not known any more; a permit's identity is unique among them.
+        let services: Vec<u64> = self.services.hashes().collect();
+        for service in services {
+            self.here(place, service, |it, rng| it.cancel(now, id, rng));
+        }
+    }
+
+    pub(super) fn stalled(&mut self, now: Time, id: PermitId, elapsed: Duration) {
+        let Some(open) = self.open.get(&id).cloned() else { return };
+        match open.place {
+            Place::Peer(node) => {
+                self.send_to(node, PermitMessage::Stalled { id, elapsed });
+                self.observe(now, &open, Kind::Stalled, elapsed);
+            }
+            place => self.here(place, open.service, |it, _| {
+                it.stalled(now, id, elapsed);
+                Vec::new()
+            }),
+        }
+    }
+
+    pub(super) fn end(&mut self, now: Time, id: PermitId, outcome: Option<(Kind, Duration)>) {
+        let Some(open) = self.open.remove(&id) else { return };
+        // What was open while this process was paused says nothing about the endpoint.
+        let outcome = outcome.filter(|(_, elapsed)| now - *elapsed > self.woke);
+        match (open.place, outcome) {
+            (Place::Peer(node), outcome) => {
+                self.send_to(node, PermitMessage::Release { id, outcome });
+                if let Some((kind, elapsed)) = outcome {
+                    self.observe(now, &open, kind, elapsed);
+                }
+            }
+            (place, Some((kind, elapsed))) => {
+                self.here(place, open.service, |it, rng| it.release(now, id, kind, elapsed, rng))
+            }
+            (place, None) => self.here(place, open.service, |it, rng| it.cancel(now, id, rng)),
+        }
+    }
+
+    /// Learns, for the time when this node must pick for itself, from a request whose slot came
+    /// from another node.
+    pub(super) fn observe(&mut self, now: Time, open: &OpenPermit, kind: Kind, elapsed: Duration) {
+        let Some(state) = self.services.get_mut(open.service) else { return };
+        let it = Observation { reporter: self.me, endpoint: 0, route: open.route, kind, elapsed };
+        state.direct.observe(now, open.addr, it);
+    }
+
+    /// Runs `f` on a dispatcher of this node and delivers the replies that follow.
+    pub(super) fn here(
+        &mut self,
+        place: Place,
+        service: u64,
+        f: impl FnOnce(&mut policy::Dispatcher, &mut StdRng) -> Vec<Settled>,
+    ) {
+        let Some(state) = self.services.get_mut(service) else { return };
+        let (domain, dispatcher) = match place {
+            Place::Own(domain) => (Some(domain), state.own.get_mut(&domain)),
+            _ => (None, Some(&mut state.direct)),
+        };
+        let Some(dispatcher) = dispatcher else { return };
+        let settled = f(dispatcher, &mut self.rng);
+        self.undelivered.extend(settled.into_iter().map(|it| (domain, it)));
+    }
+
+    /// Delivers the replies that wait, those that follow from a delivery included.
+    pub(super) fn deliver_all(&mut self, now: Time) {
+        while let Some((domain, it)) = self.undelivered.pop_front() {
+            self.deliver(now, domain, it);
+        }
+    }
+
+    /// Delivers a reply to one that waited at a dispatcher of this node.
+    pub(super) fn deliver(&mut self, now: Time, domain: Option<u64>, it: Settled) {
+        if it.id.node == self.me.node {
+            let place = domain.map_or(Place::Direct, Place::Own);
+            self.reply_here(now, place, it.id, it.reply);
+            return;
+        }
+        self.send_to(it.id.node, PermitMessage::Answer { id: it.id, reply: it.reply });
+    }
+}
--- /dev/null
+++ b/crates/dappleway/src/control/timers.rs
@@ -0,0 +1,118 @@
+//! What time alone moves, and what a pause of this process undoes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use fleet::{PermitMessage, Phase, Place, Verdict};
+use policy::{NodeId, PermitId, State, Time};
+use rustc_hash::FxHashMap;
+use slog::{info, warn};
+
+use super::{Control, EJECTED_VALID, IDS_PER_RENEWAL, Nodes, PAUSE, RENEW, REPORT};
+use crate::reader::Pace;
+use crate::services::Ticked;
+use crate::settings::Mode;
+
+impl Control {
+    pub(super) fn notice_pause(&mut self, now: Time) {
+        let pause = now.since(self.last_tick);
+        if pause < PAUSE {
+            return;
+        }
+        warn!(self.log, "this process was paused: evidence is dropped";
+            "ms" => pause.as_millis() as u64);
+        self.woke = now;
+        self.last_tick = now;
+        let ticked = self.services.wake(now, &mut self.rng);
+        self.ticked(now, ticked);
+    }
+
+    pub(super) fn tick(&mut self, now: Time) {
+        self.last_tick = now;
+        let ticked = self.services.tick(now, &mut self.rng);
+        self.ticked(now, ticked);
+        let directory = Nodes { now, me: self.me, exchange: &self.exchange };
+        for action in self.client.tick(now, &directory) {
+            self.act(now, action);
+        }
+        if !self.draining {
+            let is_ready = self.exchange.revisions.readiness().is_ok();
+            let phase = if is_ready { Phase::Ready } else { Phase::Starting };
+            self.exchange.set_phase(phase);
+        }
+        let effects = self.exchange.tick(now, &mut self.rng);
+        self.apply(now, effects);
+        if now >= self.next_renewal {
+            self.next_renewal = now + RENEW;
+            self.renew(now);
+        }
+        if now >= self.next_report {
+            self.next_report = now + REPORT;
+            self.outputs.report.send_replace(Arc::new(self.report(now)));
+            self.set_pace();
+        }
+    }
+
+    pub(super) fn ticked(&mut self, now: Time, ticked: Ticked) {
+        self.undelivered.extend(ticked.settled);
+        for (service, domain, it) in ticked.changes {
+            let name = self.services.get(service).map(|it| it.service.name.clone());
+            info!(self.log, "endpoint state"; "service" => name.unwrap_or_default().as_str(),
+                "endpoint" => %it.addr, "from" => it.from.name(), "to" => it.to.name(),
+                "reason" => it.reason, "dispatched_here" => domain.is_some());
+            let is_word_of_dispatcher = domain.is_some() || self.mode == Mode::Direct;
+            if matches!(it.to, State::Ejected { .. }) && is_word_of_dispatcher {
+                self.tell_ejected(now, it.addr);
+            }
+        }
+    }
+
+    pub(super) fn tell_ejected(&mut self, now: Time, endpoint: SocketAddr) {
+        let valid_ms = EJECTED_VALID.as_millis() as u32;
+        self.exchange.tell(now, Verdict { endpoint, leaving: false, valid_ms });
+    }
+
+    /// Renews the slots that this node's requests use and the verdicts that still hold.
+    pub(super) fn renew(&mut self, now: Time) {
+        let mut by_node: FxHashMap<NodeId, Vec<PermitId>> = FxHashMap::default();
+        let mut here = Vec::new();
+        for (id, it) in &self.open {
+            match it.place {
+                Place::Peer(node) => by_node.entry(node).or_default().push(*id),
+                place => here.push((*id, place, it.service)),
+            }
+        }
+        for (id, place, service) in here {
+            self.here(place, service, |it, _| {
+                it.renew(now, id);
+                Vec::new()
+            });
+        }
+        for (node, ids) in by_node {
+            for ids in ids.chunks(IDS_PER_RENEWAL) {
+                self.send_to(node, PermitMessage::Renew { ids: ids.to_vec() });
+            }
+        }
+        let mut ejected = Vec::new();
+        self.services.for_each(|_, domain, it| {
+            let out = it.endpoints().iter();
+            let out = out.filter(|it| matches!(it.state, State::Ejected { .. }));
+            if domain.is_some() {
+                ejected.extend(out.map(|it| it.addr));
+            }
+        });
+        for it in ejected {
+            self.tell_ejected(now, it);
+        }
+    }
+
+    pub(super) fn set_pace(&self) {
+        let fresh = self.exchange.revisions.facts().in_force == 0;
+        let pace = Pace { fleet_size: self.exchange.fleet_size(), fresh };
+        self.outputs.pace.send_if_modified(|it| {
+            let changed = it.fresh != pace.fresh;
+            *it = pace;
+            changed
+        });
+    }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -26,9 +26,9 @@
     Measure {
         /// What to measure.
         what: measure::What,
-        /// Only the design chosen, with fewer trials.
+        /// Only this way of dispatch, as it is named in the settings.
         #[arg(long)]
-        quick: bool,
+        only: Option<String>,
     },
 }
 
@@ -37,6 +37,6 @@
         Command::Try => demo::run(),
         Command::Ci => ci::run(),
         Command::Faults => faults::run(),
-        Command::Measure { what, quick } => measure::run(what, quick),
+        Command::Measure { what, only } => measure::run(what, only.as_deref()),
     }
 }
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -32,15 +32,15 @@
 }
 
 /// Builds the programs and measures.
-pub fn run(what: What, quick: bool) -> anyhow::Result<()> {
+pub fn run(what: What, only: Option<&str>) -> anyhow::Result<()> {
     let bin = build()?.join("dappleway");
     let runtime = tokio::runtime::Runtime::new()?;
     match what {
         What::Path => runtime.block_on(path::run(&bin)),
-        What::Dispatch => runtime.block_on(dispatch::run(&bin, quick)),
+        What::Dispatch => runtime.block_on(dispatch::run(&bin, only)),
         What::Loss => runtime.block_on(loss::run(&bin)),
         What::Slopes => runtime.block_on(slopes::run(&bin)),
-        What::Detect => runtime.block_on(detect::run(&bin, quick)),
+        What::Detect => runtime.block_on(detect::run(&bin, only)),
     }
 }
 
--- a/xtask/src/measure/detect.rs
+++ b/xtask/src/measure/detect.rs
@@ -47,28 +47,26 @@
     false_ejections: usize,
 }
 
+/// Ways of dispatch, the design first.
+const MODES: [&str; 5] = ["permits", "direct", "local", "consecutive", "round-robin"];
 /// Trials of each fault.
 const TRIALS: usize = 3;
 
-pub async fn run(bin: &Path, quick: bool) -> anyhow::Result<()> {
-    let modes: &[&str] = match quick {
-        true => &["permits"],
-        false => &["permits", "direct", "local", "consecutive", "round-robin"],
-    };
-    let mut all = Vec::new();
-    for mode in modes {
+pub async fn run(bin: &Path, only: Option<&str>) -> anyhow::Result<()> {
+    for mode in MODES.iter().filter(|it| only.is_none_or(|only| only == **it)) {
         let layout = Layout::agenda(mode);
         // Round robin ejects nobody, so one fault shows what that means.
         let faults = if *mode == "round-robin" { &FAULTS[..1] } else { &FAULTS[..] };
+        let mut figures = Vec::new();
         for fault in faults.iter().copied() {
             let bed = Bed::start(bin, &layout).await?;
             caller::run(bed.lookups(layout.rate(USED), 5.0)).await;
             let it = measure(&bed, &layout, fault, TRIALS).await?;
             println!("{it:?}");
-            all.push(it);
+            figures.push(it);
         }
         // A long measurement that is cut off keeps what it has.
-        super::write("detect", &all)?;
+        super::write(&format!("detect-{mode}"), &figures)?;
     }
     Ok(())
 }
--- a/xtask/src/measure/dispatch.rs
+++ b/xtask/src/measure/dispatch.rs
@@ -29,10 +29,12 @@
     ejections: usize,
 }
 
-pub async fn run(bin: &Path, quick: bool) -> anyhow::Result<()> {
-    let modes: &[&str] = if quick { &["permits"] } else { &["round-robin", "direct", "permits"] };
+/// Ways of dispatch, the design last.
+const MODES: [&str; 3] = ["round-robin", "direct", "permits"];
+
+pub async fn run(bin: &Path, only: Option<&str>) -> anyhow::Result<()> {
     let mut all = Vec::new();
-    for mode in modes {
+    for mode in MODES.iter().filter(|it| only.is_none_or(|only| only == **it)) {
         let layout = Layout::agenda(mode);
         let bed = Bed::start(bin, &layout).await?;
         caller::run(bed.lookups(layout.rate(0.4), 4.0)).await;
