Idle services cost next to nothing, and the report is made on demand

Cause: at the size designed for a node holds 460 dispatchers with 13,000 endpoints. Each was moved every 10 ms and written into a report four times a second, whether or not anything had happened. A dispatcher that is idle and steady is now skipped, dispatchers move every 50 ms, and the report is made when an operator asks; readiness is told by itself.

Ruled out: a timer wheel (more state than the check it would save).

--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -10,7 +10,6 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use caller::{Refused, Shared};
@@ -33,8 +32,10 @@
 
 /// Interval of the timers.
 const TICK: Duration = Duration::from_millis(10);
-/// Interval of the report.
-const REPORT: Duration = Duration::from_millis(250);
+/// Interval at which dispatchers move in time: at the size designed for there are hundreds of them.
+const DISPATCHER_TICK: Duration = Duration::from_millis(50);
+/// Interval at which readiness is told to the API.
+const READINESS: Duration = Duration::from_millis(50);
 /// Interval at which long permits are renewed and verdicts are told again.
 const RENEW: Duration = Duration::from_secs(1);
 /// A tick that comes this late means that the process was paused.
@@ -63,6 +64,8 @@
     Rejected(Rejected),
     /// A planned stop begins.
     Drain,
+    /// An operator asks for the report.
+    Report(oneshot::Sender<Report>),
     /// Drop frames to these nodes, for failure tests.
     Cut(Vec<SocketAddr>),
     /// The last request has ended.
@@ -75,8 +78,8 @@
     pub shared: Shared,
     /// What is in force, for the API.
     pub published: watch::Sender<Published>,
-    /// The report.
-    pub report: watch::Sender<Arc<Report>>,
+    /// Why the node is not ready, for the API.
+    pub not_ready: watch::Sender<Option<String>>,
     /// What the pace of polls depends on.
     pub pace: watch::Sender<Pace>,
 }
@@ -106,7 +109,8 @@
     draining: bool,
     last_tick: Time,
     woke: Time,
-    next_report: Time,
+    next_dispatcher_tick: Time,
+    next_readiness: Time,
     next_renewal: Time,
     rng: StdRng,
     store: Store,
@@ -130,6 +134,8 @@
     service: u64,
     route: u32,
     addr: SocketAddr,
+    /// A stall was reported.
+    stalled: bool,
 }
 
 /// What the control thread starts with.
@@ -184,7 +190,8 @@
             draining: false,
             last_tick: now,
             woke: now,
-            next_report: now,
+            next_dispatcher_tick: now,
+            next_readiness: now,
             next_renewal: now,
             rng: start.rng,
             store: start.store,
@@ -243,7 +250,11 @@
             Event::Drain => {
                 self.draining = true;
                 self.exchange.set_phase(Phase::Leaving);
-                self.next_report = now;
+                self.next_readiness = now;
+            }
+            Event::Report(tx) => {
+                // The asker may have left.
+                let _ = tx.send(self.report(now));
             }
             Event::Cut(to) => {
                 warn!(self.log, "a fault is induced: frames are dropped"; "to" => ?to);
--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -120,7 +120,8 @@
             return;
         };
         let Waiter { tx, service, route } = waiter;
-        self.open.insert(id, OpenPermit { place, service, route, addr: grant.addr });
+        self.open
+            .insert(id, OpenPermit { place, service, route, addr: grant.addr, stalled: false });
         if tx.send(Ok(grant)).is_err() {
             self.end(now, id, None);
         }
@@ -150,7 +151,9 @@
     }
 
     pub(super) fn stalled(&mut self, now: Time, id: PermitId, elapsed: Duration) {
-        let Some(open) = self.open.get(&id).cloned() else { return };
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.stalled = true;
+        let open = open.clone();
         match open.place {
             Place::Peer(node) => {
                 self.send_to(node, PermitMessage::Stalled { id, elapsed });
@@ -170,7 +173,8 @@
         match (open.place, outcome) {
             (Place::Peer(node), outcome) => {
                 self.send_to(node, PermitMessage::Release { id, outcome });
-                if let Some((kind, elapsed)) = outcome {
+                // What follows a stall is the same evidence again.
+                if let Some((kind, elapsed)) = outcome.filter(|_| !open.stalled) {
                     self.observe(now, &open, kind, elapsed);
                 }
             }
--- a/crates/dappleway/src/control/report.rs
+++ b/crates/dappleway/src/control/report.rs
@@ -38,7 +38,8 @@
         }
     }
 
-    fn not_ready(&self) -> Option<String> {
+    /// Why this node should get no traffic; nothing if it should.
+    pub(super) fn not_ready(&self) -> Option<String> {
         if self.draining {
             return Some("a planned stop is under way: requests in flight end first".to_owned());
         }
--- a/crates/dappleway/src/control/revisions.rs
+++ b/crates/dappleway/src/control/revisions.rs
@@ -39,6 +39,6 @@
         let resources = Arc::new(config.resources.clone());
         self.outputs.shared.publish(config);
         self.outputs.published.send_replace(Published { revision, resources });
-        self.next_report = now;
+        self.next_readiness = now;
     }
 }
--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -1,14 +1,15 @@
 //! What time alone moves, and what a pause of this process undoes.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use fleet::{PermitMessage, Phase, Place, Verdict};
 use policy::{NodeId, PermitId, State, Time};
 use rustc_hash::FxHashMap;
 use slog::{info, warn};
 
-use super::{Control, EJECTED_VALID, IDS_PER_RENEWAL, Nodes, PAUSE, RENEW, REPORT};
+use super::{
+    Control, DISPATCHER_TICK, EJECTED_VALID, IDS_PER_RENEWAL, Nodes, PAUSE, READINESS, RENEW,
+};
 use crate::reader::Pace;
 use crate::services::Ticked;
 use crate::settings::Mode;
@@ -29,8 +30,11 @@
 
     pub(super) fn tick(&mut self, now: Time) {
         self.last_tick = now;
-        let ticked = self.services.tick(now, &mut self.rng);
-        self.ticked(now, ticked);
+        if now >= self.next_dispatcher_tick {
+            self.next_dispatcher_tick = now + DISPATCHER_TICK;
+            let ticked = self.services.tick(now, &mut self.rng);
+            self.ticked(now, ticked);
+        }
         let directory = Nodes { now, me: self.me, exchange: &self.exchange };
         for action in self.client.tick(now, &directory) {
             self.act(now, action);
@@ -46,9 +50,14 @@
             self.next_renewal = now + RENEW;
             self.renew(now);
         }
-        if now >= self.next_report {
-            self.next_report = now + REPORT;
-            self.outputs.report.send_replace(Arc::new(self.report(now)));
+        if now >= self.next_readiness {
+            self.next_readiness = now + READINESS;
+            let not_ready = self.not_ready();
+            self.outputs.not_ready.send_if_modified(|it| {
+                let is_news = *it != not_ready;
+                *it = not_ready;
+                is_news
+            });
             self.set_pace();
         }
     }
--- a/crates/dappleway/src/node.rs
+++ b/crates/dappleway/src/node.rs
@@ -1,6 +1,5 @@
 //! Wires one node: the control thread, the traffic threads, the API and the planned stop.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, anyhow};
@@ -119,10 +118,14 @@
         move |have| served_store.bundle(have),
     ));
     let (published_tx, published) = watch::channel(Default::default());
-    let (report_tx, report) = watch::channel(Arc::default());
+    let (not_ready_tx, not_ready) = watch::channel(Some("the node is starting".to_owned()));
     let (pace_tx, pace) = watch::channel(Pace { fleet_size: 1, fresh: true });
-    let faults = settings.operator.fault_injection.then(|| fault_point(events.clone()));
-    let view = View { published, report, registry, faults };
+    let faults = settings
+        .operator
+        .fault_injection
+        .then(|| forward(events.clone(), |cut: Cut| Event::Cut(cut.to)));
+    let reports = forward(events.clone(), Event::Report);
+    let view = View { published, not_ready, reports, registry, faults };
     let server = operator::serve(settings.operator.listen, view, &log.new(slog::o!()))
         .map_err(|it| anyhow!("{it}: choose a free `operator.listen`"))?;
     tokio::spawn(server);
@@ -147,19 +150,28 @@
         failure_domain: settings.node.failure_domain.clone(),
         store,
         reader,
-        outputs: Outputs { shared, published: published_tx, report: report_tx, pace: pace_tx },
+        outputs: Outputs {
+            shared,
+            published: published_tx,
+            not_ready: not_ready_tx,
+            pace: pace_tx,
+        },
         rng,
         log: log.clone(),
     };
     Ok(Control::new(clock, addr, start))
 }
 
-/// Passes induced faults on to the control thread.
-fn fault_point(events: mpsc::UnboundedSender<Event>) -> mpsc::UnboundedSender<Cut> {
-    let (tx, mut rx) = mpsc::unbounded_channel::<Cut>();
+/// A sender of the API's messages to the control thread.
+fn forward<T: Send + 'static>(
+    events: mpsc::UnboundedSender<Event>,
+    event: impl Fn(T) -> Event + Send + 'static,
+) -> mpsc::UnboundedSender<T> {
+    let (tx, mut rx) = mpsc::unbounded_channel();
     tokio::spawn(async move {
-        while let Some(cut) = rx.recv().await {
-            let _ = events.send(Event::Cut(cut.to));
+        while let Some(it) = rx.recv().await {
+            // The control thread ends after the API.
+            let _ = events.send(event(it));
         }
     });
     tx
--- a/crates/operator/src/server.rs
+++ b/crates/operator/src/server.rs
@@ -14,7 +14,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use slog::Logger;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::Report;
 
@@ -35,8 +35,10 @@
 pub struct View {
     /// What is in force.
     pub published: watch::Receiver<Published>,
-    /// The latest report.
-    pub report: watch::Receiver<Arc<Report>>,
+    /// Why the node is not ready; nothing if it is.
+    pub not_ready: watch::Receiver<Option<String>>,
+    /// Asks the node for its report, which is made only when it is asked for.
+    pub reports: mpsc::UnboundedSender<oneshot::Sender<Report>>,
     /// All metrics.
     pub registry: Registry,
     /// Where to send faults to induce; absent unless the settings allow fault injection.
@@ -143,7 +145,7 @@
 /// Whether the node should get traffic; if not, the answer is 503 with the reason.
 #[endpoint { method = GET, path = "/v1/ready" }]
 async fn ready(cx: RequestContext<View>) -> Result<HttpResponseOk<Ready>, HttpError> {
-    match &cx.context().report.borrow().not_ready {
+    match &*cx.context().not_ready.borrow() {
         None => Ok(HttpResponseOk(Ready { ready: true })),
         Some(reason) => Err(HttpError::for_unavail(None, reason.clone()).with_reason(reason)),
     }
@@ -157,7 +159,7 @@
 ) -> Result<HttpResponseOk<Resources>, HttpError> {
     let kind = query.into_inner().kind;
     let is_wanted = |it: &Resource| kind.as_ref().is_none_or(|kind| it.kind() == kind);
-    Ok(HttpResponseOk(cx.context().resources(is_wanted)))
+    Ok(HttpResponseOk(cx.context().resources(is_wanted).await?))
 }
 
 /// One document in force.
@@ -168,7 +170,7 @@
 ) -> Result<HttpResponseOk<ResourceView>, HttpError> {
     let Named { kind, name } = path.into_inner();
     let is_wanted = |it: &Resource| it.kind() == kind && *it.name() == name;
-    let found = cx.context().resources(is_wanted).items.into_iter().next();
+    let found = cx.context().resources(is_wanted).await?.items.into_iter().next();
     found.map(HttpResponseOk).ok_or_else(|| {
         let text = format!("no {kind} `{name}` is in force: see GET /v1/resources for what is");
         HttpError::for_not_found(None, text.clone()).with_reason(&text)
@@ -187,13 +189,13 @@
     let newer = published.wait_for(|it| it.revision > after);
     // Running out of time is an answer too: the revision in it tells that nothing is new.
     let _ = tokio::time::timeout(wait, newer).await;
-    Ok(HttpResponseOk(cx.context().resources(|_| true)))
+    Ok(HttpResponseOk(cx.context().resources(|_| true).await?))
 }
 
 /// The fleet as this node sees it.
 #[endpoint { method = GET, path = "/v1/fleet" }]
 async fn fleet(cx: RequestContext<View>) -> Result<HttpResponseOk<Report>, HttpError> {
-    Ok(HttpResponseOk(Report::clone(&cx.context().report.borrow())))
+    Ok(HttpResponseOk(cx.context().report().await?))
 }
 
 /// Induces a cut between nodes, for failure tests. Refused unless the settings allow it.
@@ -228,16 +230,25 @@
 }
 
 impl View {
-    fn resources(&self, is_wanted: impl Fn(&Resource) -> bool) -> Resources {
+    async fn report(&self) -> Result<Report, HttpError> {
+        let (tx, rx) = oneshot::channel();
+        let _ = self.reports.send(tx);
+        rx.await.map_err(|_| HttpError::for_unavail(None, "the node is ending".to_owned()))
+    }
+
+    async fn resources(
+        &self,
+        is_wanted: impl Fn(&Resource) -> bool,
+    ) -> Result<Resources, HttpError> {
+        let report = self.report().await?;
         let published = self.published.borrow().clone();
-        let report = self.report.borrow().clone();
         let items = published
             .resources
             .iter()
             .filter(|it| is_wanted(it))
             .map(|it| ResourceView { spec: it.clone(), status: status(it, &published, &report) })
             .collect();
-        Resources { revision: published.revision, items }
+        Ok(Resources { revision: published.revision, items })
     }
 }
 
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -258,8 +258,12 @@
         }
     }
 
-    /// Moves what time alone moves and returns replies for those that waited.
+    /// Moves what time alone moves and returns replies for those that waited. Costs next to nothing
+    /// while nothing happens: a node holds a dispatcher for every service.
     pub fn tick(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Settled> {
+        if self.permits.is_empty() && self.queue.len() == 0 && self.judge.is_idle() {
+            return Vec::new();
+        }
         self.judge.tick(now);
         let in_use = &mut self.in_use;
         self.permits.retain(|_, it| {
--- a/crates/policy/src/judge.rs
+++ b/crates/policy/src/judge.rs
@@ -135,6 +135,8 @@
     thresholds: Thresholds,
     evidence: Vec<Evidence>,
     refreshed: Time,
+    /// Outcomes have come since the last refresh.
+    is_active: bool,
     /// Counts for the report: path, shared and reporter faults seen.
     pub(crate) path_faults: u64,
     pub(crate) shared_faults: u64,
@@ -151,6 +153,7 @@
             thresholds: Thresholds::of(service.bias),
             evidence: vec![Evidence::default(); service.endpoints.len()],
             refreshed: now,
+            is_active: false,
             path_faults: 0,
             shared_faults: 0,
             reporter_faults: 0,
@@ -177,6 +180,7 @@
     /// Takes in one outcome.
     pub(crate) fn observe(&mut self, now: Time, it: Observation) {
         let Some(class) = Class::of(it.kind, it.route, it.elapsed, &self.baseline) else { return };
+        self.is_active = true;
         let state = self.rotation.endpoints()[it.endpoint].state;
         if matches!(state, State::Unknown | State::Healthy | State::Ramping { .. }) {
             let answered = (it.kind == Kind::Answered).then_some(it.elapsed);
@@ -206,17 +210,24 @@
     pub(crate) fn tick(&mut self, now: Time) {
         self.rotation.tick(now);
         self.start_trials(now);
-        if now.since(self.refreshed) < REFRESH {
+        let intervals = now.since(self.refreshed).as_micros() / REFRESH.as_micros();
+        if intervals == 0 {
             return;
         }
         self.refreshed = now;
-        self.baseline.refresh(KEEP);
+        self.is_active = false;
+        self.baseline.refresh(KEEP.powf(intervals as f64));
         for i in 0..self.evidence.len() {
             self.evidence[i].avoid.retain(|it| now < it.until);
             self.retry_ejection(now, i);
         }
     }
 
+    /// Whether nothing has happened that a tick would have to follow up.
+    pub(crate) fn is_idle(&self) -> bool {
+        !self.is_active && self.rotation.is_steady()
+    }
+
     /// Drops all evidence, as after a pause of this process: it may speak of our own absence.
     pub(crate) fn forget(&mut self) {
         self.evidence.iter_mut().for_each(|it| *it = Evidence::default());
--- a/crates/policy/src/rotation.rs
+++ b/crates/policy/src/rotation.rs
@@ -189,6 +189,8 @@
     endpoints: Vec<EndpointStatus>,
     floors: Vec<DomainFloor>,
     changes: Vec<Change>,
+    /// Nothing here moves by time alone.
+    steady: bool,
 }
 
 impl Rotation {
@@ -203,7 +205,7 @@
             .into_iter()
             .map(|(name, floor)| DomainFloor { name, floor, settling: None })
             .collect();
-        Self { endpoints, floors, changes: Vec::new() }
+        Self { endpoints, floors, changes: Vec::new(), steady: false }
     }
 
     /// The endpoints in the order of the configuration.
@@ -298,8 +300,16 @@
         self.restore_floor(now);
     }
 
+    /// Whether time alone moves nothing here, so that no tick is needed.
+    pub fn is_steady(&self) -> bool {
+        self.steady
+    }
+
     /// Moves the states that time alone moves.
     pub fn tick(&mut self, now: Time) {
+        if self.steady {
+            return;
+        }
         for i in 0..self.endpoints.len() {
             let it = &mut self.endpoints[i];
             match it.state {
@@ -320,6 +330,11 @@
             }
         }
         self.restore_floor(now);
+        let is_steady = |it: &EndpointStatus| {
+            matches!(it.state, State::Unknown | State::Healthy) && it.strikes == 0
+        };
+        self.steady = self.endpoints.iter().all(is_steady)
+            && self.floors.iter().all(|it| it.settling.is_none_or(|(_, until)| now >= until));
     }
 
     #[cfg(test)]
@@ -385,6 +400,7 @@
         let it = &mut self.endpoints[i];
         let from = std::mem::replace(&mut it.state, to);
         it.since = now;
+        self.steady = false;
         self.changes.push(Change { addr: it.addr, from, to, reason });
     }
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -13,7 +13,7 @@
 use crate::server::{self, Answer, answer, json};
 
 /// Resources in one part.
-const PER_PART: usize = 2_000;
+const PER_PART: usize = 200;
 
 /// What the platform does instead of its work.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -26,7 +26,7 @@
     Measure {
         /// What to measure.
         what: measure::What,
-        /// Only this way of dispatch, as it is named in the settings.
+        /// Only this way of dispatch, or this part of the slopes.
         #[arg(long)]
         only: Option<String>,
     },
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -39,7 +39,7 @@
         What::Path => runtime.block_on(path::run(&bin)),
         What::Dispatch => runtime.block_on(dispatch::run(&bin, only)),
         What::Loss => runtime.block_on(loss::run(&bin)),
-        What::Slopes => runtime.block_on(slopes::run(&bin)),
+        What::Slopes => runtime.block_on(slopes::run(&bin, only)),
         What::Detect => runtime.block_on(detect::run(&bin, only)),
     }
 }
--- a/xtask/src/measure/slopes.rs
+++ b/xtask/src/measure/slopes.rs
@@ -58,39 +58,37 @@
     permit_bytes_per_request: f64,
 }
 
-#[derive(Debug, Serialize)]
-struct Figures {
-    processes: Vec<Processes>,
-    exchange: Vec<Exchange>,
-    configuration: Vec<Configuration>,
-    traffic: Vec<Traffic>,
-}
-
-pub async fn run(bin: &Path) -> anyhow::Result<()> {
-    let mut figures = Figures {
-        processes: Vec::new(),
-        exchange: Vec::new(),
-        configuration: Vec::new(),
-        traffic: Vec::new(),
-    };
-    for nodes in [40, 200, 850] {
-        let it = exchange(nodes);
-        println!("{it:?}");
-        figures.exchange.push(it);
+/// Measures all parts, or only the one named; each writes a file of its own.
+pub async fn run(bin: &Path, only: Option<&str>) -> anyhow::Result<()> {
+    let is_wanted = |part: &str| only.is_none_or(|only| only == part);
+    if is_wanted("configuration") {
+        let mut figures = Vec::new();
+        for part in [0.01, 0.25, 0.5, 1.0] {
+            figures.push(shown(configuration(bin, part).await?));
+        }
+        super::write("slopes-configuration", &figures)?;
     }
-    for part in [0.01, 0.25, 0.5, 1.0] {
-        let it = configuration(bin, part).await?;
-        println!("{it:?}");
-        figures.configuration.push(it);
+    if is_wanted("processes") {
+        let mut figures = Vec::new();
+        for nodes in [5, 20, 40, 80] {
+            figures.push(shown(processes(bin, nodes).await?));
+        }
+        super::write("slopes-processes", &figures)?;
     }
-    for nodes in [5, 20, 40, 80] {
-        let it = processes(bin, nodes).await?;
-        println!("{it:?}");
-        figures.processes.push(it);
+    if is_wanted("traffic") {
+        let figures = traffic(bin).await?;
+        super::write("slopes-traffic", &shown(figures))?;
     }
-    figures.traffic = traffic(bin).await?;
-    println!("{:?}", figures.traffic);
-    super::write("slopes", &figures)
+    if is_wanted("exchange") {
+        let figures = [40, 200, 850].map(|nodes| shown(exchange(nodes)));
+        super::write("slopes-exchange", &figures)?;
+    }
+    Ok(())
+}
+
+fn shown<T: std::fmt::Debug>(figures: T) -> T {
+    println!("{figures:?}");
+    figures
 }
 
 fn exchange(nodes: usize) -> Exchange {
