Refusals of long requests say "not run"; settings name all wrong values at once

Cause: found by reading. A request whose body is too long to be held can be sent once; when an endpoint refused it unrun, the caller was told "unknown". It is now told "not run" unless an earlier send was unknown; the new test in promises.rs covers it (it was not run against the old code). Settings stopped at the first value of a wrong form; each section is now read by itself.

Ruled out: holding longer bodies in memory.

--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -120,14 +120,13 @@
             Ok(slot) => slot,
             Err(refused) => return Err(refusal(refused, unknown_before)),
         };
-        let Some(out) = body.next() else {
-            return Err(GiveUp::Unknown { retry_after: RETRY_AFTER_FAILURE });
-        };
-        // The wait for a slot may have been a pause of this process: nothing is sent too late.
-        if work.left().is_zero() {
+        let out = body.next();
+        // A long body can be sent once. The wait for a slot may also have been a pause of this
+        // process: nothing is sent too late.
+        let Some(out) = out.filter(|_| !work.left().is_zero()) else {
             let refused = Refused { retry_after: RETRY_AFTER_FAILURE };
             return Err(refusal(refused, unknown_before));
-        }
+        };
         sends += 1;
         exclude = Some(slot.grant().addr);
         let sent = hedged(cx, work, slot, out, sends == 1).await;
--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -22,7 +22,7 @@
 use rustc_hash::FxHashMap;
 use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::MissedTickBehavior;
+use tokio::time::sleep_until;
 
 use crate::handle::Command;
 use crate::reader::{Pace, Reader, listed};
@@ -30,8 +30,10 @@
 use crate::settings::Mode;
 use crate::store::{Candidate, Rejected, Store};
 
-/// Interval of the timers.
+/// Interval of the timers while this node waits for slots.
 const TICK: Duration = Duration::from_millis(10);
+/// Interval of the timers otherwise.
+const IDLE_TICK: Duration = Duration::from_millis(50);
 /// Interval at which dispatchers move in time: at the size designed for there are hundreds of them.
 const DISPATCHER_TICK: Duration = Duration::from_millis(50);
 /// Interval at which readiness is told to the API.
@@ -203,14 +205,12 @@
 
     /// Runs until `Event::Stop`.
     pub async fn run(mut self, mut events: mpsc::UnboundedReceiver<Event>) {
-        let mut ticks = tokio::time::interval(TICK);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut batch = Vec::with_capacity(BATCH);
         loop {
             tokio::select! {
                 n = events.recv_many(&mut batch, BATCH) => if n == 0 { return },
                 _ = self.edge.readable() => {}
-                _ = ticks.tick() => {}
+                () = sleep_until(self.next_tick().into()) => {}
             }
             let now = self.now();
             self.notice_pause(now);
@@ -222,13 +222,22 @@
                 self.deliver_all(now);
             }
             self.receive_frames(now);
-            if now.since(self.last_tick) >= TICK {
+            if now.since(self.last_tick) >= self.tick_interval() {
                 self.tick(now);
             }
             self.deliver_all(now);
         }
     }
 
+    fn next_tick(&self) -> Instant {
+        self.clock + Duration::from_micros(self.last_tick.0) + self.tick_interval()
+    }
+
+    /// Asks that are under way need fine timers; otherwise waking up is most of what a node costs.
+    fn tick_interval(&self) -> Duration {
+        if self.client.is_idle() { IDLE_TICK } else { TICK }
+    }
+
     fn now(&self) -> Time {
         Time(self.clock.elapsed().as_micros() as u64)
     }
--- a/crates/dappleway/src/settings.rs
+++ b/crates/dappleway/src/settings.rs
@@ -244,6 +244,7 @@
         .parse()
         .map_err(|it: toml::de::Error| vec![problem("(syntax)", it.to_string().trim().into())])?;
     let mut problems = unknown_keys(&table);
+    problems.extend(wrong_values(&table));
     match table.try_into::<Settings>() {
         Ok(settings) => {
             problems.extend(settings.check());
@@ -251,14 +252,45 @@
                 return Ok(settings);
             }
         }
-        Err(it) if problems.is_empty() => {
-            problems.push(problem("(value)", it.to_string().trim().replace('\n', " ")));
-        }
+        Err(it) if problems.is_empty() => problems.push(problem("(value)", one_line(&it))),
         Err(_) => {}
     }
     Err(problems)
 }
 
+/// Sections that are absent though they must not be, and those with a value of the wrong form; each
+/// section is read by itself, so that all of them are named at once.
+fn wrong_values(table: &toml::Table) -> Vec<SettingsProblem> {
+    let mut problems = Vec::new();
+    wrong_value::<Node>(table, "node", &mut problems);
+    wrong_value::<Traffic>(table, "traffic", &mut problems);
+    wrong_value::<Operator>(table, "operator", &mut problems);
+    wrong_value::<Platform>(table, "platform", &mut problems);
+    wrong_value::<Fleet>(table, "fleet", &mut problems);
+    problems
+}
+
+fn wrong_value<T: serde::de::DeserializeOwned>(
+    table: &toml::Table,
+    section: &str,
+    problems: &mut Vec<SettingsProblem>,
+) {
+    let Some(value) = table.get(section) else {
+        problems.push(problem(section, format!("the section is missing: add [{section}]")));
+        return;
+    };
+    // Unknown keys are named elsewhere, with the nearest known one.
+    if let Err(it) = value.clone().try_into::<T>()
+        && !it.message().starts_with("unknown field")
+    {
+        problems.push(problem(section, one_line(&it)));
+    }
+}
+
+fn one_line(error: &toml::de::Error) -> String {
+    error.to_string().trim().replace('\n', " ")
+}
+
 impl Settings {
     /// Settings that pass all checks, as a start for one's own.
     pub fn example() -> Self {
--- a/crates/dappleway/src/tests.rs
+++ b/crates/dappleway/src/tests.rs
@@ -22,7 +22,10 @@
         expect![[r#"
             node.adr: is no setting: did you mean `addr`?
             operator.lissen: is no setting: did you mean `listen`?
-            trafic: is no setting: did you mean `traffic`?"#]],
+            trafic: is no setting: did you mean `traffic`?
+            traffic: the section is missing: add [traffic]
+            platform: the section is missing: add [platform]
+            fleet: the section is missing: add [fleet]"#]],
     );
 }
 
@@ -43,9 +46,13 @@
 }
 
 #[test]
-fn a_missing_section_is_refused() {
+fn missing_sections_and_wrong_values_are_all_named() {
     check(
-        "[node]\naddr = \"127.0.0.1:1\"\nfailure_domain = \"a\"\n",
-        expect!["(value): missing field `traffic`"],
+        "[node]\naddr = \"nowhere\"\n[traffic]\nlisten = 5\n[operator]\nlisten = \"127.0.0.1:1\"\n",
+        expect![[r#"
+            node: invalid socket address syntax in `addr`
+            traffic: invalid type: integer `5`, expected socket address in `listen`
+            platform: the section is missing: add [platform]
+            fleet: the section is missing: add [fleet]"#]],
     );
 }
--- a/crates/dappleway/tests/promises.rs
+++ b/crates/dappleway/tests/promises.rs
@@ -4,6 +4,7 @@
 //! where it would happen, at the stand-in upstreams.
 
 use std::collections::BTreeSet;
+use std::ops::{Deref, DerefMut};
 use std::path::Path;
 use std::time::Duration;
 
@@ -13,11 +14,37 @@
 use standin::lab::{Node, Options};
 use standin::platform;
 use standin::upstream::{Fault, Profile, download_bytes};
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 const BYTES: usize = 1_000_000;
 
-async fn bed(layout: &Layout) -> Bed {
-    Bed::start(Path::new(env!("CARGO_BIN_EXE_dappleway")), layout).await.unwrap()
+/// Beds at a time: more would take the processor from one another and look sick.
+static PLACES: Semaphore = Semaphore::const_new(2);
+
+/// A bed that holds its place until it is dropped.
+struct PlacedBed {
+    bed: Bed,
+    _place: SemaphorePermit<'static>,
+}
+
+impl Deref for PlacedBed {
+    type Target = Bed;
+
+    fn deref(&self) -> &Bed {
+        &self.bed
+    }
+}
+
+impl DerefMut for PlacedBed {
+    fn deref_mut(&mut self) -> &mut Bed {
+        &mut self.bed
+    }
+}
+
+async fn bed(layout: &Layout) -> PlacedBed {
+    let place = PLACES.acquire().await.unwrap();
+    let bed = Bed::start(Path::new(env!("CARGO_BIN_EXE_dappleway")), layout).await.unwrap();
+    PlacedBed { bed, _place: place }
 }
 
 async fn send(bed: &Bed, method: &str, path: &str, rate: f64, seconds: f64) -> Summary {
@@ -68,6 +95,18 @@
     }
 }
 
+/// A body that is too long to be held can be sent once; that does not make its outcome unknown.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_request_that_every_endpoint_refused_is_told_to_have_not_run() {
+    let bed = bed(&Layout::small()).await;
+    bed.upstreams.iter().for_each(|it| it.set_fault(Fault::Shed, 1.0, 1.0));
+    for path in ["/slots", "/bookings"] {
+        let body = vec![b'x'; 200_000];
+        let got = client::call(bed.nodes[0].addrs.traffic, "POST", path, body).await.unwrap();
+        assert_eq!(got.header("x-request-outcome"), "not-run", "{path}: {}", got.text());
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_get_whole_answers_to_their_own_requests_only() {
     let bed = bed(&Layout::small()).await;
--- a/crates/fleet/src/permits.rs
+++ b/crates/fleet/src/permits.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Whether no wish is under way.
+    pub fn is_idle(&self) -> bool {
+        self.pending.is_empty()
+    }
+
     /// Starts on a wish.
     pub fn wish(&mut self, now: Time, wish: Wish, directory: &impl Directory) -> Action {
         let id = wish.ask.id;
--- a/crates/policy/src/baseline.rs
+++ b/crates/policy/src/baseline.rs
@@ -31,11 +31,11 @@
 
 /// Counts of good, late, stalled, failed and shed outcomes; addition merges them.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Tally {
+pub(crate) struct Tally {
     /// Whole answers in time.
-    pub good: f64,
+    good: f64,
     /// Late, stalled, failed and shed outcomes.
-    pub bad: [f64; 4],
+    bad: [f64; 4],
 }
 
 impl Tally {
@@ -79,24 +79,24 @@
 
 /// The normal behaviour of a service.
 #[derive(Clone, Debug, Default)]
-pub struct Baseline {
+pub(crate) struct Baseline {
     tally: Tally,
     routes: FxHashMap<u32, Latency>,
 }
 
 impl Baseline {
     /// Answers of the route that take longer than this are late.
-    pub fn late_after(&self, route: u32) -> Duration {
+    pub(crate) fn late_after(&self, route: u32) -> Duration {
         self.routes.get(&route).map_or(COLD_LATE, |it| it.late_after)
     }
 
     /// Requests of the route that are open for longer than this are stalled.
-    pub fn stall_after(&self, route: u32) -> Duration {
+    pub(crate) fn stall_after(&self, route: u32) -> Duration {
         self.late_after(route) * STALL_FACTOR
     }
 
     /// Normal shares of late, stalled, failed and shed outcomes.
-    pub fn shares(&self) -> [f64; 4] {
+    pub(crate) fn shares(&self) -> [f64; 4] {
         let total = self.tally.total() + PRIOR;
         std::array::from_fn(|i| {
             let share = (self.tally.bad[i] + PRIOR * PRIOR_SHARE[i]) / total;
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -109,7 +109,7 @@
 
 /// A slot in use.
 #[derive(Clone, Copy, Debug)]
-pub struct Permit {
+struct Permit {
     endpoint: usize,
     route: u32,
     reporter: Reporter,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,15 +15,12 @@
 mod time;
 mod verdict;
 
-pub use baseline::{Baseline, Tally};
-pub use dispatcher::{Ask, Dispatcher, Grant, Permit, PermitId, Reply, Settled};
+pub use dispatcher::{Ask, Dispatcher, Grant, PermitId, Reply, Settled};
 pub use judge::{Kind, Observation, Reporter};
-pub use queue::Waiting;
 pub use rendezvous::{NodeId, rank, stable_hash};
 pub use retry::{Attempt, Budget, Next, Outcome, next_step};
 pub use rotation::{Change, EndpointStatus, Rotation, State, domain_floors};
 pub use time::Time;
-pub use verdict::Thresholds;
 
 #[cfg(test)]
 mod tests;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -8,17 +8,17 @@
 
 /// A request that waits.
 #[derive(Clone, Debug)]
-pub struct Waiting<T> {
+pub(crate) struct Waiting<T> {
     /// What to give a slot to.
-    pub item: T,
+    pub(crate) item: T,
     /// Its priority.
-    pub priority: Priority,
+    pub(crate) priority: Priority,
     /// Hash of its organisation.
-    pub organisation: u64,
+    pub(crate) organisation: u64,
     /// Weight of its organisation, at least 1.
-    pub weight: u32,
+    pub(crate) weight: u32,
     /// After this it is given up.
-    pub deadline: Time,
+    pub(crate) deadline: Time,
 }
 
 /// A bounded queue with fair shares.
--- a/crates/policy/src/verdict.rs
+++ b/crates/policy/src/verdict.rs
@@ -62,16 +62,16 @@
 
 /// Thresholds of the test for one service.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Thresholds {
+pub(crate) struct Thresholds {
     /// Score at which an endpoint is taken for sick.
-    pub eject: f64,
+    pub(crate) eject: f64,
     /// Score of the siblings from which on a fault counts as shared.
-    pub shared: f64,
+    pub(crate) shared: f64,
 }
 
 impl Thresholds {
     /// Thresholds for an operator's bias. Each unit lowers the rate of false alarms e-fold.
-    pub fn of(bias: Bias) -> Self {
+    pub(crate) fn of(bias: Bias) -> Self {
         let eject = match bias {
             Bias::Speed => 14.0,
             Bias::Balanced => 18.0,
--- a/crates/standin/src/bed.rs
+++ b/crates/standin/src/bed.rs
@@ -54,7 +54,8 @@
 impl Layout {
     /// Agenda PYME's slot availability service before 40 nodes.
     pub fn agenda(mode: &'static str) -> Self {
-        let profile = Profile { slots: 3, service_us: 10_000, heavy_tail: false, piece_us: 0 };
+        let profile =
+            Profile { slots: 3, service_us: 10_000, heavy_tail: false, cold_ms: 0, piece_us: 0 };
         Self {
             nodes: 40,
             endpoints: 15,
@@ -69,7 +70,8 @@
 
     /// Three nodes before six endpoints, for tests.
     pub fn small() -> Self {
-        let profile = Profile { slots: 4, service_us: 2_000, heavy_tail: false, piece_us: 0 };
+        let profile =
+            Profile { slots: 4, service_us: 2_000, heavy_tail: false, cold_ms: 0, piece_us: 0 };
         Self { nodes: 3, endpoints: 6, profile, floor: "50%", ..Self::agenda("permits") }
     }
 
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -48,6 +48,9 @@
         /// One request in a hundred takes twenty times as long.
         #[arg(long)]
         heavy_tail: bool,
+        /// For this long after its start each request takes three times as long.
+        #[arg(long, default_value_t = 0)]
+        cold_ms: u64,
         /// Pause between pieces of a download in microseconds.
         #[arg(long, default_value_t = 0)]
         piece_us: u64,
@@ -85,8 +88,8 @@
             }
             platform.serve(server::bind(listen).await?).await;
         }
-        Command::Upstream { listen, count, slots, service_us, heavy_tail, piece_us } => {
-            let profile = Profile { slots, service_us, heavy_tail, piece_us };
+        Command::Upstream { listen, count, slots, service_us, heavy_tail, cold_ms, piece_us } => {
+            let profile = Profile { slots, service_us, heavy_tail, cold_ms, piece_us };
             let mut servers = tokio::task::JoinSet::new();
             for i in 0..count {
                 let addr = SocketAddr::new(listen.ip(), listen.port() + i);
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -1,7 +1,6 @@
 //! Stand-in for an upstream endpoint: few slots, a service time, and the ways to fail gray.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -62,6 +61,9 @@
     pub service_us: u64,
     /// Whether one request in a hundred takes twenty times as long.
     pub heavy_tail: bool,
+    /// For this long after its start each request takes three times as long.
+    #[serde(default)]
+    pub cold_ms: u64,
     /// Pause between two pieces of a download in microseconds.
     pub piece_us: u64,
 }
@@ -100,7 +102,7 @@
     profile: Arc<Profile>,
     slots: Arc<Semaphore>,
     state: Arc<Mutex<State>>,
-    requests: Arc<AtomicU64>,
+    started: std::time::Instant,
 }
 
 impl Upstream {
@@ -119,7 +121,7 @@
             slots: Arc::new(Semaphore::new(profile.slots)),
             profile: Arc::new(profile),
             state: Arc::new(Mutex::new(state)),
-            requests: Arc::default(),
+            started: std::time::Instant::now(),
         }
     }
 
@@ -159,12 +161,20 @@
         match (req.method(), req.uri().path()) {
             (&Method::PUT, "/_standin/fault") => self.put_fault(&req),
             (_, "/_standin/health") => Ok(answer(StatusCode::OK, "ok")),
+            (_, "/_standin/load") => Ok(json(&self.reported_load())),
             (_, "/_standin/counts") => Ok(json(&self.counts())),
             (_, "/_standin/runs") => Ok(json(&self.runs())),
             _ => self.work(req).await,
         }
     }
 
+    /// Share of the slots in use, as the endpoint reports it: a slow one says that it is idle.
+    fn reported_load(&self) -> f64 {
+        let used = self.profile.slots - self.slots.available_permits();
+        let lies = self.state.lock().fault == Fault::Slow;
+        if lies { 0.0 } else { used as f64 / self.profile.slots as f64 }
+    }
+
     fn put_fault(&self, req: &Request<Incoming>) -> Answer {
         let kind: String = server::query(req, "kind").unwrap_or_default();
         let Ok(fault) = serde_json::from_value::<Fault>(kind.into()) else {
@@ -216,7 +226,6 @@
 
     /// Counts an arrival and says which fault, if any, meets it.
     fn arrive(&self) -> Fault {
-        self.requests.fetch_add(1, Ordering::Relaxed);
         let mut state = self.state.lock();
         let at = state.switched.elapsed().as_millis() as u64;
         state.counts.since_fault += 1;
@@ -246,8 +255,10 @@
     fn service_time(&self) -> Duration {
         let mut rng = rand::rng();
         let exponential = -(1.0 - rng.random::<f64>()).ln();
+        let is_cold = self.started.elapsed() < Duration::from_millis(self.profile.cold_ms);
+        let cold = if is_cold { 3.0 } else { 1.0 };
         let tail = if self.profile.heavy_tail && rng.random_bool(0.01) { 20.0 } else { 1.0 };
-        Duration::from_micros((self.profile.service_us as f64 * exponential * tail) as u64)
+        Duration::from_micros((self.profile.service_us as f64 * exponential * tail * cold) as u64)
     }
 
     fn short_answer(&self, id: &str, body: &Bytes, fault: Fault) -> Response<Body> {
--- a/xtask/src/faults/cell.rs
+++ b/xtask/src/faults/cell.rs
@@ -87,6 +87,7 @@
         slots: step.slots,
         service_us: step.service_us,
         heavy_tail: false,
+        cold_ms: 0,
         piece_us: 15_000,
     };
     let mut bed = Bed::start(bin, &Layout { profile, ..Layout::small() }).await?;
--- a/xtask/src/measure/path.rs
+++ b/xtask/src/measure/path.rs
@@ -33,7 +33,7 @@
 }
 
 pub async fn run(bin: &Path) -> anyhow::Result<()> {
-    let profile = Profile { slots: 512, service_us: 0, heavy_tail: false, piece_us: 0 };
+    let profile = Profile { slots: 512, service_us: 0, heavy_tail: false, cold_ms: 0, piece_us: 0 };
     let layout = Layout { nodes: 1, endpoints: 4, profile, ..Layout::agenda("permits") };
     let bed = Bed::start(bin, &layout).await?;
     let upstream: Vec<_> = endpoints(&bed).await?;
