The stand-in upstream reads a request before it refuses it

The stand-in answered before it had read the body and closed the connection, which can destroy the answer on its way; without an answer "unknown" is the truth, and the race decided. It now reads the request first. The test's expectation is unchanged.

Ruled out: calling such a broken send "not run"; nothing proves it.

--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -193,10 +193,12 @@
         if fault == Fault::LoseRequest {
             return Err(std::io::Error::other("lost before it ran"));
         }
-        let Ok(slot) = self.slots.clone().try_acquire_owned() else { return Ok(self.shed()) };
-        if fault == Fault::Shed {
+        let slot = self.slots.clone().try_acquire_owned().ok().filter(|_| fault != Fault::Shed);
+        let Some(slot) = slot else {
+            // An answer before the end of the request closes the connection and may get lost.
+            req.into_body().collect().await.map_err(std::io::Error::other)?;
             return Ok(self.shed());
-        }
+        };
         if fault == Fault::Stall {
             std::future::pending::<()>().await;
         }
