Test addresses lie below the kernel's range for outgoing connections

Free ports were sought with port 0, which takes them from the range that outgoing connections use too; the load of a test beside it took one between the search and the start.

Ruled out: handing open sockets to the nodes (they bind by their settings), and fewer tests at a time (the load of one bed is enough).

Figures: the range here is 32768 to 60999; addresses now come from 10000 to 31999. No assertion changed.

--- a/crates/standin/src/lab.rs
+++ b/crates/standin/src/lab.rs
@@ -3,6 +3,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
@@ -10,8 +11,16 @@
 
 use crate::client;
 
-/// Attempts to find ports that are free for both UDP and TCP.
-const PORT_TRIES: usize = 100;
+/// Ports that may be taken while free ones are sought.
+const PORT_TRIES: usize = 2_000;
+/// First of the ports that are used here.
+const FIRST_PORT: u32 = 10_000;
+/// Number of them.
+const PORTS: u32 = 22_000;
+/// Processes that run at the same time start their search this far apart.
+const PORTS_PER_PROCESS: u32 = 701;
+/// Ports that this process has tried.
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
 
 /// Addresses of one node.
 #[derive(Clone, Debug)]
@@ -69,23 +78,26 @@
     child: Option<Child>,
 }
 
-/// Addresses on loopback that are free for both UDP and TCP. All are held while they are sought, so
-/// that they differ.
+/// Addresses on loopback that are free for both UDP and TCP.
+///
+/// They lie below the ports that the kernel gives to outgoing connections; among those, the load of
+/// one test took the addresses of another between the search and the start. Each call goes on where
+/// the last one ended, so that no address is given twice soon.
 pub fn free_addrs(n: usize) -> anyhow::Result<Vec<SocketAddr>> {
-    let mut held = Vec::new();
+    let mut free = Vec::new();
     for _ in 0..n + PORT_TRIES {
-        if held.len() == n {
-            break;
+        if free.len() == n {
+            return Ok(free);
         }
-        let tcp = TcpListener::bind("127.0.0.1:0")?;
-        if let Ok(udp) = UdpSocket::bind(tcp.local_addr()?) {
-            held.push((tcp, udp));
+        let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let start = std::process::id() % PORTS * PORTS_PER_PROCESS;
+        let port = FIRST_PORT + (start + step) % PORTS;
+        let addr = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
+            free.push(addr);
         }
     }
-    if held.len() < n {
-        bail!("too few ports are free for both UDP and TCP: end other test runs");
-    }
-    held.iter().map(|(tcp, _)| Ok(tcp.local_addr()?)).collect()
+    bail!("too few ports are free for both UDP and TCP: end other test runs")
 }
 
 /// Addresses for `n` nodes, spread over the failure domains.
