Added latency at half of a process's capacity

Cause: it was measured at a seventh of what a process carries. Ruled out: nothing yet; the two hops to the control thread are the first suspect.

--- a/xtask/src/measure/path.rs
+++ b/xtask/src/measure/path.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 
 /// Requests a second for the comparison of latencies.
-const RATE: f64 = 2_000.0;
+const RATE: f64 = 7_000.0;
 /// Requests a second that no node here carries.
 const FLOOD: f64 = 14_000.0;
 const SECONDS: f64 = 8.0;
