A withdrawn wish searches one service; code that nothing calls is gone

Cause: found by reading the whole change. A withdrawn wish, as every lost hedge is, was looked for in all services although its own is known: 460 look-ups at the size designed for, on the path of requests.

Ruled out: the same for a slot that arrives after its wish is gone; there the service is not known any more, and it is rare.

The gain was not measured. Behaviour is unchanged.

--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -128,16 +128,18 @@
     }
 
     pub(super) fn withdraw(&mut self, now: Time, id: PermitId) {
-        if self.waiting.remove(&id).is_none() {
+        let Some(waiter) = self.waiting.remove(&id) else {
             // Granted meanwhile, and the slot's receiver is gone.
             self.end(now, id, None);
             return;
+        };
+        match self.client.withdraw(id).unwrap_or(Place::Direct) {
+            Place::Peer(node) => self.send_to(node, PermitMessage::Release { id, outcome: None }),
+            place => self.here(place, waiter.service, |it, rng| it.cancel(now, id, rng)),
         }
-        let place = self.client.withdraw(id).unwrap_or(Place::Direct);
-        self.give_back(now, place, id);
     }
 
-    /// Gives back a slot, or a place in a queue, that no request wants any more.
+    /// Gives back a slot that arrived after its wish was gone.
     pub(super) fn give_back(&mut self, now: Time, place: Place, id: PermitId) {
         if let Place::Peer(node) = place {
             self.send_to(node, PermitMessage::Release { id, outcome: None });
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -41,7 +41,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Members {
     by_id: FxHashMap<NodeId, Member>,
-    generation: u64,
 }
 
 /// Identity of the node at an address.
@@ -57,10 +56,6 @@
         if known.is_some_and(|it| it >= (info.incarnation, info.version)) {
             return false;
         }
-        let phase = self.by_id.get(&id).map(|it| it.info.phase);
-        if phase != Some(info.phase) {
-            self.generation += 1;
-        }
         self.by_id.insert(id, Member { info, heard: now });
         true
     }
@@ -75,11 +70,6 @@
         self.by_id.iter().map(|(id, it)| (*id, it))
     }
 
-    /// Grows whenever a node appears or changes its phase.
-    pub fn generation(&self) -> u64 {
-        self.generation
-    }
-
     /// Nodes of a failure domain that can dispatch: ready and heard of lately.
     pub fn dispatchers(
         &self,
@@ -100,8 +90,6 @@
 
     /// Drops nodes that are not listed and were not heard of for `age`.
     pub fn expire(&mut self, now: Time, age: Duration, is_listed: impl Fn(NodeId) -> bool) {
-        let before = self.by_id.len();
         self.by_id.retain(|id, it| is_listed(*id) || now.since(it.heard) < age);
-        self.generation += u64::from(before != self.by_id.len());
     }
 }
--- a/crates/standin/src/bed.rs
+++ b/crates/standin/src/bed.rs
@@ -27,7 +27,7 @@
     platform_addr: std::net::SocketAddr,
     /// The documents that were published first.
     pub resources: Vec<Resource>,
-    dir: tempfile::TempDir,
+    _dir: tempfile::TempDir,
 }
 
 /// What a bed consists of.
@@ -135,7 +135,7 @@
         for it in &nodes {
             it.wait_ready(START).await?;
         }
-        Ok(Self { nodes, upstreams, platform, platform_addr: own[0], resources, dir })
+        Ok(Self { nodes, upstreams, platform, platform_addr: own[0], resources, _dir: dir })
     }
 
     /// Waits until all nodes have a revision in force.
@@ -160,21 +160,11 @@
         Ok(())
     }
 
-    /// The endpoint with an address.
-    pub fn upstream(&self, addr: &str) -> Option<&Upstream> {
-        self.upstreams.iter().find(|it| it.name() == addr)
-    }
-
     /// Where the platform serves.
     pub fn platform_addr(&self) -> std::net::SocketAddr {
         self.platform_addr
     }
 
-    /// Where settings and logs are.
-    pub fn dir(&self) -> &Path {
-        self.dir.path()
-    }
-
     /// Lookups through all nodes in turn.
     pub fn lookups(&self, rate: f64, seconds: f64) -> Plan {
         Plan {
