--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -1,9 +1,9 @@
 //! Hands out the slots of a service's endpoints: one permit is one request on one endpoint.
 //!
-//! The same machine serves two ways of dispatch. A node that dispatches for itself alone covers all
-//! endpoints and counts its own requests. A node that dispatches for a failure domain covers that
-//! domain's endpoints and counts the requests of every node that asks it. A permit is advice about
-//! capacity; no guarantee to callers rests on it, so lost, late and doubled permits do no harm.
+//! The same machine serves two ways of dispatch. A node that dispatches for itself alone counts its
+//! own requests. A node that dispatches a service for the fleet counts the requests of every node
+//! that asks it. A permit is advice about capacity; no guarantee to callers rests on it, so lost,
+//! late and doubled permits do no harm.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,14 +15,22 @@
 
 use crate::judge::{Judge, Kind, Observation, Reporter};
 use crate::queue::{Queue, Waiting};
-use crate::rendezvous::NodeId;
+use crate::rendezvous::{NodeId, stable_hash};
+use crate::retry::{Budget, BudgetLimits};
 use crate::rotation::{Change, EndpointStatus, Rotation, State};
+use crate::setback::{Setback, Use};
 use crate::time::Time;
 
 /// A permit that is neither released nor renewed for this long is taken back.
 const PERMIT_LIFETIME: Duration = Duration::from_secs(3);
-/// An endpoint that shed a request is taken for full for this long.
-const FULL_FOR: Duration = Duration::from_millis(5);
+/// An endpoint that shed a request is taken for full for this long: about a third of the mean time
+/// of a request on the users' sites.
+const FULL_FOR: Duration = Duration::from_millis(100);
+/// What an endpoint of another failure domain counts for, in slots in use, when short answers are
+/// placed. Traffic between failure domains has a price; a busy slot costs more.
+const FAR_SLOTS: u32 = 1;
+/// The same for long answers, whose bytes are what the price is paid for.
+const FAR_SLOTS_BULKY: u32 = 8;
 /// Waiting requests for each slot at most.
 const QUEUE_PER_SLOT: usize = 8;
 /// Waiting requests at most, whatever the number of slots, so that a turn of the queue stays short.
@@ -32,7 +40,7 @@
 /// A request takes an endpoint of the last tier when the wait times this exceeds the time left.
 const URGENT_PART: u32 = 4;
 /// Mean hold time before any sample.
-const FIRST_HOLD: Duration = Duration::from_millis(20);
+const FIRST_HOLD: Duration = Duration::from_millis(100);
 /// Shortest time after which a refused caller is asked to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -46,7 +54,7 @@
 }
 
 /// A request for a slot.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Ask {
     /// Identity of the permit asked for.
     pub id: PermitId,
@@ -62,19 +70,25 @@
     pub organisation: u64,
     /// Weight of the organisation.
     pub weight: u32,
-    /// An endpoint that an earlier try of the same request has used.
-    pub exclude: Option<SocketAddr>,
+    /// Whether the answer is long, so that the own failure domain goes first.
+    pub bulky: bool,
+    /// Whether an endpoint was reached before for the same request: it counts against the budget.
+    pub repeated: bool,
+    /// Endpoints that the asker cannot reach or has tried already; used last.
+    pub avoid: Vec<SocketAddr>,
     /// Time left until the request's deadline.
     pub left: Duration,
-    /// Whether to wait for a slot, or else to take a suspect endpoint. Without it the answer is
-    /// `Full` unless a good endpoint is free, so that the asker can try elsewhere first.
+    /// Whether to wait for a slot, or else to take a suspect endpoint. Without it, as for a hedge,
+    /// the answer is `Full` unless a good endpoint is free.
     pub wait: bool,
 }
 
 /// A slot on an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
-    /// The endpoint.
+    /// Identity of the endpoint.
+    pub endpoint: Name,
+    /// Its address.
     pub addr: SocketAddr,
     /// Report the request as stalled when it is open for longer than this.
     pub stall_after: Duration,
@@ -83,7 +97,7 @@
 }
 
 /// Answer to an `Ask`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
     /// Send the request now.
     Granted(Grant),
@@ -99,7 +113,7 @@
 }
 
 /// A reply to an earlier ask.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settled {
     /// The permit asked for.
     pub id: PermitId,
@@ -108,7 +122,7 @@
 }
 
 /// A slot in use.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Permit {
     endpoint: usize,
     route: u32,
@@ -124,64 +138,76 @@
 #[derive(Debug)]
 pub struct Dispatcher {
     judge: Judge,
-    /// Covers this failure domain only, or all.
-    failure_domain: Option<Name>,
-    slots: u32,
-    in_use: Vec<u32>,
-    full_until: Vec<Time>,
-    /// Endpoints that the peer which dispatches them has ejected; used last.
-    hinted_until: Vec<Time>,
+    /// In the order of the rotation.
+    loads: Vec<Load>,
     permits: FxHashMap<PermitId, Permit>,
     queue: Queue<Ask>,
     mean_hold: Duration,
+    budget: Budget,
+}
+
+/// What this dispatcher knows of one endpoint's slots and of its latest failures.
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    in_use: u32,
+    full_until: Time,
+    /// Used last until then, on the word of the peer that dispatches the endpoint.
+    hinted_until: Time,
+    setback: Setback,
+}
+
+/// Sizes of the budgets for repeats.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Budgets {
+    /// Of a node that dispatches a service for the fleet.
+    pub fleet: BudgetLimits,
+    /// Of a node that picks for itself.
+    pub alone: BudgetLimits,
 }
 
 impl Dispatcher {
-    /// A dispatcher for one failure domain of `service`, or for all of it. `routes` are hashes of
-    /// the names of the routes that lead to it.
-    pub fn new(now: Time, service: &Service, failure_domain: Option<Name>, routes: &[u32]) -> Self {
-        let n = service.endpoints.len();
+    /// A dispatcher for `service`. `routes` are hashes of the names of the routes that lead to it.
+    pub fn new(now: Time, service: &Service, routes: &[u32], budget: BudgetLimits) -> Self {
         Self {
             judge: Judge::new(now, service, routes),
-            failure_domain,
-            slots: service.slots,
-            in_use: vec![0; n],
-            full_until: vec![Time(0); n],
-            hinted_until: vec![Time(0); n],
+            loads: vec![Load::default(); service.endpoints.len()],
             permits: FxHashMap::default(),
             queue: Queue::new(),
             mean_hold: FIRST_HOLD,
+            budget: Budget::new(budget),
         }
     }
 
-    /// Follows a new configuration. Permits on endpoints that stay are kept.
+    /// Follows a new configuration or a change of the endpoints. Permits on endpoints that stay are
+    /// kept.
     pub fn reconfigure(&mut self, now: Time, service: &Service, routes: &[u32]) {
-        let before: Vec<_> = self.endpoints().iter().map(|it| it.addr).collect();
+        let before: Vec<_> = self.endpoints().iter().map(|it| it.id.clone()).collect();
         self.judge.reconfigure(now, service, routes);
-        self.slots = service.slots;
-        let after: Vec<_> = self.endpoints().iter().map(|it| it.addr).collect();
-        let moved = |i: usize| after.iter().position(|it| *it == before[i]);
-        self.permits.retain(|_, it| match moved(it.endpoint) {
-            Some(i) => {
-                it.endpoint = i;
-                true
-            }
-            None => false,
+        let after: Vec<_> = self.endpoints().iter().map(|it| it.id.clone()).collect();
+        let old = std::mem::take(&mut self.loads);
+        let load_of = |id: &Name| before.iter().position(|it| it == id).map(|i| old[i]);
+        self.loads = after.iter().map(|id| load_of(id).unwrap_or_default()).collect();
+        self.permits.retain(|_, it| {
+            let moved = after.iter().position(|id| *id == before[it.endpoint]);
+            it.endpoint = moved.unwrap_or_default();
+            moved.is_some()
         });
-        self.in_use = vec![0; after.len()];
-        self.permits.values().for_each(|it| self.in_use[it.endpoint] += 1);
-        self.full_until = vec![Time(0); after.len()];
-        self.hinted_until = vec![Time(0); after.len()];
     }
 
     /// Answers a request for a slot.
     pub fn ask(&mut self, now: Time, ask: Ask, rng: &mut impl Rng) -> Reply {
         if let Some(permit) = self.permits.get(&ask.id) {
-            return Reply::Granted(permit.grant);
+            return Reply::Granted(permit.grant.clone());
         }
         if self.queue.any(|it| it.id == ask.id) {
             return Reply::Queued;
         }
+        if ask.repeated && !self.budget.take() {
+            return Reply::Refused { retry_after: self.mean_hold.max(MIN_RETRY_AFTER) };
+        }
+        if !ask.repeated {
+            self.budget.first_send();
+        }
         if let Some(endpoint) = self.choose(now, &ask, || rng.random()) {
             return Reply::Granted(self.grant(now, &ask, endpoint));
         }
@@ -202,11 +228,12 @@
         rng: &mut impl Rng,
     ) -> Vec<Settled> {
         let Some(permit) = self.permits.remove(&id) else { return Vec::new() };
-        self.in_use[permit.endpoint] -= 1;
-        self.note_hold(kind, now.since(permit.granted));
+        let load = &mut self.loads[permit.endpoint];
+        load.in_use -= 1;
         if kind == Kind::Shed {
-            self.full_until[permit.endpoint] = now + FULL_FOR;
+            load.full_until = now + FULL_FOR;
         }
+        self.note_hold(kind, now.since(permit.granted));
         if !permit.stalled {
             self.learn(now, permit, kind, elapsed);
         }
@@ -217,7 +244,7 @@
     pub fn cancel(&mut self, now: Time, id: PermitId, rng: &mut impl Rng) -> Vec<Settled> {
         self.queue.extract(|it| it.item.id == id);
         let Some(permit) = self.permits.remove(&id) else { return Vec::new() };
-        self.in_use[permit.endpoint] -= 1;
+        self.loads[permit.endpoint].in_use -= 1;
         self.drain(now, rng)
     }
 
@@ -225,7 +252,7 @@
     pub fn stalled(&mut self, now: Time, id: PermitId, elapsed: Duration) {
         let Some(permit) = self.permits.get_mut(&id) else { return };
         if !std::mem::replace(&mut permit.stalled, true) {
-            let permit = *permit;
+            let permit = permit.clone();
             self.learn(now, permit, Kind::Stalled, elapsed);
         }
     }
@@ -238,23 +265,18 @@
     }
 
     /// Learns from a request that another dispatcher gave the slot for.
-    pub fn observe(&mut self, now: Time, addr: SocketAddr, observation: Observation) {
-        if let Some(endpoint) = self.judge.rotation.position(addr) {
-            self.judge.observe(now, Observation { endpoint, ..observation });
-        }
-    }
-
-    /// Marks an endpoint that is going away; it gets no new work.
-    pub fn leave(&mut self, now: Time, addr: SocketAddr) {
-        if let Some(i) = self.judge.rotation.position(addr) {
-            self.judge.rotation.leave(now, i);
+    pub fn observe(&mut self, now: Time, id: &str, observation: Observation) {
+        if let Some(endpoint) = self.judge.rotation.position(id) {
+            self.note(now, Observation { endpoint, ..observation });
         }
     }
 
     /// Uses an endpoint last until `until`, on the word of the peer that dispatches it.
     pub fn hint(&mut self, until: Time, addr: SocketAddr) {
-        if let Some(i) = self.judge.rotation.position(addr) {
-            self.hinted_until[i] = until;
+        for (it, load) in self.judge.rotation.endpoints().iter().zip(&mut self.loads) {
+            if it.addr == addr {
+                load.hinted_until = until;
+            }
         }
     }
 
@@ -265,11 +287,11 @@
             return Vec::new();
         }
         self.judge.tick(now);
-        let in_use = &mut self.in_use;
+        let loads = &mut self.loads;
         self.permits.retain(|_, it| {
             let keep = now < it.expires;
             if !keep {
-                in_use[it.endpoint] -= 1;
+                loads[it.endpoint].in_use -= 1;
             }
             keep
         });
@@ -279,6 +301,14 @@
         settled
     }
 
+    /// Endpoints that are used last because of their latest failures, with the time until when.
+    pub fn set_back(&self, now: Time) -> impl Iterator<Item = SocketAddr> + '_ {
+        let endpoints = self.endpoints().iter().zip(&self.loads);
+        endpoints
+            .filter(move |(_, load)| load.setback.usage(now) == Use::Last)
+            .map(|(it, _)| it.addr)
+    }
+
     /// Forgets evidence and what is past its deadline after a pause of this process.
     pub fn wake(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Settled> {
         self.judge.forget();
@@ -297,7 +327,7 @@
 
     /// Score of the sequential test and slots in use of an endpoint, for the report.
     pub fn evidence_of(&self, endpoint: usize) -> (f64, u32) {
-        (self.judge.score(endpoint), self.in_use[endpoint])
+        (self.judge.score(endpoint), self.loads[endpoint].in_use)
     }
 
     /// Path, shared and reporter faults recognised so far.
@@ -318,6 +348,7 @@
     fn grant(&mut self, now: Time, ask: &Ask, endpoint: usize) -> Grant {
         let it = &self.endpoints()[endpoint];
         let grant = Grant {
+            endpoint: it.id.clone(),
             addr: it.addr,
             stall_after: self.judge.baseline.stall_after(ask.route),
             trial: matches!(it.state, State::Trial { .. }),
@@ -326,30 +357,30 @@
             endpoint,
             route: ask.route,
             reporter: ask.reporter,
-            grant,
+            grant: grant.clone(),
             granted: now,
             expires: now + PERMIT_LIFETIME,
             stalled: false,
         };
-        self.in_use[endpoint] += 1;
+        self.loads[endpoint].in_use += 1;
         self.permits.insert(ask.id, permit);
         grant
     }
 
-    /// The free endpoint of the best tier with the fewest slots in use; ties are broken at random.
+    /// The free endpoint of the best tier with the least cost; ties are broken at random.
     ///
     /// An endpoint of the last tier is taken only by those that wait, and only if waiting for a
     /// good one would be in vain or would use up much of the time left.
     fn choose(&self, now: Time, ask: &Ask, mut tie: impl FnMut() -> u32) -> Option<usize> {
         let mut best = None;
         let mut good_exists = false;
-        for i in 0..self.in_use.len() {
+        for (i, load) in self.loads.iter().enumerate() {
             let Some(tier) = self.tier(now, i, ask) else { continue };
-            good_exists |= tier == Tier::Good;
-            if self.in_use[i] >= self.endpoints()[i].usable_slots(now, self.slots) {
+            good_exists |= tier < Tier::Last;
+            if load.in_use >= self.endpoints()[i].usable_slots(now) {
                 continue;
             }
-            let key = (tier, self.in_use[i], tie());
+            let key = (tier, self.cost(i, ask), tie());
             if best.is_none_or(|(other, _)| key < other) {
                 best = Some((key, i));
             }
@@ -359,21 +390,38 @@
         (tier != Tier::Last || take_last).then_some(i)
     }
 
-    fn tier(&self, now: Time, i: usize, ask: &Ask) -> Option<Tier> {
+    /// Slots in use, and what the way to another failure domain counts for.
+    fn cost(&self, i: usize, ask: &Ask) -> u32 {
         let it = &self.endpoints()[i];
-        let covered = self.failure_domain.as_ref().is_none_or(|d| *d == it.failure_domain);
-        if !covered || !it.admits(now, ask.repeatable) {
+        let is_near = stable_hash(it.failure_domain.as_bytes()) == ask.reporter.failure_domain;
+        let far = match (is_near, ask.bulky) {
+            (true, _) => 0,
+            (false, true) => FAR_SLOTS_BULKY,
+            (false, false) => FAR_SLOTS,
+        };
+        self.loads[i].in_use + far
+    }
+
+    fn tier(&self, now: Time, i: usize, ask: &Ask) -> Option<Tier> {
+        let (it, load) = (&self.endpoints()[i], &self.loads[i]);
+        if !it.admits(now, ask.repeatable) {
             return None;
         }
+        // A trial is there to find out whether the failures have ended.
+        let is_on_trial = matches!(it.state, State::Trial { .. });
+        let usage = if is_on_trial { Use::Freely } else { load.setback.usage(now) };
         let last = it.state == State::Suspect
-            || ask.exclude == Some(it.addr)
-            || now < self.hinted_until[i]
-            || now < self.full_until[i]
+            || it.is_missing
+            || usage == Use::Last
+            || ask.avoid.contains(&it.addr)
+            || now < load.hinted_until
+            || now < load.full_until
             || self.judge.avoids(now, i, ask.reporter);
-        match it.state {
-            State::Trial { .. } if last => None,
-            State::Trial { .. } => Some(Tier::Trial),
+        match usage {
+            _ if is_on_trial && last => None,
+            _ if is_on_trial && ask.repeatable => Some(Tier::Trial),
             _ if last => Some(Tier::Last),
+            Use::Cautiously if !ask.repeatable => Some(Tier::Cautious),
             _ => Some(Tier::Good),
         }
     }
@@ -405,11 +453,7 @@
     }
 
     fn total_slots(&self, now: Time) -> usize {
-        let covered = self
-            .endpoints()
-            .iter()
-            .filter(|it| self.failure_domain.as_ref().is_none_or(|d| *d == it.failure_domain));
-        covered.map(|it| it.usable_slots(now, self.slots) as usize).sum()
+        self.endpoints().iter().map(|it| it.usable_slots(now) as usize).sum()
     }
 
     /// Gives free slots to those that wait.
@@ -430,8 +474,8 @@
     }
 
     fn has_free_slot(&self, now: Time) -> bool {
-        let usable = self.endpoints().iter().map(|it| it.usable_slots(now, self.slots));
-        usable.zip(&self.in_use).any(|(usable, used)| *used < usable)
+        let usable = self.endpoints().iter().map(|it| it.usable_slots(now));
+        usable.zip(&self.loads).any(|(usable, load)| load.in_use < usable)
     }
 
     fn refusal(&self, id: PermitId) -> Settled {
@@ -447,7 +491,12 @@
             kind,
             elapsed,
         };
-        self.judge.observe(now, observation);
+        self.note(now, observation);
+    }
+
+    fn note(&mut self, now: Time, it: Observation) {
+        self.loads[it.endpoint].setback.observe(now, it.kind, it.reporter);
+        self.judge.observe(now, it);
     }
 
     fn note_hold(&mut self, kind: Kind, held: Duration) {
@@ -465,5 +514,6 @@
 enum Tier {
     Trial,
     Good,
+    Cautious,
     Last,
 }
--- a/crates/policy/src/judge.rs
+++ b/crates/policy/src/judge.rs
@@ -49,6 +49,8 @@
     Stalled,
     /// Connection lost, answer broken off, or a server error.
     Failed,
+    /// No connection could be made; nothing was sent.
+    Unreachable,
     /// Refused before any work because the endpoint is full.
     Shed,
     /// Given up by the reporter's own side while it was still open, as by a hedge.
@@ -56,7 +58,7 @@
 }
 
 /// Who observed an outcome.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Reporter {
     /// The node.
     pub node: NodeId,
@@ -161,7 +163,7 @@
     }
 
     pub(crate) fn reconfigure(&mut self, now: Time, service: &Service, routes: &[u32]) {
-        let before: Vec<_> = self.rotation.endpoints().iter().map(|it| it.addr).collect();
+        let before: Vec<_> = self.rotation.endpoints().iter().map(|it| it.id.clone()).collect();
         let mut evidence = std::mem::take(&mut self.evidence);
         self.rotation.reconfigure(now, service);
         self.thresholds = Thresholds::of(service.bias);
@@ -169,7 +171,7 @@
             .rotation
             .endpoints()
             .iter()
-            .map(|it| match before.iter().position(|addr| *addr == it.addr) {
+            .map(|it| match before.iter().position(|id| *id == it.id) {
                 Some(i) => std::mem::take(&mut evidence[i]),
                 None => Evidence::default(),
             })
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,13 +12,14 @@
 mod rendezvous;
 mod retry;
 mod rotation;
+mod setback;
 mod time;
 mod verdict;
 
-pub use dispatcher::{Ask, Dispatcher, Grant, PermitId, Reply, Settled};
+pub use dispatcher::{Ask, Budgets, Dispatcher, Grant, PermitId, Reply, Settled};
 pub use judge::{Kind, Observation, Reporter};
 pub use rendezvous::{NodeId, rank, stable_hash};
-pub use retry::{Attempt, Budget, Next, Outcome, next_step};
+pub use retry::{Attempt, Budget, BudgetLimits, Next, Outcome, next_step};
 pub use rotation::{Change, EndpointStatus, Rotation, State, domain_floors};
 pub use time::Time;
 
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -1,5 +1,5 @@
 //! Whether a request may be sent again. The rules of `Repeat` are absolute; the budget bounds how
-//! much more work the retries of all requests bring to a service.
+//! much more work the repeats of all requests bring to a service.
 
 use std::time::Duration;
 
@@ -23,8 +23,10 @@
     pub repeat: Repeat,
     /// Whether any earlier send ended as unknown.
     pub unknown_before: bool,
-    /// Number of sends so far, this one included.
+    /// Endpoints that the request has reached so far.
     pub sends: u32,
+    /// Endpoints that it may reach at most.
+    pub max_sends: u32,
     /// Time left until the deadline.
     pub left: Duration,
 }
@@ -42,11 +44,9 @@
     GiveUpUnknown,
 }
 
-/// Most sends of one request.
-const MAX_SENDS: u32 = 3;
-
-/// Decides what follows a send that ended with `outcome`. A second send takes from the budget.
-pub fn next_step(outcome: Outcome, attempt: Attempt, budget: &mut Budget) -> Next {
+/// Decides what follows a send that ended with `outcome`. Whether the service's budget allows one
+/// more send is for the dispatcher to say.
+pub fn next_step(outcome: Outcome, attempt: Attempt) -> Next {
     let unknown = attempt.unknown_before || outcome == Outcome::Unknown;
     let allowed = match (attempt.repeat, outcome) {
         (_, Outcome::Answered) => return Next::Deliver,
@@ -54,29 +54,42 @@
         (Repeat::IfNotRun, _) => !unknown,
         (Repeat::Never, _) => false,
     };
-    let in_time = attempt.sends < MAX_SENDS && !attempt.left.is_zero();
-    match (allowed && in_time && budget.take(), unknown) {
+    let in_time = attempt.sends < attempt.max_sends && !attempt.left.is_zero();
+    match (allowed && in_time, unknown) {
         (true, _) => Next::Again,
         (false, true) => Next::GiveUpUnknown,
         (false, false) => Next::GiveUpNotRun,
     }
 }
 
-/// Retries and hedges of one service on one node: at most a tenth of the first sends.
+/// Bound on the repeats and hedges of one service: a share of its first sends and a burst.
 ///
-/// Because the bound holds on every node, it holds for the fleet.
+/// The node that dispatches a service counts for the whole fleet. A node that picks for itself
+/// counts alone, with a burst so small that the fleet's sum stays within the service's bound.
 #[derive(Clone, Debug)]
 pub struct Budget {
     tokens: f64,
+    limits: BudgetLimits,
+}
+
+/// Size of a budget.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetLimits {
+    /// Repeats for each first send.
+    pub ratio: f64,
+    /// Repeats that may come at once.
+    pub burst: f64,
 }
 
 impl Budget {
-    const RATIO: f64 = 0.1;
-    const MAX: f64 = 10.0;
+    /// A full budget.
+    pub fn new(limits: BudgetLimits) -> Self {
+        Self { tokens: limits.burst, limits }
+    }
 
     /// Records a first send.
     pub fn first_send(&mut self) {
-        self.tokens = (self.tokens + Self::RATIO).min(Self::MAX);
+        self.tokens = (self.tokens + self.limits.ratio).min(self.limits.burst);
     }
 
     /// Takes one further send if the budget allows it.
@@ -91,18 +104,7 @@
 
 #[cfg(test)]
 impl Budget {
-    pub(crate) fn with_tokens(tokens: u32) -> Self {
-        Self { tokens: tokens.into() }
-    }
-
     pub(crate) fn tokens(&self) -> u32 {
         self.tokens as u32
     }
 }
-
-impl Default for Budget {
-    /// A few tokens, so that a node that has just started can retry at all.
-    fn default() -> Self {
-        Self { tokens: 3.0 }
-    }
-}
--- a/crates/policy/src/rotation.rs
+++ b/crates/policy/src/rotation.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use resources::{Name, Service};
+use resources::{Endpoint, Name, Service, Standing};
 
 use crate::time::Time;
 
@@ -15,19 +15,18 @@
 const PROOF_LIFETIME: Duration = Duration::from_secs(10);
 /// Time out of rotation after a first ejection.
 const FIRST_OUT: Duration = Duration::from_secs(2);
-/// Longest time out of rotation of an endpoint that flaps.
-const MAX_OUT: Duration = Duration::from_secs(64);
+/// Longest time out of rotation of an endpoint that flaps. Gray episodes on the users' sites last a
+/// few seconds; longer than a few of them only loses healthy capacity.
+const MAX_OUT: Duration = Duration::from_secs(16);
 /// An endpoint that stayed well for this long is forgiven one strike.
 const FORGIVE_AFTER: Duration = Duration::from_secs(60);
 /// Good answers on trial before an endpoint is readmitted.
-const TRIAL_GOOD: u32 = 5;
-/// A trial that finds no repeatable work for this long takes other work too.
-const TRIAL_PATIENCE: Duration = Duration::from_secs(30);
-/// Signs of departure are believed for this long; then a trial finds out whether the address serves
-/// again.
-const LEAVING_FOR: Duration = Duration::from_secs(60);
+const TRIAL_GOOD: u32 = 3;
+/// A trial that finds no repeatable work for this long takes other work too. Services that only
+/// take work that must not repeat would otherwise lose the endpoint for good.
+const TRIAL_PATIENCE: Duration = Duration::from_secs(1);
 /// Time over which a cold or readmitted endpoint gets back to all of its slots.
-const RAMP: Duration = Duration::from_secs(5);
+const RAMP: Duration = Duration::from_secs(3);
 /// After a change of configuration the smaller of the old and new allowance holds for this long,
 /// because other nodes may still judge by the old one.
 pub(crate) const SETTLE: Duration = Duration::from_secs(20);
@@ -85,7 +84,9 @@
 /// A change of state, for the audit log and the report.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Change {
-    /// The endpoint.
+    /// Identity of the endpoint.
+    pub id: Name,
+    /// Its address.
     pub addr: SocketAddr,
     /// Its state before.
     pub from: State,
@@ -98,10 +99,16 @@
 /// One endpoint in the rotation.
 #[derive(Clone, Debug)]
 pub struct EndpointStatus {
+    /// Identity of this life of the endpoint.
+    pub id: Name,
     /// IP address and port.
     pub addr: SocketAddr,
     /// Failure domain.
     pub failure_domain: Name,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Its entry in the registry is missing, perhaps only for a moment.
+    pub is_missing: bool,
     /// Where it stands.
     pub state: State,
     /// When it came to stand there.
@@ -113,11 +120,15 @@
 }
 
 impl EndpointStatus {
-    fn new(now: Time, addr: SocketAddr, failure_domain: Name, state: State) -> Self {
+    fn new(now: Time, service: &Service, it: &Endpoint) -> Self {
+        let is_leaving = it.standing == Standing::Leaving;
         Self {
-            addr,
-            failure_domain,
-            state,
+            id: it.id.clone(),
+            addr: it.addr,
+            failure_domain: it.failure_domain.clone(),
+            slots: if it.slots == 0 { service.slots } else { it.slots },
+            is_missing: it.standing == Standing::Missing,
+            state: if is_leaving { State::Leaving } else { State::Unknown },
             since: now,
             last_good: None,
             strikes: 0,
@@ -131,8 +142,9 @@
         self.state == State::Healthy && fresh
     }
 
-    /// Slots that it may use out of `slots`.
-    pub fn usable_slots(&self, now: Time, slots: u32) -> u32 {
+    /// Slots that it may use now.
+    pub fn usable_slots(&self, now: Time) -> u32 {
+        let slots = self.slots;
         match self.state {
             State::Ejected { .. } | State::Leaving => 0,
             State::Trial { .. } => 1,
@@ -199,7 +211,7 @@
         let endpoints = service
             .endpoints
             .iter()
-            .map(|it| EndpointStatus::new(now, it.addr, it.failure_domain.clone(), State::Unknown))
+            .map(|it| EndpointStatus::new(now, service, it))
             .collect();
         let floors = domain_floors(service)
             .into_iter()
@@ -214,8 +226,8 @@
     }
 
     /// The position of an endpoint.
-    pub fn position(&self, addr: SocketAddr) -> Option<usize> {
-        self.endpoints.iter().position(|it| it.addr == addr)
+    pub fn position(&self, id: &str) -> Option<usize> {
+        self.endpoints.iter().position(|it| it.id == id)
     }
 
     /// Endpoints that are in rotation with fresh proof of health.
@@ -233,13 +245,19 @@
         let old = std::mem::replace(self, Self::new(now, service));
         self.changes = old.changes;
         for it in &mut self.endpoints {
-            let kept = old.endpoints.iter().find(|e| e.addr == it.addr);
+            let kept = old.endpoints.iter().find(|e| e.id == it.id);
             match kept {
-                Some(kept) => {
-                    let failure_domain = it.failure_domain.clone();
-                    *it = EndpointStatus { failure_domain, ..kept.clone() };
+                Some(kept) if it.state != State::Leaving || kept.state == State::Leaving => {
+                    it.state = kept.state;
+                    it.since = kept.since;
+                    it.last_good = kept.last_good;
+                    it.strikes = kept.strikes;
+                    it.forgiven_at = kept.forgiven_at;
                 }
-                None => it.state = State::Ramping { since: now },
+                // The first endpoints that are heard of have not just started.
+                None if old.endpoints.is_empty() => {}
+                None if it.state != State::Leaving => it.state = State::Ramping { since: now },
+                _ => {}
             }
         }
         for it in &mut self.floors {
@@ -291,9 +309,9 @@
     }
 
     /// Marks an endpoint that is going away.
-    pub fn leave(&mut self, now: Time, i: usize) {
+    #[cfg(test)]
+    pub(crate) fn leave(&mut self, now: Time, i: usize) {
         if self.endpoints[i].state == State::Leaving {
-            self.endpoints[i].since = now;
             return;
         }
         self.set(now, i, State::Leaving, "leaving");
@@ -316,9 +334,6 @@
                 State::Ejected { until } if now >= until => {
                     self.set(now, i, State::Trial { since: now, good: 0 }, "time out is over");
                 }
-                State::Leaving if now.since(it.since) >= LEAVING_FOR => {
-                    self.set(now, i, State::Trial { since: now, good: 0 }, "no sign of leaving");
-                }
                 State::Ramping { since } if now.since(since) >= RAMP => {
                     self.set(now, i, State::Healthy, "ramp is over");
                 }
@@ -401,7 +416,7 @@
         let from = std::mem::replace(&mut it.state, to);
         it.since = now;
         self.steady = false;
-        self.changes.push(Change { addr: it.addr, from, to, reason });
+        self.changes.push(Change { id: it.id.clone(), addr: it.addr, from, to, reason });
     }
 }
 
--- a/crates/policy/src/verdict.rs
+++ b/crates/policy/src/verdict.rs
@@ -39,7 +39,7 @@
             Kind::Answered => Some(Self::Late),
             Kind::Abandoned => is_late.then_some(Self::Late),
             Kind::Stalled => Some(Self::Stalled),
-            Kind::Failed => Some(Self::Failed),
+            Kind::Failed | Kind::Unreachable => Some(Self::Failed),
             Kind::Shed => Some(Self::Shed),
         }
     }
--- a/crates/resources/src/lib.rs
+++ b/crates/resources/src/lib.rs
@@ -1,19 +1,22 @@
-//! The typed resources that operators publish, their validation and their canonical digest.
+//! The typed resources that operators publish, the registry of endpoints, and validation.
 //!
 //! Everything here is a pure function of its arguments: every node and `dappleway check` run the
-//! same code and therefore accept or reject a revision alike. This crate must not know any I/O,
+//! same code and therefore accept or reject a configuration alike. This crate must not know any I/O,
 //! clock or thread.
 
-mod manifest;
+mod document;
 mod model;
 mod routing;
+mod source;
 mod validate;
 
-pub use manifest::{Digest, MAX_PART_BYTES, Manifest, ManifestError, Part, PartRef};
+pub use document::{CallerLimits, Document, Published, Registration, RegistryChange};
 pub use model::{
-    Bias, Endpoint, Floor, Name, Organisation, Priority, Repeat, Resource, Route, Service,
+    Bias, Endpoint, Floor, Name, Organisation, Priority, Repeat, Resource, Route, Service, Share,
+    Standing,
 };
 pub use routing::{Config, RouteTable};
+pub use source::{Source, SourceError};
 pub use validate::{Problem, validate};
 
 #[cfg(test)]
--- a/crates/resources/src/routing.rs
+++ b/crates/resources/src/routing.rs
@@ -5,15 +5,15 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::{Digest, Manifest, Name, Problem, Resource, Route, Service, validate};
+use crate::{CallerLimits, Document, Name, Problem, Resource, Route, Service, validate};
 
-/// A revision that is valid, ready to serve from.
+/// A configuration that is valid, ready to serve from.
 #[derive(Debug, Default)]
 pub struct Config {
-    /// The platform's revision; 0 before any was accepted.
-    pub revision: u64,
-    /// Digest of the content.
-    pub digest: Option<Digest>,
+    /// Its version; 0 before any was accepted.
+    pub version: u64,
+    /// What callers may send.
+    pub limits: CallerLimits,
     /// Services by name.
     pub services: FxHashMap<Name, Arc<Service>>,
     /// Routes by host, path and method.
@@ -25,17 +25,14 @@
 }
 
 impl Config {
-    /// Compiles a revision, or returns every problem.
-    pub fn compile(manifest: &Manifest, resources: Vec<Resource>) -> Result<Self, Vec<Problem>> {
+    /// Compiles a document, or returns every problem.
+    pub fn compile(document: Document) -> Result<Self, Vec<Problem>> {
+        let Document { version, limits, resources } = document;
         let problems = validate(&resources);
         if !problems.is_empty() {
             return Err(problems);
         }
-        let mut config = Self {
-            revision: manifest.revision,
-            digest: Some(manifest.digest()),
-            ..Self::default()
-        };
+        let mut config = Self { version, limits, ..Self::default() };
         for it in &resources {
             match it {
                 Resource::Service(it) => {
@@ -84,17 +81,17 @@
     }
 }
 
+/// Tries `/a/b`, `/a/`, `/a`, `/`: a prefix that ends with `/` matches only what lies below it.
 fn longest<'a>(prefixes: &'a Prefixes, path: &str, method: &str) -> Option<&'a Arc<Route>> {
     let mut prefix = path;
     loop {
         if let Some(route) = prefixes.get(prefix).and_then(|it| by_method(it, method)) {
             return Some(route);
         }
-        let cut = prefix.rfind('/')?;
-        if prefix == "/" {
-            return None;
-        }
-        prefix = if cut == 0 { "/" } else { &prefix[..cut] };
+        prefix = match prefix.strip_suffix('/') {
+            Some(shorter) => shorter,
+            None => &prefix[..=prefix.rfind('/')?],
+        };
     }
 }
 
--- /dev/null
+++ b/crates/resources/src/source.rs
@@ -0,0 +1,27 @@
+//! Where configurations and endpoints come from. The platform's adapter implements it.
+
+use crate::Published;
+
+/// Why nothing could be read. It will be tried again.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SourceError {
+    /// The changes since the last read are not to be had any more: everything must be read anew.
+    #[error("the platform has forgotten the changes since the last read: all is read anew")]
+    Forgotten,
+    /// The platform did not answer.
+    #[error("{0}")]
+    Unavailable(String),
+}
+
+/// What the platform publishes.
+pub trait Source: Send + 'static {
+    /// Reads everything.
+    fn read(&mut self) -> impl Future<Output = Result<Published, SourceError>> + Send;
+
+    /// Waits for what has changed since the last read, for a short time only: an answer without
+    /// changes proves that there are none.
+    fn next(&mut self) -> impl Future<Output = Result<Published, SourceError>> + Send;
+
+    /// Calls made so far, each of which has a price.
+    fn calls(&self) -> u64;
+}
--- a/crates/resources/src/tests.rs
+++ b/crates/resources/src/tests.rs
@@ -1,12 +1,13 @@
 use expect_test::{Expect, expect};
 
-use crate::{Config, Floor, Manifest, Part, Resource, validate};
+use crate::{CallerLimits, Config, Document, Floor, Resource, validate};
 
 const GOOD: &str = r#"[
   {"kind":"Service","name":"slots","floor":"60%","slots":3,"endpoints":[
-    {"addr":"127.0.0.1:9001","failure_domain":"a"},{"addr":"127.0.0.1:9002","failure_domain":"b"}]},
+    {"id":"i-1","addr":"127.0.0.1:9001","failure_domain":"a"},{"id":"i-2","addr":"127.0.0.1:9002","failure_domain":"b"}]},
   {"kind":"Route","name":"lookup","path":"/slots","methods":["GET"],"service":"slots","deadline_ms":500,"repeat":"anytime","hedge":true},
-  {"kind":"Route","name":"host","host":"x.example","path":"/","service":"slots","deadline_ms":500,"repeat":"never"}
+  {"kind":"Route","name":"host","host":"x.example","path":"/","service":"slots","deadline_ms":500,"repeat":"never"},
+  {"kind":"Route","name":"below","path":"/packs/","split":[{"service":"slots","weight":9}],"deadline_ms":500,"repeat":"never"}
 ]"#;
 
 fn parse(text: &str) -> Vec<Resource> {
@@ -27,25 +28,29 @@
 fn every_problem_is_reported_with_its_remedy() {
     check_problems(
         r#"[
-  {"kind":"Service","name":"s","floor":3,"slots":0,"endpoints":[{"addr":"127.0.0.1:1","failure_domain":"a"},{"addr":"127.0.0.1:1","failure_domain":"a"}]},
-  {"kind":"Route","name":"r","path":"x/","methods":["get"],"service":"t","deadline_ms":0,"repeat":"never","hedge":true},
-  {"kind":"Route","name":"r","path":"x/","methods":["get"],"service":"s","deadline_ms":1,"repeat":"never"},
+  {"kind":"Service","name":"s","floor":3,"slots":0,"endpoints":[{"id":"i-1","addr":"127.0.0.1:1","failure_domain":"a"},{"id":"i-1","addr":"127.0.0.1:1","failure_domain":""}]},
+  {"kind":"Route","name":"r","path":"x//","methods":["get"],"service":"t","split":[{"service":"s","weight":0}],"max_sends":0,"deadline_ms":0,"repeat":"never","hedge":true},
+  {"kind":"Route","name":"r","path":"x//","methods":["get"],"service":"t","deadline_ms":1,"repeat":"never"},
   {"kind":"Organisation","name":"o","weight":0}]"#,
         expect![[r#"
             Route/r: name: the name is taken: rename one of the two
-            Service/s: endpoints: 127.0.0.1:1 is listed twice: remove one
+            Service/s: endpoints: `i-1` is listed twice: remove one
+            Service/s: endpoints: 127.0.0.1:1: name its failure domain
             Service/s: floor: 3 is above the 2 endpoints: lower it
             Service/s: slots: write 1 or more
-            Route/r: service: publish a Service `t`
+            Route/r: split: give `s` a weight of 1 or more
+            Route/r: split: write either `service` or `split`
             Route/r: path: start it with `/`
-            Route/r: path: drop the `/` at its end: prefixes match whole segments
+            Route/r: path: drop the empty segment: prefixes match whole segments
+            Route/r: max_sends: write 1 or more
             Route/r: deadline_ms: write 1 or more
             Route/r: hedge: write `repeat = "anytime"` or `hedge = false`
             Route/r: methods: write methods in upper case
+            Route/r: service: publish a Service `t`
             Route/r: path: start it with `/`
-            Route/r: path: drop the `/` at its end: prefixes match whole segments
+            Route/r: path: drop the empty segment: prefixes match whole segments
             Route/r: methods: write methods in upper case
-            Route/r: path: get *x/ is taken by another route
+            Route/r: path: get *x// is taken by another route
             Organisation/o: weight: write 1 or more"#]],
     );
 }
@@ -69,10 +74,8 @@
 
 #[test]
 fn longest_prefix_host_and_method_decide() {
-    let part = Part::encode(&parse(GOOD));
-    let manifest = Manifest::new(7, std::slice::from_ref(&part));
-    let resources = manifest.resources(|_| Some(&part.bytes)).unwrap();
-    let config = Config::compile(&manifest, resources).unwrap();
+    let limits = CallerLimits::default();
+    let config = Config::compile(Document { version: 7, limits, resources: parse(GOOD) }).unwrap();
     let find = |host: &str, path: &str, method: &str| {
         config.routes.find(host, path, method).map(|it| it.name.to_string())
     };
@@ -80,4 +83,8 @@
     assert_eq!(find("y", "/slotsx", "GET"), None);
     assert_eq!(find("y", "/slots", "POST"), None);
     assert_eq!(find("x.example", "/slots", "POST").as_deref(), Some("host"));
+    assert_eq!(find("y", "/packs/1", "POST").as_deref(), Some("below"));
+    assert_eq!(find("y", "/packs", "POST"), None);
+    assert_eq!(find("x.example", "/packs", "POST").as_deref(), Some("host"));
+    assert_eq!(find("y", "", "POST"), None);
 }
--- a/crates/resources/src/validate.rs
+++ b/crates/resources/src/validate.rs
@@ -80,13 +80,13 @@
     fn service(&mut self, service: &Service) {
         let cx = Resource::Service(service.clone());
         let total = service.endpoints.len();
-        if total == 0 || total > MAX_ENDPOINTS {
-            self.add(&cx, "endpoints", format!("list from 1 to {MAX_ENDPOINTS} endpoints"));
+        if total > MAX_ENDPOINTS {
+            self.add(&cx, "endpoints", format!("list {MAX_ENDPOINTS} endpoints at most"));
         }
         let mut seen = FxHashSet::default();
         for it in &service.endpoints {
-            if !seen.insert(it.addr) {
-                self.add(&cx, "endpoints", format!("{} is listed twice: remove one", it.addr));
+            if !seen.insert(&it.id) {
+                self.add(&cx, "endpoints", format!("`{}` is listed twice: remove one", it.id));
             }
             if it.failure_domain.is_empty() {
                 self.add(&cx, "endpoints", format!("{}: name its failure domain", it.addr));
@@ -94,6 +94,7 @@
         }
         if let Floor::Count(n) = service.floor
             && n as usize > total
+            && total > 0
         {
             self.add(&cx, "floor", format!("{n} is above the {total} endpoints: lower it"));
         }
@@ -107,14 +108,25 @@
 
     fn route(&mut self, route: &Route, services: &FxHashMap<&str, &Service>) {
         let cx = Resource::Route(route.clone());
-        if !services.contains_key(route.service.as_str()) {
-            self.add(&cx, "service", format!("publish a Service `{}`", route.service));
+        for (service, weight) in route.shares() {
+            if !services.contains_key(service.as_str()) {
+                self.add(&cx, "service", format!("publish a Service `{service}`"));
+            }
+            if weight == 0 {
+                self.add(&cx, "split", format!("give `{service}` a weight of 1 or more"));
+            }
+        }
+        if !route.split.is_empty() && !route.service.is_empty() {
+            self.add(&cx, "split", "write either `service` or `split`");
         }
         if !route.path.starts_with('/') {
             self.add(&cx, "path", "start it with `/`");
         }
-        if route.path.len() > 1 && route.path.ends_with('/') {
-            self.add(&cx, "path", "drop the `/` at its end: prefixes match whole segments");
+        if route.path.contains("//") {
+            self.add(&cx, "path", "drop the empty segment: prefixes match whole segments");
+        }
+        if route.max_sends == 0 {
+            self.add(&cx, "max_sends", "write 1 or more");
         }
         if route.deadline_ms == 0 {
             self.add(&cx, "deadline_ms", "write 1 or more");
--- a/crates/upstream/src/answer.rs
+++ b/crates/upstream/src/answer.rs
@@ -1,39 +1,31 @@
 //! The body of an answer. Its connection goes back to the pool only when the body has ended whole;
 //! after a late, cancelled or broken exchange the connection is closed.
 
-use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
-use http::{HeaderMap, StatusCode, header};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
 
-use crate::pool::Inner;
+use crate::pool::KeptConnection;
 
-/// Body of an answer; hyper checks its length or final chunk.
+/// Body of an answer; hyper checks its length or final chunk. One without either ends with its
+/// connection: cleanly if it is whole, by a reset if it is not.
 pub struct AnswerBody<B>
 where
     B: Body<Data = Bytes> + Send + Unpin + 'static,
 {
     body: Incoming,
-    conn: Option<(SendRequest<B>, SocketAddr, Arc<Inner<B>>)>,
+    conn: Option<KeptConnection<B>>,
 }
 
 impl<B> AnswerBody<B>
 where
     B: Body<Data = Bytes> + Send + Unpin + 'static,
 {
-    pub(crate) fn new(
-        body: Incoming,
-        tx: SendRequest<B>,
-        addr: SocketAddr,
-        pool: Arc<Inner<B>>,
-    ) -> Self {
-        let mut it = Self { body, conn: Some((tx, addr, pool)) };
+    pub(crate) fn new(body: Incoming, conn: Option<KeptConnection<B>>) -> Self {
+        let mut it = Self { body, conn };
         if it.body.is_end_stream() {
             it.give_back();
         }
@@ -41,8 +33,8 @@
     }
 
     fn give_back(&mut self) {
-        if let Some((tx, addr, pool)) = self.conn.take() {
-            tokio::spawn(async move { pool.put(addr, tx).await });
+        if let Some(conn) = self.conn.take() {
+            conn.give_back();
         }
     }
 }
@@ -76,12 +68,3 @@
         self.body.size_hint()
     }
 }
-
-/// Whether the end of an answer can be told from a broken connection. An answer that ends with the
-/// connection cannot be proved whole.
-pub fn is_delimited(status: StatusCode, headers: &HeaderMap) -> bool {
-    let empty = status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
-    empty
-        || headers.contains_key(header::CONTENT_LENGTH)
-        || headers.contains_key(header::TRANSFER_ENCODING)
-}
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -6,8 +6,8 @@
 mod answer;
 mod pool;
 
-pub use answer::{AnswerBody, is_delimited};
-pub use pool::{Failure, Pool, SendError};
+pub use answer::AnswerBody;
+pub use pool::{Failure, Pool, Reuse, SendError};
 
 #[cfg(test)]
 mod tests;
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response};
 use http_body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -23,6 +23,21 @@
 /// that meets a closing connection ends as unknown.
 const IDLE_LIFETIME: Duration = Duration::from_secs(4);
 
+/// Part of the time that an endpoint says it keeps idle connections for which they are used.
+const KEEP_ALIVE_PART: u32 = 2;
+
+/// Whether a send may use a connection that is open already.
+///
+/// A new one proves that the endpoint can be reached before anything is written, so that a send that
+/// must not be repeated does not get lost on a path that has broken since.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// It may.
+    Allowed,
+    /// A new connection is made.
+    Never,
+}
+
 /// How far a request got that has no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum Failure {
@@ -65,7 +80,7 @@
 
 struct Idle<B> {
     tx: SendRequest<B>,
-    since: Instant,
+    until: Instant,
 }
 
 impl<B> Clone for Pool<B> {
@@ -91,9 +106,10 @@
         &self,
         addr: SocketAddr,
         mut req: Request<B>,
+        reuse: Reuse,
     ) -> Result<Response<AnswerBody<B>>, SendError<B>> {
-        while let Some(tx) = self.inner.take(addr) {
-            match self.exchange(addr, tx, req).await {
+        while let Some(tx) = self.inner.take(addr).filter(|_| reuse == Reuse::Allowed) {
+            match self.exchange(addr, tx, req, reuse).await {
                 // An idle connection that the upstream has closed meanwhile proves nothing about
                 // the endpoint, and nothing was written to it.
                 Err(SendError { failure: Failure::NotWritten, req: Some(back) }) => req = back,
@@ -101,24 +117,20 @@
             }
         }
         match self.connect(addr).await {
-            Ok(tx) => self.exchange(addr, tx, req).await,
+            Ok(tx) => self.exchange(addr, tx, req, reuse).await,
             Err(error) => Err(SendError { failure: Failure::Connect(error), req: Some(req) }),
         }
     }
 
-    /// Closes the idle connections to an endpoint that is leaving.
-    pub fn forget(&self, addr: SocketAddr) {
-        self.inner.idle.lock().remove(&addr);
-    }
-
     async fn exchange(
         &self,
         addr: SocketAddr,
         mut tx: SendRequest<B>,
         req: Request<B>,
+        reuse: Reuse,
     ) -> Result<Response<AnswerBody<B>>, SendError<B>> {
         match tx.try_send_request(req).await {
-            Ok(res) => Ok(self.answer(addr, tx, res)),
+            Ok(res) => Ok(self.answer(addr, tx, res, reuse)),
             Err(mut error) => {
                 let req = error.take_message();
                 let failure = match req {
@@ -135,8 +147,14 @@
         addr: SocketAddr,
         tx: SendRequest<B>,
         res: Response<Incoming>,
+        reuse: Reuse,
     ) -> Response<AnswerBody<B>> {
-        res.map(|body| AnswerBody::new(body, tx, addr, self.inner.clone()))
+        let idle_for = idle_time(res.headers());
+        // One that nobody would use again is closed after its answer instead of filling the
+        // endpoint's few places.
+        let kept = (reuse == Reuse::Allowed)
+            .then(|| KeptConnection::new(tx, addr, idle_for, &self.inner));
+        res.map(|body| AnswerBody::new(body, kept))
     }
 
     async fn connect(&self, addr: SocketAddr) -> std::io::Result<SendRequest<B>> {
@@ -158,7 +176,7 @@
         let mut idle = self.idle.lock();
         let conns = idle.get_mut(&addr)?;
         while let Some(it) = conns.pop() {
-            if it.tx.is_ready() && it.since.elapsed() < IDLE_LIFETIME {
+            if it.tx.is_ready() && Instant::now() < it.until {
                 return Some(it.tx);
             }
         }
@@ -166,15 +184,54 @@
     }
 
     /// Keeps a connection whose exchange has ended whole, once it is ready for the next one.
-    pub(crate) async fn put(&self, addr: SocketAddr, mut tx: SendRequest<B>) {
+    async fn put(&self, addr: SocketAddr, mut tx: SendRequest<B>, idle_for: Duration) {
         if tx.ready().await.is_err() {
             return;
         }
+        let now = Instant::now();
         let mut idle = self.idle.lock();
         let conns = idle.entry(addr).or_default();
-        conns.retain(|it| it.since.elapsed() < IDLE_LIFETIME);
+        conns.retain(|it| now < it.until);
         if conns.len() < MAX_IDLE {
-            conns.push(Idle { tx, since: Instant::now() });
+            conns.push(Idle { tx, until: now + idle_for });
         }
     }
 }
+
+/// A connection that goes back to the pool once its exchange has ended whole.
+pub(crate) struct KeptConnection<B> {
+    tx: SendRequest<B>,
+    addr: SocketAddr,
+    idle_for: Duration,
+    pool: Arc<Inner<B>>,
+}
+
+impl<B> KeptConnection<B>
+where
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+{
+    fn new(
+        tx: SendRequest<B>,
+        addr: SocketAddr,
+        idle_for: Duration,
+        pool: &Arc<Inner<B>>,
+    ) -> Self {
+        Self { tx, addr, idle_for, pool: pool.clone() }
+    }
+
+    pub(crate) fn give_back(self) {
+        tokio::spawn(async move { self.pool.put(self.addr, self.tx, self.idle_for).await });
+    }
+}
+
+/// How long a connection may rest, from the answer's `Keep-Alive: timeout=…` if there is one.
+fn idle_time(headers: &HeaderMap) -> Duration {
+    let said = headers.get("keep-alive").and_then(|it| it.to_str().ok());
+    let seconds = said.and_then(|it| {
+        let parts = it.split(',').filter_map(|part| part.trim().strip_prefix("timeout="));
+        parts.filter_map(|it| it.trim().parse().ok()).next()
+    });
+    seconds.map_or(IDLE_LIFETIME, |it| {
+        (Duration::from_secs(it) / KEEP_ALIVE_PART).min(IDLE_LIFETIME)
+    })
+}
