--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -33,6 +33,7 @@
 impl Sent {
     fn name(&self) -> &'static str {
         match self {
+            Self::Answer(res) if res.status().is_server_error() => "failed",
             Self::Answer(_) => "answered",
             Self::Failure(_) => "failed",
             Self::Unreached(_) => "unreached",
@@ -52,6 +53,7 @@
     is_first: bool,
 ) -> Sent {
     let mut open = Open::new(slot);
+    let slot_by = open.granted_by();
     let span = work.span.child();
     let req = work.request(&cx.names, &open.grant().endpoint, &span, body);
     let reuse = match work.route.repeat {
@@ -80,7 +82,8 @@
         }
     };
     cx.metrics.sends.with_label_values(&[sent.name()]).inc();
-    trace::send(&cx.log, &cx.names, work, &span, &endpoint, sent.name());
+    let record = trace::Send { span: &span, endpoint: &endpoint, slot_by, outcome: sent.name() };
+    trace::send(&cx.log, &cx.names, work, &record);
     sent
 }
 
@@ -127,7 +130,12 @@
     };
     let out = match start {
         Start::Whole(buf) => {
-            open.end(if is_failure { Kind::Failed } else { Kind::Answered });
+            open.end(match parts.status {
+                // Too little time was left for this request; that is no fault of the endpoint.
+                StatusCode::GATEWAY_TIMEOUT if work.left().is_zero() => Kind::Abandoned,
+                _ if is_failure => Kind::Failed,
+                _ => Kind::Answered,
+            });
             AnswerOut::Whole(Full::new(buf))
         }
         Start::Long(start, body) => {
--- a/crates/caller/src/dispatch.rs
+++ b/crates/caller/src/dispatch.rs
@@ -26,6 +26,8 @@
     pub wait: bool,
     /// Time left until the deadline.
     pub left: Duration,
+    /// A longer wait for a good endpoint is worse than an endpoint that may fail.
+    pub patience: Duration,
 }
 
 /// No slot can be had in time.
@@ -39,6 +41,8 @@
 pub trait Slot: Send + 'static {
     /// What was granted.
     fn grant(&self) -> &Grant;
+    /// Who granted it, for logs.
+    fn granted_by(&self) -> &'static str;
     /// Reports that the request is stalled while it is still open.
     fn stalled(&mut self, elapsed: Duration);
     /// Gives the slot back with the way the request ended.
--- a/crates/caller/src/open.rs
+++ b/crates/caller/src/open.rs
@@ -33,6 +33,10 @@
         self.slot.as_ref().expect("the slot is taken at the end only").grant()
     }
 
+    pub(crate) fn granted_by(&self) -> &'static str {
+        self.slot.as_ref().map_or("", Slot::granted_by)
+    }
+
     pub(crate) fn addr(&self) -> SocketAddr {
         self.grant().addr
     }
--- a/crates/caller/src/sending.rs
+++ b/crates/caller/src/sending.rs
@@ -126,6 +126,7 @@
 ) -> Result<D::Slot, Refused> {
     let since = Instant::now();
     let slot = timeout_at(work.deadline, cx.dispatch.acquire(want)).await;
+    work.waited(since.elapsed());
     cx.metrics.slot_wait.observe(since.elapsed().as_secs_f64());
     slot.unwrap_or(Err(Refused { retry_after: RETRY_AFTER_FAILURE }))
 }
--- a/crates/caller/src/snapshot.rs
+++ b/crates/caller/src/snapshot.rs
@@ -34,7 +34,7 @@
             None => 0,
         };
         let total: u64 = route.shares().map(|(_, weight)| u64::from(weight)).sum();
-        let mut at = (u128::from(turn) * u128::from(total) >> 64) as u64;
+        let mut at = ((u128::from(turn) * u128::from(total)) >> 64) as u64;
         for (service, weight) in route.shares() {
             match at.checked_sub(weight.into()) {
                 Some(rest) => at = rest,
--- a/crates/caller/src/trace.rs
+++ b/crates/caller/src/trace.rs
@@ -23,7 +23,7 @@
     info!(log, "request";
         "request_id" => work.request_id(names), "config" => work.snapshot.config.version,
         "trace" => %Hex128(work.span.trace), "route" => work.route.name.as_str(),
-        "service" => work.service.as_str(), "outcome" => outcome, "status" => status.as_u16(),
+        "service" => work.service.as_str(), "slot_ms" => work.slot_ms(), "outcome" => outcome, "status" => status.as_u16(),
         "ms" => elapsed.as_millis() as u64);
 }
 
@@ -39,25 +39,29 @@
         "request_id" => id, "status" => status.as_u16(), "reason" => why);
 }
 
-/// Logs one send.
-pub(crate) fn send(
-    log: &Logger,
-    names: &HeaderNames,
-    work: &Work,
-    span: &Span,
-    endpoint: &str,
-    outcome: &'static str,
-) {
-    if outcome == "answered" {
-        debug!(log, "send";
-            "request_id" => work.request_id(names), "endpoint" => endpoint, "outcome" => outcome,
-            "trace" => %Hex128(span.trace), "span" => %Hex64(span.id),
-            "parent" => %Hex64(span.parent));
-        return;
+/// One send that has ended.
+pub(crate) struct Send<'a> {
+    pub(crate) span: &'a Span,
+    pub(crate) endpoint: &'a str,
+    pub(crate) slot_by: &'static str,
+    pub(crate) outcome: &'static str,
+}
+
+/// Logs one send; one that was answered only at debug level, since its request is logged too.
+pub(crate) fn send(log: &Logger, names: &HeaderNames, work: &Work, it: &Send<'_>) {
+    macro_rules! record {
+        ($level:ident) => {
+            $level!(log, "send";
+                "request_id" => work.request_id(names), "endpoint" => it.endpoint,
+                "outcome" => it.outcome, "slot_by" => it.slot_by,
+                "left_ms" => work.left().as_millis() as u64, "span" => %Hex64(it.span.id),
+                "parent" => %Hex64(it.span.parent))
+        };
+    }
+    match it.outcome {
+        "answered" => record!(debug),
+        _ => record!(info),
     }
-    info!(log, "send";
-        "request_id" => work.request_id(names), "endpoint" => endpoint, "outcome" => outcome,
-        "left_ms" => work.left().as_millis() as u64, "span" => %Hex64(span.id));
 }
 
 /// Logs why a request is given up.
--- a/crates/caller/src/work.rs
+++ b/crates/caller/src/work.rs
@@ -2,13 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use http::header::{self, HeaderValue};
 use http::{HeaderMap, Method, Request, Uri};
 use hyper::body::Incoming;
 use policy::stable_hash;
-use resources::{Name, Route};
+use resources::{Name, Repeat, Route};
 use tokio::time::Instant;
 
 use crate::body::RequestOut;
@@ -20,6 +21,12 @@
 /// this long, a round trip and a late scheduler.
 const LAST_WORD: Duration = Duration::from_millis(150);
 
+/// Part of the objective that a request which may repeat waits for a good endpoint. Work takes a
+/// third of the objective on the users' sites, so that a second send still fits.
+const REPEATABLE_PATIENCE: f64 = 0.15;
+/// The same for a request that must not repeat: a failure loses all of its worth.
+const SINGLE_PATIENCE: f64 = 0.5;
+
 /// One request after its route was found.
 pub(crate) struct Work {
     pub(crate) snapshot: Arc<Snapshot>,
@@ -36,6 +43,8 @@
     pub(crate) deadline: Instant,
     /// An answer is not waited for any longer.
     pub(crate) give_up_at: Instant,
+    /// Time spent in waits for slots, in milliseconds.
+    slot_ms: AtomicU64,
 }
 
 /// Why a request finds no route.
@@ -79,6 +88,7 @@
             span,
             deadline,
             give_up_at: deadline + LAST_WORD,
+            slot_ms: AtomicU64::new(0),
             snapshot,
         })
     }
@@ -87,10 +97,29 @@
         self.headers.get(&names.request_id).and_then(|it| it.to_str().ok()).unwrap_or("(none)")
     }
 
+    /// Records a wait for a slot.
+    pub(crate) fn waited(&self, it: Duration) {
+        self.slot_ms.fetch_add(it.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Time spent in waits for slots, in milliseconds.
+    pub(crate) fn slot_ms(&self) -> u64 {
+        self.slot_ms.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// A request that may repeat loses little on an endpoint that fails.
+    fn patience(&self) -> Duration {
+        let part = match self.route.repeat {
+            Repeat::Anytime => REPEATABLE_PATIENCE,
+            Repeat::IfNotRun | Repeat::Never => SINGLE_PATIENCE,
+        };
+        self.route.objective().mul_f64(part)
+    }
+
     pub(crate) fn want(&self, avoid: Vec<SocketAddr>) -> Want {
         Want {
             route: self.route.clone(),
@@ -101,6 +130,7 @@
             repeated: false,
             wait: true,
             left: self.left(),
+            patience: self.patience(),
         }
     }
 
--- a/crates/dappleway/src/baselines.rs
+++ b/crates/dappleway/src/baselines.rs
@@ -107,6 +107,10 @@
         &self.grant
     }
 
+    fn granted_by(&self) -> &'static str {
+        "baseline"
+    }
+
     fn stalled(&mut self, _elapsed: Duration) {}
 
     fn end(self, kind: Kind, elapsed: Duration) {
--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -127,7 +127,7 @@
 /// A request of this node that waits for a slot.
 #[derive(Debug)]
 struct Waiter {
-    tx: oneshot::Sender<Result<Grant, Refused>>,
+    tx: oneshot::Sender<Result<(Grant, Place), Refused>>,
     service: u64,
     route: u32,
 }
--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -29,7 +29,7 @@
         now: Time,
         id: PermitId,
         want: &Want,
-        tx: oneshot::Sender<Result<Grant, Refused>>,
+        tx: oneshot::Sender<Result<(Grant, Place), Refused>>,
     ) {
         let service = name_hash(&want.service);
         if self.services.get(service).is_none() {
@@ -49,6 +49,7 @@
             repeated: want.repeated,
             avoid: want.avoid.clone(),
             left: want.left,
+            patience: want.patience,
             wait: want.wait,
         };
         self.waiting.insert(id, Waiter { tx, service, route: ask.route });
@@ -126,7 +127,7 @@
         let Waiter { tx, service, route } = waiter;
         let endpoint = grant.endpoint.clone();
         self.open.insert(id, OpenPermit { place, service, route, endpoint, stalled: false });
-        if tx.send(Ok(grant)).is_err() {
+        if tx.send(Ok((grant, place))).is_err() {
             self.end(now, id, None);
         }
     }
--- a/crates/dappleway/src/control/publications.rs
+++ b/crates/dappleway/src/control/publications.rs
@@ -21,7 +21,7 @@
 
     /// The platform did not answer this node.
     pub(super) fn read_failed(&mut self, now: Time) {
-        let effects = self.exchange.read_failed(now);
+        let effects = self.exchange.read_failed();
         self.apply(now, effects);
     }
 
@@ -43,6 +43,7 @@
         Bundle {
             document: document.map(|it| serde_json::to_vec(&**it).expect("string keys only")),
             revision: whole.revision,
+            complete_to: whole.complete_to,
             endpoints: whole.endpoints,
         }
     }
--- a/crates/dappleway/src/handle.rs
+++ b/crates/dappleway/src/handle.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use caller::{Dispatch, Refused, Slot, Want};
+use fleet::Place;
 use policy::{Grant, Kind, NodeId, PermitId};
 use tokio::sync::{mpsc, oneshot};
 
@@ -14,7 +15,7 @@
 #[derive(Debug)]
 pub enum Command {
     /// Find a slot.
-    Acquire(PermitId, Want, oneshot::Sender<Result<Grant, Refused>>),
+    Acquire(PermitId, Want, oneshot::Sender<Result<(Grant, Place), Refused>>),
     /// The wish for a slot is withdrawn.
     Withdraw(PermitId),
     /// A request is stalled.
@@ -54,7 +55,9 @@
         let settled = rx.await;
         wish.settled = true;
         match settled {
-            Ok(Ok(grant)) => Ok(HandleSlot { handle: self.clone(), id, grant, ended: false }),
+            Ok(Ok((grant, place))) => {
+                Ok(HandleSlot { handle: self.clone(), id, grant, place, ended: false })
+            }
             Ok(Err(refused)) => Err(refused),
             Err(_) => Err(Refused { retry_after: Duration::from_secs(1) }),
         }
@@ -81,6 +84,7 @@
     handle: Handle,
     id: PermitId,
     grant: Grant,
+    place: Place,
     ended: bool,
 }
 
@@ -89,6 +93,14 @@
         &self.grant
     }
 
+    fn granted_by(&self) -> &'static str {
+        match self.place {
+            Place::Direct => "itself",
+            Place::Own => "own dispatcher",
+            Place::Peer(_) => "peer",
+        }
+    }
+
     fn stalled(&mut self, elapsed: Duration) {
         self.handle.send(Command::Stalled(self.id, elapsed));
     }
--- a/crates/dappleway/src/node.rs
+++ b/crates/dappleway/src/node.rs
@@ -137,8 +137,7 @@
     let server = operator::serve(settings.operator.listen, view, &log.new(slog::o!()))
         .map_err(|it| anyhow!("{it}: choose a free `operator.listen`"))?;
     tokio::spawn(server);
-    let defaults =
-        ServiceDefaults { floor: settings.platform.floor, bias: settings.platform.bias };
+    let defaults = ServiceDefaults { floor: settings.platform.floor, bias: settings.platform.bias };
     let source = platform::Reader::new(Store::new(settings.platform.addr), defaults, log.clone());
     tokio::spawn(read_platform(source, reads, events.clone(), log.clone()));
     let ask_timeout = Duration::from_millis(settings.dispatch.ask_timeout_ms);
@@ -225,7 +224,6 @@
             max_in_flight: traffic.max_in_flight,
             read_timeout: Duration::from_millis(traffic.read_timeout_ms),
             connect_timeout: Duration::from_millis(traffic.connect_timeout_ms),
-            ..Limits::default()
         };
         let (draining, is_draining) = watch::channel(false);
         let listener = ListenerBuilder::new(self.shared, dispatch, header_names(), self.metrics)
--- a/crates/dappleway/src/reader.rs
+++ b/crates/dappleway/src/reader.rs
@@ -16,8 +16,9 @@
 const BETWEEN_CALLS: Duration = Duration::from_millis(120);
 /// First pause after a call that failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
-/// Longest pause after a call that failed; calls have a price also while the platform is away.
-const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+/// Longest pause after a call that failed. Calls have a price also while the platform is away, and
+/// whoever finds it first tells the others of its failure domain.
+const LONGEST_PAUSE: Duration = Duration::from_millis(2_500);
 
 /// Reads the platform, once at the start and then while `reads` is true, and reports to `events`.
 pub async fn read_platform<S: Source>(
@@ -91,9 +92,13 @@
             None
         }
     });
-    let (revision, endpoints) = (bundle.revision, bundle.endpoints);
-    let published =
-        Published { after: 0, revision, complete_to: revision, document, endpoints };
+    let published = Published {
+        after: None,
+        revision: bundle.revision,
+        complete_to: bundle.complete_to,
+        document,
+        endpoints: bundle.endpoints,
+    };
     send(&events, Event::Fetched(published));
 }
 
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -61,9 +61,8 @@
             }
         }
         let documents = config.services.values();
-        self.documents = documents
-            .map(|it| (it.clone(), routes.remove(&it.name).unwrap_or_default()))
-            .collect();
+        self.documents =
+            documents.map(|it| (it.clone(), routes.remove(&it.name).unwrap_or_default())).collect();
         self.rebuild(now);
     }
 
--- a/crates/dappleway/src/settings.rs
+++ b/crates/dappleway/src/settings.rs
@@ -250,12 +250,12 @@
 
 /// Below the users' bound of 0.2, so that a change of the dispatching node does not break it.
 fn default_repeat_ratio() -> f64 {
-    0.12
+    0.17
 }
 
-/// About half of the users' bound of 58, for the same reason.
+/// Half of the users' bound of 58, for the same reason.
 fn default_repeat_burst() -> f64 {
-    25.0
+    29.0
 }
 
 fn default_lag_ms() -> u64 {
@@ -353,11 +353,7 @@
                 connect_timeout_ms: default_connect_timeout_ms(),
             },
             operator: Operator { listen: local(7480), fault_injection: false },
-            platform: Platform {
-                addr: local(7300),
-                floor: default_floor(),
-                bias: Bias::default(),
-            },
+            platform: Platform { addr: local(7300), floor: default_floor(), bias: Bias::default() },
             fleet: Fleet {
                 key_file: Some("fleet.key".into()),
                 also_accept_key_file: Some("fleet.key.old".into()),
--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -19,21 +19,37 @@
 /// missed a change.
 const FRESH_FOR: Duration = Duration::from_millis(1_500);
 
+/// How long a read of this node is proof enough to tell others that it reads.
+const OWN_PROOF: Duration = Duration::from_millis(1_300);
+
 /// The duty of one node.
 #[derive(Clone, Debug)]
 pub struct Duty {
     me: NodeId,
+    /// A node that reads and that this one leaves it to, and when it was heard.
     reader: Option<(NodeId, Time)>,
     behind_since: Option<Time>,
     /// The last proof that the platform has nothing newer than what was then known here.
     contact: Option<Time>,
+    /// The last answer of the platform to this node.
+    own_contact: Option<Time>,
+    /// The platform did not answer this node the last time.
+    is_failing: bool,
     next_news: Time,
 }
 
 impl Duty {
     /// The duty of a node that has just started and has heard of nobody.
     pub fn new(me: NodeId) -> Self {
-        Self { me, reader: None, behind_since: None, contact: None, next_news: Time(0) }
+        Self {
+            me,
+            reader: None,
+            behind_since: None,
+            contact: None,
+            own_contact: None,
+            is_failing: false,
+            next_news: Time(0),
+        }
     }
 
     /// Whether this node is to read the platform now.
@@ -54,8 +70,10 @@
             return;
         }
         self.contact = Some(now);
-        let precedes_known = self.reader.is_none_or(|(it, at)| from <= it || now.since(at) > SILENCE);
-        if from < self.me && precedes_known {
+        let precedes_known =
+            self.reader.is_none_or(|(it, at)| from <= it || now.since(at) > SILENCE);
+        // A node that the platform does not answer leaves it to anyone who is answered.
+        if self.is_failing || from < self.me && precedes_known {
             self.reader = Some((from, now));
         }
     }
@@ -68,11 +86,19 @@
     /// Records an answer of the platform to this node.
     pub(crate) fn contacted(&mut self, now: Time) {
         self.contact = Some(now);
+        self.own_contact = Some(now);
+        self.is_failing = false;
+    }
+
+    /// Records that the platform did not answer this node; returns whether that is news.
+    pub(crate) fn failed(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_failing, true)
     }
 
     /// Whether it is time to tell the others that this node reads.
     pub(crate) fn news_is_due(&mut self, now: Time) -> bool {
-        if !self.reads(now) || !self.is_fresh(now) || now < self.next_news {
+        let is_proven = self.own_contact.is_some_and(|it| now.since(it) < OWN_PROOF);
+        if !self.reads(now) || self.is_failing || !is_proven || now < self.next_news {
             return false;
         }
         self.next_news = now + NEWS_EVERY;
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -30,7 +30,7 @@
 #[cfg(test)]
 pub(crate) const MAX_GOSSIP: (usize, usize) = (NODES_PER_FRAME, VERDICTS_PER_FRAME);
 /// Registry changes in one frame; of more the peers fetch the whole.
-const CHANGES_PER_FRAME: usize = 6;
+pub(crate) const CHANGES_PER_FRAME: usize = 6;
 /// One round of this many goes to another failure domain, whose traffic has a price.
 const FAR_ROUND: u32 = 4;
 /// Bytes a second, in and out, that the exchange may use.
@@ -152,10 +152,12 @@
     }
 
     /// Takes in what this node has read from the platform, and passes it on.
-    pub fn read(&mut self, now: Time, news: Published) -> Vec<Effect> {
+    pub fn read(&mut self, now: Time, mut news: Published) -> Vec<Effect> {
         self.duty.contacted(now);
         self.duty.set_behind(now, false);
         let before = self.replica.facts();
+        // What this node reads follows what it has read before: in between nothing has changed.
+        news.after = news.after.map(|_| before.revision);
         let mut effects = Vec::new();
         if self.replica.update(now, &news) {
             effects.push(Effect::Endpoints);
@@ -163,20 +165,20 @@
         let has_news = !news.endpoints.is_empty() || news.document.is_some();
         if has_news && self.duty.reads(now) {
             // A read of everything is no change; peers that lack something will see it.
-            let changes = if news.after == 0 { Vec::new() } else { news.endpoints };
+            let changes = if news.after.is_none() { Vec::new() } else { news.endpoints };
             let version = news.document.map_or(before.version, |it| it.version);
-            // Between the two revisions nothing else has changed in the registry.
             effects.extend(self.tell_news(before.revision, changes, version.max(before.version)));
         }
         effects
     }
 
     /// Records that the platform cannot be read, and lets others step in at once.
-    pub fn read_failed(&mut self, now: Time) -> Vec<Effect> {
-        if !self.duty.reads(now) || self.duty.is_fresh(now) {
+    pub fn read_failed(&mut self) -> Vec<Effect> {
+        if !self.duty.failed() {
             return Vec::new();
         }
-        let news = News { facts: self.replica.facts(), after: 0, changes: Vec::new(), contact: false };
+        let news =
+            News { facts: self.replica.facts(), after: 0, changes: Vec::new(), contact: false };
         self.to_own_domain(Message::News(news))
     }
 
@@ -209,7 +211,7 @@
         match frame.message {
             Message::Gossip(gossip) => {
                 let reply = gossip.wants_reply.then(|| self.gossip(now, false, rng));
-                let mut effects = self.receive_gossip(now, gossip);
+                let mut effects = self.receive_gossip(now, gossip, rng);
                 effects.extend(reply.map(|it| Effect::Send(from, Message::Gossip(it))));
                 effects
             }
@@ -243,12 +245,12 @@
         Frame { from: self.id, message }
     }
 
-    fn receive_gossip(&mut self, now: Time, gossip: Gossip) -> Vec<Effect> {
+    fn receive_gossip(&mut self, now: Time, gossip: Gossip, rng: &mut impl Rng) -> Vec<Effect> {
         for it in gossip.nodes {
             self.learn(now, it);
         }
         let mut effects = self.receive_verdicts(now, &gossip.verdicts);
-        effects.extend(self.fetch_from_members(now));
+        effects.extend(self.fetch_from_members(now, rng));
         effects
     }
 
@@ -262,7 +264,7 @@
         let mut effects = Vec::new();
         let revision = if news.changes.is_empty() { 0 } else { news.facts.revision };
         let update = Published {
-            after: news.after,
+            after: Some(news.after),
             revision,
             complete_to: revision,
             document: None,
@@ -384,21 +386,17 @@
         near.map(|(_, it)| Effect::Send(it.info.addr, message.clone())).collect()
     }
 
-    /// Fetches what a member has said that it knows: a newer configuration always, endpoints only
-    /// if neither the platform nor a reader has been heard lately.
-    fn fetch_from_members(&mut self, now: Time) -> Option<Effect> {
+    /// Fetches what a member has said that it knows: a newer configuration always, endpoints only if
+    /// neither the platform nor a reader has been heard lately. The member is chosen at random,
+    /// because some of them may be cut off from this node.
+    fn fetch_from_members(&mut self, now: Time, rng: &mut impl Rng) -> Option<Effect> {
         let mine = self.replica.facts();
         let is_cut_off = !self.duty.is_fresh(now);
-        let is_newer = |it: &Facts| {
-            it.version > mine.version || is_cut_off && it.revision > mine.revision
-        };
-        let newest = self
-            .members
-            .iter()
-            .map(|(_, it)| it.info)
-            .filter(|it| is_newer(&it.facts))
-            .max_by_key(|it| (it.failure_domain == self.me.failure_domain, it.facts))?;
-        self.fetch(now, newest.addr)
+        let is_newer =
+            |it: &Facts| it.version > mine.version || is_cut_off && it.revision > mine.revision;
+        let newer = self.members.iter().map(|(_, it)| it.info).filter(|it| is_newer(&it.facts));
+        let addr = newer.map(|it| it.addr).choose(rng)?;
+        self.fetch(now, addr)
     }
 
     fn fetch(&mut self, now: Time, addr: SocketAddr) -> Option<Effect> {
--- a/crates/fleet/src/fetch.rs
+++ b/crates/fleet/src/fetch.rs
@@ -36,8 +36,10 @@
 pub struct Bundle {
     /// The configuration as JSON, if it is newer.
     pub document: Option<Vec<u8>>,
-    /// The platform's revision up to which the endpoints are complete.
+    /// The platform's revision of the latest change that is known.
     pub revision: u64,
+    /// The platform's revision up to which the endpoints are complete.
+    pub complete_to: u64,
     /// All endpoints.
     pub endpoints: Vec<RegistryChange>,
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,7 +20,8 @@
 pub use permits::{Action, Client, Directory, Place, Settlement, Wish};
 pub use replica::{Facts, Replica};
 pub use wire::{
-    Frame, Gossip, Key, Keys, MAX_FRAME_BYTES, Message, News, NodeInfo, PermitMessage, Verdict, WireError,
+    Frame, Gossip, Key, Keys, MAX_FRAME_BYTES, Message, News, NodeInfo, PermitMessage, Verdict,
+    WireError,
 };
 
 #[cfg(test)]
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -41,7 +41,10 @@
 /// The copy of one node.
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
+    /// Revision of the latest change that is known.
     revision: u64,
+    /// Entries that are not listed here were not there at this revision of the platform.
+    complete_to: u64,
     document: Option<Arc<Document>>,
     entries: BTreeMap<Name, Entry>,
 }
@@ -69,17 +72,18 @@
 
     /// Takes in changes of the registry; returns whether an endpoint changed.
     pub fn update(&mut self, now: Time, news: &Published) -> bool {
-        let is_whole = news.after == 0;
-        let known_up_to = self.revision;
+        let is_whole = news.after.is_none();
+        let complete_to = self.complete_to;
         let mut changed = false;
         for it in &news.endpoints {
-            changed |= self.change(now, known_up_to, it);
+            changed |= self.change(now, complete_to, it);
         }
         let removed = is_whole && self.remove_unlisted(now, news);
         let revision = if removed { news.complete_to } else { news.revision };
         // Changes after a revision that is not known here leave a gap before them.
-        if news.after <= known_up_to {
-            self.revision = known_up_to.max(revision);
+        if news.after.is_none_or(|it| it <= self.revision) {
+            self.revision = self.revision.max(revision);
+            self.complete_to = complete_to.max(news.complete_to);
         }
         changed || removed
     }
@@ -112,12 +116,17 @@
                 entry: Some(it.registration.clone()),
             })
             .collect();
-        let revision = self.revision;
-        Published { after: 0, revision, complete_to: revision, document: None, endpoints }
+        Published {
+            after: None,
+            revision: self.revision,
+            complete_to: self.complete_to,
+            document: None,
+            endpoints,
+        }
     }
 
-    fn change(&mut self, now: Time, known_up_to: u64, it: &RegistryChange) -> bool {
-        let known = self.entries.get(&it.id).map_or(known_up_to, |entry| entry.revision);
+    fn change(&mut self, now: Time, complete_to: u64, it: &RegistryChange) -> bool {
+        let known = self.entries.get(&it.id).map_or(complete_to, |entry| entry.revision);
         if it.revision <= known {
             return false;
         }
--- /dev/null
+++ b/crates/fleet/src/tests/replica.rs
@@ -0,0 +1,100 @@
+use std::time::Duration;
+
+use policy::Time;
+use resources::{Endpoint, Name, Published, Registration, RegistryChange, Standing};
+
+use crate::replica::{MISSING_FOR, Replica};
+
+fn entry(id: &str, revision: u64, standing: Standing) -> RegistryChange {
+    let endpoint = Endpoint {
+        id: id.into(),
+        addr: ([127, 0, 0, 1], 80).into(),
+        failure_domain: "a".into(),
+        slots: 3,
+        standing,
+        warm_up_ms: 0,
+    };
+    let entry = Some(Registration { service: "s".into(), endpoint });
+    RegistryChange { id: id.into(), revision, entry }
+}
+
+fn present(id: &str, revision: u64) -> RegistryChange {
+    entry(id, revision, Standing::Present)
+}
+
+fn removed(id: &str, revision: u64) -> RegistryChange {
+    RegistryChange { id: id.into(), revision, entry: None }
+}
+
+fn whole(revision: u64, endpoints: Vec<RegistryChange>) -> Published {
+    Published { revision, complete_to: revision, endpoints, ..Published::default() }
+}
+
+fn changes(after: u64, revision: u64, endpoints: Vec<RegistryChange>) -> Published {
+    Published { after: Some(after), ..whole(revision, endpoints) }
+}
+
+fn known(replica: &Replica) -> Vec<(Name, Standing)> {
+    replica.registrations().map(|it| (it.endpoint.id, it.endpoint.standing)).collect()
+}
+
+#[test]
+fn an_entry_that_lapsed_and_is_back_in_time_was_never_gone() {
+    let mut replica = Replica::default();
+    replica.update(Time(0), &whole(5, vec![present("a", 5)]));
+    replica.update(Time(0), &changes(5, 6, vec![removed("a", 6)]));
+    assert_eq!(known(&replica), [("a".into(), Standing::Missing)]);
+    replica.update(Time(1), &changes(6, 7, vec![present("a", 7)]));
+    assert_eq!(known(&replica), [("a".into(), Standing::Present)]);
+    assert!(!replica.tick(Time(0) + MISSING_FOR * 2));
+}
+
+#[test]
+fn an_entry_that_stays_away_is_gone() {
+    let mut replica = Replica::default();
+    replica.update(Time(0), &whole(5, vec![present("a", 5)]));
+    replica.update(Time(0), &changes(5, 6, vec![removed("a", 6)]));
+    assert!(replica.tick(Time(0) + MISSING_FOR));
+    assert_eq!(known(&replica), []);
+    // Less than the two seconds after which it must get no more work.
+    assert!(MISSING_FOR < Duration::from_secs(2));
+}
+
+#[test]
+fn an_endpoint_that_said_that_it_leaves_is_gone_with_its_entry() {
+    let mut replica = Replica::default();
+    replica.update(Time(0), &whole(5, vec![entry("a", 5, Standing::Leaving)]));
+    replica.update(Time(0), &changes(5, 6, vec![removed("a", 6)]));
+    assert_eq!(known(&replica), []);
+}
+
+#[test]
+fn changes_behind_a_gap_are_taken_and_the_gap_is_not_forgotten() {
+    let mut replica = Replica::default();
+    replica.update(Time(0), &whole(5, vec![present("a", 5)]));
+    replica.update(Time(0), &changes(7, 8, vec![present("b", 8)]));
+    assert_eq!(known(&replica).len(), 2);
+    assert_eq!(replica.facts().revision, 5);
+    replica.update(Time(0), &changes(5, 8, vec![removed("a", 6), present("b", 8)]));
+    assert_eq!(replica.facts().revision, 8);
+}
+
+#[test]
+fn a_whole_read_removes_what_it_does_not_list_but_not_what_is_newer() {
+    let mut replica = Replica::default();
+    replica.update(Time(0), &whole(5, vec![present("a", 4), present("b", 5)]));
+    replica.update(Time(0), &changes(5, 9, vec![present("c", 9)]));
+    replica.update(Time(0), &whole(7, vec![present("b", 5)]));
+    let standings: Vec<_> = known(&replica).into_iter().map(|(_, it)| it).collect();
+    assert_eq!(standings, [Standing::Missing, Standing::Present, Standing::Present]);
+}
+
+#[test]
+fn a_copy_of_the_same_content_carries_the_same_revision() {
+    let (mut early, mut late) = (Replica::default(), Replica::default());
+    let read = |complete_to| Published { complete_to, ..whole(5, vec![present("a", 5)]) };
+    early.update(Time(0), &read(5));
+    // Other keys of the platform have changed meanwhile.
+    late.update(Time(0), &read(40));
+    assert_eq!(early.facts(), late.facts());
+}
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -16,9 +16,10 @@
 use crate::judge::{Judge, Kind, Observation, Reporter};
 use crate::queue::{Queue, Waiting};
 use crate::rendezvous::{NodeId, stable_hash};
-use crate::retry::{Budget, BudgetLimits};
+use crate::retry::{Budget, BudgetLimits, Spend};
 use crate::rotation::{Change, EndpointStatus, Rotation, State};
-use crate::setback::{Setback, Use};
+use crate::served::{Ending, Served};
+use crate::setback::{FIRST, Setback, Strain, Use};
 use crate::time::Time;
 
 /// A permit that is neither released nor renewed for this long is taken back.
@@ -29,16 +30,12 @@
 /// What an endpoint of another failure domain counts for, in slots in use, when short answers are
 /// placed. Traffic between failure domains has a price; a busy slot costs more.
 const FAR_SLOTS: u32 = 1;
-/// The same for long answers, whose bytes are what the price is paid for.
-const FAR_SLOTS_BULKY: u32 = 8;
 /// Waiting requests for each slot at most.
 const QUEUE_PER_SLOT: usize = 8;
 /// Waiting requests at most, whatever the number of slots, so that a turn of the queue stays short.
 const MAX_QUEUE: usize = 512;
 /// Weight of a new sample in the mean time that a slot is held.
 const HOLD_GAIN: f64 = 0.05;
-/// A request takes an endpoint of the last tier when the wait times this exceeds the time left.
-const URGENT_PART: u32 = 4;
 /// Mean hold time before any sample.
 const FIRST_HOLD: Duration = Duration::from_millis(100);
 /// Shortest time after which a refused caller is asked to come back.
@@ -78,6 +75,8 @@
     pub avoid: Vec<SocketAddr>,
     /// Time left until the request's deadline.
     pub left: Duration,
+    /// A longer wait for a good endpoint is worse than an endpoint that may fail.
+    pub patience: Duration,
     /// Whether to wait for a slot, or else to take a suspect endpoint. Without it, as for a hedge,
     /// the answer is `Full` unless a good endpoint is free.
     pub wait: bool,
@@ -144,6 +143,7 @@
     queue: Queue<Ask>,
     mean_hold: Duration,
     budget: Budget,
+    served: Served,
 }
 
 /// What this dispatcher knows of one endpoint's slots and of its latest failures.
@@ -175,6 +175,7 @@
             queue: Queue::new(),
             mean_hold: FIRST_HOLD,
             budget: Budget::new(budget),
+            served: Served::default(),
         }
     }
 
@@ -202,7 +203,8 @@
         if self.queue.any(|it| it.id == ask.id) {
             return Reply::Queued;
         }
-        if ask.repeated && !self.budget.take() {
+        if ask.repeated && !self.budget.take(Spend::of(&ask)) {
+            self.served.note(now, Ending::Unserved);
             return Reply::Refused { retry_after: self.mean_hold.max(MIN_RETRY_AFTER) };
         }
         if !ask.repeated {
@@ -305,7 +307,7 @@
     pub fn set_back(&self, now: Time) -> impl Iterator<Item = SocketAddr> + '_ {
         let endpoints = self.endpoints().iter().zip(&self.loads);
         endpoints
-            .filter(move |(_, load)| load.setback.usage(now) == Use::Last)
+            .filter(move |(_, load)| load.setback.usage(now, Strain::None) == Use::Last)
             .map(|(it, _)| it.addr)
     }
 
@@ -370,14 +372,17 @@
     /// The free endpoint of the best tier with the least cost; ties are broken at random.
     ///
     /// An endpoint of the last tier is taken only by those that wait, and only if waiting for a
-    /// good one would be in vain or would use up much of the time left.
+    /// good one would be in vain or take longer than the asker's patience.
     fn choose(&self, now: Time, ask: &Ask, mut tie: impl FnMut() -> u32) -> Option<usize> {
         let mut best = None;
-        let mut good_exists = false;
+        let mut good_slots = 0;
         for (i, load) in self.loads.iter().enumerate() {
             let Some(tier) = self.tier(now, i, ask) else { continue };
-            good_exists |= tier < Tier::Last;
-            if load.in_use >= self.endpoints()[i].usable_slots(now) {
+            let usable = self.usable_slots(now, i);
+            if tier < Tier::Last {
+                good_slots += usable as usize;
+            }
+            if load.in_use >= usable {
                 continue;
             }
             let key = (tier, self.cost(i, ask), tie());
@@ -386,51 +391,68 @@
             }
         }
         let ((tier, ..), i) = best?;
-        let take_last = ask.wait && (!good_exists || self.is_urgent(now, ask));
-        (tier != Tier::Last || take_last).then_some(i)
+        let is_impatient = || self.expected_wait(good_slots, ask.priority) > ask.patience;
+        let take_last = ask.wait && (good_slots == 0 || is_impatient());
+        (tier < Tier::Last || take_last).then_some(i)
+    }
+
+    /// Whether an endpoint that is out of rotation is tried all the same, one request at a time,
+    /// because a part of the requests is not served.
+    fn is_needed(&self, now: Time, i: usize) -> bool {
+        let it = &self.endpoints()[i];
+        let is_out = matches!(it.state, State::Ejected { .. }) && now.since(it.since) > FIRST;
+        is_out && self.served.strain(now) == Strain::Unserved
+    }
+
+    /// Slots of an endpoint that may be used now: one while nothing proves that it is well again.
+    fn usable_slots(&self, now: Time, i: usize) -> u32 {
+        if self.is_needed(now, i) {
+            return 1;
+        }
+        let usable = self.endpoints()[i].usable_slots(now);
+        match self.loads[i].setback.usage(now, self.served.strain(now)) {
+            Use::Singly | Use::Cautiously => usable.min(1),
+            Use::Freely | Use::Last => usable,
+        }
     }
 
     /// Slots in use, and what the way to another failure domain counts for.
     fn cost(&self, i: usize, ask: &Ask) -> u32 {
-        let it = &self.endpoints()[i];
-        let is_near = stable_hash(it.failure_domain.as_bytes()) == ask.reporter.failure_domain;
-        let far = match (is_near, ask.bulky) {
-            (true, _) => 0,
-            (false, true) => FAR_SLOTS_BULKY,
-            (false, false) => FAR_SLOTS,
-        };
-        self.loads[i].in_use + far
+        self.loads[i].in_use + if self.is_near(i, ask) { 0 } else { FAR_SLOTS }
+    }
+
+    /// Whether an endpoint is in the asker's failure domain.
+    fn is_near(&self, i: usize, ask: &Ask) -> bool {
+        let failure_domain = &self.endpoints()[i].failure_domain;
+        stable_hash(failure_domain.as_bytes()) == ask.reporter.failure_domain
     }
 
     fn tier(&self, now: Time, i: usize, ask: &Ask) -> Option<Tier> {
         let (it, load) = (&self.endpoints()[i], &self.loads[i]);
         if !it.admits(now, ask.repeatable) {
-            return None;
+            return self.is_needed(now, i).then_some(Tier::Cautious);
         }
         // A trial is there to find out whether the failures have ended.
         let is_on_trial = matches!(it.state, State::Trial { .. });
-        let usage = if is_on_trial { Use::Freely } else { load.setback.usage(now) };
+        let strain = self.served.strain(now);
+        let usage = if is_on_trial { Use::Freely } else { load.setback.usage(now, strain) };
         let last = it.state == State::Suspect
             || it.is_missing
             || usage == Use::Last
-            || ask.avoid.contains(&it.addr)
             || now < load.hinted_until
             || now < load.full_until
             || self.judge.avoids(now, i, ask.reporter);
         match usage {
+            _ if ask.avoid.contains(&it.addr) => Some(Tier::Avoided),
             _ if is_on_trial && last => None,
-            _ if is_on_trial && ask.repeatable => Some(Tier::Trial),
+            _ if is_on_trial && ask.repeatable && !ask.bulky => Some(Tier::Trial),
             _ if last => Some(Tier::Last),
+            _ if ask.bulky && !self.is_near(i, ask) => Some(Tier::Far),
             Use::Cautiously if !ask.repeatable => Some(Tier::Cautious),
             _ => Some(Tier::Good),
         }
     }
 
-    fn is_urgent(&self, now: Time, ask: &Ask) -> bool {
-        let wait = self.expected_wait(self.total_slots(now), ask.priority);
-        wait * URGENT_PART > ask.left
-    }
-
     fn enqueue(&mut self, now: Time, ask: Ask) -> Reply {
         let slots = self.total_slots(now);
         let wait = self.expected_wait(slots, ask.priority);
@@ -453,7 +475,7 @@
     }
 
     fn total_slots(&self, now: Time) -> usize {
-        self.endpoints().iter().map(|it| it.usable_slots(now) as usize).sum()
+        (0..self.loads.len()).map(|i| self.usable_slots(now, i) as usize).sum()
     }
 
     /// Gives free slots to those that wait.
@@ -474,8 +496,7 @@
     }
 
     fn has_free_slot(&self, now: Time) -> bool {
-        let usable = self.endpoints().iter().map(|it| it.usable_slots(now));
-        usable.zip(&self.loads).any(|(usable, load)| load.in_use < usable)
+        (0..self.loads.len()).any(|i| self.loads[i].in_use < self.usable_slots(now, i))
     }
 
     fn refusal(&self, id: PermitId) -> Settled {
@@ -495,6 +516,11 @@
     }
 
     fn note(&mut self, now: Time, it: Observation) {
+        match it.kind {
+            Kind::Answered => self.served.note(now, Ending::Served),
+            Kind::Failed => self.served.note(now, Ending::Unserved),
+            _ => {}
+        }
         self.loads[it.endpoint].setback.observe(now, it.kind, it.reporter);
         self.judge.observe(now, it);
     }
@@ -508,6 +534,13 @@
     }
 }
 
+impl Spend {
+    /// A hedge does not wait; what has failed does.
+    fn of(ask: &Ask) -> Self {
+        if ask.wait { Self::OnFailure } else { Self::OnHedge }
+    }
+}
+
 /// Order of preference among free endpoints. An endpoint on trial comes first: the request is
 /// hedged, and without work the trial would never end.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -516,4 +549,8 @@
     Good,
     Cautious,
     Last,
+    /// In another failure domain, for a long answer, whose bytes are what the way there costs.
+    Far,
+    /// The asker has tried it already or cannot reach it.
+    Avoided,
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 mod rendezvous;
 mod retry;
 mod rotation;
+mod served;
 mod setback;
 mod time;
 mod verdict;
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -81,6 +81,18 @@
     pub burst: f64,
 }
 
+/// Part of the burst that hedges leave for what has failed.
+const KEPT_FOR_FAILURES: f64 = 0.4;
+
+/// What a further send is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spend {
+    /// The send before it has failed.
+    OnFailure,
+    /// The send before it is late.
+    OnHedge,
+}
+
 impl Budget {
     /// A full budget.
     pub fn new(limits: BudgetLimits) -> Self {
@@ -93,8 +105,12 @@
     }
 
     /// Takes one further send if the budget allows it.
-    pub fn take(&mut self) -> bool {
-        if self.tokens < 1.0 {
+    pub fn take(&mut self, what: Spend) -> bool {
+        let kept = match what {
+            Spend::OnFailure => 0.0,
+            Spend::OnHedge => self.limits.burst * KEPT_FOR_FAILURES,
+        };
+        if self.tokens < 1.0 + kept {
             return false;
         }
         self.tokens -= 1.0;
--- a/crates/policy/src/rotation.rs
+++ b/crates/policy/src/rotation.rs
@@ -15,18 +15,18 @@
 const PROOF_LIFETIME: Duration = Duration::from_secs(10);
 /// Time out of rotation after a first ejection.
 const FIRST_OUT: Duration = Duration::from_secs(2);
-/// Longest time out of rotation of an endpoint that flaps. Gray episodes on the users' sites last a
-/// few seconds; longer than a few of them only loses healthy capacity.
-const MAX_OUT: Duration = Duration::from_secs(16);
+/// Longest time out of rotation of an endpoint that flaps. Gray episodes on the users' sites last
+/// up to about nine seconds; a longer time only loses healthy capacity.
+const MAX_OUT: Duration = Duration::from_secs(8);
 /// An endpoint that stayed well for this long is forgiven one strike.
 const FORGIVE_AFTER: Duration = Duration::from_secs(60);
 /// Good answers on trial before an endpoint is readmitted.
-const TRIAL_GOOD: u32 = 3;
+const TRIAL_GOOD: u32 = 2;
 /// A trial that finds no repeatable work for this long takes other work too. Services that only
 /// take work that must not repeat would otherwise lose the endpoint for good.
 const TRIAL_PATIENCE: Duration = Duration::from_secs(1);
 /// Time over which a cold or readmitted endpoint gets back to all of its slots.
-const RAMP: Duration = Duration::from_secs(3);
+const RAMP: Duration = Duration::from_secs(2);
 /// After a change of configuration the smaller of the old and new allowance holds for this long,
 /// because other nodes may still judge by the old one.
 pub(crate) const SETTLE: Duration = Duration::from_secs(20);
@@ -208,11 +208,8 @@
 impl Rotation {
     /// A rotation in which nothing is known of any endpoint.
     pub fn new(now: Time, service: &Service) -> Self {
-        let endpoints = service
-            .endpoints
-            .iter()
-            .map(|it| EndpointStatus::new(now, service, it))
-            .collect();
+        let endpoints =
+            service.endpoints.iter().map(|it| EndpointStatus::new(now, service, it)).collect();
         let floors = domain_floors(service)
             .into_iter()
             .map(|(name, floor)| DomainFloor { name, floor, settling: None })
--- a/crates/policy/src/setback.rs
+++ b/crates/policy/src/setback.rs
@@ -1,6 +1,6 @@
-//! The soft answer to a single bad outcome: the endpoint is used last for a while, and longer each
-//! time it goes on failing. It never takes capacity away, because an endpoint that is used last is
-//! still used when the others are busy.
+//! The soft answer to a single bad outcome: the endpoint is used last for a while, longer each time
+//! it goes on failing, and then for one request at a time until an answer proves it well. It takes no
+//! capacity away, because an endpoint that is used last is still used when the others are busy.
 //!
 //! On services where gray episodes are as frequent as stray errors, one failure already makes an
 //! endpoint more likely sick than well, so the verdict of the sequential test comes too late.
@@ -10,24 +10,34 @@
 use crate::judge::{Kind, Reporter};
 use crate::time::Time;
 
-/// First time for which an endpoint is used last.
-const FIRST: Duration = Duration::from_secs(2);
-/// Longest such time.
-const LONGEST: Duration = Duration::from_secs(8);
-/// A failure this long after the last setback has ended starts again at `FIRST`.
-const MEMORY: Duration = Duration::from_secs(4);
-/// Two reporters that cannot reach an endpoint within this time do not both have a path fault.
-const UNREACHABLE_WINDOW: Duration = Duration::from_secs(2);
+/// First time for which an endpoint is used last. The users count one as well two seconds after its
+/// last failure.
+pub(crate) const FIRST: Duration = Duration::from_millis(1_900);
+/// Longest such time, and only while nearly all requests are served. On the users' sites an endpoint
+/// that fails again after a setback goes on for up to about nine seconds.
+const LONGEST: Duration = Duration::from_millis(7_600);
+/// Nodes that fail to reach an endpoint one after the other, without an answer to any node in
+/// between, before it is not taken for a fault of their paths.
+const UNREACHED_BY: u32 = 3;
 /// After a setback work that must not repeat waits this long for other work to try the endpoint.
-const PROBATION: Duration = Duration::from_secs(1);
+const PROBATION: Duration = Duration::from_millis(500);
 
 /// What recent failures mean for the use of one endpoint.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Setback {
-    until: Time,
+    failed_at: Option<Time>,
     length: Duration,
-    is_proven: bool,
-    unreachable: Option<(Reporter, Time)>,
+    is_unproven: bool,
+    unreached_by: Option<(Reporter, u32)>,
+}
+
+/// Whether the service goes without endpoints that it may need.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Strain {
+    /// Nearly all requests are served.
+    None,
+    /// A part of the requests is not served: endpoints are tried again sooner.
+    Unserved,
 }
 
 /// How an endpoint is used.
@@ -35,7 +45,9 @@
 pub(crate) enum Use {
     /// Like any other.
     Freely,
-    /// Preferably for work that may repeat.
+    /// For one request at a time, which may be any.
+    Singly,
+    /// For one request at a time, preferably one that may repeat.
     Cautiously,
     /// Only when no other endpoint is free.
     Last,
@@ -45,42 +57,53 @@
     /// Takes in one outcome.
     pub(crate) fn observe(&mut self, now: Time, kind: Kind, reporter: Reporter) {
         match kind {
-            Kind::Answered => self.is_proven = true,
+            Kind::Answered => {
+                self.is_unproven &= self.usage(now, Strain::None) == Use::Last;
+                self.unreached_by = None;
+            }
             Kind::Failed | Kind::Stalled => self.begin(now),
-            Kind::Unreachable if self.is_confirmed(now, reporter) => self.begin(now),
+            Kind::Unreachable if self.is_unreachable(reporter) => self.begin(now),
             Kind::Unreachable | Kind::Shed | Kind::Abandoned => {}
         }
     }
 
-    /// Whether another node could not reach the endpoint either, a moment ago.
-    fn is_confirmed(&mut self, now: Time, reporter: Reporter) -> bool {
-        let before = self.unreachable.replace((reporter, now));
-        before.is_some_and(|(other, at)| {
-            other.node != reporter.node && now.since(at) < UNREACHABLE_WINDOW
-        })
+    /// How the endpoint is used now.
+    pub(crate) fn usage(&self, now: Time, strain: Strain) -> Use {
+        let Some(failed_at) = self.failed_at else { return Use::Freely };
+        let length = match strain {
+            Strain::None => self.length,
+            Strain::Unserved => self.length.min(FIRST),
+        };
+        let over_since = failed_at + length;
+        if now < over_since {
+            Use::Last
+        } else if !self.is_unproven {
+            Use::Freely
+        } else if now.since(over_since) < PROBATION {
+            Use::Cautiously
+        } else {
+            Use::Singly
+        }
     }
 
-    /// Whether the endpoint is used freely, cautiously or last.
-    pub(crate) fn usage(&self, now: Time) -> Use {
-        if now < self.until {
-            return Use::Last;
-        }
-        let is_on_probation = !self.is_proven && !self.length.is_zero();
-        if is_on_probation && now.since(self.until) < PROBATION {
-            return Use::Cautiously;
-        }
-        Use::Freely
+    /// Whether several nodes in a row could not reach the endpoint, this one the last.
+    fn is_unreachable(&mut self, reporter: Reporter) -> bool {
+        let (last, count) = self.unreached_by.unwrap_or((reporter, 0));
+        let is_another = count == 0 || last.node != reporter.node;
+        let count = count + u32::from(is_another);
+        self.unreached_by = Some((reporter, count));
+        count >= UNREACHED_BY
     }
 
     fn begin(&mut self, now: Time) {
-        // Outcomes of requests that were sent before the first failure was known say nothing new.
-        if now < self.until {
-            self.until = self.until.max(now + FIRST);
-            return;
+        // Failures of requests that were sent before the first one was known say nothing new.
+        let goes_on = self.is_unproven && self.usage(now, Strain::Unserved) != Use::Last;
+        if goes_on {
+            self.length = (self.length * 2).min(LONGEST);
+        } else if !self.is_unproven {
+            self.length = FIRST;
         }
-        let goes_on = !self.length.is_zero() && now.since(self.until) < MEMORY;
-        self.length = if goes_on { (self.length * 2).min(LONGEST) } else { FIRST };
-        self.until = now + self.length;
-        self.is_proven = false;
+        self.failed_at = Some(now);
+        self.is_unproven = true;
     }
 }
--- a/crates/resources/src/document.rs
+++ b/crates/resources/src/document.rs
@@ -76,8 +76,8 @@
 /// What the platform has published.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Published {
-    /// The changes are all those after this revision; 0 if all that exists is listed.
-    pub after: u64,
+    /// The changes are all those after this revision; nothing if all that exists is listed.
+    pub after: Option<u64>,
     /// Revision of the latest change that is listed. Other changes of the platform do not count, so
     /// that copies with the same content carry the same revision.
     pub revision: u64,
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -152,8 +152,8 @@
         let idle_for = idle_time(res.headers());
         // One that nobody would use again is closed after its answer instead of filling the
         // endpoint's few places.
-        let kept = (reuse == Reuse::Allowed)
-            .then(|| KeptConnection::new(tx, addr, idle_for, &self.inner));
+        let kept =
+            (reuse == Reuse::Allowed).then(|| KeptConnection::new(tx, addr, idle_for, &self.inner));
         res.map(|body| AnswerBody::new(body, kept))
     }
 
@@ -210,12 +210,7 @@
 where
     B: Body<Data = Bytes> + Send + Unpin + 'static,
 {
-    fn new(
-        tx: SendRequest<B>,
-        addr: SocketAddr,
-        idle_for: Duration,
-        pool: &Arc<Inner<B>>,
-    ) -> Self {
+    fn new(tx: SendRequest<B>, addr: SocketAddr, idle_for: Duration, pool: &Arc<Inner<B>>) -> Self {
         Self { tx, addr, idle_for, pool: pool.clone() }
     }
 
@@ -231,7 +226,6 @@
         let parts = it.split(',').filter_map(|part| part.trim().strip_prefix("timeout="));
         parts.filter_map(|it| it.trim().parse().ok()).next()
     });
-    seconds.map_or(IDLE_LIFETIME, |it| {
-        (Duration::from_secs(it) / KEEP_ALIVE_PART).min(IDLE_LIFETIME)
-    })
+    seconds
+        .map_or(IDLE_LIFETIME, |it| (Duration::from_secs(it) / KEEP_ALIVE_PART).min(IDLE_LIFETIME))
 }
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -64,8 +64,9 @@
     let addrs = lab::nodes_at(&free.split_off(endpoints), &DOMAINS);
     let mut running = Vec::new();
     start_upstreams(bin, &mut resources, &free, &mut running)?;
-    start_platform(bin, dir.path(), platform, &resources, &addrs, &mut running)?;
-    let options = Options::new(&bin.join("dappleway"), platform);
+    start_platform(bin, dir.path(), platform, &resources, &mut running)?;
+    let mut options = Options::new(&bin.join("dappleway"), platform);
+    options.seeds = addrs.iter().map(|it| it.fleet).collect();
     let mut nodes = Vec::new();
     for it in &addrs {
         nodes.push(Node::start(dir.path(), it, &options)?);
@@ -73,7 +74,7 @@
     for it in &nodes {
         it.wait_ready(START).await?;
     }
-    println!("{NODES} nodes are ready; revision 1 is in force.\n");
+    println!("{NODES} nodes are ready; configuration 1 is in force.\n");
     let targets: Vec<_> = addrs.iter().map(|it| it.traffic).collect();
 
     let healthy = lookups_and_bookings(&targets, 3.0).await;
@@ -122,7 +123,7 @@
         path: path.into(),
     };
     let lookups = caller::run(plan(LOOKUPS, "GET", "/slots/today"));
-    let bookings = caller::run(plan(BOOKINGS, "POST", "/bookings"));
+    let bookings = caller::run(plan(BOOKINGS, "POST", "/bookings/1"));
     let (lookups, bookings) = tokio::join!(lookups, bookings);
     [lookups, bookings]
 }
@@ -179,6 +180,7 @@
 ) -> anyhow::Result<()> {
     for ((endpoint, slots), addr) in endpoints(resources).zip(free) {
         endpoint.addr = *addr;
+        endpoint.id = addr.to_string().into();
         let (listen, slots) = (addr.to_string(), slots.to_string());
         let args = ["upstream", "--listen", &listen, "--slots", &slots, "--piece-us", PIECE_US];
         running.push(spawn(&bin.join("standin"), &args)?);
@@ -191,16 +193,12 @@
     dir: &Path,
     listen: SocketAddr,
     resources: &[Resource],
-    nodes: &[lab::NodeAddrs],
     running: &mut Vec<Running>,
 ) -> anyhow::Result<()> {
     let resources_file = dir.join("resources.json");
-    let vms_file = dir.join("vms.json");
     std::fs::write(&resources_file, serde_json::to_vec(resources)?)?;
-    std::fs::write(&vms_file, serde_json::to_vec(&lab::vms(nodes))?)?;
-    let (listen, resources, vms) =
-        (listen.to_string(), resources_file.display().to_string(), vms_file.display().to_string());
-    let args = ["platform", "--listen", &listen, "--resources", &resources, "--vms", &vms];
+    let (listen, resources) = (listen.to_string(), resources_file.display().to_string());
+    let args = ["platform", "--listen", &listen, "--resources", &resources];
     running.push(spawn(&bin.join("standin"), &args)?);
     Ok(())
 }
--- a/xtask/src/faults/cell.rs
+++ b/xtask/src/faults/cell.rs
@@ -10,8 +10,8 @@
 use standin::upstream::{Fault as Gray, Profile, download_bytes};
 use tokio::task::JoinHandle;
 
-/// Length of a download.
-const BYTES: usize = 600_000;
+/// Length of a download: longer than what is held before the caller gets any of it.
+const BYTES: usize = 2_400_000;
 /// Time from the start of the work to the fault.
 const BEFORE: Duration = Duration::from_millis(250);
 /// Time for which work arrives.
@@ -28,6 +28,7 @@
     PlatformDown,
     PlatformStale,
     Upstream(Gray),
+    UpstreamLeaving,
     Flap,
     ReplaceWhileStale,
     OperatorsRace,
@@ -60,7 +61,7 @@
     fault("upstream loses requests", Kind::Upstream(Gray::LoseRequest)),
     fault("upstream stops in mid-body", Kind::Upstream(Gray::StallBody)),
     fault("upstream swaps answers", Kind::Upstream(Gray::Swap)),
-    fault("upstream leaving", Kind::Upstream(Gray::Leaving)),
+    fault("upstream leaving", Kind::UpstreamLeaving),
     fault("upstream flaps", Kind::Flap),
     fault("node killed and upstream stalls", Kind::KillAndStall),
     fault("node frozen and upstream loses answers", Kind::FreezeAndLoseAnswers),
@@ -88,11 +89,11 @@
         service_us: step.service_us,
         heavy_tail: false,
         cold_ms: 0,
-        piece_us: 15_000,
+        piece_us: 4_000,
     };
     let mut bed = Bed::start(bin, &Layout { profile, ..Layout::small() }).await?;
-    let hand_ins = work(&bed, "POST", "/slots");
-    let bookings = work(&bed, "POST", "/bookings");
+    let hand_ins = work(&bed, "POST", "/bookings/1");
+    let bookings = work(&bed, "POST", "/bookings/2");
     let lookups = work(&bed, "GET", "/slots/today");
     let downloads = (step.name == "mid-answer").then(|| download_all(&bed));
     tokio::time::sleep(BEFORE).await;
@@ -135,7 +136,7 @@
     })
 }
 
-/// Induces the fault; returns the newest revision that was published on the way.
+/// Induces the fault; returns the newest version that was published on the way.
 async fn induce(bed: &mut Bed, kind: Kind) -> anyhow::Result<u64> {
     let sick = bed.upstreams[0].clone();
     match kind {
@@ -145,6 +146,7 @@
         Kind::PlatformDown => bed.platform.set_fault(platform::Fault::Down),
         Kind::PlatformStale => bed.platform.set_fault(platform::Fault::Stale),
         Kind::Upstream(gray) => sick.set_fault(gray, 1.0, 10.0),
+        Kind::UpstreamLeaving => bed.platform.leave(sick.name()),
         Kind::Flap => {
             for _ in 0..4 {
                 sick.set_fault(Gray::Stall, 1.0, 1.0);
@@ -155,12 +157,12 @@
         }
         Kind::ReplaceWhileStale => {
             // What is published first is in force before memory is lost.
-            let revision = bed.platform.publish(&bed.resources);
-            bed.wait_in_force(revision).await?;
+            let version = bed.platform.publish(&bed.resources);
+            bed.wait_in_force(version).await?;
             bed.platform.set_fault(platform::Fault::Stale);
             bed.nodes[0].restart()?;
             bed.nodes[0].wait_ready(Duration::from_secs(30)).await?;
-            return Ok(revision);
+            return Ok(version);
         }
         Kind::OperatorsRace => {
             let (one, other) = (bed.platform.clone(), bed.platform.clone());
@@ -256,7 +258,7 @@
             tokio::time::sleep(Duration::from_millis(40)).await;
         }
         if now < before[i] || (is_served && now < newest) {
-            broken.push(format!("node {i}: revision {now}, before {}, newest {newest}", before[i]));
+            broken.push(format!("node {i}: version {now}, before {}, newest {newest}", before[i]));
         }
     }
 }
