--- a/crates/policy/src/belief.rs
+++ b/crates/policy/src/belief.rs
@@ -1,9 +1,9 @@
 //! How likely an endpoint is sick, by the outcomes of the last seconds.
 //!
 //! An endpoint is taken for a hidden Markov chain of two states. Each outcome moves the probability
-//! that it is sick by Bayes' rule; time moves it back to what it is without evidence. One failure
-//! already makes an endpoint more likely sick than well, a few answers undo a stray one, and an
-//! endpoint that failed twice is left alone for about as long as episodes last. Nothing is taken out
+//! that it is sick by Bayes' rule; time moves it back to what it is without evidence. After one
+//! failure an endpoint is sick with a probability of a third, a few answers undo a stray one, and one
+//! that failed twice is left alone for about as long as episodes last. Nothing is taken out
 //! by it: a doubtful endpoint is only used after better ones, so no capacity is lost.
 //!
 //! The figures are those of the users' sites: of a service's endpoints about a fifth are sick at a
@@ -21,22 +21,26 @@
 const EVIDENCE_LASTS: f64 = 6.5;
 /// Probability for an endpoint of which nothing is known.
 const UNKNOWN: f64 = 0.1;
-/// How much more likely a failure is at a sick endpoint than at a well one: 0.72 against 0.015.
-const ON_FAILURE: f64 = 48.0;
-/// The same for an answer: 0.28 against 0.985.
-const ON_ANSWER: f64 = 0.28;
+/// How much more likely a failure is at a sick endpoint than at a well one: 0.75 against 0.0125.
+const ON_FAILURE: f64 = 60.0;
+/// The same for an answer: 0.25 against 0.9875.
+const ON_ANSWER: f64 = 0.253;
 /// The same for a request that is stalled. Work also takes long by itself now and then.
 const ON_STALL: f64 = 12.0;
 /// Bounds that keep the probability movable.
 const BOUNDS: (f64, f64) = (0.002, 0.985);
 /// Below this an endpoint is used like any other.
-const FREELY_BELOW: f64 = 0.15;
-/// Below this it takes one request at a time.
-const SINGLY_BELOW: f64 = 0.35;
+const FREELY_BELOW: f64 = 0.12;
+/// Below this it takes one request at a time. After one failure a busy endpoint stands a little above
+/// it, and comes below after two seconds.
+const SINGLY_BELOW: f64 = 0.3;
 /// Below this it takes one request at a time, preferably one that may be repeated.
 const CAUTIOUSLY_BELOW: f64 = 0.5;
+/// The users count an endpoint as well two seconds after its last failure, and want work at most of
+/// the well ones in any two seconds: one that was left alone for this long may count as idle.
+const IDLE_AFTER: Duration = Duration::from_millis(3_600);
 /// While a part of the requests is not served, an endpoint is tried again this long after its last
-/// failure: the users count it as well two seconds after that.
+/// failure.
 pub(crate) const TRY_AGAIN: Duration = Duration::from_millis(1_900);
 /// Nodes that fail to reach an endpoint one after the other, without an answer to any node in
 /// between, before it is not taken for a fault of their paths.
@@ -62,6 +66,8 @@
 pub(crate) enum Strain {
     /// Nearly all requests are served.
     None,
+    /// The same, but more endpoints are left alone than would be right if that changed at once.
+    Idle,
     /// A part of the requests is not served: endpoints are tried again sooner.
     Unserved,
 }
@@ -109,13 +115,26 @@
             it if it < FREELY_BELOW => Use::Freely,
             it if it < SINGLY_BELOW => Use::Singly,
             it if it < CAUTIOUSLY_BELOW => Use::Cautiously,
-            _ if strain == Strain::Unserved && self.may_be_tried(now) => Use::Singly,
+            _ if self.is_to_be_tried(now, strain) => Use::Singly,
             _ => Use::Last,
         }
     }
 
-    fn may_be_tried(&self, now: Time) -> bool {
-        self.failed_at.is_none_or(|it| now.since(it) > TRY_AGAIN)
+    /// Whether the endpoint is left alone for so long that the users may count it as well and idle.
+    pub(crate) fn is_idle(&self, now: Time) -> bool {
+        self.usage(now, Strain::None) == Use::Last && self.failed_before(now, IDLE_AFTER)
+    }
+
+    fn is_to_be_tried(&self, now: Time, strain: Strain) -> bool {
+        match strain {
+            Strain::None => false,
+            Strain::Idle => self.failed_before(now, IDLE_AFTER),
+            Strain::Unserved => self.failed_before(now, TRY_AGAIN),
+        }
+    }
+
+    fn failed_before(&self, now: Time, age: Duration) -> bool {
+        self.failed_at.is_none_or(|it| now.since(it) > age)
     }
 
     fn fail(&mut self, now: Time, ratio: f64) {
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -27,6 +27,9 @@
 /// An endpoint that shed a request is taken for full for this long: about a third of the mean time
 /// of a request on the users' sites.
 const FULL_FOR: Duration = Duration::from_millis(100);
+/// Part of the endpoints that may be left alone although they may be well: half of what the users'
+/// floor lets go without work, because some of the others may not count.
+const IDLE_PART: f64 = 0.15;
 /// What an endpoint of another failure domain counts for, in slots in use, when short answers are
 /// placed. Traffic between failure domains has a price; a busy slot costs more.
 const FAR_SLOTS: u32 = 1;
@@ -148,6 +151,8 @@
     mean_hold: Duration,
     budget: Budget,
     served: Served,
+    /// As of the last choice.
+    strain: Strain,
 }
 
 /// What this dispatcher knows of one endpoint's slots and of its latest failures.
@@ -180,6 +185,7 @@
             mean_hold: FIRST_HOLD,
             budget: Budget::new(budget),
             served: Served::default(),
+            strain: Strain::None,
         }
     }
 
@@ -214,6 +220,7 @@
         if !ask.repeated {
             self.budget.first_send();
         }
+        self.strain = self.find_strain(now);
         if let Some(endpoint) = self.choose(now, &ask, || rng.random()) {
             return Reply::Granted(self.grant(now, &ask, endpoint));
         }
@@ -418,12 +425,23 @@
         (tier < Tier::Last || take_last).then_some(i)
     }
 
+    fn find_strain(&self, now: Time) -> Strain {
+        if self.served.is_strained(now) {
+            return Strain::Unserved;
+        }
+        let idle = self.loads.iter().filter(|it| it.belief.is_idle(now)).count();
+        match idle as f64 > self.loads.len() as f64 * IDLE_PART {
+            true => Strain::Idle,
+            false => Strain::None,
+        }
+    }
+
     /// Whether an endpoint that is out of rotation is tried all the same, one request at a time,
     /// because a part of the requests is not served.
     fn is_needed(&self, now: Time, i: usize) -> bool {
         let it = &self.endpoints()[i];
         let is_out = matches!(it.state, State::Ejected { .. }) && now.since(it.since) > TRY_AGAIN;
-        is_out && self.served.strain(now) == Strain::Unserved
+        is_out && self.strain == Strain::Unserved
     }
 
     /// Slots of an endpoint that may be used now: one while nothing proves that it is well again.
@@ -432,7 +450,7 @@
             return 1;
         }
         let usable = self.endpoints()[i].usable_slots(now);
-        match self.loads[i].belief.usage(now, self.served.strain(now)) {
+        match self.loads[i].belief.usage(now, self.strain) {
             Use::Singly | Use::Cautiously => usable.min(1),
             Use::Freely | Use::Last => usable,
         }
@@ -465,8 +483,7 @@
         }
         // A trial is there to find out whether the failures have ended.
         let is_on_trial = matches!(it.state, State::Trial { .. });
-        let strain = self.served.strain(now);
-        let usage = if is_on_trial { Use::Freely } else { load.belief.usage(now, strain) };
+        let usage = if is_on_trial { Use::Freely } else { load.belief.usage(now, self.strain) };
         let is_suspect = it.state == State::Suspect && now.since(it.since) < TRY_AGAIN;
         let last = is_suspect
             || it.is_missing
@@ -512,6 +529,10 @@
 
     /// Gives free slots to those that wait.
     fn drain(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Settled> {
+        if self.queue.len() == 0 {
+            return Vec::new();
+        }
+        self.strain = self.find_strain(now);
         let mut settled = Vec::new();
         while self.queue.len() > 0 && self.has_free_slot(now) {
             let fits = |ask: &Ask| self.choose(now, ask, || 0).is_some();
--- a/crates/policy/src/judge.rs
+++ b/crates/policy/src/judge.rs
@@ -22,6 +22,8 @@
 const RECENT_LIFETIME: Duration = Duration::from_secs(10);
 /// How long a path fault keeps a reporter away from an endpoint.
 const AVOID_FOR: Duration = Duration::from_secs(5);
+/// A fault that siblings share ejects nobody for this long, so that it has time to end.
+const EXCUSED_FOR: Duration = Duration::from_secs(2);
 /// The baseline is decayed this often.
 const REFRESH: Duration = Duration::from_millis(100);
 /// Part of the baseline that is kept at each refresh: a half-life of about seven seconds.
@@ -97,6 +99,8 @@
     score: Score,
     recent: VecDeque<Recent>,
     avoid: Vec<Avoid>,
+    /// Its siblings were as bad; until then it is not judged again.
+    excused_until: Time,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -244,6 +248,9 @@
     }
 
     fn judge(&mut self, now: Time, it: Observation) {
+        if now < self.evidence[it.endpoint].excused_until {
+            return;
+        }
         if self.evidence[it.endpoint].score.value() < self.thresholds.eject {
             return;
         }
@@ -264,8 +271,11 @@
                 self.reporter_faults += 1;
                 self.discard(reporter);
             }
-            // Siblings that are alike are used alike; each failure counts for a moment by itself.
-            Fault::Shared => self.shared_faults += 1,
+            // Siblings that are alike are used alike.
+            Fault::Shared => {
+                self.shared_faults += 1;
+                self.evidence[it.endpoint].excused_until = now + EXCUSED_FOR;
+            }
         }
     }
 
--- a/crates/policy/src/rotation.rs
+++ b/crates/policy/src/rotation.rs
@@ -305,13 +305,6 @@
         }
     }
 
-    /// Uses an endpoint last while siblings look as bad as it does.
-    pub fn demote(&mut self, now: Time, i: usize) {
-        if self.endpoints[i].state.in_rotation() && self.endpoints[i].state != State::Suspect {
-            self.set(now, i, State::Suspect, "bad, and so are its siblings");
-        }
-    }
-
     /// Marks an endpoint that is going away.
     #[cfg(test)]
     pub(crate) fn leave(&mut self, now: Time, i: usize) {
