Only a dispatcher in charge spreads its verdicts

Cause: nodes that would dispatch next hear of failures only; the copies they keep looked sick, they told everyone each second, and the dispatching node used healthy endpoints last.

--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -69,7 +69,11 @@
             info!(self.log, "endpoint state"; "service" => name.unwrap_or_default().as_str(),
                 "endpoint" => it.id.as_str(), "addr" => %it.addr, "from" => it.from.name(), "to" => it.to.name(),
                 "reason" => it.reason, "dispatched_here" => scope == Scope::Fleet);
-            let is_word_of_dispatcher = scope == Scope::Fleet || self.mode == Mode::Direct;
+            let state = self.services.get(service);
+            let is_in_charge = state
+                .and_then(|it| it.own.as_ref())
+                .is_some_and(|own| scope == Scope::Fleet && own.is_in_charge(now));
+            let is_word_of_dispatcher = is_in_charge || self.mode == Mode::Direct;
             if matches!(it.to, State::Ejected { .. }) && is_word_of_dispatcher {
                 self.tell_ejected(now, it.addr);
             }
@@ -106,7 +110,7 @@
         self.services.for_each(|_, scope, it| {
             let out = it.endpoints().iter();
             let out = out.filter(|it| matches!(it.state, State::Ejected { .. }));
-            if scope == Scope::Fleet {
+            if scope == Scope::Fleet && it.is_in_charge(now) {
                 ejected.extend(out.map(|it| it.addr).chain(it.set_back(now)));
             }
         });
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -27,6 +27,8 @@
 /// An endpoint that shed a request is taken for full for this long: about a third of the mean time
 /// of a request on the users' sites.
 const FULL_FOR: Duration = Duration::from_millis(100);
+/// A dispatcher that has handed out nothing for this long has been replaced by another one.
+const IN_CHARGE_FOR: Duration = Duration::from_secs(1);
 /// Part of the endpoints that may be left alone although they may be well; the users' floor lets three
 /// tenths go without work. With 0.15, calm days lost 0.03 to 0.04 of worth to trials of endpoints
 /// that were still sick.
@@ -152,6 +154,7 @@
     mean_hold: Duration,
     budget: Budget,
     served: Served,
+    granted_at: Option<Time>,
     /// So much fails that endpoints are tried again sooner; as of the last choice.
     is_strained: bool,
     /// An endpoint that is tried again because too many are left alone; as of the last choice.
@@ -188,6 +191,7 @@
             mean_hold: FIRST_HOLD,
             budget: Budget::new(budget),
             served: Served::default(),
+            granted_at: None,
             is_strained: false,
             to_try: None,
         }
@@ -368,6 +372,12 @@
         [self.judge.path_faults, self.judge.shared_faults, self.judge.reporter_faults]
     }
 
+    /// Whether it hands out slots. One that does not hears of failures only, and must not spread
+    /// what it makes of them.
+    pub fn is_in_charge(&self, now: Time) -> bool {
+        self.granted_at.is_some_and(|it| now.since(it) < IN_CHARGE_FOR)
+    }
+
     /// Requests that wait for a slot.
     pub fn queued(&self) -> usize {
         self.queue.len()
@@ -399,6 +409,7 @@
             stalled: false,
         };
         self.loads[endpoint].in_use += 1;
+        self.granted_at = Some(now);
         self.permits.insert(ask.id, permit);
         grant
     }
--- a/crates/policy/src/tests/dispatcher.rs
+++ b/crates/policy/src/tests/dispatcher.rs
@@ -552,3 +552,20 @@
     see(&mut dispatcher, 0, 800, Kind::Answered);
     assert!((820..860).any(|ms| choice(&mut dispatcher, ms)), "it is used again");
 }
+
+/// Nodes that would dispatch next hear of failures only. They told everyone that half of the
+/// endpoints were sick, and the dispatching node used those last.
+#[test]
+fn a_dispatcher_that_hands_out_nothing_is_not_in_charge() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = service(&[2], 1, Bias::Speed);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let elapsed = Duration::from_millis(1);
+    let reporter = reporter(1);
+    let it = Observation { reporter, endpoint: 0, route: ROUTE, kind: Kind::Failed, elapsed };
+    dispatcher.observe(Time(0), &service.endpoints[0].id, it);
+    assert!(!dispatcher.is_in_charge(Time(0)));
+    dispatcher.ask(Time(0), ask(1, true), &mut rng);
+    assert!(dispatcher.is_in_charge(Time(0)));
+    assert!(!dispatcher.is_in_charge(Time(0) + SECOND * 2));
+}
