--- a/crates/caller/src/work.rs
+++ b/crates/caller/src/work.rs
@@ -19,13 +19,13 @@
 
 /// An endpoint stops at the deadline that it was handed and says so; its own word is waited for
 /// this long, a round trip and a late scheduler.
-const LAST_WORD: Duration = Duration::from_millis(150);
+const LAST_WORD: Duration = Duration::from_millis(80);
 
 /// Part of the objective that a send waits for a good endpoint if another one may follow. Work takes
 /// a third of the objective on the users' sites, so that a second send still fits.
 const FIRST_SEND_PATIENCE: f64 = 0.15;
-/// The same for the last send of a request. A trial with six tenths of the time left made nearly
-/// all requests late on days of high load and served no more of them.
+/// The same for the last send of a request. Trials with six tenths of the time left and with the whole
+/// objective made requests late on days of high load and served no more of them.
 const LAST_SEND_PATIENCE: f64 = 0.5;
 
 /// One request after its route was found.
