--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -35,7 +35,7 @@
 const IDLE_PART: f64 = 0.27;
 /// What an endpoint of another failure domain counts for, in slots in use, when short answers are
 /// placed. Traffic between failure domains has a price; a busy slot costs more.
-const FAR_SLOTS: u32 = 1;
+const FAR_SLOTS: u32 = 2;
 /// Waiting requests for each slot at most.
 const QUEUE_PER_SLOT: usize = 8;
 /// Waiting requests at most, whatever the number of slots, so that a turn of the queue stays short.
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -21,10 +21,11 @@
 const MAX_IDLE: usize = 32;
 /// Idle connections older than this are closed, before a usual upstream would close them: a request
 /// that meets a closing connection ends as unknown.
-const IDLE_LIFETIME: Duration = Duration::from_secs(4);
+const IDLE_LIFETIME: Duration = Duration::from_secs(7);
 
-/// Part of the time that an endpoint says it keeps idle connections for which they are used.
-const KEEP_ALIVE_PART: u32 = 2;
+/// Part of the time that an endpoint says it keeps idle connections for which they are used. The
+/// users' endpoints say ten seconds in whole ones.
+const KEEP_ALIVE_PART: f64 = 0.7;
 
 /// Whether a send may use a connection that is open already.
 ///
@@ -226,6 +227,7 @@
         let parts = it.split(',').filter_map(|part| part.trim().strip_prefix("timeout="));
         parts.filter_map(|it| it.trim().parse().ok()).next()
     });
-    seconds
-        .map_or(IDLE_LIFETIME, |it| (Duration::from_secs(it) / KEEP_ALIVE_PART).min(IDLE_LIFETIME))
+    seconds.map_or(IDLE_LIFETIME, |it| {
+        Duration::from_secs(it).mul_f64(KEEP_ALIVE_PART).min(IDLE_LIFETIME)
+    })
 }
