Split the dispatcher by job: what is said about slots, which endpoint, whose slot; settings keys apart

No behaviour changes but one text: a refusal after a send says that no further send is granted instead of "no capacity in time".

--- a/crates/caller/src/answer.rs
+++ b/crates/caller/src/answer.rs
@@ -31,7 +31,7 @@
 
     /// Nothing that was sent has run.
     pub(crate) fn not_run(retry_after: Duration) -> Self {
-        Self::not_run_because("no upstream took it", retry_after)
+        Self::not_run_because("no upstream took it, and no further send is granted", retry_after)
     }
 
     /// This node has more requests than it may hold.
--- a/crates/caller/src/sending.rs
+++ b/crates/caller/src/sending.rs
@@ -118,6 +118,7 @@
     match failure {
         Some(res) => Ok(res),
         None if progress.unknown_before => Err(GiveUp::unknown(refused.retry_after)),
+        None if progress.reached > 0 => Err(GiveUp::not_run(refused.retry_after)),
         None => Err(GiveUp::overloaded(refused.retry_after)),
     }
 }
--- a/crates/dappleway/src/settings.rs
+++ b/crates/dappleway/src/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of a process: TOML, checked as a whole before anything starts.
 
+mod keys;
+
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -9,6 +11,8 @@
 use resources::{Bias, Floor};
 use serde::{Deserialize, Serialize};
 
+pub use keys::changed_keys;
+
 /// All settings of a process.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -298,7 +302,7 @@
     let table: toml::Table = text
         .parse()
         .map_err(|it: toml::de::Error| vec![problem("(syntax)", it.to_string().trim().into())])?;
-    let mut problems = unknown_keys(&table);
+    let mut problems = keys::unknown_keys(&table);
     problems.extend(wrong_values(&table));
     match table.try_into::<Settings>() {
         Ok(settings) => {
@@ -430,24 +434,6 @@
 const NO_SECRET: &[u8] = b"no secret";
 const MIN_SECRET_BYTES: usize = 16;
 
-/// The keys, as `log.level`, whose values differ.
-pub fn changed_keys(old: &Settings, new: &Settings) -> Vec<String> {
-    let table = |it: &Settings| toml::Table::try_from(it).expect("settings are plain data");
-    let (old, new) = (table(old), table(new));
-    let section = |table: &toml::Table, name: &str| {
-        table.get(name).and_then(toml::Value::as_table).cloned().unwrap_or_default()
-    };
-    let mut changed = Vec::new();
-    for name in new.keys() {
-        let (old, new) = (section(&old, name), section(&new, name));
-        let keys = old.keys().chain(new.keys().filter(|it| !old.contains_key(*it)));
-        changed.extend(
-            keys.filter(|it| old.get(*it) != new.get(*it)).map(|it| format!("{name}.{it}")),
-        );
-    }
-    changed
-}
-
 fn read_key(key: &str, path: &Path) -> Result<fleet::Key, Vec<SettingsProblem>> {
     let secret = std::fs::read(path).map_err(|it| {
         vec![problem(key, format!("{}: {it}: name a file that can be read", path.display()))]
@@ -462,43 +448,3 @@
 fn problem(key: &str, remedy: String) -> SettingsProblem {
     SettingsProblem { key: key.to_owned(), remedy }
 }
-
-/// Keys that no setting has, each with the nearest one that exists.
-fn unknown_keys(table: &toml::Table) -> Vec<SettingsProblem> {
-    let known = toml::Table::try_from(Settings::example()).expect("the example is plain data");
-    let mut problems = Vec::new();
-    for (section, value) in table {
-        let Some(known_section) = known.get(section).and_then(toml::Value::as_table) else {
-            problems.push(unknown(section, known.keys()));
-            continue;
-        };
-        for key in value.as_table().into_iter().flat_map(toml::Table::keys) {
-            if !known_section.contains_key(key) {
-                let mut it = unknown(key, known_section.keys());
-                it.key = format!("{section}.{key}");
-                problems.push(it);
-            }
-        }
-    }
-    problems
-}
-
-fn unknown<'a>(key: &str, known: impl Iterator<Item = &'a String>) -> SettingsProblem {
-    let nearest = known.min_by_key(|it| distance(key, it)).map_or("", String::as_str);
-    problem(key, format!("is no setting: did you mean `{nearest}`?"))
-}
-
-/// Levenshtein distance.
-fn distance(a: &str, b: &str) -> usize {
-    let b: Vec<char> = b.chars().collect();
-    let mut row: Vec<usize> = (0..=b.len()).collect();
-    for (i, x) in a.chars().enumerate() {
-        let mut diagonal = std::mem::replace(&mut row[0], i + 1);
-        for (j, y) in b.iter().enumerate() {
-            let substitute = diagonal + usize::from(x != *y);
-            diagonal = row[j + 1];
-            row[j + 1] = substitute.min(diagonal + 1).min(row[j] + 1);
-        }
-    }
-    row[b.len()]
-}
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -5,18 +5,19 @@
 //! that asks it. A permit is advice about capacity; no guarantee to callers rests on it, so lost,
 //! late and doubled permits do no harm.
 
+mod choice;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::{Rng, RngExt};
 use resources::{Name, Priority, Service};
 use rustc_hash::FxHashMap;
-use serde::{Deserialize, Serialize};
 
-use crate::belief::{Belief, Strain, TRY_AGAIN, Use};
+use crate::belief::{Belief, Strain, Use};
 use crate::judge::{Judge, Kind, Observation, Reporter};
+use crate::permit::{Ask, Grant, PermitId, Reply, Settled, Tier};
 use crate::queue::{Queue, Waiting};
-use crate::rendezvous::{NodeId, stable_hash};
 use crate::retry::{Budget, BudgetLimits, Spend};
 use crate::rotation::{Change, EndpointStatus, Rotation, State};
 use crate::served::{Ending, Served};
@@ -29,13 +30,6 @@
 const FULL_FOR: Duration = Duration::from_millis(100);
 /// A dispatcher that has handed out nothing for this long has been replaced by another one.
 const IN_CHARGE_FOR: Duration = Duration::from_secs(1);
-/// Part of the endpoints that may be left alone although they may be well; the users' floor lets three
-/// tenths go without work. With 0.15, calm days lost 0.03 to 0.04 of worth to trials of endpoints
-/// that were still sick.
-const IDLE_PART: f64 = 0.27;
-/// What an endpoint of another failure domain counts for, in slots in use, when short answers are
-/// placed. Traffic between failure domains has a price; a busy slot costs more.
-const FAR_SLOTS: u32 = 2;
 /// Waiting requests for each slot at most.
 const QUEUE_PER_SLOT: usize = 8;
 /// Waiting requests at most, whatever the number of slots, so that a turn of the queue stays short.
@@ -47,87 +41,6 @@
 /// Shortest time after which a refused caller is asked to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// Identity of a permit, chosen by the node that asks; asking twice is harmless.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct PermitId {
-    /// The node that asks.
-    pub node: NodeId,
-    /// Unique within the life of that node's process.
-    pub seq: u64,
-}
-
-/// A request for a slot.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Ask {
-    /// Identity of the permit asked for.
-    pub id: PermitId,
-    /// Who asks.
-    pub reporter: Reporter,
-    /// Hash of the route's name.
-    pub route: u32,
-    /// Whether the request may run twice; only such requests go to an endpoint on trial.
-    pub repeatable: bool,
-    /// Which work goes first.
-    pub priority: Priority,
-    /// Hash of the caller's organisation.
-    pub organisation: u64,
-    /// Weight of the organisation.
-    pub weight: u32,
-    /// Whether the answer is long, so that the own failure domain goes first.
-    pub bulky: bool,
-    /// Whether an endpoint was reached before for the same request: it counts against the budget.
-    pub repeated: bool,
-    /// Endpoints that the asker cannot reach or has tried already; used last.
-    pub avoid: Vec<SocketAddr>,
-    /// Time left until the request's deadline.
-    pub left: Duration,
-    /// A longer wait for a good endpoint is worse than an endpoint that may fail.
-    pub patience: Duration,
-    /// Whether to wait for a slot, or else to take a suspect endpoint. Without it, as for a hedge,
-    /// the answer is `Full` unless a good endpoint is free.
-    pub wait: bool,
-}
-
-/// A slot on an endpoint.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Grant {
-    /// Identity of the endpoint.
-    pub endpoint: Name,
-    /// Its address.
-    pub addr: SocketAddr,
-    /// Report the request as stalled when it is open for longer than this.
-    pub stall_after: Duration,
-    /// Whether the endpoint is on trial: hedge at once so that the caller does not pay.
-    pub trial: bool,
-    /// How good a choice the endpoint was.
-    pub tier: Tier,
-}
-
-/// Answer to an `Ask`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Reply {
-    /// Send the request now.
-    Granted(Grant),
-    /// A later reply follows.
-    Queued,
-    /// No good endpoint is free here.
-    Full,
-    /// Give up now.
-    Refused {
-        /// When to come back.
-        retry_after: Duration,
-    },
-}
-
-/// A reply to an earlier ask.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Settled {
-    /// The permit asked for.
-    pub id: PermitId,
-    /// The answer.
-    pub reply: Reply,
-}
-
 /// A slot in use.
 #[derive(Clone, Debug)]
 struct Permit {
@@ -414,117 +327,6 @@
         grant
     }
 
-    /// The free endpoint of the best tier with the least cost; ties are broken at random.
-    ///
-    /// An endpoint of the last tier is taken only by those that wait, and only if waiting for a
-    /// good one would be in vain or take longer than the asker's patience.
-    fn choose(&self, now: Time, ask: &Ask, mut tie: impl FnMut() -> u32) -> Option<usize> {
-        let mut best = None;
-        let mut good_slots = 0;
-        for (i, load) in self.loads.iter().enumerate() {
-            let Some(tier) = self.tier(now, i, ask) else { continue };
-            let usable = self.usable_slots(now, i);
-            if tier < Tier::Last {
-                good_slots += usable as usize;
-            }
-            if load.in_use >= usable {
-                continue;
-            }
-            let key = (tier, self.doubt(now, i, tier), self.cost(i, ask), tie());
-            if best.is_none_or(|(other, _)| key < other) {
-                best = Some((key, i));
-            }
-        }
-        let ((tier, ..), i) = best?;
-        let is_impatient = || self.expected_wait(good_slots, ask.priority) > ask.patience;
-        let take_last = ask.wait && (good_slots == 0 || is_impatient());
-        (tier < Tier::Last || take_last).then_some(i)
-    }
-
-    fn find_strain(&mut self, now: Time) {
-        self.is_strained = self.served.is_strained(now);
-        let is_idle = |i: &usize| self.loads[*i].belief.is_idle(now);
-        let idle: Vec<usize> = (0..self.loads.len()).filter(is_idle).collect();
-        let too_many = idle.len() as f64 > self.loads.len() as f64 * IDLE_PART;
-        let sick = |i: &usize| self.loads[*i].belief.sick(now);
-        let likeliest_well = idle.into_iter().min_by(|a, b| sick(a).total_cmp(&sick(b)));
-        self.to_try = likeliest_well.filter(|_| too_many);
-    }
-
-    fn strain(&self, i: usize) -> Strain {
-        match self.is_strained {
-            true => Strain::Unserved,
-            false if self.to_try == Some(i) => Strain::Idle,
-            false => Strain::None,
-        }
-    }
-
-    /// Whether an endpoint that is out of rotation is tried all the same, one request at a time,
-    /// because a part of the requests is not served.
-    fn is_needed(&self, now: Time, i: usize) -> bool {
-        let it = &self.endpoints()[i];
-        let is_out = matches!(it.state, State::Ejected { .. }) && now.since(it.since) > TRY_AGAIN;
-        is_out && self.is_strained
-    }
-
-    /// Slots of an endpoint that may be used now: one while nothing proves that it is well again.
-    fn usable_slots(&self, now: Time, i: usize) -> u32 {
-        if self.is_needed(now, i) {
-            return 1;
-        }
-        let usable = self.endpoints()[i].usable_slots(now);
-        match self.loads[i].belief.usage(now, self.strain(i)) {
-            Use::Singly | Use::Cautiously => usable.min(1),
-            Use::Freely | Use::Last => usable,
-        }
-    }
-
-    /// Among those that are used last, how likely an endpoint is sick, in steps of a twentieth.
-    /// Sick ones fail fast and so are always free: by free slots alone they would be chosen first.
-    fn doubt(&self, now: Time, i: usize, tier: Tier) -> u32 {
-        match tier {
-            Tier::Last => (self.loads[i].belief.sick(now) * 20.0) as u32,
-            _ => 0,
-        }
-    }
-
-    /// Slots in use, and what the way to another failure domain counts for.
-    fn cost(&self, i: usize, ask: &Ask) -> u32 {
-        self.loads[i].in_use + if self.is_near(i, ask) { 0 } else { FAR_SLOTS }
-    }
-
-    /// Whether an endpoint is in the asker's failure domain.
-    fn is_near(&self, i: usize, ask: &Ask) -> bool {
-        let failure_domain = &self.endpoints()[i].failure_domain;
-        stable_hash(failure_domain.as_bytes()) == ask.reporter.failure_domain
-    }
-
-    fn tier(&self, now: Time, i: usize, ask: &Ask) -> Option<Tier> {
-        let (it, load) = (&self.endpoints()[i], &self.loads[i]);
-        if !it.admits(now, ask.repeatable) {
-            return self.is_needed(now, i).then_some(Tier::Cautious);
-        }
-        // A trial is there to find out whether the failures have ended.
-        let is_on_trial = matches!(it.state, State::Trial { .. });
-        let usage = if is_on_trial { Use::Freely } else { load.belief.usage(now, self.strain(i)) };
-        let is_suspect = it.state == State::Suspect && now.since(it.since) < TRY_AGAIN;
-        let last = is_suspect
-            || it.is_missing
-            || usage == Use::Last
-            || now < load.hinted_until
-            || now < load.full_until
-            || self.judge.avoids(now, i, ask.reporter);
-        match usage {
-            _ if ask.avoid.contains(&it.addr) => Some(Tier::Avoided),
-            _ if is_on_trial && last => None,
-            _ if is_on_trial && ask.repeatable && !ask.bulky => Some(Tier::Trial),
-            _ if last => Some(Tier::Last),
-            _ if ask.bulky && !self.is_near(i, ask) => Some(Tier::Far),
-            Use::Cautiously if !ask.repeatable => Some(Tier::Cautious),
-            _ => Some(Tier::Good),
-        }
-    }
-
     fn enqueue(&mut self, now: Time, ask: Ask) -> Reply {
         let slots = self.total_slots(now);
         let wait = self.expected_wait(slots, ask.priority);
@@ -546,10 +348,6 @@
         self.mean_hold.mul_f64(ahead as f64 / slots.max(1) as f64)
     }
 
-    fn total_slots(&self, now: Time) -> usize {
-        (0..self.loads.len()).map(|i| self.usable_slots(now, i) as usize).sum()
-    }
-
     /// Gives free slots to those that wait.
     fn drain(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Settled> {
         if self.queue.len() == 0 {
@@ -571,10 +369,6 @@
         settled
     }
 
-    fn has_free_slot(&self, now: Time) -> bool {
-        (0..self.loads.len()).any(|i| self.loads[i].in_use < self.usable_slots(now, i))
-    }
-
     fn refusal(&self, id: PermitId) -> Settled {
         let retry_after = self.mean_hold.max(MIN_RETRY_AFTER);
         Settled { id, reply: Reply::Refused { retry_after } }
@@ -626,35 +420,3 @@
         if ask.wait { Self::OnFailure } else { Self::OnHedge }
     }
 }
-
-/// Order of preference among free endpoints. An endpoint on trial comes first: the request is
-/// hedged, and without work the trial would never end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Tier {
-    /// It is on trial.
-    Trial,
-    /// Nothing speaks against it.
-    Good,
-    /// Nothing proves yet that it is well again.
-    Cautious,
-    /// Something went wrong there a moment ago.
-    Last,
-    /// In another failure domain, for a long answer, whose bytes are what the way there costs.
-    Far,
-    /// The asker has tried it already or cannot reach it.
-    Avoided,
-}
-
-impl Tier {
-    /// Short name for logs.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Trial => "trial",
-            Self::Good => "good",
-            Self::Cautious => "cautious",
-            Self::Last => "last",
-            Self::Far => "far",
-            Self::Avoided => "avoided",
-        }
-    }
-}
--- /dev/null
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -0,0 +1,142 @@
+//! Which endpoint a request gets: tiers by what is believed of it, then slots in use and distance.
+
+use super::Dispatcher;
+use crate::belief::{Strain, TRY_AGAIN, Use};
+use crate::permit::{Ask, Tier};
+use crate::rendezvous::stable_hash;
+use crate::rotation::State;
+use crate::time::Time;
+
+/// Part of the endpoints that may be left alone although they may be well; the users' floor lets three
+/// tenths go without work. With 0.15, calm days lost 0.03 to 0.04 of worth to trials of endpoints
+/// that were still sick.
+const IDLE_PART: f64 = 0.27;
+/// What an endpoint of another failure domain counts for, in slots in use, when short answers are
+/// placed. Traffic between failure domains has a price; a busy slot costs more.
+const FAR_SLOTS: u32 = 2;
+
+impl Dispatcher {
+    /// The free endpoint of the best tier with the least cost; ties are broken at random.
+    ///
+    /// An endpoint of the last tier is taken only by those that wait, and only if waiting for a
+    /// good one would be in vain or take longer than the asker's patience.
+    pub(super) fn choose(
+        &self,
+        now: Time,
+        ask: &Ask,
+        mut tie: impl FnMut() -> u32,
+    ) -> Option<usize> {
+        let mut best = None;
+        let mut good_slots = 0;
+        for (i, load) in self.loads.iter().enumerate() {
+            let Some(tier) = self.tier(now, i, ask) else { continue };
+            let usable = self.usable_slots(now, i);
+            if tier < Tier::Last {
+                good_slots += usable as usize;
+            }
+            if load.in_use >= usable {
+                continue;
+            }
+            let key = (tier, self.doubt(now, i, tier), self.cost(i, ask), tie());
+            if best.is_none_or(|(other, _)| key < other) {
+                best = Some((key, i));
+            }
+        }
+        let ((tier, ..), i) = best?;
+        let is_impatient = || self.expected_wait(good_slots, ask.priority) > ask.patience;
+        let take_last = ask.wait && (good_slots == 0 || is_impatient());
+        (tier < Tier::Last || take_last).then_some(i)
+    }
+
+    pub(super) fn find_strain(&mut self, now: Time) {
+        self.is_strained = self.served.is_strained(now);
+        let is_idle = |i: &usize| self.loads[*i].belief.is_idle(now);
+        let idle: Vec<usize> = (0..self.loads.len()).filter(is_idle).collect();
+        let too_many = idle.len() as f64 > self.loads.len() as f64 * IDLE_PART;
+        let sick = |i: &usize| self.loads[*i].belief.sick(now);
+        let likeliest_well = idle.into_iter().min_by(|a, b| sick(a).total_cmp(&sick(b)));
+        self.to_try = likeliest_well.filter(|_| too_many);
+    }
+
+    fn strain(&self, i: usize) -> Strain {
+        match self.is_strained {
+            true => Strain::Unserved,
+            false if self.to_try == Some(i) => Strain::Idle,
+            false => Strain::None,
+        }
+    }
+
+    /// Whether an endpoint that is out of rotation is tried all the same, one request at a time,
+    /// because a part of the requests is not served.
+    fn is_needed(&self, now: Time, i: usize) -> bool {
+        let it = &self.endpoints()[i];
+        let is_out = matches!(it.state, State::Ejected { .. }) && now.since(it.since) > TRY_AGAIN;
+        is_out && self.is_strained
+    }
+
+    /// Slots of an endpoint that may be used now: one while nothing proves that it is well again.
+    fn usable_slots(&self, now: Time, i: usize) -> u32 {
+        if self.is_needed(now, i) {
+            return 1;
+        }
+        let usable = self.endpoints()[i].usable_slots(now);
+        match self.loads[i].belief.usage(now, self.strain(i)) {
+            Use::Singly | Use::Cautiously => usable.min(1),
+            Use::Freely | Use::Last => usable,
+        }
+    }
+
+    /// Among those that are used last, how likely an endpoint is sick, in steps of a twentieth.
+    /// Sick ones fail fast and so are always free: by free slots alone they would be chosen first.
+    fn doubt(&self, now: Time, i: usize, tier: Tier) -> u32 {
+        match tier {
+            Tier::Last => (self.loads[i].belief.sick(now) * 20.0) as u32,
+            _ => 0,
+        }
+    }
+
+    /// Slots in use, and what the way to another failure domain counts for.
+    fn cost(&self, i: usize, ask: &Ask) -> u32 {
+        self.loads[i].in_use + if self.is_near(i, ask) { 0 } else { FAR_SLOTS }
+    }
+
+    /// Whether an endpoint is in the asker's failure domain.
+    fn is_near(&self, i: usize, ask: &Ask) -> bool {
+        let failure_domain = &self.endpoints()[i].failure_domain;
+        stable_hash(failure_domain.as_bytes()) == ask.reporter.failure_domain
+    }
+
+    pub(super) fn tier(&self, now: Time, i: usize, ask: &Ask) -> Option<Tier> {
+        let (it, load) = (&self.endpoints()[i], &self.loads[i]);
+        if !it.admits(now, ask.repeatable) {
+            return self.is_needed(now, i).then_some(Tier::Cautious);
+        }
+        // A trial is there to find out whether the failures have ended.
+        let is_on_trial = matches!(it.state, State::Trial { .. });
+        let usage = if is_on_trial { Use::Freely } else { load.belief.usage(now, self.strain(i)) };
+        let is_suspect = it.state == State::Suspect && now.since(it.since) < TRY_AGAIN;
+        let last = is_suspect
+            || it.is_missing
+            || usage == Use::Last
+            || now < load.hinted_until
+            || now < load.full_until
+            || self.judge.avoids(now, i, ask.reporter);
+        match usage {
+            _ if ask.avoid.contains(&it.addr) => Some(Tier::Avoided),
+            _ if is_on_trial && last => None,
+            _ if is_on_trial && ask.repeatable && !ask.bulky => Some(Tier::Trial),
+            _ if last => Some(Tier::Last),
+            _ if ask.bulky && !self.is_near(i, ask) => Some(Tier::Far),
+            Use::Cautiously if !ask.repeatable => Some(Tier::Cautious),
+            _ => Some(Tier::Good),
+        }
+    }
+
+    pub(super) fn total_slots(&self, now: Time) -> usize {
+        (0..self.loads.len()).map(|i| self.usable_slots(now, i) as usize).sum()
+    }
+
+    pub(super) fn has_free_slot(&self, now: Time) -> bool {
+        (0..self.loads.len()).any(|i| self.loads[i].in_use < self.usable_slots(now, i))
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 mod belief;
 mod dispatcher;
 mod judge;
+mod permit;
 mod queue;
 mod rendezvous;
 mod retry;
@@ -17,8 +18,9 @@
 mod time;
 mod verdict;
 
-pub use dispatcher::{Ask, Budgets, Dispatcher, Grant, PermitId, Reply, Settled, Tier};
+pub use dispatcher::{Budgets, Dispatcher};
 pub use judge::{Kind, Observation, Reporter};
+pub use permit::{Ask, Grant, PermitId, Reply, Settled, Tier};
 pub use rendezvous::{NodeId, rank, stable_hash};
 pub use retry::{Attempt, Budget, BudgetLimits, Next, Outcome, next_step};
 pub use rotation::{Change, EndpointStatus, Rotation, State, domain_floors};
--- /dev/null
+++ b/crates/policy/src/permit.rs
@@ -0,0 +1,123 @@
+//! What is said about slots: who asks for one, and what the answer is.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use resources::{Name, Priority};
+use serde::{Deserialize, Serialize};
+
+use crate::judge::Reporter;
+use crate::rendezvous::NodeId;
+
+/// Identity of a permit, chosen by the node that asks; asking twice is harmless.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct PermitId {
+    /// The node that asks.
+    pub node: NodeId,
+    /// Unique within the life of that node's process.
+    pub seq: u64,
+}
+
+/// A request for a slot.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Identity of the permit asked for.
+    pub id: PermitId,
+    /// Who asks.
+    pub reporter: Reporter,
+    /// Hash of the route's name.
+    pub route: u32,
+    /// Whether the request may run twice; only such requests go to an endpoint on trial.
+    pub repeatable: bool,
+    /// Which work goes first.
+    pub priority: Priority,
+    /// Hash of the caller's organisation.
+    pub organisation: u64,
+    /// Weight of the organisation.
+    pub weight: u32,
+    /// Whether the answer is long, so that the own failure domain goes first.
+    pub bulky: bool,
+    /// Whether an endpoint was reached before for the same request: it counts against the budget.
+    pub repeated: bool,
+    /// Endpoints that the asker cannot reach or has tried already; used last.
+    pub avoid: Vec<SocketAddr>,
+    /// Time left until the request's deadline.
+    pub left: Duration,
+    /// A longer wait for a good endpoint is worse than an endpoint that may fail.
+    pub patience: Duration,
+    /// Whether to wait for a slot, or else to take a suspect endpoint. Without it, as for a hedge,
+    /// the answer is `Full` unless a good endpoint is free.
+    pub wait: bool,
+}
+
+/// A slot on an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Identity of the endpoint.
+    pub endpoint: Name,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Report the request as stalled when it is open for longer than this.
+    pub stall_after: Duration,
+    /// Whether the endpoint is on trial: hedge at once so that the caller does not pay.
+    pub trial: bool,
+    /// How good a choice the endpoint was.
+    pub tier: Tier,
+}
+
+/// Answer to an `Ask`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// Send the request now.
+    Granted(Grant),
+    /// A later reply follows.
+    Queued,
+    /// No good endpoint is free here.
+    Full,
+    /// Give up now.
+    Refused {
+        /// When to come back.
+        retry_after: Duration,
+    },
+}
+
+/// A reply to an earlier ask.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settled {
+    /// The permit asked for.
+    pub id: PermitId,
+    /// The answer.
+    pub reply: Reply,
+}
+
+/// Order of preference among free endpoints. An endpoint on trial comes first: the request is
+/// hedged, and without work the trial would never end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Tier {
+    /// It is on trial.
+    Trial,
+    /// Nothing speaks against it.
+    Good,
+    /// Nothing proves yet that it is well again.
+    Cautious,
+    /// Something went wrong there a moment ago.
+    Last,
+    /// In another failure domain, for a long answer, whose bytes are what the way there costs.
+    Far,
+    /// The asker has tried it already or cannot reach it.
+    Avoided,
+}
+
+impl Tier {
+    /// Short name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Trial => "trial",
+            Self::Good => "good",
+            Self::Cautious => "cautious",
+            Self::Last => "last",
+            Self::Far => "far",
+            Self::Avoided => "avoided",
+        }
+    }
+}
