dappleway explain: the story of a request from the logs; events and wire types in modules of their own

Why: import cycles control/handle/reader and exchange/members/wire; tests of the choice apart from those of slots. No behaviour of a node changes.

--- a/crates/dappleway/src/cli.rs
+++ b/crates/dappleway/src/cli.rs
@@ -6,7 +6,7 @@
 use clap::{Parser, Subcommand};
 
 use crate::settings::{self, Settings};
-use crate::{check, node};
+use crate::{check, explain, node};
 
 /// Exit code for settings or resources that are refused.
 const REFUSED: u8 = 2;
@@ -35,6 +35,15 @@
         #[arg(required = true)]
         files: Vec<PathBuf>,
     },
+    /// Tells the story of one request from the logs of the nodes.
+    Explain {
+        /// Log files, of all nodes if possible.
+        #[arg(long, required = true, num_args = 1..)]
+        logs: Vec<PathBuf>,
+        /// Identity of the request, as the caller sent or got it.
+        #[arg(last = true)]
+        request_id: String,
+    },
     /// Prints settings that pass all checks, as a start for one's own.
     Settings,
 }
@@ -47,6 +56,13 @@
             problems if problems.is_empty() => ExitCode::SUCCESS,
             problems => refuse(problems),
         },
+        Command::Explain { logs, request_id } => match explain::explain(&logs, &request_id) {
+            Ok(lines) => {
+                lines.iter().for_each(|it| println!("{it}"));
+                ExitCode::SUCCESS
+            }
+            Err(problem) => refuse([problem]),
+        },
         Command::Settings => {
             print!("{}", toml::to_string(&Settings::example()).expect("plain data"));
             ExitCode::SUCCESS
--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -14,19 +14,19 @@
 use std::time::{Duration, Instant};
 
 use caller::{Refused, Shared};
-use fleet::{Bundle, Client, Directory, Edge, Exchange, Facts, Keys, Phase, Place};
-use operator::{Published as InForce, Report};
+use fleet::{Client, Directory, Edge, Exchange, Keys, Phase, Place};
+use operator::Published as InForce;
 use policy::{Budgets, Grant, NodeId, PermitId, Reporter, Settled, Time, rank};
 use rand::rngs::StdRng;
-use resources::{Name, Published, Service};
+use resources::{Name, Service};
 use rustc_hash::FxHashMap;
 use slog::{Logger, warn};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::sleep_until;
 
-use crate::handle::Command;
+use crate::event::Event;
 use crate::services::{Scope, Services, name_hash};
-use crate::settings::{Mode, Settings};
+use crate::settings::Mode;
 
 /// Interval of the timers while this node waits for slots.
 const TICK: Duration = Duration::from_millis(10);
@@ -54,31 +54,6 @@
 /// Identities in one renewal, so that it fits a datagram.
 const IDS_PER_RENEWAL: usize = 60;
 
-/// What the control thread is told.
-#[derive(Debug)]
-pub enum Event {
-    /// From a traffic thread.
-    Command(Command),
-    /// What this node has read from the platform, and its calls so far.
-    Read(Published, u64),
-    /// The platform did not answer this node.
-    ReadFailed,
-    /// What a peer knew of the platform.
-    Fetched(Published),
-    /// A peer asks for what it lacks.
-    Bundle(Facts, oneshot::Sender<Bundle>),
-    /// The settings file has changed.
-    Settings(Box<Settings>),
-    /// A planned stop begins.
-    Drain,
-    /// An operator asks for the report.
-    Report(oneshot::Sender<Report>),
-    /// Drop frames to these nodes, for failure tests.
-    Cut(Vec<SocketAddr>),
-    /// The last request has ended.
-    Stop,
-}
-
 /// The other ends of what the control thread writes to.
 pub struct Outputs {
     /// The snapshot for traffic threads.
--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -10,7 +10,7 @@
 use tokio::sync::oneshot;
 
 use super::{Control, Nodes, OpenPermit, RENEW, SUCCESSORS, Waiter};
-use crate::handle::Command;
+use crate::event::Command;
 use crate::services::{Scope, name_hash, route_hash};
 use crate::settings::Mode;
 
--- /dev/null
+++ b/crates/dappleway/src/event.rs
@@ -0,0 +1,51 @@
+//! What the control thread is told, by traffic threads and by tasks of its own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use caller::{Refused, Want};
+use fleet::{Bundle, Facts, Place};
+use operator::Report;
+use policy::{Grant, Kind, PermitId};
+use resources::Published;
+use tokio::sync::oneshot;
+
+use crate::settings::Settings;
+
+/// What the control thread is told.
+#[derive(Debug)]
+pub enum Event {
+    /// From a traffic thread.
+    Command(Command),
+    /// What this node has read from the platform, and its calls so far.
+    Read(Published, u64),
+    /// The platform did not answer this node.
+    ReadFailed,
+    /// What a peer knew of the platform.
+    Fetched(Published),
+    /// A peer asks for what it lacks.
+    Bundle(Facts, oneshot::Sender<Bundle>),
+    /// The settings file has changed.
+    Settings(Box<Settings>),
+    /// A planned stop begins.
+    Drain,
+    /// An operator asks for the report.
+    Report(oneshot::Sender<Report>),
+    /// Drop frames to these nodes, for failure tests.
+    Cut(Vec<SocketAddr>),
+    /// The last request has ended.
+    Stop,
+}
+
+/// What traffic threads tell the control thread.
+#[derive(Debug)]
+pub enum Command {
+    /// Find a slot.
+    Acquire(PermitId, Want, oneshot::Sender<Result<(Grant, Place), Refused>>),
+    /// The wish for a slot is withdrawn.
+    Withdraw(PermitId),
+    /// A request is stalled.
+    Stalled(PermitId, Duration),
+    /// A slot comes back; without an outcome it proves nothing.
+    End(PermitId, Option<(Kind, Duration)>),
+}
--- /dev/null
+++ b/crates/dappleway/src/explain.rs
@@ -0,0 +1,74 @@
+//! `dappleway explain`: the story of one request from the logs of any number of nodes.
+
+use std::collections::BTreeSet;
+use std::path::PathBuf;
+
+use serde_json::Value;
+
+/// Fields that every line has or that only machines read.
+const LEFT_OUT: [&str; 8] = ["msg", "level", "ts", "node", "request_id", "trace", "span", "parent"];
+
+/// One log line.
+#[derive(Debug)]
+struct Line {
+    ts: String,
+    node: String,
+    msg: String,
+    record: Value,
+}
+
+impl Line {
+    /// Nothing for text that is no record; programs may print other things too.
+    fn parse(text: &str) -> Option<Self> {
+        // A collector may put its own words before the record.
+        let record: Value = serde_json::from_str(&text[text.find('{')?..]).ok()?;
+        let field = |name: &str| Some(record.get(name)?.as_str()?.to_owned());
+        Some(Self { ts: field("ts")?, node: field("node")?, msg: field("msg")?, record })
+    }
+
+    fn has(&self, name: &str, value: &str) -> bool {
+        self.record.get(name).and_then(Value::as_str) == Some(value)
+    }
+
+    fn show(&self) -> String {
+        let fields = self.record.as_object().into_iter().flatten();
+        let fields = fields.filter(|(name, _)| !LEFT_OUT.contains(&name.as_str()));
+        let shown: Vec<String> = fields.map(|(name, value)| format!("{name}={value}")).collect();
+        format!("{} {} {}: {}", self.ts, self.node, self.msg, shown.join(" "))
+    }
+}
+
+/// The lines about a request in order, and what the nodes believed of its endpoints from the first
+/// of these lines to the last.
+pub fn explain(files: &[PathBuf], id: &str) -> Result<Vec<String>, String> {
+    let mut lines = Vec::new();
+    for path in files {
+        let text =
+            std::fs::read_to_string(path).map_err(|it| format!("{}: {it}", path.display()))?;
+        lines.extend(text.lines().filter_map(Line::parse));
+    }
+    Ok(story(lines, id))
+}
+
+fn story(mut lines: Vec<Line>, id: &str) -> Vec<String> {
+    lines.sort_by(|a, b| a.ts.cmp(&b.ts));
+    let own: Vec<&Line> = lines.iter().filter(|it| it.has("request_id", id)).collect();
+    let (Some(first), Some(last)) = (own.first(), own.last()) else {
+        return vec![format!("{id}: no line names it: give the logs of all nodes of that time")];
+    };
+    let span = first.ts.as_str()..=last.ts.as_str();
+    let endpoints: BTreeSet<&str> =
+        own.iter().filter_map(|it| it.record.get("endpoint")?.as_str()).collect();
+    let speaks_of_endpoint = |it: &&Line| {
+        it.msg == "endpoint state"
+            && span.contains(&it.ts.as_str())
+            && endpoints.iter().any(|endpoint| it.has("endpoint", endpoint))
+    };
+    let told = lines.iter().filter(|it| it.has("request_id", id) || speaks_of_endpoint(it));
+    told.map(Line::show).collect()
+}
+
+#[cfg(test)]
+pub(crate) fn story_of(text: &str, id: &str) -> Vec<String> {
+    story(text.lines().filter_map(Line::parse).collect(), id)
+}
--- a/crates/dappleway/src/handle.rs
+++ b/crates/dappleway/src/handle.rs
@@ -9,20 +9,7 @@
 use policy::{Grant, Kind, NodeId, PermitId};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::control::Event;
-
-/// What traffic threads tell the control thread.
-#[derive(Debug)]
-pub enum Command {
-    /// Find a slot.
-    Acquire(PermitId, Want, oneshot::Sender<Result<(Grant, Place), Refused>>),
-    /// The wish for a slot is withdrawn.
-    Withdraw(PermitId),
-    /// A request is stalled.
-    Stalled(PermitId, Duration),
-    /// A slot comes back; without an outcome it proves nothing.
-    End(PermitId, Option<(Kind, Duration)>),
-}
+use crate::event::{Command, Event};
 
 /// Asks the control thread for slots.
 #[derive(Clone)]
--- a/crates/dappleway/src/main.rs
+++ b/crates/dappleway/src/main.rs
@@ -4,6 +4,8 @@
 mod check;
 mod cli;
 mod control;
+mod event;
+mod explain;
 mod handle;
 mod logging;
 mod node;
--- a/crates/dappleway/src/node.rs
+++ b/crates/dappleway/src/node.rs
@@ -20,7 +20,8 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::baselines::RoundRobin;
-use crate::control::{Control, Event, Outputs, Start};
+use crate::control::{Control, Outputs, Start};
+use crate::event::Event;
 use crate::handle::Handle;
 use crate::logging;
 use crate::reader::read_platform;
--- a/crates/dappleway/src/reader.rs
+++ b/crates/dappleway/src/reader.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::control::Event;
+use crate::event::Event;
 
 /// Shortest time between two calls: changes that come in quick succession are read together.
 const BETWEEN_CALLS: Duration = Duration::from_millis(120);
--- a/crates/dappleway/src/reload.rs
+++ b/crates/dappleway/src/reload.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval};
 
-use crate::control::Event;
+use crate::event::Event;
 use crate::logging::LevelSwitch;
 use crate::settings::{self, Settings};
 
--- a/crates/dappleway/src/tests.rs
+++ b/crates/dappleway/src/tests.rs
@@ -1,5 +1,6 @@
 use expect_test::{Expect, expect};
 
+use crate::explain::story_of;
 use crate::settings::{Level, Settings, changed_keys, parse};
 
 fn check(text: &str, expect: Expect) {
@@ -66,3 +67,24 @@
     assert_eq!(changed_keys(&old, &new), ["fleet.seed_port", "log.level"]);
     assert!(changed_keys(&old, &old).is_empty());
 }
+
+const LOGS: &str = r#"
+{"msg":"request","ts":"10:00:00.400","node":"n1","request_id":"r1","status":500,"outcome":"answered"}
+not a record
+  0.1 front-1 {"msg":"send","ts":"10:00:00.100","node":"n1","request_id":"r1","endpoint":"i-1","outcome":"failed","choice":"good"}
+{"msg":"endpoint state","ts":"10:00:00.200","node":"n2","endpoint":"i-1","reason":"used last: a request failed"}
+{"msg":"endpoint state","ts":"10:00:00.200","node":"n2","endpoint":"i-2","reason":"another endpoint"}
+{"msg":"endpoint state","ts":"10:00:09.000","node":"n2","endpoint":"i-1","reason":"long after"}
+{"msg":"request","ts":"10:00:00.300","node":"n1","request_id":"r2","status":200}
+"#;
+
+#[test]
+fn a_request_is_explained_from_the_logs_of_several_nodes() {
+    let told = story_of(LOGS, "r1").join("\n");
+    expect![[r#"
+        10:00:00.100 n1 send: choice="good" endpoint="i-1" outcome="failed"
+        10:00:00.200 n2 endpoint state: endpoint="i-1" reason="used last: a request failed"
+        10:00:00.400 n1 request: outcome="answered" status=500"#]].assert_eq(&told);
+    let unknown = story_of(LOGS, "r3");
+    assert!(unknown[0].contains("no line names it"), "{unknown:?}");
+}
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -12,9 +12,9 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::duty::Duty;
-use crate::members::{Members, Phase, node_id};
+use crate::members::{Members, node_id};
 use crate::replica::{Facts, Replica};
-use crate::wire::{Frame, Gossip, Message, News, NodeInfo, Verdict};
+use crate::wire::{Frame, Gossip, Message, NODES_PER_FRAME, News, NodeInfo, Phase, Verdict};
 
 /// Time between rounds.
 pub const ROUND: Duration = Duration::from_millis(1_000);
@@ -22,8 +22,6 @@
 const FIRST_ROUND: Duration = Duration::from_millis(200);
 /// How long a node counts as started lately.
 const STARTED_LATELY: Duration = Duration::from_secs(5);
-/// Nodes told of in one round; with the header this keeps a frame at about 400 bytes.
-pub(crate) const NODES_PER_FRAME: usize = 10;
 /// Verdicts told of in one round.
 const VERDICTS_PER_FRAME: usize = 12;
 /// Most nodes and verdicts in one frame.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,12 +16,12 @@
 pub use edge::{Counts, Edge};
 pub use exchange::{Effect, Exchange, Identity, ROUND};
 pub use fetch::{Bundle, FetchError, fetch, serve_fetches};
-pub use members::{Member, Members, Phase, node_id};
+pub use members::{Member, Members, node_id};
 pub use permits::{Action, Client, Directory, Place, Settlement, Wish};
 pub use replica::{Facts, Replica};
 pub use wire::{
-    Frame, Gossip, Key, Keys, MAX_FRAME_BYTES, Message, News, NodeInfo, PermitMessage, Verdict,
-    WireError,
+    Frame, Gossip, Key, Keys, MAX_FRAME_BYTES, Message, News, NodeInfo, PermitMessage, Phase,
+    Verdict, WireError,
 };
 
 #[cfg(test)]
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -5,10 +5,8 @@
 
 use policy::{NodeId, Time, stable_hash};
 use rustc_hash::FxHashMap;
-use serde::{Deserialize, Serialize};
 
-use crate::exchange::NODES_PER_FRAME;
-use crate::wire::NodeInfo;
+use crate::wire::{NODES_PER_FRAME, NodeInfo, Phase};
 
 /// A node that was not heard of for this many times the usual interval between news of it is not
 /// asked to dispatch. Generous, because nodes that differ here ask different dispatchers; one that
@@ -17,19 +15,6 @@
 /// Rounds without news that are never too many.
 const MIN_QUIET_ROUNDS: u32 = 10;
 
-/// What a node is doing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Phase {
-    /// Does not know yet what the fleet has in force.
-    Starting,
-    /// Serves, but has started lately: it has seen too little to hand out slots for others.
-    Fresh,
-    /// Serves.
-    Ready,
-    /// Is ending its work.
-    Leaving,
-}
-
 /// One node.
 #[derive(Clone, Copy, Debug)]
 pub struct Member {
--- a/crates/fleet/src/tests/wire.rs
+++ b/crates/fleet/src/tests/wire.rs
@@ -6,11 +6,10 @@
 use resources::{Endpoint, Priority, Registration, RegistryChange, Standing};
 
 use crate::exchange::{CHANGES_PER_FRAME, MAX_GOSSIP};
-use crate::members::Phase;
 use crate::replica::Facts;
 use crate::wire::{
-    Frame, Gossip, Key, Keys, MAX_FRAME_BYTES, Message, News, NodeInfo, PermitMessage, Verdict,
-    WireError,
+    Frame, Gossip, Key, Keys, MAX_FRAME_BYTES, Message, News, NodeInfo, PermitMessage, Phase,
+    Verdict, WireError,
 };
 
 fn keys(text: &str) -> Keys {
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -10,11 +10,12 @@
 use resources::{Name, RegistryChange};
 use serde::{Deserialize, Serialize};
 
-use crate::members::Phase;
 use crate::replica::Facts;
 
 /// Largest frame in bytes; it fits one datagram on usual networks.
 pub const MAX_FRAME_BYTES: usize = 1_200;
+/// Nodes told of in one round; with the header this keeps a frame at about 400 bytes.
+pub(crate) const NODES_PER_FRAME: usize = 10;
 /// Version of the protocol. A node drops frames of other versions.
 const VERSION: u8 = 1;
 /// Bytes of the keyed hash that a frame carries.
@@ -65,6 +66,19 @@
     }
 }
 
+/// What a node is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// Does not know yet what the fleet has in force.
+    Starting,
+    /// Serves, but has started lately: it has seen too little to hand out slots for others.
+    Fresh,
+    /// Serves.
+    Ready,
+    /// Is ending its work.
+    Leaving,
+}
+
 /// What is known of one node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeInfo {
--- /dev/null
+++ b/crates/policy/src/tests/choice.rs
@@ -0,0 +1,262 @@
+//! Which endpoint a request gets, and what failures mean for the choice.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use resources::Bias;
+
+use super::fixture::{BUDGET, ROUTE, SECOND, ask, fill, reporter, service};
+use crate::{
+    Ask, BudgetLimits, Dispatcher, Grant, Kind, NodeId, Observation, Reply, Reporter, Tier, Time,
+    stable_hash,
+};
+
+/// The first digit of the port's second half names the failure domain of the fixture.
+fn domain_of(reply: &Reply) -> &'static str {
+    match reply {
+        Reply::Granted(grant) if grant.addr.port() < 1_100 => "a",
+        Reply::Granted(_) => "b",
+        _ => "none",
+    }
+}
+
+#[test]
+fn long_answers_stay_in_their_failure_domain_while_they_have_the_patience() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = service(&[2, 2], 2, Bias::Speed);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let near = Reporter { node: NodeId(1), failure_domain: stable_hash(b"b") };
+    let mut domains = |seqs: std::ops::Range<u64>, patience| -> Vec<_> {
+        seqs.map(|seq| Ask { bulky: true, reporter: near, patience, ..ask(seq, true) })
+            .map(|ask| domain_of(&dispatcher.ask(Time(0), ask, &mut rng)))
+            .collect()
+    };
+    assert_eq!(domains(0..6, SECOND), ["b"; 6]);
+    assert_eq!(domains(6..8, Duration::ZERO), ["a"; 2]);
+    assert_eq!(domains(8..9, SECOND), ["none"], "it waits");
+}
+
+#[test]
+fn one_failure_makes_an_endpoint_the_last_choice_and_not_less_capacity() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = service(&[2], 1, Bias::Speed);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let Reply::Granted(bad) = dispatcher.ask(Time(0), ask(0, true), &mut rng) else { panic!() };
+    let ms = Duration::from_millis(5);
+    dispatcher.release(Time(0), ask(0, true).id, Kind::Failed, ms, &mut rng);
+    let mut at_bad = |seqs: std::ops::Range<u64>, patience| -> Vec<bool> {
+        seqs.map(|seq| dispatcher.ask(Time(1), Ask { patience, ..ask(seq, true) }, &mut rng))
+            .map(|it| matches!(it, Reply::Granted(grant) if grant.addr == bad.addr))
+            .collect()
+    };
+    // The slots of the other endpoint go first; then those that cannot wait take what is free.
+    assert_eq!(at_bad(1..4, SECOND), [false; 3]);
+    assert_eq!(at_bad(4..7, Duration::ZERO), [true; 3]);
+    let later = Time(0) + SECOND * 8;
+    assert_eq!(dispatcher.set_back(Time(1)).collect::<Vec<_>>(), [bad.addr]);
+    assert_eq!(dispatcher.set_back(later).count(), 0);
+}
+
+#[test]
+fn repeats_end_with_the_budget_and_first_sends_do_not() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = service(&[2, 2], 2, Bias::Speed);
+    let budget = BudgetLimits { ratio: 0.0, burst: 8.0 };
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], budget);
+    let replies: Vec<_> = (0..4)
+        .map(|seq| Ask { repeated: true, ..ask(seq, true) })
+        .map(|ask| matches!(dispatcher.ask(Time(0), ask, &mut rng), Reply::Granted(_)))
+        .collect();
+    assert_eq!(replies, [true, true, false, false]);
+    assert!(matches!(dispatcher.ask(Time(0), ask(9, true), &mut rng), Reply::Granted(_)));
+}
+
+#[test]
+fn an_endpoint_that_one_node_cannot_reach_is_used_last_for_that_node_only() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = service(&[2], 1, Bias::Speed);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let addr = dispatcher.endpoints()[0].addr;
+    let cut_off = Ask { avoid: vec![addr], ..ask(0, true) };
+    let Reply::Granted(other) = dispatcher.ask(Time(0), cut_off, &mut rng) else { panic!() };
+    assert_ne!(other.addr, addr);
+    assert_eq!(dispatcher.set_back(Time(0)).count(), 0);
+}
+
+#[test]
+fn a_change_of_the_endpoints_keeps_what_is_known_of_those_that_stay() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut it = service(&[3], 1, Bias::Speed);
+    let mut dispatcher = Dispatcher::new(Time(0), &it, &[ROUTE], BUDGET);
+    fill(&mut dispatcher, &mut rng, 3);
+    it.endpoints.remove(0);
+    dispatcher.reconfigure(Time(1), &it, &[ROUTE]);
+    assert!((0..2).all(|i| dispatcher.evidence_of(i).1 == 1));
+    // The same address in another life is another endpoint.
+    it.endpoints[0].id = "i-other".into();
+    dispatcher.reconfigure(Time(2), &it, &[ROUTE]);
+    assert_eq!(dispatcher.evidence_of(0).1, 0);
+}
+
+/// Times at which the sick among `n` endpoints are tried while all else is served.
+fn trials(n: usize, sick: usize) -> Vec<Vec<Time>> {
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = service(&[n], 1, Bias::Speed);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let position = |it: &Grant| service.endpoints.iter().position(|e| e.id == it.endpoint).unwrap();
+    let mut trials = vec![Vec::new(); sick];
+    for seq in 0..4_000 {
+        let now = Time(0) + Duration::from_millis(5 * seq);
+        let ask = Ask { repeatable: false, ..ask(seq, true) };
+        let id = ask.id;
+        let Reply::Granted(grant) = dispatcher.ask(now, ask, &mut rng) else { continue };
+        let i = position(&grant);
+        let kind = if i < sick { Kind::Failed } else { Kind::Answered };
+        dispatcher.release(now, id, kind, Duration::from_millis(4), &mut rng);
+        dispatcher.tick(now, &mut rng);
+        if i < sick {
+            trials[i].push(now);
+        }
+    }
+    trials
+}
+
+fn gaps(trials: &[Time]) -> Vec<u64> {
+    trials.windows(2).map(|it| it[1].since(it[0]).as_millis() as u64).collect()
+}
+
+#[test]
+fn an_endpoint_that_goes_on_failing_is_left_alone_for_as_long_as_episodes_last() {
+    let trials = trials(16, 1);
+    assert!(trials[0].len() <= 5, "{:?}", gaps(&trials[0]));
+}
+
+#[test]
+fn never_are_so_many_left_alone_that_the_floor_would_break_if_work_were_lost_at_once() {
+    let trials = trials(10, 3);
+    for ms in (0..20_000).step_by(100) {
+        let now = Time(0) + Duration::from_millis(ms);
+        let last = |it: &Vec<Time>| it.iter().rev().find(|at| **at <= now).copied();
+        let idle = |it: &&Vec<Time>| last(it).is_some_and(|at| now.since(at) > SECOND * 4);
+        let left_alone = trials.iter().filter(idle).count();
+        assert!(left_alone <= 3, "{left_alone} of 10 after {ms} ms");
+    }
+}
+
+#[test]
+fn while_much_fails_every_endpoint_is_tried_again_within_seconds() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = service(&[8], 1, Bias::Speed);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let sick: Vec<_> = dispatcher.endpoints()[..3].iter().map(|it| it.addr).collect();
+    let mut last = BTreeMap::new();
+    let mut longest = Duration::ZERO;
+    for seq in 0..1_000 {
+        let now = Time(0) + Duration::from_millis(20 * seq);
+        let ask = Ask { repeatable: false, ..ask(seq, true) };
+        let id = ask.id;
+        let Reply::Granted(grant) = dispatcher.ask(now, ask, &mut rng) else { continue };
+        let fails = sick.contains(&grant.addr) || seq % 5 == 0;
+        let kind = if fails { Kind::Failed } else { Kind::Answered };
+        dispatcher.release(now, id, kind, Duration::from_millis(5), &mut rng);
+        dispatcher.tick(now, &mut rng);
+        if let Some(before) = last.insert(grant.addr, now) {
+            longest = longest.max(now.since(before));
+        }
+    }
+    assert_eq!(last.len(), 8);
+    assert!(longest < SECOND * 4, "{longest:?}");
+}
+
+#[test]
+fn a_dispatcher_that_takes_over_knows_of_the_failures_that_were_told() {
+    let service = service(&[3], 1, Bias::Speed);
+    let new = || Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let mut told = new();
+    let sick = &service.endpoints[1];
+    let elapsed = Duration::from_millis(5);
+    let it = Observation {
+        reporter: reporter(1),
+        endpoint: 0,
+        route: ROUTE,
+        kind: Kind::Failed,
+        elapsed,
+    };
+    told.observe(Time(0), &sick.id, it);
+    let taken_over = new().with_beliefs_of(&told);
+    assert_eq!(taken_over.set_back(Time(1)).collect::<Vec<_>>(), [sick.addr]);
+}
+
+/// Sick endpoints fail fast and so always had free slots: they got most of the work that had to go
+/// to one of the last choices.
+#[test]
+fn among_the_last_choices_the_one_that_failed_least_goes_first() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = service(&[2], 1, Bias::Speed);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let fails = |it: &mut Dispatcher, i: usize, times: usize| {
+        let elapsed = Duration::from_millis(1);
+        let reporter = reporter(1);
+        let seen = Observation { reporter, endpoint: 0, route: ROUTE, kind: Kind::Failed, elapsed };
+        (0..times).for_each(|_| it.observe(Time(0), &service.endpoints[i].id, seen));
+    };
+    fails(&mut dispatcher, 0, 3);
+    fails(&mut dispatcher, 1, 1);
+    for seq in 0..3 {
+        let reply = dispatcher.ask(Time(1), ask(seq, true), &mut rng);
+        let Reply::Granted(grant) = reply else { panic!("{reply:?}") };
+        assert_eq!(grant.addr, service.endpoints[1].addr);
+        assert_eq!(grant.tier, Tier::Last);
+    }
+}
+
+#[test]
+fn answers_soon_make_good_for_a_stray_failure() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = service(&[2], 1, Bias::Speed);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let reporter = reporter(1);
+    let see = |it: &mut Dispatcher, i: usize, ms: u64, kind| {
+        let now = Time(0) + Duration::from_millis(ms);
+        let elapsed = Duration::from_millis(if kind == Kind::Failed { 1 } else { 90 });
+        let seen = Observation { reporter, endpoint: 0, route: ROUTE, kind, elapsed };
+        it.observe(now, &service.endpoints[i].id, seen);
+    };
+    for ms in [0, 100, 200] {
+        see(&mut dispatcher, 0, ms, Kind::Answered);
+        see(&mut dispatcher, 1, ms, Kind::Answered);
+    }
+    let mut choice = |it: &mut Dispatcher, ms: u64| {
+        let ask = Ask { repeatable: false, ..ask(ms, true) };
+        let id = ask.id;
+        let now = Time(0) + Duration::from_millis(ms);
+        let Reply::Granted(grant) = it.ask(now, ask, &mut rng) else { panic!("a slot is free") };
+        it.cancel(now, id, &mut rng);
+        grant.addr == service.endpoints[0].addr
+    };
+    see(&mut dispatcher, 0, 500, Kind::Failed);
+    let taken = (510..530).filter(|ms| choice(&mut dispatcher, *ms)).count();
+    assert_eq!(taken, 0, "the other one goes first");
+    see(&mut dispatcher, 0, 700, Kind::Answered);
+    see(&mut dispatcher, 0, 800, Kind::Answered);
+    assert!((820..860).any(|ms| choice(&mut dispatcher, ms)), "it is used again");
+}
+
+/// Nodes that would dispatch next hear of failures only. They told everyone that half of the
+/// endpoints were sick, and the dispatching node used those last.
+#[test]
+fn a_dispatcher_that_hands_out_nothing_is_not_in_charge() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = service(&[2], 1, Bias::Speed);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let elapsed = Duration::from_millis(1);
+    let reporter = reporter(1);
+    let it = Observation { reporter, endpoint: 0, route: ROUTE, kind: Kind::Failed, elapsed };
+    dispatcher.observe(Time(0), &service.endpoints[0].id, it);
+    assert!(!dispatcher.is_in_charge(Time(0)));
+    dispatcher.ask(Time(0), ask(1, true), &mut rng);
+    assert!(dispatcher.is_in_charge(Time(0)));
+    assert!(!dispatcher.is_in_charge(Time(0) + SECOND * 2));
+}
--- a/crates/policy/src/tests/fixture.rs
+++ b/crates/policy/src/tests/fixture.rs
@@ -4,10 +4,13 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use resources::{Bias, Endpoint, Floor, Service, Standing};
+use resources::{Bias, Endpoint, Floor, Priority, Service, Standing};
 
 use crate::judge::Judge;
-use crate::{Kind, NodeId, Observation, Reporter, State, Time};
+use crate::{
+    Ask, BudgetLimits, Dispatcher, Kind, NodeId, Observation, PermitId, Reply, Reporter, State,
+    Time,
+};
 
 pub(super) const ROUTE: u32 = 7;
 
@@ -127,3 +130,28 @@
         }
     }
 }
+
+pub(super) const SECOND: Duration = Duration::from_secs(1);
+pub(super) const BUDGET: BudgetLimits = BudgetLimits { ratio: 0.1, burst: 10.0 };
+
+pub(super) fn ask(seq: u64, wait: bool) -> Ask {
+    Ask {
+        id: PermitId { node: NodeId(seq % 5), seq },
+        reporter: reporter(seq % 5),
+        route: ROUTE,
+        repeatable: true,
+        priority: Priority(0),
+        organisation: seq % 3,
+        weight: 1,
+        bulky: false,
+        repeated: false,
+        avoid: Vec::new(),
+        left: SECOND,
+        patience: SECOND / 4,
+        wait,
+    }
+}
+
+pub(super) fn fill(dispatcher: &mut Dispatcher, rng: &mut StdRng, n: u64) -> Vec<Reply> {
+    (0..n).map(|seq| dispatcher.ask(Time(0), ask(seq, false), rng)).collect()
+}
