--- a/crates/dappleway/src/tests.rs
+++ b/crates/dappleway/src/tests.rs
@@ -84,7 +84,8 @@
     expect![[r#"
         10:00:00.100 n1 send: choice="good" endpoint="i-1" outcome="failed"
         10:00:00.200 n2 endpoint state: endpoint="i-1" reason="used last: a request failed"
-        10:00:00.400 n1 request: outcome="answered" status=500"#]].assert_eq(&told);
+        10:00:00.400 n1 request: outcome="answered" status=500"#]]
+    .assert_eq(&told);
     let unknown = story_of(LOGS, "r3");
     assert!(unknown[0].contains("no line names it"), "{unknown:?}");
 }
