--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -18,7 +18,7 @@
 impl Dispatcher {
     /// The free endpoint of the best tier with the least cost; ties are broken at random.
     ///
-    /// An endpoint of the last tier is taken only by those that wait, and only if waiting for a
+    /// A worse one is taken only by those that wait, and only if waiting for a
     /// good one would be in vain or take longer than the asker's patience.
     pub(super) fn choose(
         &self,
@@ -31,7 +31,7 @@
         for (i, load) in self.loads.iter().enumerate() {
             let Some(tier) = self.tier(now, i, ask) else { continue };
             let usable = self.usable_slots(now, i);
-            if tier < Tier::Last {
+            if tier < Tier::Near {
                 good_slots += usable as usize;
             }
             if load.in_use >= usable {
@@ -44,8 +44,8 @@
         }
         let ((tier, ..), i) = best?;
         let is_impatient = || self.expected_wait(good_slots, ask.priority) > ask.patience;
-        let take_last = ask.wait && (good_slots == 0 || is_impatient());
-        (tier < Tier::Last || take_last).then_some(i)
+        let take_worse = ask.wait && (good_slots == 0 || is_impatient());
+        (tier < Tier::Near || take_worse).then_some(i)
     }
 
     pub(super) fn find_strain(&mut self, now: Time) {
@@ -90,7 +90,7 @@
     /// Sick ones fail fast and so are always free: by free slots alone they would be chosen first.
     fn doubt(&self, now: Time, i: usize, tier: Tier) -> u32 {
         match tier {
-            Tier::Last => (self.loads[i].belief.sick(now) * 20.0) as u32,
+            Tier::Near | Tier::Last => (self.loads[i].belief.sick(now) * 20.0) as u32,
             _ => 0,
         }
     }
@@ -125,6 +125,7 @@
             _ if ask.avoid.contains(&it.addr) => Some(Tier::Avoided),
             _ if is_on_trial && last => None,
             _ if is_on_trial && ask.repeatable && !ask.bulky => Some(Tier::Trial),
+            _ if last && ask.bulky && !ask.repeated && self.is_near(i, ask) => Some(Tier::Near),
             _ if last => Some(Tier::Last),
             _ if ask.bulky && !self.is_near(i, ask) => Some(Tier::Far),
             Use::Cautiously if !ask.repeatable => Some(Tier::Cautious),
--- a/crates/policy/src/permit.rs
+++ b/crates/policy/src/permit.rs
@@ -100,10 +100,13 @@
     Good,
     /// Nothing proves yet that it is well again.
     Cautious,
-    /// Something went wrong there a moment ago.
-    Last,
+    /// Something went wrong there a moment ago, but it is near, and the long answer can still be asked
+    /// for elsewhere.
+    Near,
     /// In another failure domain, for a long answer, whose bytes are what the way there costs.
     Far,
+    /// Something went wrong there a moment ago.
+    Last,
     /// The asker has tried it already or cannot reach it.
     Avoided,
 }
@@ -116,6 +119,7 @@
             Self::Good => "good",
             Self::Cautious => "cautious",
             Self::Last => "last",
+            Self::Near => "near",
             Self::Far => "far",
             Self::Avoided => "avoided",
         }
--- a/crates/policy/src/tests/choice.rs
+++ b/crates/policy/src/tests/choice.rs
@@ -260,3 +260,28 @@
     assert!(dispatcher.is_in_charge(Time(0)));
     assert!(!dispatcher.is_in_charge(Time(0) + SECOND * 2));
 }
+
+/// Both sends of a download went to endpoints that were known to fail, because they were near.
+#[test]
+fn a_long_answer_is_asked_for_elsewhere_after_one_failure_near() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = service(&[1, 2], 1, Bias::Speed);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let elapsed = Duration::from_millis(1);
+    let seen = Observation {
+        reporter: reporter(1),
+        endpoint: 0,
+        route: ROUTE,
+        kind: Kind::Failed,
+        elapsed,
+    };
+    for endpoint in &service.endpoints[1..] {
+        (0..3).for_each(|_| dispatcher.observe(Time(0), &endpoint.id, seen));
+    }
+    let near = Reporter { node: NodeId(1), failure_domain: stable_hash(b"b") };
+    let bulky = |seq| Ask { bulky: true, reporter: near, ..ask(seq, true) };
+    let first = dispatcher.ask(Time(1), bulky(1), &mut rng);
+    assert!(matches!(&first, Reply::Granted(it) if it.tier == Tier::Near), "{first:?}");
+    let second = dispatcher.ask(Time(1), Ask { repeated: true, ..bulky(2) }, &mut rng);
+    assert!(matches!(&second, Reply::Granted(it) if it.tier == Tier::Far), "{second:?}");
+}
