An ejected endpoint is tried once in a while, also when much fails

Cause: while a part of the requests is not served, endpoints that are out are tried again.

Ruled out: the choice by belief, which waits for 1.9 s after each failure already.

--- a/crates/policy/src/belief.rs
+++ b/crates/policy/src/belief.rs
@@ -136,7 +136,8 @@
         }
     }
 
-    fn failed_before(&self, now: Time, age: Duration) -> bool {
+    /// Whether the last failure is longer ago than `age`.
+    pub(crate) fn failed_before(&self, now: Time, age: Duration) -> bool {
         self.failed_at.is_none_or(|it| now.since(it) > age)
     }
 
--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -71,7 +71,8 @@
     fn is_needed(&self, now: Time, i: usize) -> bool {
         let it = &self.endpoints()[i];
         let is_out = matches!(it.state, State::Ejected { .. }) && now.since(it.since) > TRY_AGAIN;
-        is_out && self.is_strained
+        // Sick endpoints fail at once: without a pause they would be tried again and again.
+        is_out && self.is_strained && self.loads[i].belief.failed_before(now, TRY_AGAIN)
     }
 
     /// Slots of an endpoint that may be used now: one while nothing proves that it is well again.
--- a/crates/policy/src/tests/choice.rs
+++ b/crates/policy/src/tests/choice.rs
@@ -9,8 +9,8 @@
 
 use super::fixture::{BUDGET, ROUTE, SECOND, ask, fill, reporter, service};
 use crate::{
-    Ask, BudgetLimits, Dispatcher, Grant, Kind, NodeId, Observation, Reply, Reporter, Tier, Time,
-    stable_hash,
+    Ask, BudgetLimits, Dispatcher, Grant, Kind, NodeId, Observation, Reply, Reporter, State, Tier,
+    Time, stable_hash,
 };
 
 /// The first digit of the port's second half names the failure domain of the fixture.
@@ -285,3 +285,34 @@
     let second = dispatcher.ask(Time(1), Ask { repeated: true, ..bulky(2) }, &mut rng);
     assert!(matches!(&second, Reply::Granted(it) if it.tier == Tier::Far), "{second:?}");
 }
+
+/// Sick endpoints fail at once, so one of them took a large part of the requests while much failed.
+#[test]
+fn while_much_fails_an_ejected_endpoint_is_tried_once_in_a_while() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = service(&[8], 1, Bias::Speed);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let see = |it: &mut Dispatcher, i: usize, node: u64, kind| {
+        let elapsed = Duration::from_millis(1);
+        let seen =
+            Observation { reporter: reporter(node), endpoint: 0, route: ROUTE, kind, elapsed };
+        it.observe(Time(0), &service.endpoints[i].id, seen);
+    };
+    (1..8).for_each(|i| see(&mut dispatcher, i, i as u64, Kind::Answered));
+    (0..20).for_each(|node| see(&mut dispatcher, 0, node, Kind::Failed));
+    let mut tries = 0;
+    for seq in 0..1_000 {
+        let now = Time(0) + Duration::from_millis(10 * seq);
+        dispatcher.tick(now, &mut rng);
+        let is_out = matches!(dispatcher.endpoints()[0].state, State::Ejected { .. });
+        assert!(is_out || seq > 0, "it is out from the start");
+        let ask = Ask { repeatable: false, ..ask(seq, true) };
+        let id = ask.id;
+        let Reply::Granted(grant) = dispatcher.ask(now, ask, &mut rng) else { continue };
+        let is_sick = grant.addr == service.endpoints[0].addr;
+        tries += usize::from(is_out && is_sick);
+        let kind = if is_sick || seq % 4 == 0 { Kind::Failed } else { Kind::Answered };
+        dispatcher.release(now, id, kind, Duration::from_millis(5), &mut rng);
+    }
+    assert!((1..=6).contains(&tries), "{tries} tries in 10 s");
+}
