The budget for repeats: any window, split over the nodes that ask

The size was also that of one site, and a part of a cut fleet had a whole budget.

Now a window of 10 s is counted in slices; the fixed part is split over the nodes that have asked within it, so that the dispatchers of a cut fleet add up to the bound (budget.rs, with two property tests; parts that change twice within a window included).

--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -16,7 +16,7 @@
 use caller::{Refused, Shared};
 use fleet::{Client, Directory, Edge, Exchange, Keys, Phase, Place};
 use operator::Published as InForce;
-use policy::{Budgets, Grant, NodeId, PermitId, Reporter, Settled, Time, rank};
+use policy::{BudgetLimits, Grant, NodeId, PermitId, Reporter, Settled, Time, rank};
 use rand::rngs::StdRng;
 use resources::{Name, Service};
 use rustc_hash::FxHashMap;
@@ -141,8 +141,8 @@
     pub mode: Mode,
     /// Name of this node's failure domain.
     pub failure_domain: String,
-    /// Sizes of the budgets for repeats.
-    pub budgets: Budgets,
+    /// Size of the budget for repeats.
+    pub budget: BudgetLimits,
     /// What is written to.
     pub outputs: Outputs,
     /// Where tasks of the control thread report to.
@@ -168,7 +168,7 @@
             edge: start.edge,
             keys: start.keys,
             client: start.client,
-            services: Services::new(start.budgets),
+            services: Services::new(start.budget),
             waiting: FxHashMap::default(),
             open: FxHashMap::default(),
             undelivered: VecDeque::new(),
@@ -239,7 +239,7 @@
             }
             Event::Settings(it) => {
                 self.exchange.set_seeds(&it.fleet.seed_addrs());
-                self.services.set_budgets(it.dispatch.budgets());
+                self.services.set_budget(it.dispatch.budget());
             }
             Event::Drain => {
                 self.draining = true;
--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -47,6 +47,7 @@
         self.apply(now, effects);
         if now >= self.next_renewal {
             self.next_renewal = now + RENEW;
+            self.services.set_nodes(self.exchange.members().iter().count() + 1);
             self.renew(now);
         }
         if now >= self.next_readiness {
--- a/crates/dappleway/src/node.rs
+++ b/crates/dappleway/src/node.rs
@@ -162,7 +162,7 @@
         client,
         mode: settings.dispatch.mode,
         failure_domain: settings.node.failure_domain.clone(),
-        budgets: settings.dispatch.budgets(),
+        budget: settings.dispatch.budget(),
         outputs: Outputs {
             shared,
             published: published_tx,
--- a/crates/dappleway/src/reload.rs
+++ b/crates/dappleway/src/reload.rs
@@ -16,8 +16,13 @@
 /// How often the file is looked at for a change without a signal. It is small, and nobody waits.
 const LOOK_EVERY: Duration = Duration::from_secs(2);
 /// Settings that a running process takes up.
-const AT_ONCE: [&str; 4] =
-    ["log.level", "fleet.seeds", "dispatch.repeat_ratio", "dispatch.repeat_burst"];
+const AT_ONCE: [&str; 5] = [
+    "log.level",
+    "fleet.seeds",
+    "dispatch.repeat_ratio",
+    "dispatch.repeat_extra",
+    "dispatch.repeat_window_ms",
+];
 
 /// What follows the settings file.
 pub struct Reload {
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use policy::{Budgets, Change, Dispatcher, Observation, Settled, Time, stable_hash};
+use policy::{BudgetLimits, Change, Dispatcher, Observation, Settled, Time, stable_hash};
 use rand::Rng;
 use resources::{Config, Endpoint, Name, Registration, Service};
 use rustc_hash::FxHashMap;
@@ -38,27 +38,34 @@
     /// The documents in force with the routes that lead to them.
     documents: Vec<(Arc<Service>, Vec<u32>)>,
     endpoints: FxHashMap<Name, Vec<Endpoint>>,
-    budgets: Budgets,
+    budget: BudgetLimits,
+    /// Nodes of the fleet, this one included.
+    nodes: usize,
 }
 
 impl Services {
     /// No services.
-    pub fn new(budgets: Budgets) -> Self {
+    pub fn new(budget: BudgetLimits) -> Self {
         Self {
             by_hash: FxHashMap::default(),
             documents: Vec::new(),
             endpoints: FxHashMap::default(),
-            budgets,
+            budget,
+            nodes: 1,
         }
     }
 
-    /// Follows a change of the budgets for repeats.
-    pub fn set_budgets(&mut self, budgets: Budgets) {
-        self.budgets = budgets;
-        self.for_each(|_, scope, it| match scope {
-            Scope::Alone => it.set_budget(budgets.alone),
-            Scope::Fleet => it.set_budget(budgets.fleet),
-        });
+    /// Follows a change of the budget for repeats.
+    pub fn set_budget(&mut self, budget: BudgetLimits) {
+        self.budget = budget;
+        self.for_each(|_, _, it| it.set_budget(budget));
+    }
+
+    /// Follows a change of the number of nodes in the fleet, this one included.
+    pub fn set_nodes(&mut self, nodes: usize) {
+        if std::mem::replace(&mut self.nodes, nodes) != nodes {
+            self.for_each(|_, _, it| it.set_nodes(nodes));
+        }
     }
 
     /// Follows a configuration that has come into force.
@@ -151,7 +158,7 @@
             let service = self.with_endpoints(document);
             let state = match old.remove(&hash) {
                 Some(it) => it.reconfigured(now, service, routes),
-                None => ServiceState::new(now, service, routes, self.budgets),
+                None => ServiceState::new(now, service, routes, self.budget, self.nodes),
             };
             self.by_hash.insert(hash, state);
         }
@@ -184,8 +191,15 @@
 }
 
 impl ServiceState {
-    fn new(now: Time, service: Arc<Service>, routes: &[u32], budgets: Budgets) -> Self {
-        let direct = Dispatcher::new(now, &service, routes, budgets.alone);
+    fn new(
+        now: Time,
+        service: Arc<Service>,
+        routes: &[u32],
+        budget: BudgetLimits,
+        nodes: usize,
+    ) -> Self {
+        let mut direct = Dispatcher::new(now, &service, routes, budget);
+        direct.set_nodes(nodes);
         Self { service, direct, own: None, routes: routes.to_vec() }
     }
 
@@ -200,9 +214,10 @@
 
     /// The dispatcher for the fleet; made when it is first asked for. It starts with what this node
     /// has seen itself.
-    pub fn own(&mut self, now: Time, budgets: Budgets) -> &mut Dispatcher {
+    pub fn own(&mut self, now: Time, budget: BudgetLimits, nodes: usize) -> &mut Dispatcher {
         let make = || {
-            let new = Dispatcher::new(now, &self.service, &self.routes, budgets.fleet);
+            let mut new = Dispatcher::new(now, &self.service, &self.routes, budget);
+            new.set_nodes(nodes);
             new.with_beliefs_of(&self.direct)
         };
         self.own.get_or_insert_with(make)
@@ -212,7 +227,7 @@
 impl Services {
     /// The dispatcher of a service for the fleet.
     pub fn own(&mut self, now: Time, hash: u64) -> Option<&mut Dispatcher> {
-        let budgets = self.budgets;
-        self.by_hash.get_mut(&hash).map(|it| it.own(now, budgets))
+        let (budget, nodes) = (self.budget, self.nodes);
+        self.by_hash.get_mut(&hash).map(|it| it.own(now, budget, nodes))
     }
 }
--- a/crates/dappleway/src/tests.rs
+++ b/crates/dappleway/src/tests.rs
@@ -34,7 +34,8 @@
 fn all_values_out_of_range_are_named_with_their_remedy() {
     let mut settings = Settings::example();
     settings.traffic.threads = 0;
-    settings.dispatch.repeat_burst = 0.0;
+    settings.dispatch.repeat_extra = -1.0;
+    settings.dispatch.repeat_window_ms = 0;
     settings.node.addr = "0.0.0.0:0".parse().unwrap();
     check(
         &toml::to_string(&settings).unwrap(),
@@ -42,7 +43,8 @@
             node.addr: write the VM's own address
             node.addr: write a port that peers can know
             traffic.threads: write 1 to 64
-            dispatch.repeat_burst: write 1.0 or more"#]],
+            dispatch.repeat_extra: write 0.0 or more
+            dispatch.repeat_window_ms: write 100 or more"#]],
     );
 }
 
--- /dev/null
+++ b/crates/policy/src/budget.rs
@@ -0,0 +1,171 @@
+//! Bound on the sends of a service beyond the first of each request, over the whole fleet and any
+//! window of time, without any agreement between the nodes that grant them.
+//!
+//! The bound is a share of the requests and a fixed part. The share needs no agreement: whoever grants
+//! a repeat counts the requests it has seen itself. The fixed part is split over the nodes that ask: a
+//! dispatching node spends the parts of those that have asked it within the window. A fleet cut in
+//! two has two dispatching nodes, whose parts add up to no more than the whole.
+
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+
+use crate::rendezvous::NodeId;
+use crate::time::Time;
+
+/// Size of a budget.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetLimits {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats of the whole fleet beyond that.
+    pub extra: f64,
+    /// Both hold for every stretch of this length.
+    pub window: Duration,
+}
+
+/// What a further send is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spend {
+    /// The send before it has failed.
+    OnFailure,
+    /// The send before it is late.
+    OnHedge,
+}
+
+/// Slices of the window that are counted apart.
+const SLICES: usize = 20;
+/// Part of the ratio that is used: requests are counted where they ask, and some never do.
+const RATIO_PART: f64 = 0.9;
+/// Part of the fixed bound that is used. A node may have asked two dispatching nodes within a window.
+const EXTRA_PART: f64 = 0.5;
+/// Part of that in the first window of a new dispatching node: the one before may have spent its own a
+/// moment ago, and the one before that too.
+const EXTRA_AT_START: f64 = 0.5;
+/// Part of the budget that hedges leave for what has failed.
+const KEPT_FOR_FAILURES: f64 = 0.4;
+/// Part of the budget below which it is short: a first send that fails may then be the last.
+const SHORT: f64 = 0.35;
+
+/// Counts of one slice of the window.
+#[derive(Clone, Copy, Debug, Default)]
+struct Slice {
+    number: u64,
+    first: u32,
+    repeats: u32,
+}
+
+/// The budget of one service at one node.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    limits: BudgetLimits,
+    started: Time,
+    /// Slices by their number, modulo the length; one more than a window, because the present one is
+    /// not full.
+    slices: [Slice; SLICES + 1],
+    /// Nodes that have asked, and when last.
+    askers: FxHashMap<NodeId, Time>,
+    /// Slice in which those that asked too long ago were last forgotten.
+    forgot_in: u64,
+    /// Nodes of the fleet, as far as they are known.
+    nodes: usize,
+}
+
+impl Budget {
+    /// The budget of a node that begins to grant repeats at `now`.
+    pub fn new(now: Time, limits: BudgetLimits) -> Self {
+        Self {
+            limits,
+            started: now,
+            slices: [Slice::default(); SLICES + 1],
+            askers: FxHashMap::default(),
+            forgot_in: 0,
+            nodes: 1,
+        }
+    }
+
+    /// Follows a change of its size.
+    pub fn set_limits(&mut self, limits: BudgetLimits) {
+        if limits.window != self.limits.window {
+            // Counts of slices of another length mean nothing.
+            self.slices = Default::default();
+        }
+        self.limits = limits;
+    }
+
+    /// Follows a change of the fleet's size.
+    pub fn set_nodes(&mut self, nodes: usize) {
+        self.nodes = nodes.max(1);
+    }
+
+    /// Records the first send of a request of `node`.
+    pub fn first_send(&mut self, now: Time, node: NodeId) {
+        self.slice(now).first += 1;
+        self.askers.insert(node, now);
+    }
+
+    /// Takes one further send if the budget allows it.
+    pub fn take(&mut self, now: Time, what: Spend) -> bool {
+        let kept = match what {
+            Spend::OnFailure => 0.0,
+            Spend::OnHedge => KEPT_FOR_FAILURES,
+        };
+        let (allowed, spent) = self.balance(now);
+        let is_granted = spent + 1.0 <= allowed * (1.0 - kept);
+        if is_granted {
+            self.slice(now).repeats += 1;
+        }
+        is_granted
+    }
+
+    /// Whether so little is left that a send that fails may not be followed by another.
+    pub fn is_short(&mut self, now: Time) -> bool {
+        let (allowed, spent) = self.balance(now);
+        spent + 1.0 > allowed * (1.0 - SHORT)
+    }
+
+    /// Repeats allowed in the window that ends now, and those spent in it.
+    fn balance(&mut self, now: Time) -> (f64, f64) {
+        let number = self.number(now);
+        self.forget_askers(now, number);
+        let in_window = |it: &&Slice| it.number + SLICES as u64 >= number;
+        let (mut first, mut repeats) = (0, 0);
+        for it in self.slices.iter().filter(in_window) {
+            first += it.first;
+            repeats += it.repeats;
+        }
+        let allowed = f64::from(first) * self.limits.ratio * RATIO_PART + self.extra(now);
+        (allowed, f64::from(repeats))
+    }
+
+    /// The fixed part, for the nodes that have asked here.
+    fn extra(&self, now: Time) -> f64 {
+        let part = (self.askers.len() as f64 / self.nodes as f64).min(1.0);
+        let is_new = now.since(self.started) < self.limits.window;
+        let known = if is_new { EXTRA_AT_START } else { 1.0 };
+        self.limits.extra * EXTRA_PART * part * known
+    }
+
+    /// Once a slice, because there may be hundreds of them.
+    fn forget_askers(&mut self, now: Time, number: u64) {
+        if std::mem::replace(&mut self.forgot_in, number) != number {
+            let window = self.limits.window;
+            self.askers.retain(|_, at| now.since(*at) < window);
+        }
+    }
+
+    fn slice(&mut self, now: Time) -> &mut Slice {
+        let number = self.number(now);
+        let it = &mut self.slices[(number % (SLICES as u64 + 1)) as usize];
+        if it.number != number {
+            *it = Slice { number, ..Slice::default() };
+        }
+        it
+    }
+
+    fn number(&self, now: Time) -> u64 {
+        let length = (self.limits.window.as_micros() as u64 / SLICES as u64).max(1);
+        // Slice zero stands for one that was never used.
+        now.0 / length + 1
+    }
+}
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -15,10 +15,10 @@
 use rustc_hash::FxHashMap;
 
 use crate::belief::{Belief, Strain, Use};
+use crate::budget::{Budget, BudgetLimits, Spend};
 use crate::judge::{Judge, Kind, Observation, Reporter};
 use crate::permit::{Ask, Grant, PermitId, Reply, Settled, Tier};
 use crate::queue::{Queue, Waiting};
-use crate::retry::{Budget, BudgetLimits, Spend};
 use crate::rotation::{Change, EndpointStatus, Rotation, State};
 use crate::served::{Ending, Served};
 use crate::time::Time;
@@ -84,15 +84,6 @@
     belief: Belief,
 }
 
-/// Sizes of the budgets for repeats.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Budgets {
-    /// Of a node that dispatches a service for the fleet.
-    pub fleet: BudgetLimits,
-    /// Of a node that picks for itself.
-    pub alone: BudgetLimits,
-}
-
 impl Dispatcher {
     /// A dispatcher for `service`. `routes` are hashes of the names of the routes that lead to it.
     pub fn new(now: Time, service: &Service, routes: &[u32], budget: BudgetLimits) -> Self {
@@ -102,7 +93,7 @@
             permits: FxHashMap::default(),
             queue: Queue::new(),
             mean_hold: FIRST_HOLD,
-            budget: Budget::new(budget),
+            budget: Budget::new(now, budget),
             served: Served::default(),
             granted_at: None,
             is_strained: false,
@@ -135,12 +126,12 @@
         if self.queue.any(|it| it.id == ask.id) {
             return Reply::Queued;
         }
-        if ask.repeated && !self.budget.take(Spend::of(&ask)) {
+        if ask.repeated && !self.budget.take(now, Spend::of(&ask)) {
             self.served.note(now, Ending::Unserved);
             return Reply::Refused { retry_after: self.mean_hold.max(MIN_RETRY_AFTER) };
         }
         if !ask.repeated {
-            self.budget.first_send();
+            self.budget.first_send(now, ask.reporter.node);
         }
         self.find_strain(now);
         if let Some(endpoint) = self.choose(now, &ask, || rng.random()) {
@@ -211,6 +202,11 @@
         self.budget.set_limits(limits);
     }
 
+    /// Follows a change of the number of nodes in the fleet, this one included.
+    pub fn set_nodes(&mut self, nodes: usize) {
+        self.budget.set_nodes(nodes);
+    }
+
     /// Takes over what another dispatcher of the same service knows of failures.
     pub fn with_beliefs_of(mut self, other: &Self) -> Self {
         for (it, load) in self.judge.rotation.endpoints().iter().zip(&mut self.loads) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod baseline;
 mod belief;
+mod budget;
 mod dispatcher;
 mod judge;
 mod permit;
@@ -18,11 +19,12 @@
 mod time;
 mod verdict;
 
-pub use dispatcher::{Budgets, Dispatcher};
+pub use budget::BudgetLimits;
+pub use dispatcher::Dispatcher;
 pub use judge::{Kind, Observation, Reporter};
 pub use permit::{Ask, Grant, PermitId, Reply, Settled, Tier};
 pub use rendezvous::{NodeId, rank, stable_hash};
-pub use retry::{Attempt, Budget, BudgetLimits, Next, Outcome, next_step};
+pub use retry::{Attempt, Next, Outcome, next_step};
 pub use rotation::{Change, EndpointStatus, Rotation, State, domain_floors};
 pub use time::Time;
 
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -1,5 +1,5 @@
-//! Whether a request may be sent again. The rules of `Repeat` are absolute; the budget bounds how
-//! much more work the repeats of all requests bring to a service.
+//! Whether a request may be sent again. The rules of `Repeat` are absolute; `budget` bounds how much
+//! more work the repeats of all requests bring to a service.
 
 use std::time::Duration;
 
@@ -61,80 +61,3 @@
         (false, false) => Next::GiveUpNotRun,
     }
 }
-
-/// Bound on the repeats and hedges of one service: a share of its first sends and a burst.
-///
-/// The node that dispatches a service counts for the whole fleet. A node that picks for itself
-/// counts alone, with a burst so small that the fleet's sum stays within the service's bound.
-#[derive(Clone, Debug)]
-pub struct Budget {
-    tokens: f64,
-    limits: BudgetLimits,
-}
-
-/// Size of a budget.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct BudgetLimits {
-    /// Repeats for each first send.
-    pub ratio: f64,
-    /// Repeats that may come at once.
-    pub burst: f64,
-}
-
-/// Part of the burst that a new budget holds.
-const AT_START: f64 = 0.25;
-/// Part of the burst that hedges leave for what has failed.
-const KEPT_FOR_FAILURES: f64 = 0.4;
-
-/// What a further send is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Spend {
-    /// The send before it has failed.
-    OnFailure,
-    /// The send before it is late.
-    OnHedge,
-}
-
-impl Budget {
-    /// A budget of which most is spent: another dispatcher may have given it out a moment ago.
-    pub fn new(limits: BudgetLimits) -> Self {
-        Self { tokens: (limits.burst * AT_START).max(1.0), limits }
-    }
-
-    /// A full budget.
-    #[cfg(test)]
-    pub(crate) fn full(limits: BudgetLimits) -> Self {
-        Self { tokens: limits.burst, limits }
-    }
-
-    /// Follows a change of its size.
-    pub fn set_limits(&mut self, limits: BudgetLimits) {
-        self.limits = limits;
-        self.tokens = self.tokens.min(limits.burst);
-    }
-
-    /// Records a first send.
-    pub fn first_send(&mut self) {
-        self.tokens = (self.tokens + self.limits.ratio).min(self.limits.burst);
-    }
-
-    /// Takes one further send if the budget allows it.
-    pub fn take(&mut self, what: Spend) -> bool {
-        let kept = match what {
-            Spend::OnFailure => 0.0,
-            Spend::OnHedge => self.limits.burst * KEPT_FOR_FAILURES,
-        };
-        if self.tokens < 1.0 + kept {
-            return false;
-        }
-        self.tokens -= 1.0;
-        true
-    }
-}
-
-#[cfg(test)]
-impl Budget {
-    pub(crate) fn tokens(&self) -> u32 {
-        self.tokens as u32
-    }
-}
--- /dev/null
+++ b/crates/policy/src/tests/budget.rs
@@ -0,0 +1,132 @@
+//! The users' bound on repeats: over any window, and summed over a fleet that no node sees whole.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+
+use crate::budget::{Budget, BudgetLimits, Spend};
+use crate::{NodeId, Time};
+
+const WINDOW: Duration = Duration::from_secs(10);
+const NODES: u64 = 40;
+const LIMITS: BudgetLimits = BudgetLimits { ratio: 0.2, extra: 58.0, window: WINDOW };
+
+fn budget(nodes: u64) -> Budget {
+    let mut it = Budget::new(Time(0), LIMITS);
+    it.set_nodes(nodes as usize);
+    it
+}
+
+/// Times of first sends and of repeats.
+#[derive(Default)]
+struct Sends {
+    first: Vec<Time>,
+    repeats: Vec<Time>,
+}
+
+impl Sends {
+    /// The most by which the repeats of any window exceed the bound.
+    fn excess(&self) -> f64 {
+        let within = |all: &[Time], end: Time| {
+            all.iter().filter(|it| **it <= end && end.since(**it) < WINDOW).count() as f64
+        };
+        let excess = |end: &Time| {
+            let allowed = LIMITS.extra + LIMITS.ratio * within(&self.first, *end);
+            within(&self.repeats, *end) - allowed
+        };
+        self.repeats.iter().map(excess).fold(f64::MIN, f64::max)
+    }
+}
+
+/// Takes whatever is granted.
+fn spend_all(it: &mut Budget, now: Time, sends: &mut Sends) {
+    while it.take(now, Spend::OnFailure) {
+        sends.repeats.push(now);
+    }
+}
+
+proptest! {
+    #[test]
+    fn no_window_holds_more_repeats_than_the_bound(
+        steps in prop::collection::vec((0..3_000_u64, 0..NODES, any::<bool>()), 1..200)
+    ) {
+        let (mut it, mut sends, mut now) = (budget(NODES), Sends::default(), Time(0));
+        for (pause_ms, node, spends) in steps {
+            now = now + Duration::from_millis(pause_ms);
+            it.first_send(now, NodeId(node));
+            sends.first.push(now);
+            if spends {
+                spend_all(&mut it, now, &mut sends);
+            }
+        }
+        prop_assert!(sends.excess() <= 0.0);
+    }
+
+    /// Each node asks whoever dispatches in its part; the parts change twice within a window, and all
+    /// spend whatever they are granted.
+    #[test]
+    fn a_fleet_in_parts_stays_within_the_bound(
+        parts in prop::collection::vec(prop::collection::vec(0..6_usize, NODES as usize), 3),
+        gaps in prop::collection::vec(0..5_000_u64, 3),
+    ) {
+        let (mut sends, mut now) = (Sends::default(), Time(0));
+        for (part_of, gap_ms) in parts.iter().zip(gaps) {
+            now = now + Duration::from_millis(gap_ms);
+            // Those that dispatch now knew nothing of the service before.
+            let mut budgets: Vec<Budget> = (0..6)
+                .map(|_| {
+                    let mut it = Budget::new(now, LIMITS);
+                    it.set_nodes(NODES as usize);
+                    it
+                })
+                .collect();
+            for (node, part) in part_of.iter().enumerate() {
+                budgets[*part].first_send(now, NodeId(node as u64));
+                sends.first.push(now);
+            }
+            budgets.iter_mut().for_each(|it| spend_all(it, now, &mut sends));
+        }
+        prop_assert!(sends.excess() <= 0.0);
+    }
+}
+
+#[test]
+fn a_steady_service_gets_the_fixed_part_in_every_window() {
+    let (mut it, mut sends) = (budget(NODES), Sends::default());
+    for ms in (0..60_000).step_by(100) {
+        let now = Time(0) + Duration::from_millis(ms);
+        it.first_send(now, NodeId(ms / 100 % NODES));
+        sends.first.push(now);
+        spend_all(&mut it, now, &mut sends);
+    }
+    // 10 requests a second: 9 tenths of a fifth of them, and half of the fixed part each 10 s.
+    let late = sends.repeats.iter().filter(|it| **it > Time(0) + WINDOW * 2).count();
+    assert!((160..=200).contains(&late), "{late} in 40 s");
+}
+
+#[test]
+fn a_node_on_its_own_has_its_own_part_only() {
+    let mut it = budget(NODES);
+    let mut sends = Sends::default();
+    it.first_send(Time(0) + WINDOW, NodeId(1));
+    spend_all(&mut it, Time(0) + WINDOW, &mut sends);
+    assert_eq!(sends.repeats.len(), 0);
+    for ms in 0..10 {
+        it.first_send(Time(0) + WINDOW + Duration::from_millis(ms), NodeId(1));
+    }
+    spend_all(&mut it, Time(0) + WINDOW + Duration::from_millis(10), &mut sends);
+    assert_eq!(sends.repeats.len(), 2);
+}
+
+#[test]
+fn hedges_leave_a_part_for_what_has_failed() {
+    let mut it = budget(1);
+    let now = Time(0) + WINDOW;
+    it.first_send(now, NodeId(1));
+    let mut taken =
+        |what| std::iter::repeat_with(|| it.take(now, what)).take_while(|it| *it).count();
+    let hedges = taken(Spend::OnHedge);
+    let others = taken(Spend::OnFailure);
+    assert_eq!((hedges, others), (17, 12));
+    assert!(it.is_short(now));
+}
