While the budget is short a first send waits as long as a last one

Cause: first sends that may be repeated go to an endpoint known to fail after a short wait, because another send can follow. How long to wait is now decided where the budget is known, from the objective of the route.

--- a/crates/caller/src/dispatch.rs
+++ b/crates/caller/src/dispatch.rs
@@ -26,8 +26,8 @@
     pub wait: bool,
     /// Time left until the deadline.
     pub left: Duration,
-    /// A longer wait for a good endpoint is worse than an endpoint that may fail.
-    pub patience: Duration,
+    /// Whether the route's rules allow no further send after this one.
+    pub is_last: bool,
 }
 
 /// No slot can be had in time.
--- a/crates/caller/src/sending.rs
+++ b/crates/caller/src/sending.rs
@@ -55,7 +55,7 @@
     loop {
         let want = Want {
             repeated: progress.reached > 0,
-            patience: work.patience(progress.reached),
+            is_last: work.is_last_send(progress.reached),
             ..work.want(cx.paths.avoided(&progress.tried))
         };
         let slot = match acquire(cx, work, want).await {
--- a/crates/caller/src/work.rs
+++ b/crates/caller/src/work.rs
@@ -21,13 +21,6 @@
 /// this long, a round trip and a late scheduler.
 const LAST_WORD: Duration = Duration::from_millis(80);
 
-/// Part of the objective that a send waits for a good endpoint if another one may follow. Work takes
-/// a third of the objective on the users' sites, so that a second send still fits.
-const FIRST_SEND_PATIENCE: f64 = 0.15;
-/// The same for the last send of a request. Trials with six tenths of the time left and with the whole
-/// objective made requests late on days of high load and served no more of them.
-const LAST_SEND_PATIENCE: f64 = 0.5;
-
 /// One request after its route was found.
 pub(crate) struct Work {
     pub(crate) snapshot: Arc<Snapshot>,
@@ -112,15 +105,9 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// How long a good endpoint is waited for. A send that can be followed by another one loses
-    /// little on an endpoint that fails; the last one loses all.
-    pub(crate) fn patience(&self, sends_before: u32) -> Duration {
-        let is_last =
-            self.route.repeat != Repeat::Anytime || sends_before + 1 >= self.route.max_sends;
-        match is_last {
-            true => self.route.objective().mul_f64(LAST_SEND_PATIENCE),
-            false => self.route.objective().mul_f64(FIRST_SEND_PATIENCE),
-        }
+    /// Whether no further send may follow one after `sends_before` that reached an endpoint.
+    pub(crate) fn is_last_send(&self, sends_before: u32) -> bool {
+        self.route.repeat != Repeat::Anytime || sends_before + 1 >= self.route.max_sends
     }
 
     pub(crate) fn want(&self, avoid: Vec<SocketAddr>) -> Want {
@@ -133,7 +120,7 @@
             repeated: false,
             wait: true,
             left: self.left(),
-            patience: self.patience(0),
+            is_last: self.is_last_send(0),
         }
     }
 
--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -49,7 +49,8 @@
             repeated: want.repeated,
             avoid: want.avoid.clone(),
             left: want.left,
-            patience: want.patience,
+            is_last: want.is_last,
+            objective: want.route.objective(),
             wait: want.wait,
         };
         self.waiting.insert(id, Waiter { tx, service, route: ask.route });
--- a/crates/fleet/src/tests/permits.rs
+++ b/crates/fleet/src/tests/permits.rs
@@ -31,7 +31,8 @@
         repeated: false,
         avoid: Vec::new(),
         left: Duration::from_secs(1),
-        patience: Duration::from_millis(200),
+        is_last: false,
+        objective: Duration::from_secs(1),
         wait: true,
     };
     Wish { ask, service: 9, deadline: Time(0) + Duration::from_secs(1) }
--- a/crates/fleet/src/tests/wire.rs
+++ b/crates/fleet/src/tests/wire.rs
@@ -87,7 +87,8 @@
         repeated: true,
         avoid: vec![longest_info().addr; 16],
         left: Duration::MAX,
-        patience: Duration::MAX,
+        is_last: true,
+        objective: Duration::MAX,
         wait: true,
     };
     let ask = PermitMessage::Ask { service: u64::MAX, ask };
--- a/crates/policy/benches/decision.rs
+++ b/crates/policy/benches/decision.rs
@@ -54,7 +54,8 @@
                     repeated: false,
                     avoid: Vec::new(),
                     left: Duration::from_secs(1),
-                    patience: Duration::from_millis(200),
+                    is_last: false,
+                    objective: Duration::from_secs(1),
                     wait: false,
                 };
                 let now = Time(seq * 100);
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -70,6 +70,9 @@
     granted_at: Option<Time>,
     /// So much fails that endpoints are tried again sooner; as of the last choice.
     is_strained: bool,
+    /// So little of the budget is left that a send that fails may not be followed by another; as of
+    /// the last choice.
+    is_budget_short: bool,
     /// An endpoint that is tried again because too many are left alone; as of the last choice.
     to_try: Option<usize>,
 }
@@ -97,6 +100,7 @@
             served: Served::default(),
             granted_at: None,
             is_strained: false,
+            is_budget_short: false,
             to_try: None,
         }
     }
@@ -314,7 +318,7 @@
             grant: grant.clone(),
             granted: now,
             expires: now + PERMIT_LIFETIME,
-            is_last_send: !ask.repeatable || ask.repeated,
+            is_last_send: ask.is_last,
             stalled: false,
         };
         self.loads[endpoint].in_use += 1;
--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -1,5 +1,7 @@
 //! Which endpoint a request gets: tiers by what is believed of it, then slots in use and distance.
 
+use std::time::Duration;
+
 use super::Dispatcher;
 use crate::belief::{Strain, TRY_AGAIN, Use};
 use crate::permit::{Ask, Tier};
@@ -14,6 +16,12 @@
 /// What an endpoint of another failure domain counts for, in slots in use, when short answers are
 /// placed. Traffic between failure domains has a price; a busy slot costs more.
 const FAR_SLOTS: u32 = 2;
+/// Part of the objective that a send waits for a good endpoint if another one may follow. Work takes
+/// a third of the objective on the users' sites, so that a second send still fits.
+const FIRST_SEND_PATIENCE: f64 = 0.15;
+/// The same for the last send of a request. Trials with six tenths of the time left and with the whole
+/// objective made requests late on days of high load and served no more of them.
+const LAST_SEND_PATIENCE: f64 = 0.5;
 
 impl Dispatcher {
     /// The free endpoint of the best tier with the least cost; ties are broken at random.
@@ -43,12 +51,25 @@
             }
         }
         let ((tier, ..), i) = best?;
-        let is_impatient = || self.expected_wait(good_slots, ask.priority) > ask.patience;
+        let is_impatient = || self.expected_wait(good_slots, ask.priority) > self.patience(ask);
         let take_worse = ask.wait && (good_slots == 0 || is_impatient());
         (tier < Tier::Near || take_worse).then_some(i)
     }
 
+    /// How long a good endpoint is waited for. A send that can be followed by another one loses little
+    /// on an endpoint that fails; the last one loses all.
+    fn patience(&self, ask: &Ask) -> Duration {
+        let part = if self.is_last_send(ask) { LAST_SEND_PATIENCE } else { FIRST_SEND_PATIENCE };
+        ask.objective.mul_f64(part)
+    }
+
+    /// Whether no other send will follow, by the route's rules or because the budget is nearly spent.
+    fn is_last_send(&self, ask: &Ask) -> bool {
+        ask.is_last || self.is_budget_short
+    }
+
     pub(super) fn find_strain(&mut self, now: Time) {
+        self.is_budget_short = self.budget.is_short(now);
         self.is_strained = self.served.is_strained(now);
         let is_idle = |i: &usize| self.loads[*i].belief.is_idle(now);
         let idle: Vec<usize> = (0..self.loads.len()).filter(is_idle).collect();
@@ -126,7 +147,9 @@
             _ if ask.avoid.contains(&it.addr) => Some(Tier::Avoided),
             _ if is_on_trial && last => None,
             _ if is_on_trial && ask.repeatable && !ask.bulky => Some(Tier::Trial),
-            _ if last && ask.bulky && !ask.repeated && self.is_near(i, ask) => Some(Tier::Near),
+            _ if last && ask.bulky && !self.is_last_send(ask) && self.is_near(i, ask) => {
+                Some(Tier::Near)
+            }
             _ if last => Some(Tier::Last),
             _ if ask.bulky && !self.is_near(i, ask) => Some(Tier::Far),
             Use::Cautiously if !ask.repeatable => Some(Tier::Cautious),
--- a/crates/policy/src/permit.rs
+++ b/crates/policy/src/permit.rs
@@ -43,8 +43,10 @@
     pub avoid: Vec<SocketAddr>,
     /// Time left until the request's deadline.
     pub left: Duration,
-    /// A longer wait for a good endpoint is worse than an endpoint that may fail.
-    pub patience: Duration,
+    /// Whether the route's rules allow no further send after this one.
+    pub is_last: bool,
+    /// Time within which an answer is worth most to the caller.
+    pub objective: Duration,
     /// Whether to wait for a slot, or else to take a suspect endpoint. Without it, as for a hedge,
     /// the answer is `Full` unless a good endpoint is free.
     pub wait: bool,
--- a/crates/policy/src/tests/choice.rs
+++ b/crates/policy/src/tests/choice.rs
@@ -28,8 +28,8 @@
     let service = service(&[2, 2], 2, Bias::Speed);
     let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
     let near = Reporter { node: NodeId(1), failure_domain: stable_hash(b"b") };
-    let mut domains = |seqs: std::ops::Range<u64>, patience| -> Vec<_> {
-        seqs.map(|seq| Ask { bulky: true, reporter: near, patience, ..ask(seq, true) })
+    let mut domains = |seqs: std::ops::Range<u64>, objective| -> Vec<_> {
+        seqs.map(|seq| Ask { bulky: true, reporter: near, objective, ..ask(seq, true) })
             .map(|ask| domain_of(&dispatcher.ask(Time(0), ask, &mut rng)))
             .collect()
     };
@@ -46,8 +46,8 @@
     let Reply::Granted(bad) = dispatcher.ask(Time(0), ask(0, true), &mut rng) else { panic!() };
     let ms = Duration::from_millis(5);
     dispatcher.release(Time(0), ask(0, true).id, Kind::Failed, ms, &mut rng);
-    let mut at_bad = |seqs: std::ops::Range<u64>, patience| -> Vec<bool> {
-        seqs.map(|seq| dispatcher.ask(Time(1), Ask { patience, ..ask(seq, true) }, &mut rng))
+    let mut at_bad = |seqs: std::ops::Range<u64>, objective| -> Vec<bool> {
+        seqs.map(|seq| dispatcher.ask(Time(1), Ask { objective, ..ask(seq, true) }, &mut rng))
             .map(|it| matches!(it, Reply::Granted(grant) if grant.addr == bad.addr))
             .collect()
     };
@@ -110,7 +110,7 @@
     let mut trials = vec![Vec::new(); sick];
     for seq in 0..4_000 {
         let now = Time(0) + Duration::from_millis(5 * seq);
-        let ask = Ask { repeatable: false, ..ask(seq, true) };
+        let ask = Ask { repeatable: false, is_last: true, ..ask(seq, true) };
         let id = ask.id;
         let Reply::Granted(grant) = dispatcher.ask(now, ask, &mut rng) else { continue };
         let i = position(&grant);
@@ -156,7 +156,7 @@
     let mut longest = Duration::ZERO;
     for seq in 0..1_000 {
         let now = Time(0) + Duration::from_millis(20 * seq);
-        let ask = Ask { repeatable: false, ..ask(seq, true) };
+        let ask = Ask { repeatable: false, is_last: true, ..ask(seq, true) };
         let id = ask.id;
         let Reply::Granted(grant) = dispatcher.ask(now, ask, &mut rng) else { continue };
         let fails = sick.contains(&grant.addr) || seq % 5 == 0;
@@ -283,7 +283,8 @@
     let bulky = |seq| Ask { bulky: true, reporter: near, ..ask(seq, true) };
     let first = dispatcher.ask(Time(1), bulky(1), &mut rng);
     assert!(matches!(&first, Reply::Granted(it) if it.tier == Tier::Near), "{first:?}");
-    let second = dispatcher.ask(Time(1), Ask { repeated: true, ..bulky(2) }, &mut rng);
+    let second =
+        dispatcher.ask(Time(1), Ask { repeated: true, is_last: true, ..bulky(2) }, &mut rng);
     assert!(matches!(&second, Reply::Granted(it) if it.tier == Tier::Far), "{second:?}");
 }
 
@@ -307,7 +308,7 @@
         dispatcher.tick(now, &mut rng);
         let is_out = matches!(dispatcher.endpoints()[0].state, State::Ejected { .. });
         assert!(is_out || seq > 0, "it is out from the start");
-        let ask = Ask { repeatable: false, ..ask(seq, true) };
+        let ask = Ask { repeatable: false, is_last: true, ..ask(seq, true) };
         let id = ask.id;
         let Reply::Granted(grant) = dispatcher.ask(now, ask, &mut rng) else { continue };
         let is_sick = grant.addr == service.endpoints[0].addr;
@@ -317,3 +318,27 @@
     }
     assert!((1..=6).contains(&tries), "{tries} tries in 10 s");
 }
+
+/// First sends went to endpoints known to fail, and the budget for another send was spent.
+#[test]
+fn a_first_send_waits_as_a_last_one_while_the_budget_is_short() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = service(&[2], 1, Bias::Speed);
+    let mut tier_of_a_send_that_finds_the_good_one_full = |extra| {
+        let budget = BudgetLimits { extra, ..BUDGET };
+        let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], budget);
+        let elapsed = Duration::from_millis(1);
+        let reporter = reporter(1);
+        let seen = Observation { reporter, endpoint: 0, route: ROUTE, kind: Kind::Failed, elapsed };
+        (0..3).for_each(|_| dispatcher.observe(Time(0), &service.endpoints[0].id, seen));
+        (0..3).for_each(|seq| drop(dispatcher.ask(Time(1), ask(seq, true), &mut rng)));
+        // A wait of a third of 100 ms lies between a twentieth and a half of this objective.
+        let objective = Duration::from_millis(200);
+        match dispatcher.ask(Time(1), Ask { objective, ..ask(9, true) }, &mut rng) {
+            Reply::Granted(it) => Some(it.tier),
+            _ => None,
+        }
+    };
+    assert_eq!(tier_of_a_send_that_finds_the_good_one_full(40.0), Some(Tier::Last));
+    assert_eq!(tier_of_a_send_that_finds_the_good_one_full(0.0), None, "it waits");
+}
--- a/crates/policy/src/tests/fixture.rs
+++ b/crates/policy/src/tests/fixture.rs
@@ -148,7 +148,8 @@
         repeated: false,
         avoid: Vec::new(),
         left: SECOND,
-        patience: SECOND / 4,
+        is_last: false,
+        objective: SECOND,
         wait,
     }
 }
