No endpoint is left alone for more than four seconds: the floor without a count

Now work that can be sent again tries an endpoint 1.9 s after its last failure, before all else and one at a time; any work does so after 3.6 s; a time out is 2 s, each time. Gone with it: the part that may be left alone, the search for the likeliest well one at each ask, strikes and their forgiveness.

--- a/crates/policy/src/belief.rs
+++ b/crates/policy/src/belief.rs
@@ -37,7 +37,8 @@
 /// Below this it takes one request at a time, preferably one that may be repeated.
 const CAUTIOUSLY_BELOW: f64 = 0.5;
 /// The users count an endpoint as well two seconds after its last failure, and want work at most of
-/// the well ones in any two seconds: one that was left alone for this long may count as idle.
+/// the well ones in any two seconds: one that is left alone for longer may count as idle. They look at
+/// those without trouble only, so that a share of all endpoints proves nothing.
 const IDLE_AFTER: Duration = Duration::from_millis(3_600);
 /// While a part of the requests is not served, an endpoint is tried again this long after its last
 /// failure.
@@ -62,16 +63,25 @@
 }
 
 /// Whether the service goes without endpoints that it may need.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum Strain {
     /// Nearly all requests are served.
+    #[default]
     None,
-    /// The same, but more endpoints are left alone than would be right if that changed at once.
-    Idle,
     /// A part of the requests is not served: endpoints are tried again sooner.
     Unserved,
 }
 
+impl Strain {
+    /// How long an endpoint is left alone after a failure at most.
+    fn alone_for(self) -> Duration {
+        match self {
+            Self::None => IDLE_AFTER,
+            Self::Unserved => TRY_AGAIN,
+        }
+    }
+}
+
 /// How an endpoint is used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Use {
@@ -116,26 +126,12 @@
         match self.sick(now) {
             it if it < FREELY_BELOW => Use::Freely,
             it if it < SINGLY_BELOW => Use::Singly,
-            _ if self.is_to_be_tried(now, strain) => Use::Singly,
+            _ if self.failed_before(now, strain.alone_for()) => Use::Singly,
             it if it < CAUTIOUSLY_BELOW => Use::Cautiously,
             _ => Use::Last,
         }
     }
 
-    /// Whether the endpoint is left alone for so long that the users may count it as well and idle.
-    pub(crate) fn is_idle(&self, now: Time) -> bool {
-        let is_avoided = matches!(self.usage(now, Strain::None), Use::Last | Use::Cautiously);
-        is_avoided && self.failed_before(now, IDLE_AFTER)
-    }
-
-    fn is_to_be_tried(&self, now: Time, strain: Strain) -> bool {
-        match strain {
-            Strain::None => false,
-            Strain::Idle => self.failed_before(now, IDLE_AFTER),
-            Strain::Unserved => self.failed_before(now, TRY_AGAIN),
-        }
-    }
-
     /// Whether the last failure is longer ago than `age`.
     pub(crate) fn failed_before(&self, now: Time, age: Duration) -> bool {
         self.failed_at.is_none_or(|it| now.since(it) > age)
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -68,13 +68,11 @@
     budget: Budget,
     served: Served,
     granted_at: Option<Time>,
-    /// So much fails that endpoints are tried again sooner; as of the last choice.
-    is_strained: bool,
+    /// Whether so much fails that endpoints are tried again sooner; as of the last choice.
+    strain: Strain,
     /// So little of the budget is left that a send that fails may not be followed by another; as of
     /// the last choice.
     is_budget_short: bool,
-    /// An endpoint that is tried again because too many are left alone; as of the last choice.
-    to_try: Option<usize>,
 }
 
 /// What this dispatcher knows of one endpoint's slots and of its latest failures.
@@ -99,9 +97,8 @@
             budget: Budget::new(now, budget),
             served: Served::default(),
             granted_at: None,
-            is_strained: false,
+            strain: Strain::None,
             is_budget_short: false,
-            to_try: None,
         }
     }
 
@@ -113,7 +110,6 @@
         let after: Vec<_> = self.endpoints().iter().map(|it| it.id.clone()).collect();
         let old = std::mem::take(&mut self.loads);
         let load_of = |id: &Name| before.iter().position(|it| it == id).map(|i| old[i]);
-        self.to_try = None;
         self.loads = after.iter().map(|id| load_of(id).unwrap_or_default()).collect();
         self.permits.retain(|_, it| {
             let moved = after.iter().position(|id| *id == before[it.endpoint]);
@@ -137,7 +133,7 @@
         if !ask.repeated {
             self.budget.first_send(now, ask.reporter.node);
         }
-        self.find_strain(now);
+        self.look_around(now);
         if let Some(endpoint) = self.choose(now, &ask, || rng.random()) {
             return Reply::Granted(self.grant(now, &ask, endpoint));
         }
@@ -308,7 +304,7 @@
             endpoint: it.id.clone(),
             addr: it.addr,
             stall_after: self.judge.baseline.stall_after(ask.route),
-            trial: matches!(it.state, State::Trial { .. }),
+            trial: tier == Tier::Trial || matches!(it.state, State::Trial { .. }),
             tier,
         };
         let permit = Permit {
@@ -353,7 +349,7 @@
         if self.queue.len() == 0 {
             return Vec::new();
         }
-        self.find_strain(now);
+        self.look_around(now);
         let mut settled = Vec::new();
         while self.queue.len() > 0 && self.has_free_slot(now) {
             let fits = |ask: &Ask| self.choose(now, ask, || 0).is_some();
--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -9,10 +9,6 @@
 use crate::rotation::State;
 use crate::time::Time;
 
-/// Part of the endpoints that may be left alone although they may be well; the users' floor lets three
-/// tenths go without work. With 0.15, calm days lost 0.03 to 0.04 of worth to trials of endpoints
-/// that were still sick.
-const IDLE_PART: f64 = 0.27;
 /// What an endpoint of another failure domain counts for, in slots in use, when short answers are
 /// placed. Traffic between failure domains has a price; a busy slot costs more.
 const FAR_SLOTS: u32 = 2;
@@ -38,7 +34,10 @@
         let mut good_slots = 0;
         for (i, load) in self.loads.iter().enumerate() {
             let Some(tier) = self.tier(now, i, ask) else { continue };
-            let usable = self.usable_slots(now, i);
+            let usable = match tier {
+                Tier::Trial => 1,
+                _ => self.usable_slots(now, i),
+            };
             if tier < Tier::Near {
                 good_slots += usable as usize;
             }
@@ -68,23 +67,10 @@
         ask.is_last || self.is_budget_short
     }
 
-    pub(super) fn find_strain(&mut self, now: Time) {
+    /// Looks at what bears on all choices at this moment.
+    pub(super) fn look_around(&mut self, now: Time) {
         self.is_budget_short = self.budget.is_short(now);
-        self.is_strained = self.served.is_strained(now);
-        let is_idle = |i: &usize| self.loads[*i].belief.is_idle(now);
-        let idle: Vec<usize> = (0..self.loads.len()).filter(is_idle).collect();
-        let too_many = idle.len() as f64 > self.loads.len() as f64 * IDLE_PART;
-        let sick = |i: &usize| self.loads[*i].belief.sick(now);
-        let likeliest_well = idle.into_iter().min_by(|a, b| sick(a).total_cmp(&sick(b)));
-        self.to_try = likeliest_well.filter(|_| too_many);
-    }
-
-    fn strain(&self, i: usize) -> Strain {
-        match self.is_strained {
-            true => Strain::Unserved,
-            false if self.to_try == Some(i) => Strain::Idle,
-            false => Strain::None,
-        }
+        self.strain = self.served.strain(now);
     }
 
     /// Whether an endpoint that is out of rotation is tried all the same, one request at a time,
@@ -93,7 +79,9 @@
         let it = &self.endpoints()[i];
         let is_out = matches!(it.state, State::Ejected { .. }) && now.since(it.since) > TRY_AGAIN;
         // Sick endpoints fail at once: without a pause they would be tried again and again.
-        is_out && self.is_strained && self.loads[i].belief.failed_before(now, TRY_AGAIN)
+        is_out
+            && self.strain == Strain::Unserved
+            && self.loads[i].belief.failed_before(now, TRY_AGAIN)
     }
 
     /// Slots of an endpoint that may be used now: one while nothing proves that it is well again.
@@ -102,7 +90,7 @@
             return 1;
         }
         let usable = self.endpoints()[i].usable_slots(now);
-        match self.loads[i].belief.usage(now, self.strain(i)) {
+        match self.loads[i].belief.usage(now, self.strain) {
             Use::Singly | Use::Cautiously => usable.min(1),
             Use::Freely | Use::Last => usable,
         }
@@ -128,6 +116,16 @@
         stable_hash(failure_domain.as_bytes()) == ask.reporter.failure_domain
     }
 
+    /// Whether a request that can be sent again is to find out if an endpoint that is used last is well
+    /// by now. It costs little, and a recovered endpoint is missed capacity until someone tries it.
+    fn is_due_for_trial(&self, now: Time, i: usize, ask: &Ask) -> bool {
+        let belief = &self.loads[i].belief;
+        !self.is_last_send(ask)
+            && (!ask.bulky || self.is_near(i, ask))
+            && matches!(belief.usage(now, Strain::None), Use::Last | Use::Cautiously)
+            && belief.failed_before(now, TRY_AGAIN)
+    }
+
     pub(super) fn tier(&self, now: Time, i: usize, ask: &Ask) -> Option<Tier> {
         let (it, load) = (&self.endpoints()[i], &self.loads[i]);
         if !it.admits(now, ask.repeatable) {
@@ -135,17 +133,17 @@
         }
         // A trial is there to find out whether the failures have ended.
         let is_on_trial = matches!(it.state, State::Trial { .. });
-        let usage = if is_on_trial { Use::Freely } else { load.belief.usage(now, self.strain(i)) };
+        let usage = if is_on_trial { Use::Freely } else { load.belief.usage(now, self.strain) };
         let is_suspect = it.state == State::Suspect && now.since(it.since) < TRY_AGAIN;
-        let last = is_suspect
-            || it.is_missing
-            || usage == Use::Last
+        let is_out_of_use = it.is_missing
             || now < load.hinted_until
             || now < load.full_until
             || self.judge.avoids(now, i, ask.reporter);
+        let last = is_suspect || usage == Use::Last || is_out_of_use;
         match usage {
             _ if ask.avoid.contains(&it.addr) => Some(Tier::Avoided),
             _ if is_on_trial && last => None,
+            _ if !is_out_of_use && self.is_due_for_trial(now, i, ask) => Some(Tier::Trial),
             _ if is_on_trial && ask.repeatable && !ask.bulky => Some(Tier::Trial),
             _ if last && ask.bulky && !self.is_last_send(ask) && self.is_near(i, ask) => {
                 Some(Tier::Near)
--- a/crates/policy/src/rotation.rs
+++ b/crates/policy/src/rotation.rs
@@ -13,13 +13,10 @@
 
 /// Good work of this age still proves that an endpoint is healthy.
 const PROOF_LIFETIME: Duration = Duration::from_secs(10);
-/// Time out of rotation after a first ejection.
-const FIRST_OUT: Duration = Duration::from_secs(2);
-/// Longest time out of rotation of an endpoint that flaps. Gray episodes on the users' sites last
-/// up to about nine seconds; a longer time only loses healthy capacity.
-const MAX_OUT: Duration = Duration::from_secs(8);
-/// An endpoint that stayed well for this long is forgiven one strike.
-const FORGIVE_AFTER: Duration = Duration::from_secs(60);
+/// Time out of rotation. With the patience of a trial it stays below the four seconds after which the
+/// users count an endpoint that failed by itself as idle; a longer time for one that flaps, doubled up to
+/// 8 s, left some idle for 5 s.
+const TIME_OUT: Duration = Duration::from_secs(2);
 /// Good answers on trial before an endpoint is readmitted.
 const TRIAL_GOOD: u32 = 2;
 /// A trial that finds no repeatable work for this long takes other work too. Services that only
@@ -115,8 +112,6 @@
     pub since: Time,
     /// Last good answer.
     pub last_good: Option<Time>,
-    strikes: u32,
-    forgiven_at: Time,
 }
 
 impl EndpointStatus {
@@ -131,8 +126,6 @@
             state: if is_leaving { State::Leaving } else { State::Unknown },
             since: now,
             last_good: None,
-            strikes: 0,
-            forgiven_at: now,
         }
     }
 
@@ -255,8 +248,6 @@
                     it.state = kept.state;
                     it.since = kept.since;
                     it.last_good = kept.last_good;
-                    it.strikes = kept.strikes;
-                    it.forgiven_at = kept.forgiven_at;
                 }
                 // The first endpoints that are heard of have not just started.
                 None if old.endpoints.is_empty() => {}
@@ -334,17 +325,11 @@
                 State::Ramping { since } if now.since(since) >= RAMP => {
                     self.set(now, i, State::Healthy, "ramp is over");
                 }
-                State::Healthy if it.strikes > 0 && now.since(it.forgiven_at) >= FORGIVE_AFTER => {
-                    it.strikes -= 1;
-                    it.forgiven_at = now;
-                }
                 _ => {}
             }
         }
         self.restore_floor(now);
-        let is_steady = |it: &EndpointStatus| {
-            matches!(it.state, State::Unknown | State::Healthy) && it.strikes == 0
-        };
+        let is_steady = |it: &EndpointStatus| matches!(it.state, State::Unknown | State::Healthy);
         self.steady = self.endpoints.iter().all(is_steady)
             && self.floors.iter().all(|it| it.settling.is_none_or(|(_, until)| now >= until));
     }
@@ -401,11 +386,7 @@
     }
 
     fn push_out(&mut self, now: Time, i: usize, reason: &'static str) {
-        let it = &mut self.endpoints[i];
-        let out = FIRST_OUT.saturating_mul(1 << it.strikes.min(10)).min(MAX_OUT);
-        it.strikes += 1;
-        it.forgiven_at = now;
-        self.set(now, i, State::Ejected { until: now + out }, reason);
+        self.set(now, i, State::Ejected { until: now + TIME_OUT }, reason);
     }
 
     fn set(&mut self, now: Time, i: usize, to: State, reason: &'static str) {
--- a/crates/policy/src/served.rs
+++ b/crates/policy/src/served.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::belief::Strain;
 use crate::time::Time;
 
 /// Time after which an outcome counts for a third. The users look at stretches of two seconds.
@@ -41,9 +42,12 @@
     }
 
     /// Whether so much fails that endpoints must be tried again sooner.
-    pub(crate) fn is_strained(&self, now: Time) -> bool {
+    pub(crate) fn strain(&self, now: Time) -> Strain {
         let all = self.served + self.unserved;
         let is_old = now.since(self.at) > MEMORY;
-        !is_old && all > MIN_OUTCOMES && self.unserved > all * STRAINED
+        match !is_old && all > MIN_OUTCOMES && self.unserved > all * STRAINED {
+            true => Strain::Unserved,
+            false => Strain::None,
+        }
     }
 }
