Logs bounded by kind, a token for the operator API, get, watch, fleet, explain and completions

Logs: each kind (text and severity) has 200 lines a second, requests that were answered well 20; what is left out is counted, said in lines of its own every second and in a metric. A full queue drops and counts. A process whose standard output nobody reads ends within half a second.

Operator API: without a token only liveness, readiness and metrics answer beyond the VM; with `operator.token_file` every other call needs it.

Command line: `get`, `watch`, `fleet`, `explain ENDPOINT`, `completions`; tables or JSON; exit codes 0 to 3 in `--help`. The report says how each endpoint is used, how likely it is sick, and who hands out a service's slots.

--- a/crates/caller/src/trace.rs
+++ b/crates/caller/src/trace.rs
@@ -12,7 +12,7 @@
 use crate::headers::{HeaderNames, Span};
 use crate::work::Work;
 
-/// Logs a request that has ended.
+/// Logs a request that has ended, at warning level if it failed.
 pub(crate) fn request(
     log: &Logger,
     names: &HeaderNames,
@@ -21,11 +21,21 @@
     status: StatusCode,
     elapsed: Duration,
 ) {
-    info!(log, "request";
-        "request_id" => work.request_id(names), "config" => work.snapshot.config.version,
-        "trace" => %Hex128(work.span.trace), "route" => work.route.name.as_str(),
-        "service" => work.service.as_str(), "slot_ms" => work.slot_ms(), "outcome" => outcome, "status" => status.as_u16(),
-        "ms" => elapsed.as_millis() as u64);
+    macro_rules! record {
+        ($level:ident) => {
+            $level!(log, "request";
+                "request_id" => work.request_id(names), "config" => work.snapshot.config.version,
+                "trace" => %Hex128(work.span.trace), "route" => work.route.name.as_str(),
+                "service" => work.service.as_str(), "slot_ms" => work.slot_ms(),
+                "outcome" => outcome, "status" => status.as_u16(),
+                "ms" => elapsed.as_millis() as u64)
+        };
+    }
+    // The severity decides what is left out when there are too many lines: failures last.
+    match status.is_server_error() {
+        true => record!(warn),
+        false => record!(info),
+    }
 }
 
 /// Logs a request that is refused before it is sent.
--- /dev/null
+++ b/crates/dappleway/src/ask.rs
@@ -0,0 +1,237 @@
+//! What the command line asks a running node, and how the answers are shown.
+
+use std::fmt::Display;
+use std::io::{self, Write};
+use std::time::Duration;
+
+use operator::{Client, ClientError, EndpointReport, Report, ResourceView, ServiceReport};
+use serde::Serialize;
+use tabwriter::TabWriter;
+
+use crate::cli::Output;
+
+/// A watch is asked again after this long without news; nodes let it wait for a minute at most.
+const WATCH: Duration = Duration::from_secs(30);
+
+/// Why a question has no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    /// The node knows nothing of the kind.
+    #[error("{0}")]
+    NotFound(String),
+    /// The node refuses to answer.
+    #[error("{0}")]
+    Refused(ClientError),
+    /// The node does not answer.
+    #[error("{0}")]
+    Unreachable(ClientError),
+    /// The answer cannot be written.
+    #[error("the answer cannot be written ({0})")]
+    Output(#[from] io::Error),
+}
+
+impl From<ClientError> for Failure {
+    fn from(it: ClientError) -> Self {
+        match it {
+            ClientError::Refused { status, message } if status.as_u16() == 404 => {
+                Self::NotFound(message)
+            }
+            ClientError::Refused { .. } => Self::Refused(it),
+            _ => Self::Unreachable(it),
+        }
+    }
+}
+
+/// Shows resources in force.
+pub async fn get(
+    client: Client,
+    kind: Option<&str>,
+    name: Option<&str>,
+    output: Output,
+) -> Result<(), Failure> {
+    let items = match (kind, name) {
+        (Some(kind), Some(name)) => vec![client.resource(kind, name).await?],
+        _ => client.resources(kind).await?.items,
+    };
+    if output == Output::Json {
+        return items.iter().try_for_each(print_json);
+    }
+    let mut table = Table::new(&["KIND", "NAME", "IN FORCE", "HEALTHY", "FLOOR"]);
+    for ResourceView { spec, status } in &items {
+        table.row(&[
+            &spec.kind(),
+            &spec.name(),
+            &status.in_force,
+            &maybe(status.healthy),
+            &maybe(status.floor),
+        ])?;
+    }
+    table.print()
+}
+
+/// Prints a line for each configuration that comes into force.
+pub async fn watch(
+    client: Client,
+    mut after: u64,
+    until: Option<u64>,
+    output: Output,
+) -> Result<(), Failure> {
+    loop {
+        let seen = client.watch(after, WATCH).await?;
+        if seen.version > after {
+            match output {
+                Output::Json => print_json(&seen)?,
+                Output::Table => writeln!(
+                    io::stdout(),
+                    "version {} is in force: {} resources",
+                    seen.version,
+                    seen.items.len()
+                )?,
+            }
+            after = seen.version;
+        }
+        if until.is_some_and(|it| seen.version >= it) {
+            return Ok(());
+        }
+    }
+}
+
+/// Shows the fleet as the node sees it.
+pub async fn fleet(client: Client, output: Output) -> Result<(), Failure> {
+    let report = client.fleet().await?;
+    if output == Output::Json {
+        return print_json(&report);
+    }
+    nodes(&report)?;
+    services(&report)?;
+    endpoints(report.services.iter().flat_map(|it| it.endpoints.iter().map(move |e| (it, e))))
+}
+
+/// Shows why an endpoint is used as it is.
+pub async fn explain(client: Client, subject: &str, output: Output) -> Result<(), Failure> {
+    let report = client.fleet().await?;
+    let is_meant = |it: &EndpointReport| it.id == subject || it.addr == subject;
+    let found: Vec<_> = report
+        .services
+        .iter()
+        .flat_map(|it| it.endpoints.iter().map(move |e| (it, e)))
+        .filter(|(_, it)| is_meant(it))
+        .collect();
+    if found.is_empty() {
+        let node = client.addr;
+        return Err(Failure::NotFound(format!(
+            "{subject}: no endpoint at {node}: it has left, or another identity has its address"
+        )));
+    }
+    if output == Output::Json {
+        return found.iter().try_for_each(|(_, it)| print_json(it));
+    }
+    endpoints(found.iter().copied())?;
+    for (service, it) in found {
+        writeln!(io::stdout(), "\n{}", why(&report, service, it))?;
+    }
+    Ok(())
+}
+
+/// Why an endpoint is used as it is, in words.
+fn why(report: &Report, service: &ServiceReport, it: &EndpointReport) -> String {
+    let failed = match it.failed_ms {
+        Some(ms) => format!("its last known failure was {ms} ms ago"),
+        None => "no failure of it is known".to_owned(),
+    };
+    let dispatcher = service.dispatched_by.as_deref().unwrap_or("nobody");
+    let whose = match it.dispatched_here {
+        true => "this node hands out its slots, so this is what counts".to_owned(),
+        false => format!("{dispatcher} hands out its slots: ask that node for what counts"),
+    };
+    format!(
+        "{}: `{}` for {} ms, used {}: sick with a probability of {:.2}, and {failed}.\n\
+         {} of {} endpoints of {} are proven healthy, its floor is {}. {} knows the registry up to \
+         revision {}; {whose}.",
+        it.id,
+        it.state,
+        it.since_ms,
+        it.used,
+        it.sick,
+        service.healthy,
+        service.endpoints.len(),
+        service.name,
+        service.floor,
+        report.node,
+        report.registry_revision,
+    )
+}
+
+fn nodes(report: &Report) -> Result<(), Failure> {
+    let mut table = Table::new(&["NODE", "PHASE", "IN FORCE", "REGISTRY", "HEARD MS AGO"]);
+    let revision = report.registry_revision;
+    table.row(&[&report.node, &report.phase, &report.in_force, &revision, &"(asked)"])?;
+    for it in &report.members {
+        table.row(&[&it.node, &it.phase, &it.in_force, &it.registry_revision, &it.heard_ms])?;
+    }
+    table.print()
+}
+
+fn services(report: &Report) -> Result<(), Failure> {
+    let mut table =
+        Table::new(&["\nSERVICE", "ENDPOINTS", "HEALTHY", "FLOOR", "QUEUED", "DISPATCHED BY"]);
+    for it in &report.services {
+        let dispatcher = it.dispatched_by.as_deref().unwrap_or("-");
+        let endpoints = it.endpoints.len();
+        table.row(&[&it.name, &endpoints, &it.healthy, &it.floor, &it.queued, &dispatcher])?;
+    }
+    table.print()
+}
+
+fn endpoints<'a>(
+    all: impl Iterator<Item = (&'a ServiceReport, &'a EndpointReport)>,
+) -> Result<(), Failure> {
+    let titles =
+        ["\nENDPOINT", "SERVICE", "ADDRESS", "DOMAIN", "STATE", "USED", "SICK", "SLOTS IN USE"];
+    let mut table = Table::new(&titles);
+    for (service, it) in all {
+        let sick = format!("{:.2}", it.sick);
+        table.row(&[
+            &it.id,
+            &service.name,
+            &it.addr,
+            &it.failure_domain,
+            &it.state,
+            &it.used,
+            &sick,
+            &it.in_use,
+        ])?;
+    }
+    table.print()
+}
+
+/// Columns aligned by their widest cell.
+struct Table(TabWriter<Vec<u8>>);
+
+impl Table {
+    fn new(titles: &[&str]) -> Self {
+        let mut out = TabWriter::new(Vec::new());
+        // Writing to memory does not fail.
+        let _ = writeln!(out, "{}", titles.join("\t"));
+        Self(out)
+    }
+
+    fn row(&mut self, cells: &[&dyn Display]) -> Result<(), Failure> {
+        let cells: Vec<String> = cells.iter().map(|it| it.to_string()).collect();
+        Ok(writeln!(self.0, "{}", cells.join("\t"))?)
+    }
+
+    fn print(self) -> Result<(), Failure> {
+        let buf = self.0.into_inner().map_err(|it| io::Error::other(it.to_string()))?;
+        Ok(io::stdout().write_all(&buf)?)
+    }
+}
+
+fn maybe(it: Option<usize>) -> String {
+    it.map_or("-".to_owned(), |it| it.to_string())
+}
+
+fn print_json(it: &impl Serialize) -> Result<(), Failure> {
+    let text = serde_json::to_string(it).map_err(io::Error::other)?;
+    Ok(writeln!(io::stdout(), "{text}")?)
+}
--- a/crates/dappleway/src/cli.rs
+++ b/crates/dappleway/src/cli.rs
@@ -1,19 +1,28 @@
 //! The command line.
 
-use std::path::PathBuf;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use clap::{Parser, Subcommand};
+use clap::{Args, CommandFactory, Parser, Subcommand, ValueEnum};
+use clap_complete::Shell;
 
+use crate::ask::{self, Failure};
+use crate::node::Secrets;
 use crate::settings::{self, Settings};
 use crate::{check, explain, node};
 
-/// Exit code for settings or resources that are refused.
-const REFUSED: u8 = 2;
-/// Exit code for a node that cannot start or fails.
+/// Exit code for a node that cannot start, fails or cannot be reached.
 const FAILED: u8 = 1;
+/// Exit code for arguments, settings, resources or tokens that are refused.
+const REFUSED: u8 = 2;
+/// Exit code for what was asked for and does not exist.
+const NOT_FOUND: u8 = 3;
 
 /// A proxy fleet for upstreams that fail gray.
+///
+/// Exit codes: 0 all is well; 1 a node cannot start, fails or cannot be reached; 2 arguments, settings,
+/// resources or a token are refused; 3 what was asked for does not exist.
 #[derive(Debug, Parser)]
 #[command(name = "dappleway", version)]
 struct Cli {
@@ -35,17 +44,73 @@
         #[arg(required = true)]
         files: Vec<PathBuf>,
     },
-    /// Tells the story of one request from the logs of the nodes.
+    /// Shows the resources in force at a node.
+    Get {
+        /// `Service`, `Route` or another kind; all kinds if absent.
+        kind: Option<String>,
+        /// One resource of that kind.
+        #[arg(requires = "kind")]
+        name: Option<String>,
+        #[command(flatten)]
+        target: Target,
+    },
+    /// Prints a line for each configuration that comes into force at a node.
+    Watch {
+        /// Begin after this version; without it the version in force is printed first.
+        #[arg(long, default_value_t = 0)]
+        after: u64,
+        /// End once this version or a later one is in force.
+        #[arg(long)]
+        until: Option<u64>,
+        #[command(flatten)]
+        target: Target,
+    },
+    /// Shows the fleet as a node sees it: nodes, services and endpoints.
+    Fleet {
+        #[command(flatten)]
+        target: Target,
+    },
+    /// Tells the story of a request from logs (`--logs FILE… REQUEST-ID`), or why an endpoint is used
+    /// as it is (`ENDPOINT`).
     Explain {
         /// Log files, of all nodes if possible.
-        #[arg(long, required = true, num_args = 1..)]
+        #[arg(long, num_args = 1..)]
         logs: Vec<PathBuf>,
-        /// Identity of the request, as the caller sent or got it.
-        #[arg(last = true)]
-        request_id: String,
+        /// Identity of the request, as the caller sent or got it, or identity or address of an endpoint.
+        subject: Option<String>,
+        #[command(flatten)]
+        target: Target,
     },
     /// Prints settings that pass all checks, as a start for one's own.
     Settings,
+    /// Prints a completion script for a shell.
+    Completions {
+        /// The shell.
+        shell: Shell,
+    },
+}
+
+/// The node that is asked, and how its answer is shown.
+#[derive(Debug, Args)]
+struct Target {
+    /// Address of the node's operator API.
+    #[arg(long, env = "DAPPLEWAY_NODE", default_value = "127.0.0.1:7480")]
+    node: SocketAddr,
+    /// File with the token of the API.
+    #[arg(long, env = "DAPPLEWAY_TOKEN_FILE")]
+    token_file: Option<PathBuf>,
+    /// Form of the answer.
+    #[arg(long, value_enum, default_value_t = Output::Table)]
+    output: Output,
+}
+
+/// Form of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Output {
+    /// A table for people.
+    Table,
+    /// JSON for programs, one document a line.
+    Json,
 }
 
 /// Runs the command line.
@@ -56,29 +121,38 @@
             problems if problems.is_empty() => ExitCode::SUCCESS,
             problems => refuse(problems),
         },
-        Command::Explain { logs, request_id } => match explain::explain(&logs, &request_id) {
-            Ok(lines) => {
-                lines.iter().for_each(|it| println!("{it}"));
-                ExitCode::SUCCESS
-            }
-            Err(problem) => refuse([problem]),
-        },
+        Command::Get { kind, name, target } => {
+            target.ask(|it, output| ask::get(it, kind.as_deref(), name.as_deref(), output))
+        }
+        Command::Watch { after, until, target } => {
+            target.ask(|it, output| ask::watch(it, after, until, output))
+        }
+        Command::Fleet { target } => target.ask(ask::fleet),
+        Command::Explain { logs, subject, target } => explain(logs, subject, &target),
         Command::Settings => {
             print!("{}", toml::to_string(&Settings::example()).expect("plain data"));
             ExitCode::SUCCESS
         }
+        Command::Completions { shell } => {
+            let mut out = std::io::stdout();
+            clap_complete::generate(shell, &mut Cli::command(), "dappleway", &mut out);
+            ExitCode::SUCCESS
+        }
     }
 }
 
-fn run(path: &std::path::Path) -> ExitCode {
-    let loaded = settings::load(path).and_then(|it| it.keys().map(|keys| (it, keys)));
-    let (settings, keys) = match loaded {
+fn run(path: &Path) -> ExitCode {
+    let loaded = settings::load(path).and_then(|it| {
+        let secrets = Secrets { keys: it.keys()?, token: it.token()? };
+        Ok((it, secrets))
+    });
+    let (settings, secrets) = match loaded {
         Ok(it) => it,
         Err(problems) => {
             return refuse(problems.iter().map(|it| format!("{}: {it}", path.display())));
         }
     };
-    match node::run(path, settings, keys) {
+    match node::run(path, settings, secrets) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error:#}");
@@ -87,6 +161,57 @@
     }
 }
 
+/// With `--logs` the subject may also stand last among the files, as a shell expands `*.log`.
+fn explain(mut logs: Vec<PathBuf>, subject: Option<String>, target: &Target) -> ExitCode {
+    let subject = subject.or_else(|| match logs.len() {
+        0 | 1 => None,
+        _ => logs.pop().map(|it| it.display().to_string()),
+    });
+    let Some(subject) = subject else {
+        return refuse(["name a request, with --logs FILE…, or an endpoint".to_owned()]);
+    };
+    if logs.is_empty() {
+        return target.ask(|it, output| ask::explain(it, &subject, output));
+    }
+    match explain::explain(&logs, &subject) {
+        Ok(Some(lines)) => {
+            lines.iter().for_each(|it| println!("{it}"));
+            ExitCode::SUCCESS
+        }
+        Ok(None) => {
+            eprintln!("{subject}: no line names it: give the logs of all nodes of that time");
+            ExitCode::from(NOT_FOUND)
+        }
+        Err(problem) => refuse([problem]),
+    }
+}
+
+impl Target {
+    fn ask(
+        &self,
+        question: impl AsyncFnOnce(operator::Client, Output) -> Result<(), Failure>,
+    ) -> ExitCode {
+        let token = match self.token_file.as_ref().map(|it| (it, std::fs::read_to_string(it))) {
+            None => None,
+            Some((_, Ok(text))) => Some(text.trim().to_owned()),
+            Some((path, Err(error))) => return refuse([format!("{}: {error}", path.display())]),
+        };
+        let client = operator::Client { addr: self.node, token };
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let outcome = match runtime {
+            Ok(it) => it.block_on(question(client, self.output)),
+            Err(error) => Err(Failure::Output(error)),
+        };
+        let Err(failure) = outcome else { return ExitCode::SUCCESS };
+        eprintln!("{failure}");
+        ExitCode::from(match failure {
+            Failure::NotFound(_) => NOT_FOUND,
+            Failure::Refused(_) => REFUSED,
+            Failure::Unreachable(_) | Failure::Output(_) => FAILED,
+        })
+    }
+}
+
 fn refuse(problems: impl IntoIterator<Item = String>) -> ExitCode {
     problems.into_iter().for_each(|it| eprintln!("{it}"));
     ExitCode::from(REFUSED)
--- a/crates/dappleway/src/control/report.rs
+++ b/crates/dappleway/src/control/report.rs
@@ -1,11 +1,11 @@
 //! The report of the control thread.
 
-use fleet::Phase;
+use fleet::{Directory, Phase};
 use operator::{EndpointReport, MemberReport, Report, ServiceReport};
 use policy::{Dispatcher, Time};
 
-use super::Control;
-use crate::services::ServiceState;
+use super::{Control, Nodes};
+use crate::services::{ServiceState, name_hash};
 
 impl Control {
     /// The fleet as this node sees it now.
@@ -27,7 +27,7 @@
                 .as_ref()
                 .map(|it| format!("version {}: {}", it.version, it.reason)),
             members: self.members(now),
-            services: self.services.iter().map(|it| service(now, it)).collect(),
+            services: self.services.iter().map(|it| self.service(now, it)).collect(),
             control_bytes: counts.control_in + counts.control_out,
             permit_frames: counts.permit_frames,
             permit_bytes: counts.permit_bytes,
@@ -63,6 +63,35 @@
         members.sort_by(|a, b| a.node.cmp(&b.node));
         members
     }
+
+    fn service(&self, now: Time, it: &ServiceState) -> ServiceReport {
+        let total = it.service.endpoints.len();
+        let excused = it.own.iter().fold(it.direct.faults_excused(), |sum, own| {
+            let own = own.faults_excused();
+            std::array::from_fn(|i| sum[i] + own[i])
+        });
+        let queued = it.direct.queued() + it.own.iter().map(Dispatcher::queued).sum::<usize>();
+        ServiceReport {
+            name: it.service.name.to_string(),
+            floor: it.service.floor.endpoints(total),
+            healthy: it.direct.rotation().proven(now),
+            queued,
+            dispatched_by: self.dispatched_by(now, &it.service.name),
+            excused,
+            endpoints: (0..total).map(|i| endpoint(now, it, i)).collect(),
+        }
+    }
+
+    /// Address of the node that hands out the slots of a service, as this node sees it.
+    fn dispatched_by(&self, now: Time, service: &str) -> Option<String> {
+        let directory = Nodes { now, me: self.me, exchange: &self.exchange };
+        let node = directory.candidates(name_hash(service)).into_iter().next()?;
+        let addr = match self.exchange.members().get(node) {
+            Some(it) => it.info.addr,
+            None => self.node_addr,
+        };
+        Some(addr.to_string())
+    }
 }
 
 fn phase_name(phase: Phase) -> &'static str {
@@ -74,37 +103,23 @@
     }
 }
 
-fn service(now: Time, it: &ServiceState) -> ServiceReport {
-    let total = it.service.endpoints.len();
-    let excused = it.own.iter().fold(it.direct.faults_excused(), |sum, own| {
-        let own = own.faults_excused();
-        std::array::from_fn(|i| sum[i] + own[i])
-    });
-    let queued = it.direct.queued() + it.own.iter().map(Dispatcher::queued).sum::<usize>();
-    ServiceReport {
-        name: it.service.name.to_string(),
-        floor: it.service.floor.endpoints(total),
-        healthy: it.direct.rotation().proven(now),
-        queued,
-        excused,
-        endpoints: (0..total).map(|i| endpoint(now, it, i)).collect(),
-    }
-}
-
 /// An endpoint as the dispatcher sees it that hands out its slots: the own one if there is one.
 fn endpoint(now: Time, service: &ServiceState, i: usize) -> EndpointReport {
     let own = service.own.as_ref();
     let dispatcher = own.unwrap_or(&service.direct);
     let status = &dispatcher.endpoints()[i];
-    let (score, in_use) = dispatcher.evidence_of(i);
+    let evidence = dispatcher.evidence_of(now, i);
     EndpointReport {
         id: status.id.to_string(),
         addr: status.addr.to_string(),
         failure_domain: status.failure_domain.to_string(),
         state: status.state.name().to_owned(),
         since_ms: now.since(status.since).as_millis() as u64,
-        score,
-        in_use,
+        score: evidence.score,
+        sick: evidence.sick,
+        used: evidence.used.to_owned(),
+        failed_ms: evidence.since_failure.map(|it| it.as_millis() as u64),
+        in_use: evidence.in_use,
         dispatched_here: own.is_some(),
     }
 }
--- a/crates/dappleway/src/explain.rs
+++ b/crates/dappleway/src/explain.rs
@@ -39,8 +39,8 @@
 }
 
 /// The lines about a request in order, and what the nodes believed of its endpoints from the first
-/// of these lines to the last.
-pub fn explain(files: &[PathBuf], id: &str) -> Result<Vec<String>, String> {
+/// of these lines to the last. Nothing if no line names it.
+pub fn explain(files: &[PathBuf], id: &str) -> Result<Option<Vec<String>>, String> {
     let mut lines = Vec::new();
     for path in files {
         let text =
@@ -50,12 +50,10 @@
     Ok(story(lines, id))
 }
 
-fn story(mut lines: Vec<Line>, id: &str) -> Vec<String> {
+fn story(mut lines: Vec<Line>, id: &str) -> Option<Vec<String>> {
     lines.sort_by(|a, b| a.ts.cmp(&b.ts));
     let own: Vec<&Line> = lines.iter().filter(|it| it.has("request_id", id)).collect();
-    let (Some(first), Some(last)) = (own.first(), own.last()) else {
-        return vec![format!("{id}: no line names it: give the logs of all nodes of that time")];
-    };
+    let (first, last) = (own.first()?, own.last()?);
     let span = first.ts.as_str()..=last.ts.as_str();
     let endpoints: BTreeSet<&str> =
         own.iter().filter_map(|it| it.record.get("endpoint")?.as_str()).collect();
@@ -65,10 +63,10 @@
             && endpoints.iter().any(|endpoint| it.has("endpoint", endpoint))
     };
     let told = lines.iter().filter(|it| it.has("request_id", id) || speaks_of_endpoint(it));
-    told.map(Line::show).collect()
+    Some(told.map(Line::show).collect())
 }
 
 #[cfg(test)]
-pub(crate) fn story_of(text: &str, id: &str) -> Vec<String> {
+pub(crate) fn story_of(text: &str, id: &str) -> Option<Vec<String>> {
     story(text.lines().filter_map(Line::parse).collect(), id)
 }
--- /dev/null
+++ b/crates/dappleway/src/logging/budget.rs
@@ -0,0 +1,111 @@
+//! How many log lines of a kind there may be in a second. A kind is the text of a record and its
+//! severity, so that failures are not left out for the sake of what went well.
+
+use std::time::Instant;
+
+use parking_lot::Mutex;
+use prometheus::IntCounterVec;
+use rustc_hash::FxHashMap;
+use slog::{Level, Record};
+
+use crate::settings::Log;
+
+/// Kind of records whose text is not fixed, as of libraries.
+const OTHER: &str = "other";
+/// Kind that stands for lines which found the queue full.
+const QUEUE_FULL: &str = "any, because standard output is not read";
+/// The line of a request that was answered well; the only kind with a budget of its own.
+const REQUEST: &str = "request";
+
+/// Bounds the lines of each kind and counts those left out.
+#[derive(Debug)]
+pub struct Budget {
+    per_s: f64,
+    healthy_per_s: f64,
+    kinds: Mutex<FxHashMap<(&'static str, Level), Kind>>,
+    left_out: IntCounterVec,
+}
+
+/// A bucket that holds the lines of one second.
+#[derive(Debug)]
+struct Kind {
+    tokens: f64,
+    filled: Instant,
+    left_out: u64,
+}
+
+/// Lines of one kind that were left out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LeftOut {
+    /// Their text.
+    pub kind: &'static str,
+    /// Their severity.
+    pub severity: Level,
+    /// How many.
+    pub lines: u64,
+}
+
+impl Budget {
+    /// A budget of the size that the settings say; `left_out` counts by reason.
+    pub fn new(settings: &Log, left_out: IntCounterVec) -> Self {
+        Self {
+            per_s: settings.lines_per_s.into(),
+            healthy_per_s: settings.healthy_requests_per_s.into(),
+            kinds: Mutex::default(),
+            left_out,
+        }
+    }
+
+    /// Whether a record is to be logged; if not, it is counted.
+    pub fn admits(&self, record: &Record<'_>) -> bool {
+        let text = record.msg().as_str().unwrap_or(OTHER);
+        let is_admitted = self.admits_kind(text, record.level(), Instant::now());
+        if !is_admitted {
+            self.left_out.with_label_values(&["budget"]).inc();
+        }
+        is_admitted
+    }
+
+    /// Counts a line that was left out because the queue is full.
+    pub fn queue_was_full(&self) {
+        self.left_out.with_label_values(&["queue"]).inc();
+        let mut kinds = self.kinds.lock();
+        let kind = kinds.entry((QUEUE_FULL, Level::Warning)).or_insert_with(|| Kind::new(0.0));
+        kind.left_out += 1;
+    }
+
+    /// Lines left out since the last call, by kind.
+    pub fn take_left_out(&self) -> Vec<LeftOut> {
+        let mut kinds = self.kinds.lock();
+        let taken = kinds.iter_mut().map(|((kind, severity), it)| LeftOut {
+            kind,
+            severity: *severity,
+            lines: std::mem::take(&mut it.left_out),
+        });
+        taken.filter(|it| it.lines > 0).collect()
+    }
+
+    pub(crate) fn admits_kind(&self, text: &'static str, level: Level, now: Instant) -> bool {
+        let per_s = match (text, level) {
+            (REQUEST, Level::Info) => self.healthy_per_s,
+            _ => self.per_s,
+        };
+        let mut kinds = self.kinds.lock();
+        let it = kinds.entry((text, level)).or_insert_with(|| Kind::new(per_s));
+        let gained = now.saturating_duration_since(it.filled).as_secs_f64() * per_s;
+        it.tokens = (it.tokens + gained).min(per_s);
+        it.filled = now;
+        let is_admitted = it.tokens >= 1.0;
+        match is_admitted {
+            true => it.tokens -= 1.0,
+            false => it.left_out += 1,
+        }
+        is_admitted
+    }
+}
+
+impl Kind {
+    fn new(tokens: f64) -> Self {
+        Self { tokens, filled: Instant::now(), left_out: 0 }
+    }
+}
--- a/crates/dappleway/src/main.rs
+++ b/crates/dappleway/src/main.rs
@@ -1,5 +1,6 @@
-//! `dappleway`: a proxy fleet for upstreams that fail gray. See README.md and docs/OPERATING.md.
+//! `dappleway`: a proxy fleet for upstreams that fail gray. See README.md and docs/OPERATIONS.md.
 
+mod ask;
 mod baselines;
 mod check;
 mod cli;
--- a/crates/dappleway/src/node.rs
+++ b/crates/dappleway/src/node.rs
@@ -7,7 +7,7 @@
 use anyhow::{Context, anyhow};
 use caller::{Dispatch, Limits, ListenerBuilder, Metrics, Shared};
 use fleet::{Bundle, Client, Edge, Exchange, Facts, Identity, Keys, serve_fetches};
-use operator::{Cut, View};
+use operator::{Access, Cut, Token, View};
 use platform::{ServiceDefaults, Store, header_names};
 use prometheus::Registry;
 use rand::rngs::StdRng;
@@ -23,32 +23,46 @@
 use crate::control::{Control, Outputs, Start};
 use crate::event::Event;
 use crate::handle::Handle;
-use crate::logging;
+use crate::logging::{self, Logging};
 use crate::reader::read_platform;
 use crate::reload::Reload;
 use crate::services::name_hash;
 use crate::settings::{Mode, Settings};
 
+/// What is read from files beside the settings and stands in no log.
+pub struct Secrets {
+    /// The fleet's keys.
+    pub keys: Keys,
+    /// The token of the API for operators, if it has one.
+    pub token: Option<Token>,
+}
+
 /// Runs a node until a planned stop has ended.
-pub fn run(path: &Path, settings: Settings, keys: Keys) -> anyhow::Result<()> {
-    let (log, level, _flush) = logging::logger(settings.log.level, &settings.node.addr.to_string());
+pub fn run(path: &Path, settings: Settings, secrets: Secrets) -> anyhow::Result<()> {
+    let Secrets { keys, token } = secrets;
     let registry = Registry::new();
+    let Logging { log, level, budget, guard } =
+        Logging::new(&settings.log, &settings.node.addr.to_string(), &registry)?;
     let metrics = Metrics::register(&registry)?;
     let shared = Shared::default();
     let (events, received) = mpsc::unbounded_channel();
     let (services_tx, services) = watch::channel(Services::default());
-    let outlets = Outlets { shared: shared.clone(), services: services_tx, registry };
+    let (token, access) = watch::channel(token);
+    let outlets =
+        Outlets { shared: shared.clone(), services: services_tx, registry, token: access };
     let control = start_control(&settings, keys, outlets, (&events, received), &log)?;
     let traffic = Builder::new_multi_thread()
         .worker_threads(settings.traffic.threads)
         .thread_name("traffic")
         .enable_all()
         .build()?;
+    traffic.spawn(logging::report_left_out(budget, log.clone()));
     traffic.spawn(
         Reload {
             path: path.to_owned(),
             settings: settings.clone(),
             level,
+            token,
             events: events.clone(),
             log: log.clone(),
         }
@@ -59,8 +73,9 @@
     let outcome = node.serve(&traffic, control.node);
     // Without the control thread nothing is left that could be told of a failure here.
     let _ = events.send(Event::Stop);
-    let ended = control.thread.join().map_err(|_| anyhow!("the control thread has panicked"))?;
-    outcome.and(ended)
+    let ended = control.thread.join().map_err(|_| anyhow!("the control thread has panicked"));
+    logging::flush(guard);
+    outcome.and(ended?)
 }
 
 /// The control thread once it has bound its sockets.
@@ -77,6 +92,7 @@
     shared: Shared,
     services: watch::Sender<Services>,
     registry: Registry,
+    token: watch::Receiver<Option<Token>>,
 }
 
 type Events = (mpsc::UnboundedSender<Event>, mpsc::UnboundedReceiver<Event>);
@@ -120,7 +136,7 @@
     events: mpsc::UnboundedSender<Event>,
     log: &Logger,
 ) -> anyhow::Result<Control> {
-    let Outlets { shared, services, registry } = outlets;
+    let Outlets { shared, services, registry, token } = outlets;
     let addr = settings.node.addr;
     let rng = StdRng::from_rng(&mut rand::rng());
     let identity = Identity {
@@ -146,7 +162,8 @@
         .fault_injection
         .then(|| forward(events.clone(), |cut: Cut| Event::Cut(cut.to)));
     let reports = forward(events.clone(), Event::Report);
-    let view = View { published, not_ready, reports, registry, faults };
+    let access = Access { token };
+    let view = View { published, not_ready, reports, registry, access, faults };
     let server = operator::serve(settings.operator.listen, view, &log.new(slog::o!()))
         .map_err(|it| anyhow!("{it}: choose a free `operator.listen`"))?;
     tokio::spawn(server);
--- a/crates/dappleway/src/reload.rs
+++ b/crates/dappleway/src/reload.rs
@@ -4,9 +4,10 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use operator::Token;
 use slog::{Logger, error, info, warn};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::event::Event;
@@ -16,9 +17,10 @@
 /// How often the file is looked at for a change without a signal. It is small, and nobody waits.
 const LOOK_EVERY: Duration = Duration::from_secs(2);
 /// Settings that a running process takes up.
-const AT_ONCE: [&str; 5] = [
+const AT_ONCE: [&str; 6] = [
     "log.level",
     "fleet.seeds",
+    "operator.token_file",
     "dispatch.repeat_ratio",
     "dispatch.repeat_extra",
     "dispatch.repeat_window_ms",
@@ -32,6 +34,8 @@
     pub settings: Settings,
     /// The least severity that is logged.
     pub level: LevelSwitch,
+    /// The token of the API.
+    pub token: watch::Sender<Option<Token>>,
     /// Where changes go.
     pub events: mpsc::UnboundedSender<Event>,
     /// Logs.
@@ -66,6 +70,27 @@
                 self.take(&text);
                 seen = text;
             }
+            self.take_token();
+        }
+    }
+
+    /// The token's file changes without any change of the settings.
+    fn take_token(&self) {
+        match self.settings.token() {
+            Ok(new) => {
+                let is_news = self.token.send_if_modified(|it| {
+                    let is_news = *it != new;
+                    *it = new;
+                    is_news
+                });
+                if is_news {
+                    info!(self.log, "the token of the operator API was replaced");
+                }
+            }
+            Err(problems) => {
+                let lines: Vec<_> = problems.iter().map(ToString::to_string).collect();
+                warn!(self.log, "token refused, the one in force stays"; "reason" => lines.join("; "));
+            }
         }
     }
 
--- a/crates/dappleway/src/settings.rs
+++ b/crates/dappleway/src/settings.rs
@@ -7,6 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use operator::{MIN_TOKEN_BYTES, Token};
 use policy::BudgetLimits;
 use resources::{Bias, Floor};
 use serde::{Deserialize, Serialize};
@@ -77,6 +78,10 @@
 pub struct Operator {
     /// Address of the API.
     pub listen: SocketAddr,
+    /// File with the token that callers of the API must send, of 16 bytes or more. Without one only
+    /// liveness, readiness and metrics answer beyond this VM.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub token_file: Option<PathBuf>,
     /// Whether operators may induce faults; for test fleets only.
     #[serde(default)]
     pub fault_injection: bool,
@@ -201,12 +206,28 @@
 }
 
 /// Logs.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Log {
     /// Least severity that is logged.
     #[serde(default)]
     pub level: Level,
+    /// Lines of each kind in a second; further ones are counted and left out.
+    #[serde(default = "default_lines_per_s")]
+    pub lines_per_s: u32,
+    /// The same for requests that were answered well.
+    #[serde(default = "default_healthy_requests_per_s")]
+    pub healthy_requests_per_s: u32,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            level: Level::default(),
+            lines_per_s: default_lines_per_s(),
+            healthy_requests_per_s: default_healthy_requests_per_s(),
+        }
+    }
 }
 
 /// Severity.
@@ -274,6 +295,16 @@
     5_000
 }
 
+/// Above all requests of a node at the size designed for, 61 a second, so that every failure is logged.
+fn default_lines_per_s() -> u32 {
+    200
+}
+
+/// All requests of a node on the users' sites, 3 a second, and a third at the size designed for.
+fn default_healthy_requests_per_s() -> u32 {
+    20
+}
+
 /// Long enough for the longest download that is usual.
 fn default_grace_ms() -> u64 {
     120_000
@@ -369,7 +400,11 @@
                 read_timeout_ms: default_read_timeout_ms(),
                 connect_timeout_ms: default_connect_timeout_ms(),
             },
-            operator: Operator { listen: local(7480), fault_injection: false },
+            operator: Operator {
+                listen: local(7480),
+                token_file: Some("operator.token".into()),
+                fault_injection: false,
+            },
             platform: Platform { addr: local(7300), floor: default_floor(), bias: Bias::default() },
             fleet: Fleet {
                 key_file: Some("fleet.key".into()),
@@ -396,6 +431,18 @@
         Ok(fleet::Keys { current, also })
     }
 
+    /// The token of the API, read from its file.
+    pub fn token(&self) -> Result<Option<Token>, Vec<SettingsProblem>> {
+        let Some(path) = &self.operator.token_file else { return Ok(None) };
+        let key = "operator.token_file";
+        let text = std::fs::read_to_string(path).map_err(|it| {
+            vec![problem(key, format!("{}: {it}: name a file that can be read", path.display()))]
+        })?;
+        let token = Token::new(&text);
+        let remedy = || format!("{}: write {MIN_TOKEN_BYTES} bytes or more", path.display());
+        token.map(Some).ok_or_else(|| vec![problem(key, remedy())])
+    }
+
     /// The balancer's lag.
     pub fn lag(&self) -> Duration {
         Duration::from_millis(self.drain.lag_ms)
@@ -425,6 +472,7 @@
             "traffic.connect_timeout_ms",
             "write 1 or more",
         );
+        expect(self.log.lines_per_s > 0, "log.lines_per_s", "write 1 or more");
         let drain = &self.drain;
         expect(drain.grace_ms > drain.lag_ms, "drain.grace_ms", "write more than `drain.lag_ms`");
         expect(self.dispatch.ask_timeout_ms > 0, "dispatch.ask_timeout_ms", "write 1 or more");
--- a/crates/dappleway/src/tests.rs
+++ b/crates/dappleway/src/tests.rs
@@ -1,7 +1,10 @@
+use std::time::{Duration, Instant};
+
 use expect_test::{Expect, expect};
 
 use crate::explain::story_of;
-use crate::settings::{Level, Settings, changed_keys, parse};
+use crate::logging::Budget;
+use crate::settings::{Level, Log, Settings, changed_keys, parse};
 
 fn check(text: &str, expect: Expect) {
     let lines = match parse(text) {
@@ -82,12 +85,38 @@
 
 #[test]
 fn a_request_is_explained_from_the_logs_of_several_nodes() {
-    let told = story_of(LOGS, "r1").join("\n");
+    let told = story_of(LOGS, "r1").unwrap().join("\n");
     expect![[r#"
         10:00:00.100 n1 send: choice="good" endpoint="i-1" outcome="failed"
         10:00:00.200 n2 endpoint state: endpoint="i-1" reason="used last: a request failed"
         10:00:00.400 n1 request: outcome="answered" status=500"#]]
     .assert_eq(&told);
-    let unknown = story_of(LOGS, "r3");
-    assert!(unknown[0].contains("no line names it"), "{unknown:?}");
+    assert_eq!(story_of(LOGS, "r3"), None, "no line names it");
+}
+
+fn log_budget(lines_per_s: u32, healthy_requests_per_s: u32) -> Budget {
+    let settings = Log { lines_per_s, healthy_requests_per_s, ..Log::default() };
+    let opts = prometheus::Opts::new("left_out", "Lines left out.");
+    Budget::new(&settings, prometheus::IntCounterVec::new(opts, &["reason"]).unwrap())
+}
+
+#[test]
+fn lines_are_left_out_by_kind_and_counted() {
+    let budget = log_budget(3, 1);
+    let start = Instant::now();
+    let admitted = |text, level, ms: u64| {
+        let now = start + Duration::from_millis(ms);
+        (0..10).filter(|_| budget.admits_kind(text, level, now)).count()
+    };
+    assert_eq!(admitted("request", slog::Level::Info, 0), 1);
+    assert_eq!(admitted("request", slog::Level::Warning, 0), 3, "failures have their own budget");
+    assert_eq!(admitted("send", slog::Level::Info, 0), 3);
+    assert_eq!(admitted("send", slog::Level::Info, 1_000), 3);
+    let left_out = budget.take_left_out();
+    let mut left_out: Vec<_> =
+        left_out.iter().map(|it| (it.kind, it.severity.as_short_str(), it.lines)).collect();
+    left_out.sort_unstable();
+    let expected = [("request", "INFO", 9), ("request", "WARN", 7), ("send", "INFO", 14)];
+    assert_eq!(left_out, expected);
+    assert!(budget.take_left_out().is_empty());
 }
--- a/crates/operator/src/report.rs
+++ b/crates/operator/src/report.rs
@@ -70,6 +70,9 @@
     pub healthy: usize,
     /// Requests that wait for a slot at this node.
     pub queued: usize,
+    /// Address of the exchange of the node that hands out its slots, as this node sees it. What that
+    /// node reports about the endpoints is what counts.
+    pub dispatched_by: Option<String>,
     /// Path, shared and reporter faults that ejected nobody.
     pub excused: [u64; 3],
     /// Its endpoints.
@@ -91,6 +94,12 @@
     pub since_ms: u64,
     /// Score of the sequential test.
     pub score: f64,
+    /// Probability that it is sick, by the outcomes of the last seconds.
+    pub sick: f64,
+    /// How it is used for that: `freely`, `singly`, `cautiously` or `last`.
+    pub used: String,
+    /// Milliseconds since its last failure; absent if none is known.
+    pub failed_ms: Option<u64>,
     /// Slots in use, as counted here.
     pub in_use: u32,
     /// Whether this node dispatches the endpoint for the fleet.
--- a/crates/operator/src/server.rs
+++ b/crates/operator/src/server.rs
@@ -16,7 +16,7 @@
 use slog::Logger;
 use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::Report;
+use crate::{Access, Report};
 
 /// Longest time that a watch waits.
 const MAX_WAIT: Duration = Duration::from_secs(60);
@@ -41,6 +41,8 @@
     pub reports: mpsc::UnboundedSender<oneshot::Sender<Report>>,
     /// All metrics.
     pub registry: Registry,
+    /// Who may use more than liveness, readiness and metrics.
+    pub access: Access,
     /// Where to send faults to induce; absent unless the settings allow fault injection.
     pub faults: Option<mpsc::UnboundedSender<Cut>>,
 }
@@ -158,6 +160,10 @@
     readiness(&cx)
 }
 
+fn allow(cx: &RequestContext<View>) -> Result<(), HttpError> {
+    Ok(cx.context().access.check(cx.request.headers(), cx.request.remote_addr())?)
+}
+
 fn readiness(cx: &RequestContext<View>) -> Result<HttpResponseOk<Ready>, HttpError> {
     match &*cx.context().not_ready.borrow() {
         None => Ok(HttpResponseOk(Ready { ready: true })),
@@ -171,6 +177,7 @@
     cx: RequestContext<View>,
     query: Query<Filter>,
 ) -> Result<HttpResponseOk<Resources>, HttpError> {
+    allow(&cx)?;
     let kind = query.into_inner().kind;
     let is_wanted = |it: &Resource| kind.as_ref().is_none_or(|kind| it.kind() == kind);
     Ok(HttpResponseOk(cx.context().resources(is_wanted).await?))
@@ -182,6 +189,7 @@
     cx: RequestContext<View>,
     path: Path<Named>,
 ) -> Result<HttpResponseOk<ResourceView>, HttpError> {
+    allow(&cx)?;
     let Named { kind, name } = path.into_inner();
     let is_wanted = |it: &Resource| it.kind() == kind && *it.name() == name;
     let found = cx.context().resources(is_wanted).await?.items.into_iter().next();
@@ -197,6 +205,7 @@
     cx: RequestContext<View>,
     query: Query<After>,
 ) -> Result<HttpResponseOk<Resources>, HttpError> {
+    allow(&cx)?;
     let After { after, wait_ms } = query.into_inner();
     let wait = wait_ms.map_or(MAX_WAIT, Duration::from_millis).min(MAX_WAIT);
     let mut published = cx.context().published.clone();
@@ -209,6 +218,7 @@
 /// The fleet as this node sees it.
 #[endpoint { method = GET, path = "/v1/fleet" }]
 async fn fleet(cx: RequestContext<View>) -> Result<HttpResponseOk<Report>, HttpError> {
+    allow(&cx)?;
     Ok(HttpResponseOk(cx.context().report().await?))
 }
 
@@ -218,6 +228,7 @@
     cx: RequestContext<View>,
     cut: TypedBody<Cut>,
 ) -> Result<HttpResponseOk<Cut>, HttpError> {
+    allow(&cx)?;
     let Some(faults) = &cx.context().faults else {
         let text = "faults are not induced here: set `operator.fault_injection` in a test fleet";
         return Err(HttpError::for_client_error(
--- a/crates/policy/src/belief.rs
+++ b/crates/policy/src/belief.rs
@@ -95,6 +95,18 @@
     Last,
 }
 
+impl Use {
+    /// Short name for reports.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Freely => "freely",
+            Self::Singly => "singly",
+            Self::Cautiously => "cautiously",
+            Self::Last => "last",
+        }
+    }
+}
+
 impl Belief {
     /// Takes in one outcome of a request that took `elapsed`.
     pub(crate) fn observe(&mut self, now: Time, kind: Kind, reporter: Reporter, elapsed: Duration) {
@@ -121,6 +133,11 @@
         AT_REST + (self.sick - AT_REST) * kept
     }
 
+    /// Time since its last failure.
+    pub(crate) fn since_failure(&self, now: Time) -> Option<Duration> {
+        self.failed_at.map(|it| now.since(it))
+    }
+
     /// How the endpoint is used now.
     pub(crate) fn usage(&self, now: Time, strain: Strain) -> Use {
         match self.sick(now) {
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -56,6 +56,21 @@
     stalled: bool,
 }
 
+/// What is known of an endpoint, for reports.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EvidenceReport {
+    /// Score of the sequential test.
+    pub score: f64,
+    /// Slots in use.
+    pub in_use: u32,
+    /// Probability that it is sick.
+    pub sick: f64,
+    /// How it is used for that.
+    pub used: &'static str,
+    /// Time since its last failure.
+    pub since_failure: Option<Duration>,
+}
+
 /// Slots and verdicts of one service on one node.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -271,9 +286,16 @@
         &self.judge.rotation
     }
 
-    /// Score of the sequential test and slots in use of an endpoint, for the report.
-    pub fn evidence_of(&self, endpoint: usize) -> (f64, u32) {
-        (self.judge.score(endpoint), self.loads[endpoint].in_use)
+    /// What is known of an endpoint, for the report.
+    pub fn evidence_of(&self, now: Time, endpoint: usize) -> EvidenceReport {
+        let load = &self.loads[endpoint];
+        EvidenceReport {
+            score: self.judge.score(endpoint),
+            in_use: load.in_use,
+            sick: load.belief.sick(now),
+            used: load.belief.usage(now, self.strain).name(),
+            since_failure: load.belief.since_failure(now),
+        }
     }
 
     /// Path, shared and reporter faults recognised so far.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,7 +20,7 @@
 mod verdict;
 
 pub use budget::BudgetLimits;
-pub use dispatcher::Dispatcher;
+pub use dispatcher::{Dispatcher, EvidenceReport};
 pub use judge::{Kind, Observation, Reporter};
 pub use permit::{Ask, Grant, PermitId, Reply, Settled, Tier};
 pub use rendezvous::{NodeId, rank, stable_hash};
--- a/crates/policy/src/tests/choice.rs
+++ b/crates/policy/src/tests/choice.rs
@@ -94,11 +94,11 @@
     fill(&mut dispatcher, &mut rng, 3);
     it.endpoints.remove(0);
     dispatcher.reconfigure(Time(1), &it, &[ROUTE]);
-    assert!((0..2).all(|i| dispatcher.evidence_of(i).1 == 1));
+    assert!((0..2).all(|i| dispatcher.evidence_of(Time(1), i).in_use == 1));
     // The same address in another life is another endpoint.
     it.endpoints[0].id = "i-other".into();
     dispatcher.reconfigure(Time(2), &it, &[ROUTE]);
-    assert_eq!(dispatcher.evidence_of(0).1, 0);
+    assert_eq!(dispatcher.evidence_of(Time(2), 0).in_use, 0);
 }
 
 /// Times at which the sick among `n` endpoints are tried while all else is served.
--- a/crates/policy/src/tests/dispatcher.rs
+++ b/crates/policy/src/tests/dispatcher.rs
@@ -159,13 +159,13 @@
     }
 
     fn in_use(&self) -> u32 {
-        (0..6).map(|i| self.dispatcher.evidence_of(i).1).sum()
+        (0..6).map(|i| self.dispatcher.evidence_of(self.now, i).in_use).sum()
     }
 
     fn check(&self) -> Result<(), TestCaseError> {
         prop_assert_eq!(self.in_use() as usize, self.held.len(), "held {:?}", &self.held);
         for i in 0..6 {
-            prop_assert!(self.dispatcher.evidence_of(i).1 <= 3);
+            prop_assert!(self.dispatcher.evidence_of(self.now, i).in_use <= 3);
         }
         prop_assert_eq!(self.dispatcher.queued(), self.waiting.len());
         for deadline in self.waiting.values() {
@@ -194,7 +194,7 @@
     let service = service(&[3, 3], 3, Bias::Speed);
     let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
     fill(&mut dispatcher, &mut rng, 6);
-    assert!((0..6).all(|i| dispatcher.evidence_of(i).1 == 1));
+    assert!((0..6).all(|i| dispatcher.evidence_of(Time(0), i).in_use == 1));
 }
 
 #[test]
@@ -252,7 +252,7 @@
     let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
     fill(&mut dispatcher, &mut rng, 3);
     dispatcher.tick(Time(0) + SECOND * 4, &mut rng);
-    assert_eq!(dispatcher.evidence_of(0).1, 0);
+    assert_eq!(dispatcher.evidence_of(Time(0), 0).in_use, 0);
 }
 
 #[test]
--- a/crates/standin/src/lab.rs
+++ b/crates/standin/src/lab.rs
@@ -141,20 +141,33 @@
 
     /// Starts the process again after it has ended; as a replaced VM it remembers nothing.
     pub fn restart(&mut self) -> anyhow::Result<()> {
+        let log = self.open_log()?;
+        self.restart_with(log.into())
+    }
+
+    /// The same, with a standard output that nobody reads.
+    pub fn restart_unread(&mut self) -> anyhow::Result<()> {
+        self.restart_with(Stdio::piped())
+    }
+
+    fn restart_with(&mut self, stdout: Stdio) -> anyhow::Result<()> {
         self.kill();
-        let log = std::fs::File::options().create(true).append(true).open(&self.log)?;
         let child = Command::new(&self.binary)
             .args(["run", "--settings"])
             .arg(&self.settings)
             .stdin(Stdio::null())
-            .stderr(log.try_clone()?)
-            .stdout(log)
+            .stderr(self.open_log()?)
+            .stdout(stdout)
             .spawn()
             .with_context(|| format!("{}: build it first", self.binary.display()))?;
         self.child = Some(child);
         Ok(())
     }
 
+    fn open_log(&self) -> std::io::Result<std::fs::File> {
+        std::fs::File::options().create(true).append(true).open(&self.log)
+    }
+
     /// Replaces a text in the settings file.
     pub fn edit_settings(&self, old: &str, new: &str) -> anyhow::Result<()> {
         let text = std::fs::read_to_string(&self.settings)?;
