--- a/crates/caller/src/answer.rs
+++ b/crates/caller/src/answer.rs
@@ -18,6 +18,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct GiveUp {
     status: StatusCode,
+    /// Why, in a word, for metrics.
+    pub(crate) cause: &'static str,
     /// Why, for logs and for the caller.
     pub(crate) reason: &'static str,
     retry_after: Duration,
@@ -26,44 +28,47 @@
 impl GiveUp {
     /// No slot in time; nothing has run.
     pub(crate) fn overloaded(retry_after: Duration) -> Self {
-        Self::not_run_because("no capacity in time", retry_after)
+        Self::not_run_because("no-capacity", "no capacity in time", retry_after)
     }
 
     /// Nothing that was sent has run.
     pub(crate) fn not_run(retry_after: Duration) -> Self {
-        Self::not_run_because("no upstream took it, and no further send is granted", retry_after)
+        let reason = "no upstream took it, and no further send is granted";
+        Self::not_run_because("not-taken", reason, retry_after)
     }
 
     /// This node has more requests than it may hold.
     pub(crate) fn too_many_in_flight() -> Self {
-        Self::not_run_because("too many requests in flight at this node", RETRY_AFTER_START)
+        let reason = "too many requests in flight at this node";
+        Self::not_run_because("too-many-in-flight", reason, RETRY_AFTER_START)
     }
 
     /// This node knows no configuration yet.
     pub(crate) fn no_configuration() -> Self {
-        Self::not_run_because("this node has no configuration yet", RETRY_AFTER_START)
+        let reason = "this node has no configuration yet";
+        Self::not_run_because("no-configuration", reason, RETRY_AFTER_START)
     }
 
     /// There is no route, but a newer configuration may have one.
     pub(crate) fn may_be_outdated() -> Self {
         let reason = "no route here, and this node may have missed a change of configuration";
-        Self::not_run_because(reason, RETRY_AFTER_START)
+        Self::not_run_because("maybe-outdated", reason, RETRY_AFTER_START)
     }
 
     /// It may have run.
     pub(crate) fn unknown(retry_after: Duration) -> Self {
         let reason = "it may have run: check before you repeat it";
-        Self { status: StatusCode::BAD_GATEWAY, reason, retry_after }
+        Self { status: StatusCode::BAD_GATEWAY, cause: "unknown", reason, retry_after }
     }
 
     /// The deadline passed and it may have run.
     pub(crate) fn timed_out(retry_after: Duration) -> Self {
         let reason = "late, and it may have run: check before you repeat it";
-        Self { status: StatusCode::GATEWAY_TIMEOUT, reason, retry_after }
+        Self { status: StatusCode::GATEWAY_TIMEOUT, cause: "timed-out", reason, retry_after }
     }
 
-    fn not_run_because(reason: &'static str, retry_after: Duration) -> Self {
-        Self { status: StatusCode::SERVICE_UNAVAILABLE, reason, retry_after }
+    fn not_run_because(cause: &'static str, reason: &'static str, retry_after: Duration) -> Self {
+        Self { status: StatusCode::SERVICE_UNAVAILABLE, cause, reason, retry_after }
     }
 
     pub(crate) fn status(self) -> StatusCode {
--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -59,6 +59,7 @@
     why: GiveUp,
 ) -> Response<AnswerOut> {
     cx.metrics.requests.with_label_values(&[why.outcome()]).inc();
+    cx.metrics.given_up.with_label_values(&[why.cause]).inc();
     trace::refused(&cx.log, id, why.status(), why.reason);
     why.response()
 }
@@ -94,6 +95,7 @@
         Ok(res) => ("answered", res),
         Err(give_up) => {
             trace::give_up(&cx.log, &cx.names, work, give_up);
+            cx.metrics.given_up.with_label_values(&[give_up.cause]).inc();
             (give_up.outcome(), give_up.response())
         }
     };
--- a/crates/caller/src/metrics.rs
+++ b/crates/caller/src/metrics.rs
@@ -9,6 +9,8 @@
 pub struct Metrics {
     /// Requests by how they ended.
     pub requests: IntCounterVec,
+    /// Requests that got no answer of an upstream, by why.
+    pub given_up: IntCounterVec,
     /// Sends to upstreams by how they ended.
     pub sends: IntCounterVec,
     /// First sends of a request that met a full endpoint.
@@ -39,6 +41,13 @@
         .buckets(prometheus::exponential_buckets(0.001, 2.0, 14)?);
         let it = Self {
             requests: by("dappleway_requests_total", "Requests by how they ended.")?,
+            given_up: IntCounterVec::new(
+                Opts::new(
+                    "dappleway_given_up_total",
+                    "Requests that got no answer of an upstream, by why.",
+                ),
+                &["cause"],
+            )?,
             sends: by("dappleway_sends_total", "Sends to upstreams by how they ended.")?,
             first_shed: counter(
                 "dappleway_first_sends_shed_total",
@@ -51,6 +60,7 @@
             slot_wait: Histogram::with_opts(wait)?,
         };
         registry.register(Box::new(it.requests.clone()))?;
+        registry.register(Box::new(it.given_up.clone()))?;
         registry.register(Box::new(it.sends.clone()))?;
         registry.register(Box::new(it.first_shed.clone()))?;
         registry.register(Box::new(it.hedges.clone()))?;
--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -2,12 +2,15 @@
 //! is the only one that changes them.
 
 mod exchange;
+mod metrics;
 mod own_slots;
 mod peer_slots;
 mod publications;
 mod report;
 mod timers;
 
+pub use metrics::ControlMetrics;
+
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -96,6 +99,9 @@
     askers: FxHashMap<NodeId, SocketAddr>,
     rejected: Option<Rejected>,
     platform_calls: u64,
+    /// When the configuration in force came into force.
+    in_force_since: Time,
+    metrics: ControlMetrics,
     draining: bool,
     last_tick: Time,
     woke: Time,
@@ -143,6 +149,8 @@
     pub failure_domain: String,
     /// Size of the budget for repeats.
     pub budget: BudgetLimits,
+    /// Figures that it keeps.
+    pub metrics: ControlMetrics,
     /// What is written to.
     pub outputs: Outputs,
     /// Where tasks of the control thread report to.
@@ -175,6 +183,8 @@
             askers: FxHashMap::default(),
             rejected: None,
             platform_calls: 0,
+            in_force_since: now,
+            metrics: start.metrics,
             draining: false,
             last_tick: now,
             woke: now,
--- /dev/null
+++ b/crates/dappleway/src/control/metrics.rs
@@ -0,0 +1,139 @@
+//! Figures of the control thread: endpoints, repeats, the platform, what is in force. Labels are bounded:
+//! none grows with services, endpoints or nodes.
+
+use policy::{State, Time};
+use prometheus::{
+    Gauge, GaugeVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+};
+use rustc_hash::FxHashMap;
+
+use super::Control;
+use crate::services::Scope;
+
+/// Names of all states of an endpoint.
+const STATES: [&str; 7] =
+    ["unknown", "healthy", "suspect", "ramping", "ejected", "trial", "leaving"];
+
+/// Figures of the control thread.
+pub struct ControlMetrics {
+    endpoints: IntGaugeVec,
+    repeats: IntCounterVec,
+    budget: GaugeVec,
+    queued: IntGauge,
+    platform_calls: IntCounter,
+    platform_age: Gauge,
+    config_version: IntGauge,
+    config_age: Gauge,
+    registry_revision: IntGauge,
+    nodes: IntGauge,
+}
+
+impl ControlMetrics {
+    /// Registers the figures.
+    pub fn register(registry: &Registry) -> prometheus::Result<Self> {
+        let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
+            let it = IntGauge::new(name, help)?;
+            registry.register(Box::new(it.clone()))?;
+            Ok(it)
+        };
+        let seconds = |name: &str, help: &str| -> prometheus::Result<Gauge> {
+            let it = Gauge::new(name, help)?;
+            registry.register(Box::new(it.clone()))?;
+            Ok(it)
+        };
+        let it = Self {
+            endpoints: IntGaugeVec::new(
+                Opts::new("dappleway_endpoints", "Endpoints by state, as this node sees them."),
+                &["state"],
+            )?,
+            repeats: IntCounterVec::new(
+                Opts::new(
+                    "dappleway_repeats_total",
+                    "Sends beyond the first that were asked for here, by outcome.",
+                ),
+                &["outcome"],
+            )?,
+            budget: GaugeVec::new(
+                Opts::new(
+                    "dappleway_repeat_budget",
+                    "Repeats of the present window at services dispatched here: allowed and spent.",
+                ),
+                &["part"],
+            )?,
+            queued: gauge("dappleway_queued", "Requests that wait here for a slot.")?,
+            platform_calls: IntCounter::new("dappleway_platform_calls_total", "Platform calls.")?,
+            platform_age: seconds(
+                "dappleway_platform_age_seconds",
+                "Time since the platform was heard, by this node or through a peer.",
+            )?,
+            config_version: gauge(
+                "dappleway_config_version",
+                "Configuration in force; 0 for none.",
+            )?,
+            config_age: seconds(
+                "dappleway_config_age_seconds",
+                "Time since the configuration came into force here.",
+            )?,
+            registry_revision: gauge(
+                "dappleway_registry_revision",
+                "The platform's revision of the latest change of the endpoints that is known.",
+            )?,
+            nodes: gauge(
+                "dappleway_nodes",
+                "Nodes of the fleet that are known, this one included.",
+            )?,
+        };
+        registry.register(Box::new(it.endpoints.clone()))?;
+        registry.register(Box::new(it.repeats.clone()))?;
+        registry.register(Box::new(it.budget.clone()))?;
+        registry.register(Box::new(it.platform_calls.clone()))?;
+        Ok(it)
+    }
+}
+
+/// Raises a counter to a sum that is kept elsewhere and never falls but when its owner goes.
+fn raise(counter: &IntCounter, to: u64) {
+    counter.inc_by(to.saturating_sub(counter.get()));
+}
+
+impl Control {
+    /// Brings the figures up to date.
+    pub(super) fn measure(&mut self, now: Time) {
+        let mut states: FxHashMap<&'static str, i64> = FxHashMap::default();
+        for it in self.services.iter() {
+            let dispatcher = it.own.as_ref().unwrap_or(&it.direct);
+            for endpoint in dispatcher.endpoints() {
+                *states.entry(State::name(endpoint.state)).or_default() += 1;
+            }
+        }
+        let (mut queued, mut granted, mut refused) = (0, 0, 0);
+        let (mut allowed, mut spent) = (0.0, 0.0);
+        self.services.for_each(|_, scope, it| {
+            queued += it.queued() as i64;
+            let repeats = it.repeats(now);
+            granted += repeats.granted;
+            refused += repeats.refused;
+            if scope == Scope::Fleet && it.is_in_charge(now) {
+                allowed += repeats.allowed;
+                spent += repeats.spent;
+            }
+        });
+        let it = &self.metrics;
+        for state in STATES {
+            let count = states.get(state).copied().unwrap_or_default();
+            it.endpoints.with_label_values(&[state]).set(count);
+        }
+        it.queued.set(queued);
+        raise(&it.repeats.with_label_values(&["granted"]), granted);
+        raise(&it.repeats.with_label_values(&["refused"]), refused);
+        it.budget.with_label_values(&["allowed"]).set(allowed);
+        it.budget.with_label_values(&["spent"]).set(spent);
+        raise(&it.platform_calls, self.platform_calls);
+        let facts = self.exchange.replica().facts();
+        it.config_version.set(facts.version as i64);
+        it.registry_revision.set(facts.revision as i64);
+        it.config_age.set(now.since(self.in_force_since).as_secs_f64());
+        it.platform_age.set(self.exchange.duty().age(now).as_secs_f64());
+        it.nodes.set(self.exchange.members().iter().count() as i64 + 1);
+    }
+}
--- a/crates/dappleway/src/control/publications.rs
+++ b/crates/dappleway/src/control/publications.rs
@@ -81,6 +81,7 @@
         info!(self.log, "configuration in force"; "config" => version,
             "services" => config.services.len(), "resources" => document.resources.len());
         self.rejected = None;
+        self.in_force_since = now;
         self.exchange.replica_mut().accept(Arc::new(document.clone()));
         self.services.reconfigure(now, &config);
         self.outputs.shared.publish(config);
--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -49,6 +49,7 @@
             self.next_renewal = now + RENEW;
             self.services.set_nodes(self.exchange.members().iter().count() + 1);
             self.renew(now);
+            self.measure(now);
         }
         if now >= self.next_readiness {
             self.next_readiness = now + READINESS;
--- a/crates/dappleway/src/node.rs
+++ b/crates/dappleway/src/node.rs
@@ -20,7 +20,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::baselines::RoundRobin;
-use crate::control::{Control, Outputs, Start};
+use crate::control::{Control, ControlMetrics, Outputs, Start};
 use crate::event::Event;
 use crate::handle::Handle;
 use crate::logging::{self, Logging};
@@ -163,6 +163,7 @@
         .then(|| forward(events.clone(), |cut: Cut| Event::Cut(cut.to)));
     let reports = forward(events.clone(), Event::Report);
     let access = Access { token };
+    let metrics = ControlMetrics::register(&registry)?;
     let view = View { published, not_ready, reports, registry, access, faults };
     let server = operator::serve(settings.operator.listen, view, &log.new(slog::o!()))
         .map_err(|it| anyhow!("{it}: choose a free `operator.listen`"))?;
@@ -180,6 +181,7 @@
         mode: settings.dispatch.mode,
         failure_domain: settings.node.failure_domain.clone(),
         budget: settings.dispatch.budget(),
+        metrics,
         outputs: Outputs {
             shared,
             published: published_tx,
--- a/crates/dappleway/tests/operating.rs
+++ b/crates/dappleway/tests/operating.rs
@@ -6,6 +6,7 @@
 
 use standin::bed::{Bed, Layout};
 use standin::lab::Node;
+use standin::upstream::Fault;
 use standin::{caller, client};
 
 const BIN: &str = env!("CARGO_BIN_EXE_dappleway");
@@ -152,3 +153,27 @@
     let (code, _, err) = dappleway(node, &["fleet", "--token-file", old.to_str().unwrap()]).await;
     assert!(code == 2 && err.contains("not the one of this node"), "{err}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_metrics_tell_of_endpoints_repeats_the_platform_and_what_is_in_force() {
+    let bed = bed(1).await;
+    bed.upstreams[0].set_fault(Fault::Error, 1.0, 1.0);
+    caller::run(bed.lookups(200.0, 1.0)).await;
+    while bed.metric("dappleway_repeats_total").await.unwrap() == 0.0 {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let text = client::get(bed.nodes[0].addrs.operator, "/metrics").await.unwrap().text();
+    for name in [
+        "dappleway_endpoints{state=\"healthy\"}",
+        "dappleway_repeats_total{outcome=\"granted\"}",
+        "dappleway_repeat_budget{part=\"allowed\"}",
+        "dappleway_platform_calls_total",
+        "dappleway_platform_age_seconds",
+        "dappleway_config_version",
+        "dappleway_config_age_seconds",
+        "dappleway_registry_revision",
+        "dappleway_nodes",
+    ] {
+        assert!(text.lines().any(|it| it.starts_with(name)), "{name}: {text}");
+    }
+}
--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -63,6 +63,12 @@
         self.contact.is_some_and(|it| now.since(it) < FRESH_FOR)
     }
 
+    /// Time since there was proof that the platform has nothing newer than what is known here; since the
+    /// start if there was none.
+    pub fn age(&self, now: Time) -> Duration {
+        now.since(self.contact.unwrap_or(Time(0)))
+    }
+
     /// Takes in the word of a reader of the same failure domain.
     pub(crate) fn heard(&mut self, now: Time, from: NodeId, has_contact: bool) {
         if !has_contact {
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -69,6 +69,21 @@
     forgot_in: u64,
     /// Nodes of the fleet, as far as they are known.
     nodes: usize,
+    granted: u64,
+    refused: u64,
+}
+
+/// Figures of a budget, for reports.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RepeatsReport {
+    /// Repeats granted since the start.
+    pub granted: u64,
+    /// Repeats refused since the start.
+    pub refused: u64,
+    /// Repeats allowed in the window that ends now.
+    pub allowed: f64,
+    /// Those spent in it.
+    pub spent: f64,
 }
 
 impl Budget {
@@ -81,6 +96,8 @@
             askers: FxHashMap::default(),
             forgot_in: 0,
             nodes: 1,
+            granted: 0,
+            refused: 0,
         }
     }
 
@@ -112,8 +129,12 @@
         };
         let (allowed, spent) = self.balance(now);
         let is_granted = spent + 1.0 <= allowed * (1.0 - kept);
-        if is_granted {
-            self.slice(now).repeats += 1;
+        match is_granted {
+            true => {
+                self.slice(now).repeats += 1;
+                self.granted += 1;
+            }
+            false => self.refused += 1,
         }
         is_granted
     }
@@ -124,6 +145,12 @@
         spent + 1.0 > allowed * (1.0 - SHORT)
     }
 
+    /// Figures for reports.
+    pub fn report(&mut self, now: Time) -> RepeatsReport {
+        let (allowed, spent) = self.balance(now);
+        RepeatsReport { granted: self.granted, refused: self.refused, allowed, spent }
+    }
+
     /// Repeats allowed in the window that ends now, and those spent in it.
     fn balance(&mut self, now: Time) -> (f64, f64) {
         let number = self.number(now);
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -15,7 +15,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::belief::{Belief, Strain, Use};
-use crate::budget::{Budget, BudgetLimits, Spend};
+use crate::budget::{Budget, BudgetLimits, RepeatsReport, Spend};
 use crate::judge::{Judge, Kind, Observation, Reporter};
 use crate::permit::{Ask, Grant, PermitId, Reply, Settled, Tier};
 use crate::queue::{Queue, Waiting};
@@ -309,6 +309,11 @@
         self.granted_at.is_some_and(|it| now.since(it) < IN_CHARGE_FOR)
     }
 
+    /// Figures of the budget for repeats.
+    pub fn repeats(&mut self, now: Time) -> RepeatsReport {
+        self.budget.report(now)
+    }
+
     /// Requests that wait for a slot.
     pub fn queued(&self) -> usize {
         self.queue.len()
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,7 +19,7 @@
 mod time;
 mod verdict;
 
-pub use budget::BudgetLimits;
+pub use budget::{BudgetLimits, RepeatsReport};
 pub use dispatcher::{Dispatcher, EvidenceReport};
 pub use judge::{Kind, Observation, Reporter};
 pub use permit::{Ask, Grant, PermitId, Reply, Settled, Tier};
