No circles between modules: outcomes, classes, whose fault and floors in modules of their own

Observation, kind and reporter, and the class of an outcome, are known to baseline, verdict and judge and know none of them; whose fault it is and the floor stand apart from judge and rotation; the settings' defaults in a module with the origin of each figure. No behaviour changed.

--- a/crates/dappleway/src/ask.rs
+++ b/crates/dappleway/src/ask.rs
@@ -4,15 +4,23 @@
 use std::io::{self, Write};
 use std::time::Duration;
 
+use clap::ValueEnum;
 use operator::{Client, ClientError, EndpointReport, Report, ResourceView, ServiceReport};
 use serde::Serialize;
 use tabwriter::TabWriter;
 
-use crate::cli::Output;
-
 /// A watch is asked again after this long without news; nodes let it wait for a minute at most.
 const WATCH: Duration = Duration::from_secs(30);
 
+/// Form of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Output {
+    /// A table for people.
+    Table,
+    /// JSON for programs, one document a line.
+    Json,
+}
+
 /// Why a question has no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum Failure {
--- a/crates/dappleway/src/cli.rs
+++ b/crates/dappleway/src/cli.rs
@@ -4,10 +4,10 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use clap::{Args, CommandFactory, Parser, Subcommand, ValueEnum};
+use clap::{Args, CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
 
-use crate::ask::{self, Failure};
+use crate::ask::{self, Failure, Output};
 use crate::node::Secrets;
 use crate::settings::{self, Settings};
 use crate::{check, explain, node};
@@ -104,15 +104,6 @@
     output: Output,
 }
 
-/// Form of an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
-pub enum Output {
-    /// A table for people.
-    Table,
-    /// JSON for programs, one document a line.
-    Json,
-}
-
 /// Runs the command line.
 pub fn main() -> ExitCode {
     match Cli::parse().command {
--- a/crates/dappleway/src/settings.rs
+++ b/crates/dappleway/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a process: TOML, checked as a whole before anything starts.
 
+mod defaults;
 mod keys;
 
 use std::fmt;
@@ -56,19 +57,19 @@
     /// Address for callers.
     pub listen: SocketAddr,
     /// Threads for traffic.
-    #[serde(default = "default_threads")]
+    #[serde(default = "defaults::threads")]
     pub threads: usize,
     /// Longest request body in bytes.
-    #[serde(default = "default_max_body_bytes")]
+    #[serde(default = "defaults::max_body_bytes")]
     pub max_body_bytes: u64,
     /// Requests in flight; further ones are refused at once.
-    #[serde(default = "default_max_in_flight")]
+    #[serde(default = "defaults::max_in_flight")]
     pub max_in_flight: usize,
     /// Time for a request's head and for the part of its body that is read before it is sent.
-    #[serde(default = "default_read_timeout_ms")]
+    #[serde(default = "defaults::read_timeout_ms")]
     pub read_timeout_ms: u64,
     /// Time for a new connection to an upstream.
-    #[serde(default = "default_connect_timeout_ms")]
+    #[serde(default = "defaults::connect_timeout_ms")]
     pub connect_timeout_ms: u64,
 }
 
@@ -94,7 +95,7 @@
     /// Address of its store.
     pub addr: SocketAddr,
     /// Healthy capacity that ejections never go below, for services that do not say.
-    #[serde(default = "default_floor")]
+    #[serde(default = "defaults::floor")]
     pub floor: Floor,
     /// Trade of detection speed against false ejections, for services that do not say.
     #[serde(default)]
@@ -136,16 +137,16 @@
     #[serde(default)]
     pub mode: Mode,
     /// An ask to another node that is not answered for this long is lost.
-    #[serde(default = "default_ask_timeout_ms")]
+    #[serde(default = "defaults::ask_timeout_ms")]
     pub ask_timeout_ms: u64,
     /// Repeats and hedges of a service for each of its requests, over the whole fleet and any window.
-    #[serde(default = "default_repeat_ratio")]
+    #[serde(default = "defaults::repeat_ratio")]
     pub repeat_ratio: f64,
     /// Repeats and hedges of a service beyond that, over the whole fleet and any window.
-    #[serde(default = "default_repeat_extra")]
+    #[serde(default = "defaults::repeat_extra")]
     pub repeat_extra: f64,
     /// Length of the window.
-    #[serde(default = "default_repeat_window_ms")]
+    #[serde(default = "defaults::repeat_window_ms")]
     pub repeat_window_ms: u64,
 }
 
@@ -153,10 +154,10 @@
     fn default() -> Self {
         Self {
             mode: Mode::default(),
-            ask_timeout_ms: default_ask_timeout_ms(),
-            repeat_ratio: default_repeat_ratio(),
-            repeat_extra: default_repeat_extra(),
-            repeat_window_ms: default_repeat_window_ms(),
+            ask_timeout_ms: defaults::ask_timeout_ms(),
+            repeat_ratio: defaults::repeat_ratio(),
+            repeat_extra: defaults::repeat_extra(),
+            repeat_window_ms: defaults::repeat_window_ms(),
         }
     }
 }
@@ -192,16 +193,16 @@
 #[serde(deny_unknown_fields)]
 pub struct Drain {
     /// Time that the balancer needs to notice that readiness has turned red.
-    #[serde(default = "default_lag_ms")]
+    #[serde(default = "defaults::lag_ms")]
     pub lag_ms: u64,
     /// Time from the signal to the end of the process, whatever is still open.
-    #[serde(default = "default_grace_ms")]
+    #[serde(default = "defaults::grace_ms")]
     pub grace_ms: u64,
 }
 
 impl Default for Drain {
     fn default() -> Self {
-        Self { lag_ms: default_lag_ms(), grace_ms: default_grace_ms() }
+        Self { lag_ms: defaults::lag_ms(), grace_ms: defaults::grace_ms() }
     }
 }
 
@@ -213,10 +214,10 @@
     #[serde(default)]
     pub level: Level,
     /// Lines of each kind in a second; further ones are counted and left out.
-    #[serde(default = "default_lines_per_s")]
+    #[serde(default = "defaults::lines_per_s")]
     pub lines_per_s: u32,
     /// The same for requests that were answered well.
-    #[serde(default = "default_healthy_requests_per_s")]
+    #[serde(default = "defaults::healthy_requests_per_s")]
     pub healthy_requests_per_s: u32,
 }
 
@@ -224,8 +225,8 @@
     fn default() -> Self {
         Self {
             level: Level::default(),
-            lines_per_s: default_lines_per_s(),
-            healthy_requests_per_s: default_healthy_requests_per_s(),
+            lines_per_s: defaults::lines_per_s(),
+            healthy_requests_per_s: defaults::healthy_requests_per_s(),
         }
     }
 }
@@ -245,71 +246,6 @@
     Debug,
 }
 
-fn default_threads() -> usize {
-    2
-}
-
-fn default_max_body_bytes() -> u64 {
-    64 * 1024 * 1024
-}
-
-fn default_max_in_flight() -> usize {
-    4_096
-}
-
-fn default_read_timeout_ms() -> u64 {
-    10_000
-}
-
-fn default_connect_timeout_ms() -> u64 {
-    250
-}
-
-/// The users' rule for both sites.
-fn default_floor() -> Floor {
-    Floor::Percent(70)
-}
-
-/// A round trip between failure domains takes 1 to 3 ms, a late scheduler of a fifth of a core adds
-/// some tens.
-fn default_ask_timeout_ms() -> u64 {
-    40
-}
-
-/// The users' bound on both sites.
-fn default_repeat_ratio() -> f64 {
-    0.2
-}
-
-/// The users' bound at the smaller of their sites.
-fn default_repeat_extra() -> f64 {
-    58.0
-}
-
-/// The window over which the users' bounds hold.
-fn default_repeat_window_ms() -> u64 {
-    10_000
-}
-
-fn default_lag_ms() -> u64 {
-    5_000
-}
-
-/// Above all requests of a node at the size designed for, 61 a second, so that every failure is logged.
-fn default_lines_per_s() -> u32 {
-    200
-}
-
-/// All requests of a node on the users' sites, 3 a second, and a third at the size designed for.
-fn default_healthy_requests_per_s() -> u32 {
-    20
-}
-
-/// Long enough for the longest download that is usual.
-fn default_grace_ms() -> u64 {
-    120_000
-}
-
 /// One reason why settings are refused.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettingsProblem {
@@ -394,18 +330,22 @@
             node: Node { addr: local(7400), failure_domain: "a".into() },
             traffic: Traffic {
                 listen: local(8080),
-                threads: default_threads(),
-                max_body_bytes: default_max_body_bytes(),
-                max_in_flight: default_max_in_flight(),
-                read_timeout_ms: default_read_timeout_ms(),
-                connect_timeout_ms: default_connect_timeout_ms(),
+                threads: defaults::threads(),
+                max_body_bytes: defaults::max_body_bytes(),
+                max_in_flight: defaults::max_in_flight(),
+                read_timeout_ms: defaults::read_timeout_ms(),
+                connect_timeout_ms: defaults::connect_timeout_ms(),
             },
             operator: Operator {
                 listen: local(7480),
                 token_file: Some("operator.token".into()),
                 fault_injection: false,
             },
-            platform: Platform { addr: local(7300), floor: default_floor(), bias: Bias::default() },
+            platform: Platform {
+                addr: local(7300),
+                floor: defaults::floor(),
+                bias: Bias::default(),
+            },
             fleet: Fleet {
                 key_file: Some("fleet.key".into()),
                 also_accept_key_file: Some("fleet.key.old".into()),
--- a/crates/policy/src/baseline.rs
+++ b/crates/policy/src/baseline.rs
@@ -7,7 +7,8 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::verdict::Class;
+use crate::class::Class;
+use crate::observation::Kind;
 
 /// Buckets of the latency histogram: two for each doubling from 64 µs on.
 const BUCKETS: usize = 48;
@@ -96,6 +97,19 @@
         self.late_after(route) * STALL_FACTOR
     }
 
+    /// The class of an outcome; nothing for a request that was abandoned before it was late.
+    pub(crate) fn class_of(&self, kind: Kind, route: u32, elapsed: Duration) -> Option<Class> {
+        let is_late = elapsed > self.late_after(route);
+        match kind {
+            Kind::Answered if !is_late => Some(Class::Good),
+            Kind::Answered => Some(Class::Late),
+            Kind::Abandoned => is_late.then_some(Class::Late),
+            Kind::Stalled => Some(Class::Stalled),
+            Kind::Failed | Kind::Unreachable => Some(Class::Failed),
+            Kind::Shed => Some(Class::Shed),
+        }
+    }
+
     /// Normal shares of late, stalled, failed and shed outcomes.
     pub(crate) fn shares(&self) -> [f64; 4] {
         let total = self.tally.total() + PRIOR;
--- a/crates/policy/src/belief.rs
+++ b/crates/policy/src/belief.rs
@@ -12,7 +12,7 @@
 
 use std::time::Duration;
 
-use crate::judge::{Kind, Reporter};
+use crate::observation::{Kind, Reporter};
 use crate::time::Time;
 
 /// Probability of being sick that time alone leads to.
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -16,7 +16,8 @@
 
 use crate::belief::{Belief, Strain, Use};
 use crate::budget::{Budget, BudgetLimits, RepeatsReport, Spend};
-use crate::judge::{Judge, Kind, Observation, Reporter};
+use crate::judge::Judge;
+use crate::observation::{Kind, Observation, Reporter};
 use crate::permit::{Ask, Grant, PermitId, Reply, Settled, Tier};
 use crate::queue::{Queue, Waiting};
 use crate::rotation::{Change, EndpointStatus, Rotation, State};
--- a/crates/policy/src/judge.rs
+++ b/crates/policy/src/judge.rs
@@ -5,21 +5,23 @@
 //! the path's from one reporter or failure domain, or one that all siblings share. Only the first
 //! ejects. Probes and load reports are not evidence here.
 
+mod fault;
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use resources::Service;
 
 use crate::baseline::Baseline;
-use crate::rendezvous::NodeId;
+use crate::class::Class;
+use crate::observation::{Kind, Observation, Reporter};
 use crate::rotation::{Rotation, State};
 use crate::time::Time;
-use crate::verdict::{Class, Score, Thresholds, log_ratio};
+use crate::verdict::{Score, Thresholds, log_ratio};
+use fault::{Fault, Scope};
 
 /// Outcomes kept per endpoint to find whose fault a bad run is.
 const RECENT: usize = 32;
-/// Outcomes older than this do not speak about a current fault.
-const RECENT_LIFETIME: Duration = Duration::from_secs(10);
 /// How long a path fault keeps a reporter away from an endpoint.
 const AVOID_FOR: Duration = Duration::from_secs(5);
 /// A fault that siblings share ejects nobody for this long, so that it has time to end.
@@ -28,62 +30,11 @@
 const REFRESH: Duration = Duration::from_millis(100);
 /// Part of the baseline that is kept at each refresh: a half-life of about seven seconds.
 const KEEP: f64 = 0.99;
-/// Outcomes of others that are needed to speak for an endpoint.
-const MIN_ELSEWHERE: usize = 3;
-/// Part of the threshold that the evidence of others must stay below to speak for an endpoint.
-const ELSEWHERE_PART: f64 = 0.3;
-/// A fault is shared when this part of the siblings look bad: more than one failure domain of three.
-const SHARED_BY: f64 = 0.4;
 /// How much the part of bad siblings raises the threshold. One sick endpoint among well ones is not
 /// found any later for it.
 const SIBLING_WEIGHT: f64 = 2.0;
 /// Part of the threshold that fails a trial: one stalled request, or several late ones.
 const TRIAL_PART: f64 = 0.3;
-/// A reporter that sees this many endpoints fail while others see them work is itself at fault.
-const OWN_FAULT_ENDPOINTS: usize = 3;
-
-/// How a request ended, as far as the reporter can tell without comparison.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub enum Kind {
-    /// A whole answer.
-    Answered,
-    /// Still open, or a body that has stopped moving, after the time that was asked for.
-    Stalled,
-    /// Connection lost, answer broken off, or a server error.
-    Failed,
-    /// No connection could be made; nothing was sent.
-    Unreachable,
-    /// Refused before any work because the endpoint is full.
-    Shed,
-    /// Given up by the reporter's own side while it was still open, as by a hedge.
-    Abandoned,
-}
-
-/// Who observed an outcome.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct Reporter {
-    /// The node.
-    pub node: NodeId,
-    /// Hash of its failure domain.
-    pub failure_domain: u64,
-}
-
-/// One outcome of real work.
-#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
-pub struct Observation {
-    /// Who observed it.
-    pub reporter: Reporter,
-    /// Position of the endpoint in the rotation of whoever takes it in.
-    #[serde(skip)]
-    pub endpoint: usize,
-    /// Hash of the route's name.
-    pub route: u32,
-    /// How it ended.
-    pub kind: Kind,
-    /// Time from send to the outcome.
-    pub elapsed: Duration,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Recent {
     at: Time,
@@ -109,31 +60,6 @@
     until: Time,
 }
 
-/// Whom a path fault concerns.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Scope {
-    Node(NodeId),
-    FailureDomain(u64),
-}
-
-impl Scope {
-    fn covers(self, reporter: Reporter) -> bool {
-        match self {
-            Self::Node(it) => it == reporter.node,
-            Self::FailureDomain(it) => it == reporter.failure_domain,
-        }
-    }
-}
-
-/// Whose fault a bad run is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Fault {
-    Endpoint,
-    Path(Scope),
-    Shared,
-    Reporter(Reporter),
-}
-
 /// The judge of one service on one node.
 #[derive(Clone, Debug)]
 pub(crate) struct Judge {
@@ -186,7 +112,7 @@
 
     /// Takes in one outcome.
     pub(crate) fn observe(&mut self, now: Time, it: Observation) {
-        let Some(class) = Class::of(it.kind, it.route, it.elapsed, &self.baseline) else { return };
+        let Some(class) = self.baseline.class_of(it.kind, it.route, it.elapsed) else { return };
         self.is_active = true;
         let state = self.rotation.endpoints()[it.endpoint].state;
         if matches!(state, State::Unknown | State::Healthy | State::Ramping { .. }) {
@@ -194,7 +120,7 @@
             self.baseline.add(it.route, class, answered);
         }
         self.remember(now, it, class);
-        self.evidence[it.endpoint].score.add(class, &self.baseline, self.thresholds);
+        self.evidence[it.endpoint].score.add(class, self.baseline.shares(), self.thresholds);
         match class {
             Class::Good => self.good(now, it.endpoint),
             Class::Shed => {}
@@ -317,72 +243,6 @@
         }
     }
 
-    fn whose_fault(&self, now: Time, endpoint: usize) -> Fault {
-        let bad = self.recent(now, endpoint).filter(|it| it.class.is_bad()).map(|it| it.reporter);
-        for reporter in bad {
-            let node = Scope::Node(reporter.node);
-            for scope in [node, Scope::FailureDomain(reporter.failure_domain)] {
-                if !self.is_well_elsewhere(now, endpoint, scope) {
-                    continue;
-                }
-                let is_own = scope == node && self.fails_widely(now, reporter);
-                return if is_own { Fault::Reporter(reporter) } else { Fault::Path(scope) };
-            }
-        }
-        let is_shared = self.bad_siblings(now, endpoint) >= SHARED_BY;
-        if is_shared { Fault::Shared } else { Fault::Endpoint }
-    }
-
-    /// Whether those outside `scope` see the endpoint work, by outcomes of requests that began after
-    /// the first bad one of the scope had begun.
-    fn is_well_elsewhere(&self, now: Time, endpoint: usize, scope: Scope) -> bool {
-        let mut covered = self.recent(now, endpoint).filter(|it| scope.covers(it.reporter));
-        let Some(first) = covered.find(|it| it.class.is_bad()) else { return false };
-        let elsewhere = self.recent(now, endpoint).filter(|it| {
-            !scope.covers(it.reporter) && (it.class.is_bad() || it.started >= first.started)
-        });
-        let mut score = Score::default();
-        let mut seen = 0;
-        for it in elsewhere {
-            score.add_ratio(it.ratio, self.thresholds);
-            seen += 1;
-        }
-        seen >= MIN_ELSEWHERE && score.value() < self.thresholds.eject * ELSEWHERE_PART
-    }
-
-    fn recent(&self, now: Time, endpoint: usize) -> impl Iterator<Item = &Recent> {
-        let recent = self.evidence[endpoint].recent.iter();
-        recent.filter(move |it| now.since(it.at) < RECENT_LIFETIME)
-    }
-
-    /// Whether one reporter sees several endpoints fail.
-    fn fails_widely(&self, now: Time, reporter: Reporter) -> bool {
-        let fails = |it: &Evidence| {
-            it.recent.iter().any(|r| {
-                r.class.is_bad() && r.reporter == reporter && now.since(r.at) < RECENT_LIFETIME
-            })
-        };
-        self.evidence.iter().filter(|it| fails(it)).count() >= OWN_FAULT_ENDPOINTS
-    }
-
-    /// The part of the siblings that have begun to look as bad, among those at work.
-    fn bad_siblings(&self, now: Time, endpoint: usize) -> f64 {
-        let siblings = (0..self.evidence.len())
-            .filter(|i| *i != endpoint && self.rotation.endpoints()[*i].state.in_rotation())
-            .filter(|i| self.is_active(now, *i));
-        let (mut all, mut bad) = (0, 0);
-        for i in siblings {
-            all += 1;
-            bad += usize::from(self.evidence[i].score.value() >= self.thresholds.shared);
-        }
-        bad as f64 / f64::from(all.max(1))
-    }
-
-    /// Whether this node has heard of work on the endpoint lately.
-    fn is_active(&self, now: Time, i: usize) -> bool {
-        self.evidence[i].recent.back().is_some_and(|it| now.since(it.at) < RECENT_LIFETIME)
-    }
-
     fn discard(&mut self, reporter: Reporter) {
         for it in &mut self.evidence {
             if it.recent.iter().any(|r| r.class.is_bad() && r.reporter == reporter) {
@@ -396,7 +256,7 @@
         if class == Class::Shed {
             return;
         }
-        let ratio = log_ratio(class, &self.baseline);
+        let ratio = log_ratio(class, self.baseline.shares());
         let recent = &mut self.evidence[it.endpoint].recent;
         if recent.len() == RECENT {
             recent.pop_front();
--- /dev/null
+++ b/crates/policy/src/judge/fault.rs
@@ -0,0 +1,115 @@
+//! Whose fault it is when an endpoint looks bad: its own, that of the path from one reporter or failure
+//! domain, one that all siblings share, or the reporter's.
+
+use std::time::Duration;
+
+use super::{Evidence, Judge, Recent};
+use crate::observation::Reporter;
+use crate::rendezvous::NodeId;
+use crate::time::Time;
+use crate::verdict::Score;
+
+/// Outcomes older than this do not speak about a current fault.
+const RECENT_LIFETIME: Duration = Duration::from_secs(10);
+/// Outcomes of others that are needed to speak for an endpoint.
+const MIN_ELSEWHERE: usize = 3;
+/// Part of the threshold that the evidence of others must stay below to speak for an endpoint.
+const ELSEWHERE_PART: f64 = 0.3;
+/// A fault is shared when this part of the siblings look bad: more than one failure domain of three.
+const SHARED_BY: f64 = 0.4;
+/// A reporter that sees this many endpoints fail while others see them work is itself at fault.
+const OWN_FAULT_ENDPOINTS: usize = 3;
+
+/// Whom a path fault concerns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Scope {
+    Node(NodeId),
+    FailureDomain(u64),
+}
+
+impl Scope {
+    pub(super) fn covers(self, reporter: Reporter) -> bool {
+        match self {
+            Self::Node(it) => it == reporter.node,
+            Self::FailureDomain(it) => it == reporter.failure_domain,
+        }
+    }
+}
+
+/// Whose fault a bad run is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Fault {
+    Endpoint,
+    Path(Scope),
+    Shared,
+    Reporter(Reporter),
+}
+
+impl Judge {
+    /// Whose fault the bad outcomes of an endpoint are.
+    pub(super) fn whose_fault(&self, now: Time, endpoint: usize) -> Fault {
+        let bad = self.recent(now, endpoint).filter(|it| it.class.is_bad()).map(|it| it.reporter);
+        for reporter in bad {
+            let node = Scope::Node(reporter.node);
+            for scope in [node, Scope::FailureDomain(reporter.failure_domain)] {
+                if !self.is_well_elsewhere(now, endpoint, scope) {
+                    continue;
+                }
+                let is_own = scope == node && self.fails_widely(now, reporter);
+                return if is_own { Fault::Reporter(reporter) } else { Fault::Path(scope) };
+            }
+        }
+        let is_shared = self.bad_siblings(now, endpoint) >= SHARED_BY;
+        if is_shared { Fault::Shared } else { Fault::Endpoint }
+    }
+
+    /// Whether those outside `scope` see the endpoint work, by outcomes of requests that began after
+    /// the first bad one of the scope had begun.
+    fn is_well_elsewhere(&self, now: Time, endpoint: usize, scope: Scope) -> bool {
+        let mut covered = self.recent(now, endpoint).filter(|it| scope.covers(it.reporter));
+        let Some(first) = covered.find(|it| it.class.is_bad()) else { return false };
+        let elsewhere = self.recent(now, endpoint).filter(|it| {
+            !scope.covers(it.reporter) && (it.class.is_bad() || it.started >= first.started)
+        });
+        let mut score = Score::default();
+        let mut seen = 0;
+        for it in elsewhere {
+            score.add_ratio(it.ratio, self.thresholds);
+            seen += 1;
+        }
+        seen >= MIN_ELSEWHERE && score.value() < self.thresholds.eject * ELSEWHERE_PART
+    }
+
+    pub(super) fn recent(&self, now: Time, endpoint: usize) -> impl Iterator<Item = &Recent> {
+        let recent = self.evidence[endpoint].recent.iter();
+        recent.filter(move |it| now.since(it.at) < RECENT_LIFETIME)
+    }
+
+    /// Whether one reporter sees several endpoints fail.
+    fn fails_widely(&self, now: Time, reporter: Reporter) -> bool {
+        let fails = |it: &Evidence| {
+            it.recent.iter().any(|r| {
+                r.class.is_bad() && r.reporter == reporter && now.since(r.at) < RECENT_LIFETIME
+            })
+        };
+        self.evidence.iter().filter(|it| fails(it)).count() >= OWN_FAULT_ENDPOINTS
+    }
+
+    /// The part of the siblings that have begun to look as bad, among those at work.
+    pub(super) fn bad_siblings(&self, now: Time, endpoint: usize) -> f64 {
+        let siblings = (0..self.evidence.len())
+            .filter(|i| *i != endpoint && self.rotation.endpoints()[*i].state.in_rotation())
+            .filter(|i| self.is_active(now, *i));
+        let (mut all, mut bad) = (0, 0);
+        for i in siblings {
+            all += 1;
+            bad += usize::from(self.evidence[i].score.value() >= self.thresholds.shared);
+        }
+        bad as f64 / f64::from(all.max(1))
+    }
+
+    /// Whether this node has heard of work on the endpoint lately.
+    fn is_active(&self, now: Time, i: usize) -> bool {
+        self.evidence[i].recent.back().is_some_and(|it| now.since(it.at) < RECENT_LIFETIME)
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,8 +8,10 @@
 mod baseline;
 mod belief;
 mod budget;
+mod class;
 mod dispatcher;
 mod judge;
+mod observation;
 mod permit;
 mod queue;
 mod rendezvous;
@@ -21,7 +23,7 @@
 
 pub use budget::{BudgetLimits, RepeatsReport};
 pub use dispatcher::{Dispatcher, EvidenceReport};
-pub use judge::{Kind, Observation, Reporter};
+pub use observation::{Kind, Observation, Reporter};
 pub use permit::{Ask, Grant, PermitId, Reply, Settled, Tier};
 pub use rendezvous::{NodeId, rank, stable_hash};
 pub use retry::{Attempt, Next, Outcome, next_step};
--- /dev/null
+++ b/crates/policy/src/observation.rs
@@ -0,0 +1,49 @@
+//! What a node tells of a request: how it ended, where, and who saw it.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::rendezvous::NodeId;
+
+/// How a request ended, as far as the reporter can tell without comparison.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    /// A whole answer.
+    Answered,
+    /// Still open, or a body that has stopped moving, after the time that was asked for.
+    Stalled,
+    /// Connection lost, answer broken off, or a server error.
+    Failed,
+    /// No connection could be made; nothing was sent.
+    Unreachable,
+    /// Refused before any work because the endpoint is full.
+    Shed,
+    /// Given up by the reporter's own side while it was still open, as by a hedge.
+    Abandoned,
+}
+
+/// Who observed an outcome.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reporter {
+    /// The node.
+    pub node: NodeId,
+    /// Hash of its failure domain.
+    pub failure_domain: u64,
+}
+
+/// One outcome of real work.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Observation {
+    /// Who observed it.
+    pub reporter: Reporter,
+    /// Position of the endpoint in the rotation of whoever takes it in.
+    #[serde(skip)]
+    pub endpoint: usize,
+    /// Hash of the route's name.
+    pub route: u32,
+    /// How it ended.
+    pub kind: Kind,
+    /// Time from send to the outcome.
+    pub elapsed: Duration,
+}
--- a/crates/policy/src/permit.rs
+++ b/crates/policy/src/permit.rs
@@ -6,7 +6,7 @@
 use resources::{Name, Priority};
 use serde::{Deserialize, Serialize};
 
-use crate::judge::Reporter;
+use crate::observation::Reporter;
 use crate::rendezvous::NodeId;
 
 /// Identity of a permit, chosen by the node that asks; asking twice is harmless.
--- a/crates/policy/src/rotation.rs
+++ b/crates/policy/src/rotation.rs
@@ -4,6 +4,8 @@
 //! its own part. Judges that see different worlds therefore cannot add up to more ejections than
 //! the service can bear, without any agreement between them (escrow: O'Neil, 1986).
 
+mod floor;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,6 +13,10 @@
 
 use crate::time::Time;
 
+use floor::DomainFloor;
+pub(crate) use floor::SETTLE;
+pub use floor::domain_floors;
+
 /// Good work of this age still proves that an endpoint is healthy.
 const PROOF_LIFETIME: Duration = Duration::from_secs(10);
 /// Time out of rotation. With the patience of a trial it stays below the four seconds after which the
@@ -24,10 +30,6 @@
 const TRIAL_PATIENCE: Duration = Duration::from_secs(1);
 /// Time over which a cold or readmitted endpoint gets back to all of its slots.
 const RAMP: Duration = Duration::from_secs(2);
-/// After a change of configuration the smaller of the old and new allowance holds for this long,
-/// because other nodes may still judge by the old one.
-pub(crate) const SETTLE: Duration = Duration::from_secs(20);
-
 /// Where an endpoint stands.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum State {
@@ -158,36 +160,6 @@
     }
 }
 
-/// The floor of each failure domain, in endpoints, in the order of first mention: the sizes less
-/// the allowance for ejections, which is split by largest remainder. The parts add up to the floor.
-pub fn domain_floors(service: &Service) -> Vec<(Name, usize)> {
-    let mut sizes: Vec<(Name, usize)> = Vec::new();
-    for it in &service.endpoints {
-        match sizes.iter_mut().find(|(name, _)| *name == it.failure_domain) {
-            Some((_, n)) => *n += 1,
-            None => sizes.push((it.failure_domain.clone(), 1)),
-        }
-    }
-    let total = service.endpoints.len();
-    let allowance = total - service.floor.endpoints(total);
-    let mut shares: Vec<usize> = sizes.iter().map(|(_, n)| allowance * n / total.max(1)).collect();
-    let mut order: Vec<usize> = (0..sizes.len()).collect();
-    order.sort_by_key(|i| std::cmp::Reverse((allowance * sizes[*i].1 % total.max(1), sizes[*i].1)));
-    let rest = allowance - shares.iter().sum::<usize>();
-    for i in order.into_iter().take(rest) {
-        shares[i] += 1;
-    }
-    sizes.into_iter().zip(shares).map(|((name, n), share)| (name, n - share)).collect()
-}
-
-#[derive(Clone, Debug)]
-struct DomainFloor {
-    name: Name,
-    floor: usize,
-    /// A stricter floor that holds until the fleet has settled on a new configuration.
-    settling: Option<(usize, Time)>,
-}
-
 /// The endpoints of one service, as one node sees them.
 #[derive(Clone, Debug)]
 pub struct Rotation {
@@ -339,52 +311,6 @@
         self.set(now, i, State::Healthy, "test");
     }
 
-    /// The floor of a failure domain now, in endpoints.
-    pub fn floor_of(&self, now: Time, failure_domain: &str) -> usize {
-        let floor = self.floors.iter().find(|it| it.name == failure_domain);
-        floor.map_or(0, |it| it.current(now))
-    }
-
-    /// Whether the domain keeps its floor of proven endpoints without endpoint `i`.
-    fn floor_allows(&self, now: Time, i: usize) -> bool {
-        let domain = &self.endpoints[i].failure_domain;
-        let proven = self
-            .endpoints
-            .iter()
-            .enumerate()
-            .filter(|(j, it)| *j != i && it.failure_domain == *domain && it.is_proven(now))
-            .count();
-        proven >= self.floor_of(now, domain)
-    }
-
-    /// Brings back the endpoints that were ejected longest ago while a domain has fewer endpoints
-    /// in rotation than its floor, as after a departure or a raised floor.
-    fn restore_floor(&mut self, now: Time) {
-        for f in 0..self.floors.len() {
-            let floor = self.floors[f].current(now);
-            while self.in_rotation(f) < floor {
-                let Some(i) = self.oldest_out(f) else { break };
-                self.set(now, i, State::Suspect, "brought back: too few in rotation");
-            }
-        }
-    }
-
-    fn in_rotation(&self, f: usize) -> usize {
-        let domain = &self.floors[f].name;
-        let own = self.endpoints.iter().filter(|it| it.failure_domain == *domain);
-        own.filter(|it| it.state.in_rotation()).count()
-    }
-
-    fn oldest_out(&self, f: usize) -> Option<usize> {
-        let domain = &self.floors[f].name;
-        (0..self.endpoints.len())
-            .filter(|i| self.endpoints[*i].failure_domain == *domain)
-            .filter(|i| {
-                matches!(self.endpoints[*i].state, State::Ejected { .. } | State::Trial { .. })
-            })
-            .min_by_key(|i| self.endpoints[*i].since)
-    }
-
     fn push_out(&mut self, now: Time, i: usize, reason: &'static str) {
         self.set(now, i, State::Ejected { until: now + TIME_OUT }, reason);
     }
@@ -397,12 +323,3 @@
         self.changes.push(Change { id: it.id.clone(), addr: it.addr, from, to, reason });
     }
 }
-
-impl DomainFloor {
-    fn current(&self, now: Time) -> usize {
-        match self.settling {
-            Some((floor, until)) if now < until => floor.max(self.floor),
-            _ => self.floor,
-        }
-    }
-}
--- a/crates/policy/src/verdict.rs
+++ b/crates/policy/src/verdict.rs
@@ -1,12 +1,9 @@
 //! The sequential change test: a cumulative sum of log-likelihood ratios, sick against healthy
 //! (Page, 1954). Its threshold bounds how often a healthy endpoint is taken for sick.
 
-use std::time::Duration;
-
 use resources::Bias;
 
-use crate::baseline::Baseline;
-use crate::judge::Kind;
+use crate::class::Class;
 
 /// Share of its good answers that a sick endpoint turns into each bad class.
 const SICK_SHARE: f64 = 0.15;
@@ -15,51 +12,6 @@
 /// Part of a crossing score that evidence against a shared fault may reach; see `Judge`.
 const SHARED_PART: f64 = 0.25;
 
-/// An outcome after comparison with the baseline.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Class {
-    Good,
-    Late,
-    Stalled,
-    Failed,
-    Shed,
-}
-
-impl Class {
-    /// The class of an outcome; nothing for a request that was abandoned before it was late.
-    pub(crate) fn of(
-        kind: Kind,
-        route: u32,
-        elapsed: Duration,
-        baseline: &Baseline,
-    ) -> Option<Self> {
-        let is_late = elapsed > baseline.late_after(route);
-        match kind {
-            Kind::Answered if !is_late => Some(Self::Good),
-            Kind::Answered => Some(Self::Late),
-            Kind::Abandoned => is_late.then_some(Self::Late),
-            Kind::Stalled => Some(Self::Stalled),
-            Kind::Failed | Kind::Unreachable => Some(Self::Failed),
-            Kind::Shed => Some(Self::Shed),
-        }
-    }
-
-    pub(crate) fn bad_index(self) -> Option<usize> {
-        match self {
-            Self::Good => None,
-            Self::Late => Some(0),
-            Self::Stalled => Some(1),
-            Self::Failed => Some(2),
-            Self::Shed => Some(3),
-        }
-    }
-
-    /// Whether the outcome speaks for sickness. Shedding speaks for load alone.
-    pub(crate) fn is_bad(self) -> bool {
-        !matches!(self, Self::Good | Self::Shed)
-    }
-}
-
 /// Thresholds of the test for one service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Thresholds {
@@ -96,8 +48,8 @@
 
     /// Adds one outcome; the sum is kept between zero and twice the threshold, so that a recovered
     /// endpoint is not held down by old evidence.
-    pub(crate) fn add(&mut self, class: Class, baseline: &Baseline, thresholds: Thresholds) {
-        self.add_ratio(log_ratio(class, baseline), thresholds);
+    pub(crate) fn add(&mut self, class: Class, normal: [f64; 4], thresholds: Thresholds) {
+        self.add_ratio(log_ratio(class, normal), thresholds);
     }
 
     /// Adds the log-likelihood ratio of one outcome.
@@ -106,17 +58,17 @@
     }
 }
 
-/// The log-likelihood ratio of an outcome, sick against healthy.
-pub(crate) fn log_ratio(class: Class, baseline: &Baseline) -> f64 {
-    let shares = baseline.shares();
+/// The log-likelihood ratio of an outcome, sick against healthy; `normal` are the shares of the bad
+/// classes at healthy endpoints.
+pub(crate) fn log_ratio(class: Class, normal: [f64; 4]) -> f64 {
     let sick = 1.0 - SICK_CLASSES * SICK_SHARE;
     match class {
         Class::Good => sick.ln(),
         Class::Shed => 0.0,
         _ => {
-            let good = (1.0 - shares[..3].iter().sum::<f64>()).max(0.0);
-            let normal = shares[class.bad_index().unwrap_or_default()];
-            (1.0 + SICK_SHARE * good / normal).ln()
+            let good = (1.0 - normal[..3].iter().sum::<f64>()).max(0.0);
+            let usual = normal[class.bad_index().unwrap_or_default()];
+            (1.0 + SICK_SHARE * good / usual).ln()
         }
     }
 }
