One look at an endpoint for a choice

How likely an endpoint is sick was worked out up to four times for each choice, and the name of its failure domain hashed three times.

--- a/crates/policy/src/belief.rs
+++ b/crates/policy/src/belief.rs
@@ -129,7 +129,7 @@
 
     /// The probability that the endpoint is sick.
     pub(crate) fn sick(&self, now: Time) -> f64 {
-        let kept = (-now.since(self.at).as_secs_f64() / EVIDENCE_LASTS).exp();
+        let kept = (-now.seconds_since(self.at) / EVIDENCE_LASTS).exp();
         AT_REST + (self.sick - AT_REST) * kept
     }
 
@@ -140,7 +140,12 @@
 
     /// How the endpoint is used now.
     pub(crate) fn usage(&self, now: Time, strain: Strain) -> Use {
-        match self.sick(now) {
+        self.usage_if(self.sick(now), now, strain)
+    }
+
+    /// The same where it is known how likely the endpoint is sick now.
+    pub(crate) fn usage_if(&self, sick: f64, now: Time, strain: Strain) -> Use {
+        match sick {
             it if it < FREELY_BELOW => Use::Freely,
             it if it < SINGLY_BELOW => Use::Singly,
             _ if self.failed_before(now, strain.alone_for()) => Use::Singly,
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use rand::{Rng, RngExt};
-use resources::{Name, Priority, Service};
+use resources::{Priority, Service};
 use rustc_hash::FxHashMap;
 
 use crate::belief::{Belief, Strain, Use};
@@ -20,6 +20,7 @@
 use crate::observation::{Kind, Observation, Reporter};
 use crate::permit::{Ask, Grant, PermitId, Reply, Settled, Tier};
 use crate::queue::{Queue, Waiting};
+use crate::rendezvous::stable_hash;
 use crate::rotation::{Change, EndpointStatus, Rotation, State};
 use crate::served::{Ending, Served};
 use crate::time::Time;
@@ -92,8 +93,10 @@
 }
 
 /// What this dispatcher knows of one endpoint's slots and of its latest failures.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct Load {
+    /// Hash of its failure domain.
+    failure_domain: u64,
     in_use: u32,
     full_until: Time,
     /// Used last until then, on the word of the peer that dispatches the endpoint.
@@ -101,12 +104,24 @@
     belief: Belief,
 }
 
+impl Load {
+    fn new(failure_domain: &str) -> Self {
+        Self {
+            failure_domain: stable_hash(failure_domain.as_bytes()),
+            in_use: 0,
+            full_until: Time::default(),
+            hinted_until: Time::default(),
+            belief: Belief::default(),
+        }
+    }
+}
+
 impl Dispatcher {
     /// A dispatcher for `service`. `routes` are hashes of the names of the routes that lead to it.
     pub fn new(now: Time, service: &Service, routes: &[u32], budget: BudgetLimits) -> Self {
         Self {
             judge: Judge::new(now, service, routes),
-            loads: vec![Load::default(); service.endpoints.len()],
+            loads: service.endpoints.iter().map(|it| Load::new(&it.failure_domain)).collect(),
             permits: FxHashMap::default(),
             queue: Queue::new(),
             mean_hold: FIRST_HOLD,
@@ -125,8 +140,11 @@
         self.judge.reconfigure(now, service, routes);
         let after: Vec<_> = self.endpoints().iter().map(|it| it.id.clone()).collect();
         let old = std::mem::take(&mut self.loads);
-        let load_of = |id: &Name| before.iter().position(|it| it == id).map(|i| old[i]);
-        self.loads = after.iter().map(|id| load_of(id).unwrap_or_default()).collect();
+        let load_of = |it: &EndpointStatus| {
+            let known = before.iter().position(|id| *id == it.id).map(|i| old[i]);
+            known.unwrap_or_else(|| Load::new(&it.failure_domain))
+        };
+        self.loads = self.endpoints().iter().map(load_of).collect();
         self.permits.retain(|_, it| {
             let moved = after.iter().position(|id| *id == before[it.endpoint]);
             it.endpoint = moved.unwrap_or_default();
@@ -150,8 +168,8 @@
             self.budget.first_send(now, ask.reporter.node);
         }
         self.look_around(now);
-        if let Some(endpoint) = self.choose(now, &ask, || rng.random()) {
-            return Reply::Granted(self.grant(now, &ask, endpoint));
+        if let Some(choice) = self.choose(now, &ask, || rng.random()) {
+            return Reply::Granted(self.grant(now, &ask, choice));
         }
         if !ask.wait {
             return Reply::Full;
@@ -325,8 +343,7 @@
         self.judge.rotation.take_changes()
     }
 
-    fn grant(&mut self, now: Time, ask: &Ask, endpoint: usize) -> Grant {
-        let tier = self.tier(now, endpoint, ask).unwrap_or(Tier::Last);
+    fn grant(&mut self, now: Time, ask: &Ask, (endpoint, tier): (usize, Tier)) -> Grant {
         let it = &self.endpoints()[endpoint];
         let grant = Grant {
             endpoint: it.id.clone(),
@@ -385,9 +402,9 @@
             // The endpoint is chosen while the request still counts as waiting: how urgent it is
             // depends on the queue, and a request that has left it must not be lost.
             let ask = self.queue.get(next);
-            let Some(endpoint) = self.choose(now, ask, || rng.random()) else { break };
+            let Some(choice) = self.choose(now, ask, || rng.random()) else { break };
             let ask = self.queue.take(next).item;
-            let reply = Reply::Granted(self.grant(now, &ask, endpoint));
+            let reply = Reply::Granted(self.grant(now, &ask, choice));
             settled.push(Settled { id: ask.id, reply });
         }
         settled
--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -3,10 +3,9 @@
 use std::time::Duration;
 
 use super::Dispatcher;
-use crate::belief::{Strain, TRY_AGAIN, Use};
+use crate::belief::{Belief, Strain, TRY_AGAIN, Use};
 use crate::permit::{Ask, Tier};
-use crate::rendezvous::stable_hash;
-use crate::rotation::State;
+use crate::rotation::{EndpointStatus, State};
 use crate::time::Time;
 
 /// What an endpoint of another failure domain counts for, in slots in use, when short answers are
@@ -19,6 +18,59 @@
 /// objective made requests late on days of high load and served no more of them.
 const LAST_SEND_PATIENCE: f64 = 0.5;
 
+/// One endpoint at the moment of a choice. How likely it is sick is worked out once, because it takes
+/// most of the time of a choice.
+struct Look<'a> {
+    now: Time,
+    strain: Strain,
+    status: &'a EndpointStatus,
+    belief: &'a Belief,
+    sick: f64,
+}
+
+impl Look<'_> {
+    fn usage(&self) -> Use {
+        self.belief.usage_if(self.sick, self.now, self.strain)
+    }
+
+    /// Whether an endpoint that is out of rotation is tried all the same, one request at a time,
+    /// because a part of the requests is not served.
+    fn is_needed(&self) -> bool {
+        let is_out = matches!(self.status.state, State::Ejected { .. })
+            && self.now.since(self.status.since) > TRY_AGAIN;
+        // Sick endpoints fail at once: without a pause they would be tried again and again.
+        is_out && self.strain == Strain::Unserved && self.belief.failed_before(self.now, TRY_AGAIN)
+    }
+
+    /// Slots that may be used now: one while nothing proves that the endpoint is well again.
+    fn usable_slots(&self) -> u32 {
+        if self.is_needed() {
+            return 1;
+        }
+        let usable = self.status.usable_slots(self.now);
+        match self.usage() {
+            Use::Singly | Use::Cautiously => usable.min(1),
+            Use::Freely | Use::Last => usable,
+        }
+    }
+
+    /// Whether it is used last, and its last failure is so long ago that it may be well by now.
+    fn is_due_for_trial(&self) -> bool {
+        let usage = self.belief.usage_if(self.sick, self.now, Strain::None);
+        matches!(usage, Use::Last | Use::Cautiously)
+            && self.belief.failed_before(self.now, TRY_AGAIN)
+    }
+
+    /// Among those that are used last, how likely it is sick, in steps of a twentieth. Sick ones fail
+    /// fast and so are always free: by free slots alone they would be chosen first.
+    fn doubt(&self, tier: Tier) -> u32 {
+        match tier {
+            Tier::Near | Tier::Last => (self.sick * 20.0) as u32,
+            _ => 0,
+        }
+    }
+}
+
 impl Dispatcher {
     /// The free endpoint of the best tier with the least cost; ties are broken at random.
     ///
@@ -29,22 +81,22 @@
         now: Time,
         ask: &Ask,
         mut tie: impl FnMut() -> u32,
-    ) -> Option<usize> {
+    ) -> Option<(usize, Tier)> {
         let mut best = None;
         let mut good_slots = 0;
         for (i, load) in self.loads.iter().enumerate() {
-            let Some(tier) = self.tier(now, i, ask) else { continue };
-            let usable = match tier {
-                Tier::Trial => 1,
-                _ => self.usable_slots(now, i),
-            };
+            let look = self.look(now, i);
+            let is_near = load.failure_domain == ask.reporter.failure_domain;
+            let Some(tier) = self.tier(&look, i, ask, is_near) else { continue };
+            let usable = if tier == Tier::Trial { 1 } else { look.usable_slots() };
             if tier < Tier::Near {
                 good_slots += usable as usize;
             }
             if load.in_use >= usable {
                 continue;
             }
-            let key = (tier, self.doubt(now, i, tier), self.cost(i, ask), tie());
+            let cost = load.in_use + if is_near { 0 } else { FAR_SLOTS };
+            let key = (tier, look.doubt(tier), cost, tie());
             if best.is_none_or(|(other, _)| key < other) {
                 best = Some((key, i));
             }
@@ -52,7 +104,7 @@
         let ((tier, ..), i) = best?;
         let is_impatient = || self.expected_wait(good_slots, ask.priority) > self.patience(ask);
         let take_worse = ask.wait && (good_slots == 0 || is_impatient());
-        (tier < Tier::Near || take_worse).then_some(i)
+        (tier < Tier::Near || take_worse).then_some((i, tier))
     }
 
     /// How long a good endpoint is waited for. A send that can be followed by another one loses little
@@ -73,93 +125,47 @@
         self.strain = self.served.strain(now);
     }
 
-    /// Whether an endpoint that is out of rotation is tried all the same, one request at a time,
-    /// because a part of the requests is not served.
-    fn is_needed(&self, now: Time, i: usize) -> bool {
-        let it = &self.endpoints()[i];
-        let is_out = matches!(it.state, State::Ejected { .. }) && now.since(it.since) > TRY_AGAIN;
-        // Sick endpoints fail at once: without a pause they would be tried again and again.
-        is_out
-            && self.strain == Strain::Unserved
-            && self.loads[i].belief.failed_before(now, TRY_AGAIN)
-    }
-
-    /// Slots of an endpoint that may be used now: one while nothing proves that it is well again.
-    fn usable_slots(&self, now: Time, i: usize) -> u32 {
-        if self.is_needed(now, i) {
-            return 1;
-        }
-        let usable = self.endpoints()[i].usable_slots(now);
-        match self.loads[i].belief.usage(now, self.strain) {
-            Use::Singly | Use::Cautiously => usable.min(1),
-            Use::Freely | Use::Last => usable,
-        }
-    }
-
-    /// Among those that are used last, how likely an endpoint is sick, in steps of a twentieth.
-    /// Sick ones fail fast and so are always free: by free slots alone they would be chosen first.
-    fn doubt(&self, now: Time, i: usize, tier: Tier) -> u32 {
-        match tier {
-            Tier::Near | Tier::Last => (self.loads[i].belief.sick(now) * 20.0) as u32,
-            _ => 0,
-        }
-    }
-
-    /// Slots in use, and what the way to another failure domain counts for.
-    fn cost(&self, i: usize, ask: &Ask) -> u32 {
-        self.loads[i].in_use + if self.is_near(i, ask) { 0 } else { FAR_SLOTS }
-    }
-
-    /// Whether an endpoint is in the asker's failure domain.
-    fn is_near(&self, i: usize, ask: &Ask) -> bool {
-        let failure_domain = &self.endpoints()[i].failure_domain;
-        stable_hash(failure_domain.as_bytes()) == ask.reporter.failure_domain
-    }
-
-    /// Whether a request that can be sent again is to find out if an endpoint that is used last is well
-    /// by now. It costs little, and a recovered endpoint is missed capacity until someone tries it.
-    fn is_due_for_trial(&self, now: Time, i: usize, ask: &Ask) -> bool {
+    fn look(&self, now: Time, i: usize) -> Look<'_> {
         let belief = &self.loads[i].belief;
-        !self.is_last_send(ask)
-            && (!ask.bulky || self.is_near(i, ask))
-            && matches!(belief.usage(now, Strain::None), Use::Last | Use::Cautiously)
-            && belief.failed_before(now, TRY_AGAIN)
+        let status = &self.endpoints()[i];
+        Look { now, strain: self.strain, status, belief, sick: belief.sick(now) }
     }
 
-    pub(super) fn tier(&self, now: Time, i: usize, ask: &Ask) -> Option<Tier> {
-        let (it, load) = (&self.endpoints()[i], &self.loads[i]);
+    fn tier(&self, look: &Look<'_>, i: usize, ask: &Ask, is_near: bool) -> Option<Tier> {
+        let (now, it, load) = (look.now, look.status, &self.loads[i]);
         if !it.admits(now, ask.repeatable) {
-            return self.is_needed(now, i).then_some(Tier::Cautious);
+            return look.is_needed().then_some(Tier::Cautious);
         }
         // A trial is there to find out whether the failures have ended.
         let is_on_trial = matches!(it.state, State::Trial { .. });
-        let usage = if is_on_trial { Use::Freely } else { load.belief.usage(now, self.strain) };
+        let usage = if is_on_trial { Use::Freely } else { look.usage() };
         let is_suspect = it.state == State::Suspect && now.since(it.since) < TRY_AGAIN;
         let is_out_of_use = it.is_missing
             || now < load.hinted_until
             || now < load.full_until
             || self.judge.avoids(now, i, ask.reporter);
         let last = is_suspect || usage == Use::Last || is_out_of_use;
+        // Work that can be sent again loses little by finding out if an endpoint is well again, and a
+        // recovered one is missed capacity until someone tries it.
+        let may_try = !is_out_of_use && !self.is_last_send(ask) && (is_near || !ask.bulky);
         match usage {
             _ if ask.avoid.contains(&it.addr) => Some(Tier::Avoided),
             _ if is_on_trial && last => None,
-            _ if !is_out_of_use && self.is_due_for_trial(now, i, ask) => Some(Tier::Trial),
+            _ if may_try && look.is_due_for_trial() => Some(Tier::Trial),
             _ if is_on_trial && ask.repeatable && !ask.bulky => Some(Tier::Trial),
-            _ if last && ask.bulky && !self.is_last_send(ask) && self.is_near(i, ask) => {
-                Some(Tier::Near)
-            }
+            _ if last && ask.bulky && is_near && !self.is_last_send(ask) => Some(Tier::Near),
             _ if last => Some(Tier::Last),
-            _ if ask.bulky && !self.is_near(i, ask) => Some(Tier::Far),
+            _ if ask.bulky && !is_near => Some(Tier::Far),
             Use::Cautiously if !ask.repeatable => Some(Tier::Cautious),
             _ => Some(Tier::Good),
         }
     }
 
     pub(super) fn total_slots(&self, now: Time) -> usize {
-        (0..self.loads.len()).map(|i| self.usable_slots(now, i) as usize).sum()
+        (0..self.loads.len()).map(|i| self.look(now, i).usable_slots() as usize).sum()
     }
 
     pub(super) fn has_free_slot(&self, now: Time) -> bool {
-        (0..self.loads.len()).any(|i| self.loads[i].in_use < self.usable_slots(now, i))
+        (0..self.loads.len()).any(|i| self.loads[i].in_use < self.look(now, i).usable_slots())
     }
 }
--- a/crates/policy/src/time.rs
+++ b/crates/policy/src/time.rs
@@ -12,6 +12,11 @@
     pub fn since(self, earlier: Time) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// The same in seconds, without the divisions that a `Duration` takes.
+    pub(crate) fn seconds_since(self, earlier: Time) -> f64 {
+        self.0.saturating_sub(earlier.0) as f64 * 1e-6
+    }
 }
 
 impl Add<Duration> for Time {
