Downloads that are continued or broken off are logged; a test's address that is taken for a moment

Relay: a long answer that goes on elsewhere, or is broken off, leaves a line with the endpoint, the bytes the caller has and the reason; the endpoint is told as failed (it was "abandoned", which is no evidence). Test at a real process: `a_download_that_was_broken_off_is_explained_from_its_identity`.

Stand-ins: one run of the tests failed with "address in use" for an address found free a moment before. Cause: a process that another test starts inherits, until it runs its own program, the socket of the search. Ruled out: outgoing connections (their ports are above 32,767), other test programs (none ran).

--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -40,6 +40,16 @@
     End,
 }
 
+impl Part {
+    /// Bytes of data in it.
+    pub(crate) fn len(&self) -> u64 {
+        match self {
+            Self::Frame(frame) => frame.data_ref().map_or(0, |it| it.len() as u64),
+            Self::End => 0,
+        }
+    }
+}
+
 impl Body for AnswerOut {
     type Data = Bytes;
     type Error = BodyError;
--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -16,11 +16,11 @@
 use tokio::time::{Instant, timeout};
 use upstream::{AnswerBody, Reuse};
 
-use crate::Dispatch;
 use crate::body::{AnswerOut, Part, RequestOut};
 use crate::cx::Cx;
 use crate::open::Open;
 use crate::work::Work;
+use crate::{Dispatch, trace};
 
 /// A body that does not move for this long while the caller waits for it is stalled.
 const STALL_AFTER: Duration = Duration::from_secs(1);
@@ -40,6 +40,8 @@
     open: Open<D::Slot>,
     body: AnswerBody<RequestOut>,
     tx: mpsc::Sender<Part>,
+    /// Bytes passed on to the caller.
+    sent: u64,
     resume: Option<Resume>,
 }
 
@@ -47,7 +49,6 @@
 struct Resume {
     etag: HeaderValue,
     total: u64,
-    have: u64,
     left: u32,
 }
 
@@ -71,7 +72,7 @@
         open.answered();
         let (tx, rx) = mpsc::channel(PARTS_AHEAD);
         let resume = Resume::of(&work.method, parts);
-        tokio::spawn(Self { cx, work, open, body, tx, resume }.run(start));
+        tokio::spawn(Self { cx, work, open, body, tx, sent: 0, resume }.run(start));
         AnswerOut::Stream(rx)
     }
 
@@ -87,9 +88,7 @@
     async fn pass_on(mut self, start: Bytes) {
         if !start.is_empty() {
             let part = Part::Frame(Frame::data(start));
-            if let Some(resume) = &mut self.resume {
-                resume.count(&part);
-            }
+            self.sent += part.len();
             if self.tx.send(part).await.is_err() {
                 return;
             }
@@ -98,14 +97,14 @@
             let part = match self.step().await {
                 Step::Frame(frame) => Part::Frame(frame),
                 Step::End => Part::End,
-                // Dropping the channel without `End` breaks the answer off.
-                Step::Broken | Step::Stalled if !self.resume().await => return,
-                Step::Broken | Step::Stalled => continue,
+                step @ (Step::Broken | Step::Stalled) => match self.resume().await {
+                    true => continue,
+                    // Dropping the channel without `End` breaks the answer off.
+                    false => return self.break_off(&step),
+                },
             };
             let is_end = matches!(part, Part::End);
-            if let Some(resume) = &mut self.resume {
-                resume.count(&part);
-            }
+            self.sent += part.len();
             if self.tx.send(part).await.is_err() {
                 return;
             }
@@ -149,12 +148,23 @@
             resume.left = left;
             if self.try_resume().await.is_some() {
                 self.cx.metrics.resumes.inc();
+                trace::continued(&self.cx, &self.work, &self.open.grant().endpoint, self.sent);
                 return true;
             }
         }
         false
     }
 
+    fn break_off(self, step: &Step) {
+        let endpoint = self.open.grant().endpoint.clone();
+        let reason = match step {
+            Step::Stalled => "the endpoint went silent in the middle of its answer",
+            _ => "the endpoint broke off its answer",
+        };
+        trace::broken_off(&self.cx, &self.work, &endpoint, self.sent, reason);
+        self.open.end(Kind::Failed);
+    }
+
     async fn try_resume(&mut self) -> Option<()> {
         let resume = self.resume.as_ref()?;
         let mut want = self.work.want(self.cx.paths.avoided(&[self.open.addr()]));
@@ -166,10 +176,10 @@
         let body = RequestOut::Held(Full::default());
         let span = self.work.span.child();
         let mut req = self.work.request(&self.cx.names, &open.grant().endpoint, &span, body);
-        resume.ask(req.headers_mut());
+        resume.ask(req.headers_mut(), self.sent);
         let send = self.cx.pool.send(open.addr(), req, Reuse::Allowed);
         let res = timeout(STALL_AFTER, send).await.ok()?.ok()?;
-        if !resume.matches(&res) {
+        if !resume.matches(&res, self.sent) {
             return None;
         }
         open.answered();
@@ -191,27 +201,19 @@
         (is_whole && is_strong && ranges).then(|| Self {
             etag: etag.clone(),
             total,
-            have: 0,
             left: MAX_RESUMES,
         })
     }
 
-    fn count(&mut self, part: &Part) {
-        if let Part::Frame(frame) = part
-            && let Some(data) = frame.data_ref()
-        {
-            self.have += data.len() as u64;
-        }
-    }
-
-    fn ask(&self, headers: &mut http::HeaderMap) {
-        let range = format!("bytes={}-", self.have);
+    /// Asks for what follows the first `have` bytes.
+    fn ask(&self, headers: &mut http::HeaderMap, have: u64) {
+        let range = format!("bytes={have}-");
         headers.insert(header::RANGE, HeaderValue::from_str(&range).expect("digits"));
         headers.insert(header::IF_RANGE, self.etag.clone());
     }
 
-    fn matches<B>(&self, res: &http::Response<B>) -> bool {
-        let range = format!("bytes {}-{}/{}", self.have, self.total.saturating_sub(1), self.total);
+    fn matches<B>(&self, res: &http::Response<B>, have: u64) -> bool {
+        let range = format!("bytes {have}-{}/{}", self.total.saturating_sub(1), self.total);
         let headers = res.headers();
         res.status() == StatusCode::PARTIAL_CONTENT
             && headers.get(header::ETAG) == Some(&self.etag)
--- a/crates/caller/src/trace.rs
+++ b/crates/caller/src/trace.rs
@@ -9,6 +9,7 @@
 use slog::{Logger, debug, info, warn};
 
 use crate::answer::GiveUp;
+use crate::cx::Cx;
 use crate::headers::{HeaderNames, Span};
 use crate::work::Work;
 
@@ -78,6 +79,24 @@
     }
 }
 
+/// Logs that a long answer goes on from another endpoint.
+pub(crate) fn continued<D>(cx: &Cx<D>, work: &Work, endpoint: &str, sent: u64) {
+    info!(cx.log, "download continued"; "request_id" => work.request_id(&cx.names),
+        "endpoint" => endpoint, "sent_bytes" => sent);
+}
+
+/// Logs that a long answer ends before it is whole, which the caller sees.
+pub(crate) fn broken_off<D>(
+    cx: &Cx<D>,
+    work: &Work,
+    endpoint: &str,
+    sent: u64,
+    reason: &'static str,
+) {
+    warn!(cx.log, "download broken off"; "request_id" => work.request_id(&cx.names),
+        "endpoint" => endpoint, "sent_bytes" => sent, "reason" => reason);
+}
+
 /// Logs why a request is given up.
 pub(crate) fn give_up(log: &Logger, names: &HeaderNames, work: &Work, why: GiveUp) {
     warn!(log, "request given up"; "request_id" => work.request_id(names), "reason" => why.reason,
--- a/crates/dappleway/tests/operating.rs
+++ b/crates/dappleway/tests/operating.rs
@@ -113,6 +113,30 @@
     assert_eq!(code, 3);
 }
 
+/// No endpoint can go on with the download, so it is broken off, and the logs say where and why.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_download_that_was_broken_off_is_explained_from_its_identity() {
+    let bed = bed(1).await;
+    let node = &bed.nodes[0];
+    bed.upstreams.iter().for_each(|it| it.set_fault(Fault::CutBody, 1.0, 1.0));
+    let got = client::get(node.addrs.traffic, "/archives/x?bytes=3000000").await;
+    assert!(got.is_err(), "the caller sees that it is not whole");
+    let log = node.log.to_str().unwrap();
+    let text = loop {
+        let text = std::fs::read_to_string(&node.log).unwrap();
+        if text.contains("download broken off") {
+            break text;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    let line = text.lines().find(|it| it.contains("download broken off")).unwrap();
+    let line: serde_json::Value = serde_json::from_str(line).unwrap();
+    let id = line["request_id"].as_str().unwrap();
+    let (code, out, err) = dappleway(node, &["explain", "--logs", log, id]).await;
+    assert!(code == 0 && out.contains("the endpoint broke off its answer"), "{out}{err}");
+    assert!(out.contains("sent_bytes"), "{out}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn with_a_token_the_api_asks_for_it_and_it_is_replaced_without_a_restart() {
     let dir = tempfile::tempdir().unwrap();
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,7 +1,9 @@
 //! A small HTTP/1.1 server for the stand-ins.
 
 use std::convert::Infallible;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -37,8 +39,21 @@
     }
 }
 
-/// Binds an address.
+/// Tries to bind an address, and the pause between them.
+const BIND_TRIES: u32 = 100;
+const BIND_PAUSE: Duration = Duration::from_millis(10);
+
+/// Binds an address that was found free. A process that is being started elsewhere in this one inherits,
+/// until it runs its own program, whatever socket the search for free addresses has open.
 pub async fn bind(addr: SocketAddr) -> std::io::Result<TcpListener> {
+    for _ in 0..BIND_TRIES {
+        match TcpListener::bind(addr).await {
+            Err(error) if error.kind() == ErrorKind::AddrInUse => {
+                tokio::time::sleep(BIND_PAUSE).await;
+            }
+            bound => return bound,
+        }
+    }
     TcpListener::bind(addr).await
 }
 
