--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One send on one slot, and what its answer means.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::header::CONTENT_ENCODING;
 use http::{Request, Response, StatusCode};
@@ -18,6 +19,10 @@
 use crate::work::Work;
 use crate::{Dispatch, trace};
 
+/// Endpoints say that the deadline has passed a little before it has: what is left is handed to them in
+/// whole milliseconds, and their clocks do not run quite like this one.
+const DEADLINE_SLACK: Duration = Duration::from_millis(10);
+
 /// How one send ended.
 pub(crate) enum Sent {
     Answer(Response<AnswerOut>),
@@ -95,6 +100,16 @@
     sent
 }
 
+/// What an answer says about its endpoint, given what is left until the deadline.
+pub(crate) fn kind_of(status: StatusCode, left: Duration) -> Kind {
+    match status {
+        // Too little time was left for this request; that is no fault of the endpoint.
+        StatusCode::GATEWAY_TIMEOUT if left < DEADLINE_SLACK => Kind::Abandoned,
+        it if it.is_server_error() => Kind::Failed,
+        _ => Kind::Answered,
+    }
+}
+
 async fn take_answer<D: Dispatch>(
     cx: &Arc<Cx<D>>,
     work: &Arc<Work>,
@@ -138,12 +153,7 @@
     };
     let out = match start {
         Start::Whole(buf) => {
-            open.end(match parts.status {
-                // Too little time was left for this request; that is no fault of the endpoint.
-                StatusCode::GATEWAY_TIMEOUT if work.left().is_zero() => Kind::Abandoned,
-                _ if is_failure => Kind::Failed,
-                _ => Kind::Answered,
-            });
+            open.end(kind_of(parts.status, work.left()));
             AnswerOut::Whole(Full::new(buf))
         }
         Start::Long(start, body) => {
--- a/crates/caller/src/tests.rs
+++ b/crates/caller/src/tests.rs
@@ -1,10 +1,12 @@
 use std::time::Duration;
 
 use expect_test::{Expect, expect};
-use http::{HeaderMap, HeaderName, HeaderValue, Uri};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, Uri};
+use policy::Kind;
 use resources::Config;
 
 use crate::answer::GiveUp;
+use crate::attempt::kind_of;
 use crate::headers::{HeaderNames, Span, deadline_of, host_of, strip_hop_by_hop};
 use crate::snapshot::Snapshot;
 
@@ -103,3 +105,16 @@
         assert!((8..=12).contains(&to_b), "{to_b} of 100 went to the part of 10");
     }
 }
+
+/// An endpoint that stopped at a short deadline, and said so a moment before it, was taken for sick.
+#[test]
+fn the_end_of_the_deadline_is_no_fault_of_the_endpoint() {
+    let check = |status, left_ms, expected| {
+        assert_eq!(kind_of(status, Duration::from_millis(left_ms)), expected, "{status} {left_ms}");
+    };
+    check(StatusCode::GATEWAY_TIMEOUT, 0, Kind::Abandoned);
+    check(StatusCode::GATEWAY_TIMEOUT, 1, Kind::Abandoned);
+    check(StatusCode::GATEWAY_TIMEOUT, 500, Kind::Failed);
+    check(StatusCode::INTERNAL_SERVER_ERROR, 0, Kind::Failed);
+    check(StatusCode::NOT_FOUND, 0, Kind::Answered);
+}
