--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -32,6 +32,7 @@
         self.last_tick = now;
         if now >= self.next_dispatcher_tick {
             self.next_dispatcher_tick = now + DISPATCHER_TICK;
+            self.services.set_nodes(self.exchange.members().iter().count() + 1);
             let ticked = self.services.tick(now, &mut self.rng);
             self.ticked(now, ticked);
         }
@@ -47,7 +48,6 @@
         self.apply(now, effects);
         if now >= self.next_renewal {
             self.next_renewal = now + RENEW;
-            self.services.set_nodes(self.exchange.members().iter().count() + 1);
             self.renew(now);
             self.measure(now);
         }
