A request beaten by its hedge speaks against its endpoint

Since a stall is reported sooner than a hedge's loser became late, a hedge starts at a third of that time and its loser was cancelled as "abandoned", which is no evidence: a service whose requests are hedged told nobody that it hangs.

Now the loser says so, with a likelihood ratio of 6 (one in twenty healthy requests is beaten on the users' sites), and counts as late for the sequential test.

Ruled out: the trials by repeatable work, which come after 1.9 s only.

--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -14,7 +14,7 @@
 use crate::body::{AnswerOut, RequestOut, Start, read_start};
 use crate::cx::Cx;
 use crate::headers;
-use crate::open::Open;
+use crate::open::{Open, Race};
 use crate::relay::Relay;
 use crate::work::Work;
 use crate::{Dispatch, trace};
@@ -50,15 +50,26 @@
     }
 }
 
+/// Which send of a request it is.
+pub(crate) enum Lane {
+    /// The first.
+    First(Race),
+    /// One after or beside another.
+    Further(Race),
+}
+
 /// One send on one slot.
 pub(crate) async fn attempt<D: Dispatch>(
     cx: &Arc<Cx<D>>,
     work: &Arc<Work>,
     slot: D::Slot,
     body: RequestOut,
-    is_first: bool,
+    lane: Lane,
 ) -> Sent {
-    let mut open = Open::new(slot);
+    let is_first = matches!(lane, Lane::First(_));
+    let mut open = match lane {
+        Lane::First(race) | Lane::Further(race) => Open::in_race(slot, race),
+    };
     let (slot_by, tier, since) = (open.granted_by(), open.grant().tier, Instant::now());
     let span = work.span.child();
     let req = work.request(&cx.names, &open.grant().endpoint, &span, body);
--- a/crates/caller/src/open.rs
+++ b/crates/caller/src/open.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use policy::{Grant, Kind};
@@ -20,13 +22,41 @@
     stall_after: Duration,
     answered_after: Option<Duration>,
     was_paused: bool,
+    race: Race,
+}
+
+/// Tells a send that a hedge beside it was answered first.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Race(Arc<AtomicBool>);
+
+impl Race {
+    /// The send beside which the hedge ran is given up now.
+    pub(crate) fn is_lost(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    fn ending(&self) -> Kind {
+        if self.0.load(Ordering::Relaxed) { Kind::Beaten } else { Kind::Abandoned }
+    }
 }
 
 impl<S: Slot> Open<S> {
     pub(crate) fn new(slot: S) -> Self {
+        Self::in_race(slot, Race::default())
+    }
+
+    /// The same for a send beside which a hedge may run.
+    pub(crate) fn in_race(slot: S, race: Race) -> Self {
         let stall_after = slot.grant().stall_after;
         let started = Instant::now();
-        Self { slot: Some(slot), started, stall_after, answered_after: None, was_paused: false }
+        Self {
+            slot: Some(slot),
+            started,
+            stall_after,
+            answered_after: None,
+            was_paused: false,
+            race,
+        }
     }
 
     pub(crate) fn grant(&self) -> &Grant {
@@ -93,7 +123,7 @@
         if let Some(slot) = self.slot.take()
             && !self.was_paused
         {
-            slot.end(Kind::Abandoned, self.started.elapsed());
+            slot.end(self.race.ending(), self.started.elapsed());
         }
     }
 }
--- a/crates/caller/src/sending.rs
+++ b/crates/caller/src/sending.rs
@@ -12,9 +12,10 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::answer::GiveUp;
-use crate::attempt::{Sent, attempt};
+use crate::attempt::{Lane, Sent, attempt};
 use crate::body::{AnswerOut, Received, RequestOut};
 use crate::cx::Cx;
+use crate::open::Race;
 use crate::work::Work;
 use crate::{Dispatch, Refused, Slot, Want};
 
@@ -150,8 +151,12 @@
         _ => None,
     };
     progress.tried.push(grant.addr);
-    let is_first = progress.reached == 0;
-    let mut first = pin!(attempt(cx, work, slot, body, is_first));
+    let race = Race::default();
+    let lane = match progress.reached {
+        0 => Lane::First(race.clone()),
+        _ => Lane::Further(race.clone()),
+    };
+    let mut first = pin!(attempt(cx, work, slot, body, lane));
     let Some(copy) = copy else { return progress.count(first.await) };
     let part = if grant.trial { TRIAL_HEDGE_PART } else { HEDGE_PART };
     let objective = work.route.objective().mul_f64(HEDGE_OBJECTIVE_PART);
@@ -168,7 +173,10 @@
             _ => (sent, second.await),
         },
         hedge = &mut second => match hedge {
-            Some(Sent::Answer(_)) => return hedge.unwrap_or(Sent::Unknown),
+            Some(Sent::Answer(_)) => {
+                race.is_lost();
+                return hedge.unwrap_or(Sent::Unknown);
+            }
             _ => (first.await, hedge),
         },
     };
@@ -202,5 +210,6 @@
     let want = Want { repeated: true, wait: false, ..work.want(avoid) };
     let slot = acquire(cx, work, want).await.ok()?;
     cx.metrics.hedges.inc();
-    Some(attempt(cx, work, slot, RequestOut::Held(body), false).await)
+    let lane = Lane::Further(Race::default());
+    Some(attempt(cx, work, slot, RequestOut::Held(body), lane).await)
 }
--- a/crates/policy/src/baseline.rs
+++ b/crates/policy/src/baseline.rs
@@ -102,7 +102,7 @@
         let is_late = elapsed > self.late_after(route);
         match kind {
             Kind::Answered if !is_late => Some(Class::Good),
-            Kind::Answered => Some(Class::Late),
+            Kind::Answered | Kind::Beaten => Some(Class::Late),
             Kind::Abandoned => is_late.then_some(Class::Late),
             Kind::Stalled => Some(Class::Stalled),
             Kind::Failed | Kind::Unreachable => Some(Class::Failed),
--- a/crates/policy/src/belief.rs
+++ b/crates/policy/src/belief.rs
@@ -27,6 +27,9 @@
 const ON_ANSWER: f64 = 0.253;
 /// The same for a request that is stalled. Work also takes long by itself now and then.
 const ON_STALL: f64 = 12.0;
+/// The same for a request whose hedge was answered first. About one in twenty healthy ones is on the
+/// users' sites, where hedges start at half of the objective.
+const ON_BEATEN: f64 = 6.0;
 /// Bounds that keep the probability movable.
 const BOUNDS: (f64, f64) = (0.002, 0.985);
 /// Below this an endpoint is used like any other.
@@ -122,6 +125,7 @@
             }
             Kind::Failed => self.fail(now, ON_FAILURE),
             Kind::Stalled => self.fail(now, ON_STALL),
+            Kind::Beaten => self.fail(now, ON_BEATEN),
             Kind::Unreachable if self.is_unreachable(reporter) => self.fail(now, ON_FAILURE),
             Kind::Unreachable | Kind::Shed | Kind::Abandoned => {}
         }
--- a/crates/policy/src/observation.rs
+++ b/crates/policy/src/observation.rs
@@ -19,8 +19,10 @@
     Unreachable,
     /// Refused before any work because the endpoint is full.
     Shed,
-    /// Given up by the reporter's own side while it was still open, as by a hedge.
+    /// Given up by the reporter's own side while it was still open, as when the caller has left.
     Abandoned,
+    /// Given up because a hedge that was sent later was answered first.
+    Beaten,
 }
 
 /// Who observed an outcome.
--- a/crates/policy/src/tests/choice.rs
+++ b/crates/policy/src/tests/choice.rs
@@ -364,3 +364,21 @@
     assert_eq!(tier_of_a_send_that_finds_the_good_one_full(40.0), Some(Tier::Last));
     assert_eq!(tier_of_a_send_that_finds_the_good_one_full(0.0), None, "it waits");
 }
+
+/// Hedged requests were cancelled before they were late, so a stalled service told nobody.
+#[test]
+fn an_endpoint_whose_requests_are_beaten_by_their_hedges_is_soon_the_last_choice() {
+    let service = service(&[3], 1, Bias::Speed);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let elapsed = Duration::from_millis(30);
+    let see = |it: &mut Dispatcher, node, kind| {
+        let reporter = reporter(node);
+        let seen = Observation { reporter, endpoint: 0, route: ROUTE, kind, elapsed };
+        it.observe(Time(0), &service.endpoints[0].id, seen);
+    };
+    see(&mut dispatcher, 1, Kind::Abandoned);
+    see(&mut dispatcher, 2, Kind::Beaten);
+    assert_eq!(dispatcher.set_back(Time(0)).count(), 0, "one alone is usual");
+    (3..5).for_each(|node| see(&mut dispatcher, node, Kind::Beaten));
+    assert_eq!(dispatcher.set_back(Time(0)).count(), 1);
+}
