Lost and regained dispatching nodes, and the number of peers known, in the logs

A line when a dispatching node is passed over and when it answers again, and at most one line a second when the number of known peers changes, so that each dependency of a node shows in its log.

--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -99,6 +99,8 @@
     /// When the configuration in force came into force.
     in_force_since: Time,
     metrics: ControlMetrics,
+    /// Other nodes that were known when this was last logged.
+    known_peers: usize,
     draining: bool,
     last_tick: Time,
     woke: Time,
@@ -182,6 +184,7 @@
             platform_calls: 0,
             in_force_since: now,
             metrics: start.metrics,
+            known_peers: 0,
             draining: false,
             last_tick: now,
             woke: now,
--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use fleet::{PermitMessage, Phase, Place, Verdict};
+use fleet::{Contact, PermitMessage, Phase, Place, Verdict};
 use policy::{NodeId, PermitId, State, Time};
 use rustc_hash::FxHashMap;
 use slog::{info, warn};
@@ -40,6 +40,7 @@
         for action in self.client.tick(now, &directory) {
             self.act(now, action);
         }
+        self.log_contacts();
         if !self.draining {
             let effects = self.exchange.set_phase(self.phase(now));
             self.apply(now, effects);
@@ -49,6 +50,7 @@
         if now >= self.next_renewal {
             self.next_renewal = now + RENEW;
             self.renew(now);
+            self.log_peers();
             self.measure(now);
         }
         if now >= self.next_readiness {
@@ -64,6 +66,29 @@
         self.set_reads(now);
     }
 
+    /// One line a second at most, however many nodes come and go.
+    fn log_peers(&mut self) {
+        let known = self.exchange.members().iter().count();
+        let before = std::mem::replace(&mut self.known_peers, known);
+        if known != before {
+            info!(self.log, "peers known"; "peers" => known, "before" => before);
+        }
+    }
+
+    fn log_contacts(&mut self) {
+        for it in self.client.take_contacts() {
+            let addr = |node| self.exchange.members().get(node).map(|it| it.info.addr.to_string());
+            match it {
+                Contact::Lost(node) => {
+                    warn!(self.log, "dispatching node lost: its successor is asked";
+                    "peer" => addr(node).unwrap_or_default())
+                }
+                Contact::Regained(node) => info!(self.log, "dispatching node regained";
+                    "peer" => addr(node).unwrap_or_default()),
+            }
+        }
+    }
+
     pub(super) fn ticked(&mut self, now: Time, ticked: Ticked) {
         self.undelivered.extend(ticked.settled);
         for (service, scope, it) in ticked.changes {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,7 +17,7 @@
 pub use exchange::{Effect, Exchange, Identity, ROUND};
 pub use fetch::{Bundle, FetchError, fetch, serve_fetches};
 pub use members::{Member, Members, node_id};
-pub use permits::{Action, Client, Directory, Place, Settlement, Wish};
+pub use permits::{Action, Client, Contact, Directory, Place, Settlement, Wish};
 pub use replica::{Facts, Replica};
 pub use wire::{
     Frame, Gossip, Key, Keys, MAX_FRAME_BYTES, Message, News, NodeInfo, PermitMessage, Phase,
--- a/crates/fleet/src/permits.rs
+++ b/crates/fleet/src/permits.rs
@@ -72,6 +72,15 @@
     vain: u32,
 }
 
+/// A change in who answers asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Contact {
+    /// It did not answer, or hands out nothing any more; it is passed over for a while.
+    Lost(NodeId),
+    /// It has answered after it was lost.
+    Regained(NodeId),
+}
+
 /// Finds dispatching nodes.
 pub trait Directory {
     /// The nodes that can dispatch a service, best first.
@@ -87,6 +96,8 @@
     pending: FxHashMap<PermitId, Pending>,
     /// Until when a node is passed over, and for how long it was.
     passed_over: FxHashMap<NodeId, (Time, Duration)>,
+    /// Dispatching nodes lost or regained since this was last taken.
+    contacts: Vec<Contact>,
     /// Asks that nobody answered.
     pub timeouts: u64,
     /// Slots that this node picked for itself because nobody answered.
@@ -101,6 +112,7 @@
             timeout,
             pending: FxHashMap::default(),
             passed_over: FxHashMap::default(),
+            contacts: Vec::new(),
             timeouts: 0,
             direct: 0,
         }
@@ -128,8 +140,10 @@
         reply: Reply,
         directory: &impl Directory,
     ) -> Option<Action> {
-        if let Place::Peer(node) = place {
-            self.passed_over.remove(&node);
+        if let Place::Peer(node) = place
+            && self.passed_over.remove(&node).is_some()
+        {
+            self.contacts.push(Contact::Regained(node));
         }
         let Some(pending) = self.pending.get_mut(&id).filter(|it| it.place == place) else {
             return unwanted(place, id, &reply);
@@ -144,6 +158,7 @@
                 pending.vain += 1;
                 if let Place::Peer(node) = place {
                     self.passed_over.insert(node, (now + PASS_OVER, PASS_OVER));
+                    self.contacts.push(Contact::Lost(node));
                 }
                 Some(self.ask(now, id, directory))
             }
@@ -162,6 +177,11 @@
         }
     }
 
+    /// Dispatching nodes that were lost or regained since the last call.
+    pub fn take_contacts(&mut self) -> Vec<Contact> {
+        std::mem::take(&mut self.contacts)
+    }
+
     /// Withdraws a wish. A grant that still arrives is given back.
     pub fn withdraw(&mut self, id: PermitId) -> Option<Place> {
         self.pending.remove(&id).map(|it| it.place)
@@ -197,6 +217,9 @@
 
     fn pass_over(&mut self, now: Time, node: NodeId) {
         let before = self.passed_over.get(&node).map(|(_, length)| *length);
+        if before.is_none() {
+            self.contacts.push(Contact::Lost(node));
+        }
         let length = before.map_or(PASS_OVER, |it| (it * 2).min(MAX_PASS_OVER));
         self.passed_over.insert(node, (now + length, length));
     }
--- a/crates/fleet/src/tests/permits.rs
+++ b/crates/fleet/src/tests/permits.rs
@@ -3,7 +3,7 @@
 use policy::{Ask, Grant, NodeId, PermitId, Reply, Reporter, Tier, Time};
 use resources::Priority;
 
-use crate::permits::{Action, Client, Directory, Place, Settlement, Wish};
+use crate::permits::{Action, Client, Contact, Directory, Place, Settlement, Wish};
 use crate::wire::PermitMessage;
 
 const ME: NodeId = NodeId(1);
@@ -171,3 +171,16 @@
     assert_eq!(client.withdraw(wish().ask.id), Some(Place::Peer(NodeId(2))));
     assert_eq!(reply(&mut client, &table, 2, Reply::Granted(grant())), "release 2");
 }
+
+#[test]
+fn a_node_that_is_lost_and_regained_is_told_of_once_each() {
+    let table = three_nodes();
+    let (mut client, _) = start(&table);
+    assert_eq!(client.take_contacts(), []);
+    tick(&mut client, &table, 20);
+    assert_eq!(client.take_contacts(), [Contact::Lost(NodeId(2))]);
+    // Its answer comes after all; a second one is no news.
+    reply(&mut client, &table, 2, Reply::Queued);
+    reply(&mut client, &table, 2, Reply::Queued);
+    assert_eq!(client.take_contacts(), [Contact::Regained(NodeId(2))]);
+}
