Read again: one place for what stood twice

No behaviour and no assertion changed.

Looked at and left: constants of `belief`, `budget` and `judge` are alike in shape only; the three small HTTP clients (store, operators, tests) keep different promises about connections and time.

--- a/crates/dappleway/src/control/metrics.rs
+++ b/crates/dappleway/src/control/metrics.rs
@@ -10,10 +10,6 @@
 use super::Control;
 use crate::services::Scope;
 
-/// Names of all states of an endpoint.
-const STATES: [&str; 7] =
-    ["unknown", "healthy", "suspect", "ramping", "ejected", "trial", "leaving"];
-
 /// Figures of the control thread.
 pub struct ControlMetrics {
     endpoints: IntGaugeVec,
@@ -101,8 +97,7 @@
     pub(super) fn measure(&mut self, now: Time) {
         let mut states: FxHashMap<&'static str, i64> = FxHashMap::default();
         for it in self.services.iter() {
-            let dispatcher = it.own.as_ref().unwrap_or(&it.direct);
-            for endpoint in dispatcher.endpoints() {
+            for endpoint in it.dispatcher().endpoints() {
                 *states.entry(State::name(endpoint.state)).or_default() += 1;
             }
         }
@@ -119,7 +114,7 @@
             }
         });
         let it = &self.metrics;
-        for state in STATES {
+        for state in State::NAMES {
             let count = states.get(state).copied().unwrap_or_default();
             it.endpoints.with_label_values(&[state]).set(count);
         }
@@ -134,6 +129,6 @@
         it.registry_revision.set(facts.revision as i64);
         it.config_age.set(now.since(self.in_force_since).as_secs_f64());
         it.platform_age.set(self.exchange.duty().age(now).as_secs_f64());
-        it.nodes.set(self.exchange.members().iter().count() as i64 + 1);
+        it.nodes.set(self.exchange.members().len() as i64 + 1);
     }
 }
--- a/crates/dappleway/src/control/report.rs
+++ b/crates/dappleway/src/control/report.rs
@@ -105,8 +105,7 @@
 
 /// An endpoint as the dispatcher sees it that hands out its slots: the own one if there is one.
 fn endpoint(now: Time, service: &ServiceState, i: usize) -> EndpointReport {
-    let own = service.own.as_ref();
-    let dispatcher = own.unwrap_or(&service.direct);
+    let dispatcher = service.dispatcher();
     let status = &dispatcher.endpoints()[i];
     let evidence = dispatcher.evidence_of(now, i);
     EndpointReport {
@@ -120,6 +119,6 @@
         used: evidence.used.to_owned(),
         failed_ms: evidence.since_failure.map(|it| it.as_millis() as u64),
         in_use: evidence.in_use,
-        dispatched_here: own.is_some(),
+        dispatched_here: service.own.is_some(),
     }
 }
--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -32,7 +32,7 @@
         self.last_tick = now;
         if now >= self.next_dispatcher_tick {
             self.next_dispatcher_tick = now + DISPATCHER_TICK;
-            self.services.set_nodes(self.exchange.members().iter().count() + 1);
+            self.services.set_nodes(self.exchange.members().len() + 1);
             let ticked = self.services.tick(now, &mut self.rng);
             self.ticked(now, ticked);
         }
@@ -68,7 +68,7 @@
 
     /// One line a second at most, however many nodes come and go.
     fn log_peers(&mut self) {
-        let known = self.exchange.members().iter().count();
+        let known = self.exchange.members().len();
         let before = std::mem::replace(&mut self.known_peers, known);
         if known != before {
             info!(self.log, "peers known"; "peers" => known, "before" => before);
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -212,6 +212,12 @@
         Self { service, routes: routes.to_vec(), ..self }
     }
 
+    /// The dispatcher whose word on the endpoints counts at this node: the one for the fleet if there is
+    /// one.
+    pub fn dispatcher(&self) -> &Dispatcher {
+        self.own.as_ref().unwrap_or(&self.direct)
+    }
+
     /// The dispatcher for the fleet; made when it is first asked for. It starts with what this node
     /// has seen itself.
     pub fn own(&mut self, now: Time, budget: BudgetLimits, nodes: usize) -> &mut Dispatcher {
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -75,6 +75,11 @@
         self.by_id.iter().map(|(id, it)| (*id, it))
     }
 
+    /// Number of nodes.
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
     /// Whether no node is known.
     pub fn is_empty(&self) -> bool {
         self.by_id.is_empty()
--- a/crates/fleet/tests/exchange.rs
+++ b/crates/fleet/tests/exchange.rs
@@ -133,7 +133,7 @@
     for n in [6, 40] {
         let mut net = Net::new(n, 0.02);
         net.run(Duration::from_millis(1_000));
-        let known: usize = net.nodes.iter().map(|it| it.members().iter().count()).sum();
+        let known: usize = net.nodes.iter().map(|it| it.members().len()).sum();
         let all = n * (n - 1);
         assert!(known * 100 >= all * 99, "of {n} nodes {known} of {all} pairs know each other");
     }
--- a/crates/policy/src/belief.rs
+++ b/crates/policy/src/belief.rs
@@ -66,10 +66,9 @@
 }
 
 /// Whether the service goes without endpoints that it may need.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Strain {
     /// Nearly all requests are served.
-    #[default]
     None,
     /// A part of the requests is not served: endpoints are tried again sooner.
     Unserved,
--- a/crates/policy/src/rotation.rs
+++ b/crates/policy/src/rotation.rs
@@ -61,6 +61,10 @@
 }
 
 impl State {
+    /// All that `name` returns.
+    pub const NAMES: [&'static str; 7] =
+        ["unknown", "healthy", "suspect", "ramping", "ejected", "trial", "leaving"];
+
     /// Short name for reports and metrics.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/policy/src/tests/choice.rs
+++ b/crates/policy/src/tests/choice.rs
@@ -7,10 +7,10 @@
 use rand::rngs::StdRng;
 use resources::Bias;
 
-use super::fixture::{BUDGET, ROUTE, SECOND, ask, fill, reporter, service};
+use super::fixture::{BUDGET, ROUTE, SECOND, ask, fill, seen, service};
 use crate::{
-    Ask, BudgetLimits, Dispatcher, Grant, Kind, NodeId, Observation, Reply, Reporter, State, Tier,
-    Time, stable_hash,
+    Ask, BudgetLimits, Dispatcher, Grant, Kind, NodeId, Reply, Reporter, State, Tier, Time,
+    stable_hash,
 };
 
 /// The first digit of the port's second half names the failure domain of the fixture.
@@ -151,8 +151,7 @@
     let service = service(&[3], 1, Bias::Speed);
     let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
     let elapsed = Duration::from_millis(1);
-    let reporter = reporter(1);
-    let seen = Observation { reporter, endpoint: 0, route: ROUTE, kind: Kind::Failed, elapsed };
+    let seen = seen(1, Kind::Failed, elapsed);
     (0..3).for_each(|_| dispatcher.observe(Time(0), &service.endpoints[0].id, seen));
     let mut tried_by = |now, it: Ask| {
         let id = it.id;
@@ -200,13 +199,7 @@
     let mut told = new();
     let sick = &service.endpoints[1];
     let elapsed = Duration::from_millis(5);
-    let it = Observation {
-        reporter: reporter(1),
-        endpoint: 0,
-        route: ROUTE,
-        kind: Kind::Failed,
-        elapsed,
-    };
+    let it = seen(1, Kind::Failed, elapsed);
     told.observe(Time(0), &sick.id, it);
     let taken_over = new().with_beliefs_of(&told);
     assert_eq!(taken_over.set_back(Time(1)).collect::<Vec<_>>(), [sick.addr]);
@@ -221,8 +214,7 @@
     let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
     let fails = |it: &mut Dispatcher, i: usize, times: usize| {
         let elapsed = Duration::from_millis(1);
-        let reporter = reporter(1);
-        let seen = Observation { reporter, endpoint: 0, route: ROUTE, kind: Kind::Failed, elapsed };
+        let seen = seen(1, Kind::Failed, elapsed);
         (0..times).for_each(|_| it.observe(Time(0), &service.endpoints[i].id, seen));
     };
     fails(&mut dispatcher, 0, 3);
@@ -240,11 +232,10 @@
     let mut rng = StdRng::seed_from_u64(1);
     let service = service(&[2], 1, Bias::Speed);
     let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
-    let reporter = reporter(1);
     let see = |it: &mut Dispatcher, i: usize, ms: u64, kind| {
         let now = Time(0) + Duration::from_millis(ms);
         let elapsed = Duration::from_millis(if kind == Kind::Failed { 1 } else { 90 });
-        let seen = Observation { reporter, endpoint: 0, route: ROUTE, kind, elapsed };
+        let seen = seen(1, kind, elapsed);
         it.observe(now, &service.endpoints[i].id, seen);
     };
     for ms in [0, 100, 200] {
@@ -275,8 +266,7 @@
     let service = service(&[2], 1, Bias::Speed);
     let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
     let elapsed = Duration::from_millis(1);
-    let reporter = reporter(1);
-    let it = Observation { reporter, endpoint: 0, route: ROUTE, kind: Kind::Failed, elapsed };
+    let it = seen(1, Kind::Failed, elapsed);
     dispatcher.observe(Time(0), &service.endpoints[0].id, it);
     assert!(!dispatcher.is_in_charge(Time(0)));
     dispatcher.ask(Time(0), ask(1, true), &mut rng);
@@ -291,13 +281,7 @@
     let service = service(&[1, 2], 1, Bias::Speed);
     let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
     let elapsed = Duration::from_millis(1);
-    let seen = Observation {
-        reporter: reporter(1),
-        endpoint: 0,
-        route: ROUTE,
-        kind: Kind::Failed,
-        elapsed,
-    };
+    let seen = seen(1, Kind::Failed, elapsed);
     for endpoint in &service.endpoints[1..] {
         (0..3).for_each(|_| dispatcher.observe(Time(0), &endpoint.id, seen));
     }
@@ -318,8 +302,7 @@
     let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
     let see = |it: &mut Dispatcher, i: usize, node: u64, kind| {
         let elapsed = Duration::from_millis(1);
-        let seen =
-            Observation { reporter: reporter(node), endpoint: 0, route: ROUTE, kind, elapsed };
+        let seen = seen(node, kind, elapsed);
         it.observe(Time(0), &service.endpoints[i].id, seen);
     };
     (1..8).for_each(|i| see(&mut dispatcher, i, i as u64, Kind::Answered));
@@ -350,8 +333,7 @@
         let budget = BudgetLimits { extra, ..BUDGET };
         let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], budget);
         let elapsed = Duration::from_millis(1);
-        let reporter = reporter(1);
-        let seen = Observation { reporter, endpoint: 0, route: ROUTE, kind: Kind::Failed, elapsed };
+        let seen = seen(1, Kind::Failed, elapsed);
         (0..3).for_each(|_| dispatcher.observe(Time(0), &service.endpoints[0].id, seen));
         (0..3).for_each(|seq| drop(dispatcher.ask(Time(1), ask(seq, true), &mut rng)));
         // A wait of a third of 100 ms lies between a twentieth and a half of this objective.
@@ -372,8 +354,7 @@
     let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
     let elapsed = Duration::from_millis(30);
     let see = |it: &mut Dispatcher, node, kind| {
-        let reporter = reporter(node);
-        let seen = Observation { reporter, endpoint: 0, route: ROUTE, kind, elapsed };
+        let seen = seen(node, kind, elapsed);
         it.observe(Time(0), &service.endpoints[0].id, seen);
     };
     see(&mut dispatcher, 1, Kind::Abandoned);
--- a/crates/policy/src/tests/fixture.rs
+++ b/crates/policy/src/tests/fixture.rs
@@ -45,6 +45,11 @@
     Reporter { node: NodeId(node), failure_domain: node % 3 }
 }
 
+/// What a node tells of one request.
+pub(super) fn seen(node: u64, kind: Kind, elapsed: Duration) -> Observation {
+    Observation { reporter: reporter(node), endpoint: 0, route: ROUTE, kind, elapsed }
+}
+
 /// How an endpoint answers.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum Health {
