A request without an answer is evidence by how many healthy ones would still be open

Cause: endpoints that hang answer nothing until the deadline. Their 504 and the end of the wait were told as Abandoned, which belief takes for nothing, and a stall is reported only after the routes' deadlines. Change: an outcome of its own, TimedOut. Each request without an answer (timed out, stalled, beaten, left) weighs by the share of healthy requests still open at that age, from the route's own latencies, with the objective as weak prior. The fixed ratios for stalls and beaten requests go. Ruled out: the path (504s carry the endpoint's own signature), overload (30 % of slots in use). The test of the 504 at a deadline expects the new outcome; that little time is no evidence is now checked at the belief.

--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -81,7 +81,10 @@
     let endpoint = open.grant().endpoint.clone();
     let send = cx.pool.send(addr, req, reuse);
     let sent = match open.watch(send, work.give_up_at).await {
-        None => Sent::TimedOut,
+        None => {
+            open.end(Kind::TimedOut);
+            Sent::TimedOut
+        }
         Some(Err(error)) if error.failure.is_not_run() => {
             if matches!(error.failure, Failure::Connect(_)) {
                 cx.paths.failed(addr);
@@ -114,8 +117,8 @@
 /// What an answer says about its endpoint, given what is left until the deadline.
 pub(crate) fn kind_of(status: StatusCode, left: Duration) -> Kind {
     match status {
-        // Too little time was left for this request; that is no fault of the endpoint.
-        StatusCode::GATEWAY_TIMEOUT if left < DEADLINE_SLACK => Kind::Abandoned,
+        // How long it was open says whether that speaks against the endpoint.
+        StatusCode::GATEWAY_TIMEOUT if left < DEADLINE_SLACK => Kind::TimedOut,
         it if it.is_server_error() => Kind::Failed,
         _ => Kind::Answered,
     }
@@ -155,7 +158,10 @@
     let (mut parts, body) = res.into_parts();
     headers::strip_hop_by_hop(&mut parts.headers);
     let start = match open.watch(read_start(body), work.give_up_at).await {
-        None => return Sent::TimedOut,
+        None => {
+            open.end(Kind::TimedOut);
+            return Sent::TimedOut;
+        }
         Some(Err(_)) => {
             open.end(Kind::Failed);
             return Sent::Unknown;
--- a/crates/caller/src/tests.rs
+++ b/crates/caller/src/tests.rs
@@ -112,8 +112,8 @@
     let check = |status, left_ms, expected| {
         assert_eq!(kind_of(status, Duration::from_millis(left_ms)), expected, "{status} {left_ms}");
     };
-    check(StatusCode::GATEWAY_TIMEOUT, 0, Kind::Abandoned);
-    check(StatusCode::GATEWAY_TIMEOUT, 1, Kind::Abandoned);
+    check(StatusCode::GATEWAY_TIMEOUT, 0, Kind::TimedOut);
+    check(StatusCode::GATEWAY_TIMEOUT, 1, Kind::TimedOut);
     check(StatusCode::GATEWAY_TIMEOUT, 500, Kind::Failed);
     check(StatusCode::INTERNAL_SERVER_ERROR, 0, Kind::Failed);
     check(StatusCode::NOT_FOUND, 0, Kind::Answered);
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use policy::{BudgetLimits, Change, Dispatcher, Observation, Settled, Time, stable_hash};
+use policy::{
+    BudgetLimits, Change, Dispatcher, Observation, RouteTerms, Settled, Time, stable_hash,
+};
 use rand::Rng;
 use resources::{Config, Endpoint, Name, Registration, Service};
 use rustc_hash::FxHashMap;
@@ -28,7 +30,7 @@
     pub direct: Dispatcher,
     /// Hands out slots to all nodes.
     pub own: Option<Dispatcher>,
-    routes: Vec<u32>,
+    routes: Vec<RouteTerms>,
 }
 
 /// All services in force, by the hash of their name.
@@ -36,7 +38,7 @@
 pub struct Services {
     by_hash: FxHashMap<u64, ServiceState>,
     /// The documents in force with the routes that lead to them.
-    documents: Vec<(Arc<Service>, Vec<u32>)>,
+    documents: Vec<(Arc<Service>, Vec<RouteTerms>)>,
     endpoints: FxHashMap<Name, Vec<Endpoint>>,
     budget: BudgetLimits,
     /// Nodes of the fleet, this one included.
@@ -70,10 +72,12 @@
 
     /// Follows a configuration that has come into force.
     pub fn reconfigure(&mut self, now: Time, config: &Config) {
-        let mut routes: FxHashMap<&Name, Vec<u32>> = FxHashMap::default();
+        let mut routes: FxHashMap<&Name, Vec<RouteTerms>> = FxHashMap::default();
         for route in config.routes.iter() {
             for (service, _) in route.shares() {
-                routes.entry(service).or_default().push(route_hash(&route.name));
+                let terms =
+                    RouteTerms { id: route_hash(&route.name), objective: route.objective() };
+                routes.entry(service).or_default().push(terms);
             }
         }
         let documents = config.services.values();
@@ -194,7 +198,7 @@
     fn new(
         now: Time,
         service: Arc<Service>,
-        routes: &[u32],
+        routes: &[RouteTerms],
         budget: BudgetLimits,
         nodes: usize,
     ) -> Self {
@@ -203,7 +207,7 @@
         Self { service, direct, own: None, routes: routes.to_vec() }
     }
 
-    fn reconfigured(mut self, now: Time, service: Arc<Service>, routes: &[u32]) -> Self {
+    fn reconfigured(mut self, now: Time, service: Arc<Service>, routes: &[RouteTerms]) -> Self {
         if service == self.service && routes == self.routes {
             return self;
         }
--- a/crates/policy/benches/decision.rs
+++ b/crates/policy/benches/decision.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
-use policy::{Ask, BudgetLimits, Dispatcher, Kind, NodeId, PermitId, Reporter, Time};
+use policy::{Ask, BudgetLimits, Dispatcher, Kind, NodeId, PermitId, Reporter, RouteTerms, Time};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use resources::{Endpoint, Floor, Priority, Service};
@@ -33,7 +33,8 @@
 fn ask_and_release(c: &mut Criterion) {
     let mut group = c.benchmark_group("ask and release");
     for (endpoints, routes) in [(5, 4), (15, 4), (28, 4), (15, 400)] {
-        let routes: Vec<u32> = (0..routes).collect();
+        let objective = Duration::from_millis(600);
+        let routes: Vec<_> = (0..routes).map(|id| RouteTerms { id, objective }).collect();
         let mut dispatcher = Dispatcher::new(Time(0), &service(endpoints), &routes, BUDGET);
         let mut rng = StdRng::seed_from_u64(1);
         let mut seq = 0;
--- a/crates/policy/src/baseline.rs
+++ b/crates/policy/src/baseline.rs
@@ -19,8 +19,14 @@
 /// A request is stalled when it is open for this many late thresholds. With three, a request that
 /// hangs is noticed after the deadlines of the users' routes.
 const STALL_FACTOR: u32 = 2;
-/// Late threshold while there are too few samples.
-const COLD_LATE: Duration = Duration::from_millis(600);
+/// Part of the healthy answers that are expected within the route's objective before any was seen.
+const WITHIN_OBJECTIVE: f64 = 0.9;
+/// Weight of that expectation, in answers.
+const EXPECTED_WEIGHT: f64 = 10.0;
+/// Healthy answers that may still be to come, whatever was counted: work sometimes takes very long.
+const MIN_STILL_OPEN: f64 = 0.005;
+/// Late threshold of a route that this node does not know yet.
+const LATE_ON_UNKNOWN: Duration = Duration::from_millis(600);
 /// Bounds of the late threshold.
 const MIN_LATE: Duration = Duration::from_millis(5);
 
@@ -66,16 +72,55 @@
     }
 }
 
+/// What is to be known of a route that leads to a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RouteTerms {
+    /// Hash of the route's name.
+    pub id: u32,
+    /// Time within which an answer is worth most to the caller.
+    pub objective: Duration,
+}
+
 /// Latencies of one route.
 #[derive(Clone, Debug)]
 struct Latency {
+    objective: Duration,
     histogram: [f32; BUCKETS],
+    /// Samples above the lower edge of each bucket, as of the last refresh.
+    above: [f32; BUCKETS + 1],
     late_after: Duration,
 }
 
-impl Default for Latency {
-    fn default() -> Self {
-        Self { histogram: [0.0; BUCKETS], late_after: COLD_LATE }
+impl Latency {
+    fn new(objective: Duration) -> Self {
+        Self {
+            objective,
+            histogram: [0.0; BUCKETS],
+            above: [0.0; BUCKETS + 1],
+            late_after: objective,
+        }
+    }
+
+    /// Decays the samples and derives anew what follows from them.
+    fn refresh(&mut self, keep: f64) {
+        self.histogram.iter_mut().for_each(|it| *it *= keep as f32);
+        for i in (0..BUCKETS).rev() {
+            self.above[i] = self.above[i + 1] + self.histogram[i];
+        }
+        if let Some(quantile) = quantile(&self.histogram) {
+            self.late_after = quantile.max(MIN_LATE);
+        }
+    }
+
+    fn still_open(&self, elapsed: Duration) -> f64 {
+        let in_objectives = elapsed.as_secs_f64() / self.objective.as_secs_f64().max(1e-3);
+        let expected = (1.0 - WITHIN_OBJECTIVE).powf(in_objectives);
+        let at = position(elapsed);
+        let (i, part) = (at as usize, at.fract());
+        let above = f64::from(self.above[i]) * (1.0 - part) + f64::from(self.above[i + 1]) * part;
+        let share =
+            (above + EXPECTED_WEIGHT * expected) / (f64::from(self.above[0]) + EXPECTED_WEIGHT);
+        share.max(MIN_STILL_OPEN)
     }
 }
 
@@ -89,7 +134,13 @@
 impl Baseline {
     /// Answers of the route that take longer than this are late.
     pub(crate) fn late_after(&self, route: u32) -> Duration {
-        self.routes.get(&route).map_or(COLD_LATE, |it| it.late_after)
+        self.routes.get(&route).map_or(LATE_ON_UNKNOWN, |it| it.late_after)
+    }
+
+    /// Share of the route's healthy requests that are still open after `elapsed`. Until enough answers
+    /// are known it rests on the objective.
+    pub(crate) fn still_open(&self, route: u32, elapsed: Duration) -> f64 {
+        self.routes.get(&route).map_or(1.0, |it| it.still_open(elapsed))
     }
 
     /// Requests of the route that are open for longer than this are stalled.
@@ -103,7 +154,8 @@
         match kind {
             Kind::Answered if !is_late => Some(Class::Good),
             Kind::Answered | Kind::Beaten => Some(Class::Late),
-            Kind::Abandoned => is_late.then_some(Class::Late),
+            Kind::TimedOut if elapsed > self.stall_after(route) => Some(Class::Stalled),
+            Kind::Abandoned | Kind::TimedOut => is_late.then_some(Class::Late),
             Kind::Stalled => Some(Class::Stalled),
             Kind::Failed | Kind::Unreachable => Some(Class::Failed),
             Kind::Shed => Some(Class::Shed),
@@ -120,10 +172,11 @@
     }
 
     /// Keeps the latencies of the routes that still exist.
-    pub(crate) fn retain_routes(&mut self, routes: &[u32]) {
-        self.routes.retain(|it, _| routes.contains(it));
+    pub(crate) fn retain_routes(&mut self, routes: &[RouteTerms]) {
+        self.routes.retain(|id, _| routes.iter().any(|it| it.id == *id));
         for it in routes {
-            self.routes.entry(*it).or_default();
+            let known = self.routes.entry(it.id).or_insert_with(|| Latency::new(it.objective));
+            known.objective = it.objective;
         }
     }
 
@@ -144,18 +197,18 @@
     /// Decays the counts by `keep` and derives the late thresholds anew.
     pub(crate) fn refresh(&mut self, keep: f64) {
         self.tally.decay(keep);
-        for latency in self.routes.values_mut() {
-            latency.histogram.iter_mut().for_each(|it| *it *= keep as f32);
-            if let Some(quantile) = quantile(&latency.histogram) {
-                latency.late_after = quantile.max(MIN_LATE);
-            }
-        }
+        self.routes.values_mut().for_each(|it| it.refresh(keep));
     }
 }
 
-fn bucket(elapsed: Duration) -> usize {
+/// Position of a latency among the buckets; its fraction is that of the way through the bucket.
+fn position(elapsed: Duration) -> f64 {
     let units = (elapsed.as_micros() as f64 / 64.0).max(1.0);
-    ((units.log2() * 2.0) as usize).min(BUCKETS - 1)
+    (units.log2() * 2.0).min(BUCKETS as f64 - 1.0)
+}
+
+fn bucket(elapsed: Duration) -> usize {
+    position(elapsed) as usize
 }
 
 fn upper_edge(bucket: usize) -> Duration {
--- a/crates/policy/src/belief.rs
+++ b/crates/policy/src/belief.rs
@@ -25,11 +25,10 @@
 const ON_FAILURE: f64 = 60.0;
 /// The same for an answer: 0.25 against 0.9875.
 const ON_ANSWER: f64 = 0.253;
-/// The same for a request that is stalled. Work also takes long by itself now and then.
-const ON_STALL: f64 = 12.0;
-/// The same for a request whose hedge was answered first. About one in twenty healthy ones is on the
-/// users' sites, where hedges start at half of the objective.
-const ON_BEATEN: f64 = 6.0;
+/// Share of the requests at a sick endpoint that are never answered.
+const SILENT: f64 = 0.5;
+/// A request without an answer counts as a failure if that speaks this much more for sickness.
+const SILENCE_FAILS: f64 = 4.0;
 /// Bounds that keep the probability movable.
 const BOUNDS: (f64, f64) = (0.002, 0.985);
 /// Below this an endpoint is used like any other.
@@ -110,8 +109,16 @@
 }
 
 impl Belief {
-    /// Takes in one outcome of a request that took `elapsed`.
-    pub(crate) fn observe(&mut self, now: Time, kind: Kind, reporter: Reporter, elapsed: Duration) {
+    /// Takes in one outcome of a request that took `elapsed`, a time after which the share
+    /// `still_open` of healthy requests is still open.
+    pub(crate) fn observe(
+        &mut self,
+        now: Time,
+        kind: Kind,
+        reporter: Reporter,
+        elapsed: Duration,
+        still_open: f64,
+    ) {
         match kind {
             Kind::Answered => {
                 self.unreached_by = None;
@@ -123,10 +130,11 @@
                 }
             }
             Kind::Failed => self.fail(now, ON_FAILURE),
-            Kind::Stalled => self.fail(now, ON_STALL),
-            Kind::Beaten => self.fail(now, ON_BEATEN),
+            Kind::Stalled | Kind::Beaten | Kind::TimedOut | Kind::Abandoned => {
+                self.wait_in_vain(now, still_open);
+            }
             Kind::Unreachable if self.is_unreachable(reporter) => self.fail(now, ON_FAILURE),
-            Kind::Unreachable | Kind::Shed | Kind::Abandoned => {}
+            Kind::Unreachable | Kind::Shed => {}
         }
     }
 
@@ -167,6 +175,15 @@
         self.failed_at = Some(now);
     }
 
+    /// No answer came while all but the share `still_open` of healthy requests are answered.
+    fn wait_in_vain(&mut self, now: Time, still_open: f64) {
+        let ratio = silence_ratio(still_open);
+        match ratio > SILENCE_FAILS {
+            true => self.fail(now, ratio),
+            false => self.weigh(now, ratio),
+        }
+    }
+
     /// Moves the odds by a likelihood ratio, sick against well.
     fn weigh(&mut self, now: Time, ratio: f64) {
         let sick = self.sick(now);
@@ -184,3 +201,9 @@
         count >= UNREACHED_BY
     }
 }
+
+/// How much more likely a request is open for as long at a sick endpoint than at a well one, where the
+/// share `still_open` is.
+fn silence_ratio(still_open: f64) -> f64 {
+    (SILENT + (1.0 - SILENT) * still_open) / still_open
+}
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -14,6 +14,7 @@
 use resources::{Priority, Service};
 use rustc_hash::FxHashMap;
 
+use crate::baseline::RouteTerms;
 use crate::belief::{Belief, Strain, Use};
 use crate::budget::{Budget, BudgetLimits, RepeatsReport, Spend};
 use crate::judge::Judge;
@@ -117,8 +118,8 @@
 }
 
 impl Dispatcher {
-    /// A dispatcher for `service`. `routes` are hashes of the names of the routes that lead to it.
-    pub fn new(now: Time, service: &Service, routes: &[u32], budget: BudgetLimits) -> Self {
+    /// A dispatcher for `service`. `routes` lead to it.
+    pub fn new(now: Time, service: &Service, routes: &[RouteTerms], budget: BudgetLimits) -> Self {
         Self {
             judge: Judge::new(now, service, routes),
             loads: service.endpoints.iter().map(|it| Load::new(&it.failure_domain)).collect(),
@@ -135,7 +136,7 @@
 
     /// Follows a new configuration or a change of the endpoints. Permits on endpoints that stay are
     /// kept.
-    pub fn reconfigure(&mut self, now: Time, service: &Service, routes: &[u32]) {
+    pub fn reconfigure(&mut self, now: Time, service: &Service, routes: &[RouteTerms]) {
         let before: Vec<_> = self.endpoints().iter().map(|it| it.id.clone()).collect();
         self.judge.reconfigure(now, service, routes);
         let after: Vec<_> = self.endpoints().iter().map(|it| it.id.clone()).collect();
@@ -419,6 +420,7 @@
         match kind {
             Kind::Answered => self.served.note(now, Ending::Served),
             Kind::Failed if permit.is_last_send => self.served.note(now, Ending::Unserved),
+            Kind::TimedOut => self.served.note(now, Ending::Unserved),
             _ => {}
         }
         let observation = Observation {
@@ -432,13 +434,16 @@
     }
 
     fn note(&mut self, now: Time, it: Observation) {
+        let still_open = self.judge.baseline.still_open(it.route, it.elapsed);
         let belief = &mut self.loads[it.endpoint].belief;
         let before = belief.usage(now, Strain::None);
-        belief.observe(now, it.kind, it.reporter, it.elapsed);
+        belief.observe(now, it.kind, it.reporter, it.elapsed, still_open);
         if before != Use::Last && belief.usage(now, Strain::None) == Use::Last {
             let reason = match it.kind {
                 Kind::Unreachable => "used last: several nodes in a row cannot reach it",
-                Kind::Stalled => "used last: a request is stalled",
+                Kind::Stalled | Kind::Beaten | Kind::TimedOut | Kind::Abandoned => {
+                    "used last: a request had no answer"
+                }
                 _ => "used last: a request failed",
             };
             self.judge.rotation.remark(it.endpoint, reason);
--- a/crates/policy/src/judge.rs
+++ b/crates/policy/src/judge.rs
@@ -12,7 +12,7 @@
 
 use resources::Service;
 
-use crate::baseline::Baseline;
+use crate::baseline::{Baseline, RouteTerms};
 use crate::class::Class;
 use crate::observation::{Kind, Observation, Reporter};
 use crate::rotation::{Rotation, State};
@@ -77,7 +77,7 @@
 }
 
 impl Judge {
-    pub(crate) fn new(now: Time, service: &Service, routes: &[u32]) -> Self {
+    pub(crate) fn new(now: Time, service: &Service, routes: &[RouteTerms]) -> Self {
         let mut baseline = Baseline::default();
         baseline.retain_routes(routes);
         Self {
@@ -93,7 +93,7 @@
         }
     }
 
-    pub(crate) fn reconfigure(&mut self, now: Time, service: &Service, routes: &[u32]) {
+    pub(crate) fn reconfigure(&mut self, now: Time, service: &Service, routes: &[RouteTerms]) {
         let before: Vec<_> = self.rotation.endpoints().iter().map(|it| it.id.clone()).collect();
         let mut evidence = std::mem::take(&mut self.evidence);
         self.rotation.reconfigure(now, service);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 mod time;
 mod verdict;
 
+pub use baseline::RouteTerms;
 pub use budget::{BudgetLimits, RepeatsReport};
 pub use dispatcher::{Dispatcher, EvidenceReport};
 pub use observation::{Kind, Observation, Reporter};
--- a/crates/policy/src/observation.rs
+++ b/crates/policy/src/observation.rs
@@ -23,6 +23,8 @@
     Abandoned,
     /// Given up because a hedge that was sent later was answered first.
     Beaten,
+    /// No answer until the deadline of the request.
+    TimedOut,
 }
 
 /// Who observed an outcome.
--- a/crates/policy/src/tests/choice.rs
+++ b/crates/policy/src/tests/choice.rs
@@ -7,7 +7,7 @@
 use rand::rngs::StdRng;
 use resources::Bias;
 
-use super::fixture::{BUDGET, ROUTE, SECOND, ask, fill, seen, service};
+use super::fixture::{BUDGET, SECOND, TERMS, ask, fill, seen, service};
 use crate::{
     Ask, BudgetLimits, Dispatcher, Grant, Kind, NodeId, Reply, Reporter, State, Tier, Time,
     stable_hash,
@@ -26,7 +26,7 @@
 fn long_answers_stay_in_their_failure_domain_while_they_have_the_patience() {
     let mut rng = StdRng::seed_from_u64(1);
     let service = service(&[2, 2], 2, Bias::Speed);
-    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
     let near = Reporter { node: NodeId(1), failure_domain: stable_hash(b"b") };
     let mut domains = |seqs: std::ops::Range<u64>, objective| -> Vec<_> {
         seqs.map(|seq| Ask { bulky: true, reporter: near, objective, ..ask(seq, true) })
@@ -42,7 +42,7 @@
 fn one_failure_makes_an_endpoint_the_last_choice_and_not_less_capacity() {
     let mut rng = StdRng::seed_from_u64(1);
     let service = service(&[2], 1, Bias::Speed);
-    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
     let Reply::Granted(bad) = dispatcher.ask(Time(0), ask(0, true), &mut rng) else { panic!() };
     let ms = Duration::from_millis(5);
     dispatcher.release(Time(0), ask(0, true).id, Kind::Failed, ms, &mut rng);
@@ -64,7 +64,7 @@
     let mut rng = StdRng::seed_from_u64(1);
     let service = service(&[2, 2], 2, Bias::Speed);
     let budget = BudgetLimits { ratio: 0.0, extra: 8.0, ..BUDGET };
-    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], budget);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], budget);
     assert!(matches!(dispatcher.ask(Time(0), ask(8, true), &mut rng), Reply::Granted(_)));
     let replies: Vec<_> = (0..4)
         .map(|seq| Ask { repeated: true, ..ask(seq, true) })
@@ -78,7 +78,7 @@
 fn an_endpoint_that_one_node_cannot_reach_is_used_last_for_that_node_only() {
     let mut rng = StdRng::seed_from_u64(1);
     let service = service(&[2], 1, Bias::Speed);
-    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
     let addr = dispatcher.endpoints()[0].addr;
     let cut_off = Ask { avoid: vec![addr], ..ask(0, true) };
     let Reply::Granted(other) = dispatcher.ask(Time(0), cut_off, &mut rng) else { panic!() };
@@ -90,14 +90,14 @@
 fn a_change_of_the_endpoints_keeps_what_is_known_of_those_that_stay() {
     let mut rng = StdRng::seed_from_u64(1);
     let mut it = service(&[3], 1, Bias::Speed);
-    let mut dispatcher = Dispatcher::new(Time(0), &it, &[ROUTE], BUDGET);
+    let mut dispatcher = Dispatcher::new(Time(0), &it, &[TERMS], BUDGET);
     fill(&mut dispatcher, &mut rng, 3);
     it.endpoints.remove(0);
-    dispatcher.reconfigure(Time(1), &it, &[ROUTE]);
+    dispatcher.reconfigure(Time(1), &it, &[TERMS]);
     assert!((0..2).all(|i| dispatcher.evidence_of(Time(1), i).in_use == 1));
     // The same address in another life is another endpoint.
     it.endpoints[0].id = "i-other".into();
-    dispatcher.reconfigure(Time(2), &it, &[ROUTE]);
+    dispatcher.reconfigure(Time(2), &it, &[TERMS]);
     assert_eq!(dispatcher.evidence_of(Time(2), 0).in_use, 0);
 }
 
@@ -105,7 +105,7 @@
 fn trials(n: usize, sick: usize) -> Vec<Vec<Time>> {
     let mut rng = StdRng::seed_from_u64(1);
     let service = service(&[n], 1, Bias::Speed);
-    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
     let position = |it: &Grant| service.endpoints.iter().position(|e| e.id == it.endpoint).unwrap();
     let mut trials = vec![Vec::new(); sick];
     for seq in 0..4_000 {
@@ -149,7 +149,7 @@
 fn work_that_can_be_sent_again_tries_an_endpoint_sooner_and_first() {
     let mut rng = StdRng::seed_from_u64(1);
     let service = service(&[3], 1, Bias::Speed);
-    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
     let elapsed = Duration::from_millis(1);
     let seen = seen(1, Kind::Failed, elapsed);
     (0..3).for_each(|_| dispatcher.observe(Time(0), &service.endpoints[0].id, seen));
@@ -171,7 +171,7 @@
 fn while_much_fails_every_endpoint_is_tried_again_within_seconds() {
     let mut rng = StdRng::seed_from_u64(1);
     let service = service(&[8], 1, Bias::Speed);
-    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
     let sick: Vec<_> = dispatcher.endpoints()[..3].iter().map(|it| it.addr).collect();
     let mut last = BTreeMap::new();
     let mut longest = Duration::ZERO;
@@ -195,7 +195,7 @@
 #[test]
 fn a_dispatcher_that_takes_over_knows_of_the_failures_that_were_told() {
     let service = service(&[3], 1, Bias::Speed);
-    let new = || Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let new = || Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
     let mut told = new();
     let sick = &service.endpoints[1];
     let elapsed = Duration::from_millis(5);
@@ -211,7 +211,7 @@
 fn among_the_last_choices_the_one_that_failed_least_goes_first() {
     let mut rng = StdRng::seed_from_u64(1);
     let service = service(&[2], 1, Bias::Speed);
-    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
     let fails = |it: &mut Dispatcher, i: usize, times: usize| {
         let elapsed = Duration::from_millis(1);
         let seen = seen(1, Kind::Failed, elapsed);
@@ -231,7 +231,7 @@
 fn answers_soon_make_good_for_a_stray_failure() {
     let mut rng = StdRng::seed_from_u64(1);
     let service = service(&[2], 1, Bias::Speed);
-    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
     let see = |it: &mut Dispatcher, i: usize, ms: u64, kind| {
         let now = Time(0) + Duration::from_millis(ms);
         let elapsed = Duration::from_millis(if kind == Kind::Failed { 1 } else { 90 });
@@ -264,7 +264,7 @@
 fn a_dispatcher_that_hands_out_nothing_is_not_in_charge() {
     let mut rng = StdRng::seed_from_u64(1);
     let service = service(&[2], 1, Bias::Speed);
-    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
     let elapsed = Duration::from_millis(1);
     let it = seen(1, Kind::Failed, elapsed);
     dispatcher.observe(Time(0), &service.endpoints[0].id, it);
@@ -279,7 +279,7 @@
 fn a_long_answer_is_asked_for_elsewhere_after_one_failure_near() {
     let mut rng = StdRng::seed_from_u64(1);
     let service = service(&[1, 2], 1, Bias::Speed);
-    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
     let elapsed = Duration::from_millis(1);
     let seen = seen(1, Kind::Failed, elapsed);
     for endpoint in &service.endpoints[1..] {
@@ -299,7 +299,7 @@
 fn while_much_fails_an_ejected_endpoint_is_tried_once_in_a_while() {
     let mut rng = StdRng::seed_from_u64(1);
     let service = service(&[8], 1, Bias::Speed);
-    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
     let see = |it: &mut Dispatcher, i: usize, node: u64, kind| {
         let elapsed = Duration::from_millis(1);
         let seen = seen(node, kind, elapsed);
@@ -331,7 +331,7 @@
     let service = service(&[2], 1, Bias::Speed);
     let mut tier_of_a_send_that_finds_the_good_one_full = |extra| {
         let budget = BudgetLimits { extra, ..BUDGET };
-        let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], budget);
+        let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], budget);
         let elapsed = Duration::from_millis(1);
         let seen = seen(1, Kind::Failed, elapsed);
         (0..3).for_each(|_| dispatcher.observe(Time(0), &service.endpoints[0].id, seen));
@@ -351,15 +351,34 @@
 #[test]
 fn an_endpoint_whose_requests_are_beaten_by_their_hedges_is_soon_the_last_choice() {
     let service = service(&[3], 1, Bias::Speed);
-    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
-    let elapsed = Duration::from_millis(30);
-    let see = |it: &mut Dispatcher, node, kind| {
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
+    let long = TERMS.objective;
+    let see = |it: &mut Dispatcher, node, kind, elapsed| {
         let seen = seen(node, kind, elapsed);
         it.observe(Time(0), &service.endpoints[0].id, seen);
     };
-    see(&mut dispatcher, 1, Kind::Abandoned);
-    see(&mut dispatcher, 2, Kind::Beaten);
+    see(&mut dispatcher, 1, Kind::Abandoned, long / 20);
+    see(&mut dispatcher, 2, Kind::Beaten, long);
     assert_eq!(dispatcher.set_back(Time(0)).count(), 0, "one alone is usual");
-    (3..5).for_each(|node| see(&mut dispatcher, node, Kind::Beaten));
+    (3..5).for_each(|node| see(&mut dispatcher, node, Kind::Beaten, long));
     assert_eq!(dispatcher.set_back(Time(0)).count(), 1);
 }
+
+/// Endpoints that hang answered nothing until the deadline of each request, and that was no evidence.
+#[test]
+fn an_endpoint_that_lets_requests_time_out_is_used_last() {
+    let set_back_after = |kind, elapsed| {
+        let service = service(&[3], 1, Bias::Speed);
+        let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
+        (0..2).for_each(|i| {
+            let it = seen(i, kind, elapsed);
+            dispatcher.observe(Time(0), &service.endpoints[0].id, it);
+        });
+        dispatcher.set_back(Time(0)).count()
+    };
+    for kind in [Kind::TimedOut, Kind::Abandoned, Kind::Beaten, Kind::Stalled] {
+        assert_eq!(set_back_after(kind, TERMS.objective * 2), 1, "{kind:?}");
+        // Too little time was left for them, or their callers left early.
+        assert_eq!(set_back_after(kind, TERMS.objective / 20), 0, "{kind:?}");
+    }
+}
--- a/crates/policy/src/tests/dispatcher.rs
+++ b/crates/policy/src/tests/dispatcher.rs
@@ -6,7 +6,7 @@
 use rand::rngs::StdRng;
 use resources::{Bias, Standing};
 
-use super::fixture::{BUDGET, ROUTE, SECOND, ask, fill, service};
+use super::fixture::{BUDGET, SECOND, TERMS, ask, fill, service};
 use crate::{Ask, Dispatcher, Kind, PermitId, Reply, Settled, Time};
 
 struct Driver {
@@ -41,6 +41,7 @@
         1 => Just(Kind::Failed),
         1 => Just(Kind::Shed),
         1 => Just(Kind::Abandoned),
+        1 => Just(Kind::TimedOut),
     ]
 }
 
@@ -64,7 +65,7 @@
             dispatcher: Dispatcher::new(
                 Time(0),
                 &service(&[3, 3], 3, Bias::Speed),
-                &[ROUTE],
+                &[TERMS],
                 BUDGET,
             ),
             now: Time(0),
@@ -119,7 +120,7 @@
                 for i in &self.left {
                     service.endpoints[*i].standing = Standing::Leaving;
                 }
-                self.dispatcher.reconfigure(self.now, &service, &[ROUTE]);
+                self.dispatcher.reconfigure(self.now, &service, &[TERMS]);
             }
             Event::Wake => {
                 let settled = self.dispatcher.wake(self.now, &mut self.rng);
@@ -192,7 +193,7 @@
 fn work_spreads_over_the_endpoints_before_it_doubles() {
     let mut rng = StdRng::seed_from_u64(1);
     let service = service(&[3, 3], 3, Bias::Speed);
-    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
     fill(&mut dispatcher, &mut rng, 6);
     assert!((0..6).all(|i| dispatcher.evidence_of(Time(0), i).in_use == 1));
 }
@@ -201,7 +202,7 @@
 fn a_service_that_is_full_says_so_at_once() {
     let mut rng = StdRng::seed_from_u64(1);
     let service = service(&[2, 2], 2, Bias::Speed);
-    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
     let replies = fill(&mut dispatcher, &mut rng, 13);
     assert!(replies[..12].iter().all(|it| matches!(it, Reply::Granted(_))));
     assert_eq!(replies[12], Reply::Full);
@@ -211,7 +212,7 @@
 fn a_wait_that_cannot_end_in_time_is_refused_at_once_with_when_to_come_back() {
     let mut rng = StdRng::seed_from_u64(1);
     let service = service(&[1], 1, Bias::Speed);
-    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
     fill(&mut dispatcher, &mut rng, 3);
     let hurried = Ask { left: Duration::from_millis(1), ..ask(9, true) };
     let reply = dispatcher.ask(Time(0), hurried, &mut rng);
@@ -224,7 +225,7 @@
 fn a_request_that_leaves_the_queue_always_gets_a_reply() {
     let mut rng = StdRng::seed_from_u64(1);
     let service = service(&[2], 1, Bias::Speed);
-    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
     let held: Vec<_> = (0..6).map(|seq| ask(seq, false)).collect();
     for it in &held {
         dispatcher.ask(Time(0), it.clone(), &mut rng);
@@ -249,7 +250,7 @@
 fn a_permit_that_is_not_renewed_comes_back() {
     let mut rng = StdRng::seed_from_u64(1);
     let service = service(&[1], 1, Bias::Speed);
-    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
     fill(&mut dispatcher, &mut rng, 3);
     dispatcher.tick(Time(0) + SECOND * 4, &mut rng);
     assert_eq!(dispatcher.evidence_of(Time(0), 0).in_use, 0);
@@ -259,7 +260,7 @@
 fn an_endpoint_on_trial_never_gets_work_that_must_not_run_twice() {
     let mut rng = StdRng::seed_from_u64(1);
     let service = service(&[3], 1, Bias::Speed);
-    let mut dispatcher = Dispatcher::new(Time(0), &service, &[ROUTE], BUDGET);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
     // All endpoints prove themselves, then the one with the first permit stalls.
     for round in 0..3 {
         for seq in 0..3 {
--- a/crates/policy/src/tests/fixture.rs
+++ b/crates/policy/src/tests/fixture.rs
@@ -8,11 +8,13 @@
 
 use crate::judge::Judge;
 use crate::{
-    Ask, BudgetLimits, Dispatcher, Kind, NodeId, Observation, PermitId, Reply, Reporter, State,
-    Time,
+    Ask, BudgetLimits, Dispatcher, Kind, NodeId, Observation, PermitId, Reply, Reporter,
+    RouteTerms, State, Time,
 };
 
 pub(super) const ROUTE: u32 = 7;
+pub(super) const TERMS: RouteTerms =
+    RouteTerms { id: ROUTE, objective: Duration::from_millis(600) };
 
 /// A service whose endpoints are spread over the failure domains `a`, `b`, `c`, ….
 pub(super) fn service(sizes: &[usize], floor: usize, bias: Bias) -> Service {
@@ -71,7 +73,7 @@
 impl Bench {
     pub(super) fn new(service: &Service) -> Self {
         Self {
-            judge: Judge::new(Time(0), service, &[ROUTE]),
+            judge: Judge::new(Time(0), service, &[TERMS]),
             now: Time(0),
             health: vec![Health::Well; service.endpoints.len()],
             heavy_tail: false,
