Requests given up without an answer count in what is usual for their route; ages of open ones count at each choice

Change: the share of healthy requests still open at an age counts those given up without an answer, each by the probability that its endpoint is well (Kaplan and Meier, those given up earlier left out). Silence on a route where it is usual is no evidence, for belief and for verdicts. Ages of requests still open count at each choice, except after a long answer has begun, which nodes now tell.

--- a/crates/caller/src/dispatch.rs
+++ b/crates/caller/src/dispatch.rs
@@ -45,6 +45,8 @@
     fn granted_by(&self) -> &'static str;
     /// Reports that the request is stalled while it is still open.
     fn stalled(&mut self, elapsed: Duration);
+    /// Reports that a long answer has begun.
+    fn answer_began(&mut self, elapsed: Duration);
     /// Gives the slot back with the way the request ended.
     fn end(self, kind: Kind, elapsed: Duration);
 }
--- a/crates/caller/src/open.rs
+++ b/crates/caller/src/open.rs
@@ -71,9 +71,13 @@
         self.grant().addr
     }
 
-    /// Fixes the time that counts as latency, for answers whose body lasts on.
+    /// Fixes the time that counts as latency, for answers whose body lasts on, and tells of it.
     pub(crate) fn answered(&mut self) {
-        self.answered_after = Some(self.started.elapsed());
+        let elapsed = self.started.elapsed();
+        self.answered_after = Some(elapsed);
+        if let Some(slot) = &mut self.slot {
+            slot.answer_began(elapsed);
+        }
     }
 
     pub(crate) fn stalled(&mut self) {
--- a/crates/dappleway/src/baselines.rs
+++ b/crates/dappleway/src/baselines.rs
@@ -113,11 +113,14 @@
 
     fn stalled(&mut self, _elapsed: Duration) {}
 
+    fn answer_began(&mut self, _elapsed: Duration) {}
+
     fn end(self, kind: Kind, elapsed: Duration) {
         if !self.dispatch.ejects || kind == Kind::Shed {
             return;
         }
-        let late = kind == Kind::Abandoned && elapsed > Duration::from_millis(100);
+        let is_unanswered = matches!(kind, Kind::Abandoned | Kind::TimedOut);
+        let late = is_unanswered && elapsed > Duration::from_millis(100);
         let mut state = self.dispatch.state.lock().expect("no panic while the state is held");
         let state = state.entry(self.service.name.clone()).or_default();
         let failed = matches!(kind, Kind::Failed | Kind::Unreachable);
--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -20,6 +20,7 @@
             Command::Acquire(id, want, tx) => self.acquire(now, id, &want, tx),
             Command::Withdraw(id) => self.withdraw(now, id),
             Command::Stalled(id, elapsed) => self.stalled(now, id, elapsed),
+            Command::AnswerBegan(id, elapsed) => self.answer_began(now, id, elapsed),
             Command::End(id, outcome) => self.end(now, id, outcome),
         }
     }
@@ -175,6 +176,17 @@
         }
     }
 
+    pub(super) fn answer_began(&mut self, now: Time, id: PermitId, elapsed: Duration) {
+        let Some(open) = self.open.get(&id) else { return };
+        match open.place {
+            Place::Peer(node) => self.send_to(node, PermitMessage::AnswerBegan { id, elapsed }),
+            place => self.here(place, open.service, |it, _| {
+                it.answer_began(now, id, elapsed);
+                Vec::new()
+            }),
+        }
+    }
+
     pub(super) fn end(&mut self, now: Time, id: PermitId, outcome: Option<(Kind, Duration)>) {
         let Some(open) = self.open.remove(&id) else { return };
         // What was open while this process was paused says nothing about the endpoint.
--- a/crates/dappleway/src/control/peer_slots.rs
+++ b/crates/dappleway/src/control/peer_slots.rs
@@ -45,6 +45,10 @@
                 it.stalled(now, id, elapsed);
                 Vec::new()
             }),
+            PermitMessage::AnswerBegan { id, elapsed } => self.each_own(|it, _| {
+                it.answer_began(now, id, elapsed);
+                Vec::new()
+            }),
             PermitMessage::Observed { service, endpoint, observation } => {
                 self.services.observe(now, service, &endpoint, observation);
             }
--- a/crates/dappleway/src/event.rs
+++ b/crates/dappleway/src/event.rs
@@ -46,6 +46,8 @@
     Withdraw(PermitId),
     /// A request is stalled.
     Stalled(PermitId, Duration),
+    /// A long answer has begun.
+    AnswerBegan(PermitId, Duration),
     /// A slot comes back; without an outcome it proves nothing.
     End(PermitId, Option<(Kind, Duration)>),
 }
--- a/crates/dappleway/src/handle.rs
+++ b/crates/dappleway/src/handle.rs
@@ -92,6 +92,10 @@
         self.handle.send(Command::Stalled(self.id, elapsed));
     }
 
+    fn answer_began(&mut self, elapsed: Duration) {
+        self.handle.send(Command::AnswerBegan(self.id, elapsed));
+    }
+
     fn end(mut self, kind: Kind, elapsed: Duration) {
         self.ended = true;
         self.handle.send(Command::End(self.id, Some((kind, elapsed))));
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -174,6 +174,13 @@
         /// Their identities.
         ids: Vec<PermitId>,
     },
+    /// Says that a long answer has begun.
+    AnswerBegan {
+        /// Identity of the permit.
+        id: PermitId,
+        /// Time from the send to its beginning.
+        elapsed: Duration,
+    },
 }
 
 /// A message between nodes.
--- a/crates/policy/src/baseline.rs
+++ b/crates/policy/src/baseline.rs
@@ -22,7 +22,9 @@
 /// Part of the healthy answers that are expected within the route's objective before any was seen.
 const WITHIN_OBJECTIVE: f64 = 0.9;
 /// Weight of that expectation, in answers.
-const EXPECTED_WEIGHT: f64 = 10.0;
+const EXPECTED_WEIGHT: f64 = 3.0;
+/// A route on which so many healthy requests are still open tells nothing by silence.
+const USUALLY_OPEN: f64 = 0.25;
 /// Healthy answers that may still be to come, whatever was counted: work sometimes takes very long.
 const MIN_STILL_OPEN: f64 = 0.005;
 /// Late threshold of a route that this node does not know yet.
@@ -85,9 +87,14 @@
 #[derive(Clone, Debug)]
 struct Latency {
     objective: Duration,
+    /// Answers by the time that they took.
     histogram: [f32; BUCKETS],
-    /// Samples above the lower edge of each bucket, as of the last refresh.
+    /// Requests at well endpoints that were given up without an answer, by the time that they had.
+    unanswered: [f32; BUCKETS],
+    /// Answers above the lower edge of each bucket, as of the last refresh.
     above: [f32; BUCKETS + 1],
+    /// The same of requests without an answer.
+    unanswered_above: [f32; BUCKETS + 1],
     late_after: Duration,
 }
 
@@ -96,30 +103,38 @@
         Self {
             objective,
             histogram: [0.0; BUCKETS],
+            unanswered: [0.0; BUCKETS],
             above: [0.0; BUCKETS + 1],
+            unanswered_above: [0.0; BUCKETS + 1],
             late_after: objective,
         }
     }
 
     /// Decays the samples and derives anew what follows from them.
     fn refresh(&mut self, keep: f64) {
-        self.histogram.iter_mut().for_each(|it| *it *= keep as f32);
+        for it in self.histogram.iter_mut().chain(&mut self.unanswered) {
+            *it *= keep as f32;
+        }
         for i in (0..BUCKETS).rev() {
             self.above[i] = self.above[i + 1] + self.histogram[i];
+            self.unanswered_above[i] = self.unanswered_above[i + 1] + self.unanswered[i];
         }
         if let Some(quantile) = quantile(&self.histogram) {
             self.late_after = quantile.max(MIN_LATE);
         }
     }
 
+    /// Share of healthy requests that are open for longer than `elapsed`, by answers and by requests
+    /// that were given up later (Kaplan and Meier, 1958, with those given up earlier left out).
     fn still_open(&self, elapsed: Duration) -> f64 {
         let in_objectives = elapsed.as_secs_f64() / self.objective.as_secs_f64().max(1e-3);
         let expected = (1.0 - WITHIN_OBJECTIVE).powf(in_objectives);
         let at = position(elapsed);
         let (i, part) = (at as usize, at.fract());
         let above = f64::from(self.above[i]) * (1.0 - part) + f64::from(self.above[i + 1]) * part;
-        let share =
-            (above + EXPECTED_WEIGHT * expected) / (f64::from(self.above[0]) + EXPECTED_WEIGHT);
+        let given_up = f64::from(self.unanswered_above[i]);
+        let share = (above + given_up + EXPECTED_WEIGHT * expected)
+            / (f64::from(self.above[0]) + given_up + EXPECTED_WEIGHT);
         share.max(MIN_STILL_OPEN)
     }
 }
@@ -151,6 +166,10 @@
     /// The class of an outcome; nothing for a request that was abandoned before it was late.
     pub(crate) fn class_of(&self, kind: Kind, route: u32, elapsed: Duration) -> Option<Class> {
         let is_late = elapsed > self.late_after(route);
+        let is_silence = matches!(kind, Kind::Stalled | Kind::TimedOut | Kind::Abandoned);
+        if is_silence && self.still_open(route, elapsed) > USUALLY_OPEN {
+            return None;
+        }
         match kind {
             Kind::Answered if !is_late => Some(Class::Good),
             Kind::Answered | Kind::Beaten => Some(Class::Late),
@@ -189,6 +208,13 @@
         }
     }
 
+    /// Adds a request without an answer, with the probability that its endpoint is well.
+    pub(crate) fn add_unanswered(&mut self, route: u32, elapsed: Duration, well: f64) {
+        if let Some(latency) = self.routes.get_mut(&route) {
+            latency.unanswered[bucket(elapsed)] += well as f32;
+        }
+    }
+
     /// Takes one outcome out again.
     pub(crate) fn remove(&mut self, class: Class) {
         self.tally.remove(class);
--- a/crates/policy/src/belief.rs
+++ b/crates/policy/src/belief.rs
@@ -28,7 +28,7 @@
 /// Share of the requests at a sick endpoint that are never answered.
 const SILENT: f64 = 0.5;
 /// A request without an answer counts as a failure if that speaks this much more for sickness.
-const SILENCE_FAILS: f64 = 4.0;
+pub(crate) const SILENCE_FAILS: f64 = 4.0;
 /// Bounds that keep the probability movable.
 const BOUNDS: (f64, f64) = (0.002, 0.985);
 /// Below this an endpoint is used like any other.
@@ -138,6 +138,13 @@
         }
     }
 
+    /// The probability that the endpoint is sick, given how much more likely what is open on it is if
+    /// it is.
+    pub(crate) fn sick_given(&self, now: Time, ratio: f64) -> f64 {
+        let sick = self.sick(now);
+        sick * ratio / (sick * ratio + 1.0 - sick)
+    }
+
     /// The probability that the endpoint is sick.
     pub(crate) fn sick(&self, now: Time) -> f64 {
         let kept = (-now.seconds_since(self.at) / EVIDENCE_LASTS).exp();
@@ -204,6 +211,6 @@
 
 /// How much more likely a request is open for as long at a sick endpoint than at a well one, where the
 /// share `still_open` is.
-fn silence_ratio(still_open: f64) -> f64 {
+pub(crate) fn silence_ratio(still_open: f64) -> f64 {
     (SILENT + (1.0 - SILENT) * still_open) / still_open
 }
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -6,6 +6,7 @@
 //! late and doubled permits do no harm.
 
 mod choice;
+mod load;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,16 +16,16 @@
 use rustc_hash::FxHashMap;
 
 use crate::baseline::RouteTerms;
-use crate::belief::{Belief, Strain, Use};
+use crate::belief::{Strain, Use};
 use crate::budget::{Budget, BudgetLimits, RepeatsReport, Spend};
 use crate::judge::Judge;
 use crate::observation::{Kind, Observation, Reporter};
 use crate::permit::{Ask, Grant, PermitId, Reply, Settled, Tier};
 use crate::queue::{Queue, Waiting};
-use crate::rendezvous::stable_hash;
 use crate::rotation::{Change, EndpointStatus, Rotation, State};
 use crate::served::{Ending, Served};
 use crate::time::Time;
+use load::Load;
 
 /// A permit that is neither released nor renewed for this long is taken back.
 const PERMIT_LIFETIME: Duration = Duration::from_secs(3);
@@ -55,8 +56,29 @@
     expires: Time,
     /// If it fails, the caller gets the failure.
     is_last_send: bool,
-    /// A stall was reported: what follows is the same evidence again.
-    stalled: bool,
+    told: Told,
+}
+
+/// What was told of a request while it was open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Told {
+    Nothing,
+    /// A stall: for a verdict, what follows is the same evidence again.
+    Stalled,
+    /// Its answer has begun: a whole one is the same evidence again.
+    AnswerBegan,
+}
+
+impl Permit {
+    fn observation(&self, kind: Kind, elapsed: Duration) -> Observation {
+        Observation {
+            reporter: self.reporter,
+            endpoint: self.endpoint,
+            route: self.route,
+            kind,
+            elapsed,
+        }
+    }
 }
 
 /// What is known of an endpoint, for reports.
@@ -93,30 +115,6 @@
     is_budget_short: bool,
 }
 
-/// What this dispatcher knows of one endpoint's slots and of its latest failures.
-#[derive(Clone, Copy, Debug)]
-struct Load {
-    /// Hash of its failure domain.
-    failure_domain: u64,
-    in_use: u32,
-    full_until: Time,
-    /// Used last until then, on the word of the peer that dispatches the endpoint.
-    hinted_until: Time,
-    belief: Belief,
-}
-
-impl Load {
-    fn new(failure_domain: &str) -> Self {
-        Self {
-            failure_domain: stable_hash(failure_domain.as_bytes()),
-            in_use: 0,
-            full_until: Time::default(),
-            hinted_until: Time::default(),
-            belief: Belief::default(),
-        }
-    }
-}
-
 impl Dispatcher {
     /// A dispatcher for `service`. `routes` lead to it.
     pub fn new(now: Time, service: &Service, routes: &[RouteTerms], budget: BudgetLimits) -> Self {
@@ -142,7 +140,7 @@
         let after: Vec<_> = self.endpoints().iter().map(|it| it.id.clone()).collect();
         let old = std::mem::take(&mut self.loads);
         let load_of = |it: &EndpointStatus| {
-            let known = before.iter().position(|id| *id == it.id).map(|i| old[i]);
+            let known = before.iter().position(|id| *id == it.id).map(|i| old[i].clone());
             known.unwrap_or_else(|| Load::new(&it.failure_domain))
         };
         self.loads = self.endpoints().iter().map(load_of).collect();
@@ -190,14 +188,12 @@
     ) -> Vec<Settled> {
         let Some(permit) = self.permits.remove(&id) else { return Vec::new() };
         let load = &mut self.loads[permit.endpoint];
-        load.in_use -= 1;
+        load.give_back(id);
         if kind == Kind::Shed {
             load.full_until = now + FULL_FOR;
         }
         self.note_hold(kind, now.since(permit.granted));
-        if !permit.stalled {
-            self.learn(now, permit, kind, elapsed);
-        }
+        self.learn(now, permit, kind, elapsed);
         self.drain(now, rng)
     }
 
@@ -205,16 +201,29 @@
     pub fn cancel(&mut self, now: Time, id: PermitId, rng: &mut impl Rng) -> Vec<Settled> {
         self.queue.extract(|it| it.item.id == id);
         let Some(permit) = self.permits.remove(&id) else { return Vec::new() };
-        self.loads[permit.endpoint].in_use -= 1;
+        self.loads[permit.endpoint].give_back(id);
         self.drain(now, rng)
     }
 
-    /// Learns that a request is stalled while it is still open.
+    /// Learns that a request is stalled while it is still open. What its age says of the endpoint
+    /// is counted at each choice; here it counts for a verdict.
     pub fn stalled(&mut self, now: Time, id: PermitId, elapsed: Duration) {
         let Some(permit) = self.permits.get_mut(&id) else { return };
-        if !std::mem::replace(&mut permit.stalled, true) {
-            let permit = permit.clone();
-            self.learn(now, permit, Kind::Stalled, elapsed);
+        if permit.told == Told::Nothing {
+            permit.told = Told::Stalled;
+            let it = permit.observation(Kind::Stalled, elapsed);
+            self.judge.observe(now, it);
+        }
+    }
+
+    /// Learns that a long answer has begun after `elapsed`: the time until its end says nothing.
+    pub fn answer_began(&mut self, now: Time, id: PermitId, elapsed: Duration) {
+        let Some(permit) = self.permits.get_mut(&id) else { return };
+        if permit.told != Told::AnswerBegan {
+            permit.told = Told::AnswerBegan;
+            let it = permit.observation(Kind::Answered, elapsed);
+            self.loads[it.endpoint].answer_began(id);
+            self.note(now, it);
         }
     }
 
@@ -269,10 +278,10 @@
         }
         self.judge.tick(now);
         let loads = &mut self.loads;
-        self.permits.retain(|_, it| {
+        self.permits.retain(|id, it| {
             let keep = now < it.expires;
             if !keep {
-                loads[it.endpoint].in_use -= 1;
+                loads[it.endpoint].give_back(*id);
             }
             keep
         });
@@ -311,7 +320,7 @@
         let load = &self.loads[endpoint];
         EvidenceReport {
             score: self.judge.score(endpoint),
-            in_use: load.in_use,
+            in_use: load.in_use(),
             sick: load.belief.sick(now),
             used: load.belief.usage(now, self.strain).name(),
             since_failure: load.belief.since_failure(now),
@@ -361,9 +370,9 @@
             granted: now,
             expires: now + PERMIT_LIFETIME,
             is_last_send: ask.is_last,
-            stalled: false,
+            told: Told::Nothing,
         };
-        self.loads[endpoint].in_use += 1;
+        self.loads[endpoint].take(now, ask.id, ask.route);
         self.granted_at = Some(now);
         self.permits.insert(ask.id, permit);
         grant
@@ -423,17 +432,21 @@
             Kind::TimedOut => self.served.note(now, Ending::Unserved),
             _ => {}
         }
-        let observation = Observation {
-            reporter: permit.reporter,
-            endpoint: permit.endpoint,
-            route: permit.route,
-            kind,
-            elapsed,
-        };
-        self.note(now, observation);
+        let it = permit.observation(kind, elapsed);
+        match permit.told {
+            Told::Nothing => self.note(now, it),
+            Told::Stalled => self.believe(now, it),
+            Told::AnswerBegan if kind == Kind::Answered => {}
+            Told::AnswerBegan => self.note(now, it),
+        }
     }
 
     fn note(&mut self, now: Time, it: Observation) {
+        self.believe(now, it);
+        self.judge.observe(now, it);
+    }
+
+    fn believe(&mut self, now: Time, it: Observation) {
         let still_open = self.judge.baseline.still_open(it.route, it.elapsed);
         let belief = &mut self.loads[it.endpoint].belief;
         let before = belief.usage(now, Strain::None);
@@ -448,7 +461,10 @@
             };
             self.judge.rotation.remark(it.endpoint, reason);
         }
-        self.judge.observe(now, it);
+        if matches!(it.kind, Kind::TimedOut | Kind::Beaten | Kind::Abandoned) {
+            let well = 1.0 - self.loads[it.endpoint].belief.sick(now);
+            self.judge.baseline.add_unanswered(it.route, it.elapsed, well);
+        }
     }
 
     fn note_hold(&mut self, kind: Kind, held: Duration) {
--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::Dispatcher;
-use crate::belief::{Belief, Strain, TRY_AGAIN, Use};
+use crate::belief::{Belief, SILENCE_FAILS, Strain, TRY_AGAIN, Use};
 use crate::permit::{Ask, Tier};
 use crate::rotation::{EndpointStatus, State};
 use crate::time::Time;
@@ -25,11 +25,16 @@
     strain: Strain,
     status: &'a EndpointStatus,
     belief: &'a Belief,
+    /// How much more likely the silence of what is open on it is if it is sick.
+    silence: f64,
     sick: f64,
 }
 
 impl Look<'_> {
     fn usage(&self) -> Use {
+        if self.silence > SILENCE_FAILS {
+            return Use::Last;
+        }
         self.belief.usage_if(self.sick, self.now, self.strain)
     }
 
@@ -59,6 +64,7 @@
         let usage = self.belief.usage_if(self.sick, self.now, Strain::None);
         matches!(usage, Use::Last | Use::Cautiously)
             && self.belief.failed_before(self.now, TRY_AGAIN)
+            && self.silence <= SILENCE_FAILS
     }
 
     /// Among those that are used last, how likely it is sick, in steps of a twentieth. Sick ones fail
@@ -92,10 +98,10 @@
             if tier < Tier::Near {
                 good_slots += usable as usize;
             }
-            if load.in_use >= usable {
+            if load.in_use() >= usable {
                 continue;
             }
-            let cost = load.in_use + if is_near { 0 } else { FAR_SLOTS };
+            let cost = load.in_use() + if is_near { 0 } else { FAR_SLOTS };
             let key = (tier, look.doubt(tier), cost, tie());
             if best.is_none_or(|(other, _)| key < other) {
                 best = Some((key, i));
@@ -126,9 +132,16 @@
     }
 
     fn look(&self, now: Time, i: usize) -> Look<'_> {
-        let belief = &self.loads[i].belief;
-        let status = &self.endpoints()[i];
-        Look { now, strain: self.strain, status, belief, sick: belief.sick(now) }
+        let load = &self.loads[i];
+        let silence = load.silence(now, &self.judge.baseline);
+        Look {
+            now,
+            strain: self.strain,
+            status: &self.endpoints()[i],
+            belief: &load.belief,
+            silence,
+            sick: load.belief.sick_given(now, silence),
+        }
     }
 
     fn tier(&self, look: &Look<'_>, i: usize, ask: &Ask, is_near: bool) -> Option<Tier> {
@@ -166,6 +179,6 @@
     }
 
     pub(super) fn has_free_slot(&self, now: Time) -> bool {
-        (0..self.loads.len()).any(|i| self.loads[i].in_use < self.look(now, i).usable_slots())
+        (0..self.loads.len()).any(|i| self.loads[i].in_use() < self.look(now, i).usable_slots())
     }
 }
--- /dev/null
+++ b/crates/policy/src/dispatcher/load.rs
@@ -0,0 +1,70 @@
+//! What a dispatcher knows of one endpoint: its slots in use, its latest failures, and for how long the
+//! requests on it have been open.
+
+use crate::baseline::Baseline;
+use crate::belief::{Belief, silence_ratio};
+use crate::permit::PermitId;
+use crate::rendezvous::stable_hash;
+use crate::time::Time;
+
+/// One endpoint, as far as a dispatcher knows it.
+#[derive(Clone, Debug)]
+pub(super) struct Load {
+    /// Hash of its failure domain.
+    pub(super) failure_domain: u64,
+    pub(super) full_until: Time,
+    /// Used last until then, on the word of the peer that dispatches the endpoint.
+    pub(super) hinted_until: Time,
+    pub(super) belief: Belief,
+    open: Vec<OpenSend>,
+}
+
+/// A request that holds a slot.
+#[derive(Clone, Copy, Debug)]
+struct OpenSend {
+    id: PermitId,
+    since: Time,
+    route: u32,
+    /// Its answer has begun, so that its age says nothing any more.
+    is_answered: bool,
+}
+
+impl Load {
+    pub(super) fn new(failure_domain: &str) -> Self {
+        Self {
+            failure_domain: stable_hash(failure_domain.as_bytes()),
+            full_until: Time::default(),
+            hinted_until: Time::default(),
+            belief: Belief::default(),
+            open: Vec::new(),
+        }
+    }
+
+    /// Slots in use.
+    pub(super) fn in_use(&self) -> u32 {
+        self.open.len() as u32
+    }
+
+    /// Takes a slot.
+    pub(super) fn take(&mut self, now: Time, id: PermitId, route: u32) {
+        self.open.push(OpenSend { id, since: now, route, is_answered: false });
+    }
+
+    /// Gives a slot back.
+    pub(super) fn give_back(&mut self, id: PermitId) {
+        self.open.retain(|it| it.id != id);
+    }
+
+    /// The answer to a request has begun.
+    pub(super) fn answer_began(&mut self, id: PermitId) {
+        self.open.iter_mut().filter(|it| it.id == id).for_each(|it| it.is_answered = true);
+    }
+
+    /// How much more likely it is that no request on it has been answered by now if it is sick.
+    pub(super) fn silence(&self, now: Time, baseline: &Baseline) -> f64 {
+        let waiting = self.open.iter().filter(|it| !it.is_answered);
+        let ratio =
+            |it: &OpenSend| silence_ratio(baseline.still_open(it.route, now.since(it.since)));
+        waiting.map(ratio).product()
+    }
+}
--- a/crates/policy/src/tests.rs
+++ b/crates/policy/src/tests.rs
@@ -8,4 +8,5 @@
 mod floor_model;
 mod queue;
 mod retry;
+mod silence;
 mod verdicts;
