Under pressure the other slots of doubtful endpoints go before endpoints known to fail

Endpoints with one doubtful outcome give one slot of two meanwhile. Change: the other slots of such endpoints are choices of the last tier, where the least doubtful goes first. The test fails without the change.

--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -98,9 +98,12 @@
             if tier < Tier::Near {
                 good_slots += usable as usize;
             }
-            if load.in_use() >= usable {
-                continue;
-            }
+            let tier = match load.in_use() {
+                it if it < usable => tier,
+                // The other slots of a doubtful endpoint are better than one that is known to fail.
+                it if it < look.status.usable_slots(now) && tier < Tier::Last => Tier::Last,
+                _ => continue,
+            };
             let cost = load.in_use() + if is_near { 0 } else { FAR_SLOTS };
             let key = (tier, look.doubt(tier), cost, tie());
             if best.is_none_or(|(other, _)| key < other) {
@@ -179,6 +182,9 @@
     }
 
     pub(super) fn has_free_slot(&self, now: Time) -> bool {
-        (0..self.loads.len()).any(|i| self.loads[i].in_use() < self.look(now, i).usable_slots())
+        (0..self.loads.len()).any(|i| {
+            self.loads[i].in_use()
+                < self.endpoints()[i].usable_slots(now).max(self.look(now, i).usable_slots())
+        })
     }
 }
--- a/crates/policy/src/tests/choice.rs
+++ b/crates/policy/src/tests/choice.rs
@@ -363,3 +363,29 @@
     (3..5).for_each(|node| see(&mut dispatcher, node, Kind::Beaten, long));
     assert_eq!(dispatcher.set_back(Time(0)).count(), 1);
 }
+
+/// While nothing better was free, work went to endpoints known to fail, beside free slots of others of
+/// which nothing worse was known than one stray failure.
+#[test]
+fn the_other_slots_of_a_doubtful_endpoint_go_before_one_that_is_known_to_fail() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = service(&[2], 1, Bias::Speed);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
+    let elapsed = Duration::from_millis(1);
+    let (doubtful, sick) = (&service.endpoints[0], &service.endpoints[1]);
+    let fails = seen(1, Kind::Failed, elapsed);
+    let answers = seen(1, Kind::Answered, elapsed);
+    let now = Time(0) + SECOND;
+    for it in [answers, answers, fails] {
+        dispatcher.observe(now, &doubtful.id, it);
+    }
+    (0..3).for_each(|_| dispatcher.observe(now, &sick.id, fails));
+    let unsafe_ask = |seq| Ask { repeatable: false, is_last: true, ..ask(seq, true) };
+    let mut taken = |seq| match dispatcher.ask(now, unsafe_ask(seq), &mut rng) {
+        Reply::Granted(it) => (it.addr == doubtful.addr, it.tier),
+        it => panic!("{it:?}"),
+    };
+    assert_eq!(taken(1), (true, Tier::Good));
+    assert_eq!(taken(2), (true, Tier::Last));
+    assert_eq!(taken(3), (true, Tier::Last));
+}
