--- a/crates/policy/src/tests/choice.rs
+++ b/crates/policy/src/tests/choice.rs
@@ -380,7 +380,9 @@
         dispatcher.observe(now, &doubtful.id, it);
     }
     (0..3).for_each(|_| dispatcher.observe(now, &sick.id, fails));
-    let unsafe_ask = |seq| Ask { repeatable: false, is_last: true, ..ask(seq, true) };
+    // Shorter than the time that a slot is held, so that nobody waits for the first one.
+    let objective = Duration::from_millis(50);
+    let unsafe_ask = |seq| Ask { repeatable: false, is_last: true, objective, ..ask(seq, true) };
     let mut taken = |seq| match dispatcher.ask(now, unsafe_ask(seq), &mut rng) {
         Reply::Granted(it) => (it.addr == doubtful.addr, it.tier),
         it => panic!("{it:?}"),
