Each service learns how its endpoints fall sick; of good choices the doubtful ones go last and idle ones first

Cause: the figures in belief (a fifth sick, three in four fail, 1.25 in a hundred fail anywhere) are those of two deployments, and so was the weight of silence. And among endpoints of the same tier a doubtful one was as likely as one that had just answered. Change: policy::signs learns the share of sick endpoints and how they end their requests (answered, failed, silent), the baseline how often well ones fail on each route; both with weak priors that say so. The test of a stray failure first gives both endpoints work: one without any would be due.

--- a/crates/policy/src/baseline.rs
+++ b/crates/policy/src/baseline.rs
@@ -25,6 +25,11 @@
 const EXPECTED_WEIGHT: f64 = 3.0;
 /// A route on which so many healthy requests are still open tells nothing by silence.
 const USUALLY_OPEN: f64 = 0.25;
+/// Prior share of requests that fail at well endpoints, its weight in requests, and the least that is
+/// believed: rare failures are met too seldom to count them.
+const PRIOR_FAILS: f64 = 0.0125;
+const PRIOR_FAILS_WEIGHT: f64 = 60.0;
+const MIN_FAILS: f64 = 0.004;
 /// Healthy answers that may still be to come, whatever was counted: work sometimes takes very long.
 const MIN_STILL_OPEN: f64 = 0.005;
 /// Late threshold of a route that this node does not know yet.
@@ -91,6 +96,8 @@
     histogram: [f32; BUCKETS],
     /// Requests at well endpoints that were given up without an answer, by the time that they had.
     unanswered: [f32; BUCKETS],
+    /// Requests at well endpoints that failed.
+    failed: f64,
     /// Answers above the lower edge of each bucket, as of the last refresh.
     above: [f32; BUCKETS + 1],
     /// The same of requests without an answer.
@@ -104,6 +111,7 @@
             objective,
             histogram: [0.0; BUCKETS],
             unanswered: [0.0; BUCKETS],
+            failed: 0.0,
             above: [0.0; BUCKETS + 1],
             unanswered_above: [0.0; BUCKETS + 1],
             late_after: objective,
@@ -115,6 +123,7 @@
         for it in self.histogram.iter_mut().chain(&mut self.unanswered) {
             *it *= keep as f32;
         }
+        self.failed *= keep;
         for i in (0..BUCKETS).rev() {
             self.above[i] = self.above[i + 1] + self.histogram[i];
             self.unanswered_above[i] = self.unanswered_above[i + 1] + self.unanswered[i];
@@ -124,6 +133,12 @@
         }
     }
 
+    /// Share of the requests at well endpoints that fail.
+    fn fails(&self) -> f64 {
+        let all = f64::from(self.above[0]) + self.failed + PRIOR_FAILS_WEIGHT;
+        ((self.failed + PRIOR_FAILS * PRIOR_FAILS_WEIGHT) / all).max(MIN_FAILS)
+    }
+
     /// Share of healthy requests that are open for longer than `elapsed`, by answers and by requests
     /// that were given up later (Kaplan and Meier, 1958, with those given up earlier left out).
     fn still_open(&self, elapsed: Duration) -> f64 {
@@ -158,6 +173,11 @@
         self.routes.get(&route).map_or(1.0, |it| it.still_open(elapsed))
     }
 
+    /// Share of the route's requests that fail at well endpoints.
+    pub(crate) fn fails(&self, route: u32) -> f64 {
+        self.routes.get(&route).map_or(PRIOR_FAILS, Latency::fails)
+    }
+
     /// Requests of the route that are open for longer than this are stalled.
     pub(crate) fn stall_after(&self, route: u32) -> Duration {
         self.late_after(route) * STALL_FACTOR
@@ -215,6 +235,13 @@
         }
     }
 
+    /// Adds a request that failed, with the probability that its endpoint is well.
+    pub(crate) fn add_failed(&mut self, route: u32, well: f64) {
+        if let Some(latency) = self.routes.get_mut(&route) {
+            latency.failed += well;
+        }
+    }
+
     /// Takes one outcome out again.
     pub(crate) fn remove(&mut self, class: Class) {
         self.tally.remove(class);
--- a/crates/policy/src/belief.rs
+++ b/crates/policy/src/belief.rs
@@ -15,18 +15,10 @@
 use crate::observation::{Kind, Reporter};
 use crate::time::Time;
 
-/// Probability of being sick that time alone leads to.
-const AT_REST: f64 = 0.2;
 /// Time constant with which old evidence loses its weight, in seconds.
 const EVIDENCE_LASTS: f64 = 6.5;
 /// Probability for an endpoint of which nothing is known.
 const UNKNOWN: f64 = 0.1;
-/// How much more likely a failure is at a sick endpoint than at a well one: 0.75 against 0.0125.
-const ON_FAILURE: f64 = 60.0;
-/// The same for an answer: 0.25 against 0.9875.
-const ON_ANSWER: f64 = 0.253;
-/// Share of the requests at a sick endpoint that are never answered.
-const SILENT: f64 = 0.5;
 /// A request without an answer counts as a failure if that speaks this much more for sickness.
 pub(crate) const SILENCE_FAILS: f64 = 4.0;
 /// Bounds that keep the probability movable.
@@ -75,7 +67,7 @@
 
 impl Strain {
     /// How long an endpoint is left alone after a failure at most.
-    fn alone_for(self) -> Duration {
+    pub(crate) fn alone_for(self) -> Duration {
         match self {
             Self::None => IDLE_AFTER,
             Self::Unserved => TRY_AGAIN,
@@ -109,15 +101,16 @@
 }
 
 impl Belief {
-    /// Takes in one outcome of a request that took `elapsed`, a time after which the share
-    /// `still_open` of healthy requests is still open.
+    /// Takes in one outcome of a request that took `elapsed`, which is `ratio` times as likely at a
+    /// sick endpoint. Time alone leads to the probability `rest`.
     pub(crate) fn observe(
         &mut self,
         now: Time,
         kind: Kind,
         reporter: Reporter,
         elapsed: Duration,
-        still_open: f64,
+        ratio: f64,
+        rest: f64,
     ) {
         match kind {
             Kind::Answered => {
@@ -126,29 +119,34 @@
                 // says nothing if a failure came later.
                 let began = now - elapsed;
                 if self.failed_at.is_none_or(|it| began > it) {
-                    self.weigh(began.max(self.at), ON_ANSWER);
+                    self.weigh(began.max(self.at), ratio, rest);
                 }
             }
-            Kind::Failed => self.fail(now, ON_FAILURE),
+            Kind::Failed => self.fail(now, ratio, rest),
             Kind::Stalled | Kind::Beaten | Kind::TimedOut | Kind::Abandoned => {
-                self.wait_in_vain(now, still_open);
+                self.wait_in_vain(now, ratio, rest);
             }
-            Kind::Unreachable if self.is_unreachable(reporter) => self.fail(now, ON_FAILURE),
+            Kind::Unreachable if self.is_unreachable(reporter) => self.fail(now, ratio, rest),
             Kind::Unreachable | Kind::Shed => {}
         }
     }
 
     /// The probability that the endpoint is sick, given how much more likely what is open on it is if
     /// it is.
-    pub(crate) fn sick_given(&self, now: Time, ratio: f64) -> f64 {
-        let sick = self.sick(now);
+    pub(crate) fn sick_given(&self, now: Time, ratio: f64, rest: f64) -> f64 {
+        let sick = self.sick(now, rest);
         sick * ratio / (sick * ratio + 1.0 - sick)
     }
 
     /// The probability that the endpoint is sick.
-    pub(crate) fn sick(&self, now: Time) -> f64 {
+    pub(crate) fn sick(&self, now: Time, rest: f64) -> f64 {
         let kept = (-now.seconds_since(self.at) / EVIDENCE_LASTS).exp();
-        AT_REST + (self.sick - AT_REST) * kept
+        rest + (self.sick - rest) * kept
+    }
+
+    /// Whether an outcome was heard of lately.
+    pub(crate) fn is_recent(&self, now: Time) -> bool {
+        now.seconds_since(self.at) < EVIDENCE_LASTS
     }
 
     /// Time since its last failure.
@@ -157,8 +155,8 @@
     }
 
     /// How the endpoint is used now.
-    pub(crate) fn usage(&self, now: Time, strain: Strain) -> Use {
-        self.usage_if(self.sick(now), now, strain)
+    pub(crate) fn usage(&self, now: Time, strain: Strain, rest: f64) -> Use {
+        self.usage_if(self.sick(now, rest), now, strain)
     }
 
     /// The same where it is known how likely the endpoint is sick now.
@@ -177,23 +175,22 @@
         self.failed_at.is_none_or(|it| now.since(it) > age)
     }
 
-    fn fail(&mut self, now: Time, ratio: f64) {
-        self.weigh(now, ratio);
+    fn fail(&mut self, now: Time, ratio: f64, rest: f64) {
+        self.weigh(now, ratio, rest);
         self.failed_at = Some(now);
     }
 
-    /// No answer came while all but the share `still_open` of healthy requests are answered.
-    fn wait_in_vain(&mut self, now: Time, still_open: f64) {
-        let ratio = silence_ratio(still_open);
+    /// No answer came.
+    fn wait_in_vain(&mut self, now: Time, ratio: f64, rest: f64) {
         match ratio > SILENCE_FAILS {
-            true => self.fail(now, ratio),
-            false => self.weigh(now, ratio),
+            true => self.fail(now, ratio, rest),
+            false => self.weigh(now, ratio, rest),
         }
     }
 
     /// Moves the odds by a likelihood ratio, sick against well.
-    fn weigh(&mut self, now: Time, ratio: f64) {
-        let sick = self.sick(now);
+    fn weigh(&mut self, now: Time, ratio: f64, rest: f64) {
+        let sick = self.sick(now, rest);
         let odds = sick / (1.0 - sick) * ratio;
         self.sick = (odds / (1.0 + odds)).clamp(BOUNDS.0, BOUNDS.1);
         self.at = now;
@@ -208,9 +205,3 @@
         count >= UNREACHED_BY
     }
 }
-
-/// How much more likely a request is open for as long at a sick endpoint than at a well one, where the
-/// share `still_open` is.
-pub(crate) fn silence_ratio(still_open: f64) -> f64 {
-    (SILENT + (1.0 - SILENT) * still_open) / still_open
-}
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -24,6 +24,7 @@
 use crate::queue::{Queue, Waiting};
 use crate::rotation::{Change, EndpointStatus, Rotation, State};
 use crate::served::{Ending, Served};
+use crate::signs::Signs;
 use crate::time::Time;
 use load::Load;
 
@@ -34,6 +35,8 @@
 const FULL_FOR: Duration = Duration::from_millis(100);
 /// A dispatcher that has handed out nothing for this long has been replaced by another one.
 const IN_CHARGE_FOR: Duration = Duration::from_secs(1);
+/// What is learned of the service's signs is refreshed this often.
+const REFRESH: Duration = Duration::from_millis(100);
 /// Waiting requests for each slot at most.
 const QUEUE_PER_SLOT: usize = 8;
 /// Waiting requests at most, whatever the number of slots, so that a turn of the queue stays short.
@@ -100,6 +103,9 @@
 #[derive(Debug)]
 pub struct Dispatcher {
     judge: Judge,
+    signs: Signs,
+    /// When the signs were last refreshed.
+    refreshed: Time,
     /// In the order of the rotation.
     loads: Vec<Load>,
     permits: FxHashMap<PermitId, Permit>,
@@ -120,6 +126,8 @@
     pub fn new(now: Time, service: &Service, routes: &[RouteTerms], budget: BudgetLimits) -> Self {
         Self {
             judge: Judge::new(now, service, routes),
+            signs: Signs::default(),
+            refreshed: now,
             loads: service.endpoints.iter().map(|it| Load::new(&it.failure_domain)).collect(),
             permits: FxHashMap::default(),
             queue: Queue::new(),
@@ -258,6 +266,7 @@
                 load.belief = other.loads[i].belief;
             }
         }
+        self.signs = other.signs.clone();
         self
     }
 
@@ -277,6 +286,7 @@
             return Vec::new();
         }
         self.judge.tick(now);
+        self.refresh_signs(now);
         let loads = &mut self.loads;
         self.permits.retain(|id, it| {
             let keep = now < it.expires;
@@ -295,7 +305,9 @@
     pub fn set_back(&self, now: Time) -> impl Iterator<Item = SocketAddr> + '_ {
         let endpoints = self.endpoints().iter().zip(&self.loads);
         endpoints
-            .filter(move |(_, load)| load.belief.usage(now, Strain::None) == Use::Last)
+            .filter(move |(_, load)| {
+                load.belief.usage(now, Strain::None, self.signs.share()) == Use::Last
+            })
             .map(|(it, _)| it.addr)
     }
 
@@ -321,8 +333,8 @@
         EvidenceReport {
             score: self.judge.score(endpoint),
             in_use: load.in_use(),
-            sick: load.belief.sick(now),
-            used: load.belief.usage(now, self.strain).name(),
+            sick: load.belief.sick(now, self.signs.share()),
+            used: load.belief.usage(now, self.strain, self.signs.share()).name(),
             since_failure: load.belief.since_failure(now),
         }
     }
@@ -447,11 +459,12 @@
     }
 
     fn believe(&mut self, now: Time, it: Observation) {
-        let still_open = self.judge.baseline.still_open(it.route, it.elapsed);
+        let ratio = self.ratio(&it);
+        let rest = self.signs.share();
         let belief = &mut self.loads[it.endpoint].belief;
-        let before = belief.usage(now, Strain::None);
-        belief.observe(now, it.kind, it.reporter, it.elapsed, still_open);
-        if before != Use::Last && belief.usage(now, Strain::None) == Use::Last {
+        let before = belief.usage(now, Strain::None, rest);
+        belief.observe(now, it.kind, it.reporter, it.elapsed, ratio, rest);
+        if before != Use::Last && belief.usage(now, Strain::None, rest) == Use::Last {
             let reason = match it.kind {
                 Kind::Unreachable => "used last: several nodes in a row cannot reach it",
                 Kind::Stalled | Kind::Beaten | Kind::TimedOut | Kind::Abandoned => {
@@ -461,10 +474,36 @@
             };
             self.judge.rotation.remark(it.endpoint, reason);
         }
-        if matches!(it.kind, Kind::TimedOut | Kind::Beaten | Kind::Abandoned) {
-            let well = 1.0 - self.loads[it.endpoint].belief.sick(now);
-            self.judge.baseline.add_unanswered(it.route, it.elapsed, well);
+        let sick = self.loads[it.endpoint].belief.sick(now, rest);
+        self.signs.learn(it.kind, sick);
+        match it.kind {
+            Kind::TimedOut | Kind::Beaten | Kind::Abandoned => {
+                self.judge.baseline.add_unanswered(it.route, it.elapsed, 1.0 - sick);
+            }
+            Kind::Failed => self.judge.baseline.add_failed(it.route, 1.0 - sick),
+            _ => {}
+        }
+    }
+
+    /// How much more likely an outcome is at a sick endpoint.
+    fn ratio(&self, it: &Observation) -> f64 {
+        let baseline = &self.judge.baseline;
+        match it.kind {
+            Kind::Stalled | Kind::Beaten | Kind::TimedOut | Kind::Abandoned => {
+                self.signs.silence(baseline.still_open(it.route, it.elapsed))
+            }
+            kind => self.signs.ratio(baseline, kind, it.route),
+        }
+    }
+
+    fn refresh_signs(&mut self, now: Time) {
+        if now.since(self.refreshed) < REFRESH {
+            return;
         }
+        self.refreshed = now;
+        let rest = self.signs.share();
+        let in_use = self.loads.iter().filter(|it| it.belief.is_recent(now));
+        self.signs.refresh(in_use.map(|it| it.belief.sick(now, rest)));
     }
 
     fn note_hold(&mut self, kind: Kind, held: Duration) {
--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -28,6 +28,8 @@
     /// How much more likely the silence of what is open on it is if it is sick.
     silence: f64,
     sick: f64,
+    /// It had no work for so long that the next request is to show whether it is well.
+    is_due: bool,
 }
 
 impl Look<'_> {
@@ -72,7 +74,8 @@
     fn doubt(&self, tier: Tier) -> u32 {
         match tier {
             Tier::Near | Tier::Last => (self.sick * 20.0) as u32,
-            _ => 0,
+            _ if self.is_due => 0,
+            _ => u32::from(self.usage() != Use::Freely),
         }
     }
 }
@@ -136,21 +139,26 @@
 
     fn look(&self, now: Time, i: usize) -> Look<'_> {
         let load = &self.loads[i];
-        let silence = load.silence(now, &self.judge.baseline);
+        let silence = load.silence(now, &self.judge.baseline, &self.signs);
         Look {
             now,
             strain: self.strain,
             status: &self.endpoints()[i],
             belief: &load.belief,
             silence,
-            sick: load.belief.sick_given(now, silence),
+            is_due: load.is_idle(now, self.strain.alone_for()),
+            sick: load.belief.sick_given(now, silence, self.signs.share()),
         }
     }
 
     fn tier(&self, look: &Look<'_>, i: usize, ask: &Ask, is_near: bool) -> Option<Tier> {
         let (now, it, load) = (look.now, look.status, &self.loads[i]);
         if !it.admits(now, ask.repeatable) {
-            return look.is_needed().then_some(Tier::Cautious);
+            return look.is_needed().then_some(if look.is_due {
+                Tier::Good
+            } else {
+                Tier::Cautious
+            });
         }
         // A trial is there to find out whether the failures have ended.
         let is_on_trial = matches!(it.state, State::Trial { .. });
--- a/crates/policy/src/dispatcher/load.rs
+++ b/crates/policy/src/dispatcher/load.rs
@@ -1,10 +1,13 @@
 //! What a dispatcher knows of one endpoint: its slots in use, its latest failures, and for how long the
 //! requests on it have been open.
 
+use std::time::Duration;
+
 use crate::baseline::Baseline;
-use crate::belief::{Belief, silence_ratio};
+use crate::belief::Belief;
 use crate::permit::PermitId;
 use crate::rendezvous::stable_hash;
+use crate::signs::Signs;
 use crate::time::Time;
 
 /// One endpoint, as far as a dispatcher knows it.
@@ -17,6 +20,8 @@
     pub(super) hinted_until: Time,
     pub(super) belief: Belief,
     open: Vec<OpenSend>,
+    /// When it last got a request.
+    used_at: Option<Time>,
 }
 
 /// A request that holds a slot.
@@ -37,9 +42,15 @@
             hinted_until: Time::default(),
             belief: Belief::default(),
             open: Vec::new(),
+            used_at: None,
         }
     }
 
+    /// Whether it has had no work for longer than `age`.
+    pub(super) fn is_idle(&self, now: Time, age: Duration) -> bool {
+        self.used_at.is_none_or(|it| now.since(it) > age)
+    }
+
     /// Slots in use.
     pub(super) fn in_use(&self) -> u32 {
         self.open.len() as u32
@@ -47,6 +58,7 @@
 
     /// Takes a slot.
     pub(super) fn take(&mut self, now: Time, id: PermitId, route: u32) {
+        self.used_at = Some(now);
         self.open.push(OpenSend { id, since: now, route, is_answered: false });
     }
 
@@ -61,10 +73,10 @@
     }
 
     /// How much more likely it is that no request on it has been answered by now if it is sick.
-    pub(super) fn silence(&self, now: Time, baseline: &Baseline) -> f64 {
+    pub(super) fn silence(&self, now: Time, baseline: &Baseline, signs: &Signs) -> f64 {
         let waiting = self.open.iter().filter(|it| !it.is_answered);
         let ratio =
-            |it: &OpenSend| silence_ratio(baseline.still_open(it.route, now.since(it.since)));
+            |it: &OpenSend| signs.silence(baseline.still_open(it.route, now.since(it.since)));
         waiting.map(ratio).product()
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 mod retry;
 mod rotation;
 mod served;
+mod signs;
 mod time;
 mod verdict;
 
--- a/crates/policy/src/tests.rs
+++ b/crates/policy/src/tests.rs
@@ -8,5 +8,6 @@
 mod floor_model;
 mod queue;
 mod retry;
+mod signs;
 mod silence;
 mod verdicts;
--- a/crates/policy/src/tests/choice.rs
+++ b/crates/policy/src/tests/choice.rs
@@ -238,6 +238,11 @@
         let seen = seen(1, kind, elapsed);
         it.observe(now, &service.endpoints[i].id, seen);
     };
+    // Both have had work, so that none is due for its first.
+    for seq in 0..2 {
+        dispatcher.ask(Time(0), ask(seq, true), &mut rng);
+    }
+    (0..2).for_each(|seq| drop(dispatcher.cancel(Time(0), ask(seq, true).id, &mut rng)));
     for ms in [0, 100, 200] {
         see(&mut dispatcher, 0, ms, Kind::Answered);
         see(&mut dispatcher, 1, ms, Kind::Answered);
@@ -391,3 +396,23 @@
     assert_eq!(taken(2), (true, Tier::Last));
     assert_eq!(taken(3), (true, Tier::Last));
 }
+
+/// Endpoints that join are nobody's choice while others have just answered, unless they come first.
+#[test]
+fn an_endpoint_that_has_had_no_work_for_long_is_due() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = service(&[4], 1, Bias::Speed);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
+    let mut used = BTreeMap::new();
+    for seq in 0..400 {
+        let now = Time(0) + Duration::from_millis(20 * seq);
+        let ask = ask(seq, true);
+        let id = ask.id;
+        let Reply::Granted(grant) = dispatcher.ask(now, ask, &mut rng) else { panic!("free") };
+        let before = used.insert(grant.addr, now).unwrap_or_default();
+        assert!(now.since(before) < SECOND * 4, "{} waited since {before:?}", grant.addr);
+        dispatcher.release(now, id, Kind::Answered, Duration::from_millis(5), &mut rng);
+        dispatcher.tick(now, &mut rng);
+    }
+    assert_eq!(used.len(), 4);
+}
--- /dev/null
+++ b/crates/policy/src/tests/signs.rs
@@ -0,0 +1,77 @@
+//! What services learn of how their endpoints fail.
+
+use std::time::Duration;
+
+use crate::Kind;
+use crate::baseline::{Baseline, RouteTerms};
+use crate::signs::Signs;
+
+use super::fixture::{ROUTE, TERMS};
+
+const OUTCOMES: usize = 300;
+
+/// Signs of a service whose sick endpoints end their requests like this.
+fn learned(kind: Kind) -> Signs {
+    let mut signs = Signs::default();
+    for _ in 0..OUTCOMES {
+        signs.learn(kind, 0.9);
+        signs.learn(Kind::Answered, 0.02);
+    }
+    signs
+}
+
+/// How much an outcome speaks for sickness on a route of which nothing is known.
+fn ratio(signs: &Signs, kind: Kind) -> f64 {
+    let mut baseline = Baseline::default();
+    baseline.retain_routes(&[TERMS]);
+    match kind {
+        Kind::TimedOut => signs.silence(baseline.still_open(ROUTE, TERMS.objective * 2)),
+        it => signs.ratio(&baseline, it, ROUTE),
+    }
+}
+
+#[test]
+fn a_service_learns_how_its_endpoints_fail() {
+    let nothing_known = Signs::default();
+    for (kind, other) in [(Kind::Failed, Kind::TimedOut), (Kind::TimedOut, Kind::Failed)] {
+        let signs = learned(kind);
+        assert!(ratio(&signs, kind) > 2.0 * ratio(&nothing_known, kind), "{kind:?}");
+        assert!(ratio(&signs, other) < 0.2 * ratio(&nothing_known, other), "{kind:?}");
+        assert!(ratio(&signs, Kind::Answered) < 0.1, "{kind:?}");
+    }
+}
+
+#[test]
+fn the_share_of_sick_endpoints_follows_the_service_within_bounds() {
+    let share_after = |sick: &[f64]| {
+        let mut signs = Signs::default();
+        (0..2_000).for_each(|_| signs.refresh(sick.iter().copied()));
+        signs.share()
+    };
+    assert!(share_after(&[0.0; 30]) < 0.06);
+    let half = [[0.95; 10], [0.01; 10]].concat();
+    assert!((0.35..=0.4).contains(&share_after(&half)));
+}
+
+/// Requests of one route outlast its time limit wherever they go; that made every endpoint look sick.
+#[test]
+fn what_is_usual_on_a_route_says_nothing_of_an_endpoint() {
+    let other = RouteTerms { id: ROUTE + 1, ..TERMS };
+    let mut baseline = Baseline::default();
+    baseline.retain_routes(&[TERMS, other]);
+    let limit = TERMS.objective * 2;
+    for _ in 0..30 {
+        baseline.add_unanswered(ROUTE, limit, 0.8);
+        baseline.add_failed(ROUTE, 0.8);
+        baseline.refresh(0.99);
+    }
+    let signs = Signs::default();
+    assert!(signs.silence(baseline.still_open(ROUTE, limit)) < 2.0);
+    assert!(signs.ratio(&baseline, Kind::Failed, ROUTE) < 3.0);
+    assert_eq!(baseline.class_of(Kind::TimedOut, ROUTE, limit), None);
+    // The other route's requests say what they said.
+    assert!(signs.silence(baseline.still_open(other.id, limit)) > 20.0);
+    assert!(
+        baseline.class_of(Kind::TimedOut, other.id, limit + Duration::from_millis(1)).is_some()
+    );
+}
