A hedge looks for a good endpoint again and again, and costs the budget only when it is sent

A hedge that found no good endpoint free at its first look was given up, and had still used up a part of the budget for repeats. Change: it asks again every 50 ms until the first send ends; the budget counts what is granted or queued. The test of the budget fails without the change.

--- a/crates/caller/src/sending.rs
+++ b/crates/caller/src/sending.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::Response;
 use http_body_util::Full;
 use policy::{Attempt, Next, Outcome, next_step};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::answer::GiveUp;
 use crate::attempt::{Lane, Sent, attempt};
@@ -33,6 +34,9 @@
 /// can still come within it.
 const HEDGE_OBJECTIVE_PART: f64 = 0.55;
 
+/// A hedge that found no good endpoint free asks again after this long, a third of a short request.
+const HEDGE_AGAIN: Duration = Duration::from_millis(50);
+
 /// What has happened to a request so far.
 #[derive(Debug, Default)]
 struct Progress {
@@ -165,12 +169,16 @@
         return progress.count(sent);
     }
     progress.reached += 1;
-    let mut second = pin!(second_send(cx, work, cx.paths.avoided(&progress.tried), copy));
+    let is_sent = AtomicBool::new(false);
+    let avoid = cx.paths.avoided(&progress.tried);
+    let mut second = pin!(second_send(cx, work, avoid, copy, &is_sent));
     let (sent, hedge) = tokio::select! {
         biased;
         sent = &mut first => match sent {
             Sent::Answer(_) => (sent, None),
-            _ => (sent, second.await),
+            _ if is_sent.load(Ordering::Relaxed) => (sent, second.await),
+            // The next send may wait for a slot, which a hedge may not.
+            _ => (sent, None),
         },
         hedge = &mut second => match hedge {
             Some(Sent::Answer(_)) => {
@@ -200,15 +208,24 @@
     }
 }
 
-/// A hedge does not wait: it goes out only if a good endpoint is free.
+/// A hedge goes out only if a good endpoint is free; until the deadline it looks for one again and
+/// again.
 async fn second_send<D: Dispatch>(
     cx: &Arc<Cx<D>>,
     work: &Arc<Work>,
     avoid: Vec<SocketAddr>,
     body: Full<Bytes>,
+    is_sent: &AtomicBool,
 ) -> Option<Sent> {
-    let want = Want { repeated: true, wait: false, ..work.want(avoid) };
-    let slot = acquire(cx, work, want).await.ok()?;
+    let slot = loop {
+        let want = Want { repeated: true, wait: false, ..work.want(avoid.clone()) };
+        match acquire(cx, work, want).await {
+            Ok(slot) => break slot,
+            Err(_) if work.left() <= HEDGE_AGAIN => return None,
+            Err(_) => sleep(HEDGE_AGAIN).await,
+        }
+    };
+    is_sent.store(true, Ordering::Relaxed);
     cx.metrics.hedges.inc();
     let lane = Lane::Further(Race::default());
     Some(attempt(cx, work, slot, RequestOut::Held(body), lane).await)
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -121,22 +121,22 @@
         self.askers.insert(node, now);
     }
 
-    /// Takes one further send if the budget allows it.
-    pub fn take(&mut self, now: Time, what: Spend) -> bool {
+    /// Whether the budget allows one further send now.
+    pub fn allows(&mut self, now: Time, what: Spend) -> bool {
         let kept = match what {
             Spend::OnFailure => 0.0,
             Spend::OnHedge => KEPT_FOR_FAILURES,
         };
         let (allowed, spent) = self.balance(now);
-        let is_granted = spent + 1.0 <= allowed * (1.0 - kept);
-        match is_granted {
-            true => {
-                self.slice(now).repeats += 1;
-                self.granted += 1;
-            }
-            false => self.refused += 1,
-        }
-        is_granted
+        let is_allowed = spent + 1.0 <= allowed * (1.0 - kept);
+        self.refused += u64::from(!is_allowed);
+        is_allowed
+    }
+
+    /// Records a further send.
+    pub fn spend(&mut self, now: Time) {
+        self.slice(now).repeats += 1;
+        self.granted += 1;
     }
 
     /// Whether so little is left that a send that fails may not be followed by another.
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -167,7 +167,7 @@
         if self.queue.any(|it| it.id == ask.id) {
             return Reply::Queued;
         }
-        if ask.repeated && !self.budget.take(now, Spend::of(&ask)) {
+        if ask.repeated && !self.budget.allows(now, Spend::of(&ask)) {
             self.served.note(now, Ending::Unserved);
             return Reply::Refused { retry_after: self.mean_hold.max(MIN_RETRY_AFTER) };
         }
@@ -176,6 +176,7 @@
         }
         self.look_around(now);
         if let Some(choice) = self.choose(now, &ask, || rng.random()) {
+            self.spend(now, &ask);
             return Reply::Granted(self.grant(now, &ask, choice));
         }
         if !ask.wait {
@@ -184,6 +185,13 @@
         self.enqueue(now, ask)
     }
 
+    /// Only what is granted or may wait counts against the budget.
+    fn spend(&mut self, now: Time, ask: &Ask) {
+        if ask.repeated {
+            self.budget.spend(now);
+        }
+    }
+
     /// Takes a slot back and learns from how the request ended. Returns replies for those that
     /// waited for it.
     pub fn release(
@@ -396,6 +404,7 @@
         if wait > ask.left || self.queue.len() >= (slots * QUEUE_PER_SLOT).min(MAX_QUEUE) {
             return Reply::Refused { retry_after: wait.max(MIN_RETRY_AFTER) };
         }
+        self.spend(now, &ask);
         self.queue.push(Waiting {
             priority: ask.priority,
             organisation: ask.organisation,
--- a/crates/policy/src/tests/budget.rs
+++ b/crates/policy/src/tests/budget.rs
@@ -40,7 +40,7 @@
 
 /// Takes whatever is granted.
 fn spend_all(it: &mut Budget, now: Time, sends: &mut Sends) {
-    while it.take(now, Spend::OnFailure) {
+    while take(it, now, Spend::OnFailure) {
         sends.repeats.push(now);
     }
 }
@@ -124,9 +124,17 @@
     let now = Time(0) + WINDOW;
     it.first_send(now, NodeId(1));
     let mut taken =
-        |what| std::iter::repeat_with(|| it.take(now, what)).take_while(|it| *it).count();
+        |what| std::iter::repeat_with(|| take(&mut it, now, what)).take_while(|it| *it).count();
     let hedges = taken(Spend::OnHedge);
     let others = taken(Spend::OnFailure);
     assert_eq!((hedges, others), (17, 12));
     assert!(it.is_short(now));
 }
+
+fn take(it: &mut Budget, now: Time, what: Spend) -> bool {
+    let is_allowed = it.allows(now, what);
+    if is_allowed {
+        it.spend(now);
+    }
+    is_allowed
+}
--- a/crates/policy/src/tests/choice.rs
+++ b/crates/policy/src/tests/choice.rs
@@ -416,3 +416,21 @@
     }
     assert_eq!(used.len(), 4);
 }
+
+/// Hedges that found no good endpoint free used up the budget without a send.
+#[test]
+fn a_hedge_that_is_not_granted_costs_nothing() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = service(&[1], 1, Bias::Speed);
+    let budget = BudgetLimits { ratio: 0.0, extra: 40.0, ..BUDGET };
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], budget);
+    fill(&mut dispatcher, &mut rng, 3);
+    let hedge = |seq| Ask { repeated: true, ..ask(seq, false) };
+    for seq in 10..40 {
+        assert_eq!(dispatcher.ask(Time(0), hedge(seq), &mut rng), Reply::Full);
+    }
+    assert_eq!(dispatcher.repeats(Time(0)).spent, 0.0);
+    dispatcher.cancel(Time(0), ask(0, false).id, &mut rng);
+    assert!(matches!(dispatcher.ask(Time(0), hedge(40), &mut rng), Reply::Granted(_)));
+    assert_eq!(dispatcher.repeats(Time(0)).spent, 1.0);
+}
