Dispatcher, baseline, exchange and settings split by job

Dispatcher: what it learns (evidence), who waits (waiting); baseline: latencies of one route; exchange: news of the platform, rounds; settings: sections, checks, secrets.

--- /dev/null
+++ b/crates/dappleway/src/settings/check.rs
@@ -0,0 +1,93 @@
+//! Parsing and checks; all problems of a file are named at once, each with its remedy.
+
+use super::keys::unknown_keys;
+use super::{Fleet, Node, Operator, Platform, Settings, SettingsProblem, Traffic, problem};
+
+/// Parses and checks settings; all problems are returned at once.
+pub fn parse(text: &str) -> Result<Settings, Vec<SettingsProblem>> {
+    let table: toml::Table = text
+        .parse()
+        .map_err(|it: toml::de::Error| vec![problem("(syntax)", it.to_string().trim().into())])?;
+    let mut problems = unknown_keys(&table);
+    problems.extend(wrong_values(&table));
+    match table.try_into::<Settings>() {
+        Ok(settings) => {
+            problems.extend(settings.check());
+            if problems.is_empty() {
+                return Ok(settings);
+            }
+        }
+        Err(it) if problems.is_empty() => problems.push(problem("(value)", one_line(&it))),
+        Err(_) => {}
+    }
+    Err(problems)
+}
+
+/// Sections that are absent though they must not be, and those with a value of the wrong form; each
+/// section is read by itself, so that all of them are named at once.
+fn wrong_values(table: &toml::Table) -> Vec<SettingsProblem> {
+    let mut problems = Vec::new();
+    wrong_value::<Node>(table, "node", &mut problems);
+    wrong_value::<Traffic>(table, "traffic", &mut problems);
+    wrong_value::<Operator>(table, "operator", &mut problems);
+    wrong_value::<Platform>(table, "platform", &mut problems);
+    wrong_value::<Fleet>(table, "fleet", &mut problems);
+    problems
+}
+
+fn wrong_value<T: serde::de::DeserializeOwned>(
+    table: &toml::Table,
+    section: &str,
+    problems: &mut Vec<SettingsProblem>,
+) {
+    let Some(value) = table.get(section) else {
+        problems.push(problem(section, format!("the section is missing: add [{section}]")));
+        return;
+    };
+    // Unknown keys are named elsewhere, with the nearest known one.
+    if let Err(it) = value.clone().try_into::<T>()
+        && !it.message().starts_with("unknown field")
+    {
+        problems.push(problem(section, one_line(&it)));
+    }
+}
+
+fn one_line(error: &toml::de::Error) -> String {
+    error.to_string().trim().replace('\n', " ")
+}
+
+impl Settings {
+    fn check(&self) -> Vec<SettingsProblem> {
+        let mut problems = Vec::new();
+        let mut expect = |holds: bool, key: &str, remedy: &str| {
+            if !holds {
+                problems.push(problem(key, remedy.to_owned()));
+            }
+        };
+        expect(!self.node.failure_domain.is_empty(), "node.failure_domain", "name it");
+        expect(!self.node.addr.ip().is_unspecified(), "node.addr", "write the VM's own address");
+        expect(self.node.addr.port() != 0, "node.addr", "write a port that peers can know");
+        expect((1..=64).contains(&self.traffic.threads), "traffic.threads", "write 1 to 64");
+        expect(self.traffic.max_body_bytes > 0, "traffic.max_body_bytes", "write 1 or more");
+        expect(self.traffic.max_in_flight > 0, "traffic.max_in_flight", "write 1 or more");
+        expect(self.traffic.read_timeout_ms > 0, "traffic.read_timeout_ms", "write 1 or more");
+        expect(
+            self.traffic.connect_timeout_ms > 0,
+            "traffic.connect_timeout_ms",
+            "write 1 or more",
+        );
+        expect(self.log.lines_per_s > 0, "log.lines_per_s", "write 1 or more");
+        let drain = &self.drain;
+        expect(drain.grace_ms > drain.lag_ms, "drain.grace_ms", "write more than `drain.lag_ms`");
+        expect(self.dispatch.ask_timeout_ms > 0, "dispatch.ask_timeout_ms", "write 1 or more");
+        let (ratio, extra) = (self.dispatch.repeat_ratio, self.dispatch.repeat_extra);
+        expect((0.0..=1.0).contains(&ratio), "dispatch.repeat_ratio", "write 0.0 to 1.0");
+        expect((0.0..=1e6).contains(&extra), "dispatch.repeat_extra", "write 0.0 or more");
+        expect(
+            self.dispatch.repeat_window_ms >= 100,
+            "dispatch.repeat_window_ms",
+            "write 100 or more",
+        );
+        problems
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/exchange/news.rs
@@ -0,0 +1,131 @@
+//! News of the platform: what this node has read or fetched, and what readers tell.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use policy::{NodeId, Time};
+use rand::Rng;
+use rand::seq::IteratorRandom;
+use resources::Published;
+
+use super::{Effect, Exchange};
+use crate::replica::Facts;
+use crate::wire::{Message, News};
+
+/// Registry changes in one frame; of more the peers fetch the whole.
+pub(crate) const CHANGES_PER_FRAME: usize = 6;
+/// A fetch that has not ended by then is tried again, perhaps elsewhere.
+const FETCH_AGAIN: Duration = Duration::from_millis(400);
+
+impl Exchange {
+    /// Takes in what this node has read from the platform, and passes it on.
+    pub fn read(&mut self, now: Time, mut news: Published) -> Vec<Effect> {
+        self.duty.contacted(now);
+        self.duty.set_behind(now, false);
+        let before = self.replica.facts();
+        // What this node reads follows what it has read before: in between nothing has changed.
+        news.after = news.after.map(|_| before.revision);
+        let mut effects = Vec::new();
+        if self.replica.update(now, &news) {
+            effects.push(Effect::Endpoints);
+        }
+        let has_news = !news.endpoints.is_empty() || news.document.is_some();
+        if has_news && self.duty.reads(now) {
+            // A read of everything is no change; peers that lack something will see it.
+            let changes = if news.after.is_none() { Vec::new() } else { news.endpoints };
+            let version = news.document.map_or(before.version, |it| it.version);
+            effects.extend(self.tell_news(before.revision, changes, version.max(before.version)));
+        }
+        effects
+    }
+
+    /// Records that the platform cannot be read, and lets others step in at once.
+    pub fn read_failed(&mut self) -> Vec<Effect> {
+        if !self.duty.failed() {
+            return Vec::new();
+        }
+        let news =
+            News { facts: self.replica.facts(), after: 0, changes: Vec::new(), contact: false };
+        self.to_own_domain(Message::News(news))
+    }
+
+    /// Takes in what a peer knew of the platform.
+    pub fn fetched(&mut self, now: Time, news: &Published) -> Vec<Effect> {
+        self.fetching = None;
+        let changed = self.replica.update(now, news);
+        changed.then_some(Effect::Endpoints).into_iter().collect()
+    }
+
+    pub(super) fn receive_news(
+        &mut self,
+        now: Time,
+        addr: SocketAddr,
+        from: NodeId,
+        news: News,
+    ) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let revision = if news.changes.is_empty() { 0 } else { news.facts.revision };
+        let update = Published {
+            after: Some(news.after),
+            revision,
+            complete_to: revision,
+            document: None,
+            endpoints: news.changes,
+        };
+        // Without changes there is nothing that would make this copy complete up to a revision.
+        if revision > 0 && self.replica.update(now, &update) {
+            effects.push(Effect::Endpoints);
+        }
+        let is_behind = self.is_behind(news.facts);
+        if is_behind {
+            effects.extend(self.fetch(now, addr));
+        }
+        self.duty.set_behind(now, is_behind);
+        self.duty.heard(now, from, news.contact);
+        effects
+    }
+
+    pub(super) fn tell_news(
+        &mut self,
+        after: u64,
+        changes: Vec<resources::RegistryChange>,
+        version: u64,
+    ) -> Vec<Effect> {
+        let fits = changes.len() <= CHANGES_PER_FRAME;
+        let facts = Facts { version, revision: self.replica.facts().revision };
+        let changes = if fits { changes } else { Vec::new() };
+        self.to_own_domain(Message::News(News { facts, after, changes, contact: true }))
+    }
+
+    pub(super) fn to_own_domain(&self, message: Message) -> Vec<Effect> {
+        let own = self.me.failure_domain;
+        let near = self.members.iter().filter(|(_, it)| it.info.failure_domain == own);
+        near.map(|(_, it)| Effect::Send(it.info.addr, message.clone())).collect()
+    }
+
+    /// Fetches what a member has said that it knows: a newer configuration always, endpoints only if
+    /// neither the platform nor a reader has been heard lately. The member is chosen at random,
+    /// because some of them may be cut off from this node.
+    pub(super) fn fetch_from_members(&mut self, now: Time, rng: &mut impl Rng) -> Option<Effect> {
+        let mine = self.replica.facts();
+        let is_cut_off = !self.duty.is_fresh(now);
+        let is_newer =
+            |it: &Facts| it.version > mine.version || is_cut_off && it.revision > mine.revision;
+        let newer = self.members.iter().map(|(_, it)| it.info).filter(|it| is_newer(&it.facts));
+        let addr = newer.map(|it| it.addr).choose(rng)?;
+        self.fetch(now, addr)
+    }
+
+    pub(super) fn fetch(&mut self, now: Time, addr: SocketAddr) -> Option<Effect> {
+        if self.fetching.is_some_and(|since| now.since(since) < FETCH_AGAIN) {
+            return None;
+        }
+        self.fetching = Some(now);
+        Some(Effect::Fetch(addr))
+    }
+
+    fn is_behind(&self, facts: Facts) -> bool {
+        let mine = self.replica.facts();
+        facts.version > mine.version || facts.revision > mine.revision
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/exchange/rounds.rs
@@ -0,0 +1,82 @@
+//! Rounds: what is told to whom, and how often.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use policy::Time;
+use rand::seq::{IndexedRandom, IteratorRandom, SliceRandom};
+use rand::{Rng, RngExt};
+use rustc_hash::FxHashSet;
+
+use super::{BURST, Effect, Exchange, ROUND, STARTED_LATELY, VERDICTS_PER_FRAME};
+use crate::wire::{Gossip, Message, NODES_PER_FRAME, NodeInfo, Verdict};
+
+/// Time between rounds of a node that has started lately.
+const FIRST_ROUND: Duration = Duration::from_millis(200);
+/// The same while it still hears of nodes that it did not know. When a whole fleet starts anew, those
+/// that know few others ask many different nodes for slots, and each of these learns of every sick
+/// endpoint by itself.
+const FINDING_ROUND: Duration = Duration::from_millis(50);
+/// One round of this many goes to another failure domain, whose traffic has a price.
+const FAR_ROUND: u32 = 4;
+/// Nodes that were not heard of for this long are forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+/// Bytes a second, in and out, that the exchange may use.
+const BUDGET: f64 = 5_000.0;
+
+impl Exchange {
+    pub(super) fn round(&mut self, now: Time, rng: &mut impl Rng) -> Option<Effect> {
+        let is_new = now.since(self.started) < STARTED_LATELY;
+        let interval = match is_new {
+            true if self.is_finding(now) => FINDING_ROUND,
+            true => FIRST_ROUND,
+            false => ROUND,
+        };
+        self.next_round = now + interval.mul_f64(rng.random_range(0.8..1.2));
+        self.verdicts.retain(|_, (_, until)| now < *until);
+        self.members.expire(now, FORGET_AFTER);
+        self.refill(now);
+        if self.budget < 0.0 {
+            self.delayed += 1;
+            return None;
+        }
+        let to = self.peer(now, is_new, rng)?;
+        Some(Effect::Send(to, Message::Gossip(self.gossip(now, true, rng))))
+    }
+
+    pub(super) fn gossip(&mut self, now: Time, wants_reply: bool, rng: &mut impl Rng) -> Gossip {
+        self.version += 1;
+        let mut nodes = vec![self.info()];
+        let others: Vec<NodeInfo> = self.members.iter().map(|(_, it)| it.info).collect();
+        nodes.extend(others.sample(rng, NODES_PER_FRAME - 1));
+        Gossip { nodes, verdicts: self.some_verdicts(now, rng), wants_reply }
+    }
+
+    /// Mostly a node of the own failure domain, but any while nobody there tells what the platform has. A
+    /// node that is new also asks the seeds, which may be stale, and so does one that knows nobody.
+    fn peer(&self, now: Time, is_new: bool, rng: &mut impl Rng) -> Option<SocketAddr> {
+        let far = is_new || !self.duty.is_fresh(now) || rng.random_ratio(1, FAR_ROUND);
+        let own = self.me.failure_domain;
+        let near = self.members.iter().filter(|(_, it)| far || it.info.failure_domain == own);
+        let mut seen = FxHashSet::default();
+        let seeds = self.seeds.iter().copied().filter(|_| is_new || self.members.is_empty());
+        near.map(|(_, it)| it.info.addr).chain(seeds).filter(|it| seen.insert(*it)).choose(rng)
+    }
+
+    fn some_verdicts(&self, now: Time, rng: &mut impl Rng) -> Vec<Verdict> {
+        let mut all: Vec<Verdict> = self
+            .verdicts
+            .values()
+            .map(|(it, until)| Verdict { valid_ms: until.since(now).as_millis() as u32, ..*it })
+            .collect();
+        all.shuffle(rng);
+        all.truncate(VERDICTS_PER_FRAME);
+        all
+    }
+
+    fn refill(&mut self, now: Time) {
+        let gained = now.since(self.refilled).as_secs_f64() * BUDGET;
+        self.budget = (self.budget + gained).min(BURST);
+        self.refilled = now;
+    }
+}
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -6,28 +6,31 @@
 //! late and doubled permits do no harm.
 
 mod choice;
+mod evidence;
 mod load;
+mod waiting;
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::{Rng, RngExt};
-use resources::{Priority, Service};
+use resources::Service;
 use rustc_hash::FxHashMap;
 
 use crate::baseline::RouteTerms;
-use crate::belief::{Strain, Use};
+use crate::belief::Strain;
 use crate::budget::{Budget, BudgetLimits, RepeatsReport, Spend};
 use crate::judge::Judge;
 use crate::observation::{Kind, Observation, Reporter};
 use crate::permit::{Ask, Grant, PermitId, Reply, Settled, Tier};
-use crate::queue::{Queue, Waiting};
+use crate::queue::Queue;
 use crate::rotation::{Change, EndpointStatus, Rotation, State};
 use crate::served::{Ending, Served};
 use crate::signs::Signs;
 use crate::time::Time;
 use load::Load;
 
+pub use evidence::EvidenceReport;
+
 /// A permit that is neither released nor renewed for this long is taken back.
 const PERMIT_LIFETIME: Duration = Duration::from_secs(3);
 /// An endpoint that shed a request is taken for full for this long: about a third of the mean time
@@ -35,16 +38,11 @@
 const FULL_FOR: Duration = Duration::from_millis(100);
 /// A dispatcher that has handed out nothing for this long has been replaced by another one.
 const IN_CHARGE_FOR: Duration = Duration::from_secs(1);
-/// What is learned of the service's signs is refreshed this often.
-const REFRESH: Duration = Duration::from_millis(100);
-/// Waiting requests for each slot at most.
-const QUEUE_PER_SLOT: usize = 8;
-/// Waiting requests at most, whatever the number of slots, so that a turn of the queue stays short.
-const MAX_QUEUE: usize = 512;
 /// Weight of a new sample in the mean time that a slot is held.
 const HOLD_GAIN: f64 = 0.05;
 /// Mean hold time before any sample.
 const FIRST_HOLD: Duration = Duration::from_millis(100);
+
 /// Shortest time after which a refused caller is asked to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -84,21 +82,6 @@
     }
 }
 
-/// What is known of an endpoint, for reports.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct EvidenceReport {
-    /// Score of the sequential test.
-    pub score: f64,
-    /// Slots in use.
-    pub in_use: u32,
-    /// Probability that it is sick.
-    pub sick: f64,
-    /// How it is used for that.
-    pub used: &'static str,
-    /// Time since its last failure.
-    pub since_failure: Option<Duration>,
-}
-
 /// Slots and verdicts of one service on one node.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -221,28 +204,6 @@
         self.drain(now, rng)
     }
 
-    /// Learns that a request is stalled while it is still open. What its age says of the endpoint
-    /// is counted at each choice; here it counts for a verdict.
-    pub fn stalled(&mut self, now: Time, id: PermitId, elapsed: Duration) {
-        let Some(permit) = self.permits.get_mut(&id) else { return };
-        if permit.told == Told::Nothing {
-            permit.told = Told::Stalled;
-            let it = permit.observation(Kind::Stalled, elapsed);
-            self.judge.observe(now, it);
-        }
-    }
-
-    /// Learns that a long answer has begun after `elapsed`: the time until its end says nothing.
-    pub fn answer_began(&mut self, now: Time, id: PermitId, elapsed: Duration) {
-        let Some(permit) = self.permits.get_mut(&id) else { return };
-        if permit.told != Told::AnswerBegan {
-            permit.told = Told::AnswerBegan;
-            let it = permit.observation(Kind::Answered, elapsed);
-            self.loads[it.endpoint].answer_began(id);
-            self.note(now, it);
-        }
-    }
-
     /// Keeps a permit of a long request alive.
     pub fn renew(&mut self, now: Time, id: PermitId) {
         if let Some(permit) = self.permits.get_mut(&id) {
@@ -250,13 +211,6 @@
         }
     }
 
-    /// Learns from a request that another dispatcher gave the slot for.
-    pub fn observe(&mut self, now: Time, id: &str, observation: Observation) {
-        if let Some(endpoint) = self.judge.rotation.position(id) {
-            self.note(now, Observation { endpoint, ..observation });
-        }
-    }
-
     /// Follows a change of the budget for repeats.
     pub fn set_budget(&mut self, limits: BudgetLimits) {
         self.budget.set_limits(limits);
@@ -267,26 +221,6 @@
         self.budget.set_nodes(nodes);
     }
 
-    /// Takes over what another dispatcher of the same service knows of failures.
-    pub fn with_beliefs_of(mut self, other: &Self) -> Self {
-        for (it, load) in self.judge.rotation.endpoints().iter().zip(&mut self.loads) {
-            if let Some(i) = other.judge.rotation.position(&it.id) {
-                load.belief = other.loads[i].belief;
-            }
-        }
-        self.signs = other.signs.clone();
-        self
-    }
-
-    /// Uses an endpoint last until `until`, on the word of the peer that dispatches it.
-    pub fn hint(&mut self, until: Time, addr: SocketAddr) {
-        for (it, load) in self.judge.rotation.endpoints().iter().zip(&mut self.loads) {
-            if it.addr == addr {
-                load.hinted_until = until;
-            }
-        }
-    }
-
     /// Moves what time alone moves and returns replies for those that waited. Costs next to nothing
     /// while nothing happens: a node holds a dispatcher for every service.
     pub fn tick(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Settled> {
@@ -309,16 +243,6 @@
         settled
     }
 
-    /// Endpoints that are used last because of their latest failures, with the time until when.
-    pub fn set_back(&self, now: Time) -> impl Iterator<Item = SocketAddr> + '_ {
-        let endpoints = self.endpoints().iter().zip(&self.loads);
-        endpoints
-            .filter(move |(_, load)| {
-                load.belief.usage(now, Strain::None, self.signs.share()) == Use::Last
-            })
-            .map(|(it, _)| it.addr)
-    }
-
     /// Forgets evidence and what is past its deadline after a pause of this process.
     pub fn wake(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Settled> {
         self.judge.forget();
@@ -335,18 +259,6 @@
         &self.judge.rotation
     }
 
-    /// What is known of an endpoint, for the report.
-    pub fn evidence_of(&self, now: Time, endpoint: usize) -> EvidenceReport {
-        let load = &self.loads[endpoint];
-        EvidenceReport {
-            score: self.judge.score(endpoint),
-            in_use: load.in_use(),
-            sick: load.belief.sick(now, self.signs.share()),
-            used: load.belief.usage(now, self.strain, self.signs.share()).name(),
-            since_failure: load.belief.since_failure(now),
-        }
-    }
-
     /// Path, shared and reporter faults recognised so far.
     pub fn faults_excused(&self) -> [u64; 3] {
         [self.judge.path_faults, self.judge.shared_faults, self.judge.reporter_faults]
@@ -399,123 +311,6 @@
         grant
     }
 
-    fn enqueue(&mut self, now: Time, ask: Ask) -> Reply {
-        let slots = self.total_slots(now);
-        let wait = self.expected_wait(slots, ask.priority);
-        if wait > ask.left || self.queue.len() >= (slots * QUEUE_PER_SLOT).min(MAX_QUEUE) {
-            return Reply::Refused { retry_after: wait.max(MIN_RETRY_AFTER) };
-        }
-        self.spend(now, &ask);
-        self.queue.push(Waiting {
-            priority: ask.priority,
-            organisation: ask.organisation,
-            weight: ask.weight,
-            deadline: now + ask.left,
-            item: ask,
-        });
-        Reply::Queued
-    }
-
-    fn expected_wait(&self, slots: usize, priority: Priority) -> Duration {
-        let ahead = self.queue.ahead_of(priority) + 1;
-        self.mean_hold.mul_f64(ahead as f64 / slots.max(1) as f64)
-    }
-
-    /// Gives free slots to those that wait.
-    fn drain(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Settled> {
-        if self.queue.len() == 0 {
-            return Vec::new();
-        }
-        self.look_around(now);
-        let mut settled = Vec::new();
-        while self.queue.len() > 0 && self.has_free_slot(now) {
-            let fits = |ask: &Ask| self.choose(now, ask, || 0).is_some();
-            let Some(next) = self.queue.best(fits) else { break };
-            // The endpoint is chosen while the request still counts as waiting: how urgent it is
-            // depends on the queue, and a request that has left it must not be lost.
-            let ask = self.queue.get(next);
-            let Some(choice) = self.choose(now, ask, || rng.random()) else { break };
-            let ask = self.queue.take(next).item;
-            let reply = Reply::Granted(self.grant(now, &ask, choice));
-            settled.push(Settled { id: ask.id, reply });
-        }
-        settled
-    }
-
-    fn refusal(&self, id: PermitId) -> Settled {
-        let retry_after = self.mean_hold.max(MIN_RETRY_AFTER);
-        Settled { id, reply: Reply::Refused { retry_after } }
-    }
-
-    fn learn(&mut self, now: Time, permit: Permit, kind: Kind, elapsed: Duration) {
-        match kind {
-            Kind::Answered => self.served.note(now, Ending::Served),
-            Kind::Failed if permit.is_last_send => self.served.note(now, Ending::Unserved),
-            Kind::TimedOut => self.served.note(now, Ending::Unserved),
-            _ => {}
-        }
-        let it = permit.observation(kind, elapsed);
-        match permit.told {
-            Told::Nothing => self.note(now, it),
-            Told::Stalled => self.believe(now, it),
-            Told::AnswerBegan if kind == Kind::Answered => {}
-            Told::AnswerBegan => self.note(now, it),
-        }
-    }
-
-    fn note(&mut self, now: Time, it: Observation) {
-        self.believe(now, it);
-        self.judge.observe(now, it);
-    }
-
-    fn believe(&mut self, now: Time, it: Observation) {
-        let ratio = self.ratio(&it);
-        let rest = self.signs.share();
-        let belief = &mut self.loads[it.endpoint].belief;
-        let before = belief.usage(now, Strain::None, rest);
-        belief.observe(now, it.kind, it.reporter, it.elapsed, ratio, rest);
-        if before != Use::Last && belief.usage(now, Strain::None, rest) == Use::Last {
-            let reason = match it.kind {
-                Kind::Unreachable => "used last: several nodes in a row cannot reach it",
-                Kind::Stalled | Kind::Beaten | Kind::TimedOut | Kind::Abandoned => {
-                    "used last: a request had no answer"
-                }
-                _ => "used last: a request failed",
-            };
-            self.judge.rotation.remark(it.endpoint, reason);
-        }
-        let sick = self.loads[it.endpoint].belief.sick(now, rest);
-        self.signs.learn(it.kind, sick);
-        match it.kind {
-            Kind::TimedOut | Kind::Beaten | Kind::Abandoned => {
-                self.judge.baseline.add_unanswered(it.route, it.elapsed, 1.0 - sick);
-            }
-            Kind::Failed => self.judge.baseline.add_failed(it.route, 1.0 - sick),
-            _ => {}
-        }
-    }
-
-    /// How much more likely an outcome is at a sick endpoint.
-    fn ratio(&self, it: &Observation) -> f64 {
-        let baseline = &self.judge.baseline;
-        match it.kind {
-            Kind::Stalled | Kind::Beaten | Kind::TimedOut | Kind::Abandoned => {
-                self.signs.silence(baseline.still_open(it.route, it.elapsed))
-            }
-            kind => self.signs.ratio(baseline, kind, it.route),
-        }
-    }
-
-    fn refresh_signs(&mut self, now: Time) {
-        if now.since(self.refreshed) < REFRESH {
-            return;
-        }
-        self.refreshed = now;
-        let rest = self.signs.share();
-        let in_use = self.loads.iter().filter(|it| it.belief.is_recent(now));
-        self.signs.refresh(in_use.map(|it| it.belief.sick(now, rest)));
-    }
-
     fn note_hold(&mut self, kind: Kind, held: Duration) {
         if kind == Kind::Answered {
             let mean = self.mean_hold.as_secs_f64();
--- /dev/null
+++ b/crates/policy/src/dispatcher/evidence.rs
@@ -0,0 +1,171 @@
+//! What a dispatcher learns from outcomes: beliefs at once and softly, verdicts by the judge.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::{Dispatcher, Permit, Told};
+use crate::belief::{Strain, Use};
+use crate::observation::{Kind, Observation};
+use crate::permit::PermitId;
+use crate::served::Ending;
+use crate::time::Time;
+
+/// What is learned of the service's signs is refreshed this often.
+const REFRESH: Duration = Duration::from_millis(100);
+
+/// What is known of an endpoint, for reports.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EvidenceReport {
+    /// Score of the sequential test.
+    pub score: f64,
+    /// Slots in use.
+    pub in_use: u32,
+    /// Probability that it is sick.
+    pub sick: f64,
+    /// How it is used for that.
+    pub used: &'static str,
+    /// Time since its last failure.
+    pub since_failure: Option<Duration>,
+}
+
+impl Dispatcher {
+    /// Learns that a request is stalled while it is still open. What its age says of the endpoint
+    /// is counted at each choice; here it counts for a verdict.
+    pub fn stalled(&mut self, now: Time, id: PermitId, elapsed: Duration) {
+        let Some(permit) = self.permits.get_mut(&id) else { return };
+        if permit.told == Told::Nothing {
+            permit.told = Told::Stalled;
+            let it = permit.observation(Kind::Stalled, elapsed);
+            self.judge.observe(now, it);
+        }
+    }
+
+    /// Learns that a long answer has begun after `elapsed`: the time until its end says nothing.
+    pub fn answer_began(&mut self, now: Time, id: PermitId, elapsed: Duration) {
+        let Some(permit) = self.permits.get_mut(&id) else { return };
+        if permit.told != Told::AnswerBegan {
+            permit.told = Told::AnswerBegan;
+            let it = permit.observation(Kind::Answered, elapsed);
+            self.loads[it.endpoint].answer_began(id);
+            self.note(now, it);
+        }
+    }
+
+    /// Learns from a request that another dispatcher gave the slot for.
+    pub fn observe(&mut self, now: Time, id: &str, observation: Observation) {
+        if let Some(endpoint) = self.judge.rotation.position(id) {
+            self.note(now, Observation { endpoint, ..observation });
+        }
+    }
+
+    /// Takes over what another dispatcher of the same service knows of failures.
+    pub fn with_beliefs_of(mut self, other: &Self) -> Self {
+        for (it, load) in self.judge.rotation.endpoints().iter().zip(&mut self.loads) {
+            if let Some(i) = other.judge.rotation.position(&it.id) {
+                load.belief = other.loads[i].belief;
+            }
+        }
+        self.signs = other.signs.clone();
+        self
+    }
+
+    /// Uses an endpoint last until `until`, on the word of the peer that dispatches it.
+    pub fn hint(&mut self, until: Time, addr: SocketAddr) {
+        for (it, load) in self.judge.rotation.endpoints().iter().zip(&mut self.loads) {
+            if it.addr == addr {
+                load.hinted_until = until;
+            }
+        }
+    }
+
+    /// Endpoints that are used last because of their latest failures, with the time until when.
+    pub fn set_back(&self, now: Time) -> impl Iterator<Item = SocketAddr> + '_ {
+        let endpoints = self.endpoints().iter().zip(&self.loads);
+        endpoints
+            .filter(move |(_, load)| {
+                load.belief.usage(now, Strain::None, self.signs.share()) == Use::Last
+            })
+            .map(|(it, _)| it.addr)
+    }
+
+    /// What is known of an endpoint, for the report.
+    pub fn evidence_of(&self, now: Time, endpoint: usize) -> EvidenceReport {
+        let load = &self.loads[endpoint];
+        EvidenceReport {
+            score: self.judge.score(endpoint),
+            in_use: load.in_use(),
+            sick: load.belief.sick(now, self.signs.share()),
+            used: load.belief.usage(now, self.strain, self.signs.share()).name(),
+            since_failure: load.belief.since_failure(now),
+        }
+    }
+
+    pub(super) fn learn(&mut self, now: Time, permit: Permit, kind: Kind, elapsed: Duration) {
+        match kind {
+            Kind::Answered => self.served.note(now, Ending::Served),
+            Kind::Failed if permit.is_last_send => self.served.note(now, Ending::Unserved),
+            Kind::TimedOut => self.served.note(now, Ending::Unserved),
+            _ => {}
+        }
+        let it = permit.observation(kind, elapsed);
+        match permit.told {
+            Told::Nothing => self.note(now, it),
+            Told::Stalled => self.believe(now, it),
+            Told::AnswerBegan if kind == Kind::Answered => {}
+            Told::AnswerBegan => self.note(now, it),
+        }
+    }
+
+    pub(super) fn refresh_signs(&mut self, now: Time) {
+        if now.since(self.refreshed) < REFRESH {
+            return;
+        }
+        self.refreshed = now;
+        let rest = self.signs.share();
+        let in_use = self.loads.iter().filter(|it| it.belief.is_recent(now));
+        self.signs.refresh(in_use.map(|it| it.belief.sick(now, rest)));
+    }
+
+    fn note(&mut self, now: Time, it: Observation) {
+        self.believe(now, it);
+        self.judge.observe(now, it);
+    }
+
+    fn believe(&mut self, now: Time, it: Observation) {
+        let ratio = self.ratio(&it);
+        let rest = self.signs.share();
+        let belief = &mut self.loads[it.endpoint].belief;
+        let before = belief.usage(now, Strain::None, rest);
+        belief.observe(now, it.kind, it.reporter, it.elapsed, ratio, rest);
+        if before != Use::Last && belief.usage(now, Strain::None, rest) == Use::Last {
+            let reason = match it.kind {
+                Kind::Unreachable => "used last: several nodes in a row cannot reach it",
+                Kind::Stalled | Kind::Beaten | Kind::TimedOut | Kind::Abandoned => {
+                    "used last: a request had no answer"
+                }
+                _ => "used last: a request failed",
+            };
+            self.judge.rotation.remark(it.endpoint, reason);
+        }
+        let sick = self.loads[it.endpoint].belief.sick(now, rest);
+        self.signs.learn(it.kind, sick);
+        match it.kind {
+            Kind::TimedOut | Kind::Beaten | Kind::Abandoned => {
+                self.judge.baseline.add_unanswered(it.route, it.elapsed, 1.0 - sick);
+            }
+            Kind::Failed => self.judge.baseline.add_failed(it.route, 1.0 - sick),
+            _ => {}
+        }
+    }
+
+    /// How much more likely an outcome is at a sick endpoint.
+    fn ratio(&self, it: &Observation) -> f64 {
+        let baseline = &self.judge.baseline;
+        match it.kind {
+            Kind::Stalled | Kind::Beaten | Kind::TimedOut | Kind::Abandoned => {
+                self.signs.silence(baseline.still_open(it.route, it.elapsed))
+            }
+            kind => self.signs.ratio(baseline, kind, it.route),
+        }
+    }
+}
