A send's log line names how likely its endpoint was sick, and how old that evidence was

Asked for by operators: the choice alone (good, last) did not say on what it rested. Test: a grant tells both.

--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -70,7 +70,8 @@
     let mut open = match lane {
         Lane::First(race) | Lane::Further(race) => Open::in_race(slot, race),
     };
-    let (slot_by, tier, since) = (open.granted_by(), open.grant().tier, Instant::now());
+    let (slot_by, since) = (open.granted_by(), Instant::now());
+    let (tier, doubt) = (open.grant().tier, open.grant().doubt);
     let span = work.span.child();
     let req = work.request(&cx.names, &open.grant().endpoint, &span, body);
     let reuse = match work.route.repeat {
@@ -107,6 +108,7 @@
         endpoint: &endpoint,
         slot_by,
         tier,
+        doubt,
         outcome: sent.name(),
         elapsed: since.elapsed(),
     };
--- a/crates/dappleway/src/baselines.rs
+++ b/crates/dappleway/src/baselines.rs
@@ -68,6 +68,7 @@
             hedge_after: NEVER,
             trial: false,
             tier: Tier::Good,
+            doubt: Default::default(),
         };
         Ok(RoundRobinSlot { dispatch: self.clone(), service: service.clone(), grant })
     }
--- a/crates/fleet/src/tests/permits.rs
+++ b/crates/fleet/src/tests/permits.rs
@@ -46,6 +46,7 @@
         hedge_after: Duration::from_millis(30),
         trial: false,
         tier: Tier::Good,
+        doubt: Default::default(),
     }
 }
 
--- a/crates/fleet/src/tests/wire.rs
+++ b/crates/fleet/src/tests/wire.rs
@@ -105,6 +105,7 @@
         hedge_after: Duration::from_millis(30),
         trial: true,
         tier: Tier::Good,
+        doubt: Default::default(),
     };
     let messages = [
         Message::Permit(PermitMessage::Answer { id, reply: Reply::Granted(grant) }),
--- a/crates/policy/src/belief.rs
+++ b/crates/policy/src/belief.rs
@@ -144,9 +144,14 @@
         rest + (self.sick - rest) * kept
     }
 
+    /// Age of the latest outcome.
+    pub(crate) fn evidence_age(&self, now: Time) -> Duration {
+        now.since(self.at)
+    }
+
     /// Whether an outcome was heard of lately.
     pub(crate) fn is_recent(&self, now: Time) -> bool {
-        now.seconds_since(self.at) < EVIDENCE_LASTS
+        self.evidence_age(now).as_secs_f64() < EVIDENCE_LASTS
     }
 
     /// Time since its last failure.
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -292,6 +292,7 @@
             addr: it.addr,
             stall_after: self.judge.baseline.stall_after(ask.route),
             hedge_after: self.judge.baseline.hedge_after(ask.route),
+            doubt: self.doubt(now, endpoint),
             trial: tier == Tier::Trial || matches!(it.state, State::Trial { .. }),
             tier,
         };
--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -4,7 +4,7 @@
 
 use super::Dispatcher;
 use crate::belief::{Belief, SILENCE_FAILS, Strain, TRY_AGAIN, Use};
-use crate::permit::{Ask, Tier};
+use crate::permit::{Ask, Doubt, Tier};
 use crate::rotation::{EndpointStatus, State};
 use crate::time::Time;
 
@@ -142,6 +142,15 @@
         self.strain = self.served.strain(now);
     }
 
+    /// What is believed of an endpoint now.
+    pub(super) fn doubt(&self, now: Time, i: usize) -> Doubt {
+        let look = self.look(now, i);
+        Doubt {
+            sick_permille: (look.sick * 1e3) as u16,
+            evidence_ms: look.belief.evidence_age(now).as_millis() as u32,
+        }
+    }
+
     fn look(&self, now: Time, i: usize) -> Look<'_> {
         let load = &self.loads[i];
         let silence = load.silence(now, &self.judge.baseline, &self.signs);
--- a/crates/policy/src/permit.rs
+++ b/crates/policy/src/permit.rs
@@ -67,6 +67,17 @@
     pub trial: bool,
     /// How good a choice the endpoint was.
     pub tier: Tier,
+    /// What was believed of it.
+    pub doubt: Doubt,
+}
+
+/// What was believed of an endpoint when one of its slots was granted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Doubt {
+    /// Probability that it is sick, in thousandths.
+    pub sick_permille: u16,
+    /// Age of the latest outcome that this rests on, in milliseconds.
+    pub evidence_ms: u32,
 }
 
 /// Answer to an `Ask`.
--- a/crates/policy/src/tests/choice.rs
+++ b/crates/policy/src/tests/choice.rs
@@ -455,3 +455,16 @@
         assert_eq!(grant.addr, surest.addr);
     }
 }
+
+#[test]
+fn a_grant_tells_how_likely_its_endpoint_is_sick_and_how_old_that_evidence_is() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = service(&[1], 1, Bias::Speed);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
+    let fails = seen(1, Kind::Failed, Duration::from_millis(1));
+    (0..2).for_each(|_| dispatcher.observe(Time(0) + SECOND, &service.endpoints[0].id, fails));
+    let now = Time(0) + SECOND * 2;
+    let Reply::Granted(grant) = dispatcher.ask(now, ask(1, true), &mut rng) else { panic!("free") };
+    assert_eq!(grant.doubt.evidence_ms, 1_000);
+    assert!((700..1_000).contains(&grant.doubt.sick_permille), "{:?}", grant.doubt);
+}
