--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,9 +1,10 @@
-//! Automation of the project: `cargo xtask try`, `ci`, `faults`, `measure`.
+//! Automation of the project: `cargo xtask try`, `ci`, `faults`, `measure`, `plot`.
 
 mod ci;
 mod demo;
 mod faults;
 mod measure;
+mod plot;
 
 use clap::{Parser, Subcommand};
 
@@ -30,6 +31,11 @@
         #[arg(long)]
         only: Option<String>,
     },
+    /// Draws the worth of a site's played days by version, from the journal.
+    Plot {
+        /// Name of the site.
+        site: String,
+    },
 }
 
 fn main() -> anyhow::Result<()> {
@@ -38,5 +44,6 @@
         Command::Ci => ci::run(),
         Command::Faults => faults::run(),
         Command::Measure { what, only } => measure::run(what, only.as_deref()),
+        Command::Plot { site } => plot::run(&site),
     }
 }
