Read again: which outcomes are silence is said once

The list of outcomes without an answer stood twice in what a dispatcher learns; Kind::is_silence says it. Belief keeps its own exhaustive match, so that a new outcome must be placed there. Seen and left: the choice of a slot looks at its endpoint once more to tell its doubt.

--- a/crates/policy/src/dispatcher/evidence.rs
+++ b/crates/policy/src/dispatcher/evidence.rs
@@ -140,9 +140,7 @@
         if before != Use::Last && belief.usage(now, Strain::None, rest) == Use::Last {
             let reason = match it.kind {
                 Kind::Unreachable => "used last: several nodes in a row cannot reach it",
-                Kind::Stalled | Kind::Beaten | Kind::TimedOut | Kind::Abandoned => {
-                    "used last: a request had no answer"
-                }
+                it if it.is_silence() => "used last: a request had no answer",
                 _ => "used last: a request failed",
             };
             self.judge.rotation.remark(it.endpoint, reason);
@@ -161,11 +159,9 @@
     /// How much more likely an outcome is at a sick endpoint.
     fn ratio(&self, it: &Observation) -> f64 {
         let baseline = &self.judge.baseline;
-        match it.kind {
-            Kind::Stalled | Kind::Beaten | Kind::TimedOut | Kind::Abandoned => {
-                self.signs.silence(baseline.still_open(it.route, it.elapsed))
-            }
-            kind => self.signs.ratio(baseline, kind, it.route),
+        match it.kind.is_silence() {
+            true => self.signs.silence(baseline.still_open(it.route, it.elapsed)),
+            false => self.signs.ratio(baseline, it.kind, it.route),
         }
     }
 }
--- a/crates/policy/src/observation.rs
+++ b/crates/policy/src/observation.rs
@@ -27,6 +27,13 @@
     TimedOut,
 }
 
+impl Kind {
+    /// Whether the request is open, or was given up, without an answer.
+    pub(crate) fn is_silence(self) -> bool {
+        matches!(self, Self::Stalled | Self::Beaten | Self::TimedOut | Self::Abandoned)
+    }
+}
+
 /// Who observed an outcome.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reporter {
