--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -101,6 +101,8 @@
     metrics: ControlMetrics,
     /// Other nodes that were known when this was last logged.
     known_peers: usize,
+    /// Changes of the endpoints since they were last logged.
+    endpoint_changes: u32,
     draining: bool,
     last_tick: Time,
     woke: Time,
@@ -185,6 +187,7 @@
             in_force_since: now,
             metrics: start.metrics,
             known_peers: 0,
+            endpoint_changes: 0,
             draining: false,
             last_tick: now,
             woke: now,
--- a/crates/dappleway/src/control/metrics.rs
+++ b/crates/dappleway/src/control/metrics.rs
@@ -1,6 +1,7 @@
 //! Figures of the control thread: endpoints, repeats, the platform, what is in force. Labels are bounded:
 //! none grows with services, endpoints or nodes.
 
+use fleet::ServedFetch;
 use policy::{State, Time};
 use prometheus::{
     Gauge, GaugeVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
@@ -22,6 +23,39 @@
     config_age: Gauge,
     registry_revision: IntGauge,
     nodes: IntGauge,
+    first_sends: IntCounter,
+    asks: IntCounterVec,
+    fetches: FetchesServed,
+}
+
+/// Figures of what peers fetched from this node.
+#[derive(Clone)]
+pub struct FetchesServed {
+    count: IntCounterVec,
+    bytes: IntCounter,
+}
+
+impl FetchesServed {
+    fn new() -> prometheus::Result<Self> {
+        let count = Opts::new(
+            "dappleway_fetches_served_total",
+            "Fetches of peers that were served here, by outcome.",
+        );
+        Ok(Self {
+            count: IntCounterVec::new(count, &["outcome"])?,
+            bytes: IntCounter::new(
+                "dappleway_fetches_served_bytes_total",
+                "Bytes sent to peers that fetched something here.",
+            )?,
+        })
+    }
+
+    /// Takes in one that has ended.
+    pub fn note(&self, it: &ServedFetch) {
+        let outcome = if it.is_whole { "whole" } else { "broken" };
+        self.count.with_label_values(&[outcome]).inc();
+        self.bytes.inc_by(it.bytes as u64);
+    }
 }
 
 impl ControlMetrics {
@@ -78,13 +112,34 @@
                 "dappleway_nodes",
                 "Nodes of the fleet that are known, this one included.",
             )?,
+            first_sends: IntCounter::new(
+                "dappleway_first_sends_total",
+                "First sends of requests that were asked for here; the budget for repeats grows with them.",
+            )?,
+            asks: IntCounterVec::new(
+                Opts::new(
+                    "dappleway_asks_total",
+                    "Asks of this node for slots that brought nothing at first, by what followed.",
+                ),
+                &["outcome"],
+            )?,
+            fetches: FetchesServed::new()?,
         };
         registry.register(Box::new(it.endpoints.clone()))?;
         registry.register(Box::new(it.repeats.clone()))?;
         registry.register(Box::new(it.budget.clone()))?;
         registry.register(Box::new(it.platform_calls.clone()))?;
+        registry.register(Box::new(it.first_sends.clone()))?;
+        registry.register(Box::new(it.asks.clone()))?;
+        registry.register(Box::new(it.fetches.count.clone()))?;
+        registry.register(Box::new(it.fetches.bytes.clone()))?;
         Ok(it)
     }
+
+    /// Figures of what peers fetch, for the task that serves them.
+    pub fn fetches_served(&self) -> FetchesServed {
+        self.fetches.clone()
+    }
 }
 
 /// Raises a counter to a sum that is kept elsewhere and never falls but when its owner goes.
@@ -101,13 +156,14 @@
                 *states.entry(State::name(endpoint.state)).or_default() += 1;
             }
         }
-        let (mut queued, mut granted, mut refused) = (0, 0, 0);
+        let (mut queued, mut granted, mut refused, mut first) = (0, 0, 0, 0);
         let (mut allowed, mut spent) = (0.0, 0.0);
         self.services.for_each(|_, scope, it| {
             queued += it.queued() as i64;
             let repeats = it.repeats(now);
             granted += repeats.granted;
             refused += repeats.refused;
+            first += repeats.first_total;
             if scope == Scope::Fleet && it.is_in_charge(now) {
                 allowed += repeats.allowed;
                 spent += repeats.spent;
@@ -123,6 +179,9 @@
         raise(&it.repeats.with_label_values(&["refused"]), refused);
         it.budget.with_label_values(&["allowed"]).set(allowed);
         it.budget.with_label_values(&["spent"]).set(spent);
+        raise(&it.first_sends, first);
+        raise(&it.asks.with_label_values(&["unanswered"]), self.client.timeouts);
+        raise(&it.asks.with_label_values(&["picked_alone"]), self.client.direct);
         raise(&it.platform_calls, self.platform_calls);
         let facts = self.exchange.replica().facts();
         it.config_version.set(facts.version as i64);
--- a/crates/dappleway/src/control/publications.rs
+++ b/crates/dappleway/src/control/publications.rs
@@ -14,7 +14,8 @@
     /// Takes in what this node has read from the platform.
     pub(super) fn read(&mut self, now: Time, mut published: Published, calls: u64) {
         self.platform_calls = calls;
-        published.document = published.document.take().filter(|it| self.accept(now, it));
+        let take = |it: &Document| self.accept(now, it, "platform");
+        published.document = published.document.take().filter(take);
         let effects = self.exchange.read(now, published);
         self.apply(now, effects);
     }
@@ -28,7 +29,7 @@
     /// Takes in what a peer knew.
     pub(super) fn fetched(&mut self, now: Time, mut published: Published) {
         if let Some(it) = published.document.take() {
-            self.accept(now, &it);
+            self.accept(now, &it, "peer");
         }
         let effects = self.exchange.fetched(now, &published);
         self.apply(now, effects);
@@ -52,20 +53,19 @@
     pub(super) fn follow_endpoints(&mut self, now: Time) {
         let registrations = self.exchange.replica().registrations();
         self.services.set_endpoints(now, registrations);
-        info!(self.log, "endpoints in force"; "revision" => self.exchange.replica().facts().revision,
-            "endpoints" => self.exchange.replica().registrations().count());
+        self.endpoint_changes += 1;
         self.publish_services();
     }
 
     /// Puts a configuration in force if it is newer and valid; returns whether it is valid.
-    fn accept(&mut self, now: Time, document: &Document) -> bool {
+    fn accept(&mut self, now: Time, document: &Document, learnt_from: &'static str) -> bool {
         let in_force = self.exchange.replica().facts().version;
         if document.version <= in_force {
             return true;
         }
         match Config::compile(document.clone()) {
             Ok(config) => {
-                self.put_in_force(now, document, config);
+                self.put_in_force(now, document, config, learnt_from);
                 true
             }
             Err(problems) => {
@@ -76,10 +76,16 @@
         }
     }
 
-    fn put_in_force(&mut self, now: Time, document: &Document, config: Config) {
+    fn put_in_force(
+        &mut self,
+        now: Time,
+        document: &Document,
+        config: Config,
+        learnt_from: &'static str,
+    ) {
         let version = document.version;
-        info!(self.log, "configuration in force"; "config" => version,
-            "services" => config.services.len(), "resources" => document.resources.len());
+        let services = config.services.len();
+        let behind = self.exchange.duty().behind_for(now);
         self.rejected = None;
         self.in_force_since = now;
         self.exchange.replica_mut().accept(Arc::new(document.clone()));
@@ -89,6 +95,10 @@
         self.outputs.published.send_replace(InForce { version, resources });
         self.publish_services();
         self.next_readiness = now;
+        info!(self.log, "configuration in force"; "config" => version, "services" => services,
+            "resources" => document.resources.len(), "learnt_from" => learnt_from,
+            "behind_ms" => behind.as_millis() as u64,
+            "apply_ms" => self.now().since(now).as_millis() as u64);
     }
 
     fn reject(&mut self, version: u64, reason: String) {
--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -51,6 +51,8 @@
             self.next_renewal = now + RENEW;
             self.renew(now);
             self.log_peers();
+            self.log_endpoints();
+            self.log_repeats(now);
             self.measure(now);
         }
         if now >= self.next_readiness {
@@ -75,6 +77,29 @@
         }
     }
 
+    /// One line a second at most: while endpoints are replaced there is a change every 0.1 s, and the lines
+    /// would push all others out of what is kept.
+    fn log_endpoints(&mut self) {
+        let changes = std::mem::take(&mut self.endpoint_changes);
+        if changes > 0 {
+            let replica = self.exchange.replica();
+            info!(self.log, "endpoints in force"; "revision" => replica.facts().revision,
+                "endpoints" => replica.registrations().count(), "changes" => changes);
+        }
+    }
+
+    /// Says for which services repeats were refused since the last time, and by which figures.
+    fn log_repeats(&mut self, now: Time) {
+        let log = self.log.clone();
+        self.services.for_each_named(|name, scope, it| {
+            let Some(it) = it.newly_refused(now) else { return };
+            info!(log, "budget for repeats used up"; "service" => name.as_str(),
+                "dispatched_here" => scope == Scope::Fleet, "refused" => it.refused,
+                "allowed" => it.allowed as u64, "spent" => it.spent as u64,
+                "first_sends" => it.first, "askers" => it.askers);
+        });
+    }
+
     fn log_contacts(&mut self) {
         for it in self.client.take_contacts() {
             let addr = |node| self.exchange.members().get(node).map(|it| it.info.addr.to_string());
--- a/crates/dappleway/src/node.rs
+++ b/crates/dappleway/src/node.rs
@@ -6,7 +6,7 @@
 
 use anyhow::{Context, anyhow};
 use caller::{Dispatch, Limits, ListenerBuilder, Metrics, Shared};
-use fleet::{Bundle, Client, Edge, Exchange, Facts, Identity, Keys, serve_fetches};
+use fleet::{Bundle, Client, Edge, Exchange, Facts, Identity, Keys, ServedFetch, serve_fetches};
 use operator::{Access, Cut, Token, View};
 use platform::{ServiceDefaults, Store, header_names};
 use prometheus::Registry;
@@ -153,7 +153,15 @@
         .await
         .with_context(|| format!("TCP {addr}: choose a free `node.addr`"))?;
     let bundles = events.clone();
-    tokio::spawn(serve_fetches(fetches, keys.clone(), move |have| bundle(bundles.clone(), have)));
+    let metrics = ControlMetrics::register(&registry)?;
+    let (served, served_log) = (metrics.fetches_served(), log.clone());
+    let on_served = move |it: ServedFetch| {
+        served.note(&it);
+        info!(served_log, "fetch served"; "peer" => %it.peer, "ms" => it.took.as_millis() as u64,
+            "bytes" => it.bytes, "is_whole" => it.is_whole, "at_once" => it.at_once);
+    };
+    let bundle = move |have| bundle(bundles.clone(), have);
+    tokio::spawn(serve_fetches(fetches, keys.clone(), bundle, on_served));
     let (published_tx, published) = watch::channel(Default::default());
     let (not_ready_tx, not_ready) = watch::channel(Some("the node is starting".to_owned()));
     let (reads_tx, reads) = watch::channel(true);
@@ -163,7 +171,6 @@
         .then(|| forward(events.clone(), |cut: Cut| Event::Cut(cut.to)));
     let reports = forward(events.clone(), Event::Report);
     let access = Access { token };
-    let metrics = ControlMetrics::register(&registry)?;
     let view = View { published, not_ready, reports, registry, access, faults };
     let server = operator::serve(settings.operator.listen, view, &log.new(slog::o!()))
         .map_err(|it| anyhow!("{it}: choose a free `operator.listen`"))?;
--- a/crates/dappleway/src/reader.rs
+++ b/crates/dappleway/src/reader.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use fleet::{Facts, Keys};
+use fleet::{Facts, Fetched, Keys};
 use rand::RngExt;
 use resources::{Document, Published, Source, SourceError};
-use slog::{Logger, debug, info, warn};
+use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -77,13 +77,18 @@
     events: mpsc::UnboundedSender<Event>,
     log: Logger,
 ) {
-    let bundle = match fleet::fetch(addr, &keys, have).await {
+    let since = Instant::now();
+    let took = || since.elapsed().as_millis() as u64;
+    let Fetched { bundle, bytes } = match fleet::fetch(addr, &keys, have).await {
         Ok(it) => it,
         Err(error) => {
-            debug!(log, "fetch failed"; "peer" => %addr, "reason" => %error);
+            info!(log, "fetch from a peer failed"; "peer" => %addr, "ms" => took(),
+                "reason" => %error);
             return;
         }
     };
+    info!(log, "fetched from a peer"; "peer" => %addr, "ms" => took(), "bytes" => bytes,
+        "has_config" => bundle.document.is_some(), "revision" => bundle.revision);
     let document = bundle.document.and_then(|it| match serde_json::from_slice::<Document>(&it) {
         Ok(it) => Some(it),
         Err(error) => {
--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -69,6 +69,11 @@
         now.since(self.contact.unwrap_or(Time(0)))
     }
 
+    /// For how long something newer has been known to exist that could not be had yet.
+    pub fn behind_for(&self, now: Time) -> Duration {
+        self.behind_since.map_or(Duration::ZERO, |it| now.since(it))
+    }
+
     /// Takes in the word of a reader of the same failure domain.
     pub(crate) fn heard(&mut self, now: Time, from: NodeId, has_contact: bool) {
         if !has_contact {
--- a/crates/fleet/src/fetch.rs
+++ b/crates/fleet/src/fetch.rs
@@ -3,7 +3,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use resources::RegistryChange;
 use serde::de::DeserializeOwned;
@@ -58,32 +58,69 @@
     Untrusted,
 }
 
+/// What a fetch brought.
+#[derive(Clone, Debug)]
+pub struct Fetched {
+    /// What the peer knows.
+    pub bundle: Bundle,
+    /// Its length in bytes.
+    pub bytes: usize,
+}
+
+/// Something was sent to a peer that fetched it.
+#[derive(Clone, Copy, Debug)]
+pub struct ServedFetch {
+    /// The peer.
+    pub peer: SocketAddr,
+    /// Bytes of the answer.
+    pub bytes: usize,
+    /// Whether all of it was taken in time.
+    pub is_whole: bool,
+    /// Fetches that were being served when this one ended, itself included.
+    pub at_once: usize,
+    /// From the connection to its end.
+    pub took: Duration,
+}
+
 /// Fetches what the peer at `addr` knows beyond `have`.
-pub async fn fetch(addr: SocketAddr, keys: &Keys, have: Facts) -> Result<Bundle, FetchError> {
+pub async fn fetch(addr: SocketAddr, keys: &Keys, have: Facts) -> Result<Fetched, FetchError> {
     let exchange = async {
         let mut stream = TcpStream::connect(addr).await?;
         write(&mut stream, keys, &FetchRequest { have }).await?;
-        read(&mut stream, keys, MAX_MESSAGE_BYTES).await
+        let (bundle, bytes) = read(&mut stream, keys, MAX_MESSAGE_BYTES).await?;
+        Ok(Fetched { bundle, bytes })
     };
     timeout(LIMIT, exchange).await.map_err(|_| FetchError::Timeout)?
 }
 
-/// Serves fetches for ever. `bundle` gives what is known now beyond the asker's copy.
+/// Serves fetches for ever. `bundle` gives what is known now beyond the asker's copy; `served` is told
+/// of each fetch that was answered.
 pub async fn serve_fetches<Fut>(
     listener: TcpListener,
     keys: Keys,
     bundle: impl Fn(Facts) -> Fut + Clone + Send + Sync + 'static,
+    served: impl Fn(ServedFetch) + Clone + Send + Sync + 'static,
 ) where
     Fut: Future<Output = Bundle> + Send,
 {
     let permits = std::sync::Arc::new(tokio::sync::Semaphore::new(MAX_SERVED));
     loop {
         let Ok(permit) = permits.clone().acquire_owned().await else { return };
-        let Ok((stream, _)) = listener.accept().await else { continue };
-        let (keys, bundle) = (keys.clone(), bundle.clone());
+        let Ok((stream, peer)) = listener.accept().await else { continue };
+        let (keys, bundle, served) = (keys.clone(), bundle.clone(), served.clone());
+        let permits = permits.clone();
         tokio::spawn(async move {
+            let since = Instant::now();
+            let mut bytes = 0;
             // The asker notices a fetch that fails and asks elsewhere.
-            let _ = timeout(LIMIT, answer(stream, keys, bundle)).await;
+            let ended = timeout(LIMIT, answer(stream, keys, bundle, &mut bytes)).await;
+            served(ServedFetch {
+                peer,
+                bytes,
+                is_whole: matches!(ended, Ok(Ok(()))),
+                at_once: MAX_SERVED - permits.available_permits(),
+                took: since.elapsed(),
+            });
             drop(permit);
         });
     }
@@ -93,29 +130,33 @@
     mut stream: TcpStream,
     keys: Keys,
     bundle: impl Fn(Facts) -> Fut,
+    bytes: &mut usize,
 ) -> Result<(), FetchError> {
-    let req: FetchRequest = read(&mut stream, &keys, MAX_REQUEST_BYTES).await?;
+    let (req, _) = read::<FetchRequest>(&mut stream, &keys, MAX_REQUEST_BYTES).await?;
     let bundle = bundle(req.have).await;
-    write(&mut stream, &keys, &bundle).await
+    *bytes = write(&mut stream, &keys, &bundle).await?;
+    // Written is not taken: the asker closes when it has all of it.
+    let _ = stream.read(&mut [0]).await;
+    Ok(())
 }
 
 async fn write(
     stream: &mut TcpStream,
     keys: &Keys,
     message: &impl Serialize,
-) -> Result<(), FetchError> {
+) -> Result<usize, FetchError> {
     let body = postcard::to_stdvec(message).map_err(|_| FetchError::Untrusted)?;
     stream.write_u32((TAG_BYTES + body.len()) as u32).await?;
     stream.write_all(&keys.sign(&body)).await?;
     stream.write_all(&body).await?;
-    Ok(())
+    Ok(body.len())
 }
 
 async fn read<T: DeserializeOwned>(
     stream: &mut TcpStream,
     keys: &Keys,
     max: usize,
-) -> Result<T, FetchError> {
+) -> Result<(T, usize), FetchError> {
     let n = stream.read_u32().await? as usize;
     if n <= TAG_BYTES || n > max {
         return Err(FetchError::Untrusted);
@@ -126,5 +167,6 @@
     if buf.len() != n || !keys.accept(&buf[..TAG_BYTES], &buf[TAG_BYTES..]) {
         return Err(FetchError::Untrusted);
     }
-    postcard::from_bytes(&buf[TAG_BYTES..]).map_err(|_| FetchError::Untrusted)
+    let message = postcard::from_bytes(&buf[TAG_BYTES..]).map_err(|_| FetchError::Untrusted)?;
+    Ok((message, n))
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,7 +15,7 @@
 pub use duty::Duty;
 pub use edge::{Counts, Edge};
 pub use exchange::{Effect, Exchange, Identity, ROUND};
-pub use fetch::{Bundle, FetchError, fetch, serve_fetches};
+pub use fetch::{Bundle, FetchError, Fetched, ServedFetch, fetch, serve_fetches};
 pub use members::{Member, Members, node_id};
 pub use permits::{Action, Client, Contact, Directory, Place, Settlement, Wish};
 pub use replica::{Facts, Replica};
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -69,6 +69,7 @@
     forgot_in: u64,
     /// Nodes of the fleet, as far as they are known.
     nodes: usize,
+    first_total: u64,
     granted: u64,
     refused: u64,
 }
@@ -84,6 +85,12 @@
     pub allowed: f64,
     /// Those spent in it.
     pub spent: f64,
+    /// First sends counted in it.
+    pub first: u64,
+    /// Nodes that have asked in it.
+    pub askers: usize,
+    /// First sends counted since the start.
+    pub first_total: u64,
 }
 
 impl Budget {
@@ -96,6 +103,7 @@
             askers: FxHashMap::default(),
             forgot_in: 0,
             nodes: 1,
+            first_total: 0,
             granted: 0,
             refused: 0,
         }
@@ -118,6 +126,7 @@
     /// Records the first send of a request of `node`.
     pub fn first_send(&mut self, now: Time, node: NodeId) {
         self.slice(now).first += 1;
+        self.first_total += 1;
         self.askers.insert(node, now);
     }
 
@@ -148,23 +157,35 @@
     /// Figures for reports.
     pub fn report(&mut self, now: Time) -> RepeatsReport {
         let (allowed, spent) = self.balance(now);
-        RepeatsReport { granted: self.granted, refused: self.refused, allowed, spent }
+        let (first, _) = self.in_window(now);
+        RepeatsReport {
+            granted: self.granted,
+            refused: self.refused,
+            allowed,
+            spent,
+            first: first.into(),
+            askers: self.askers.len(),
+            first_total: self.first_total,
+        }
     }
 
     /// Repeats allowed in the window that ends now, and those spent in it.
     fn balance(&mut self, now: Time) -> (f64, f64) {
-        let number = self.number(now);
-        self.forget_askers(now, number);
-        let in_window = |it: &&Slice| it.number + SLICES as u64 >= number;
-        let (mut first, mut repeats) = (0, 0);
-        for it in self.slices.iter().filter(in_window) {
-            first += it.first;
-            repeats += it.repeats;
-        }
+        self.forget_askers(now, self.number(now));
+        let (first, repeats) = self.in_window(now);
         let allowed = f64::from(first) * self.limits.ratio * RATIO_PART + self.extra(now);
         (allowed, f64::from(repeats))
     }
 
+    /// First sends and repeats in the window that ends now.
+    fn in_window(&self, now: Time) -> (u32, u32) {
+        let number = self.number(now);
+        let in_window = |it: &&Slice| it.number + SLICES as u64 >= number;
+        let sum =
+            |(first, repeats): (u32, u32), it: &Slice| (first + it.first, repeats + it.repeats);
+        self.slices.iter().filter(in_window).fold((0, 0), sum)
+    }
+
     /// The fixed part, for the nodes that have asked here.
     fn extra(&self, now: Time) -> f64 {
         let part = (self.askers.len() as f64 / self.nodes as f64).min(1.0);
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -95,6 +95,8 @@
     queue: Queue<Ask>,
     mean_hold: Duration,
     budget: Budget,
+    /// Repeats refused when that was last told.
+    refused_before: u64,
     served: Served,
     granted_at: Option<Time>,
     /// Whether so much fails that endpoints are tried again sooner; as of the last choice.
@@ -116,6 +118,7 @@
             queue: Queue::new(),
             mean_hold: FIRST_HOLD,
             budget: Budget::new(now, budget),
+            refused_before: 0,
             served: Served::default(),
             granted_at: None,
             strain: Strain::None,
@@ -275,6 +278,15 @@
         self.budget.report(now)
     }
 
+    /// Figures of the budget for repeats if some were refused since the last call; `refused` counts these
+    /// alone.
+    pub fn newly_refused(&mut self, now: Time) -> Option<RepeatsReport> {
+        let report = self.budget.report(now);
+        let before = std::mem::replace(&mut self.refused_before, report.refused);
+        let refused = report.refused - before;
+        (refused > 0).then_some(RepeatsReport { refused, ..report })
+    }
+
     /// Requests that wait for a slot.
     pub fn queued(&self) -> usize {
         self.queue.len()
