--- a/crates/standin/src/net.rs
+++ b/crates/standin/src/net.rs
@@ -1,6 +1,8 @@
 //! Stand-in for the network between nodes: their state machines, without sockets or processes, over
 //! a network that loses and cuts, in virtual time.
 
+mod links;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,12 +15,28 @@
 use resources::{Document, Published};
 use rustc_hash::FxHashMap;
 
+use links::{Link, Transfer};
+
 /// Virtual time between two turns of a node.
 const TURN: Duration = Duration::from_millis(50);
 /// Nodes that the others know at their start.
 const SEEDS: usize = 3;
 /// Failure domains.
 const DOMAINS: u64 = 3;
+/// A fetch that has not ended by then is given up.
+const FETCH_LIMIT: Duration = Duration::from_secs(2);
+/// Fetches that a node serves at once.
+const FETCHES_AT_ONCE: usize = 16;
+/// A node that waits for news of the platform hears of it after this if there is none.
+const WATCH: Duration = Duration::from_millis(700);
+/// Time that an answer of the platform may take beside that.
+const WATCH_PATIENCE: Duration = Duration::from_millis(400);
+/// Pause after a call without an answer; it doubles up to the longest.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+/// Longest such pause.
+const LONGEST_PAUSE: Duration = Duration::from_millis(2_500);
+/// The platform sends documents as text of this many times their length.
+const PLATFORM_LENGTH: f64 = 4.0 / 3.0;
 
 /// Nodes and what is between them.
 pub struct Net {
@@ -33,11 +51,45 @@
     /// When each node put its latest configuration in force.
     pub in_force_at: BTreeMap<usize, Time>,
     places: FxHashMap<SocketAddr, usize>,
+    /// Without links everything that is fetched arrives at once.
+    links: Vec<Link>,
+    platform: Platform,
     loss: f64,
     rng: StdRng,
     keys: Keys,
 }
 
+/// What the platform has published, and who waits for it.
+#[derive(Default)]
+struct Platform {
+    newest: Option<Document>,
+    /// The call that each node has under way.
+    calls: BTreeMap<usize, Call>,
+    /// How long each node has paused after its last call, if that had no answer.
+    pauses: BTreeMap<usize, Duration>,
+}
+
+/// A call to the platform.
+#[derive(Clone)]
+struct Call {
+    ends: Time,
+    answer: Answer,
+}
+
+/// What a call brings.
+#[derive(Clone)]
+enum Answer {
+    /// Nothing in time.
+    Lost,
+    /// What is newer, if anything is.
+    News(Option<Document>),
+}
+
+/// Length of a document in bytes, as nodes send it to each other.
+fn length(document: &Document) -> usize {
+    serde_json::to_vec(document).expect("string keys only").len()
+}
+
 /// Address of a node.
 pub fn addr(i: usize) -> SocketAddr {
     ([127, 0, (i / 250) as u8, (i % 250) as u8 + 1], 7400).into()
@@ -59,12 +111,96 @@
             control_bytes: 0,
             in_force_at: BTreeMap::new(),
             places: (0..n).map(|i| (addr(i), i)).collect(),
+            links: Vec::new(),
+            platform: Platform::default(),
             loss,
             rng: StdRng::seed_from_u64(7),
             keys: Keys { current: Key::new(b"k"), also: None },
         }
     }
 
+    /// Gives every node a link of so many bytes a second.
+    pub fn with_links(mut self, bytes_per_s: f64) -> Self {
+        self.links = vec![Link::new(bytes_per_s); self.nodes.len()];
+        self
+    }
+
+    /// The platform acknowledges a configuration. Only nodes with links read it; see `run_on_links`.
+    pub fn publish(&mut self, document: Document) {
+        self.platform.newest = Some(document);
+    }
+
+    /// Lets time pass while nodes read the platform and fetch from each other over their links.
+    pub fn run_on_links(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.run(TURN);
+            for i in 0..self.nodes.len() {
+                self.end_transfers(i);
+                self.wait_for_platform(i);
+            }
+        }
+    }
+
+    fn end_transfers(&mut self, from: usize) {
+        let ended = self.links[from].turn(self.now, TURN, FETCH_LIMIT, FETCHES_AT_ONCE);
+        for it in ended {
+            self.fetched(it.to, from);
+        }
+    }
+
+    /// A call that is answered is followed by the next at once: a watch brings what is newer as soon as it
+    /// is there. A node whose calls wait behind what it sends has no answer in time, and pauses.
+    fn wait_for_platform(&mut self, i: usize) {
+        if let Some(call) = self.platform.calls.get(&i).cloned() {
+            if self.now < call.ends {
+                return;
+            }
+            self.platform.calls.remove(&i);
+            match call.answer {
+                Answer::News(document) => {
+                    self.platform.pauses.remove(&i);
+                    self.take(i, Published { document, ..Published::default() });
+                }
+                Answer::Lost => {
+                    let effects = self.nodes[i].read_failed();
+                    self.apply(i, effects);
+                }
+            }
+        }
+        if self.nodes[i].duty().reads(self.now) {
+            let call = self.call(i);
+            self.platform.calls.insert(i, call);
+        }
+    }
+
+    fn call(&mut self, i: usize) -> Call {
+        let link = &self.links[i];
+        if link.delay() > WATCH_PATIENCE {
+            let pause = self.platform.pauses.entry(i).or_insert(FIRST_PAUSE);
+            let ends = self.now + WATCH + WATCH_PATIENCE + *pause;
+            *pause = (*pause * 2).min(LONGEST_PAUSE);
+            return Call { ends, answer: Answer::Lost };
+        }
+        let known = self.nodes[i].replica().facts().version;
+        let newer = self.platform.newest.clone().filter(|it| it.version > known);
+        let took = match &newer {
+            Some(it) => {
+                link.delay() + link.time_for((length(it) as f64 * PLATFORM_LENGTH) as usize)
+            }
+            None => TURN,
+        };
+        Call { ends: self.now + took, answer: Answer::News(newer) }
+    }
+
+    fn take(&mut self, i: usize, news: Published) {
+        if let Some(it) = &news.document {
+            self.accept(i, it);
+        }
+        let effects = self.nodes[i].read(self.now, news);
+        self.apply(i, effects);
+    }
+
     /// Lets time pass. Nobody reads the platform meanwhile.
     pub fn run(&mut self, time: Duration) {
         let end = self.now + time;
@@ -93,10 +229,7 @@
     /// A node reads a configuration from the platform.
     pub fn read(&mut self, i: usize, version: u64) {
         let document = Document { version, ..Document::default() };
-        self.accept(i, &document);
-        let news = Published { document: Some(document), ..Published::default() };
-        let effects = self.nodes[i].read(self.now, news);
-        self.apply(i, effects);
+        self.take(i, Published { document: Some(document), ..Published::default() });
     }
 
     /// A node does something else.
@@ -141,6 +274,18 @@
         if self.cut.contains(&(i, j)) || self.cut.contains(&(j, i)) {
             return;
         }
+        if self.links.is_empty() {
+            return self.fetched(i, j);
+        }
+        let have = self.nodes[i].replica().facts();
+        let replica = self.nodes[j].replica();
+        let newer = replica.document().filter(|it| it.version > have.version);
+        let left = newer.map_or(0, |it| length(it)) as f64;
+        let transfer = Transfer { to: i, left, since: self.now };
+        self.links[j].begin(transfer, FETCHES_AT_ONCE);
+    }
+
+    fn fetched(&mut self, i: usize, j: usize) {
         if let Some(document) = self.nodes[j].replica().document().cloned() {
             self.accept(i, &document);
         }
