--- a/crates/policy/src/tests/budget.rs
+++ b/crates/policy/src/tests/budget.rs
@@ -3,9 +3,13 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use resources::Bias;
 
 use crate::budget::{Budget, BudgetLimits, Spend};
-use crate::{NodeId, Time};
+use crate::tests::fixture::{SECOND, TERMS, ask, fill, service};
+use crate::{Ask, Dispatcher, Kind, NodeId, PermitId, Reply, Time};
 
 const WINDOW: Duration = Duration::from_secs(10);
 const NODES: u64 = 40;
@@ -138,3 +142,45 @@
     }
     is_allowed
 }
+
+/// Users saw more repeats in ten seconds than are allowed while a service turned much of its work away and
+/// requests waited for slots. A repeat was counted when it joined the queue: those that had waited through
+/// the end of a window reached their endpoints together with all that the next window allows.
+#[test]
+fn a_repeat_that_waits_for_a_slot_counts_when_it_goes_out() {
+    let limits = BudgetLimits { ratio: 0.1, extra: 40.0, window: WINDOW };
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut it = Dispatcher::new(Time(0), &service(&[30], 0, Bias::Balanced), &[TERMS], limits);
+    let held: Vec<PermitId> = (0..90).map(|seq| ask(seq, false).id).collect();
+    fill(&mut it, &mut rng, 90);
+    let mut seq = 1_000;
+    let mut pass = |it: &mut Dispatcher, rng: &mut StdRng, from_s: u64, to_s: u64| {
+        for ms in (from_s * 1_000..to_s * 1_000).step_by(10) {
+            let now = Time(ms * 1_000);
+            seq += 1;
+            it.ask(now, ask(seq, false), rng);
+            held.iter().for_each(|id| it.renew(now, *id));
+        }
+    };
+    let repeat = |seq| Ask { repeated: true, left: SECOND * 30, ..ask(seq, true) };
+    pass(&mut it, &mut rng, 0, 20);
+    let now = Time(0) + SECOND * 20;
+    let waiting =
+        (10_000..10_200).filter(|seq| it.ask(now, repeat(*seq), &mut rng) == Reply::Queued);
+    assert!(waiting.count() > 50);
+    pass(&mut it, &mut rng, 20, 31);
+
+    let now = Time(0) + SECOND * 31;
+    let mut open: Vec<PermitId> = held.clone();
+    let mut sent = 0;
+    while let Some(id) = open.pop() {
+        let settled = it.release(now, id, Kind::Answered, SECOND, &mut rng);
+        let granted = settled.into_iter().filter(|it| matches!(it.reply, Reply::Granted(_)));
+        open.extend(granted.map(|it| it.id).inspect(|_| sent += 1));
+    }
+    let asked = (20_000..20_400).map(|seq| it.ask(now, repeat(seq), &mut rng));
+    sent += asked.filter(|it| matches!(it, Reply::Granted(_))).count();
+    // A request came every 10 ms.
+    let allowed = 1_000.0 * limits.ratio + limits.extra;
+    assert!(sent as f64 <= allowed, "{sent} repeats went out, allowed {allowed}");
+}
