--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -17,7 +17,7 @@
 use std::time::{Duration, Instant};
 
 use caller::{Refused, Shared};
-use fleet::{Client, Directory, Edge, Exchange, Keys, Phase, Place};
+use fleet::{Client, Directory, Edge, Exchange, Keys, Phase, Place, Reads};
 use operator::Published as InForce;
 use policy::{BudgetLimits, Grant, NodeId, PermitId, Reporter, Settled, Time, rank};
 use rand::rngs::StdRng;
@@ -64,8 +64,8 @@
     pub services: watch::Sender<Arc<Vec<Arc<Service>>>>,
     /// Why the node is not ready, for the API.
     pub not_ready: watch::Sender<Option<String>>,
-    /// Whether this node is to read the platform.
-    pub reads: watch::Sender<bool>,
+    /// What this node is to read of the platform.
+    pub reads: watch::Sender<Reads>,
 }
 
 /// A configuration that is refused.
@@ -247,9 +247,14 @@
             Event::Read(published, calls) => self.read(now, published, calls),
             Event::ReadFailed => self.read_failed(now),
             Event::Fetched(published) => self.fetched(now, published),
+            Event::FetchFailed(why) => {
+                self.exchange.fetch_failed(why);
+                self.set_reads(now);
+            }
+            Event::Called(calls) => self.platform_calls = calls,
             Event::Bundle(have, tx) => {
                 // The peer may have left.
-                let _ = tx.send(self.bundle(have));
+                let _ = tx.send(self.exchange.bundle(have));
             }
             Event::Settings(it) => {
                 self.exchange.set_seeds(&it.fleet.seed_addrs());
--- a/crates/dappleway/src/control/metrics.rs
+++ b/crates/dappleway/src/control/metrics.rs
@@ -52,8 +52,7 @@
 
     /// Takes in one that has ended.
     pub fn note(&self, it: &ServedFetch) {
-        let outcome = if it.is_whole { "whole" } else { "broken" };
-        self.count.with_label_values(&[outcome]).inc();
+        self.count.with_label_values(&[it.ending.name()]).inc();
         self.bytes.inc_by(it.bytes as u64);
     }
 }
--- a/crates/dappleway/src/control/publications.rs
+++ b/crates/dappleway/src/control/publications.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use fleet::{Bundle, Facts};
 use operator::Published as InForce;
 use policy::Time;
 use resources::{Config, Document, Published};
@@ -18,6 +17,7 @@
         published.document = published.document.take().filter(take);
         let effects = self.exchange.read(now, published);
         self.apply(now, effects);
+        self.set_reads(now);
     }
 
     /// The platform did not answer this node.
@@ -26,27 +26,14 @@
         self.apply(now, effects);
     }
 
-    /// Takes in what a peer knew.
+    /// Takes in what a peer knew, or the configuration that was read alone.
     pub(super) fn fetched(&mut self, now: Time, mut published: Published) {
         if let Some(it) = published.document.take() {
-            self.accept(now, &it, "peer");
+            self.accept(now, &it, "peer or a read of its own");
         }
         let effects = self.exchange.fetched(now, &published);
         self.apply(now, effects);
-    }
-
-    /// What a peer lacks of what is known here.
-    pub(super) fn bundle(&self, have: Facts) -> Bundle {
-        let replica = self.exchange.replica();
-        let mine = replica.facts();
-        let document = replica.document().filter(|_| mine.version > have.version);
-        let whole = replica.whole();
-        Bundle {
-            document: document.map(|it| serde_json::to_vec(&**it).expect("string keys only")),
-            revision: whole.revision,
-            complete_to: whole.complete_to,
-            endpoints: whole.endpoints,
-        }
+        self.set_reads(now);
     }
 
     /// Follows the registry.
--- a/crates/dappleway/src/control/report.rs
+++ b/crates/dappleway/src/control/report.rs
@@ -1,6 +1,6 @@
 //! The report of the control thread.
 
-use fleet::{Directory, Phase};
+use fleet::{Directory, Phase, Reads};
 use operator::{EndpointReport, MemberReport, Report, ServiceReport};
 use policy::{Dispatcher, Time};
 
@@ -19,7 +19,7 @@
             not_ready: self.not_ready(),
             in_force: facts.version,
             registry_revision: facts.revision,
-            reads_platform: self.exchange.duty().reads(now),
+            reads_platform: self.exchange.duty().reads(now) == Reads::Everything,
             is_fresh: self.exchange.duty().is_fresh(now),
             platform_calls: self.platform_calls,
             rejected: self
--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -182,13 +182,13 @@
         }
     }
 
-    fn set_reads(&self, now: Time) {
+    pub(super) fn set_reads(&self, now: Time) {
         let reads = self.exchange.duty().reads(now);
         self.outputs.reads.send_if_modified(|it| {
             let is_news = *it != reads;
             *it = reads;
             if is_news {
-                info!(self.log, "duty to read the platform"; "reads" => reads);
+                info!(self.log, "duty to read the platform"; "reads" => ?reads);
             }
             is_news
         });
--- a/crates/dappleway/src/event.rs
+++ b/crates/dappleway/src/event.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use caller::{Refused, Want};
-use fleet::{Bundle, Facts, Place};
+use fleet::{Bundle, Facts, FetchFailure, Place};
 use operator::Report;
 use policy::{Grant, Kind, PermitId};
 use resources::Published;
@@ -21,8 +21,12 @@
     Read(Published, u64),
     /// The platform did not answer this node.
     ReadFailed,
-    /// What a peer knew of the platform.
+    /// What a peer knew of the platform, or the configuration that this node has read alone.
     Fetched(Published),
+    /// A fetch from a peer brought nothing.
+    FetchFailed(FetchFailure),
+    /// The configuration was read alone; the calls of this node so far.
+    Called(u64),
     /// A peer asks for what it lacks.
     Bundle(Facts, oneshot::Sender<Bundle>),
     /// The settings file has changed.
--- a/crates/dappleway/src/node.rs
+++ b/crates/dappleway/src/node.rs
@@ -6,7 +6,10 @@
 
 use anyhow::{Context, anyhow};
 use caller::{Dispatch, Limits, ListenerBuilder, Metrics, Shared};
-use fleet::{Bundle, Client, Edge, Exchange, Facts, Identity, Keys, ServedFetch, serve_fetches};
+use fleet::{
+    Backlog, Bundle, Client, Edge, Exchange, Facts, Identity, Keys, Reads, ServedFetch,
+    serve_fetches,
+};
 use operator::{Access, Cut, Token, View};
 use platform::{ServiceDefaults, Store, header_names};
 use prometheus::Registry;
@@ -158,13 +161,14 @@
     let on_served = move |it: ServedFetch| {
         served.note(&it);
         info!(served_log, "fetch served"; "peer" => %it.peer, "ms" => it.took.as_millis() as u64,
-            "bytes" => it.bytes, "is_whole" => it.is_whole, "at_once" => it.at_once);
+            "bytes" => it.bytes, "ending" => it.ending.name(), "under_way" => it.under_way);
     };
     let bundle = move |have| bundle(bundles.clone(), have);
-    tokio::spawn(serve_fetches(fetches, keys.clone(), bundle, on_served));
+    let backlog = Backlog::for_link(settings.node.link_mbps);
+    tokio::spawn(serve_fetches(fetches, keys.clone(), backlog, bundle, on_served));
     let (published_tx, published) = watch::channel(Default::default());
     let (not_ready_tx, not_ready) = watch::channel(Some("the node is starting".to_owned()));
-    let (reads_tx, reads) = watch::channel(true);
+    let (reads_tx, reads) = watch::channel(Reads::Everything);
     let faults = settings
         .operator
         .fault_injection
--- a/crates/dappleway/src/reader.rs
+++ b/crates/dappleway/src/reader.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use fleet::{Facts, Fetched, Keys};
+use fleet::{Facts, FetchError, FetchFailure, Fetched, Keys, Reads};
 use rand::RngExt;
-use resources::{Document, Published, Source, SourceError};
+use resources::{Published, Source, SourceError};
 use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::event::Event;
 
@@ -20,53 +20,108 @@
 /// whoever finds it first tells the others of its failure domain.
 const LONGEST_PAUSE: Duration = Duration::from_millis(2_500);
 
-/// Reads the platform, once at the start and then while `reads` is true, and reports to `events`.
+/// Reads the platform, once at the start and then what `reads` says, and reports to `events`.
 pub async fn read_platform<S: Source>(
-    mut source: S,
-    mut reads: watch::Receiver<bool>,
+    source: S,
+    reads: watch::Receiver<Reads>,
     events: mpsc::UnboundedSender<Event>,
     log: Logger,
 ) {
-    let mut has_all = false;
-    let mut pause = FIRST_PAUSE;
-    let mut is_lost = false;
-    loop {
-        let next_call = Instant::now() + BETWEEN_CALLS;
-        if has_all && reads.wait_for(|it| *it).await.is_err() {
-            return;
-        }
-        let read = match has_all {
-            false => source.read().await,
-            true => tokio::select! {
-                it = source.next() => it,
-                _ = reads.wait_for(|it| !it) => continue,
-            },
-        };
-        match read {
-            Ok(published) => {
-                if std::mem::take(&mut is_lost) {
-                    info!(log, "platform regained"; "calls" => source.calls());
+    let reader = Reader { source, events, log, has_all: false, pause: FIRST_PAUSE, is_lost: false };
+    reader.run(reads).await;
+}
+
+struct Reader<S> {
+    source: S,
+    events: mpsc::UnboundedSender<Event>,
+    log: Logger,
+    /// Everything was read, and nothing has been forgotten since.
+    has_all: bool,
+    pause: Duration,
+    is_lost: bool,
+}
+
+impl<S: Source> Reader<S> {
+    async fn run(mut self, mut reads: watch::Receiver<Reads>) {
+        loop {
+            let next_call = Instant::now() + BETWEEN_CALLS;
+            let duty = *reads.borrow_and_update();
+            let read = match duty {
+                _ if !self.has_all => self.source.read().await,
+                Reads::Everything => tokio::select! {
+                    it = self.source.next() => it,
+                    changed = reads.wait_for(|it| *it != duty) => match changed {
+                        Ok(_) => continue,
+                        Err(_) => return,
+                    },
+                },
+                Reads::Configuration => {
+                    self.read_configuration().await;
+                    // If it is still lacked after that, the platform does not have it yet.
+                    let pause = self.next_pause();
+                    let _ = timeout(pause, reads.wait_for(|it| *it != duty)).await;
+                    continue;
                 }
-                has_all = true;
-                pause = FIRST_PAUSE;
-                send(&events, Event::Read(published, source.calls()));
-                sleep_until(next_call).await;
-            }
-            Err(SourceError::Forgotten) => {
-                info!(log, "platform has forgotten changes: all is read anew");
-                has_all = false;
-            }
-            Err(SourceError::Unavailable(reason)) => {
-                if !std::mem::replace(&mut is_lost, true) {
-                    warn!(log, "platform lost: serving with what is known"; "reason" => reason);
+                Reads::Nothing => match reads.changed().await {
+                    Ok(()) => {
+                        self.pause = FIRST_PAUSE;
+                        continue;
+                    }
+                    // The control thread has ended.
+                    Err(_) => return,
+                },
+            };
+            match read {
+                Ok(published) => {
+                    self.note_answer();
+                    self.pause = FIRST_PAUSE;
+                    self.has_all = true;
+                    send(&self.events, Event::Read(published, self.source.calls()));
+                    sleep_until(next_call).await;
+                }
+                Err(SourceError::Forgotten) => {
+                    info!(self.log, "platform has forgotten changes: all is read anew");
+                    self.has_all = false;
+                }
+                Err(SourceError::Unavailable(reason)) => {
+                    self.note_failure(&reason);
+                    sleep(self.next_pause()).await;
                 }
-                send(&events, Event::ReadFailed);
-                let jitter = rand::rng().random_range(0.7..1.3);
-                sleep(pause.mul_f64(jitter)).await;
-                pause = (pause * 2).min(LONGEST_PAUSE);
             }
         }
     }
+
+    /// Reads the configuration alone: one call, where everything takes a call for each page.
+    async fn read_configuration(&mut self) {
+        match self.source.configuration().await {
+            Ok(document) => {
+                self.note_answer();
+                send(&self.events, Event::Fetched(Published::only(document)));
+            }
+            Err(error) => self.note_failure(&error.to_string()),
+        }
+        send(&self.events, Event::Called(self.source.calls()));
+    }
+
+    fn note_answer(&mut self) {
+        if std::mem::take(&mut self.is_lost) {
+            info!(self.log, "platform regained"; "calls" => self.source.calls());
+        }
+    }
+
+    fn note_failure(&mut self, reason: &str) {
+        if !std::mem::replace(&mut self.is_lost, true) {
+            warn!(self.log, "platform lost: serving with what is known"; "reason" => reason);
+        }
+        send(&self.events, Event::ReadFailed);
+    }
+
+    fn next_pause(&mut self) -> Duration {
+        let jitter = rand::rng().random_range(0.7..1.3);
+        let pause = self.pause.mul_f64(jitter);
+        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+        pause
+    }
 }
 
 /// Fetches from a peer what it knows beyond `have`.
@@ -79,32 +134,29 @@
 ) {
     let since = Instant::now();
     let took = || since.elapsed().as_millis() as u64;
-    let Fetched { bundle, bytes } = match fleet::fetch(addr, &keys, have).await {
+    let fetched = match fleet::fetch(addr, &keys, have).await {
         Ok(it) => it,
         Err(error) => {
             info!(log, "fetch from a peer failed"; "peer" => %addr, "ms" => took(),
                 "reason" => %error);
-            return;
+            let why = match error {
+                FetchError::Busy => FetchFailure::Busy,
+                _ => FetchFailure::Lost,
+            };
+            return send(&events, Event::FetchFailed(why));
         }
     };
+    let Fetched { bundle, bytes } = fetched;
     info!(log, "fetched from a peer"; "peer" => %addr, "ms" => took(), "bytes" => bytes,
-        "has_config" => bundle.document.is_some(), "revision" => bundle.revision);
-    let document = bundle.document.and_then(|it| match serde_json::from_slice::<Document>(&it) {
-        Ok(it) => Some(it),
+        "has_config" => bundle.document.is_some(), "has_registry" => bundle.registry.is_some());
+    match bundle.decode() {
+        Ok(published) => send(&events, Event::Fetched(published)),
         Err(error) => {
             warn!(log, "a peer's configuration cannot be read: upgrade the older node";
                 "peer" => %addr, "reason" => %error);
-            None
+            send(&events, Event::FetchFailed(FetchFailure::Lost));
         }
-    });
-    let published = Published {
-        after: None,
-        revision: bundle.revision,
-        complete_to: bundle.complete_to,
-        document,
-        endpoints: bundle.endpoints,
-    };
-    send(&events, Event::Fetched(published));
+    }
 }
 
 fn send(events: &mpsc::UnboundedSender<Event>, event: Event) {
--- a/crates/dappleway/src/settings/check.rs
+++ b/crates/dappleway/src/settings/check.rs
@@ -67,6 +67,8 @@
         expect(!self.node.failure_domain.is_empty(), "node.failure_domain", "name it");
         expect(!self.node.addr.ip().is_unspecified(), "node.addr", "write the VM's own address");
         expect(self.node.addr.port() != 0, "node.addr", "write a port that peers can know");
+        let link = self.node.link_mbps;
+        expect(link > 0.0 && link.is_finite(), "node.link_mbps", "write more than 0.0");
         expect((1..=64).contains(&self.traffic.threads), "traffic.threads", "write 1 to 64");
         expect(self.traffic.max_body_bytes > 0, "traffic.max_body_bytes", "write 1 or more");
         expect(self.traffic.max_in_flight > 0, "traffic.max_in_flight", "write 1 or more");
--- a/crates/dappleway/src/settings/defaults.rs
+++ b/crates/dappleway/src/settings/defaults.rs
@@ -72,3 +72,8 @@
 pub(super) fn grace_ms() -> u64 {
     120_000
 }
+
+/// A usual link between machines; what a VM has, its settings say.
+pub(super) fn link_mbps() -> f64 {
+    1_000.0
+}
--- a/crates/dappleway/src/settings/model.rs
+++ b/crates/dappleway/src/settings/model.rs
@@ -43,6 +43,9 @@
     pub addr: SocketAddr,
     /// The failure domain that the VM runs in.
     pub failure_domain: String,
+    /// What the VM's link carries, in Mbit/s. It bounds what peers are sent at once.
+    #[serde(default = "defaults::link_mbps")]
+    pub link_mbps: f64,
 }
 
 /// The listener for callers.
@@ -246,7 +249,11 @@
     pub fn example() -> Self {
         let local = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
         Self {
-            node: Node { addr: local(7400), failure_domain: "a".into() },
+            node: Node {
+                addr: local(7400),
+                failure_domain: "a".into(),
+                link_mbps: defaults::link_mbps(),
+            },
             traffic: Traffic {
                 listen: local(8080),
                 threads: defaults::threads(),
--- /dev/null
+++ b/crates/fleet/src/bundle.rs
@@ -0,0 +1,85 @@
+//! What a node hands to another one that lacks something: the configuration and the registry, in the form
+//! in which they travel.
+
+use std::sync::Arc;
+
+use resources::{Document, Published, RegistryChange};
+use serde::{Deserialize, Serialize};
+
+use crate::replica::{Facts, Replica};
+
+/// What a peer knows that the asker lacks.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Bundle {
+    /// The configuration, if it is newer.
+    pub document: Option<EncodedDocument>,
+    /// The registry, if something has changed there.
+    pub registry: Option<RegistryCopy>,
+}
+
+/// A configuration as JSON. It is encoded once for all that fetch it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EncodedDocument(Arc<[u8]>);
+
+/// All of the registry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RegistryCopy {
+    /// The platform's revision of the latest change that is known.
+    pub revision: u64,
+    /// The platform's revision up to which the endpoints are complete.
+    pub complete_to: u64,
+    /// All endpoints.
+    pub endpoints: Vec<RegistryChange>,
+}
+
+impl EncodedDocument {
+    /// Encodes a configuration.
+    pub fn new(document: &Document) -> Self {
+        Self(serde_json::to_vec(document).expect("keys are strings").into())
+    }
+
+    fn decode(&self) -> Result<Document, serde_json::Error> {
+        serde_json::from_slice(&self.0)
+    }
+}
+
+impl Bundle {
+    /// What a copy knows beyond `have`. `document` encodes its configuration if that is asked for.
+    pub(crate) fn beyond(
+        replica: &Replica,
+        have: Facts,
+        document: impl FnOnce(&Document) -> EncodedDocument,
+    ) -> Self {
+        let mine = replica.facts();
+        let newer = replica.document().filter(|it| it.version > have.version);
+        let registry = (mine.revision > have.revision).then(|| {
+            let whole = replica.whole();
+            RegistryCopy {
+                revision: whole.revision,
+                complete_to: whole.complete_to,
+                endpoints: whole.endpoints,
+            }
+        });
+        Self { document: newer.map(|it| document(it)), registry }
+    }
+
+    /// Its length in bytes as it travels.
+    pub fn encoded_len(&self) -> usize {
+        postcard::to_stdvec(self).map_or(0, |it| it.len())
+    }
+
+    /// The same as news of the platform.
+    pub fn decode(self) -> Result<Published, serde_json::Error> {
+        let document = self.document.map(|it| it.decode()).transpose()?;
+        Ok(match self.registry {
+            Some(it) => Published {
+                after: None,
+                revision: it.revision,
+                complete_to: it.complete_to,
+                document,
+                endpoints: it.endpoints,
+            },
+            None => Published::only(document),
+        })
+    }
+}
--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -22,13 +22,38 @@
 /// How long a read of this node is proof enough to tell others that it reads.
 const OWN_PROOF: Duration = Duration::from_millis(1_300);
 
+/// What a node is to read of the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reads {
+    /// Nothing: another node reads.
+    Nothing,
+    /// The configuration, once: a newer one is known to exist and cannot be had from peers.
+    Configuration,
+    /// All that changes.
+    Everything,
+}
+
+/// What is known to exist and is not known here.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Lacks {
+    /// A newer configuration.
+    pub(crate) config: bool,
+    /// Changes of the registry.
+    pub(crate) registry: bool,
+}
+
 /// The duty of one node.
 #[derive(Clone, Debug)]
 pub struct Duty {
     me: NodeId,
     /// A node that reads and that this one leaves it to, and when it was heard.
     reader: Option<(NodeId, Time)>,
-    behind_since: Option<Time>,
+    /// Since when a newer configuration is known to exist.
+    lacks_config: Option<Time>,
+    /// Since when changes of the registry are known to exist.
+    lacks_registry: Option<Time>,
+    /// A peer had too much under way to send this node the configuration.
+    is_refused: bool,
     /// The last proof that the platform has nothing newer than what was then known here.
     contact: Option<Time>,
     /// The last answer of the platform to this node.
@@ -44,7 +69,9 @@
         Self {
             me,
             reader: None,
-            behind_since: None,
+            lacks_config: None,
+            lacks_registry: None,
+            is_refused: false,
             contact: None,
             own_contact: None,
             is_failing: false,
@@ -52,10 +79,18 @@
         }
     }
 
-    /// Whether this node is to read the platform now.
-    pub fn reads(&self, now: Time) -> bool {
+    /// What this node is to read of the platform now.
+    pub fn reads(&self, now: Time) -> Reads {
         let is_silent = self.reader.is_none_or(|(_, at)| now.since(at) > SILENCE);
-        is_silent || self.behind_since.is_some_and(|since| now.since(since) > BEHIND)
+        let is_overdue = |since: Option<Time>| since.is_some_and(|it| now.since(it) > BEHIND);
+        let is_refused = self.is_refused && self.lacks_config.is_some();
+        if is_silent || is_overdue(self.lacks_registry) {
+            return Reads::Everything;
+        }
+        match is_refused || is_overdue(self.lacks_config) {
+            true => Reads::Configuration,
+            false => Reads::Nothing,
+        }
     }
 
     /// Whether what is known here is surely not older than the platform allows.
@@ -69,9 +104,9 @@
         now.since(self.contact.unwrap_or(Time(0)))
     }
 
-    /// For how long something newer has been known to exist that could not be had yet.
+    /// For how long a newer configuration has been known to exist that could not be had yet.
     pub fn behind_for(&self, now: Time) -> Duration {
-        self.behind_since.map_or(Duration::ZERO, |it| now.since(it))
+        self.lacks_config.map_or(Duration::ZERO, |it| now.since(it))
     }
 
     /// Takes in the word of a reader of the same failure domain.
@@ -89,9 +124,16 @@
         }
     }
 
-    /// Records whether something newer is known to exist that could not be had yet.
-    pub(crate) fn set_behind(&mut self, now: Time, is_behind: bool) {
-        self.behind_since = is_behind.then(|| self.behind_since.unwrap_or(now));
+    /// Records what is known to exist and could not be had yet.
+    pub(crate) fn set_lacks(&mut self, now: Time, it: Lacks) {
+        self.lacks_config = it.config.then(|| self.lacks_config.unwrap_or(now));
+        self.lacks_registry = it.registry.then(|| self.lacks_registry.unwrap_or(now));
+        self.is_refused &= it.config;
+    }
+
+    /// Records that a peer has too much under way: what this node lacks it reads itself.
+    pub(crate) fn refused(&mut self) {
+        self.is_refused = true;
     }
 
     /// Records an answer of the platform to this node.
@@ -109,7 +151,11 @@
     /// Whether it is time to tell the others that this node reads.
     pub(crate) fn news_is_due(&mut self, now: Time) -> bool {
         let is_proven = self.own_contact.is_some_and(|it| now.since(it) < OWN_PROOF);
-        if !self.reads(now) || self.is_failing || !is_proven || now < self.next_news {
+        if self.reads(now) != Reads::Everything
+            || self.is_failing
+            || !is_proven
+            || now < self.next_news
+        {
             return false;
         }
         self.next_news = now + NEWS_EVERY;
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -12,9 +12,10 @@
 use rand::Rng;
 use rustc_hash::FxHashMap;
 
+use crate::bundle::EncodedDocument;
 use crate::duty::Duty;
 use crate::members::{Members, NEWCOMER_FOR, node_id};
-use crate::replica::Replica;
+use crate::replica::{Facts, Replica};
 #[cfg(test)]
 use crate::wire::NODES_PER_FRAME;
 use crate::wire::{Frame, Gossip, Message, NodeInfo, Phase, Verdict};
@@ -62,6 +63,15 @@
     Verdict(Verdict),
 }
 
+/// Why a fetch brought nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FetchFailure {
+    /// The peer has too much under way to others.
+    Busy,
+    /// It cannot be reached, or what it sends cannot be read.
+    Lost,
+}
+
 /// The exchange of one node.
 #[derive(Debug)]
 pub struct Exchange {
@@ -82,7 +92,12 @@
     next_round: Time,
     budget: f64,
     refilled: Time,
-    fetching: Option<Time>,
+    /// A fetch is under way; there is never a second one beside it.
+    is_fetching: bool,
+    /// The newest that peers have told of, as far as it is not known here.
+    told: Facts,
+    /// The configuration in force as it travels, with its version; encoded when it is first fetched.
+    encoded: Option<(u64, EncodedDocument)>,
     /// Rounds put off because the budget was used up.
     pub delayed: u64,
 }
@@ -108,7 +123,9 @@
             next_round: now,
             budget: BURST,
             refilled: now,
-            fetching: None,
+            is_fetching: false,
+            told: Facts::default(),
+            encoded: None,
             delayed: 0,
         }
     }
--- a/crates/fleet/src/exchange/news.rs
+++ b/crates/fleet/src/exchange/news.rs
@@ -1,27 +1,25 @@
 //! News of the platform: what this node has read or fetched, and what readers tell.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use policy::{NodeId, Time};
 use rand::Rng;
 use rand::seq::IteratorRandom;
 use resources::Published;
 
-use super::{Effect, Exchange};
+use super::{Effect, Exchange, FetchFailure};
+use crate::bundle::{Bundle, EncodedDocument};
+use crate::duty::{Lacks, Reads};
 use crate::replica::Facts;
-use crate::wire::{Message, News};
+use crate::wire::{Message, News, NodeInfo};
 
 /// Registry changes in one frame; of more the peers fetch the whole.
 pub(crate) const CHANGES_PER_FRAME: usize = 6;
-/// A fetch that has not ended by then is tried again, perhaps elsewhere.
-const FETCH_AGAIN: Duration = Duration::from_millis(400);
 
 impl Exchange {
     /// Takes in what this node has read from the platform, and passes it on.
     pub fn read(&mut self, now: Time, mut news: Published) -> Vec<Effect> {
         self.duty.contacted(now);
-        self.duty.set_behind(now, false);
         let before = self.replica.facts();
         // What this node reads follows what it has read before: in between nothing has changed.
         news.after = news.after.map(|_| before.revision);
@@ -29,8 +27,11 @@
         if self.replica.update(now, &news) {
             effects.push(Effect::Endpoints);
         }
+        // The platform's word counts for more than what peers told.
+        self.told = self.replica.facts();
+        self.note_lacks(now);
         let has_news = !news.endpoints.is_empty() || news.document.is_some();
-        if has_news && self.duty.reads(now) {
+        if has_news && self.duty.reads(now) == Reads::Everything {
             // A read of everything is no change; peers that lack something will see it.
             let changes = if news.after.is_none() { Vec::new() } else { news.endpoints };
             let version = news.document.map_or(before.version, |it| it.version);
@@ -49,13 +50,31 @@
         self.to_own_domain(Message::News(news))
     }
 
-    /// Takes in what a peer knew of the platform.
+    /// Takes in what a peer knew of the platform, or the configuration that this node read alone.
     pub fn fetched(&mut self, now: Time, news: &Published) -> Vec<Effect> {
-        self.fetching = None;
+        self.is_fetching = false;
         let changed = self.replica.update(now, news);
+        self.note_lacks(now);
         changed.then_some(Effect::Endpoints).into_iter().collect()
     }
 
+    /// Records that a fetch brought nothing.
+    pub fn fetch_failed(&mut self, why: FetchFailure) {
+        self.is_fetching = false;
+        if why == FetchFailure::Busy {
+            self.duty.refused();
+        }
+    }
+
+    /// What is known here beyond `have`, for a peer that fetches it.
+    pub fn bundle(&mut self, have: Facts) -> Bundle {
+        let encoded = &mut self.encoded;
+        Bundle::beyond(&self.replica, have, |it| match encoded {
+            Some((version, known)) if *version == it.version => known.clone(),
+            _ => encoded.insert((it.version, EncodedDocument::new(it))).1.clone(),
+        })
+    }
+
     pub(super) fn receive_news(
         &mut self,
         now: Time,
@@ -76,11 +95,11 @@
         if revision > 0 && self.replica.update(now, &update) {
             effects.push(Effect::Endpoints);
         }
-        let is_behind = self.is_behind(news.facts);
-        if is_behind {
-            effects.extend(self.fetch(now, addr));
+        self.told = self.told.max_of(news.facts);
+        if self.is_behind(news.facts) {
+            effects.extend(self.fetch(addr));
         }
-        self.duty.set_behind(now, is_behind);
+        self.note_lacks(now);
         self.duty.heard(now, from, news.contact);
         effects
     }
@@ -112,18 +131,27 @@
         let is_newer =
             |it: &Facts| it.version > mine.version || is_cut_off && it.revision > mine.revision;
         let newer = self.members.iter().map(|(_, it)| it.info).filter(|it| is_newer(&it.facts));
-        let addr = newer.map(|it| it.addr).choose(rng)?;
-        self.fetch(now, addr)
+        let NodeInfo { addr, facts, .. } = newer.choose(rng)?;
+        self.told.version = self.told.version.max(facts.version);
+        self.note_lacks(now);
+        self.fetch(addr)
     }
 
-    pub(super) fn fetch(&mut self, now: Time, addr: SocketAddr) -> Option<Effect> {
-        if self.fetching.is_some_and(|since| now.since(since) < FETCH_AGAIN) {
+    /// One at a time: begun again while the first still ran, fetches multiplied what a full link had to carry.
+    pub(super) fn fetch(&mut self, addr: SocketAddr) -> Option<Effect> {
+        if std::mem::replace(&mut self.is_fetching, true) {
             return None;
         }
-        self.fetching = Some(now);
         Some(Effect::Fetch(addr))
     }
 
+    fn note_lacks(&mut self, now: Time) {
+        let mine = self.replica.facts();
+        let config = self.told.version > mine.version;
+        let registry = self.told.revision > mine.revision;
+        self.duty.set_lacks(now, Lacks { config, registry });
+    }
+
     fn is_behind(&self, facts: Facts) -> bool {
         let mine = self.replica.facts();
         facts.version > mine.version || facts.revision > mine.revision
--- a/crates/fleet/src/fetch.rs
+++ b/crates/fleet/src/fetch.rs
@@ -3,26 +3,31 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use resources::RegistryChange;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
+use crate::backlog::Backlog;
+use crate::bundle::Bundle;
 use crate::replica::Facts;
 use crate::wire::{Keys, TAG_BYTES};
 
 /// Largest message, in bytes: a whole configuration with room to grow.
-const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
+const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
 /// Largest request, in bytes.
 const MAX_REQUEST_BYTES: usize = 1024;
 /// Time for one fetch.
 const LIMIT: Duration = Duration::from_secs(2);
-/// Fetches served at once.
-const MAX_SERVED: usize = 16;
+/// A peer that sends nothing for this long is given up. It answers at once, if only that it is busy.
+const SILENCE: Duration = Duration::from_millis(400);
+/// Connections served at once; how many of them are sent something is for the backlog to say.
+const MAX_SERVED: usize = 64;
 
 /// Asks a peer for what it knows of the platform.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
@@ -31,28 +36,27 @@
     have: Facts,
 }
 
-/// What a peer knows that the asker lacks.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct Bundle {
-    /// The configuration as JSON, if it is newer.
-    pub document: Option<Vec<u8>>,
-    /// The platform's revision of the latest change that is known.
-    pub revision: u64,
-    /// The platform's revision up to which the endpoints are complete.
-    pub complete_to: u64,
-    /// All endpoints.
-    pub endpoints: Vec<RegistryChange>,
+/// What the peer answers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum FetchAnswer {
+    /// What the asker lacks.
+    Bundle(Bundle),
+    /// It has too much under way to others.
+    Busy,
 }
 
-/// Why a fetch failed. Another peer will be asked.
+/// Why a fetch failed.
 #[derive(Debug, thiserror::Error)]
 pub enum FetchError {
     /// The connection failed.
     #[error("the peer cannot be reached ({0}): check that TCP between VMs passes")]
     Io(#[from] io::Error),
-    /// It took too long.
-    #[error("the peer did not answer within {LIMIT:?}: another one will be asked")]
+    /// It fell silent.
+    #[error("the peer fell silent: another one will be asked")]
     Timeout,
+    /// It sends to others all that its link carries.
+    #[error("the peer is busy serving others: the platform is read instead")]
+    Busy,
     /// The answer is not signed with the fleet's key, or cannot be read.
     #[error("the peer's answer cannot be trusted: check that all nodes hold the same key")]
     Untrusted,
@@ -74,53 +78,77 @@
     pub peer: SocketAddr,
     /// Bytes of the answer.
     pub bytes: usize,
-    /// Whether all of it was taken in time.
-    pub is_whole: bool,
-    /// Fetches that were being served when this one ended, itself included.
-    pub at_once: usize,
+    /// How it ended.
+    pub ending: ServedEnding,
+    /// Bytes under way to others when it ended.
+    pub under_way: usize,
     /// From the connection to its end.
     pub took: Duration,
 }
 
+/// How a fetch that was served ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServedEnding {
+    /// The asker has all of it.
+    Whole,
+    /// The asker was told that too much is under way.
+    Busy,
+    /// It broke off.
+    Broken,
+}
+
+impl ServedEnding {
+    /// Short name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Busy => "busy",
+            Self::Broken => "broken",
+        }
+    }
+}
+
 /// Fetches what the peer at `addr` knows beyond `have`.
 pub async fn fetch(addr: SocketAddr, keys: &Keys, have: Facts) -> Result<Fetched, FetchError> {
     let exchange = async {
-        let mut stream = TcpStream::connect(addr).await?;
-        write(&mut stream, keys, &FetchRequest { have }).await?;
-        let (bundle, bytes) = read(&mut stream, keys, MAX_MESSAGE_BYTES).await?;
-        Ok(Fetched { bundle, bytes })
+        let mut stream = in_time(async { Ok(TcpStream::connect(addr).await?) }).await?;
+        write(&mut stream, keys, &encode(&FetchRequest { have })?).await?;
+        let (answer, bytes) = read(&mut stream, keys, MAX_MESSAGE_BYTES).await?;
+        match answer {
+            FetchAnswer::Bundle(bundle) => Ok(Fetched { bundle, bytes }),
+            FetchAnswer::Busy => Err(FetchError::Busy),
+        }
     };
     timeout(LIMIT, exchange).await.map_err(|_| FetchError::Timeout)?
 }
 
-/// Serves fetches for ever. `bundle` gives what is known now beyond the asker's copy; `served` is told
-/// of each fetch that was answered.
+/// Serves fetches for ever, as many as `backlog` admits. `bundle` gives what is known now beyond the
+/// asker's copy; `served` is told of each fetch that was answered.
 pub async fn serve_fetches<Fut>(
     listener: TcpListener,
     keys: Keys,
+    backlog: Arc<Backlog>,
     bundle: impl Fn(Facts) -> Fut + Clone + Send + Sync + 'static,
     served: impl Fn(ServedFetch) + Clone + Send + Sync + 'static,
 ) where
     Fut: Future<Output = Bundle> + Send,
 {
-    let permits = std::sync::Arc::new(tokio::sync::Semaphore::new(MAX_SERVED));
+    let permits = Arc::new(Semaphore::new(MAX_SERVED));
     loop {
         let Ok(permit) = permits.clone().acquire_owned().await else { return };
         let Ok((stream, peer)) = listener.accept().await else { continue };
-        let (keys, bundle, served) = (keys.clone(), bundle.clone(), served.clone());
-        let permits = permits.clone();
+        let (keys, backlog) = (keys.clone(), backlog.clone());
+        let (bundle, served) = (bundle.clone(), served.clone());
         tokio::spawn(async move {
             let since = Instant::now();
-            let mut bytes = 0;
             // The asker notices a fetch that fails and asks elsewhere.
-            let ended = timeout(LIMIT, answer(stream, keys, bundle, &mut bytes)).await;
-            served(ServedFetch {
-                peer,
-                bytes,
-                is_whole: matches!(ended, Ok(Ok(()))),
-                at_once: MAX_SERVED - permits.available_permits(),
-                took: since.elapsed(),
-            });
+            let ended = timeout(LIMIT, answer(stream, &keys, &backlog, bundle)).await;
+            let (ending, bytes) = match ended {
+                Ok(Ok(it)) => it,
+                _ => (ServedEnding::Broken, 0),
+            };
+            let (took, under_way) = (since.elapsed(), backlog.under_way());
+            served(ServedFetch { peer, bytes, ending, under_way, took });
             drop(permit);
         });
     }
@@ -128,45 +156,54 @@
 
 async fn answer<Fut: Future<Output = Bundle>>(
     mut stream: TcpStream,
-    keys: Keys,
+    keys: &Keys,
+    backlog: &Arc<Backlog>,
     bundle: impl Fn(Facts) -> Fut,
-    bytes: &mut usize,
-) -> Result<(), FetchError> {
-    let (req, _) = read::<FetchRequest>(&mut stream, &keys, MAX_REQUEST_BYTES).await?;
-    let bundle = bundle(req.have).await;
-    *bytes = write(&mut stream, &keys, &bundle).await?;
-    // Written is not taken: the asker closes when it has all of it.
+) -> Result<(ServedEnding, usize), FetchError> {
+    let (req, _) = read::<FetchRequest>(&mut stream, keys, MAX_REQUEST_BYTES).await?;
+    let body = encode(&FetchAnswer::Bundle(bundle(req.have).await))?;
+    let Some(_admitted) = backlog.admit(body.len()) else {
+        write(&mut stream, keys, &encode(&FetchAnswer::Busy)?).await?;
+        return Ok((ServedEnding::Busy, 0));
+    };
+    write(&mut stream, keys, &body).await?;
+    // What is written still waits for the link; the asker closes when it has all of it.
     let _ = stream.read(&mut [0]).await;
-    Ok(())
+    Ok((ServedEnding::Whole, body.len()))
 }
 
-async fn write(
-    stream: &mut TcpStream,
-    keys: &Keys,
-    message: &impl Serialize,
-) -> Result<usize, FetchError> {
-    let body = postcard::to_stdvec(message).map_err(|_| FetchError::Untrusted)?;
+fn encode(message: &impl Serialize) -> Result<Vec<u8>, FetchError> {
+    postcard::to_stdvec(message).map_err(|_| FetchError::Untrusted)
+}
+
+async fn write(stream: &mut TcpStream, keys: &Keys, body: &[u8]) -> Result<(), FetchError> {
     stream.write_u32((TAG_BYTES + body.len()) as u32).await?;
-    stream.write_all(&keys.sign(&body)).await?;
-    stream.write_all(&body).await?;
-    Ok(body.len())
+    stream.write_all(&keys.sign(body)).await?;
+    stream.write_all(body).await?;
+    Ok(())
 }
 
+/// Reads a message; returns it with its length.
 async fn read<T: DeserializeOwned>(
     stream: &mut TcpStream,
     keys: &Keys,
     max: usize,
 ) -> Result<(T, usize), FetchError> {
-    let n = stream.read_u32().await? as usize;
+    let n = in_time(async { Ok(stream.read_u32().await?) }).await? as usize;
     if n <= TAG_BYTES || n > max {
         return Err(FetchError::Untrusted);
     }
     // The buffer grows with what arrives, so a stranger's length reserves no memory.
     let mut buf = Vec::new();
-    stream.take(n as u64).read_to_end(&mut buf).await?;
+    let mut rest = stream.take(n as u64);
+    while in_time(async { Ok(rest.read_buf(&mut buf).await?) }).await? > 0 {}
     if buf.len() != n || !keys.accept(&buf[..TAG_BYTES], &buf[TAG_BYTES..]) {
         return Err(FetchError::Untrusted);
     }
     let message = postcard::from_bytes(&buf[TAG_BYTES..]).map_err(|_| FetchError::Untrusted)?;
     Ok((message, n))
 }
+
+async fn in_time<T>(step: impl Future<Output = Result<T, FetchError>>) -> Result<T, FetchError> {
+    timeout(SILENCE, step).await.map_err(|_| FetchError::Timeout)?
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,6 +3,8 @@
 //! The state machines are free of I/O; `edge` and `fetch` are the thin socket edges. This crate must
 //! not know HTTP, requests of callers, or what a configuration means.
 
+mod backlog;
+mod bundle;
 mod duty;
 mod edge;
 mod exchange;
@@ -12,10 +14,12 @@
 mod replica;
 mod wire;
 
-pub use duty::Duty;
+pub use backlog::{Admitted, Backlog};
+pub use bundle::{Bundle, EncodedDocument, RegistryCopy};
+pub use duty::{Duty, Reads};
 pub use edge::{Counts, Edge};
-pub use exchange::{Effect, Exchange, Identity, ROUND};
-pub use fetch::{Bundle, FetchError, Fetched, ServedFetch, fetch, serve_fetches};
+pub use exchange::{Effect, Exchange, FetchFailure, Identity, ROUND};
+pub use fetch::{FetchError, Fetched, ServedEnding, ServedFetch, fetch, serve_fetches};
 pub use members::{Member, Members, node_id};
 pub use permits::{Action, Client, Contact, Directory, Place, Settlement, Wish};
 pub use replica::{Facts, Replica};
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -30,6 +30,16 @@
     pub revision: u64,
 }
 
+impl Facts {
+    /// The newer of both in each part.
+    pub(crate) fn max_of(self, other: Self) -> Self {
+        Self {
+            version: self.version.max(other.version),
+            revision: self.revision.max(other.revision),
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     revision: u64,
--- a/crates/fleet/src/tests/duty.rs
+++ b/crates/fleet/src/tests/duty.rs
@@ -2,7 +2,7 @@
 
 use policy::{NodeId, Time};
 
-use crate::duty::Duty;
+use crate::duty::{Duty, Lacks, Reads};
 
 const FIRST: NodeId = NodeId(1);
 const ME: NodeId = NodeId(5);
@@ -14,22 +14,22 @@
 
 #[test]
 fn a_node_that_has_heard_of_nobody_reads() {
-    assert!(Duty::new(ME).reads(at(0)));
+    assert_eq!(Duty::new(ME).reads(at(0)), Reads::Everything);
 }
 
 #[test]
 fn a_node_leaves_it_to_one_that_precedes_it_until_that_falls_silent() {
     let mut duty = Duty::new(ME);
     duty.heard(at(0), FIRST, true);
-    assert!(!duty.reads(at(900)));
-    assert!(duty.reads(at(1_100)));
+    assert_eq!(duty.reads(at(900)), Reads::Nothing);
+    assert_eq!(duty.reads(at(1_100)), Reads::Everything);
 }
 
 #[test]
 fn a_node_goes_on_reading_beside_one_that_follows_it() {
     let mut duty = Duty::new(ME);
     duty.heard(at(0), LAST, true);
-    assert!(duty.reads(at(1)));
+    assert_eq!(duty.reads(at(1)), Reads::Everything);
 }
 
 #[test]
@@ -37,7 +37,7 @@
     let mut duty = Duty::new(ME);
     duty.heard(at(0), FIRST, true);
     duty.heard(at(100), FIRST, false);
-    assert!(duty.reads(at(101)));
+    assert_eq!(duty.reads(at(101)), Reads::Everything);
 }
 
 /// A reader that the platform refused passed on what it heard from others as its own word, and so
@@ -51,21 +51,23 @@
     assert!(!duty.failed(), "only the first failure is news");
     duty.heard(at(500), LAST, true);
     assert!(!duty.news_is_due(at(1_000)));
-    assert!(!duty.reads(at(1_000)), "it leaves it to one that follows it");
+    assert_eq!(duty.reads(at(1_000)), Reads::Nothing, "it leaves it to one that follows it");
     duty.contacted(at(1_100));
     duty.heard(at(1_200), LAST, true);
-    assert!(duty.reads(at(2_500)));
+    assert_eq!(duty.reads(at(2_500)), Reads::Everything);
 }
 
 #[test]
 fn what_cannot_be_had_from_peers_is_read() {
     let mut duty = Duty::new(ME);
     duty.heard(at(0), FIRST, true);
-    duty.set_behind(at(0), true);
+    duty.set_lacks(at(0), Lacks { config: true, registry: false });
     duty.heard(at(400), FIRST, true);
-    duty.set_behind(at(400), true);
-    assert!(!duty.reads(at(450)));
-    assert!(duty.reads(at(600)));
+    duty.set_lacks(at(400), Lacks { config: true, registry: false });
+    assert_eq!(duty.reads(at(450)), Reads::Nothing);
+    assert_eq!(duty.reads(at(600)), Reads::Configuration);
+    duty.set_lacks(at(600), Lacks { config: true, registry: true });
+    assert_eq!(duty.reads(at(1_200)), Reads::Everything);
 }
 
 #[test]
@@ -78,3 +80,19 @@
     duty.heard(at(2_000), FIRST, true);
     assert!(duty.is_fresh(at(2_100)));
 }
+
+/// A node that cannot serve all that ask at once says so, and those that it refuses go to the platform instead
+/// of waiting for it.
+#[test]
+fn a_node_that_a_busy_peer_refuses_reads_the_configuration_at_once() {
+    let mut duty = Duty::new(ME);
+    duty.heard(at(0), FIRST, true);
+    duty.set_lacks(at(0), Lacks { config: true, registry: false });
+    assert_eq!(duty.reads(at(10)), Reads::Nothing);
+    duty.refused();
+    assert_eq!(duty.reads(at(10)), Reads::Configuration);
+    duty.set_lacks(at(20), Lacks::default());
+    assert_eq!(duty.reads(at(20)), Reads::Nothing);
+    duty.set_lacks(at(30), Lacks { config: true, registry: false });
+    assert_eq!(duty.reads(at(40)), Reads::Nothing, "another configuration may be had from peers");
+}
--- a/crates/fleet/tests/exchange.rs
+++ b/crates/fleet/tests/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use fleet::{Gossip, Message, Phase, Verdict, node_id};
+use fleet::{Gossip, Message, Phase, Reads, Verdict, node_id};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use standin::net::{Net, addr};
@@ -36,7 +36,8 @@
 #[test]
 fn when_the_readers_cannot_be_heard_others_step_in() {
     let mut net = started(12, 0.0);
-    let readers: Vec<usize> = (0..12).filter(|i| net.nodes[*i].duty().reads(net.now)).collect();
+    let readers: Vec<usize> =
+        (0..12).filter(|i| net.nodes[*i].duty().reads(net.now) == Reads::Everything).collect();
     for i in &readers {
         net.cut.extend((0..12).map(|j| (*i, j)));
     }
@@ -82,7 +83,7 @@
     let mut net = started(5, 0.0);
     net.cut = (0..5).map(|i| (i, 3)).collect();
     net.run_with_platform(Duration::from_secs(3), 2);
-    assert!(net.nodes[3].duty().reads(net.now));
+    assert_eq!(net.nodes[3].duty().reads(net.now), Reads::Everything);
     assert_eq!(net.in_force()[3], 2);
 }
 
--- a/crates/fleet/tests/links.rs
+++ b/crates/fleet/tests/links.rs
@@ -19,8 +19,8 @@
 use resources::{Document, Priority, Repeat, Resource, Route};
 use standin::net::Net;
 
-/// A link of 10 Mbit/s, in bytes a second.
-const LINK: f64 = 1_250_000.0;
+/// What a link carries, in Mbit/s.
+const LINK: f64 = 10.0;
 /// What the platform acknowledged must be in force everywhere after this.
 const IN_FORCE_WITHIN: Duration = Duration::from_millis(2_500);
 /// Time between two configurations in quick succession.
--- a/crates/resources/src/document.rs
+++ b/crates/resources/src/document.rs
@@ -88,3 +88,10 @@
     /// Entries of the registry that have changed, or all of them.
     pub endpoints: Vec<RegistryChange>,
 }
+
+impl Published {
+    /// News of the configuration alone, which say nothing of the registry.
+    pub fn only(document: Option<Document>) -> Self {
+        Self { after: Some(0), document, ..Self::default() }
+    }
+}
--- a/crates/resources/src/source.rs
+++ b/crates/resources/src/source.rs
@@ -1,6 +1,6 @@
 //! Where configurations and endpoints come from. The platform's adapter implements it.
 
-use crate::Published;
+use crate::{Document, Published};
 
 /// Why nothing could be read. It will be tried again.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -18,6 +18,11 @@
     /// Reads everything.
     fn read(&mut self) -> impl Future<Output = Result<Published, SourceError>> + Send;
 
+    /// Reads the configuration alone; nothing if there is none.
+    fn configuration(
+        &mut self,
+    ) -> impl Future<Output = Result<Option<Document>, SourceError>> + Send;
+
     /// Waits for what has changed since the last read, for a short time only: an answer without
     /// changes proves that there are none.
     fn next(&mut self) -> impl Future<Output = Result<Published, SourceError>> + Send;
--- a/crates/standin/src/net.rs
+++ b/crates/standin/src/net.rs
@@ -8,14 +8,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fleet::{Effect, Exchange, Identity, Key, Keys, Message, Phase};
+use fleet::{Bundle, Effect, Exchange, FetchFailure, Identity, Key, Keys, Message, Phase, Reads};
 use policy::Time;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use resources::{Document, Published};
 use rustc_hash::FxHashMap;
 
-use links::{Link, Transfer};
+use links::Link;
 
 /// Virtual time between two turns of a node.
 const TURN: Duration = Duration::from_millis(50);
@@ -25,8 +25,6 @@
 const DOMAINS: u64 = 3;
 /// A fetch that has not ended by then is given up.
 const FETCH_LIMIT: Duration = Duration::from_secs(2);
-/// Fetches that a node serves at once.
-const FETCHES_AT_ONCE: usize = 16;
 /// A node that waits for news of the platform hears of it after this if there is none.
 const WATCH: Duration = Duration::from_millis(700);
 /// Time that an answer of the platform may take beside that.
@@ -54,6 +52,8 @@
     /// Without links everything that is fetched arrives at once.
     links: Vec<Link>,
     platform: Platform,
+    /// Calls to the platform that were answered.
+    pub platform_calls: u64,
     loss: f64,
     rng: StdRng,
     keys: Keys,
@@ -83,9 +83,11 @@
     Lost,
     /// What is newer, if anything is.
     News(Option<Document>),
+    /// The same of the configuration alone.
+    Configuration(Option<Document>),
 }
 
-/// Length of a document in bytes, as nodes send it to each other.
+/// Length of a document in bytes, as the platform holds it.
 fn length(document: &Document) -> usize {
     serde_json::to_vec(document).expect("string keys only").len()
 }
@@ -113,15 +115,16 @@
             places: (0..n).map(|i| (addr(i), i)).collect(),
             links: Vec::new(),
             platform: Platform::default(),
+            platform_calls: 0,
             loss,
             rng: StdRng::seed_from_u64(7),
             keys: Keys { current: Key::new(b"k"), also: None },
         }
     }
 
-    /// Gives every node a link of so many bytes a second.
-    pub fn with_links(mut self, bytes_per_s: f64) -> Self {
-        self.links = vec![Link::new(bytes_per_s); self.nodes.len()];
+    /// Gives every node a link of so many Mbit/s.
+    pub fn with_links(mut self, mbps: f64) -> Self {
+        self.links = self.nodes.iter().map(|_| Link::new(mbps)).collect();
         self
     }
 
@@ -143,9 +146,12 @@
     }
 
     fn end_transfers(&mut self, from: usize) {
-        let ended = self.links[from].turn(self.now, TURN, FETCH_LIMIT, FETCHES_AT_ONCE);
-        for it in ended {
-            self.fetched(it.to, from);
+        let ended = self.links[from].turn(self.now, TURN, FETCH_LIMIT);
+        for it in ended.late {
+            self.nodes[it.to].fetch_failed(FetchFailure::Lost);
+        }
+        for it in ended.arrived {
+            self.fetched(it.to, it.bundle);
         }
     }
 
@@ -162,19 +168,24 @@
                     self.platform.pauses.remove(&i);
                     self.take(i, Published { document, ..Published::default() });
                 }
+                Answer::Configuration(document) => {
+                    self.platform.pauses.remove(&i);
+                    self.take_configuration(i, Published::only(document));
+                }
                 Answer::Lost => {
                     let effects = self.nodes[i].read_failed();
                     self.apply(i, effects);
                 }
             }
         }
-        if self.nodes[i].duty().reads(self.now) {
-            let call = self.call(i);
+        let reads = self.nodes[i].duty().reads(self.now);
+        if reads != Reads::Nothing {
+            let call = self.call(i, reads);
             self.platform.calls.insert(i, call);
         }
     }
 
-    fn call(&mut self, i: usize) -> Call {
+    fn call(&mut self, i: usize, reads: Reads) -> Call {
         let link = &self.links[i];
         if link.delay() > WATCH_PATIENCE {
             let pause = self.platform.pauses.entry(i).or_insert(FIRST_PAUSE);
@@ -190,7 +201,12 @@
             }
             None => TURN,
         };
-        Call { ends: self.now + took, answer: Answer::News(newer) }
+        let answer = match reads {
+            Reads::Configuration => Answer::Configuration(newer),
+            _ => Answer::News(newer),
+        };
+        self.platform_calls += 1;
+        Call { ends: self.now + took, answer }
     }
 
     fn take(&mut self, i: usize, news: Published) {
@@ -219,7 +235,7 @@
         while self.now < end {
             self.run(TURN * 10);
             for i in 0..self.nodes.len() {
-                if self.nodes[i].duty().reads(self.now) {
+                if self.nodes[i].duty().reads(self.now) == Reads::Everything {
                     self.read(i, version);
                 }
             }
@@ -250,7 +266,8 @@
 
     /// Nodes whose duty it is to read the platform.
     pub fn readers(&self) -> usize {
-        self.nodes.iter().filter(|it| it.duty().reads(self.now)).count()
+        let reads = |it: &&Exchange| it.duty().reads(self.now) == Reads::Everything;
+        self.nodes.iter().filter(reads).count()
     }
 
     fn accept(&mut self, i: usize, document: &Document) {
@@ -270,27 +287,31 @@
     }
 
     fn fetch(&mut self, i: usize, from: SocketAddr) {
-        let Some(j) = self.places.get(&from).copied() else { return };
-        if self.cut.contains(&(i, j)) || self.cut.contains(&(j, i)) {
-            return;
-        }
+        let peer = self.places.get(&from).copied();
+        let reached = peer.filter(|j| !self.cut.contains(&(i, *j)) && !self.cut.contains(&(*j, i)));
+        let Some(j) = reached else { return self.nodes[i].fetch_failed(FetchFailure::Lost) };
+        let have = self.nodes[i].replica().facts();
+        let bundle = self.nodes[j].bundle(have);
         if self.links.is_empty() {
-            return self.fetched(i, j);
+            return self.fetched(i, bundle);
         }
-        let have = self.nodes[i].replica().facts();
-        let replica = self.nodes[j].replica();
-        let newer = replica.document().filter(|it| it.version > have.version);
-        let left = newer.map_or(0, |it| length(it)) as f64;
-        let transfer = Transfer { to: i, left, since: self.now };
-        self.links[j].begin(transfer, FETCHES_AT_ONCE);
+        let bytes = bundle.encoded_len();
+        if !self.links[j].begin(self.now, i, bundle, bytes) {
+            self.nodes[i].fetch_failed(FetchFailure::Busy);
+        }
+    }
+
+    fn fetched(&mut self, i: usize, bundle: Bundle) {
+        let published = bundle.decode().expect("it was encoded here");
+        self.take_configuration(i, published);
     }
 
-    fn fetched(&mut self, i: usize, j: usize) {
-        if let Some(document) = self.nodes[j].replica().document().cloned() {
-            self.accept(i, &document);
+    /// What a node has fetched, or read of the configuration alone.
+    fn take_configuration(&mut self, i: usize, news: Published) {
+        if let Some(it) = &news.document {
+            self.accept(i, it);
         }
-        let whole = self.nodes[j].replica().whole();
-        let effects = self.nodes[i].fetched(self.now, &whole);
+        let effects = self.nodes[i].fetched(self.now, &news);
         self.apply(i, effects);
     }
 
