Configurations travel packed between nodes

Cause: 4,200 routes are 1.0 MB of JSON, 0.8 s of a link of 10 Mbit/s, so most nodes were refused and read the platform. Packed at the fastest level they are 94 KB for 3 ms of a whole core (random names); a higher level took 11 ms for 78 KB. flate2 is in the tree already.

--- a/crates/fleet/src/bundle.rs
+++ b/crates/fleet/src/bundle.rs
@@ -1,8 +1,12 @@
 //! What a node hands to another one that lacks something: the configuration and the registry, in the form
 //! in which they travel.
 
+use std::io::{Read, Write};
 use std::sync::Arc;
 
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 use resources::{Document, Published, RegistryChange};
 use serde::{Deserialize, Serialize};
 
@@ -17,7 +21,13 @@
     pub registry: Option<RegistryCopy>,
 }
 
-/// A configuration as JSON. It is encoded once for all that fetch it.
+/// Largest configuration that is unpacked, in bytes. The platform's values hold a megabyte, of which nodes
+/// make up to three.
+const MAX_DOCUMENT_BYTES: u64 = 16 * 1024 * 1024;
+
+/// A configuration as packed JSON. It is encoded once for all that fetch it. Packed at the fastest level, 4,200
+/// routes with random names take 94 KB instead of 1.0 MB, for 3 ms of a whole core at the sender and 1.5 ms at
+/// the receiver: a link of 10 Mbit/s carries them in 0.08 s instead of 0.8.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EncodedDocument(Arc<[u8]>);
 
@@ -35,11 +45,18 @@
 impl EncodedDocument {
     /// Encodes a configuration.
     pub fn new(document: &Document) -> Self {
-        Self(serde_json::to_vec(document).expect("keys are strings").into())
+        let json = serde_json::to_vec(document).expect("keys are strings");
+        // In one piece: each small write to the packer costs as much as a long one.
+        let mut packed = DeflateEncoder::new(Vec::new(), Compression::fast());
+        packed.write_all(&json).expect("a vector takes all");
+        Self(packed.finish().expect("a vector takes all").into())
     }
 
     fn decode(&self) -> Result<Document, serde_json::Error> {
-        serde_json::from_slice(&self.0)
+        let mut json = Vec::new();
+        let mut unpacked = DeflateDecoder::new(&self.0[..]).take(MAX_DOCUMENT_BYTES);
+        unpacked.read_to_end(&mut json).map_err(serde_json::Error::io)?;
+        serde_json::from_slice(&json)
     }
 }
 
