Strong nodes hand out slots and read the platform first

Dispatching goes to nodes with more than half of the strongest one's processor, by rendezvous among them, then to the others; reading goes by link. Where all VMs are alike nothing changes.

--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -22,7 +22,7 @@
 use caller::{Refused, Shared};
 use fleet::{Client, Directory, Edge, Exchange, Keys, Phase, Place, Reads};
 use operator::Published as InForce;
-use policy::{BudgetLimits, Grant, NodeId, PermitId, Reporter, Settled, Time, rank};
+use policy::{BudgetLimits, Grant, NodeId, PermitId, Reporter, Settled, Time, rank_strong_first};
 use rand::rngs::StdRng;
 use resources::{Name, Service};
 use rustc_hash::FxHashMap;
@@ -303,11 +303,15 @@
 }
 
 impl Directory for Nodes<'_> {
+    /// Strong nodes go first: a tenth of a core is late when it hands out the slots of a busy service.
     /// Newcomers are asked only where nobody else is known.
     fn candidates(&self, service: u64) -> Vec<NodeId> {
-        let others: Vec<NodeId> = self.exchange.members().serving(self.now, fleet::ROUND).collect();
+        let serving = self.exchange.members().serving(self.now, fleet::ROUND);
+        let mut nodes: Vec<_> = serving.map(|(id, it)| (id, it.info.capacity.millicores)).collect();
         let serves = matches!(self.exchange.phase(), Phase::Fresh | Phase::Ready);
-        let is_candidate = serves && (others.is_empty() || !self.exchange.is_newcomer(self.now));
-        rank(service, others.into_iter().chain(is_candidate.then_some(self.me.node)))
+        if serves && (nodes.is_empty() || !self.exchange.is_newcomer(self.now)) {
+            nodes.push((self.me.node, self.exchange.capacity().millicores));
+        }
+        rank_strong_first(service, &nodes)
     }
 }
--- a/crates/dappleway/src/control/tests.rs
+++ b/crates/dappleway/src/control/tests.rs
@@ -59,7 +59,7 @@
     let keys = Keys { current: Key::new(b"k"), also: None };
     let edge = Edge::bind(([127, 0, 0, 1], 0).into(), keys.clone()).await.unwrap();
     let addr: SocketAddr = edge.addr().unwrap();
-    let me = Identity { addr, failure_domain: 1, incarnation: 1 };
+    let me = Identity { addr, failure_domain: 1, incarnation: 1, capacity: Default::default() };
     let exchange = Exchange::new(Time(0), me, &[]);
     let client = Client::new(exchange.id(), Duration::from_millis(40));
     let start = Start {
--- a/crates/dappleway/src/node.rs
+++ b/crates/dappleway/src/node.rs
@@ -155,6 +155,7 @@
     let identity = Identity {
         addr,
         failure_domain: name_hash(&settings.node.failure_domain),
+        capacity: settings.node.capacity(),
         incarnation: SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as u64,
     };
     let clock = Instant::now();
--- a/crates/dappleway/src/settings/check.rs
+++ b/crates/dappleway/src/settings/check.rs
@@ -69,6 +69,9 @@
         expect(self.node.addr.port() != 0, "node.addr", "write a port that peers can know");
         let link = self.node.link_mbps;
         expect(link > 0.0 && link.is_finite(), "node.link_mbps", "write more than 0.0");
+        expect(self.node.cores > 0.0, "node.cores", "write more than 0.0");
+        let share = self.node.cpu_share;
+        expect(share > 0.0 && share <= 1.0, "node.cpu_share", "write more than 0.0, up to 1.0");
         expect((1..=64).contains(&self.traffic.threads), "traffic.threads", "write 1 to 64");
         expect(self.traffic.max_body_bytes > 0, "traffic.max_body_bytes", "write 1 or more");
         expect(self.traffic.max_in_flight > 0, "traffic.max_in_flight", "write 1 or more");
--- a/crates/dappleway/src/settings/defaults.rs
+++ b/crates/dappleway/src/settings/defaults.rs
@@ -77,3 +77,13 @@
 pub(super) fn link_mbps() -> f64 {
     1_000.0
 }
+
+/// The smallest usual VM.
+pub(super) fn cores() -> f64 {
+    1.0
+}
+
+/// Nothing else runs beside a node.
+pub(super) fn cpu_share() -> f64 {
+    1.0
+}
--- a/crates/dappleway/src/settings/model.rs
+++ b/crates/dappleway/src/settings/model.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use fleet::Capacity;
 use policy::BudgetLimits;
 use resources::{Bias, Floor};
 use serde::{Deserialize, Serialize};
@@ -43,9 +44,24 @@
     pub addr: SocketAddr,
     /// The failure domain that the VM runs in.
     pub failure_domain: String,
-    /// What the VM's link carries, in Mbit/s. It bounds what peers are sent at once.
+    /// What the VM's link carries, in Mbit/s. It bounds what peers are sent at once, and nodes with more of it
+    /// read the platform first.
     #[serde(default = "defaults::link_mbps")]
     pub link_mbps: f64,
+    /// Cores of the VM.
+    #[serde(default = "defaults::cores")]
+    pub cores: f64,
+    /// The part of its cores that this process may use, 1.0 for all. Nodes with more of them hand out slots first.
+    #[serde(default = "defaults::cpu_share")]
+    pub cpu_share: f64,
+}
+
+impl Node {
+    /// What the VM has, as other nodes are told.
+    pub fn capacity(&self) -> Capacity {
+        let millicores = (self.cores * self.cpu_share * 1e3) as u32;
+        Capacity { millicores, link_mbps: self.link_mbps as u32 }
+    }
 }
 
 /// The listener for callers.
@@ -253,6 +269,8 @@
                 addr: local(7400),
                 failure_domain: "a".into(),
                 link_mbps: defaults::link_mbps(),
+                cores: defaults::cores(),
+                cpu_share: defaults::cpu_share(),
             },
             traffic: Traffic {
                 listen: local(8080),
--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -42,12 +42,28 @@
     pub(crate) registry: bool,
 }
 
+/// Who goes before whom in reading the platform: the node whose link carries more, because all others of its
+/// failure domain fetch from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rank {
+    /// What the node's link carries, in Mbit/s.
+    pub link_mbps: u32,
+    /// The node.
+    pub node: NodeId,
+}
+
+impl Rank {
+    fn precedes(self, other: Self) -> bool {
+        (other.link_mbps, self.node) < (self.link_mbps, other.node)
+    }
+}
+
 /// The duty of one node.
 #[derive(Clone, Debug)]
 pub struct Duty {
-    me: NodeId,
+    me: Rank,
     /// A node that reads and that this one leaves it to, and when it was heard.
-    reader: Option<(NodeId, Time)>,
+    reader: Option<(Rank, Time)>,
     /// Since when a newer configuration is known to exist.
     lacks_config: Option<Time>,
     /// Since when changes of the registry are known to exist.
@@ -65,7 +81,7 @@
 
 impl Duty {
     /// The duty of a node that has just started and has heard of nobody.
-    pub fn new(me: NodeId) -> Self {
+    pub fn new(me: Rank) -> Self {
         Self {
             me,
             reader: None,
@@ -110,16 +126,16 @@
     }
 
     /// Takes in the word of a reader of the same failure domain.
-    pub(crate) fn heard(&mut self, now: Time, from: NodeId, has_contact: bool) {
+    pub(crate) fn heard(&mut self, now: Time, from: Rank, has_contact: bool) {
         if !has_contact {
-            self.reader = self.reader.filter(|(it, _)| *it != from);
+            self.reader = self.reader.filter(|(it, _)| it.node != from.node);
             return;
         }
         self.contact = Some(now);
         let precedes_known =
-            self.reader.is_none_or(|(it, at)| from <= it || now.since(at) > SILENCE);
+            self.reader.is_none_or(|(it, at)| !it.precedes(from) || now.since(at) > SILENCE);
         // A node that the platform does not answer leaves it to anyone who is answered.
-        if self.is_failing || from < self.me && precedes_known {
+        if self.is_failing || from.precedes(self.me) && precedes_known {
             self.reader = Some((from, now));
         }
     }
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -13,12 +13,12 @@
 use rustc_hash::FxHashMap;
 
 use crate::bundle::EncodedDocument;
-use crate::duty::Duty;
+use crate::duty::{Duty, Rank};
 use crate::members::{Members, NEWCOMER_FOR, node_id};
 use crate::replica::{Facts, Replica};
 #[cfg(test)]
 use crate::wire::NODES_PER_FRAME;
-use crate::wire::{Frame, Gossip, Message, NodeInfo, Phase, Verdict};
+use crate::wire::{Capacity, Frame, Gossip, Message, NodeInfo, Phase, Verdict};
 
 #[cfg(test)]
 pub(crate) use news::CHANGES_PER_FRAME;
@@ -48,6 +48,8 @@
     pub failure_domain: u64,
     /// Start of the process in milliseconds since 1970.
     pub incarnation: u64,
+    /// What its VM has.
+    pub capacity: Capacity,
 }
 
 /// What the state machine wants done.
@@ -114,7 +116,7 @@
             phase: Phase::Starting,
             members: Members::default(),
             replica: Replica::default(),
-            duty: Duty::new(id),
+            duty: Duty::new(Rank { link_mbps: me.capacity.link_mbps, node: id }),
             seeds: seeds.iter().copied().filter(|it| *it != me.addr).collect(),
             verdicts: FxHashMap::default(),
             started: now,
@@ -140,6 +142,11 @@
         self.id
     }
 
+    /// What this node's VM has.
+    pub fn capacity(&self) -> Capacity {
+        self.me.capacity
+    }
+
     /// The known nodes, this one not included.
     pub fn members(&self) -> &Members {
         &self.members
@@ -283,6 +290,7 @@
             addr: self.me.addr,
             failure_domain: self.me.failure_domain,
             incarnation: self.me.incarnation,
+            capacity: self.me.capacity,
             version: self.version,
             phase: self.phase,
             facts: self.replica.facts(),
--- a/crates/fleet/src/exchange/news.rs
+++ b/crates/fleet/src/exchange/news.rs
@@ -9,7 +9,7 @@
 
 use super::{Effect, Exchange, FetchFailure};
 use crate::bundle::{Bundle, EncodedDocument};
-use crate::duty::{Lacks, Reads};
+use crate::duty::{Lacks, Rank, Reads};
 use crate::replica::Facts;
 use crate::wire::{Message, News, NodeInfo};
 
@@ -45,8 +45,7 @@
         if !self.duty.failed() {
             return Vec::new();
         }
-        let news =
-            News { facts: self.replica.facts(), after: 0, changes: Vec::new(), contact: false };
+        let news = News { facts: self.replica.facts(), contact: false, ..self.empty_news() };
         self.to_own_domain(Message::News(news))
     }
 
@@ -100,6 +99,7 @@
             effects.extend(self.fetch(addr));
         }
         self.note_lacks(now);
+        let from = Rank { link_mbps: news.link_mbps, node: from };
         self.duty.heard(now, from, news.contact);
         effects
     }
@@ -113,7 +113,12 @@
         let fits = changes.len() <= CHANGES_PER_FRAME;
         let facts = Facts { version, revision: self.replica.facts().revision };
         let changes = if fits { changes } else { Vec::new() };
-        self.to_own_domain(Message::News(News { facts, after, changes, contact: true }))
+        let news = News { facts, after, changes, contact: true, ..self.empty_news() };
+        self.to_own_domain(Message::News(news))
+    }
+
+    fn empty_news(&self) -> News {
+        News { link_mbps: self.me.capacity.link_mbps, ..News::default() }
     }
 
     pub(super) fn to_own_domain(&self, message: Message) -> Vec<Effect> {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use backlog::{Admitted, Backlog};
 pub use bundle::{Bundle, EncodedDocument, RegistryCopy};
-pub use duty::{Duty, Reads};
+pub use duty::{Duty, Rank, Reads};
 pub use edge::{Counts, Edge};
 pub use exchange::{Effect, Exchange, FetchFailure, Identity, ROUND};
 pub use fetch::{FetchError, Fetched, ServedEnding, ServedFetch, fetch, serve_fetches};
@@ -24,8 +24,8 @@
 pub use permits::{Action, Client, Contact, Directory, Place, Settlement, Wish};
 pub use replica::{Facts, Replica};
 pub use wire::{
-    Frame, Gossip, Key, Keys, MAX_FRAME_BYTES, Message, News, NodeInfo, PermitMessage, Phase,
-    Verdict, WireError,
+    Capacity, Frame, Gossip, Key, Keys, MAX_FRAME_BYTES, Message, News, NodeInfo, PermitMessage,
+    Phase, Verdict, WireError,
 };
 
 #[cfg(test)]
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -88,13 +88,16 @@
     /// Nodes that serve, were heard of lately and may be asked to dispatch: newcomers are not. When a
     /// whole fleet starts anew there are no newcomers in it, so that nodes which find each other agree
     /// from the first moment on.
-    pub fn serving(&self, now: Time, round: Duration) -> impl Iterator<Item = NodeId> + '_ {
+    pub fn serving(
+        &self,
+        now: Time,
+        round: Duration,
+    ) -> impl Iterator<Item = (NodeId, &Member)> + '_ {
         let rounds_between_news = (self.by_id.len() / NODES_PER_FRAME) as u32;
         let quiet = round * (rounds_between_news * QUIET_INTERVALS).max(MIN_QUIET_ROUNDS);
         self.iter()
             .filter(move |(_, it)| matches!(it.info.phase, Phase::Fresh | Phase::Ready))
             .filter(move |(_, it)| now >= it.newcomer_until && now.since(it.heard) < quiet)
-            .map(|(id, _)| id)
     }
 
     /// Drops nodes that were not heard of for `age`.
--- a/crates/fleet/src/tests/duty.rs
+++ b/crates/fleet/src/tests/duty.rs
@@ -2,11 +2,13 @@
 
 use policy::{NodeId, Time};
 
-use crate::duty::{Duty, Lacks, Reads};
+use crate::duty::{Duty, Lacks, Rank, Reads};
 
-const FIRST: NodeId = NodeId(1);
-const ME: NodeId = NodeId(5);
-const LAST: NodeId = NodeId(9);
+const FIRST: Rank = Rank { link_mbps: 10, node: NodeId(1) };
+const ME: Rank = Rank { link_mbps: 10, node: NodeId(5) };
+const LAST: Rank = Rank { link_mbps: 10, node: NodeId(9) };
+/// Follows by its identity, but its link carries more.
+const STRONG: Rank = Rank { link_mbps: 200, node: NodeId(9) };
 
 fn at(ms: u64) -> Time {
     Time(0) + Duration::from_millis(ms)
@@ -96,3 +98,16 @@
     duty.set_lacks(at(30), Lacks { config: true, registry: false });
     assert_eq!(duty.reads(at(40)), Reads::Nothing, "another configuration may be had from peers");
 }
+
+#[test]
+fn a_node_leaves_it_to_one_whose_link_carries_more() {
+    let mut duty = Duty::new(ME);
+    duty.heard(at(0), FIRST, true);
+    duty.heard(at(10), STRONG, true);
+    duty.heard(at(500), FIRST, true);
+    assert_eq!(duty.reads(at(900)), Reads::Nothing);
+    assert_eq!(duty.reads(at(1_100)), Reads::Everything, "the strong one fell silent");
+    let mut strong = Duty::new(STRONG);
+    strong.heard(at(0), FIRST, true);
+    assert_eq!(strong.reads(at(1)), Reads::Everything);
+}
--- a/crates/fleet/src/tests/wire.rs
+++ b/crates/fleet/src/tests/wire.rs
@@ -8,8 +8,8 @@
 use crate::exchange::{CHANGES_PER_FRAME, MAX_GOSSIP};
 use crate::replica::Facts;
 use crate::wire::{
-    Frame, Gossip, Key, Keys, MAX_FRAME_BYTES, Message, News, NodeInfo, PermitMessage, Phase,
-    VERSION, Verdict, WireError,
+    Capacity, Frame, Gossip, Key, Keys, MAX_FRAME_BYTES, Message, News, NodeInfo, PermitMessage,
+    Phase, VERSION, Verdict, WireError,
 };
 
 fn keys(text: &str) -> Keys {
@@ -33,6 +33,7 @@
         failure_domain: u64::MAX,
         incarnation: u64::MAX,
         version: u32::MAX,
+        capacity: Capacity { millicores: u32::MAX, link_mbps: u32::MAX },
         phase: Phase::Leaving,
         facts: Facts { version: u64::MAX, revision: u64::MAX },
     }
@@ -67,6 +68,7 @@
         after: u64::MAX,
         changes: vec![change; CHANGES_PER_FRAME],
         contact: true,
+        link_mbps: u32::MAX,
     }
 }
 
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -79,6 +79,15 @@
     Leaving,
 }
 
+/// What a node's VM has for its work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Capacity {
+    /// Thousandths of a core.
+    pub millicores: u32,
+    /// What the link carries, in Mbit/s.
+    pub link_mbps: u32,
+}
+
 /// What is known of one node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeInfo {
@@ -90,6 +99,8 @@
     pub incarnation: u64,
     /// Grows with each of its frames.
     pub version: u32,
+    /// What its VM has.
+    pub capacity: Capacity,
     /// What it is doing.
     pub phase: Phase,
     /// How new its copy of what the platform published is.
@@ -127,6 +138,8 @@
     pub changes: Vec<RegistryChange>,
     /// Whether the platform answers this node.
     pub contact: bool,
+    /// What its link carries, in Mbit/s.
+    pub link_mbps: u32,
 }
 
 /// Messages about slots.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,7 +27,7 @@
 pub use dispatcher::{Dispatcher, EvidenceReport};
 pub use observation::{Kind, Observation, Reporter};
 pub use permit::{Ask, Doubt, Grant, PermitId, Reply, SendKind, Settled, Tier};
-pub use rendezvous::{NodeId, rank, stable_hash};
+pub use rendezvous::{NodeId, rank, rank_strong_first, stable_hash};
 pub use retry::{Attempt, Next, Outcome, next_step};
 pub use rotation::{Change, EndpointStatus, Rotation, State, domain_floors};
 pub use time::Time;
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -25,6 +25,18 @@
     ranked.into_iter().map(|(_, it)| it).collect()
 }
 
+/// The same with strong nodes before weak ones. A node counts as strong if it has more than half of the
+/// processor of the strongest; each comes with its thousandths of a core.
+pub fn rank_strong_first(key: u64, nodes: &[(NodeId, u32)]) -> Vec<NodeId> {
+    let most = nodes.iter().map(|(_, millicores)| *millicores).max().unwrap_or_default();
+    let (strong, weak): (Vec<_>, Vec<_>) =
+        nodes.iter().partition(|(_, millicores)| millicores * 2 > most);
+    let ids = |of: Vec<&(NodeId, u32)>| of.into_iter().map(|(id, _)| *id).collect::<Vec<_>>();
+    let mut ranked = rank(key, ids(strong));
+    ranked.extend(rank(key, ids(weak)));
+    ranked
+}
+
 fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     x = (x ^ (x >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
--- a/crates/policy/src/tests.rs
+++ b/crates/policy/src/tests.rs
@@ -8,6 +8,7 @@
 mod floor_model;
 mod kinds;
 mod queue;
+mod rendezvous;
 mod retry;
 mod signs;
 mod silence;
--- a/crates/standin/src/net.rs
+++ b/crates/standin/src/net.rs
@@ -98,7 +98,12 @@
 }
 
 fn started(now: Time, i: usize, incarnation: u64) -> Exchange {
-    let me = Identity { addr: addr(i), failure_domain: i as u64 % DOMAINS, incarnation };
+    let me = Identity {
+        addr: addr(i),
+        failure_domain: i as u64 % DOMAINS,
+        incarnation,
+        capacity: Default::default(),
+    };
     let seeds: Vec<_> = (0..SEEDS).map(addr).collect();
     Exchange::new(now, me, &seeds)
 }
