A configuration that was read alone is no end of a fetch

Found on reading the change: a node that read the configuration alone took that for the end of a fetch that was still under way, so a second one could begin beside it. Its own event now, and the log names platform or peer as the source.

--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -261,13 +261,13 @@
         match event {
             Event::Command(command) => self.command(now, command),
             Event::Read(published, calls) => self.read(now, published, calls),
+            Event::ConfigurationRead(it, calls) => self.configuration_read(now, it, calls),
             Event::ReadFailed => self.read_failed(now),
             Event::Fetched(published) => self.fetched(now, published),
             Event::FetchFailed(why) => {
                 self.exchange.fetch_failed(why);
                 self.set_reads(now);
             }
-            Event::Called(calls) => self.platform_calls = calls,
             Event::Bundle(have, tx) => {
                 // The peer may have left.
                 let _ = tx.send(self.exchange.bundle(have));
--- a/crates/dappleway/src/control/publications.rs
+++ b/crates/dappleway/src/control/publications.rs
@@ -9,27 +9,54 @@
 
 use super::{Control, Rejected};
 
+/// Where a configuration came from.
+#[derive(Clone, Copy, Debug)]
+enum Origin {
+    Platform,
+    Peer,
+}
+
+impl Origin {
+    /// Short name for logs.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Platform => "platform",
+            Self::Peer => "peer",
+        }
+    }
+}
+
 impl Control {
     /// Takes in what this node has read from the platform.
     pub(super) fn read(&mut self, now: Time, mut published: Published, calls: u64) {
         self.platform_calls = calls;
-        let take = |it: &Document| self.accept(now, it, "platform");
+        let take = |it: &Document| self.accept(now, it, Origin::Platform);
         published.document = published.document.take().filter(take);
         let effects = self.exchange.read(now, published);
         self.apply(now, effects);
         self.set_reads(now);
     }
 
+    /// Takes in the configuration that this node has read alone.
+    pub(super) fn configuration_read(&mut self, now: Time, it: Option<Document>, calls: u64) {
+        self.platform_calls = calls;
+        if let Some(it) = it {
+            self.accept(now, &it, Origin::Platform);
+        }
+        self.exchange.configuration_read(now);
+        self.set_reads(now);
+    }
+
     /// The platform did not answer this node.
     pub(super) fn read_failed(&mut self, now: Time) {
         let effects = self.exchange.read_failed();
         self.apply(now, effects);
     }
 
-    /// Takes in what a peer knew, or the configuration that was read alone.
+    /// Takes in what a peer knew.
     pub(super) fn fetched(&mut self, now: Time, mut published: Published) {
         if let Some(it) = published.document.take() {
-            self.accept(now, &it, "peer or a read of its own");
+            self.accept(now, &it, Origin::Peer);
         }
         let effects = self.exchange.fetched(now, &published);
         self.apply(now, effects);
@@ -45,14 +72,14 @@
     }
 
     /// Puts a configuration in force if it is newer and valid; returns whether it is valid.
-    fn accept(&mut self, now: Time, document: &Document, learnt_from: &'static str) -> bool {
+    fn accept(&mut self, now: Time, document: &Document, origin: Origin) -> bool {
         let in_force = self.exchange.replica().facts().version;
         if document.version <= in_force {
             return true;
         }
         match Config::compile(document.clone()) {
             Ok(config) => {
-                self.put_in_force(now, document, config, learnt_from);
+                self.put_in_force(now, document, config, origin);
                 true
             }
             Err(problems) => {
@@ -63,13 +90,7 @@
         }
     }
 
-    fn put_in_force(
-        &mut self,
-        now: Time,
-        document: &Document,
-        config: Config,
-        learnt_from: &'static str,
-    ) {
+    fn put_in_force(&mut self, now: Time, document: &Document, config: Config, origin: Origin) {
         let version = document.version;
         let services = config.services.len();
         let behind = self.exchange.duty().behind_for(now);
@@ -83,7 +104,7 @@
         self.publish_services();
         self.next_readiness = now;
         info!(self.log, "configuration in force"; "config" => version, "services" => services,
-            "resources" => document.resources.len(), "learnt_from" => learnt_from,
+            "resources" => document.resources.len(), "learnt_from" => origin.name(),
             "behind_ms" => behind.as_millis() as u64,
             "apply_ms" => self.now().since(now).as_millis() as u64);
     }
--- a/crates/dappleway/src/event.rs
+++ b/crates/dappleway/src/event.rs
@@ -7,7 +7,7 @@
 use fleet::{Bundle, Facts, FetchFailure, Place};
 use operator::Report;
 use policy::{Grant, Kind, PermitId};
-use resources::Published;
+use resources::{Document, Published};
 use tokio::sync::oneshot;
 
 use crate::settings::Settings;
@@ -21,12 +21,12 @@
     Read(Published, u64),
     /// The platform did not answer this node.
     ReadFailed,
-    /// What a peer knew of the platform, or the configuration that this node has read alone.
+    /// The configuration that this node has read alone, if there is one, and its calls so far.
+    ConfigurationRead(Option<Document>, u64),
+    /// What a peer knew of the platform.
     Fetched(Published),
     /// A fetch from a peer brought nothing.
     FetchFailed(FetchFailure),
-    /// The configuration was read alone; the calls of this node so far.
-    Called(u64),
     /// A peer asks for what it lacks.
     Bundle(Facts, oneshot::Sender<Bundle>),
     /// The settings file has changed.
--- a/crates/dappleway/src/reader.rs
+++ b/crates/dappleway/src/reader.rs
@@ -5,7 +5,7 @@
 
 use fleet::{Facts, FetchError, FetchFailure, Fetched, Keys, Reads};
 use rand::RngExt;
-use resources::{Published, Source, SourceError};
+use resources::{Source, SourceError};
 use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -96,11 +96,10 @@
         match self.source.configuration().await {
             Ok(document) => {
                 self.note_answer();
-                send(&self.events, Event::Fetched(Published::only(document)));
+                send(&self.events, Event::ConfigurationRead(document, self.source.calls()));
             }
             Err(error) => self.note_failure(&error.to_string()),
         }
-        send(&self.events, Event::Called(self.source.calls()));
     }
 
     fn note_answer(&mut self) {
--- a/crates/fleet/src/exchange/news.rs
+++ b/crates/fleet/src/exchange/news.rs
@@ -49,7 +49,12 @@
         self.to_own_domain(Message::News(news))
     }
 
-    /// Takes in what a peer knew of the platform, or the configuration that this node read alone.
+    /// Records that this node has read the configuration alone, and put it in force if it is newer.
+    pub fn configuration_read(&mut self, now: Time) {
+        self.note_lacks(now);
+    }
+
+    /// Takes in what a peer knew of the platform.
     pub fn fetched(&mut self, now: Time, news: &Published) -> Vec<Effect> {
         self.is_fetching = false;
         let changed = self.replica.update(now, news);
--- a/crates/standin/src/net.rs
+++ b/crates/standin/src/net.rs
@@ -175,7 +175,8 @@
                 }
                 Answer::Configuration(document) => {
                     self.platform.pauses.remove(&i);
-                    self.take_configuration(i, Published::only(document));
+                    document.iter().for_each(|it| self.accept(i, it));
+                    self.nodes[i].configuration_read(self.now);
                 }
                 Answer::Lost => {
                     let effects = self.nodes[i].read_failed();
@@ -307,12 +308,7 @@
     }
 
     fn fetched(&mut self, i: usize, bundle: Bundle) {
-        let published = bundle.decode().expect("it was encoded here");
-        self.take_configuration(i, published);
-    }
-
-    /// What a node has fetched, or read of the configuration alone.
-    fn take_configuration(&mut self, i: usize, news: Published) {
+        let news = bundle.decode().expect("it was encoded here");
         if let Some(it) = &news.document {
             self.accept(i, it);
         }
