--- a/crates/standin/src/net.rs
+++ b/crates/standin/src/net.rs
@@ -52,8 +52,6 @@
     /// Without links everything that is fetched arrives at once.
     links: Vec<Link>,
     platform: Platform,
-    /// Calls to the platform that were answered.
-    pub platform_calls: u64,
     loss: f64,
     rng: StdRng,
     keys: Keys,
@@ -120,7 +118,6 @@
             places: (0..n).map(|i| (addr(i), i)).collect(),
             links: Vec::new(),
             platform: Platform::default(),
-            platform_calls: 0,
             loss,
             rng: StdRng::seed_from_u64(7),
             keys: Keys { current: Key::new(b"k"), also: None },
@@ -211,7 +208,6 @@
             Reads::Configuration => Answer::Configuration(newer),
             _ => Answer::News(newer),
         };
-        self.platform_calls += 1;
         Call { ends: self.now + took, answer }
     }
 
