--- a/crates/caller/src/sending.rs
+++ b/crates/caller/src/sending.rs
@@ -42,8 +42,6 @@
     reached: u32,
     /// Sends that reached nobody.
     unreached: u32,
-    /// A slot was asked for.
-    has_asked: bool,
     unknown_before: bool,
 }
 
@@ -61,7 +59,6 @@
             is_last: work.is_last_send(progress.reached),
             ..work.want(cx.paths.avoided(&progress.tried))
         };
-        progress.has_asked = true;
         let slot = match acquire(cx, work, want).await {
             Ok(slot) => slot,
             Err(refused) => return end(failure, refused, &progress),
@@ -104,8 +101,8 @@
     /// Which send comes next.
     fn send_kind(&self) -> SendKind {
         match self.reached {
-            0 if self.has_asked => SendKind::FirstAgain,
-            0 => SendKind::First,
+            0 if self.tried.is_empty() => SendKind::First,
+            0 => SendKind::FirstAgain,
             _ => SendKind::Further,
         }
     }
--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -90,14 +90,17 @@
 
     /// Says for which services repeats were refused since the last time, and by which figures.
     fn log_repeats(&mut self, now: Time) {
-        let log = self.log.clone();
-        self.services.for_each_named(|name, scope, it| {
-            let Some(it) = it.newly_refused(now) else { return };
-            info!(log, "budget for repeats used up"; "service" => name.as_str(),
+        let mut refused = Vec::new();
+        self.services.for_each(|service, scope, it| {
+            refused.extend(it.newly_refused(now).map(|it| (service, scope, it)));
+        });
+        for (service, scope, it) in refused {
+            let Some(state) = self.services.get(service) else { continue };
+            info!(self.log, "budget for repeats used up"; "service" => state.service.name.as_str(),
                 "dispatched_here" => scope == Scope::Fleet, "refused" => it.refused,
                 "allowed" => it.allowed as u64, "spent" => it.spent as u64,
                 "first_sends" => it.first, "askers" => it.askers);
-        });
+        }
     }
 
     fn log_contacts(&mut self) {
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -123,14 +123,6 @@
         }
     }
 
-    /// The same with the name of the service.
-    pub fn for_each_named(&mut self, mut f: impl FnMut(&Name, Scope, &mut Dispatcher)) {
-        for it in self.by_hash.values_mut() {
-            f(&it.service.name, Scope::Alone, &mut it.direct);
-            it.own.iter_mut().for_each(|own| f(&it.service.name, Scope::Fleet, own));
-        }
-    }
-
     /// Uses an endpoint last until `until`. Two nodes may both dispatch it for a while; then each
     /// heeds the other.
     pub fn hint(&mut self, until: Time, addr: SocketAddr) {
--- /dev/null
+++ b/crates/fleet/tests/fetch.rs
@@ -0,0 +1,57 @@
+//! Fetches between nodes over loopback.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use fleet::{
+    Backlog, Bundle, EncodedDocument, Facts, FetchError, Key, Keys, ServedEnding, fetch,
+    serve_fetches,
+};
+use resources::Document;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+const NOTHING: Facts = Facts { version: 0, revision: 0 };
+
+fn keys() -> Keys {
+    Keys { current: Key::new(b"k"), also: None }
+}
+
+fn bundle() -> Bundle {
+    let document = Document { version: 7, ..Document::default() };
+    Bundle { document: Some(EncodedDocument::new(&document)), registry: None }
+}
+
+/// A node that serves fetches, with how each of them ended.
+async fn serving(backlog: Arc<Backlog>) -> (SocketAddr, mpsc::UnboundedReceiver<ServedEnding>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (tx, ended) = mpsc::unbounded_channel();
+    let served = move |it: fleet::ServedFetch| tx.send(it.ending).unwrap();
+    tokio::spawn(serve_fetches(listener, keys(), backlog, |_| async { bundle() }, served));
+    (addr, ended)
+}
+
+#[tokio::test]
+async fn what_a_peer_lacks_arrives_and_its_place_in_the_backlog_comes_back() {
+    let backlog = Backlog::for_link(10.0);
+    let (addr, mut ended) = serving(backlog.clone()).await;
+    let fetched = fetch(addr, &keys(), NOTHING).await.unwrap();
+    assert_eq!(fetched.bundle, bundle());
+    assert_eq!(fetched.bundle.decode().unwrap().document.unwrap().version, 7);
+    assert_eq!(ended.recv().await, Some(ServedEnding::Whole));
+    assert_eq!(backlog.under_way(), 0);
+}
+
+#[tokio::test]
+async fn a_peer_is_told_at_once_that_too_much_is_under_way() {
+    let backlog = Backlog::for_link(10.0);
+    let (addr, mut ended) = serving(backlog.clone()).await;
+    // More than the link carries in a moment, and alone in the backlog.
+    let long = backlog.admit(1_000_000).expect("nothing else is under way");
+    let refused = fetch(addr, &keys(), NOTHING).await;
+    assert!(matches!(refused, Err(FetchError::Busy)), "{refused:?}");
+    assert_eq!(ended.recv().await, Some(ServedEnding::Busy));
+    drop(long);
+    assert!(fetch(addr, &keys(), NOTHING).await.is_ok());
+}
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -174,6 +174,11 @@
         spent + 1.0 > allowed * (1.0 - SHORT)
     }
 
+    /// Repeats refused since the start.
+    pub fn refused(&self) -> u64 {
+        self.refused
+    }
+
     /// Figures for reports.
     pub fn report(&mut self, now: Time) -> RepeatsReport {
         let (allowed, spent) = self.balance(now);
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -166,14 +166,16 @@
             }
         }
         self.look_around(now);
-        let choice = self.choose(&self.survey(now), &ask, || rng.random());
+        let survey = self.survey(now);
+        let choice = self.choose(&survey, &ask, || rng.random());
+        let slots = survey.usable_slots();
         if let Some(choice) = choice {
             return Reply::Granted(self.grant(now, &ask, choice));
         }
         if !ask.wait {
             return Reply::Full;
         }
-        self.enqueue(now, ask)
+        self.enqueue(now, ask, slots)
     }
 
     /// Takes a slot back and learns from how the request ended. Returns replies for those that
@@ -281,10 +283,9 @@
     /// Figures of the budget for repeats if some were refused since the last call; `refused` counts these
     /// alone.
     pub fn newly_refused(&mut self, now: Time) -> Option<RepeatsReport> {
-        let report = self.budget.report(now);
-        let before = std::mem::replace(&mut self.refused_before, report.refused);
-        let refused = report.refused - before;
-        (refused > 0).then_some(RepeatsReport { refused, ..report })
+        let all = self.budget.refused();
+        let refused = all - std::mem::replace(&mut self.refused_before, all);
+        (refused > 0).then(|| RepeatsReport { refused, ..self.budget.report(now) })
     }
 
     /// Requests that wait for a slot.
--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -47,6 +47,11 @@
 }
 
 impl Survey<'_> {
+    /// Slots that may be used now, free or not.
+    pub(super) fn usable_slots(&self) -> usize {
+        self.looks.iter().map(|it| it.usable_slots() as usize).sum()
+    }
+
     /// Requests that wait and would be served before one of this priority.
     fn ahead_of(&self, priority: Priority) -> usize {
         self.waiting.iter().filter(|(it, _)| *it <= priority).map(|(_, n)| n).sum()
@@ -226,10 +231,6 @@
         }
     }
 
-    pub(super) fn total_slots(&self, now: Time) -> usize {
-        (0..self.loads.len()).map(|i| self.look(now, i).usable_slots() as usize).sum()
-    }
-
     pub(super) fn has_free_slot(&self, survey: &Survey<'_>) -> bool {
         self.loads.iter().zip(&survey.looks).any(|(load, look)| {
             load.in_use() < look.status.usable_slots(survey.now).max(look.usable_slots())
--- a/crates/policy/src/dispatcher/waiting.rs
+++ b/crates/policy/src/dispatcher/waiting.rs
@@ -19,8 +19,8 @@
 const MAX_QUEUE: usize = 512;
 
 impl Dispatcher {
-    pub(super) fn enqueue(&mut self, now: Time, ask: Ask) -> Reply {
-        let slots = self.total_slots(now);
+    /// Lets an ask wait for one of `slots` that may be used now, or refuses it.
+    pub(super) fn enqueue(&mut self, now: Time, ask: Ask, slots: usize) -> Reply {
         let wait = self.expected_wait(self.queue.ahead_of(ask.priority), slots);
         if wait > ask.left || self.queue.len() >= (slots * QUEUE_PER_SLOT).min(MAX_QUEUE) {
             return Reply::Refused { retry_after: wait.max(MIN_RETRY_AFTER) };
