Sight: what was asked for and how it ended by service and second, and endpoints without work

Cause: the logs of a node that hands out slots told totals since its start and refusals only, so that none of the incident's hypotheses can be told apart: first sends and repeats by node and second, endings without service by their cause, and which endpoints had nothing for two seconds and why. One line a second for each service whose slots were handed out here, and a second one that names idle endpoints while more than one request of twenty is not served. Ruled out: a line for each endpoint and second, which on 720 endpoints would be most of what a node writes. No decision is changed. Not measured: the volume of the logs; it is at most two lines a service and second at the nodes that hand out slots.

--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -1,6 +1,7 @@
 //! The control thread: owns the exchange with other nodes, the dispatchers and the revisions, and
 //! is the only one that changes them.
 
+mod dispatch_log;
 mod exchange;
 mod metrics;
 mod own_slots;
--- /dev/null
+++ b/crates/dappleway/src/control/dispatch_log.rs
@@ -0,0 +1,70 @@
+//! Once a second, for each service whose slots were handed out here: what was asked for, how it ended, and which
+//! endpoints had no work while a part was not served.
+
+use policy::{Dispatcher, IdleEndpoint, Tally, Time};
+use serde_json::json;
+use slog::info;
+
+use super::Control;
+use crate::services::Scope;
+
+/// Requests that ended unserved in one second, as a share of those that came, from which on idle endpoints are
+/// named: half of the share at which the users' floor binds.
+const NAME_IDLE_FROM: f64 = 0.05;
+/// Idle endpoints named in one line at most.
+const MAX_NAMED: usize = 24;
+
+impl Control {
+    /// Logs what was handed out here since the last time.
+    pub(super) fn log_dispatch(&mut self, now: Time) {
+        let mut lines = Vec::new();
+        self.services.for_each(|service, scope, it| {
+            let tally = it.take_tally();
+            if tally != Tally::default() {
+                let idle = if is_missed(&tally) { name_idle(now, it) } else { Vec::new() };
+                lines.push((service, scope, tally, it.strain_name(), it.queued(), idle));
+            }
+        });
+        for (service, scope, tally, strain, queued, idle) in lines {
+            let Some(state) = self.services.get(service) else { continue };
+            let (name, is_fleet) = (state.service.name.as_str(), scope == Scope::Fleet);
+            info!(self.log, "slots handed out"; "service" => name, "dispatched_here" => is_fleet,
+                "first_sends" => tally.first, "repeats" => tally.repeats,
+                "repeats_refused" => tally.repeats_refused, "answered" => tally.answered,
+                "failed" => tally.failed, "timed_out" => tally.timed_out,
+                "queue_refused" => tally.queue_refused, "waited_in_vain" => tally.waited_in_vain,
+                "withdrawn" => tally.withdrawn, "queued" => queued, "strain" => strain);
+            if !idle.is_empty() {
+                info!(self.log, "endpoints without work"; "service" => name,
+                    "dispatched_here" => is_fleet, "endpoints" => state.service.endpoints.len(),
+                    "idle" => idle.join(" "));
+            }
+        }
+    }
+}
+
+/// Whether so much was not served that idle endpoints may be missed.
+fn is_missed(tally: &Tally) -> bool {
+    f64::from(tally.unserved()) > f64::from(tally.first) * NAME_IDLE_FROM
+}
+
+fn name_idle(now: Time, it: &Dispatcher) -> Vec<String> {
+    it.idle_endpoints(now).take(MAX_NAMED).map(|it| describe(&it)).collect()
+}
+
+/// One endpoint in one word, so that a line stays short: times in milliseconds.
+fn describe(it: &IdleEndpoint) -> String {
+    let ms = |it: Option<std::time::Duration>| it.map(|it| it.as_millis() as u64);
+    json!([
+        it.id.as_str(),
+        it.state,
+        it.used,
+        it.is_missing,
+        (it.sick * 100.0) as u32,
+        ms(it.idle),
+        ms(it.since_failure),
+        it.in_use,
+        ms(it.oldest_open)
+    ])
+    .to_string()
+}
--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -54,6 +54,7 @@
             self.log_peers();
             self.log_endpoints();
             self.log_repeats(now);
+            self.log_dispatch(now);
             self.measure(now);
         }
         if now >= self.next_readiness {
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -9,6 +9,7 @@
 mod evidence;
 mod load;
 mod rest;
+mod tally;
 mod waiting;
 
 use std::time::Duration;
@@ -31,6 +32,7 @@
 use load::Load;
 
 pub use evidence::EvidenceReport;
+pub use tally::{IdleEndpoint, Tally};
 
 /// A permit that is neither released nor renewed for this long is taken back.
 const PERMIT_LIFETIME: Duration = Duration::from_secs(3);
@@ -99,6 +101,7 @@
     /// Repeats refused when that was last told.
     refused_before: u64,
     served: Served,
+    tally: Tally,
     granted_at: Option<Time>,
     /// Whether so much fails that endpoints are tried again sooner; as of the last choice.
     strain: Strain,
@@ -125,6 +128,7 @@
             budget: Budget::new(now, budget),
             refused_before: 0,
             served: Served::default(),
+            tally: Tally::default(),
             granted_at: None,
             strain: Strain::None,
             due_after: (IDLE_AFTER, now),
@@ -165,10 +169,14 @@
             self.budget.hold_part(now, ask.reporter.node);
         }
         match ask.send {
-            SendKind::First => self.budget.first_send(now),
+            SendKind::First => {
+                self.tally.first += 1;
+                self.budget.first_send(now);
+            }
             SendKind::FirstAgain => {}
             SendKind::Further if self.budget.allows(now, Spend::of(&ask)) => {}
             SendKind::Further => {
+                self.tally.repeats_refused += 1;
                 self.served.note(now, Ending::Unserved);
                 return Reply::Refused { retry_after: self.mean_hold.max(MIN_RETRY_AFTER) };
             }
@@ -210,6 +218,7 @@
     /// Gives a slot back without learning anything from it, as when the caller has left.
     pub fn cancel(&mut self, now: Time, id: PermitId, rng: &mut impl Rng) -> Vec<Settled> {
         let withdrawn = self.queue.extract(|it| it.item.id == id);
+        self.tally.withdrawn += withdrawn.len() as u32;
         self.leave_queue(withdrawn.iter().map(|it| &it.item));
         let Some(permit) = self.permits.remove(&id) else { return Vec::new() };
         self.loads[permit.endpoint].give_back(id);
@@ -250,6 +259,7 @@
             keep
         });
         let late = self.queue.extract(|it| it.deadline <= now);
+        self.tally.waited_in_vain += late.len() as u32;
         self.leave_queue(late.iter().map(|it| &it.item));
         let mut settled: Vec<_> = late.into_iter().map(|it| self.refusal(it.item.id)).collect();
         settled.extend(self.drain(now, rng));
@@ -328,6 +338,7 @@
             told: Told::Nothing,
         };
         if ask.send == SendKind::Further {
+            self.tally.repeats += 1;
             self.budget.spend(now);
         }
         self.loads[endpoint].take(now, ask.id, ask.route);
--- a/crates/policy/src/dispatcher/evidence.rs
+++ b/crates/policy/src/dispatcher/evidence.rs
@@ -102,9 +102,18 @@
 
     pub(super) fn learn(&mut self, now: Time, permit: Permit, kind: Kind, elapsed: Duration) {
         match kind {
-            Kind::Answered => self.served.note(now, Ending::Served),
-            Kind::Failed if permit.is_last_send => self.served.note(now, Ending::Unserved),
-            Kind::TimedOut => self.served.note(now, Ending::Unserved),
+            Kind::Answered => {
+                self.tally.answered += 1;
+                self.served.note(now, Ending::Served);
+            }
+            Kind::Failed if permit.is_last_send => {
+                self.tally.failed += 1;
+                self.served.note(now, Ending::Unserved);
+            }
+            Kind::TimedOut => {
+                self.tally.timed_out += 1;
+                self.served.note(now, Ending::Unserved);
+            }
             _ => {}
         }
         let it = permit.observation(kind, elapsed);
--- a/crates/policy/src/dispatcher/load.rs
+++ b/crates/policy/src/dispatcher/load.rs
@@ -64,6 +64,11 @@
         self.open.len() as u32
     }
 
+    /// For how long the oldest request on it has been open.
+    pub(super) fn oldest_open(&self, now: Time) -> Option<Duration> {
+        self.open.iter().map(|it| now.since(it.since)).max()
+    }
+
     /// Takes a slot.
     pub(super) fn take(&mut self, now: Time, id: PermitId, route: u32) {
         self.used_at = Some(now);
--- /dev/null
+++ b/crates/policy/src/dispatcher/tally.rs
@@ -0,0 +1,106 @@
+//! How the requests of a service fare at one dispatcher, for logs and metrics: what was asked for, and how what
+//! was asked for ended.
+
+use std::time::Duration;
+
+use resources::Name;
+
+use super::Dispatcher;
+use crate::belief::Strain;
+use crate::time::Time;
+
+/// Endpoints without work for this long are reported. The users look at stretches of two seconds.
+const REPORTED_IDLE: Duration = Duration::from_secs(2);
+
+/// Counts since the counts were last taken.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// First sends asked for for the first time.
+    pub first: u32,
+    /// Further sends granted.
+    pub repeats: u32,
+    /// Further sends that the budget refused.
+    pub repeats_refused: u32,
+    /// Requests refused because the queue was too long.
+    pub queue_refused: u32,
+    /// Requests whose time ended while they waited for a slot.
+    pub waited_in_vain: u32,
+    /// Requests that were withdrawn while they waited.
+    pub withdrawn: u32,
+    /// Requests that were answered.
+    pub answered: u32,
+    /// Last sends that failed.
+    pub failed: u32,
+    /// Requests that timed out at an endpoint.
+    pub timed_out: u32,
+}
+
+impl Tally {
+    /// Requests that came to an end without being served, as far as this dispatcher knows.
+    pub fn unserved(&self) -> u32 {
+        self.repeats_refused
+            + self.queue_refused
+            + self.waited_in_vain
+            + self.failed
+            + self.timed_out
+    }
+}
+
+/// An endpoint that has had no work for two seconds, and what may be the reason.
+#[derive(Clone, Debug, PartialEq)]
+pub struct IdleEndpoint {
+    /// Identity of the endpoint.
+    pub id: Name,
+    /// Time since it was last given work; nothing if it never was.
+    pub idle: Option<Duration>,
+    /// Where it stands in the rotation.
+    pub state: &'static str,
+    /// How it is used.
+    pub used: &'static str,
+    /// Whether its entry in the registry is missing.
+    pub is_missing: bool,
+    /// Probability that it is sick.
+    pub sick: f64,
+    /// Time since its last failure.
+    pub since_failure: Option<Duration>,
+    /// Slots in use.
+    pub in_use: u32,
+    /// For how long the oldest request on it has been open.
+    pub oldest_open: Option<Duration>,
+}
+
+impl Dispatcher {
+    /// Counts since the last call.
+    pub fn take_tally(&mut self) -> Tally {
+        std::mem::take(&mut self.tally)
+    }
+
+    /// Endpoints that could be used and have had no work for two seconds.
+    pub fn idle_endpoints(&self, now: Time) -> impl Iterator<Item = IdleEndpoint> + '_ {
+        let share = self.signs.share();
+        let all = self.endpoints().iter().zip(&self.loads);
+        let is_idle = move |idle: Option<Duration>| idle.is_none_or(|it| it >= REPORTED_IDLE);
+        all.filter(move |(_, load)| is_idle(load.idle(now)) && load.age(now) >= REPORTED_IDLE).map(
+            move |(it, load)| IdleEndpoint {
+                id: it.id.clone(),
+                idle: load.idle(now),
+                state: it.state.name(),
+                used: load.belief.usage(now, self.strain, share).name(),
+                is_missing: it.is_missing,
+                sick: load.belief.sick(now, share),
+                since_failure: load.belief.since_failure(now),
+                in_use: load.in_use(),
+                oldest_open: load.oldest_open(now),
+            },
+        )
+    }
+
+    /// How much the service misses endpoints, as of the last choice; for logs.
+    pub fn strain_name(&self) -> &'static str {
+        match self.strain {
+            Strain::None => "none",
+            Strain::Growing => "growing",
+            Strain::Unserved => "unserved",
+        }
+    }
+}
