Tests that fail: repeats beyond the bound when another node grants, or all begin anew, in the middle of need

Cause shown: a node that hands out slots pays for repeats with the first sends of its own last ten seconds; one that takes its place does the same with the next ten. Ruled out here: late or lost frames and sends that reach nobody, whose tests stay green.

--- a/crates/fleet/tests/repeats.rs
+++ b/crates/fleet/tests/repeats.rs
@@ -12,6 +12,17 @@
 //! Evidence, from a day of our own: in ten seconds 7,000 times a dispatching node was taken for lost, one and the
 //! same 3,151 times; five nodes counted first sends for one service, and three of them held the fixed part of 77, 85
 //! and 86 nodes of 88 at the same moment.
+//!
+//! Seen again on a later day and another fleet: the bound was exceeded although each node that hands out slots kept to it.
+//! Order of events: for ten seconds nearly all goes well; then a service turns much of its work away and the node that hands
+//! out its slots pays for repeats with the first sends of the ten seconds before; a second later another node
+//! takes its place, or all processes begin anew, and pays with the first sends of the ten seconds after. A window that lies
+//! across the change holds both. Cause: the share of the requests was bounded in a window by whoever granted, and
+//! what was spent was known to that node alone.
+//!
+//! Evidence: days on which a service turns away 55 % from 8.0 s on and all processes are killed at 11.5 s broke the bound
+//! on two fleets (1,016 repeats for 4,007 requests, 957 allowed), the same day without the kill did not; and in this file
+//! one change of the granting node lets through half as much again as is allowed.
 
 use std::collections::{BinaryHeap, VecDeque};
 use std::time::Duration;
@@ -32,7 +43,7 @@
 const PATIENCE: Duration = Duration::from_millis(40);
 const MS: u64 = 1_000;
 /// Length of a run.
-const RUN: u64 = 30_000 * MS;
+const RUN: u64 = 35_000 * MS;
 /// Time that each request has.
 const TIME_LIMIT: Duration = Duration::from_secs(4);
 
@@ -47,9 +58,23 @@
     lost: f64,
     /// Share of first sends that reach nobody.
     unreached: f64,
+    /// Requests before this time are answered, all later ones fail.
+    fails_from: u64,
+    /// From then on the node that hands out the slots is cut off from all others.
+    cut_off_at: Option<u64>,
+    /// All processes begin anew, this many times, one second apart.
+    restarts_from: Option<(u64, u64)>,
 }
 
-const NONE: Trouble = Trouble { rate: 15.0, late: 0.0, lost: 0.0, unreached: 0.0 };
+const NONE: Trouble = Trouble {
+    rate: 15.0,
+    late: 0.0,
+    lost: 0.0,
+    unreached: 0.0,
+    fails_from: 0,
+    cut_off_at: None,
+    restarts_from: None,
+};
 
 fn service() -> Service {
     let endpoint = |i: u16| Endpoint {
@@ -81,6 +106,7 @@
 /// What happens next, earliest first.
 enum Event {
     Request(usize),
+    Restart,
     Deliver {
         from: usize,
         to: usize,
@@ -92,6 +118,12 @@
         id: PermitId,
         place: Place,
     },
+    /// A send is answered.
+    Answered {
+        node: usize,
+        id: PermitId,
+        place: Place,
+    },
 }
 
 struct Due(u64, u64, Event);
@@ -121,6 +153,21 @@
     direct: Dispatcher,
 }
 
+impl Node {
+    fn new(now: Time, id: NodeId) -> Self {
+        let dispatcher = || {
+            let mut it = Dispatcher::new(now, &service(), &[], LIMITS);
+            it.set_nodes(NODES as usize);
+            it
+        };
+        Self {
+            client: Client::new(id, PATIENCE, LIMITS.window),
+            own: dispatcher(),
+            direct: dispatcher(),
+        }
+    }
+}
+
 struct Fleet {
     now: u64,
     nodes: Vec<Node>,
@@ -139,19 +186,9 @@
 impl Fleet {
     fn new(seed: u64, trouble: Trouble) -> Self {
         let ids: Vec<NodeId> = (0..NODES).map(NodeId).collect();
-        let dispatcher = || {
-            let mut it = Dispatcher::new(Time(0), &service(), &[], LIMITS);
-            it.set_nodes(NODES as usize);
-            it
-        };
-        let node = |id: &NodeId| Node {
-            client: Client::new(*id, PATIENCE, LIMITS.window),
-            own: dispatcher(),
-            direct: dispatcher(),
-        };
         let mut fleet = Self {
             now: 0,
-            nodes: ids.iter().map(node).collect(),
+            nodes: ids.iter().map(|it| Node::new(Time(0), *it)).collect(),
             directory: All(ids),
             events: BinaryHeap::new(),
             trouble,
@@ -162,6 +199,9 @@
             repeats: Vec::new(),
         };
         (0..NODES as usize).for_each(|i| fleet.after(0, Event::Request(i)));
+        if let Some((from, times)) = trouble.restarts_from {
+            (0..times).for_each(|i| fleet.after(from + i * 1_000 * MS, Event::Restart));
+        }
         fleet
     }
 
@@ -214,10 +254,30 @@
                 self.after(pause, Event::Request(i));
             }
             Event::Deliver { from, to, message } => self.receive(from, to, message),
+            Event::Restart => self.restart(),
+            Event::Answered { node, id, place } => {
+                self.end(node, id, place, Kind::Answered);
+                self.requests.remove(&id);
+            }
             Event::Failed { node, id, place } => self.failed(node, id, place),
         }
     }
 
+    /// All processes are killed: what was under way is lost, and nobody knows what was spent.
+    fn restart(&mut self) {
+        let now = self.now();
+        self.nodes = (0..NODES).map(|i| Node::new(now, NodeId(i))).collect();
+        self.requests.clear();
+        let is_kept = |it: &Due| matches!(it.2, Event::Request(_) | Event::Restart);
+        self.events.retain(is_kept);
+    }
+
+    /// Whether frames between two nodes are lost, because one of them is cut off.
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        let first = self.directory.candidates(SERVICE)[0].0 as usize;
+        self.trouble.cut_off_at.is_some_and(|at| self.now >= at) && (from == first || to == first)
+    }
+
     /// A request looks for a slot. `reached` endpoints have seen it.
     fn wish(&mut self, i: usize, reached: u32, send: SendKind) {
         self.next += 1;
@@ -267,7 +327,7 @@
     }
 
     fn send(&mut self, from: usize, to: usize, message: PermitMessage) {
-        if self.rng.random_bool(self.trouble.lost) {
+        if self.rng.random_bool(self.trouble.lost) || self.is_cut(from, to) {
             return;
         }
         let is_late = self.rng.random_bool(self.trouble.late);
@@ -311,30 +371,39 @@
         action.into_iter().for_each(|it| self.act(i, it));
     }
 
-    /// The request goes out and fails.
+    /// The request goes out and is answered or fails.
     fn granted(&mut self, i: usize, id: PermitId, place: Place) {
         let reached = self.requests[&id];
         if reached > 0 {
             self.repeats.push(self.now);
         }
-        self.after(20 * MS, Event::Failed { node: i, id, place });
+        let event = match self.now >= self.trouble.fails_from {
+            true => Event::Failed { node: i, id, place },
+            false => Event::Answered { node: i, id, place },
+        };
+        self.after(20 * MS, event);
     }
 
-    fn failed(&mut self, i: usize, id: PermitId, place: Place) {
-        let outcome = Some((Kind::Shed, Duration::from_millis(20)));
+    /// The slot goes back to whoever granted it.
+    fn end(&mut self, i: usize, id: PermitId, place: Place, kind: Kind) {
+        let took = Duration::from_millis(20);
         let now = self.now();
         match place {
             Place::Peer(node) => {
+                let outcome = Some((kind, took));
                 self.send(i, node.0 as usize, PermitMessage::Release { id, outcome });
             }
             Place::Own | Place::Direct => {
                 let node = &mut self.nodes[i];
                 let dispatcher = if place == Place::Own { &mut node.own } else { &mut node.direct };
-                let took = Duration::from_millis(20);
-                let settled = dispatcher.release(now, id, Kind::Shed, took, &mut self.rng);
+                let settled = dispatcher.release(now, id, kind, took, &mut self.rng);
                 settled.into_iter().for_each(|it| self.answer(i, it.id, it.reply));
             }
         }
+    }
+
+    fn failed(&mut self, i: usize, id: PermitId, place: Place) {
+        self.end(i, id, place, Kind::Shed);
         let reached = self.requests.remove(&id).unwrap_or_default();
         let is_unreached = reached == 0 && self.rng.random_bool(self.trouble.unreached);
         if reached < 2 {
@@ -402,3 +471,21 @@
 fn repeats_are_bounded_while_first_sends_reach_nobody() {
     check(Trouble { unreached: 0.3, ..NONE });
 }
+
+#[test]
+fn repeats_are_bounded_while_another_node_takes_over_in_the_middle_of_need() {
+    for after in [1, 2, 3, 5] {
+        let fails_from = 20_000 * MS;
+        let cut_off_at = Some(fails_from + after * 1_000 * MS);
+        check(Trouble { fails_from, cut_off_at, ..NONE });
+    }
+}
+
+#[test]
+fn repeats_are_bounded_while_all_processes_begin_anew_in_the_middle_of_need() {
+    for times in [1, 2, 4] {
+        let fails_from = 20_000 * MS;
+        let restarts_from = Some((fails_from + 2_000 * MS, times));
+        check(Trouble { fails_from, restarts_from, ..NONE });
+    }
+}
