Repeats are paid from what first sends earned a moment ago, whoever grants

Cause: the share of the requests was bounded in a window by whoever granted, and what was spent was known to that node alone. When another node takes over in the middle of need, or all begin anew, the first has spent what the window before earned and the next spends what the window after earns. Class: a bound on a sum kept by each on its own memory. Now each first send earns its share at one node, to be spent once within a tenth of the window, and the fixed part accrues; nothing survives a process, so that nothing can be spent twice. The window of the granting node stays beside it. A repeat that waits for a slot goes out only while it is covered. Ruled out: handing the counts over when the node changes (does nothing when all are killed; a service that then earned nothing for a window would be without repeats when it needs them most).

--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -278,7 +278,7 @@
             }
             Event::Settings(it) => {
                 self.exchange.set_seeds(&it.fleet.seed_addrs());
-                self.services.set_budget(it.dispatch.budget());
+                self.services.set_budget(now, it.dispatch.budget());
                 self.client.set_window(it.dispatch.budget().window);
             }
             Event::Drain => {
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -58,9 +58,9 @@
     }
 
     /// Follows a change of the budget for repeats.
-    pub fn set_budget(&mut self, budget: BudgetLimits) {
+    pub fn set_budget(&mut self, now: Time, budget: BudgetLimits) {
         self.budget = budget;
-        self.for_each(|_, _, it| it.set_budget(budget));
+        self.for_each(|_, _, it| it.set_budget(now, budget));
     }
 
     /// Follows a change of the number of nodes in the fleet, this one included.
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -1,10 +1,13 @@
 //! Bound on the sends of a service beyond the first of each request, over the whole fleet and any
 //! window of time, without any agreement between the nodes that grant them.
 //!
-//! The bound is a share of the requests and a fixed part. The share needs no agreement: whoever grants
-//! a repeat counts the requests it has seen itself. The fixed part is split over the nodes that ask: each
-//! gives its part to one dispatching node, and to another one only when it has not asked that one for a
-//! window. However many nodes dispatch, their parts add up to no more than the whole.
+//! The bound is a share of the requests and a fixed part. The share needs no agreement: whoever grants a repeat
+//! counts the requests it has seen itself, and what they earn is spent soon or not at all (`credit`). The fixed part
+//! is split over the nodes that ask: each gives its part to one dispatching node, and to another one only when it has
+//! not asked that one for a window. However many nodes dispatch, their parts add up to no more than the whole.
+
+mod credit;
+mod window;
 
 use std::time::Duration;
 
@@ -12,6 +15,8 @@
 
 use crate::rendezvous::NodeId;
 use crate::time::Time;
+use credit::Credit;
+use window::{Window, slice_number};
 
 /// Size of a budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -33,37 +38,39 @@
     OnHedge,
 }
 
-/// Slices of the window that are counted apart.
-const SLICES: usize = 20;
-/// Part of the ratio that is used: requests are counted where they ask, and some never do.
+/// Part of the ratio that is used: what was earned shortly before a window may be spent in it (`credit`).
 const RATIO_PART: f64 = 0.9;
-/// Part of the fixed bound that is used. A dispatching node may have ended within the window, and neither the
-/// one that begins anew in its place nor askers that begin anew know what it spent.
+/// Part of the fixed bound that one granting node uses in a window.
 const EXTRA_PART: f64 = 0.5;
-/// Part of that in the first window of a new dispatching node: the one before may have spent its own a
-/// moment ago, and the one before that too.
-const EXTRA_AT_START: f64 = 0.5;
+/// Times in a window that nodes which asked too long ago are forgotten.
+const FORGET_TIMES: usize = 20;
 /// Part of the budget that hedges leave for what has failed.
 const KEPT_FOR_FAILURES: f64 = 0.4;
 /// Part of the budget below which it is short: a first send that fails may then be the last.
 const SHORT: f64 = 0.35;
 
-/// Counts of one slice of the window.
-#[derive(Clone, Copy, Debug, Default)]
-struct Slice {
-    number: u64,
-    first: u32,
-    repeats: u32,
+/// One of the bounds on repeats: what it allows, and what is spent of that.
+#[derive(Clone, Copy, Debug)]
+struct Balance {
+    allowed: f64,
+    spent: f64,
+}
+
+impl Balance {
+    /// Whether one more fits if the part `kept` is left for others.
+    fn has_room(self, kept: f64) -> bool {
+        self.spent + 1.0 <= self.allowed * (1.0 - kept)
+    }
 }
 
 /// The budget of one service at one node.
 #[derive(Clone, Debug)]
 pub struct Budget {
     limits: BudgetLimits,
-    started: Time,
-    /// Slices by their number, modulo the length; one more than a window, because the present one is
-    /// not full.
-    slices: [Slice; SLICES + 1],
+    /// Exact as long as one node grants.
+    window: Window,
+    /// Holds whoever grants.
+    credit: Credit,
     /// Nodes whose part is spent here, and when they last asked.
     askers: FxHashMap<NodeId, Time>,
     /// Slice in which those that asked too long ago were last forgotten.
@@ -90,6 +97,8 @@
     pub allowed: f64,
     /// Those spent in it.
     pub spent: f64,
+    /// Repeats earned lately that may go out now.
+    pub credit: f64,
     /// First sends counted in it.
     pub first: u64,
     /// Nodes that have asked in it.
@@ -103,8 +112,8 @@
     pub fn new(now: Time, limits: BudgetLimits) -> Self {
         Self {
             limits,
-            started: now,
-            slices: [Slice::default(); SLICES + 1],
+            window: Window::new(limits.window),
+            credit: Credit::new(now, limits.window),
             askers: FxHashMap::default(),
             forgot_in: 0,
             nodes: 1,
@@ -116,10 +125,11 @@
     }
 
     /// Follows a change of its size.
-    pub fn set_limits(&mut self, limits: BudgetLimits) {
+    pub fn set_limits(&mut self, now: Time, limits: BudgetLimits) {
         if limits.window != self.limits.window {
             // Counts of slices of another length mean nothing.
-            self.slices = Default::default();
+            self.window = Window::new(limits.window);
+            self.credit = Credit::new(now, limits.window);
         }
         self.limits = limits;
     }
@@ -131,13 +141,18 @@
 
     /// Records the first send of a request.
     pub fn first_send(&mut self, now: Time) {
-        self.slice(now).first += 1;
+        self.window.note_first(now);
+        self.credit.earn(now, &self.limits);
         self.first_total += 1;
     }
 
     /// Records that the part of `node` is spent here.
     pub fn hold_part(&mut self, now: Time, node: NodeId) {
+        self.accrue(now);
+        let before = self.part();
         self.askers.insert(node, now);
+        let more = self.part() - before;
+        self.credit.bring(&self.limits, more);
     }
 
     /// Whether the budget allows one further send now.
@@ -146,8 +161,7 @@
             Spend::OnFailure => 0.0,
             Spend::OnHedge => KEPT_FOR_FAILURES,
         };
-        let (allowed, spent) = self.balance(now);
-        let is_allowed = spent + 1.0 <= allowed * (1.0 - kept);
+        let is_allowed = self.balances(now).iter().all(|it| it.has_room(kept));
         self.refused += u64::from(!is_allowed);
         is_allowed
     }
@@ -162,16 +176,22 @@
         self.reserved -= 1;
     }
 
+    /// Whether a further send for which a part is reserved may go out now: what it waited for may have lapsed.
+    pub fn covers(&self, now: Time) -> bool {
+        self.credit.balance(now, &self.limits, self.part()).has_room(0.0)
+    }
+
     /// Records a further send.
     pub fn spend(&mut self, now: Time) {
-        self.slice(now).repeats += 1;
+        self.accrue(now);
+        self.window.note_repeat(now);
+        self.credit.spend(now);
         self.granted += 1;
     }
 
     /// Whether so little is left that a send that fails may not be followed by another.
     pub fn is_short(&mut self, now: Time) -> bool {
-        let (allowed, spent) = self.balance(now);
-        spent + 1.0 > allowed * (1.0 - SHORT)
+        !self.balances(now).iter().all(|it| it.has_room(SHORT))
     }
 
     /// Repeats refused since the start.
@@ -181,64 +201,52 @@
 
     /// Figures for reports.
     pub fn report(&mut self, now: Time) -> RepeatsReport {
-        let (allowed, spent) = self.balance(now);
-        let (first, _) = self.in_window(now);
+        let [Balance { allowed, spent }, credit] = self.balances(now);
+        let (first, _) = self.window.counts(now);
         RepeatsReport {
             granted: self.granted,
             refused: self.refused,
             allowed,
             spent,
+            credit: credit.allowed - credit.spent,
             first: first.into(),
             askers: self.askers.len(),
             first_total: self.first_total,
         }
     }
 
-    /// Repeats allowed in the window that ends now, and those spent in it.
-    fn balance(&mut self, now: Time) -> (f64, f64) {
-        self.forget_askers(now, self.number(now));
-        let (first, repeats) = self.in_window(now);
-        let allowed = f64::from(first) * self.limits.ratio * RATIO_PART + self.extra(now);
-        (allowed, f64::from(repeats + self.reserved))
+    /// The bound on the window that ends now, and that on what was earned lately.
+    fn balances(&mut self, now: Time) -> [Balance; 2] {
+        self.forget_askers(now);
+        let (first, repeats) = self.window.counts(now);
+        let part = self.part();
+        let extra = self.limits.extra * EXTRA_PART * part;
+        let window = Balance {
+            allowed: f64::from(first) * self.limits.ratio * RATIO_PART + extra,
+            spent: f64::from(repeats + self.reserved),
+        };
+        let mut credit = self.credit.balance(now, &self.limits, part);
+        credit.spent += f64::from(self.reserved);
+        [window, credit]
     }
 
-    /// First sends and repeats in the window that ends now.
-    fn in_window(&self, now: Time) -> (u32, u32) {
-        let number = self.number(now);
-        let in_window = |it: &&Slice| it.number + SLICES as u64 >= number;
-        let sum =
-            |(first, repeats): (u32, u32), it: &Slice| (first + it.first, repeats + it.repeats);
-        self.slices.iter().filter(in_window).fold((0, 0), sum)
+    /// The part of the fixed bound that is spent here: that of the nodes that have asked.
+    fn part(&self) -> f64 {
+        (self.askers.len() as f64 / self.nodes as f64).min(1.0)
     }
 
-    /// The fixed part, for the nodes that have asked here.
-    fn extra(&self, now: Time) -> f64 {
-        let part = (self.askers.len() as f64 / self.nodes as f64).min(1.0);
-        let is_new = now.since(self.started) < self.limits.window;
-        let known = if is_new { EXTRA_AT_START } else { 1.0 };
-        self.limits.extra * EXTRA_PART * part * known
+    fn accrue(&mut self, now: Time) {
+        let part = self.part();
+        self.credit.accrue(now, &self.limits, part);
     }
 
     /// Once a slice, because there may be hundreds of them.
-    fn forget_askers(&mut self, now: Time, number: u64) {
+    fn forget_askers(&mut self, now: Time) {
+        let length = self.limits.window;
+        let number = slice_number(now, length, FORGET_TIMES);
         if std::mem::replace(&mut self.forgot_in, number) != number {
-            let window = self.limits.window;
-            self.askers.retain(|_, at| now.since(*at) < window);
-        }
-    }
-
-    fn slice(&mut self, now: Time) -> &mut Slice {
-        let number = self.number(now);
-        let it = &mut self.slices[(number % (SLICES as u64 + 1)) as usize];
-        if it.number != number {
-            *it = Slice { number, ..Slice::default() };
+            self.accrue(now);
+            self.askers.retain(|_, at| now.since(*at) < length);
         }
-        it
-    }
-
-    fn number(&self, now: Time) -> u64 {
-        let length = (self.limits.window.as_micros() as u64 / SLICES as u64).max(1);
-        // Slice zero stands for one that was never used.
-        now.0 / length + 1
     }
 }
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -233,8 +233,8 @@
     }
 
     /// Follows a change of the budget for repeats.
-    pub fn set_budget(&mut self, limits: BudgetLimits) {
-        self.budget.set_limits(limits);
+    pub fn set_budget(&mut self, now: Time, limits: BudgetLimits) {
+        self.budget.set_limits(now, limits);
     }
 
     /// Follows a change of the number of nodes in the fleet, this one included.
--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -57,6 +57,11 @@
 }
 
 impl Survey<'_> {
+    /// The moment of the look.
+    pub(super) fn now(&self) -> Time {
+        self.now
+    }
+
     /// Slots that may be used now, free or not.
     pub(super) fn usable_slots(&self) -> usize {
         self.looks.iter().map(|it| it.usable_slots() as usize).sum()
--- a/crates/policy/src/dispatcher/waiting.rs
+++ b/crates/policy/src/dispatcher/waiting.rs
@@ -73,8 +73,12 @@
     /// bears on the choice have the same answer, and most of those that wait do.
     fn next_waiting(&self, survey: &Survey<'_>) -> Option<usize> {
         let by_node = self.judge.has_path_faults();
+        let may_repeat = self.budget.covers(survey.now());
         let mut known: Vec<(ChoiceKey<'_>, bool)> = Vec::new();
         self.queue.best(|ask| {
+            if ask.send == SendKind::Further && !may_repeat {
+                return false;
+            }
             let key = ChoiceKey::of(ask, by_node);
             if let Some((_, fits)) = known.iter().find(|(it, _)| *it == key) {
                 return *fits;
