Sight: requests that another service of a split route does not serve are told and logged

Cause: the users count all requests of a route at each service that it leads to; a node that hands out the slots of one of them hears of its own part alone. The asking node, where a request ends, now tells the others, at most once in 0.1 s for each service, and the line for slots handed out says the number. No decision uses it yet. Ruled out: reports with the next ask, which comes from each of 443 nodes every five seconds. Frames gain one kind of message; nodes of the code before drop it.

--- a/crates/caller/src/dispatch.rs
+++ b/crates/caller/src/dispatch.rs
@@ -56,6 +56,9 @@
     /// The slots that it hands out.
     type Slot: Slot;
 
+    /// Tells that a request of `route` was not served by `service`, one of several that the route leads to.
+    fn unserved(&self, route: &Arc<Route>, service: &Name);
+
     /// Waits for a slot; dropping the future withdraws the wish.
     fn acquire(&self, want: Want) -> impl Future<Output = Result<Self::Slot, Refused>> + Send;
 }
--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -99,6 +99,10 @@
             (give_up.outcome(), give_up.response())
         }
     };
+    // Who uses one of several services judges the others by it too.
+    if res.status().is_server_error() && !work.route.split.is_empty() {
+        cx.dispatch.unserved(&work.route, &work.service);
+    }
     let elapsed = started.elapsed();
     cx.metrics.requests.with_label_values(&[outcome]).inc();
     cx.metrics.latency.with_label_values(&[outcome]).observe(elapsed.as_secs_f64());
--- a/crates/dappleway/src/baselines.rs
+++ b/crates/dappleway/src/baselines.rs
@@ -54,6 +54,9 @@
 impl Dispatch for RoundRobin {
     type Slot = RoundRobinSlot;
 
+    /// It judges each endpoint by its own answers alone.
+    fn unserved(&self, _route: &Arc<resources::Route>, _service: &Name) {}
+
     async fn acquire(&self, want: Want) -> Result<RoundRobinSlot, Refused> {
         let services = self.services.borrow().clone();
         let found = services.iter().find(|it| it.name == want.service && !it.endpoints.is_empty());
--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -100,6 +100,9 @@
     /// Replies of this node's dispatchers that are still to be delivered. A delivery may free the
     /// next slot, so they wait here instead of on the stack.
     undelivered: VecDeque<(Scope, Settled)>,
+    /// Requests since the last tick, by the service that might have served them: routes that lead to several
+    /// services were served badly by another one.
+    unserved_elsewhere: FxHashMap<u64, u32>,
     /// Addresses of nodes that have asked for slots.
     askers: FxHashMap<NodeId, SocketAddr>,
     rejected: Option<Rejected>,
@@ -190,6 +193,7 @@
             waiting: FxHashMap::default(),
             open: FxHashMap::default(),
             undelivered: VecDeque::new(),
+            unserved_elsewhere: FxHashMap::default(),
             askers: FxHashMap::default(),
             rejected: None,
             platform_calls: 0,
--- a/crates/dappleway/src/control/dispatch_log.rs
+++ b/crates/dappleway/src/control/dispatch_log.rs
@@ -33,7 +33,7 @@
                 "repeats_refused" => tally.repeats_refused, "answered" => tally.answered,
                 "failed" => tally.failed, "timed_out" => tally.timed_out,
                 "queue_refused" => tally.queue_refused, "waited_in_vain" => tally.waited_in_vain,
-                "withdrawn" => tally.withdrawn, "queued" => queued, "strain" => strain);
+                "withdrawn" => tally.withdrawn, "unserved_elsewhere" => tally.unserved_elsewhere, "queued" => queued, "strain" => strain);
             if !idle.is_empty() {
                 info!(self.log, "endpoints without work"; "service" => name,
                     "dispatched_here" => is_fleet, "endpoints" => state.service.endpoints.len(),
--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -6,7 +6,7 @@
 use fleet::{Action, Directory, PermitMessage, Place, Settlement, Wish};
 use policy::{Ask, Grant, Kind, NodeId, Observation, PermitId, Reply, Settled, Time};
 use rand::rngs::StdRng;
-use resources::Repeat;
+use resources::{Name, Repeat, Route};
 use tokio::sync::oneshot;
 
 use super::{Control, Nodes, OpenPermit, RENEW, SUCCESSORS, Waiter};
@@ -22,6 +22,7 @@
             Command::Stalled(id, elapsed) => self.stalled(now, id, elapsed),
             Command::AnswerBegan(id, elapsed) => self.answer_began(now, id, elapsed),
             Command::End(id, outcome) => self.end(now, id, outcome),
+            Command::Unserved(route, service) => self.unserved(&route, &service),
         }
     }
 
@@ -231,6 +232,31 @@
         }
     }
 
+    /// Counts a request for the other services that it might have gone to.
+    fn unserved(&mut self, route: &Route, service: &Name) {
+        for (other, weight) in route.shares() {
+            if other != service && weight > 0 {
+                *self.unserved_elsewhere.entry(name_hash(other)).or_default() += 1;
+            }
+        }
+    }
+
+    /// Tells those that hand out the slots of the other services.
+    pub(super) fn tell_unserved(&mut self, now: Time) {
+        for (service, requests) in std::mem::take(&mut self.unserved_elsewhere) {
+            let directory = Nodes { now, me: self.me, exchange: &self.exchange };
+            match self.client.place(now, service, &directory) {
+                Place::Peer(node) => {
+                    self.send_to(node, PermitMessage::UnservedElsewhere { service, requests });
+                }
+                place => self.here(place, service, |it, _| {
+                    it.unserved_elsewhere(now, requests);
+                    Vec::new()
+                }),
+            }
+        }
+    }
+
     /// Learns, for the time when this node must pick for itself, from a request whose slot came
     /// from another node.
     pub(super) fn observe(&mut self, now: Time, open: &OpenPermit, kind: Kind, elapsed: Duration) {
--- a/crates/dappleway/src/control/peer_slots.rs
+++ b/crates/dappleway/src/control/peer_slots.rs
@@ -52,6 +52,11 @@
             PermitMessage::Observed { service, endpoint, observation } => {
                 self.services.observe(now, service, &endpoint, observation);
             }
+            PermitMessage::UnservedElsewhere { service, requests } => {
+                if let Some(it) = self.services.own(now, service) {
+                    it.unserved_elsewhere(now, requests);
+                }
+            }
             PermitMessage::Renew { ids } => self.each_own(|it, _| {
                 ids.iter().for_each(|id| it.renew(now, *id));
                 Vec::new()
--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -36,6 +36,7 @@
             self.services.set_nodes(self.exchange.members().len() + 1);
             let ticked = self.services.tick(now, &mut self.rng);
             self.ticked(now, ticked);
+            self.tell_unserved(now);
         }
         let directory = Nodes { now, me: self.me, exchange: &self.exchange };
         for action in self.client.tick(now, &directory) {
--- a/crates/dappleway/src/event.rs
+++ b/crates/dappleway/src/event.rs
@@ -1,13 +1,14 @@
 //! What the control thread is told, by traffic threads and by tasks of its own.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use caller::{Refused, Want};
 use fleet::{Bundle, FetchFailure, NodeInfo, Place};
 use operator::Report;
 use policy::{Grant, Kind, PermitId};
-use resources::{Document, Published};
+use resources::{Document, Name, Published, Route};
 use tokio::sync::oneshot;
 
 use crate::settings::Settings;
@@ -52,6 +53,8 @@
     Stalled(PermitId, Duration),
     /// A long answer has begun.
     AnswerBegan(PermitId, Duration),
+    /// A request of a route that leads to several services was not served by this one.
+    Unserved(Arc<Route>, Name),
     /// A slot comes back; without an outcome it proves nothing.
     End(PermitId, Option<(Kind, Duration)>),
 }
--- a/crates/dappleway/src/handle.rs
+++ b/crates/dappleway/src/handle.rs
@@ -7,6 +7,7 @@
 use caller::{Dispatch, Refused, Slot, Want};
 use fleet::Place;
 use policy::{Grant, Kind, NodeId, PermitId};
+use resources::{Name, Route};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::event::{Command, Event};
@@ -34,6 +35,10 @@
 impl Dispatch for Handle {
     type Slot = HandleSlot;
 
+    fn unserved(&self, route: &Arc<Route>, service: &Name) {
+        self.send(Command::Unserved(route.clone(), service.clone()));
+    }
+
     async fn acquire(&self, want: Want) -> Result<HandleSlot, Refused> {
         let id = PermitId { node: self.node, seq: self.next.fetch_add(1, Ordering::Relaxed) };
         let (tx, rx) = oneshot::channel();
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -74,9 +74,13 @@
     pub fn reconfigure(&mut self, now: Time, config: &Config) {
         let mut routes: FxHashMap<&Name, Vec<RouteTerms>> = FxHashMap::default();
         for route in config.routes.iter() {
-            for (service, _) in route.shares() {
-                let terms =
-                    RouteTerms { id: route_hash(&route.name), objective: route.objective() };
+            let total: u32 = route.shares().map(|(_, weight)| weight).sum();
+            for (service, weight) in route.shares() {
+                let terms = RouteTerms {
+                    id: route_hash(&route.name),
+                    objective: route.objective(),
+                    share: f64::from(weight) / f64::from(total.max(1)),
+                };
                 routes.entry(service).or_default().push(terms);
             }
         }
--- a/crates/fleet/src/permits.rs
+++ b/crates/fleet/src/permits.rs
@@ -240,16 +240,9 @@
         let ask = Ask { left: wish.deadline.since(now), ..wish.ask.clone() };
         pending.wish.ask.send = ask.send.again();
         pending.asked = now;
-        let is_passed_over =
-            |it: &NodeId| self.passed_over.get(it).is_some_and(|(until, _)| now < *until);
-        let node = match pending.vain < MAX_TIMEOUTS {
-            true => directory.candidates(service).into_iter().find(|it| !is_passed_over(it)),
-            false => None,
-        };
-        let place = match node {
-            Some(node) if node == self.me => Place::Own,
-            Some(node) => Place::Peer(node),
-            None => Place::Direct,
+        let place = match pending.vain < MAX_TIMEOUTS {
+            true => place(self.me, &self.passed_over, now, service, directory),
+            false => Place::Direct,
         };
         pending.place = place;
         let ask = Ask { brings_part: self.brings_part(now, service, place), ..ask };
@@ -263,6 +256,11 @@
         }
     }
 
+    /// Who is asked for the slots of a service now.
+    pub fn place(&self, now: Time, service: u64, directory: &impl Directory) -> Place {
+        place(self.me, &self.passed_over, now, service, directory)
+    }
+
     /// Follows a change of the budget's window.
     pub fn set_window(&mut self, window: Duration) {
         self.window = window;
@@ -293,6 +291,22 @@
     }
 }
 
+/// The best of those that can dispatch a service and are not passed over.
+fn place(
+    me: NodeId,
+    passed_over: &FxHashMap<NodeId, (Time, Duration)>,
+    now: Time,
+    service: u64,
+    directory: &impl Directory,
+) -> Place {
+    let is_passed_over = |it: &NodeId| passed_over.get(it).is_some_and(|(until, _)| now < *until);
+    match directory.candidates(service).into_iter().find(|it| !is_passed_over(it)) {
+        Some(node) if node == me => Place::Own,
+        Some(node) => Place::Peer(node),
+        None => Place::Direct,
+    }
+}
+
 /// A slot that arrives after its wish has moved on is given back at once.
 fn unwanted(place: Place, id: PermitId, reply: &Reply) -> Option<Action> {
     match (place, reply) {
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -194,6 +194,13 @@
         /// Time from the send to its beginning.
         elapsed: Duration,
     },
+    /// Tells of requests on routes that lead to a service and that another one did not serve.
+    UnservedElsewhere {
+        /// Hash of the service's name.
+        service: u64,
+        /// Requests since the last message.
+        requests: u32,
+    },
 }
 
 /// A message between nodes.
--- a/crates/policy/benches/decision.rs
+++ b/crates/policy/benches/decision.rs
@@ -59,7 +59,7 @@
 /// all endpoints looked at anew, 0.06 ms since.
 fn release_to_a_queue(c: &mut Criterion) {
     let mut group = c.benchmark_group("release to a queue");
-    let terms = [RouteTerms { id: 1, objective: Duration::from_millis(1_200) }];
+    let terms = [RouteTerms { id: 1, objective: Duration::from_millis(1_200), share: 1.0 }];
     let mut dispatcher = Dispatcher::new(Time(0), &service(99), &terms, BUDGET);
     let mut rng = StdRng::seed_from_u64(1);
     let mut open = std::collections::VecDeque::new();
@@ -90,7 +90,8 @@
     let mut group = c.benchmark_group("ask and release");
     for (endpoints, routes) in [(5, 4), (15, 4), (28, 4), (99, 4), (15, 400)] {
         let objective = Duration::from_millis(600);
-        let routes: Vec<_> = (0..routes).map(|id| RouteTerms { id, objective }).collect();
+        let routes: Vec<_> =
+            (0..routes).map(|id| RouteTerms { id, objective, share: 1.0 }).collect();
         let mut dispatcher = Dispatcher::new(Time(0), &service(endpoints), &routes, BUDGET);
         let mut rng = StdRng::seed_from_u64(1);
         let mut seq = 0;
--- a/crates/policy/src/baseline.rs
+++ b/crates/policy/src/baseline.rs
@@ -64,12 +64,14 @@
 }
 
 /// What is to be known of a route that leads to a service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RouteTerms {
     /// Hash of the route's name.
     pub id: u32,
     /// Time within which an answer is worth most to the caller.
     pub objective: Duration,
+    /// Part of the route's requests that come to this service; the others go to other services.
+    pub share: f64,
 }
 
 /// The normal behaviour of a service.
--- a/crates/policy/src/dispatcher/evidence.rs
+++ b/crates/policy/src/dispatcher/evidence.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Learns of requests that another service did not serve, on routes that lead to this one too.
+    pub fn unserved_elsewhere(&mut self, _now: Time, requests: u32) {
+        self.tally.unserved_elsewhere += requests;
+    }
+
     /// Takes over what another dispatcher of the same service knows of failures.
     pub fn with_beliefs_of(mut self, other: &Self) -> Self {
         for (it, load) in self.judge.rotation.endpoints().iter().zip(&mut self.loads) {
--- a/crates/policy/src/dispatcher/tally.rs
+++ b/crates/policy/src/dispatcher/tally.rs
@@ -33,6 +33,8 @@
     pub failed: u32,
     /// Requests that timed out at an endpoint.
     pub timed_out: u32,
+    /// Requests of routes that lead here too, and that another service did not serve.
+    pub unserved_elsewhere: u32,
 }
 
 impl Tally {
--- a/crates/policy/src/tests/fixture.rs
+++ b/crates/policy/src/tests/fixture.rs
@@ -14,7 +14,7 @@
 
 pub(super) const ROUTE: u32 = 7;
 pub(super) const TERMS: RouteTerms =
-    RouteTerms { id: ROUTE, objective: Duration::from_millis(600) };
+    RouteTerms { id: ROUTE, objective: Duration::from_millis(600), share: 1.0 };
 
 /// A service whose endpoints are spread over the failure domains `a`, `b`, `c`, ….
 pub(super) fn service(sizes: &[usize], floor: usize, bias: Bias) -> Service {
