Test that fails: endpoints idle while other services of a split route refuse

Cause shown: of 130 endpoints 104 are sound and 72 get work in two seconds in which 0.22 of the route's requests are not served, since the dispatcher sees its own part alone, of which nearly all is served. Ruled out by the log: slots held by requests that hang.

--- a/crates/policy/src/tests/rest.rs
+++ b/crates/policy/src/tests/rest.rs
@@ -12,7 +12,7 @@
 use resources::{Bias, Floor};
 
 use super::fixture::{BUDGET, SECOND, TERMS, ask, service};
-use crate::{Ask, Dispatcher, Kind, PermitId, Reply, SendKind, Settled, Time};
+use crate::{Ask, Dispatcher, Kind, PermitId, Reply, RouteTerms, SendKind, Settled, Time};
 
 /// How endpoints fall sick.
 #[derive(Clone, Copy, Debug)]
@@ -33,6 +33,15 @@
     share: f64,
 }
 
+/// The route leads to other services too, which do not serve all that comes to them.
+#[derive(Clone, Copy, Debug)]
+struct Split {
+    /// Part of the route's requests that come to this service.
+    share: f64,
+    /// Part of the others that is not served.
+    unserved: f64,
+}
+
 /// A service under load for some seconds.
 #[derive(Clone, Debug)]
 struct Load {
@@ -43,6 +52,7 @@
     outage: Option<Outage>,
     /// Share of the work that may be sent again.
     repeatable: f64,
+    split: Option<Split>,
     seconds: u64,
     seed: u64,
 }
@@ -79,6 +89,14 @@
     unserved as f64 / ended.len().max(1) as f64
 }
 
+impl Load {
+    /// Sends in two seconds below which the floor is not looked at.
+    fn enough(&self) -> usize {
+        let each = if self.split.is_some() { 1 } else { ENOUGH };
+        each * self.endpoints
+    }
+}
+
 struct World {
     load: Load,
     rng: StdRng,
@@ -166,8 +184,11 @@
             .collect();
         let mut service = service(&sizes, 1, Bias::Speed);
         service.floor = Floor::Percent((FLOOR * 100.0) as u8);
-        let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
+        let share = self.load.split.map_or(1.0, |it| it.share);
+        let terms = [RouteTerms { share, ..TERMS }];
+        let mut dispatcher = Dispatcher::new(Time(0), &service, &terms, BUDGET);
         let mut rng = StdRng::seed_from_u64(self.load.seed);
+        let mut untold = 0;
         let slots = self.load.endpoints as f64 * SLOTS;
         let every = WORK.div_f64(slots * self.load.use_of_slots);
         let end = Time(0) + SECOND * self.load.seconds as u32;
@@ -191,6 +212,7 @@
             } else if tick <= next {
                 let settled = dispatcher.tick(tick, &mut rng);
                 self.take(tick, &dispatcher, settled);
+                dispatcher.unserved_elsewhere(tick, std::mem::take(&mut untold));
                 tick = tick + Duration::from_millis(100);
             } else {
                 let repeatable = self.rng.random_bool(self.load.repeatable);
@@ -201,6 +223,7 @@
                 let id = ask.id;
                 let reply = dispatcher.ask(next, ask, &mut rng);
                 self.reply(next, &dispatcher, id, reply);
+                untold += self.elsewhere(next);
                 next = next + every;
                 // The odd number that follows is for a second send.
                 seq += 2;
@@ -210,6 +233,16 @@
         self
     }
 
+    /// The requests of the route that go to other services meanwhile; returns how many are not served.
+    fn elsewhere(&mut self, at: Time) -> u32 {
+        let Some(split) = self.load.split else { return 0 };
+        let others = (1.0 / split.share - 1.0) as u32;
+        let unserved = (0..others).filter(|_| self.rng.random_bool(split.unserved)).count() as u32;
+        let end = |i| if i < unserved { End::Unserved } else { End::Served };
+        self.seen.extend((0..others).map(|i| Seen { at, endpoint: None, end: end(i) }));
+        unserved
+    }
+
     /// Share of the requests sent from `from` on that is not served.
     fn unserved(&self, from: Time) -> f64 {
         unserved_share(self.seen.iter().filter(|it| it.at >= from))
@@ -223,7 +256,8 @@
             let to = from + window;
             let seen: Vec<_> = self.seen.iter().filter(|it| (from..to).contains(&it.at)).collect();
             let share = unserved_share(seen.iter().copied());
-            if seen.len() < ENOUGH * self.load.endpoints || share <= 0.1 || share >= 0.5 {
+            let here = seen.iter().filter(|it| it.endpoint.is_some()).count();
+            if here < self.load.enough() || share <= 0.1 || share >= 0.5 {
                 return None;
             }
             let is_out = |i: usize| {
@@ -267,6 +301,7 @@
             sickness: NOISE,
             outage: None,
             repeatable: 0.0,
+            split: None,
             seconds: 24,
             seed: 1,
         };
@@ -297,6 +332,7 @@
             sickness,
             outage,
             repeatable,
+            split: None,
             seconds: 18,
             seed,
         },
@@ -313,3 +349,34 @@
         prop_assert!(below.is_none(), "{}", below.unwrap());
     }
 }
+
+/// Users saw four of thirteen sound endpoints of a download service without work for two seconds, while 101 of 274
+/// downloads were not served. The downloads were split over three services, and another one of them turned most of its
+/// work away; of the 80 a second that came to the service itself nearly all were answered. So the node that
+/// hands out its slots saw no need: it left endpoints alone for 3.6 s and longer, and gave the others work by chance,
+/// of which 1.2 requests for each endpoint in two seconds leave many without. The log of such a day said so: 72
+/// to 82 first sends a second for 130 endpoints, none unserved, 4 to 37 endpoints idle for two to six seconds, while
+/// 154 of 623 downloads of the route were not served.
+#[test]
+fn the_floor_holds_while_other_services_of_a_split_route_refuse() {
+    let of = |endpoints, use_of_slots, share, unserved, seed| Load {
+        endpoints,
+        use_of_slots,
+        sickness: NOISE,
+        outage: None,
+        repeatable: 1.0,
+        split: Some(Split { share, unserved }),
+        seconds: 18,
+        seed,
+    };
+    for seed in 1..=3 {
+        for load in [
+            of(130, 0.05, 0.25, 0.3, seed),
+            of(57, 0.1, 0.34, 0.45, seed),
+            of(24, 0.08, 0.5, 0.5, seed),
+        ] {
+            let below = World::new(load.clone()).play().below_floor();
+            assert!(below.is_none(), "{load:?}: {}", below.unwrap());
+        }
+    }
+}
