An endpoint that starts again under its identity is known anew

Cause: an endpoint may start again under the id that it had; its start tells its lives apart. Everything was keyed by the id alone, so that a failure, an ejection, a leaving or a full set of slots of the life before stayed with the next one. Now a life is the id and its start: beliefs, verdicts, slots and standing begin anew with it, and what the life before still does, here or by the word of another dispatcher, says nothing of it. Not covered: a node that could not reach the address a moment ago avoids it for up to 3 s.

--- a/crates/fleet/src/tests/replica.rs
+++ b/crates/fleet/src/tests/replica.rs
@@ -13,6 +13,7 @@
         slots: 3,
         standing,
         warm_up_ms: 0,
+        started_ms: 0,
     };
     let entry = Some(Registration { service: "s".into(), endpoint });
     RegistryChange { id: id.into(), revision, entry }
@@ -144,3 +145,22 @@
     assert!(replica.since(1_900).is_none());
     assert_eq!(ids(&replica.since(2_900).unwrap()), [("a", 2_999)]);
 }
+
+/// What was said of an endpoint's life before, its leaving too, ends with the next one.
+#[test]
+fn an_endpoint_that_starts_again_under_its_identity_is_there_anew() {
+    let again = |revision| {
+        let mut it = present("a", revision);
+        it.entry.as_mut().unwrap().endpoint.started_ms = 1_000;
+        it
+    };
+    for before in [present("a", 5), entry("a", 5, Standing::Leaving)] {
+        let mut replica = Replica::default();
+        replica.update(Time(0), &whole(5, vec![before]));
+        assert!(replica.update(Time(0), &changes(5, 6, vec![again(6)])), "it is news");
+        assert_eq!(known(&replica), [("a".into(), Standing::Present)]);
+        assert_eq!(replica.registrations().next().unwrap().endpoint.started_ms, 1_000);
+        // The same entry again is none.
+        assert!(!replica.update(Time(0), &changes(6, 7, vec![again(7)])));
+    }
+}
--- a/crates/fleet/src/tests/replica_model.rs
+++ b/crates/fleet/src/tests/replica_model.rs
@@ -108,6 +108,7 @@
         slots: 1,
         standing: Standing::Present,
         warm_up_ms: revision as u32,
+        started_ms: 0,
     };
     let entry = is_present.then(|| Registration { service: "s".into(), endpoint });
     RegistryChange { id: "i".into(), revision, entry }
--- a/crates/fleet/src/tests/wire.rs
+++ b/crates/fleet/src/tests/wire.rs
@@ -59,6 +59,7 @@
         slots: u32::MAX,
         standing: Standing::Leaving,
         warm_up_ms: u32::MAX,
+        started_ms: u64::MAX,
     };
     let id = endpoint.id.clone();
     let entry = Some(Registration { service: "a-service-with-a-long-name".into(), endpoint });
--- a/crates/fleet/tests/repeats.rs
+++ b/crates/fleet/tests/repeats.rs
@@ -84,6 +84,7 @@
         slots: 64,
         standing: Standing::Present,
         warm_up_ms: 0,
+        started_ms: 0,
     };
     Service {
         name: "s".into(),
--- a/crates/fleet/tests/start.rs
+++ b/crates/fleet/tests/start.rs
@@ -23,6 +23,7 @@
         slots: 3,
         standing: Standing::Present,
         warm_up_ms: 0,
+        started_ms: 0,
     };
     let entry = Some(Registration { service: "booking".into(), endpoint });
     RegistryChange { id: id.as_str().into(), revision: 0, entry }
--- a/crates/policy/benches/decision.rs
+++ b/crates/policy/benches/decision.rs
@@ -22,6 +22,7 @@
         slots: 0,
         standing: Default::default(),
         warm_up_ms: 0,
+        started_ms: 0,
     };
     Service {
         name: "s".into(),
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -144,21 +144,24 @@
     }
 
     /// Follows a new configuration or a change of the endpoints. Permits on endpoints that stay are
-    /// kept.
+    /// kept; those on one that has started again went with its life before.
     pub fn reconfigure(&mut self, now: Time, service: &Service, routes: &[RouteTerms]) {
-        let before: Vec<_> = self.endpoints().iter().map(|it| it.id.clone()).collect();
+        let before: Vec<_> = self.endpoints().iter().map(EndpointStatus::life).collect();
         self.judge.reconfigure(now, service, routes);
         self.floor_share = floor_share(service);
         self.elsewhere = elsewhere(routes);
-        let after: Vec<_> = self.endpoints().iter().map(|it| it.id.clone()).collect();
+        let after: Vec<_> = self.endpoints().iter().map(EndpointStatus::life).collect();
         let old = std::mem::take(&mut self.loads);
         let load_of = |it: &EndpointStatus| {
-            let known = before.iter().position(|id| *id == it.id).map(|i| old[i].clone());
-            known.unwrap_or_else(|| Load::new(now, &it.failure_domain))
+            let known = before.iter().position(|life| *life == it.life()).map(|i| old[i].clone());
+            known.unwrap_or_else(|| match before.iter().any(|life| life.is_of(&it.id)) {
+                true => Load::again(now, &it.failure_domain),
+                false => Load::new(now, &it.failure_domain),
+            })
         };
         self.loads = self.endpoints().iter().map(load_of).collect();
         self.permits.retain(|_, it| {
-            let moved = after.iter().position(|id| *id == before[it.endpoint]);
+            let moved = after.iter().position(|life| *life == before[it.endpoint]);
             it.endpoint = moved.unwrap_or_default();
             moved.is_some()
         });
--- a/crates/policy/src/dispatcher/evidence.rs
+++ b/crates/policy/src/dispatcher/evidence.rs
@@ -51,9 +51,11 @@
         }
     }
 
-    /// Learns from a request that another dispatcher gave the slot for.
+    /// Learns from a request that another dispatcher gave the slot for. One that began before this life of the
+    /// endpoint was known went to the life before.
     pub fn observe(&mut self, now: Time, id: &str, observation: Observation) {
-        if let Some(endpoint) = self.judge.rotation.position(id) {
+        let Some(endpoint) = self.judge.rotation.position(id) else { return };
+        if !self.loads[endpoint].is_older(now, observation.elapsed) {
             self.note(now, Observation { endpoint, ..observation });
         }
     }
--- a/crates/policy/src/dispatcher/load.rs
+++ b/crates/policy/src/dispatcher/load.rs
@@ -24,6 +24,8 @@
     used_at: Option<Time>,
     /// Since when it is known here.
     known_since: Time,
+    /// An earlier life of it was known here.
+    began_again: bool,
 }
 
 /// A request that holds a slot.
@@ -46,9 +48,20 @@
             open: Vec::new(),
             used_at: None,
             known_since: now,
+            began_again: false,
         }
     }
 
+    /// An endpoint that has started again: its life before was known.
+    pub(super) fn again(now: Time, failure_domain: &str) -> Self {
+        Self { began_again: true, ..Self::new(now, failure_domain) }
+    }
+
+    /// Whether a request that took `elapsed` until now may have gone to the life before.
+    pub(super) fn is_older(&self, now: Time, elapsed: Duration) -> bool {
+        self.began_again && elapsed > self.age(now)
+    }
+
     /// Time without work; nothing if it has had none.
     pub(super) fn idle(&self, now: Time) -> Option<Duration> {
         self.used_at.map(|it| now.since(it))
--- a/crates/policy/src/rotation.rs
+++ b/crates/policy/src/rotation.rs
@@ -102,8 +102,10 @@
 /// One endpoint in the rotation.
 #[derive(Clone, Debug)]
 pub struct EndpointStatus {
-    /// Identity of this life of the endpoint.
+    /// Identity.
     pub id: Name,
+    /// When this life began, in Unix milliseconds; 0 where nobody says.
+    pub started_ms: u64,
     /// IP address and port.
     pub addr: SocketAddr,
     /// Failure domain.
@@ -120,11 +122,31 @@
     pub last_good: Option<Time>,
 }
 
+/// One life of one endpoint: what was learned of it says nothing of the next one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Life {
+    id: Name,
+    started_ms: u64,
+}
+
+impl Life {
+    /// Whether it is one of this endpoint.
+    pub(crate) fn is_of(&self, id: &str) -> bool {
+        self.id == id
+    }
+}
+
 impl EndpointStatus {
+    /// The life that it is in.
+    pub(crate) fn life(&self) -> Life {
+        Life { id: self.id.clone(), started_ms: self.started_ms }
+    }
+
     fn new(now: Time, service: &Service, it: &Endpoint) -> Self {
         let is_leaving = it.standing == Standing::Leaving;
         Self {
             id: it.id.clone(),
+            started_ms: it.started_ms,
             addr: it.addr,
             failure_domain: it.failure_domain.clone(),
             slots: if it.slots == 0 { service.slots } else { it.slots },
@@ -213,12 +235,13 @@
         std::mem::take(&mut self.changes)
     }
 
-    /// Follows a new configuration; endpoints that stay keep their standing, new ones are cold.
+    /// Follows a new configuration; endpoints that stay keep their standing, new ones and those that have started
+    /// again are cold.
     pub fn reconfigure(&mut self, now: Time, service: &Service) {
         let old = std::mem::replace(self, Self::new(now, service));
         self.changes = old.changes;
         for it in &mut self.endpoints {
-            let kept = old.endpoints.iter().find(|e| e.id == it.id);
+            let kept = old.endpoints.iter().find(|e| e.life() == it.life());
             match kept {
                 Some(kept) if it.state != State::Leaving || kept.state == State::Leaving => {
                     it.state = kept.state;
--- a/crates/policy/src/tests.rs
+++ b/crates/policy/src/tests.rs
@@ -7,6 +7,7 @@
 mod floor;
 mod floor_model;
 mod kinds;
+mod lives;
 mod queue;
 mod rendezvous;
 mod rest;
--- a/crates/policy/src/tests/fixture.rs
+++ b/crates/policy/src/tests/fixture.rs
@@ -30,6 +30,7 @@
                 slots: 0,
                 standing: Standing::Present,
                 warm_up_ms: 0,
+                started_ms: 0,
             });
         }
     }
--- a/crates/resources/src/model.rs
+++ b/crates/resources/src/model.rs
@@ -67,11 +67,11 @@
 }
 
 /// One upstream endpoint: one life of an upstream process. Its address may belong to another
-/// endpoint, of another service, a few seconds after it has ended.
+/// endpoint, of another service, a few seconds after it has ended; its `id` may come back with a later life.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Endpoint {
-    /// Identity of this life; no other endpoint ever has it.
+    /// Identity, which no other endpoint ever has.
     #[schemars(with = "String")]
     pub id: Name,
     /// IP address and TCP port.
@@ -89,6 +89,10 @@
     /// How much longer it works slowly after its start, in milliseconds.
     #[serde(default)]
     pub warm_up_ms: u32,
+    /// When this life began, in Unix milliseconds; 0 where nobody says. What was known of an earlier life says
+    /// nothing of this one.
+    #[serde(default)]
+    pub started_ms: u64,
 }
 
 /// Whether an endpoint takes new work, as the registry tells it.
--- a/crates/standin/src/bed.rs
+++ b/crates/standin/src/bed.rs
@@ -128,6 +128,7 @@
                 slots: 0,
                 standing: Standing::Present,
                 warm_up_ms: 0,
+                started_ms: 0,
             });
         }
         let resources = layout.resources(&endpoints)?;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -58,6 +58,8 @@
     history: Vec<Event>,
     /// Changes up to this revision are forgotten.
     forgotten: u64,
+    /// Values that stand in the place of what was written.
+    spoiled: BTreeMap<String, Value>,
     fault: Fault,
     calls: u64,
 }
@@ -72,6 +74,15 @@
         }
         self.history.push(event);
     }
+
+    /// An item as it is told.
+    fn show(&self, it: &Event) -> Value {
+        let mut shown = item(it);
+        if let Some(value) = self.spoiled.get(&it.key).filter(|_| it.value.is_some()) {
+            shown["value"] = value.clone();
+        }
+        shown
+    }
 }
 
 /// The platform.
@@ -110,6 +121,18 @@
         self.changed.notify_waiters();
     }
 
+    /// Puts any bytes under any key, as another writer may.
+    pub fn put_raw(&self, key: &str, buf: &[u8]) {
+        self.state.lock().put(key, Some(buf.to_vec()));
+        self.changed.notify_waiters();
+    }
+
+    /// Puts something that is not even base64 text in the place of an item's value.
+    pub fn spoil(&self, key: &str, value: Value) {
+        self.state.lock().spoiled.insert(key.to_owned(), value);
+        self.put_raw(key, b"");
+    }
+
     /// Lets an endpoint say that it is going away.
     pub fn leave(&self, id: &str) {
         let key = format!("{ENDPOINTS}{id}");
@@ -201,7 +224,7 @@
         let state = self.state.lock();
         let found = state.items.values();
         let mut found = found.filter(|it| it.key.starts_with(prefix) && it.key.as_str() > after);
-        let items: Vec<Value> = found.by_ref().take(PAGE).map(item).collect();
+        let items: Vec<Value> = found.by_ref().take(PAGE).map(|it| state.show(it)).collect();
         let has_more = found.next().is_some();
         let revision = state.revision;
         server::json(&json!({ "items": items, "hasMore": has_more, "currentRev": revision }))
@@ -233,7 +256,7 @@
         let shown = state.history.iter().filter(|it| {
             it.revision > after && it.key.starts_with(prefix) && state.fault != Fault::Stale
         });
-        let events: Vec<Value> = shown.map(item).collect();
+        let events: Vec<Value> = shown.map(|it| state.show(it)).collect();
         let revision = if state.fault == Fault::Stale { after } else { state.revision };
         (is_over || !events.is_empty())
             .then(|| server::json(&json!({ "events": events, "currentRev": revision })))
@@ -293,6 +316,7 @@
     json!({
         "service": service, "address": it.addr, "zone": it.failure_domain, "version": "v1",
         "slots": slots, "state": state, "warmupLeftS": f64::from(it.warm_up_ms) / 1000.0, "seq": 1,
+        "born": it.started_ms,
     })
 }
 
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use percent_encoding::percent_decode_str;
 use tokio::net::TcpListener;
 
 /// Body of an answer; an error closes the connection.
@@ -78,5 +79,7 @@
 pub fn query<T: std::str::FromStr>(req: &Request<Incoming>, name: &str) -> Option<T> {
     let query = req.uri().query()?;
     let pairs = query.split('&').filter_map(|it| it.split_once('='));
-    pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse().ok())
+    let text = |it: &str| percent_decode_str(it).decode_utf8().ok().map(|it| it.into_owned());
+    let mut found = pairs.filter(|(key, _)| *key == name);
+    found.find_map(|(_, value)| text(value)?.parse().ok())
 }
--- a/xtask/src/measure/slopes.rs
+++ b/xtask/src/measure/slopes.rs
@@ -194,6 +194,7 @@
         slots: 0,
         standing: Default::default(),
         warm_up_ms: 0,
+        started_ms: 0,
     };
     let mut all = Vec::new();
     for s in 0..services {
