Less of the fixed part is brought at a start: seven starts of all in a window stay within the bound

Cause: a property test drew five restarts of all within six seconds; each brought a tenth of the fixed part, where three are paid for. Now 0.04 each, which with what accrues and lies ready pays for seven. Ruled out: none brought (a service that has just started would count its budget as short).

--- a/crates/policy/src/budget/credit.rs
+++ b/crates/policy/src/budget/credit.rs
@@ -23,8 +23,8 @@
 /// Part of the fixed bound that may lie ready. A window can hold this and what accrues in it.
 const EXTRA_READY: f64 = 0.3;
 /// Part of the fixed bound that a node brings along when it gives its part to this one, so that a service that has
-/// just started is not without. What the other two leave pays for three starts of the whole fleet in a window.
-const EXTRA_BROUGHT: f64 = 0.1;
+/// just started is not without. What the other two leave pays for seven starts of the whole fleet in a window.
+const EXTRA_BROUGHT: f64 = 0.04;
 
 /// What was earned in one slice, and what is left of it.
 #[derive(Clone, Copy, Debug, Default)]
