--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -91,6 +91,13 @@
         is_out && self.strain == Strain::Unserved && self.belief.failed_before(self.now, TRY_AGAIN)
     }
 
+    /// Whether it is without work for so long, while a part is not served, that the users may count it as idle. They
+    /// count the endpoints of all failure domains alike: with those of its own preferred, a failure domain that had
+    /// ten of 19 idle ones stayed without while others' endpoints had work twice.
+    fn is_missed(&self) -> bool {
+        self.is_due && self.strain == Strain::Unserved
+    }
+
     /// Slots that may be used now: one while nothing proves that the endpoint is well again.
     fn usable_slots(&self) -> u32 {
         if self.is_needed() {
@@ -159,7 +166,8 @@
                 it if it < look.status.usable_slots(now) && tier < Tier::Last => Tier::Last,
                 _ => continue,
             };
-            let cost = load.in_use() + if is_near { 0 } else { FAR_SLOTS };
+            let way = if is_near || look.is_missed() { 0 } else { FAR_SLOTS };
+            let cost = load.in_use() + way;
             // Among equals the one that has been without work for longest. Drawn by chance, a quarter of the endpoints
             // have nothing for two seconds where 1.2 sends come for each, are then taken for a little doubtful, and
             // go behind the others.
@@ -263,8 +271,7 @@
             _ if is_on_trial && ask.repeatable && !ask.bulky => Some(Tier::Trial),
             _ if last && ask.bulky && is_near && !self.is_last_send(ask) => Some(Tier::Near),
             _ if last => Some(Tier::Last),
-            // The users' floor counts endpoints of all failure domains alike.
-            _ if look.is_due && look.strain == Strain::Unserved => Some(Tier::Good),
+            _ if look.is_missed() => Some(Tier::Good),
             _ if ask.bulky && !is_near => Some(Tier::Far),
             Use::Cautiously if !ask.repeatable => Some(Tier::Cautious),
             _ => Some(Tier::Good),
