--- a/crates/dappleway/src/control/dispatch_log.rs
+++ b/crates/dappleway/src/control/dispatch_log.rs
@@ -1,7 +1,9 @@
 //! Once a second, for each service whose slots were handed out here: what was asked for, how it ended, and which
 //! endpoints had no work while a part was not served.
 
-use policy::{Dispatcher, IdleEndpoint, Tally, Time};
+use std::time::Duration;
+
+use policy::{DispatchCounts, Dispatcher, IdleEndpoint, Time};
 use serde_json::json;
 use slog::info;
 
@@ -16,21 +18,23 @@
     pub(super) fn log_dispatch(&mut self, now: Time) {
         let mut lines = Vec::new();
         self.services.for_each(|service, scope, it| {
-            let tally = it.take_tally();
-            if tally != Tally::default() {
+            let counts = it.take_counts();
+            if counts != DispatchCounts::default() {
                 let idle = if it.is_strained() { name_idle(now, it) } else { Vec::new() };
-                lines.push((service, scope, tally, it.strain_name(), it.queued(), idle));
+                lines.push((service, scope, counts, it.strain_name(), it.queued(), idle));
             }
         });
-        for (service, scope, tally, strain, queued, idle) in lines {
+        for (service, scope, counts, strain, queued, idle) in lines {
             let Some(state) = self.services.get(service) else { continue };
             let (name, is_fleet) = (state.service.name.as_str(), scope == Scope::Fleet);
             info!(self.log, "slots handed out"; "service" => name, "dispatched_here" => is_fleet,
-                "first_sends" => tally.first, "repeats" => tally.repeats,
-                "repeats_refused" => tally.repeats_refused, "answered" => tally.answered,
-                "failed" => tally.failed, "timed_out" => tally.timed_out, "shed_last" => tally.shed_last,
-                "queue_refused" => tally.queue_refused, "waited_in_vain" => tally.waited_in_vain,
-                "withdrawn" => tally.withdrawn, "unserved_elsewhere" => tally.unserved_elsewhere, "queued" => queued, "strain" => strain);
+                "first_sends" => counts.first, "repeats" => counts.repeats,
+                "repeats_refused" => counts.repeats_refused, "answered" => counts.answered,
+                "failed" => counts.failed, "timed_out" => counts.timed_out,
+                "shed_last" => counts.shed_last, "queue_refused" => counts.queue_refused,
+                "waited_in_vain" => counts.waited_in_vain, "withdrawn" => counts.withdrawn,
+                "unserved_elsewhere" => counts.unserved_elsewhere, "queued" => queued,
+                "strain" => strain);
             if !idle.is_empty() {
                 info!(self.log, "endpoints without work"; "service" => name,
                     "dispatched_here" => is_fleet, "endpoints" => state.service.endpoints.len(),
@@ -44,9 +48,9 @@
     it.idle_endpoints(now).take(MAX_NAMED).map(|it| describe(&it)).collect()
 }
 
-/// One endpoint in one word, so that a line stays short: times in milliseconds.
+/// One endpoint in few signs, so that a line stays short; docs/OPERATIONS.md names the places.
 fn describe(it: &IdleEndpoint) -> String {
-    let ms = |it: Option<std::time::Duration>| it.map(|it| it.as_millis() as u64);
+    let ms = |it: Option<Duration>| it.map(|it| it.as_millis() as u64);
     json!([
         it.id.as_str(),
         it.state,
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -74,12 +74,12 @@
     pub fn reconfigure(&mut self, now: Time, config: &Config) {
         let mut routes: FxHashMap<&Name, Vec<RouteTerms>> = FxHashMap::default();
         for route in config.routes.iter() {
-            let total: u32 = route.shares().map(|(_, weight)| weight).sum();
+            let total: u64 = route.shares().map(|(_, weight)| u64::from(weight)).sum();
             for (service, weight) in route.shares() {
                 let terms = RouteTerms {
                     id: route_hash(&route.name),
                     objective: route.objective(),
-                    share: f64::from(weight) / f64::from(total.max(1)),
+                    share: f64::from(weight) / total.max(1) as f64,
                 };
                 routes.entry(service).or_default().push(terms);
             }
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -6,10 +6,10 @@
 //! late and doubled permits do no harm.
 
 mod choice;
+mod counts;
 mod evidence;
 mod load;
 mod rest;
-mod tally;
 mod waiting;
 
 use std::time::Duration;
@@ -31,8 +31,8 @@
 use crate::time::Time;
 use load::Load;
 
+pub use counts::{DispatchCounts, IdleEndpoint};
 pub use evidence::EvidenceReport;
-pub use tally::{IdleEndpoint, Tally};
 
 /// A permit that is neither released nor renewed for this long is taken back.
 const PERMIT_LIFETIME: Duration = Duration::from_secs(3);
@@ -103,7 +103,7 @@
     /// Repeats refused when that was last told.
     refused_before: u64,
     served: Served,
-    tally: Tally,
+    counts: DispatchCounts,
     granted_at: Option<Time>,
     /// Whether so much fails that endpoints are tried again sooner; as of the last choice.
     strain: Strain,
@@ -133,7 +133,7 @@
             budget: Budget::new(now, budget),
             refused_before: 0,
             served: Served::default(),
-            tally: Tally::default(),
+            counts: DispatchCounts::default(),
             granted_at: None,
             strain: Strain::None,
             due_after: (IDLE_AFTER, now),
@@ -181,7 +181,7 @@
         }
         match ask.send {
             SendKind::First => {
-                self.tally.first += 1;
+                self.counts.first += 1;
                 self.budget.first_send(now);
                 if let Some(others) = self.elsewhere.get(&ask.route) {
                     self.served.note_elsewhere(now, *others);
@@ -192,7 +192,7 @@
             // A hedge that is refused leaves its request where it was.
             SendKind::Further if !ask.wait => return Reply::Full,
             SendKind::Further => {
-                self.tally.repeats_refused += 1;
+                self.counts.repeats_refused += 1;
                 self.served.note(now, Ending::Unserved);
                 return Reply::Refused { retry_after: self.mean_hold.max(MIN_RETRY_AFTER) };
             }
@@ -234,7 +234,7 @@
     /// Gives a slot back without learning anything from it, as when the caller has left.
     pub fn cancel(&mut self, now: Time, id: PermitId, rng: &mut impl Rng) -> Vec<Settled> {
         let withdrawn = self.queue.extract(|it| it.item.id == id);
-        self.tally.withdrawn += withdrawn.len() as u32;
+        self.counts.withdrawn += withdrawn.len() as u32;
         self.note_unserved(now, withdrawn.len());
         self.leave_queue(withdrawn.iter().map(|it| &it.item));
         let Some(permit) = self.permits.remove(&id) else { return Vec::new() };
@@ -276,7 +276,7 @@
             keep
         });
         let late = self.queue.extract(|it| it.deadline <= now);
-        self.tally.waited_in_vain += late.len() as u32;
+        self.counts.waited_in_vain += late.len() as u32;
         self.note_unserved(now, late.len());
         self.leave_queue(late.iter().map(|it| &it.item));
         let mut settled: Vec<_> = late.into_iter().map(|it| self.refusal(it.item.id)).collect();
@@ -357,7 +357,7 @@
             told: Told::Nothing,
         };
         if ask.send == SendKind::Further {
-            self.tally.repeats += 1;
+            self.counts.repeats += 1;
             self.budget.spend(now);
         }
         self.loads[endpoint].take(now, ask.id, ask.route);
--- a/crates/policy/src/dispatcher/tally.rs
+++ b/crates/policy/src/dispatcher/counts.rs
@@ -1,5 +1,5 @@
-//! How the requests of a service fare at one dispatcher, for logs and metrics: what was asked for, and how what
-//! was asked for ended.
+//! How the requests of a service fare at one dispatcher, for logs: what was asked for, how it ended, and which
+//! endpoints had nothing.
 
 use std::time::Duration;
 
@@ -14,7 +14,7 @@
 
 /// Counts since the counts were last taken.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Tally {
+pub struct DispatchCounts {
     /// First sends asked for for the first time.
     pub first: u32,
     /// Further sends granted.
@@ -64,8 +64,8 @@
 
 impl Dispatcher {
     /// Counts since the last call.
-    pub fn take_tally(&mut self) -> Tally {
-        std::mem::take(&mut self.tally)
+    pub fn take_counts(&mut self) -> DispatchCounts {
+        std::mem::take(&mut self.counts)
     }
 
     /// Endpoints that could be used and have had no work for two seconds.
--- a/crates/policy/src/dispatcher/evidence.rs
+++ b/crates/policy/src/dispatcher/evidence.rs
@@ -63,7 +63,7 @@
     /// Learns of requests that another service did not serve, on routes that lead to this one too.
     pub fn unserved_elsewhere(&mut self, now: Time, requests: u32) {
         if requests > 0 {
-            self.tally.unserved_elsewhere += requests;
+            self.counts.unserved_elsewhere += requests;
             self.served.note_unserved_elsewhere(now, requests);
         }
     }
@@ -118,19 +118,19 @@
     pub(super) fn learn(&mut self, now: Time, permit: Permit, kind: Kind, elapsed: Duration) {
         match kind {
             Kind::Answered => {
-                self.tally.answered += 1;
+                self.counts.answered += 1;
                 self.served.note(now, Ending::Served);
             }
             Kind::Failed if permit.is_last_send => {
-                self.tally.failed += 1;
+                self.counts.failed += 1;
                 self.served.note(now, Ending::Unserved);
             }
             Kind::TimedOut => {
-                self.tally.timed_out += 1;
+                self.counts.timed_out += 1;
                 self.served.note(now, Ending::Unserved);
             }
             Kind::Shed if permit.is_last_send && permit.is_further => {
-                self.tally.shed_last += 1;
+                self.counts.shed_last += 1;
                 self.served.note(now, Ending::Unserved);
             }
             _ => {}
--- a/crates/policy/src/dispatcher/waiting.rs
+++ b/crates/policy/src/dispatcher/waiting.rs
@@ -23,7 +23,7 @@
     pub(super) fn enqueue(&mut self, now: Time, ask: Ask, slots: usize) -> Reply {
         let wait = self.expected_wait(self.queue.ahead_of(ask.priority), slots);
         if wait > ask.left || self.queue.len() >= (slots * QUEUE_PER_SLOT).min(MAX_QUEUE) {
-            self.tally.queue_refused += 1;
+            self.counts.queue_refused += 1;
             self.note_unserved(now, 1);
             return Reply::Refused { retry_after: wait.max(MIN_RETRY_AFTER) };
         }
