Read again: permits follow their endpoints by one table, the strain names itself

Cause: each change of the registry copied the state of all endpoints and built a second table of their lives only to move the permits; where each endpoint stands now follows from the one table already there. The names of a strain stood in the dispatcher's counts instead of beside the type, as those of the uses do.

--- a/crates/policy/src/belief.rs
+++ b/crates/policy/src/belief.rs
@@ -69,6 +69,15 @@
 }
 
 impl Strain {
+    /// Short name for logs.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Growing => "growing",
+            Self::Unserved => "unserved",
+        }
+    }
+
     /// How long an endpoint is left without work at most, if its last failure is old enough.
     pub(crate) fn idle_for(self) -> Duration {
         match self {
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -147,11 +147,9 @@
     /// kept; those on one that has started again went with its life before.
     pub fn reconfigure(&mut self, now: Time, service: &Service, routes: &[RouteTerms]) {
         let before = Lives::of(self.endpoints());
-        let was: Vec<_> = self.endpoints().to_vec();
         self.judge.reconfigure(now, service, routes);
         self.floor_share = floor_share(service);
         self.elsewhere = elsewhere(routes);
-        let after = Lives::of(self.endpoints());
         let old = std::mem::take(&mut self.loads);
         let load_of = |it: &EndpointStatus| {
             let known = before.position(it).map(|i| old[i].clone());
@@ -161,10 +159,17 @@
             })
         };
         self.loads = self.endpoints().iter().map(load_of).collect();
+        // Where each endpoint stands now, by where it stood before.
+        let mut moved = vec![None; old.len()];
+        for (i, it) in self.judge.rotation.endpoints().iter().enumerate() {
+            if let Some(was) = before.position(it) {
+                moved[was] = Some(i);
+            }
+        }
         self.permits.retain(|_, it| {
-            let moved = after.position(&was[it.endpoint]);
-            it.endpoint = moved.unwrap_or_default();
-            moved.is_some()
+            let to = moved[it.endpoint];
+            it.endpoint = to.unwrap_or_default();
+            to.is_some()
         });
     }
 
--- a/crates/policy/src/dispatcher/counts.rs
+++ b/crates/policy/src/dispatcher/counts.rs
@@ -95,10 +95,6 @@
 
     /// How much the service misses endpoints, as of the last choice; for logs.
     pub fn strain_name(&self) -> &'static str {
-        match self.strain {
-            Strain::None => "none",
-            Strain::Growing => "growing",
-            Strain::Unserved => "unserved",
-        }
+        self.strain.name()
     }
 }
