--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -13,7 +13,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use percent_encoding::percent_decode_str;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::task::JoinSet;
 
 /// Body of an answer; an error closes the connection.
 pub type Body = BoxBody<Bytes, std::io::Error>;
@@ -21,17 +22,19 @@
 /// An error makes the server close the connection without an answer.
 pub type Answer = Result<Response<Body>, std::io::Error>;
 
-/// Serves `f` on a listener for ever.
+/// Serves `f` on a listener for ever. Dropping the future closes the listener and every connection.
 pub async fn serve<F, Fut>(listener: TcpListener, f: F)
 where
     F: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
     Fut: Future<Output = Answer> + Send + 'static,
 {
+    let mut connections = JoinSet::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
         let _ = stream.set_nodelay(true);
         let f = f.clone();
-        tokio::spawn(async move {
+        while connections.try_join_next().is_some() {}
+        connections.spawn(async move {
             let service = service_fn(f);
             let conn = hyper::server::conn::http1::Builder::new()
                 .serve_connection(TokioIo::new(stream), service);
@@ -58,6 +61,14 @@
     TcpListener::bind(addr).await
 }
 
+/// Keeps an address without listening on it: connections are refused, and nobody else gets the address.
+pub fn hold(addr: SocketAddr) -> std::io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    Ok(socket)
+}
+
 /// An answer with a body that is known whole.
 pub fn answer(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
     let mut res = Response::new(full(body));
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -13,11 +13,17 @@
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{Notify, Semaphore, mpsc};
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::server::{self, Answer, Body, answer, json};
 
+/// A request with this parameter in its query ends the process of every endpoint that begins to run it.
+pub const CRASHING: &str = "crashing";
+/// Time until an endpoint that crashed is back.
+const BACK_AFTER: Duration = Duration::from_secs(1);
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
 /// Bytes in one piece of a download.
 const PIECE: usize = 16 * 1024;
 
@@ -91,6 +97,8 @@
     counts: Counts,
     /// How often each request that must not be repeated was run, by its identity.
     runs: FxHashMap<String, u32>,
+    /// When it crashed.
+    crashes: Vec<std::time::Instant>,
 }
 
 /// One endpoint.
@@ -100,6 +108,7 @@
     profile: Arc<Profile>,
     slots: Arc<Semaphore>,
     state: Arc<Mutex<State>>,
+    crash: Arc<Notify>,
     started: std::time::Instant,
 }
 
@@ -113,12 +122,14 @@
             switched: std::time::Instant::now(),
             counts: Counts::default(),
             runs: FxHashMap::default(),
+            crashes: Vec::new(),
         };
         Self {
             name: name.into(),
             slots: Arc::new(Semaphore::new(profile.slots)),
             profile: Arc::new(profile),
             state: Arc::new(Mutex::new(state)),
+            crash: Arc::new(Notify::new()),
             started: std::time::Instant::now(),
         }
     }
@@ -128,9 +139,32 @@
         &self.name
     }
 
-    /// Serves on a listener for ever.
-    pub async fn serve(self, listener: TcpListener) {
-        server::serve(listener, move |req| self.clone().handle(req)).await;
+    /// Serves on a listener for ever. A crash closes it with all connections; the endpoint is back on the same
+    /// address a while later.
+    pub async fn serve(self, mut listener: TcpListener) {
+        loop {
+            let addr = listener.local_addr().expect("it is bound");
+            let it = self.clone();
+            tokio::select! {
+                () = server::serve(listener, move |req| it.clone().handle(req)) => return,
+                () = self.crash.notified() => {}
+            }
+            let held = server::hold(addr).expect("the address was this endpoint's");
+            tokio::time::sleep(BACK_AFTER).await;
+            listener = held.listen(BACKLOG).expect("the address is held");
+        }
+    }
+
+    /// When it crashed.
+    pub fn crashes(&self) -> Vec<std::time::Instant> {
+        self.state.lock().crashes.clone()
+    }
+
+    /// Ends this life of the endpoint; the request that did it is never answered.
+    async fn crash(&self) -> Answer {
+        self.state.lock().crashes.push(std::time::Instant::now());
+        self.crash.notify_one();
+        std::future::pending().await
     }
 
     /// Switches a fault on a share of the requests.
@@ -204,6 +238,9 @@
         if fault == Fault::Stall {
             std::future::pending::<()>().await;
         }
+        if server::query::<u8>(&req, CRASHING).is_some() {
+            return self.crash().await;
+        }
         let download = server::query::<usize>(&req, "bytes");
         let (parts, body) = req.into_parts();
         let body = body.collect().await.map_err(std::io::Error::other)?.to_bytes();
