Sight: sends name their content, and a broken connection tells whether the endpoint's process has ended

The logs could not tell the hypotheses apart: whether the sends that break at different nodes carry the same content, and whether the endpoint is gone or only its connection. A content is a hash of method, host, path, caller and body. An endpoint whose port refuses connections right after a break has ended (outcome crashed); a reset alone comes from living endpoints too. No decision changes: a crash counts as the failure that it was.

--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One send on one slot, and what its answer means.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,6 +34,8 @@
     /// The endpoint says that it has not run the request.
     NotRun,
     Unknown,
+    /// The same, and the endpoint's process has ended.
+    Crashed,
     TimedOut,
 }
 
@@ -45,6 +48,7 @@
             Self::Unreached(_) => "unreached",
             Self::NotRun => "not-run",
             Self::Unknown => "unknown",
+            Self::Crashed => "crashed",
             Self::TimedOut => "timed-out",
         }
     }
@@ -93,10 +97,7 @@
             open.end(Kind::Unreachable);
             Sent::Unreached(error.req.map(Request::into_body))
         }
-        Some(Err(_)) => {
-            open.end(Kind::Failed);
-            Sent::Unknown
-        }
+        Some(Err(_)) => broken(cx, open).await,
         Some(Ok(res)) => {
             cx.paths.works(addr);
             take_answer(cx, work, open, res, is_first).await
@@ -126,6 +127,19 @@
     }
 }
 
+/// The connection broke before there was a whole answer.
+async fn broken<D: Dispatch>(cx: &Cx<D>, open: Open<D::Slot>) -> Sent {
+    let kind = break_kind(cx, open.addr()).await;
+    open.end(kind);
+    if kind == Kind::Crashed { Sent::Crashed } else { Sent::Unknown }
+}
+
+/// What a connection that broke says. Whether the endpoint has ended is looked up at once: it may be back soon, and a
+/// further send that goes out before that is known ends the next endpoint.
+pub(crate) async fn break_kind<D: Dispatch>(cx: &Cx<D>, addr: SocketAddr) -> Kind {
+    if cx.pool.has_ended(addr).await { Kind::Crashed } else { Kind::Failed }
+}
+
 async fn take_answer<D: Dispatch>(
     cx: &Arc<Cx<D>>,
     work: &Arc<Work>,
@@ -164,10 +178,7 @@
             open.end(Kind::TimedOut);
             return Sent::TimedOut;
         }
-        Some(Err(_)) => {
-            open.end(Kind::Failed);
-            return Sent::Unknown;
-        }
+        Some(Err(_)) => return broken(cx, open).await,
         Some(Ok(start)) => start,
     };
     let out = match start {
--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -120,15 +120,25 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Held(it) => it.size_hint(),
-            Self::Stream(it) => match it.rest.size_hint().exact() {
-                Some(n) => SizeHint::with_exact(n + it.start.remaining() as u64),
-                None => SizeHint::default(),
-            },
+            Self::Stream(it) => it.size_hint(),
         }
     }
 }
 
 impl StreamOut {
+    /// What was read before the first send.
+    pub(crate) fn start(&self) -> &[u8] {
+        &self.start
+    }
+
+    /// Bytes that are known to follow, the start included.
+    pub(crate) fn size_hint(&self) -> SizeHint {
+        match self.rest.size_hint().exact() {
+            Some(n) => SizeHint::with_exact(n + self.start.remaining() as u64),
+            None => SizeHint::default(),
+        }
+    }
+
     fn poll_frame(
         &mut self,
         cx: &mut Context<'_>,
--- /dev/null
+++ b/crates/caller/src/content.rs
@@ -0,0 +1,37 @@
+//! What makes two requests the same one.
+
+use http::header;
+use policy::RequestKey;
+
+use crate::body::Received;
+use crate::headers;
+use crate::work::Work;
+
+/// The key of a request: of what an endpoint sees of it, without what differs each time it comes (its identity, its
+/// deadline, its trace) and without the caller's address, which changes behind balancers.
+///
+/// Of a body that is too long to be held its start and its length count.
+pub(crate) fn request_key(work: &Work, body: &Received) -> RequestKey {
+    let mut hasher = blake3::Hasher::new();
+    // Nobody may choose a content that has the key of somebody else's, so the hash is a cryptographic one.
+    let mut add = |part: &[u8]| {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    };
+    add(work.method.as_str().as_bytes());
+    add(work.uri.to_string().as_bytes());
+    for name in [header::HOST, headers::ORGANISATION, header::AUTHORIZATION, header::RANGE] {
+        add(work.headers.get(name).map_or(b"", |it| it.as_bytes()));
+    }
+    match body {
+        Received::Whole(it) => add(it),
+        Received::Long(it) => {
+            add(it.start());
+            add(&it.size_hint().lower().to_le_bytes());
+        }
+        Received::Spent => {}
+    }
+    let hash = hasher.finalize();
+    let (first, _) = hash.as_bytes().split_first_chunk().expect("a hash has 32 bytes");
+    RequestKey(u64::from_le_bytes(*first))
+}
--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -10,6 +10,7 @@
 use crate::Dispatch;
 use crate::answer::{GiveUp, refuse};
 use crate::body::{AnswerOut, BodyError, Received};
+use crate::content::request_key;
 use crate::cx::Cx;
 use crate::in_flight::{Counted, InFlight};
 use crate::sending::send_until_done;
@@ -36,7 +37,7 @@
         _ if cx.metrics.in_flight.get() > cx.limits.max_in_flight as i64 => {
             give_up_unrouted(cx, id.as_ref(), GiveUp::too_many_in_flight())
         }
-        Ok(work) => run(cx, Arc::new(work), req.into_body(), started).await,
+        Ok(work) => run(cx, work, req.into_body(), started).await,
         Err(NoWork::NoConfiguration) => {
             give_up_unrouted(cx, id.as_ref(), GiveUp::no_configuration())
         }
@@ -66,14 +67,17 @@
 
 async fn run<D: Dispatch>(
     cx: &Arc<Cx<D>>,
-    work: Arc<Work>,
+    mut work: Work,
     body: Incoming,
     started: Instant,
 ) -> Response<AnswerOut> {
     let limit = cx.limits.max_body_bytes.min(work.snapshot.config.limits.body_bytes);
     let read = timeout(cx.limits.read_timeout, Received::read(body, limit)).await;
     let refused = match read {
-        Ok(Ok(mut body)) => return finish(cx, &work, &mut body, started).await,
+        Ok(Ok(mut body)) => {
+            work.key = request_key(&work, &body);
+            return finish(cx, &Arc::new(work), &mut body, started).await;
+        }
         Ok(Err(BodyError::TooLong(_))) => {
             (StatusCode::PAYLOAD_TOO_LARGE, "the request is too long\n")
         }
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod attempt;
 mod body;
+mod content;
 mod cx;
 mod dispatch;
 mod exchange;
--- a/crates/caller/src/open.rs
+++ b/crates/caller/src/open.rs
@@ -18,6 +18,7 @@
 /// abandoned late still counts against the endpoint.
 pub(crate) struct Open<S: Slot> {
     slot: Option<S>,
+    grant: Grant,
     started: Instant,
     stall_after: Duration,
     answered_after: Option<Duration>,
@@ -47,10 +48,12 @@
 
     /// The same for a send beside which a hedge may run.
     pub(crate) fn in_race(slot: S, race: Race) -> Self {
-        let stall_after = slot.grant().stall_after;
+        let grant = slot.grant().clone();
+        let stall_after = grant.stall_after;
         let started = Instant::now();
         Self {
             slot: Some(slot),
+            grant,
             started,
             stall_after,
             answered_after: None,
@@ -60,7 +63,7 @@
     }
 
     pub(crate) fn grant(&self) -> &Grant {
-        self.slot.as_ref().expect("the slot is taken at the end only").grant()
+        &self.grant
     }
 
     pub(crate) fn granted_by(&self) -> &'static str {
@@ -88,6 +91,11 @@
     }
 
     pub(crate) fn end(mut self, kind: Kind) {
+        self.give_back(kind);
+    }
+
+    /// Gives the slot back while what was granted is still needed.
+    pub(crate) fn give_back(&mut self, kind: Kind) {
         let elapsed = self.answered_after.unwrap_or_else(|| self.started.elapsed());
         if let Some(slot) = self.slot.take()
             && !self.was_paused
--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, timeout};
 use upstream::{AnswerBody, Reuse};
 
+use crate::attempt::break_kind;
 use crate::body::{AnswerOut, Part, RequestOut};
 use crate::cx::Cx;
 use crate::open::Open;
@@ -97,11 +98,18 @@
             let part = match self.step().await {
                 Step::Frame(frame) => Part::Frame(frame),
                 Step::End => Part::End,
-                step @ (Step::Broken | Step::Stalled) => match self.resume().await {
-                    true => continue,
-                    // Dropping the channel without `End` breaks the answer off.
-                    false => return self.break_off(&step),
-                },
+                step @ (Step::Broken | Step::Stalled) => {
+                    if matches!(step, Step::Broken) {
+                        // First: the endpoint that goes on is chosen by what is known of this one and of the request.
+                        let kind = break_kind(&self.cx, self.open.addr()).await;
+                        self.open.give_back(kind);
+                    }
+                    match self.resume().await {
+                        true => continue,
+                        // Dropping the channel without `End` breaks the answer off.
+                        false => return self.break_off(&step),
+                    }
+                }
             };
             let is_end = matches!(part, Part::End);
             self.sent += part.len();
@@ -178,7 +186,16 @@
         let mut req = self.work.request(&self.cx.names, &open.grant().endpoint, &span, body);
         resume.ask(req.headers_mut(), self.sent);
         let send = self.cx.pool.send(open.addr(), req, Reuse::Allowed);
-        let res = timeout(STALL_AFTER, send).await.ok()?.ok()?;
+        let res = match timeout(STALL_AFTER, send).await.ok()? {
+            Ok(res) => res,
+            Err(error) => {
+                if !error.failure.is_not_run() {
+                    let kind = break_kind(&self.cx, open.addr()).await;
+                    open.end(kind);
+                }
+                return None;
+            }
+        };
         if !resume.matches(&res, self.sent) {
             return None;
         }
--- a/crates/caller/src/sending.rs
+++ b/crates/caller/src/sending.rs
@@ -80,7 +80,7 @@
                 (Outcome::NotRun, false)
             }
             Sent::NotRun => (Outcome::NotRun, false),
-            Sent::Unknown => (Outcome::Unknown, false),
+            Sent::Unknown | Sent::Crashed => (Outcome::Unknown, false),
             Sent::TimedOut => (Outcome::Unknown, true),
         };
         let next = progress.next(work, outcome);
--- a/crates/caller/src/trace.rs
+++ b/crates/caller/src/trace.rs
@@ -68,7 +68,7 @@
         ($level:ident) => {
             $level!(log, "send";
                 "request_id" => work.request_id(names), "endpoint" => it.endpoint,
-                "outcome" => it.outcome, "slot_by" => it.slot_by,
+                "content" => %Hex64(work.key.0), "outcome" => it.outcome, "slot_by" => it.slot_by,
                 "choice" => it.tier.name(), "sick" => f64::from(it.doubt.sick_permille) / 1e3,
                 "evidence_ms" => it.doubt.evidence_ms, "ms" => it.elapsed.as_millis() as u64,
                 "left_ms" => work.left().as_millis() as u64, "span" => %Hex64(it.span.id),
--- a/crates/caller/src/work.rs
+++ b/crates/caller/src/work.rs
@@ -8,7 +8,7 @@
 use http::header::{self, HeaderValue};
 use http::{HeaderMap, Method, Request, Uri};
 use hyper::body::Incoming;
-use policy::{SendKind, stable_hash};
+use policy::{RequestKey, SendKind, stable_hash};
 use resources::{Name, Repeat, Route};
 use tokio::time::Instant;
 
@@ -30,6 +30,8 @@
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
+    /// What makes it the same as another request; known once its body was read.
+    pub(crate) key: RequestKey,
     pub(crate) span: Span,
     pub(crate) organisation: u64,
     pub(crate) weight: u32,
@@ -79,6 +81,7 @@
             method: req.method().clone(),
             uri: origin_form(req.uri()),
             headers: out,
+            key: RequestKey::default(),
             span,
             deadline,
             give_up_at: deadline + LAST_WORD,
--- a/crates/dappleway/src/baselines.rs
+++ b/crates/dappleway/src/baselines.rs
@@ -134,7 +134,7 @@
         let late = is_unanswered && elapsed > Duration::from_millis(100);
         let mut state = self.dispatch.state.lock().expect("no panic while the state is held");
         let state = state.entry(self.service.name.clone()).or_default();
-        let failed = matches!(kind, Kind::Failed | Kind::Unreachable);
+        let failed = matches!(kind, Kind::Failed | Kind::Crashed | Kind::Unreachable);
         state.record(&self.service, self.grant.addr, failed || late);
     }
 }
--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -193,7 +193,7 @@
         let Some(open) = self.open.remove(&id) else { return };
         // What was open while this process was paused says nothing about the endpoint.
         let outcome = outcome.filter(|(_, elapsed)| now - *elapsed > self.woke);
-        if let Some((kind @ (Kind::Failed | Kind::TimedOut), elapsed)) = outcome
+        if let Some((kind @ (Kind::Failed | Kind::Crashed | Kind::TimedOut), elapsed)) = outcome
             && !open.stalled
         {
             self.tell_successors(now, &open, kind, elapsed);
--- a/crates/policy/src/baseline.rs
+++ b/crates/policy/src/baseline.rs
@@ -121,7 +121,7 @@
             Kind::TimedOut if elapsed > self.stall_after(route) => Some(Class::Stalled),
             Kind::Abandoned | Kind::TimedOut => is_late.then_some(Class::Late),
             Kind::Stalled => Some(Class::Stalled),
-            Kind::Failed | Kind::Unreachable => Some(Class::Failed),
+            Kind::Failed | Kind::Crashed | Kind::Unreachable => Some(Class::Failed),
             Kind::Shed => Some(Class::Shed),
         }
     }
--- a/crates/policy/src/belief.rs
+++ b/crates/policy/src/belief.rs
@@ -142,7 +142,7 @@
                     self.weigh(began.max(self.at), ratio, rest);
                 }
             }
-            Kind::Failed => self.fail(now, ratio, rest),
+            Kind::Failed | Kind::Crashed => self.fail(now, ratio, rest),
             Kind::Stalled | Kind::Beaten | Kind::TimedOut | Kind::Abandoned => {
                 self.wait_in_vain(now, ratio, rest);
             }
--- a/crates/policy/src/dispatcher/evidence.rs
+++ b/crates/policy/src/dispatcher/evidence.rs
@@ -121,7 +121,7 @@
                 self.counts.answered += 1;
                 self.served.note(now, Ending::Served);
             }
-            Kind::Failed if permit.is_last_send => {
+            Kind::Failed | Kind::Crashed if permit.is_last_send => {
                 self.counts.failed += 1;
                 self.served.note(now, Ending::Unserved);
             }
@@ -179,7 +179,7 @@
             Kind::TimedOut | Kind::Beaten | Kind::Abandoned => {
                 self.judge.baseline.add_unanswered(it.route, it.elapsed, 1.0 - sick);
             }
-            Kind::Failed => self.judge.baseline.add_failed(it.route, 1.0 - sick),
+            Kind::Failed | Kind::Crashed => self.judge.baseline.add_failed(it.route, 1.0 - sick),
             _ => {}
         }
     }
--- a/crates/policy/src/observation.rs
+++ b/crates/policy/src/observation.rs
@@ -15,6 +15,8 @@
     Stalled,
     /// Connection lost, answer broken off, or a server error.
     Failed,
+    /// The connection broke, and the endpoint's process had ended.
+    Crashed,
     /// No connection could be made; nothing was sent.
     Unreachable,
     /// Refused before any work because the endpoint is full.
--- a/crates/policy/src/signs.rs
+++ b/crates/policy/src/signs.rs
@@ -58,7 +58,9 @@
     pub(crate) fn ratio(&self, baseline: &Baseline, kind: Kind, route: u32) -> f64 {
         match kind {
             Kind::Answered => self.part(End::Answered) / (1.0 - baseline.fails(route)),
-            Kind::Failed | Kind::Unreachable => self.part(End::Failed) / baseline.fails(route),
+            Kind::Failed | Kind::Crashed | Kind::Unreachable => {
+                self.part(End::Failed) / baseline.fails(route)
+            }
             _ => 1.0,
         }
     }
@@ -74,7 +76,7 @@
     pub(crate) fn learn(&mut self, kind: Kind, sick: f64) {
         let end = match kind {
             Kind::Answered => End::Answered,
-            Kind::Failed => End::Failed,
+            Kind::Failed | Kind::Crashed => End::Failed,
             Kind::TimedOut | Kind::Beaten => End::Silent,
             Kind::Unreachable | Kind::Shed | Kind::Abandoned | Kind::Stalled => return,
         };
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -1,6 +1,7 @@
 //! A pool of HTTP/1.1 connections per endpoint. HTTP/1.1 is enough here: an endpoint has few slots,
 //! and one request per connection lets a cancellation close exactly that request.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -27,6 +28,10 @@
 /// users' endpoints say ten seconds in whole ones.
 const KEEP_ALIVE_PART: f64 = 0.7;
 
+/// Time for an endpoint whose connection broke to accept another one. The answer of one that has ended comes within a
+/// round trip; one that is cut off says nothing, and the caller waits meanwhile.
+const LOOK_FOR: Duration = Duration::from_millis(100);
+
 /// Whether a send may use a connection that is open already.
 ///
 /// A new one proves that the endpoint can be reached before anything is written, so that a send that
@@ -123,6 +128,13 @@
         }
     }
 
+    /// Whether the process behind an address has ended: its port refuses connections. To be asked right after a
+    /// connection broke, because a reset alone comes from living endpoints too.
+    pub async fn has_ended(&self, addr: SocketAddr) -> bool {
+        let look = tokio::time::timeout(LOOK_FOR, TcpStream::connect(addr)).await;
+        matches!(look, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+
     async fn exchange(
         &self,
         addr: SocketAddr,
