Requests under which endpoints crash are known as the same one, and sent no more after three in a row

Cause: every send was judged by itself. Nothing told that two requests are the same one, and a process that ended under a request looked like any failure of its endpoint, so the next endpoint got it, from any node.

Now a request has a key (method, host, path, caller, body). Whoever hands out slots counts, for each key, processes that ended under it in a row: each send began after the crash before was known. A request with a crash runs on one endpoint at a time and never beside another such one; three in a row reject it for two minutes, then one send tries it, for twice as long each time. A whole answer clears it. Crashes are told to those that would hand out slots next, at all services of a split route; a rejection goes to every node at once and again in rounds.

Frames have version 6.

--- a/crates/caller/src/answer.rs
+++ b/crates/caller/src/answer.rs
@@ -31,6 +31,12 @@
         Self::not_run_because("no-capacity", "no capacity in time", retry_after)
     }
 
+    /// Endpoints end under such requests, so that this one is not sent.
+    pub(crate) fn crashes_endpoints(retry_after: Duration) -> Self {
+        let reason = "endpoints crash under this request, and it is not sent for a while";
+        Self::not_run_because("crashes-endpoints", reason, retry_after)
+    }
+
     /// Nothing that was sent has run.
     pub(crate) fn not_run(retry_after: Duration) -> Self {
         let reason = "no upstream took it, and no further send is granted";
--- a/crates/caller/src/content.rs
+++ b/crates/caller/src/content.rs
@@ -1,27 +1,31 @@
 //! What makes two requests the same one.
 
-use http::header;
+use http::{HeaderMap, Method, Uri, header};
 use policy::RequestKey;
 
 use crate::body::Received;
-use crate::headers;
-use crate::work::Work;
+use crate::headers::ORGANISATION;
 
 /// The key of a request: of what an endpoint sees of it, without what differs each time it comes (its identity, its
 /// deadline, its trace) and without the caller's address, which changes behind balancers.
 ///
 /// Of a body that is too long to be held its start and its length count.
-pub(crate) fn request_key(work: &Work, body: &Received) -> RequestKey {
+pub(crate) fn request_key(
+    method: &Method,
+    uri: &Uri,
+    headers: &HeaderMap,
+    body: &Received,
+) -> RequestKey {
     let mut hasher = blake3::Hasher::new();
     // Nobody may choose a content that has the key of somebody else's, so the hash is a cryptographic one.
     let mut add = |part: &[u8]| {
         hasher.update(&(part.len() as u64).to_le_bytes());
         hasher.update(part);
     };
-    add(work.method.as_str().as_bytes());
-    add(work.uri.to_string().as_bytes());
-    for name in [header::HOST, headers::ORGANISATION, header::AUTHORIZATION, header::RANGE] {
-        add(work.headers.get(name).map_or(b"", |it| it.as_bytes()));
+    add(method.as_str().as_bytes());
+    add(uri.to_string().as_bytes());
+    for name in [header::HOST, ORGANISATION, header::AUTHORIZATION, header::RANGE] {
+        add(headers.get(name).map_or(b"", |it| it.as_bytes()));
     }
     match body {
         Received::Whole(it) => add(it),
--- a/crates/caller/src/dispatch.rs
+++ b/crates/caller/src/dispatch.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use policy::{Grant, Kind, SendKind};
+use policy::{Grant, Kind, RequestKey, SendKind};
 use resources::{Name, Route};
 
 /// A request that needs a slot.
@@ -14,6 +14,8 @@
     pub route: Arc<Route>,
     /// The service that is to answer.
     pub service: Name,
+    /// What makes the request the same as another one.
+    pub request: RequestKey,
     /// Hash of the caller's organisation.
     pub organisation: u64,
     /// Weight of the organisation.
@@ -35,6 +37,24 @@
 pub struct Refused {
     /// When the caller should come back.
     pub retry_after: Duration,
+    /// Why there is none.
+    pub why: Why,
+}
+
+/// Why a request gets no slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// None is free in time.
+    NoCapacity,
+    /// Endpoints end under the request.
+    CrashesEndpoints,
+}
+
+impl Refused {
+    /// No slot is free in time.
+    pub fn no_capacity(retry_after: Duration) -> Self {
+        Self { retry_after, why: Why::NoCapacity }
+    }
 }
 
 /// A slot on one endpoint. Dropping it gives it back without evidence.
--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -75,7 +75,7 @@
     let read = timeout(cx.limits.read_timeout, Received::read(body, limit)).await;
     let refused = match read {
         Ok(Ok(mut body)) => {
-            work.key = request_key(&work, &body);
+            work.key = request_key(&work.method, &work.uri, &work.headers, &body);
             return finish(cx, &Arc::new(work), &mut body, started).await;
         }
         Ok(Err(BodyError::TooLong(_))) => {
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -24,7 +24,7 @@
 mod work;
 
 pub use answer::OUTCOME_HEADER;
-pub use dispatch::{Dispatch, Refused, Slot, Want};
+pub use dispatch::{Dispatch, Refused, Slot, Want, Why};
 pub use headers::HeaderNames;
 pub use listener::{Limits, Listener, ListenerBuilder};
 pub use metrics::Metrics;
--- a/crates/caller/src/sending.rs
+++ b/crates/caller/src/sending.rs
@@ -18,7 +18,7 @@
 use crate::cx::Cx;
 use crate::open::Race;
 use crate::work::Work;
-use crate::{Dispatch, Refused, Slot, Want};
+use crate::{Dispatch, Refused, Slot, Want, Why};
 
 /// When to come back after an upstream failed rather than a queue: by then another endpoint is
 /// likely to be chosen. Callers wait no longer than a third of the time that they have left.
@@ -66,7 +66,7 @@
         // A long body can be sent once. The wait for a slot may also have been a pause of this
         // process: nothing is sent too late.
         let Some(out) = body.next().filter(|_| !work.left().is_zero()) else {
-            return end(failure, Refused { retry_after: RETRY_AFTER_FAILURE }, &progress);
+            return end(failure, Refused::no_capacity(RETRY_AFTER_FAILURE), &progress);
         };
         let sent = hedged(cx, work, slot, out, &mut progress).await;
         let (outcome, timed_out) = match sent {
@@ -93,7 +93,7 @@
             _ if timed_out => return Err(GiveUp::timed_out(retry_after)),
             _ => return Err(GiveUp::unknown(retry_after)),
         }
-        return end(failure, Refused { retry_after }, &progress);
+        return end(failure, Refused::no_capacity(retry_after), &progress);
     }
 }
 
@@ -129,7 +129,10 @@
         Some(res) => Ok(res),
         None if progress.unknown_before => Err(GiveUp::unknown(refused.retry_after)),
         None if progress.reached > 0 => Err(GiveUp::not_run(refused.retry_after)),
-        None => Err(GiveUp::overloaded(refused.retry_after)),
+        None => Err(match refused.why {
+            Why::NoCapacity => GiveUp::overloaded(refused.retry_after),
+            Why::CrashesEndpoints => GiveUp::crashes_endpoints(refused.retry_after),
+        }),
     }
 }
 
@@ -142,7 +145,7 @@
     let slot = timeout_at(work.deadline, cx.dispatch.acquire(want)).await;
     work.waited(since.elapsed());
     cx.metrics.slot_wait.observe(since.elapsed().as_secs_f64());
-    slot.unwrap_or(Err(Refused { retry_after: RETRY_AFTER_FAILURE }))
+    slot.unwrap_or(Err(Refused::no_capacity(RETRY_AFTER_FAILURE)))
 }
 
 /// One send and, on routes that allow it, a second one beside it when the first is late.
@@ -225,6 +228,7 @@
         let want = Want { send: SendKind::Further, wait: false, ..work.want(avoid.clone()) };
         match acquire(cx, work, want).await {
             Ok(slot) => break slot,
+            Err(Refused { why: Why::CrashesEndpoints, .. }) => return None,
             Err(_) if work.left() <= HEDGE_AGAIN => return None,
             Err(_) => sleep(HEDGE_AGAIN).await,
         }
--- a/crates/caller/src/tests.rs
+++ b/crates/caller/src/tests.rs
@@ -1,12 +1,15 @@
 use std::time::Duration;
 
+use bytes::Bytes;
 use expect_test::{Expect, expect};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, Uri};
-use policy::Kind;
+use policy::{Kind, RequestKey};
 use resources::Config;
 
 use crate::answer::GiveUp;
 use crate::attempt::kind_of;
+use crate::body::Received;
+use crate::content::request_key;
 use crate::headers::{HeaderNames, Span, deadline_of, host_of, strip_hop_by_hop};
 use crate::snapshot::Snapshot;
 
@@ -118,3 +121,31 @@
     check(StatusCode::INTERNAL_SERVER_ERROR, 0, Kind::Failed);
     check(StatusCode::NOT_FOUND, 0, Kind::Answered);
 }
+
+/// The key of a request with these headers.
+fn key(
+    method: &str,
+    uri: &str,
+    pairs: &[(&'static str, &'static str)],
+    body: &'static str,
+) -> RequestKey {
+    let body = Received::Whole(Bytes::from_static(body.as_bytes()));
+    request_key(&method.parse().unwrap(), &uri.parse().unwrap(), &headers(pairs), &body)
+}
+
+#[test]
+fn requests_are_the_same_by_what_an_endpoint_makes_of_them() {
+    let usual = [("host", "h"), ("x-organisation", "o"), ("x-request-id", "1")];
+    let it = key("POST", "/x?a=1", &usual, "body");
+    let again = [("host", "h"), ("x-organisation", "o"), ("x-request-id", "2")];
+    assert_eq!(it, key("POST", "/x?a=1", &again, "body"), "it comes again");
+    let others = [
+        key("PUT", "/x?a=1", &usual, "body"),
+        key("POST", "/x?a=2", &usual, "body"),
+        key("POST", "/x?a=1", &usual, "bodies"),
+        key("POST", "/x?a=1", &[("host", "other"), usual[1]], "body"),
+        key("POST", "/x?a=1", &[usual[0], ("x-organisation", "p")], "body"),
+        key("POST", "/x?a=1", &[usual[0], usual[1], ("authorization", "q")], "body"),
+    ];
+    assert!(others.iter().all(|other| *other != it), "{others:?}");
+}
--- a/crates/caller/src/work.rs
+++ b/crates/caller/src/work.rs
@@ -117,6 +117,7 @@
         Want {
             route: self.route.clone(),
             service: self.service.clone(),
+            request: self.key,
             organisation: self.organisation,
             weight: self.weight,
             avoid,
--- a/crates/dappleway/src/baselines.rs
+++ b/crates/dappleway/src/baselines.rs
@@ -60,7 +60,7 @@
     async fn acquire(&self, want: Want) -> Result<RoundRobinSlot, Refused> {
         let services = self.services.borrow().clone();
         let found = services.iter().find(|it| it.name == want.service && !it.endpoints.is_empty());
-        let Some(service) = found else { return Err(Refused { retry_after: OUT }) };
+        let Some(service) = found else { return Err(Refused::no_capacity(OUT)) };
         let mut state = self.state.lock().expect("no panic while the state is held");
         let endpoint = state.entry(service.name.clone()).or_default().pick(service);
         let (endpoint, addr) = (endpoint.id.clone(), endpoint.addr);
@@ -72,6 +72,7 @@
             trial: false,
             tier: Tier::Good,
             doubt: Default::default(),
+            is_watched: false,
         };
         Ok(RoundRobinSlot { dispatch: self.clone(), service: service.clone(), grant })
     }
--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -8,6 +8,7 @@
 mod peer_slots;
 mod publications;
 mod report;
+mod suspects;
 mod timers;
 
 #[cfg(test)]
@@ -23,9 +24,11 @@
 use caller::{Refused, Shared};
 use fleet::{Client, Directory, Edge, Exchange, Keys, Phase, Place};
 use operator::Published as InForce;
-use policy::{BudgetLimits, Grant, NodeId, PermitId, Reporter, Settled, Time, rank_strong_first};
+use policy::{
+    BudgetLimits, Grant, NodeId, PermitId, Reporter, RequestKey, Settled, Time, rank_strong_first,
+};
 use rand::rngs::StdRng;
-use resources::{Name, Service};
+use resources::{Name, Route, Service};
 use rustc_hash::FxHashMap;
 use slog::{Logger, warn};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -34,7 +37,7 @@
 
 use crate::event::Event;
 use crate::reader::Wanted;
-use crate::services::{Scope, Services, name_hash};
+use crate::services::{Scope, Services, name_hash, route_hash};
 use crate::settings::Mode;
 
 /// Interval of the timers while this node waits for slots.
@@ -132,7 +135,14 @@
 struct Waiter {
     tx: oneshot::Sender<Result<(Grant, Place), Refused>>,
     service: u64,
-    route: u32,
+    sent: SentRequest,
+}
+
+/// The request for which a slot is.
+#[derive(Clone, Debug)]
+struct SentRequest {
+    route: Arc<Route>,
+    request: RequestKey,
 }
 
 /// A slot that a request of this node uses.
@@ -140,12 +150,21 @@
 struct OpenPermit {
     place: Place,
     service: u64,
-    route: u32,
+    sent: SentRequest,
     endpoint: Name,
+    /// An endpoint has ended under the request before.
+    is_watched: bool,
     /// A stall was reported.
     stalled: bool,
 }
 
+impl OpenPermit {
+    /// Hash of the route's name.
+    fn route(&self) -> u32 {
+        route_hash(&self.sent.route.name)
+    }
+}
+
 /// What the control thread starts with.
 pub struct Start {
     /// The exchange.
--- a/crates/dappleway/src/control/dispatch_log.rs
+++ b/crates/dappleway/src/control/dispatch_log.rs
@@ -33,6 +33,7 @@
                 "failed" => counts.failed, "timed_out" => counts.timed_out,
                 "shed_last" => counts.shed_last, "queue_refused" => counts.queue_refused,
                 "waited_in_vain" => counts.waited_in_vain, "withdrawn" => counts.withdrawn,
+                "rejected" => counts.rejected,
                 "unserved_elsewhere" => counts.unserved_elsewhere, "queued" => queued,
                 "strain" => strain);
             if !idle.is_empty() {
--- a/crates/dappleway/src/control/exchange.rs
+++ b/crates/dappleway/src/control/exchange.rs
@@ -48,6 +48,7 @@
                 }
                 Effect::Endpoints => self.follow_endpoints(now),
                 Effect::Verdict(it) => self.verdict(now, it),
+                Effect::Rejection(it) => self.services.reject(now, it),
             }
         }
     }
--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use caller::{Refused, Want};
+use caller::{Refused, Want, Why};
 use fleet::{Action, Directory, PermitMessage, Place, Settlement, Wish};
 use policy::{Ask, Grant, Kind, NodeId, Observation, PermitId, Reply, Settled, Time};
 use rand::rngs::StdRng;
 use resources::{Name, Repeat, Route};
 use tokio::sync::oneshot;
 
-use super::{Control, Nodes, OpenPermit, RENEW, SUCCESSORS, Waiter};
+use super::{Control, Nodes, OpenPermit, RENEW, SUCCESSORS, SentRequest, Waiter};
 use crate::event::Command;
 use crate::services::{Scope, name_hash, route_hash};
 use crate::settings::Mode;
@@ -34,15 +34,21 @@
         tx: oneshot::Sender<Result<(Grant, Place), Refused>>,
     ) {
         let service = name_hash(&want.service);
-        if self.services.get(service).is_none() {
+        let Some(state) = self.services.get(service) else {
             // The request may have been cancelled meanwhile.
-            let _ = tx.send(Err(Refused { retry_after: RENEW }));
+            let _ = tx.send(Err(Refused::no_capacity(RENEW)));
+            return;
+        };
+        if let Some(retry_after) = state.dispatcher().rejected(now, want.request) {
+            // The caller may have left.
+            let _ = tx.send(Err(Refused { retry_after, why: Why::CrashesEndpoints }));
             return;
         }
         let ask = Ask {
             id,
             reporter: self.me,
             route: route_hash(&want.route.name),
+            request: want.request,
             repeatable: want.route.repeat == Repeat::Anytime,
             priority: want.route.priority,
             organisation: want.organisation,
@@ -56,7 +62,8 @@
             objective: want.route.objective(),
             wait: want.wait,
         };
-        self.waiting.insert(id, Waiter { tx, service, route: ask.route });
+        let sent = SentRequest { route: want.route.clone(), request: want.request };
+        self.waiting.insert(id, Waiter { tx, service, sent });
         if self.mode != Mode::Permits {
             self.ask_here(now, Place::Direct, service, ask);
             return;
@@ -76,7 +83,12 @@
             }
             Action::Settle(id, Settlement::Refused(retry_after)) => {
                 if let Some(it) = self.waiting.remove(&id) {
-                    let _ = it.tx.send(Err(Refused { retry_after }));
+                    let _ = it.tx.send(Err(Refused::no_capacity(retry_after)));
+                }
+            }
+            Action::Settle(id, Settlement::Rejected(retry_after)) => {
+                if let Some(it) = self.waiting.remove(&id) {
+                    let _ = it.tx.send(Err(Refused { retry_after, why: Why::CrashesEndpoints }));
                 }
             }
         }
@@ -106,6 +118,10 @@
                     let action = Action::Settle(id, Settlement::Refused(retry_after));
                     self.act(now, action);
                 }
+                Reply::Rejected { retry_after } => {
+                    let action = Action::Settle(id, Settlement::Rejected(retry_after));
+                    self.act(now, action);
+                }
                 Reply::Full => {
                     self.act(now, Action::Settle(id, Settlement::Refused(RENEW)));
                 }
@@ -128,9 +144,11 @@
             self.give_back(now, place, id);
             return;
         };
-        let Waiter { tx, service, route } = waiter;
+        let Waiter { tx, service, sent } = waiter;
         let endpoint = grant.endpoint.clone();
-        self.open.insert(id, OpenPermit { place, service, route, endpoint, stalled: false });
+        let is_watched = grant.is_watched;
+        let open = OpenPermit { place, service, sent, endpoint, is_watched, stalled: false };
+        self.open.insert(id, open);
         if tx.send(Ok((grant, place))).is_err() {
             self.end(now, id, None);
         }
@@ -198,6 +216,9 @@
         {
             self.tell_successors(now, &open, kind, elapsed);
         }
+        if let Some((kind, elapsed)) = outcome {
+            self.tell_run(now, &open, kind, elapsed);
+        }
         match (open.place, outcome) {
             (Place::Peer(node), outcome) => {
                 self.send_to(node, PermitMessage::Release { id, outcome });
@@ -224,7 +245,7 @@
         let knows = |it: &NodeId| open.place == Place::Peer(*it) || *it == self.me.node;
         let next: Vec<NodeId> = next.filter(|it| !knows(it)).collect();
         let observation =
-            Observation { reporter: self.me, endpoint: 0, route: open.route, kind, elapsed };
+            Observation { reporter: self.me, endpoint: 0, route: open.route(), kind, elapsed };
         let (service, endpoint) = (open.service, &open.endpoint);
         for node in next {
             let endpoint = endpoint.clone();
@@ -261,7 +282,7 @@
     /// from another node.
     pub(super) fn observe(&mut self, now: Time, open: &OpenPermit, kind: Kind, elapsed: Duration) {
         let Some(state) = self.services.get_mut(open.service) else { return };
-        let it = Observation { reporter: self.me, endpoint: 0, route: open.route, kind, elapsed };
+        let it = Observation { reporter: self.me, endpoint: 0, route: open.route(), kind, elapsed };
         state.direct.observe(now, &open.endpoint, it);
     }
 
--- a/crates/dappleway/src/control/peer_slots.rs
+++ b/crates/dappleway/src/control/peer_slots.rs
@@ -7,7 +7,7 @@
 use rand::rngs::StdRng;
 
 use super::{Control, Nodes};
-use crate::services::Scope;
+use crate::services::{Ran, Scope};
 
 impl Control {
     pub(super) fn permit_message(
@@ -52,6 +52,9 @@
             PermitMessage::Observed { service, endpoint, observation } => {
                 self.services.observe(now, service, &endpoint, observation);
             }
+            PermitMessage::Ran { service, request, end, elapsed } => {
+                self.services.ran(now, service, Ran { request, end, elapsed });
+            }
             PermitMessage::UnservedElsewhere { service, requests } => {
                 if let Some(it) = self.services.own(now, service) {
                     it.unserved_elsewhere(now, requests);
--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -120,7 +120,8 @@
         }
     }
 
-    pub(super) fn ticked(&mut self, now: Time, ticked: Ticked) {
+    pub(super) fn ticked(&mut self, now: Time, mut ticked: Ticked) {
+        self.tell_rejections(now, &mut ticked);
         self.undelivered.extend(ticked.settled);
         for (service, scope, it) in ticked.changes {
             let Some(state) = self.services.get(service) else { continue };
--- a/crates/dappleway/src/handle.rs
+++ b/crates/dappleway/src/handle.rs
@@ -51,7 +51,7 @@
                 Ok(HandleSlot { handle: self.clone(), id, grant, place, ended: false })
             }
             Ok(Err(refused)) => Err(refused),
-            Err(_) => Err(Refused { retry_after: Duration::from_secs(1) }),
+            Err(_) => Err(Refused::no_capacity(Duration::from_secs(1))),
         }
     }
 }
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -3,9 +3,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use policy::{
-    BudgetLimits, Change, Dispatcher, Observation, RouteTerms, Settled, Time, stable_hash,
+    BudgetLimits, Change, Dispatcher, Observation, Rejection, RequestKey, RouteTerms, RunEnd,
+    Settled, Time, stable_hash,
 };
 use rand::Rng;
 use resources::{Config, Endpoint, Name, Registration, Service};
@@ -140,6 +142,19 @@
         state.own.iter_mut().for_each(|own| own.observe(now, endpoint, it));
     }
 
+    /// Learns from another node how a request ended, for the time when this one dispatches.
+    pub fn ran(&mut self, now: Time, service: u64, ran: Ran) {
+        let Some(state) = self.by_hash.get_mut(&service) else { return };
+        let tell = |it: &mut Dispatcher| it.ran(now, ran.request, ran.end, ran.elapsed);
+        tell(&mut state.direct);
+        state.own.iter_mut().for_each(tell);
+    }
+
+    /// Sends a request no more, to whichever service.
+    pub fn reject(&mut self, now: Time, rejection: Rejection) {
+        self.for_each(|_, _, it| it.reject(now, rejection));
+    }
+
     /// Moves every dispatcher in time.
     pub fn tick(&mut self, now: Time, rng: &mut impl Rng) -> Ticked {
         self.collect(|it| it.tick(now, rng))
@@ -154,6 +169,7 @@
         let mut ticked = Ticked::default();
         self.for_each(|hash, scope, it| {
             ticked.settled.extend(f(it).into_iter().map(|settled| (scope, settled)));
+            ticked.rejections.extend(it.take_rejections());
             ticked.changes.extend(it.take_changes().into_iter().map(|it| (hash, scope, it)));
         });
         ticked
@@ -189,6 +205,17 @@
     Fleet,
 }
 
+/// How a request ended that another node sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Ran {
+    /// The request.
+    pub request: RequestKey,
+    /// How its run ended.
+    pub end: RunEnd,
+    /// Time from the send to that.
+    pub elapsed: Duration,
+}
+
 /// What followed from moving the dispatchers in time.
 #[derive(Debug, Default)]
 pub struct Ticked {
@@ -196,6 +223,8 @@
     pub settled: Vec<(Scope, Settled)>,
     /// Changes of endpoints, with the hash of their service.
     pub changes: Vec<(u64, Scope, Change)>,
+    /// Requests that a dispatcher has come to reject.
+    pub rejections: Vec<Rejection>,
 }
 
 impl ServiceState {
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -3,12 +3,13 @@
 //! changes on at once.
 
 mod news;
+mod rejections;
 mod rounds;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use policy::{NodeId, Time};
+use policy::{NodeId, Rejection, Time};
 use rand::{Rng, RngExt};
 use rustc_hash::FxHashMap;
 
@@ -22,6 +23,7 @@
 
 #[cfg(test)]
 pub(crate) use news::CHANGES_PER_FRAME;
+use rejections::Rejections;
 
 /// Time between rounds.
 pub const ROUND: Duration = Duration::from_millis(1_000);
@@ -31,9 +33,10 @@
 const STARTED_LATELY: Duration = Duration::from_secs(5);
 /// Verdicts told of in one round.
 const VERDICTS_PER_FRAME: usize = 12;
-/// Most nodes and verdicts in one frame.
+/// Most nodes, verdicts and rejections in one frame.
 #[cfg(test)]
-pub(crate) const MAX_GOSSIP: (usize, usize) = (NODES_PER_FRAME, VERDICTS_PER_FRAME);
+pub(crate) const MAX_GOSSIP: (usize, usize, usize) =
+    (NODES_PER_FRAME, VERDICTS_PER_FRAME, rejections::REJECTIONS_PER_FRAME);
 /// Burst that the budget allows, in bytes: finding 40 nodes takes about 25 KB.
 const BURST: f64 = 40_000.0;
 /// A verdict that is valid for this much longer than the known one is news; less is only delay.
@@ -63,6 +66,8 @@
     Endpoints,
     /// An endpoint is used last by the peer that dispatches it.
     Verdict(Verdict),
+    /// Endpoints end under a request, as a peer has found.
+    Rejection(Rejection),
 }
 
 /// Why a fetch brought nothing.
@@ -86,6 +91,7 @@
     duty: Duty,
     seeds: Vec<SocketAddr>,
     verdicts: FxHashMap<SocketAddr, (Verdict, Time)>,
+    rejections: Rejections,
     started: Time,
     /// When a node was last heard of for the first time.
     found: Time,
@@ -122,6 +128,7 @@
             duty: Duty::starting(rank, now, rng.random()),
             seeds: seeds.iter().copied().filter(|it| *it != me.addr).collect(),
             verdicts: FxHashMap::default(),
+            rejections: Rejections::default(),
             started: now,
             found: now,
             found_ready: false,
@@ -266,6 +273,7 @@
     ) -> Vec<Effect> {
         let mut effects = self.learn_all(now, gossip.nodes);
         effects.extend(self.receive_verdicts(now, &gossip.verdicts));
+        effects.extend(self.receive_rejections(now, &gossip.rejections));
         effects.extend(self.fetch_from_members(now, from, rng));
         effects
     }
--- /dev/null
+++ b/crates/fleet/src/exchange/rejections.rs
@@ -0,0 +1,72 @@
+//! Requests that endpoints end under: every node knows them, whoever hands out slots next.
+
+use std::time::Duration;
+
+use policy::{Rejection, RequestKey, Time};
+use rand::Rng;
+use rand::seq::IteratorRandom;
+use rustc_hash::FxHashMap;
+
+use super::{Effect, Exchange};
+use crate::wire::{Gossip, Message};
+
+/// Rejections told of in one round.
+pub(crate) const REJECTIONS_PER_FRAME: usize = 4;
+/// Rejections that are passed on; of more those that end first are left out. Whoever has rejected a request still
+/// knows it.
+const MAX_REJECTIONS: usize = 256;
+/// One that is valid for this much longer than the known one is news; less is only delay.
+const SLACK: Duration = Duration::from_secs(5);
+
+/// The rejections that a node passes on, with their ends.
+#[derive(Debug, Default)]
+pub(super) struct Rejections(FxHashMap<RequestKey, Time>);
+
+impl Rejections {
+    /// Takes one in; returns whether it is news.
+    fn learn(&mut self, now: Time, it: Rejection) -> bool {
+        let until = now + Duration::from_millis(it.valid_ms.into());
+        let is_news = self.0.get(&it.request).is_none_or(|end| until > *end + SLACK);
+        if !is_news {
+            return false;
+        }
+        self.0.insert(it.request, until);
+        if self.0.len() > MAX_REJECTIONS
+            && let Some(first) = self.0.iter().min_by_key(|(_, end)| **end).map(|(key, _)| *key)
+        {
+            self.0.remove(&first);
+        }
+        true
+    }
+
+    pub(super) fn expire(&mut self, now: Time) {
+        self.0.retain(|_, end| now < *end);
+    }
+
+    pub(super) fn some(&self, now: Time, rng: &mut impl Rng) -> Vec<Rejection> {
+        let left = |end: &Time| end.since(now).as_millis() as u32;
+        let all = self.0.iter().filter(|(_, end)| now < **end);
+        let all = all.map(|(key, end)| Rejection { request: *key, valid_ms: left(end) });
+        all.sample(rng, REJECTIONS_PER_FRAME)
+    }
+}
+
+impl Exchange {
+    /// Tells all peers at once of requests that this node has come to reject: by rounds alone some would send them
+    /// on for seconds. Nodes that miss it, or start later, hear of them in rounds.
+    pub fn tell_rejections(&mut self, now: Time, mut all: Vec<Rejection>) -> Vec<Effect> {
+        all.retain(|it| self.rejections.learn(now, *it));
+        let mut effects = Vec::new();
+        for rejections in all.chunks(REJECTIONS_PER_FRAME) {
+            let gossip = Gossip { rejections: rejections.to_vec(), ..Gossip::default() };
+            let tell = |addr| Effect::Send(addr, Message::Gossip(gossip.clone()));
+            effects.extend(self.members.iter().map(|(_, it)| tell(it.info.addr)));
+        }
+        effects
+    }
+
+    pub(super) fn receive_rejections(&mut self, now: Time, all: &[Rejection]) -> Vec<Effect> {
+        let news = all.iter().filter(|it| self.rejections.learn(now, **it));
+        news.map(|it| Effect::Rejection(*it)).collect()
+    }
+}
--- a/crates/fleet/src/exchange/rounds.rs
+++ b/crates/fleet/src/exchange/rounds.rs
@@ -36,6 +36,7 @@
         };
         self.next_round = now + interval.mul_f64(rng.random_range(0.8..1.2));
         self.verdicts.retain(|_, (_, until)| now < *until);
+        self.rejections.expire(now);
         self.members.expire(now, FORGET_AFTER);
         self.follow_precedence();
         self.refill(now);
@@ -65,7 +66,8 @@
         let mut nodes = vec![self.info()];
         let others: Vec<NodeInfo> = self.members.iter().map(|(_, it)| it.info).collect();
         nodes.extend(others.sample(rng, NODES_PER_FRAME - 1));
-        Gossip { nodes, verdicts: self.some_verdicts(now, rng), wants_reply }
+        let rejections = self.rejections.some(now, rng);
+        Gossip { nodes, verdicts: self.some_verdicts(now, rng), rejections, wants_reply }
     }
 
     /// Mostly a node of the own failure domain, but any while nobody there tells what the platform has. A
--- a/crates/fleet/src/permits.rs
+++ b/crates/fleet/src/permits.rs
@@ -60,6 +60,8 @@
     Granted(Grant, Place),
     /// None in time.
     Refused(Duration),
+    /// None, because endpoints end under the request, for so much longer.
+    Rejected(Duration),
 }
 
 #[derive(Clone, Debug)]
@@ -183,6 +185,10 @@
                 self.pending.remove(&id);
                 Some(Action::Settle(id, Settlement::Refused(retry_after)))
             }
+            Reply::Rejected { retry_after } => {
+                self.pending.remove(&id);
+                Some(Action::Settle(id, Settlement::Rejected(retry_after)))
+            }
         }
     }
 
--- a/crates/fleet/src/tests/permits.rs
+++ b/crates/fleet/src/tests/permits.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use policy::{Ask, Grant, NodeId, PermitId, Reply, Reporter, SendKind, Tier, Time};
+use policy::{Ask, Grant, NodeId, PermitId, Reply, Reporter, RequestKey, SendKind, Tier, Time};
 use resources::Priority;
 
 use crate::permits::{Action, Client, Contact, Directory, Place, Settlement, Wish};
@@ -23,6 +23,7 @@
         id: PermitId { node: ME, seq: 1 },
         reporter: Reporter { node: ME, failure_domain: 0 },
         route: 1,
+        request: RequestKey::default(),
         repeatable: true,
         priority: Priority(0),
         organisation: 0,
@@ -48,6 +49,7 @@
         trial: false,
         tier: Tier::Good,
         doubt: Default::default(),
+        is_watched: false,
     }
 }
 
@@ -61,6 +63,7 @@
         Action::Send(..) => "other".into(),
         Action::Settle(_, Settlement::Granted(_, place)) => format!("granted by {place:?}"),
         Action::Settle(_, Settlement::Refused(_)) => "refused".into(),
+        Action::Settle(_, Settlement::Rejected(_)) => "rejected".into(),
     }
 }
 
--- a/crates/fleet/src/tests/wire.rs
+++ b/crates/fleet/src/tests/wire.rs
@@ -1,7 +1,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use policy::{Ask, Grant, Kind, NodeId, PermitId, Reply, Reporter, SendKind, Tier};
+use policy::{
+    Ask, Grant, Kind, NodeId, PermitId, Rejection, Reply, Reporter, RequestKey, SendKind, Tier,
+};
 use proptest::prelude::*;
 use resources::{Endpoint, Priority, Registration, RegistryChange, Standing};
 
@@ -43,9 +45,14 @@
 fn the_longest_gossip_fits_a_datagram() {
     let info = longest_info();
     let verdict = Verdict { endpoint: info.addr, valid_ms: u32::MAX };
-    let (nodes, verdicts) = MAX_GOSSIP;
-    let gossip =
-        Gossip { nodes: vec![info; nodes], verdicts: vec![verdict; verdicts], wants_reply: true };
+    let rejection = Rejection { request: RequestKey(u64::MAX), valid_ms: u32::MAX };
+    let (nodes, verdicts, rejections) = MAX_GOSSIP;
+    let gossip = Gossip {
+        nodes: vec![info; nodes],
+        verdicts: vec![verdict; verdicts],
+        rejections: vec![rejection; rejections],
+        wants_reply: true,
+    };
     let buf = frame(Message::Gossip(gossip)).encode(&keys("k")).expect("it fits");
     assert!(buf.len() <= MAX_FRAME_BYTES, "{}", buf.len());
 }
@@ -82,6 +89,7 @@
         id: PermitId { node: NodeId(u64::MAX), seq: u64::MAX },
         reporter,
         route: u32::MAX,
+        request: RequestKey::default(),
         repeatable: true,
         priority: Priority(u8::MAX),
         organisation: u64::MAX,
@@ -110,6 +118,7 @@
         trial: true,
         tier: Tier::Good,
         doubt: Default::default(),
+        is_watched: false,
     };
     let messages = [
         Message::Permit(PermitMessage::Answer { id, reply: Reply::Granted(grant) }),
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use policy::{Ask, Kind, NodeId, Observation, PermitId, Reply};
+use policy::{Ask, Kind, NodeId, Observation, PermitId, Rejection, Reply, RequestKey, RunEnd};
 use resources::{Name, RegistryChange};
 use serde::{Deserialize, Serialize};
 
@@ -17,7 +17,7 @@
 /// Nodes told of in one round; with the header this keeps a frame at about 400 bytes.
 pub(crate) const NODES_PER_FRAME: usize = 10;
 /// Version of the protocol. A node drops frames of other versions.
-pub(crate) const VERSION: u8 = 5;
+pub(crate) const VERSION: u8 = 6;
 /// Bytes of the keyed hash that a frame carries.
 pub(crate) const TAG_BYTES: usize = 16;
 const HEADER_BYTES: usize = 1 + TAG_BYTES;
@@ -123,6 +123,8 @@
     pub nodes: Vec<NodeInfo>,
     /// Verdicts that are still valid.
     pub verdicts: Vec<Verdict>,
+    /// Requests that endpoints end under.
+    pub rejections: Vec<Rejection>,
     /// Whether the receiver is to answer with what it knows.
     pub wants_reply: bool,
 }
@@ -194,6 +196,17 @@
         /// Time from the send to its beginning.
         elapsed: Duration,
     },
+    /// Tells how a request ended that speaks for or against it, to those that may hand out slots for it.
+    Ran {
+        /// Hash of the service's name.
+        service: u64,
+        /// The request.
+        request: RequestKey,
+        /// How its run ended.
+        end: RunEnd,
+        /// Time from the send to that.
+        elapsed: Duration,
+    },
     /// Tells of requests on routes that lead to a service and that another one did not serve.
     UnservedElsewhere {
         /// Hash of the service's name.
--- a/crates/fleet/tests/repeats.rs
+++ b/crates/fleet/tests/repeats.rs
@@ -29,7 +29,8 @@
 
 use fleet::{Action, Client, Directory, PermitMessage, Place, Settlement, Wish};
 use policy::{
-    Ask, BudgetLimits, Dispatcher, Kind, NodeId, PermitId, Reply, Reporter, SendKind, Time, rank,
+    Ask, BudgetLimits, Dispatcher, Kind, NodeId, PermitId, Reply, Reporter, RequestKey, SendKind,
+    Time, rank,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -288,6 +289,7 @@
             id,
             reporter: Reporter { node: id.node, failure_domain: 0 },
             route: 1,
+            request: RequestKey::default(),
             repeatable: true,
             priority: Priority(0),
             organisation: 1,
@@ -321,7 +323,7 @@
                 self.reply(i, place, id, reply);
             }
             Action::Settle(id, Settlement::Granted(_, place)) => self.granted(i, id, place),
-            Action::Settle(id, Settlement::Refused(_)) => {
+            Action::Settle(id, Settlement::Refused(_) | Settlement::Rejected(_)) => {
                 self.requests.remove(&id);
             }
         }
--- a/crates/policy/benches/decision.rs
+++ b/crates/policy/benches/decision.rs
@@ -4,8 +4,8 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use policy::{
-    Ask, BudgetLimits, Dispatcher, Kind, NodeId, PermitId, Reply, Reporter, RouteTerms, SendKind,
-    Time,
+    Ask, BudgetLimits, Dispatcher, Kind, NodeId, PermitId, Reply, Reporter, RequestKey, RouteTerms,
+    SendKind, Time,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -40,6 +40,7 @@
         id,
         reporter: Reporter { node: id.node, failure_domain: seq % 3 },
         route: 1,
+        request: RequestKey::default(),
         repeatable: true,
         priority: Priority(0),
         organisation: 1,
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -10,6 +10,7 @@
 mod evidence;
 mod load;
 mod rest;
+mod suspicion;
 mod waiting;
 
 use std::time::Duration;
@@ -28,6 +29,7 @@
 use crate::rotation::{Change, EndpointStatus, Lives, Rotation, State};
 use crate::served::{Ending, Served};
 use crate::signs::Signs;
+use crate::suspects::{RequestKey, Suspects};
 use crate::time::Time;
 use load::Load;
 
@@ -54,6 +56,7 @@
 struct Permit {
     endpoint: usize,
     route: u32,
+    request: RequestKey,
     reporter: Reporter,
     grant: Grant,
     granted: Time,
@@ -103,6 +106,9 @@
     /// Repeats refused when that was last told.
     refused_before: u64,
     served: Served,
+    suspects: Suspects,
+    /// A request that waits may have come to be rejected.
+    has_rejected: bool,
     counts: DispatchCounts,
     granted_at: Option<Time>,
     /// Whether so much fails that endpoints are tried again sooner; as of the last choice.
@@ -133,6 +139,8 @@
             budget: Budget::new(now, budget),
             refused_before: 0,
             served: Served::default(),
+            suspects: Suspects::default(),
+            has_rejected: false,
             counts: DispatchCounts::default(),
             granted_at: None,
             strain: Strain::None,
@@ -181,6 +189,10 @@
         if self.queue.any(|it| it.id == ask.id) {
             return Reply::Queued;
         }
+        if let Some(retry_after) = self.suspects.rejected(now, ask.request) {
+            self.counts.rejected += 1;
+            return Reply::Rejected { retry_after };
+        }
         if ask.brings_part {
             self.budget.hold_part(now, ask.reporter.node);
         }
@@ -272,6 +284,7 @@
         }
         self.judge.tick(now);
         self.refresh_signs(now);
+        self.suspects.tick(now);
         let loads = &mut self.loads;
         self.permits.retain(|id, it| {
             let keep = now < it.expires;
@@ -349,10 +362,12 @@
             doubt: self.doubt(now, endpoint),
             trial: tier == Tier::Trial || matches!(it.state, State::Trial { .. }),
             tier,
+            is_watched: self.suspects.is_watched(ask.request),
         };
         let permit = Permit {
             endpoint,
             route: ask.route,
+            request: ask.request,
             reporter: ask.reporter,
             grant: grant.clone(),
             granted: now,
@@ -365,7 +380,7 @@
             self.counts.repeats += 1;
             self.budget.spend(now);
         }
-        self.loads[endpoint].take(now, ask.id, ask.route);
+        self.loads[endpoint].take(now, ask);
         self.granted_at = Some(now);
         self.permits.insert(ask.id, permit);
         grant
--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -151,10 +151,17 @@
         mut tie: impl FnMut() -> u32,
     ) -> Option<(usize, Tier)> {
         let now = survey.now;
+        let is_watched = self.suspects.is_watched(ask.request);
+        if is_watched && self.is_open(ask.request) {
+            return None;
+        }
         let mut best = None;
         let mut good_slots = 0;
         for (i, (load, look)) in self.loads.iter().zip(&survey.looks).enumerate() {
             let is_near = load.failure_domain == ask.reporter.failure_domain;
+            if is_watched && self.runs_watched(load) {
+                continue;
+            }
             let Some(tier) = self.tier(look, i, ask, is_near) else { continue };
             let usable = if tier == Tier::Trial { 1 } else { look.usable_slots() };
             if tier < Tier::Near {
--- a/crates/policy/src/dispatcher/counts.rs
+++ b/crates/policy/src/dispatcher/counts.rs
@@ -35,6 +35,8 @@
     pub shed_last: u32,
     /// Requests that timed out at an endpoint.
     pub timed_out: u32,
+    /// Sends that were rejected because endpoints end under their request.
+    pub rejected: u32,
     /// Requests of routes that lead here too, and that another service did not serve.
     pub unserved_elsewhere: u32,
 }
--- a/crates/policy/src/dispatcher/evidence.rs
+++ b/crates/policy/src/dispatcher/evidence.rs
@@ -81,6 +81,7 @@
             }
         }
         self.signs = other.signs.clone();
+        self.suspects = other.suspects.clone();
         self
     }
 
@@ -135,6 +136,7 @@
             }
             _ => {}
         }
+        self.suspect(now, &permit, kind);
         let it = permit.observation(kind, elapsed);
         match permit.told {
             Told::Nothing => self.note(now, it),
--- a/crates/policy/src/dispatcher/load.rs
+++ b/crates/policy/src/dispatcher/load.rs
@@ -5,9 +5,10 @@
 
 use crate::baseline::Baseline;
 use crate::belief::Belief;
-use crate::permit::PermitId;
+use crate::permit::{Ask, PermitId};
 use crate::rendezvous::stable_hash;
 use crate::signs::Signs;
+use crate::suspects::RequestKey;
 use crate::time::Time;
 
 /// One endpoint, as far as a dispatcher knows it.
@@ -34,6 +35,7 @@
     id: PermitId,
     since: Time,
     route: u32,
+    request: RequestKey,
     /// Its answer has begun, so that its age says nothing any more.
     is_answered: bool,
 }
@@ -83,9 +85,10 @@
     }
 
     /// Takes a slot.
-    pub(super) fn take(&mut self, now: Time, id: PermitId, route: u32) {
+    pub(super) fn take(&mut self, now: Time, ask: &Ask) {
         self.used_at = Some(now);
-        self.open.push(OpenSend { id, since: now, route, is_answered: false });
+        let Ask { id, route, request, .. } = *ask;
+        self.open.push(OpenSend { id, since: now, route, request, is_answered: false });
     }
 
     /// Gives a slot back.
@@ -93,6 +96,11 @@
         self.open.retain(|it| it.id != id);
     }
 
+    /// The requests that hold its slots.
+    pub(super) fn requests(&self) -> impl Iterator<Item = RequestKey> {
+        self.open.iter().map(|it| it.request)
+    }
+
     /// The answer to a request has begun.
     pub(super) fn answer_began(&mut self, id: PermitId) {
         self.open.iter_mut().filter(|it| it.id == id).for_each(|it| it.is_answered = true);
--- a/crates/policy/src/dispatcher/waiting.rs
+++ b/crates/policy/src/dispatcher/waiting.rs
@@ -11,6 +11,7 @@
 use crate::permit::{Ask, PermitId, Reply, SendKind, Settled};
 use crate::queue::Waiting;
 use crate::rendezvous::NodeId;
+use crate::suspects::RequestKey;
 use crate::time::Time;
 
 /// Waiting requests for each slot at most.
@@ -50,8 +51,8 @@
         if self.queue.len() == 0 {
             return Vec::new();
         }
+        let mut settled = self.turn_away_rejected(now);
         self.look_around(now);
-        let mut settled = Vec::new();
         while self.queue.len() > 0 {
             let survey = self.survey(now);
             if !self.has_free_slot(&survey) {
@@ -80,7 +81,7 @@
             if ask.send == SendKind::Further && !may_repeat {
                 return false;
             }
-            let key = ChoiceKey::of(ask, by_node);
+            let key = ChoiceKey { watched: self.watched(ask), ..ChoiceKey::of(ask, by_node) };
             if let Some((_, fits)) = known.iter().find(|(it, _)| *it == key) {
                 return *fits;
             }
@@ -115,6 +116,8 @@
     priority: Priority,
     objective: Duration,
     avoid: &'a [SocketAddr],
+    /// The request, if an endpoint has ended under it.
+    watched: Option<RequestKey>,
 }
 
 impl<'a> ChoiceKey<'a> {
@@ -129,6 +132,7 @@
             priority: ask.priority,
             objective: ask.objective,
             avoid: &ask.avoid,
+            watched: None,
         }
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -31,7 +31,7 @@
 pub use rendezvous::{NodeId, rank, rank_strong_first, stable_hash};
 pub use retry::{Attempt, Next, Outcome, next_step};
 pub use rotation::{Change, EndpointStatus, Rotation, State, domain_floors};
-pub use suspects::RequestKey;
+pub use suspects::{Rejection, RequestKey, RunEnd};
 pub use time::Time;
 
 #[cfg(test)]
--- a/crates/policy/src/permit.rs
+++ b/crates/policy/src/permit.rs
@@ -8,6 +8,7 @@
 
 use crate::observation::Reporter;
 use crate::rendezvous::NodeId;
+use crate::suspects::RequestKey;
 
 /// Identity of a permit, chosen by the node that asks; asking twice is harmless.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -51,6 +52,8 @@
     pub reporter: Reporter,
     /// Hash of the route's name.
     pub route: u32,
+    /// What makes the request the same as another one.
+    pub request: RequestKey,
     /// Whether the request may run twice; only such requests go to an endpoint on trial.
     pub repeatable: bool,
     /// Which work goes first.
@@ -96,6 +99,8 @@
     pub tier: Tier,
     /// What was believed of it.
     pub doubt: Doubt,
+    /// Whether an endpoint has ended under the request before: its answer is then of interest.
+    pub is_watched: bool,
 }
 
 /// What was believed of an endpoint when one of its slots was granted.
@@ -121,6 +126,11 @@
         /// When to come back.
         retry_after: Duration,
     },
+    /// Give up now: endpoints end under the request.
+    Rejected {
+        /// For how much longer nobody sends it.
+        retry_after: Duration,
+    },
 }
 
 /// A reply to an earlier ask.
--- a/crates/policy/src/tests.rs
+++ b/crates/policy/src/tests.rs
@@ -14,4 +14,5 @@
 mod retry;
 mod signs;
 mod silence;
+mod suspects;
 mod verdicts;
--- a/crates/policy/src/tests/dispatcher.rs
+++ b/crates/policy/src/tests/dispatcher.rs
@@ -148,7 +148,7 @@
         match reply {
             Reply::Granted(_) => self.held.push(id),
             Reply::Queued => drop(self.waiting.insert(id, self.now + SECOND)),
-            Reply::Full | Reply::Refused { .. } => {}
+            Reply::Full | Reply::Refused { .. } | Reply::Rejected { .. } => {}
         }
     }
 
--- a/crates/policy/src/tests/fixture.rs
+++ b/crates/policy/src/tests/fixture.rs
@@ -9,7 +9,7 @@
 use crate::judge::Judge;
 use crate::{
     Ask, BudgetLimits, Dispatcher, Kind, NodeId, Observation, PermitId, Reply, Reporter,
-    RouteTerms, SendKind, State, Time,
+    RequestKey, RouteTerms, SendKind, State, Time,
 };
 
 pub(super) const ROUTE: u32 = 7;
@@ -148,6 +148,7 @@
         id: PermitId { node: NodeId(seq % 5), seq },
         reporter: reporter(seq % 5),
         route: ROUTE,
+        request: RequestKey::default(),
         repeatable: true,
         priority: Priority(0),
         organisation: seq % 3,
--- a/crates/policy/src/tests/rest.rs
+++ b/crates/policy/src/tests/rest.rs
@@ -171,7 +171,7 @@
                 let i = dispatcher.endpoints().iter().position(|e| e.id == it.endpoint).unwrap();
                 self.begin(now, id.seq, i);
             }
-            Reply::Refused { .. } => {
+            Reply::Refused { .. } | Reply::Rejected { .. } => {
                 self.seen.push(Seen { at: now, endpoint: None, end: End::Unserved });
             }
             Reply::Queued | Reply::Full => {}
--- a/crates/standin/src/net.rs
+++ b/crates/standin/src/net.rs
@@ -318,7 +318,7 @@
             match effect {
                 Effect::Send(to, message) => self.deliver(i, to, message),
                 Effect::Fetch(from) => self.fetch(i, from),
-                Effect::Endpoints | Effect::Verdict(_) => {}
+                Effect::Endpoints | Effect::Verdict(_) | Effect::Rejection(_) => {}
             }
         }
     }
