--- a/crates/caller/src/content.rs
+++ b/crates/caller/src/content.rs
@@ -4,7 +4,7 @@
 use policy::RequestKey;
 
 use crate::body::Received;
-use crate::headers::ORGANISATION;
+use crate::headers;
 
 /// The key of a request: of what an endpoint sees of it, without what differs each time it comes (its identity, its
 /// deadline, its trace) and without the caller's address, which changes behind balancers.
@@ -13,7 +13,7 @@
 pub(crate) fn request_key(
     method: &Method,
     uri: &Uri,
-    headers: &HeaderMap,
+    head: &HeaderMap,
     body: &Received,
 ) -> RequestKey {
     let mut hasher = blake3::Hasher::new();
@@ -24,8 +24,10 @@
     };
     add(method.as_str().as_bytes());
     add(uri.to_string().as_bytes());
-    for name in [header::HOST, ORGANISATION, header::AUTHORIZATION, header::RANGE] {
-        add(headers.get(name).map_or(b"", |it| it.as_bytes()));
+    // Without its port, by which nodes of one VM differ.
+    add(headers::host_of(uri, head).as_bytes());
+    for name in [headers::ORGANISATION, header::AUTHORIZATION, header::RANGE] {
+        add(head.get(name).map_or(b"", |it| it.as_bytes()));
     }
     match body {
         Received::Whole(it) => add(it),
--- a/crates/caller/src/tests.rs
+++ b/crates/caller/src/tests.rs
@@ -139,6 +139,8 @@
     let it = key("POST", "/x?a=1", &usual, "body");
     let again = [("host", "h"), ("x-organisation", "o"), ("x-request-id", "2")];
     assert_eq!(it, key("POST", "/x?a=1", &again, "body"), "it comes again");
+    let elsewhere = [("host", "H:8080"), usual[1], usual[2]];
+    assert_eq!(it, key("POST", "/x?a=1", &elsewhere, "body"), "at another node");
     let others = [
         key("PUT", "/x?a=1", &usual, "body"),
         key("POST", "/x?a=2", &usual, "body"),
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -29,6 +29,9 @@
     Fut: Future<Output = Answer> + Send + 'static,
 {
     let mut connections = JoinSet::new();
+    // Declared last, so that it closes first, as in a process that ends: whoever sees its connection break finds the
+    // port closed.
+    let listener = listener;
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
         let _ = stream.set_nodelay(true);
