Ages and deadlines count the time for which the machine was suspended

Cause: every age and deadline was a difference of steady instants, and that clock stands still while a machine is suspended. A node that was resumed sent requests whose time had passed, used idle connections that were long closed at the other end, and took permits, credits for repeats and the proof that its copy is fresh for younger than they were; it did not notice the pause at all.

Not moved: pace of logs and of reads, times that are only logged, the bound on finding another endpoint for the rest of a download.

--- a/crates/caller/src/open.rs
+++ b/crates/caller/src/open.rs
@@ -6,8 +6,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use clock::{Moment, sleep_until};
 use policy::{Grant, Kind};
-use tokio::time::{Instant, sleep_until};
 
 use crate::Slot;
 
@@ -19,7 +19,7 @@
 pub(crate) struct Open<S: Slot> {
     slot: Option<S>,
     grant: Grant,
-    started: Instant,
+    started: Moment,
     stall_after: Duration,
     answered_after: Option<Duration>,
     was_paused: bool,
@@ -50,7 +50,7 @@
     pub(crate) fn in_race(slot: S, race: Race) -> Self {
         let grant = slot.grant().clone();
         let stall_after = grant.stall_after;
-        let started = Instant::now();
+        let started = Moment::now();
         Self {
             slot: Some(slot),
             grant,
@@ -105,11 +105,7 @@
     }
 
     /// Waits until the deadline and reports a stall on the way. Nothing means that it passed.
-    pub(crate) async fn watch<F: Future>(
-        &mut self,
-        fut: F,
-        deadline: Instant,
-    ) -> Option<F::Output> {
+    pub(crate) async fn watch<F: Future>(&mut self, fut: F, deadline: Moment) -> Option<F::Output> {
         let mut fut = pin!(fut);
         let stall_at = (self.started + self.stall_after).min(deadline);
         tokio::select! {
--- a/crates/caller/src/paths.rs
+++ b/crates/caller/src/paths.rs
@@ -1,8 +1,9 @@
 //! Endpoints that this node could not reach a moment ago, though others may.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use clock::Moment;
 use parking_lot::Mutex;
 use rustc_hash::FxHashMap;
 
@@ -15,13 +16,13 @@
 /// Paths of this node that failed lately.
 #[derive(Debug, Default)]
 pub(crate) struct Paths {
-    failed: Mutex<FxHashMap<SocketAddr, Instant>>,
+    failed: Mutex<FxHashMap<SocketAddr, Moment>>,
 }
 
 impl Paths {
     /// Records that no connection came up.
     pub(crate) fn failed(&self, addr: SocketAddr) {
-        self.failed.lock().insert(addr, Instant::now());
+        self.failed.lock().insert(addr, Moment::now());
     }
 
     /// Records that an answer came.
--- a/crates/caller/src/sending.rs
+++ b/crates/caller/src/sending.rs
@@ -10,7 +10,7 @@
 use http::Response;
 use http_body_util::Full;
 use policy::{Attempt, Next, Outcome, SendKind, next_step};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::answer::GiveUp;
 use crate::attempt::{Lane, Sent, attempt};
@@ -142,7 +142,7 @@
     want: Want,
 ) -> Result<D::Slot, Refused> {
     let since = Instant::now();
-    let slot = timeout_at(work.deadline, cx.dispatch.acquire(want)).await;
+    let slot = clock::timeout_at(work.deadline, cx.dispatch.acquire(want)).await;
     work.waited(since.elapsed());
     cx.metrics.slot_wait.observe(since.elapsed().as_secs_f64());
     slot.unwrap_or(Err(Refused::no_capacity(RETRY_AFTER_FAILURE)))
--- a/crates/caller/src/work.rs
+++ b/crates/caller/src/work.rs
@@ -5,12 +5,12 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use clock::Moment;
 use http::header::{self, HeaderValue};
 use http::{HeaderMap, Method, Request, Uri};
 use hyper::body::Incoming;
 use policy::{RequestKey, SendKind, stable_hash};
 use resources::{Name, Repeat, Route};
-use tokio::time::Instant;
 
 use crate::body::RequestOut;
 use crate::cx::Cx;
@@ -36,9 +36,9 @@
     pub(crate) organisation: u64,
     pub(crate) weight: u32,
     /// No work is handed out after it, and no endpoint is given more time.
-    pub(crate) deadline: Instant,
+    pub(crate) deadline: Moment,
     /// An answer is not waited for any longer.
-    pub(crate) give_up_at: Instant,
+    pub(crate) give_up_at: Moment,
     /// Time spent in waits for slots, in milliseconds.
     slot_ms: AtomicU64,
 }
@@ -72,7 +72,7 @@
         let weight = snapshot.config.organisations.get(org).copied().unwrap_or(1);
         let limit = Duration::from_millis(route.deadline_ms.into());
         let left = headers::deadline_of(&cx.names, &out).map_or(limit, |it| it.min(limit));
-        let deadline = Instant::now() + left;
+        let deadline = Moment::now() + left;
         Ok(Self {
             organisation: stable_hash(org.as_bytes()),
             weight,
@@ -105,7 +105,7 @@
     }
 
     pub(crate) fn left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.deadline.left()
     }
 
     /// Whether no further send may follow one after `sends_before` that reached an endpoint.
--- /dev/null
+++ b/crates/clock/tests/suspended.rs
@@ -0,0 +1,27 @@
+//! A suspension counts as time, and waits that began before it end soon after it.
+
+use std::time::{Duration, Instant};
+
+use clock::{Moment, sleep_until, suspend, timeout_at};
+
+const HOUR: Duration = Duration::from_secs(3_600);
+
+#[tokio::test]
+async fn a_suspension_counts_and_ends_waits() {
+    let steady = Instant::now();
+    let start = Moment::now();
+    let deadline = start + HOUR;
+    assert!(start.elapsed() < HOUR / 2);
+    let waits = async {
+        tokio::join!(
+            sleep_until(deadline),
+            timeout_at(deadline, std::future::pending::<()>()),
+            async { suspend(HOUR) }
+        )
+    };
+    let (_, timed_out, ()) = waits.await;
+    assert!(timed_out.is_none());
+    assert!(start.elapsed() >= HOUR && deadline.left().is_zero());
+    assert!(steady.elapsed() < HOUR / 2, "the steady clock stood still");
+    assert_eq!(timeout_at(deadline, std::future::ready(1)).await, Some(1), "what is ready is had");
+}
--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -22,6 +22,7 @@
 use std::time::{Duration, Instant};
 
 use caller::{Refused, Shared};
+use clock::Moment;
 use fleet::{Client, Directory, Edge, Exchange, Keys, Phase, Place};
 use operator::Published as InForce;
 use policy::{
@@ -88,7 +89,9 @@
 
 /// The state of the control thread.
 pub struct Control {
-    clock: Instant,
+    /// The start of this process. Every age in the control state counts from it, suspensions included: by the steady
+    /// clock permits, credits for repeats and proofs that a copy is fresh would outlive their time by them.
+    clock: Moment,
     me: Reporter,
     node_addr: SocketAddr,
     failure_domain: String,
@@ -195,7 +198,7 @@
 
 impl Control {
     /// Builds the state at `clock`, which is its time zero.
-    pub fn new(clock: Instant, node_addr: SocketAddr, start: Start) -> Self {
+    pub fn new(clock: Moment, node_addr: SocketAddr, start: Start) -> Self {
         let failure_domain = name_hash(&start.failure_domain);
         let now = Time(0);
         Self {
@@ -269,7 +272,7 @@
     }
 
     fn next_tick(&self) -> Instant {
-        self.clock + Duration::from_micros(self.last_tick.0) + self.tick_interval()
+        Instant::now() + (self.last_tick + self.tick_interval()).since(self.now())
     }
 
     /// Asks that are under way need fine timers; otherwise waking up is most of what a node costs.
--- a/crates/dappleway/src/control/tests.rs
+++ b/crates/dappleway/src/control/tests.rs
@@ -1,5 +1,7 @@
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use clock::Moment;
 
 use caller::Shared;
 use fleet::{Client, Edge, Exchange, Identity, Key, Keys};
@@ -83,5 +85,20 @@
         rng: StdRng::seed_from_u64(1),
         log: Logger::root(Discard, o!()),
     };
-    Control::new(Instant::now(), addr, start)
+    Control::new(Moment::now(), addr, start)
+}
+
+/// While a machine is suspended its steady clock stands still. A node that went by it took permits, credits for
+/// repeats and the proof that its copy is fresh for younger than they were, by the length of the suspension.
+#[tokio::test]
+async fn a_suspension_of_the_machine_is_a_pause() {
+    let (urgent, _received) = mpsc::unbounded_channel();
+    let mut control = control(urgent).await;
+    let before = control.now();
+    control.tick(before);
+    clock::suspend(Duration::from_secs(5));
+    let now = control.now();
+    control.notice_pause(now);
+    assert!(now.since(before) >= Duration::from_secs(5));
+    assert_eq!(control.woke, now, "evidence from before it is dropped");
 }
--- a/crates/dappleway/src/node.rs
+++ b/crates/dappleway/src/node.rs
@@ -2,10 +2,11 @@
 
 use std::path::Path;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, anyhow};
 use caller::{Dispatch, Limits, ListenerBuilder, Metrics, Shared};
+use clock::Moment;
 use fleet::{
     Backlog, Bundle, Client, Edge, Exchange, Identity, Keys, NodeInfo, ServedFetch, serve_fetches,
 };
@@ -157,7 +158,7 @@
         capacity: settings.node.capacity(),
         incarnation: SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as u64,
     };
-    let clock = Instant::now();
+    let clock = Moment::now();
     let seeds = settings.fleet.seed_addrs();
     let exchange = Exchange::new(policy::Time(0), identity, &seeds, &mut rng);
     let edge = Edge::bind(addr, keys.clone())
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -4,9 +4,10 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
+use clock::Moment;
 use http::{HeaderMap, Request, Response};
 use http_body::Body;
 use hyper::body::Incoming;
@@ -86,7 +87,7 @@
 
 struct Idle<B> {
     tx: SendRequest<B>,
-    until: Instant,
+    until: Moment,
 }
 
 impl<B> Clone for Pool<B> {
@@ -189,7 +190,7 @@
         let mut idle = self.idle.lock();
         let conns = idle.get_mut(&addr)?;
         while let Some(it) = conns.pop() {
-            if it.tx.is_ready() && Instant::now() < it.until {
+            if it.tx.is_ready() && Moment::now() < it.until {
                 return Some(it.tx);
             }
         }
@@ -201,7 +202,7 @@
         if tx.ready().await.is_err() {
             return;
         }
-        let now = Instant::now();
+        let now = Moment::now();
         let mut idle = self.idle.lock();
         let conns = idle.entry(addr).or_default();
         conns.retain(|it| now < it.until);
--- /dev/null
+++ b/crates/upstream/tests/suspended.rs
@@ -0,0 +1,48 @@
+//! Idle connections age while the machine is suspended.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::task::yield_now;
+use upstream::{Pool, Reuse};
+
+/// More than the pool's tasks need.
+const TURNS: usize = 100;
+
+#[tokio::test]
+async fn a_connection_that_was_idle_during_a_suspension_is_not_used_again() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let pool: Pool<Full<Bytes>> = Pool::new(Duration::from_secs(1));
+    let exchange = async {
+        let req = Request::get("/").header("host", "h").body(Full::default()).unwrap();
+        let res = pool.send(addr, req, Reuse::Allowed).await.unwrap();
+        res.into_body().collect().await.unwrap();
+    };
+    let serve = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await.unwrap();
+        stream
+    };
+    let ((), first) = tokio::join!(exchange, serve);
+    // The pool takes the connection back on a task of its own.
+    for _ in 0..TURNS {
+        yield_now().await;
+    }
+    clock::suspend(Duration::from_secs(60));
+
+    let req = Request::get("/").header("host", "h").body(Full::default()).unwrap();
+    let send = tokio::spawn({
+        let pool = pool.clone();
+        async move { pool.send(addr, req, Reuse::Allowed).await }
+    });
+    // A second connection comes although the first one is still open.
+    let (_second, _) = listener.accept().await.unwrap();
+    drop(first);
+    send.abort();
+}
