A rejected request is known at the node, whichever service it would go to

A route that is moved to a service that is new at a node met dispatchers that knew no rejection there. Test: of 40 nodes all know within 3 s, also with one frame of five lost, and a node that starts later knows 3 s after its start.

--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -39,7 +39,10 @@
             let _ = tx.send(Err(Refused::no_capacity(RENEW)));
             return;
         };
-        if let Some(retry_after) = state.dispatcher().rejected(now, want.request) {
+        let rejected = self.exchange.rejected(now, want.request);
+        if let Some(retry_after) =
+            rejected.or_else(|| state.dispatcher().rejected(now, want.request))
+        {
             // The caller may have left.
             let _ = tx.send(Err(Refused { retry_after, why: Why::CrashesEndpoints }));
             return;
--- a/crates/fleet/src/exchange/rejections.rs
+++ b/crates/fleet/src/exchange/rejections.rs
@@ -39,6 +39,11 @@
         true
     }
 
+    fn left(&self, now: Time, request: RequestKey) -> Option<Duration> {
+        let end = *self.0.get(&request)?;
+        (now < end).then(|| end.since(now))
+    }
+
     pub(super) fn expire(&mut self, now: Time) {
         self.0.retain(|_, end| now < *end);
     }
@@ -65,6 +70,11 @@
         effects
     }
 
+    /// For how much longer a request is rejected, at whichever service: a route may be moved to one that is new here.
+    pub fn rejected(&self, now: Time, request: RequestKey) -> Option<Duration> {
+        self.rejections.left(now, request)
+    }
+
     pub(super) fn receive_rejections(&mut self, now: Time, all: &[Rejection]) -> Vec<Effect> {
         let news = all.iter().filter(|it| self.rejections.learn(now, **it));
         news.map(|it| Effect::Rejection(*it)).collect()
--- a/crates/fleet/tests/exchange.rs
+++ b/crates/fleet/tests/exchange.rs
@@ -5,7 +5,7 @@
 use fleet::{
     Capacity, Effect, Exchange, Gossip, Identity, Message, News, Phase, Reads, Verdict, node_id,
 };
-use policy::Time;
+use policy::{Rejection, RequestKey, Time};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use resources::Published;
@@ -198,3 +198,21 @@
     assert_eq!(told(Message::News(news.clone())), 1);
     assert_eq!(told(Message::News(news)), 0, "it is known now");
 }
+
+#[test]
+fn every_node_knows_soon_which_request_crashes_endpoints_those_that_start_later_included() {
+    let contact = Duration::from_secs(3);
+    let it = Rejection { request: RequestKey(7), valid_ms: 120_000 };
+    for loss in [0.0, 0.2] {
+        let mut net = started(40, loss);
+        net.reject(0, it);
+        net.run(contact);
+        let knows = |net: &Net, i: usize| net.nodes[i].rejected(net.now, it.request).is_some();
+        let known = (0..40).filter(|i| knows(&net, *i)).count();
+        assert_eq!(known, 40, "loss {loss}");
+        net.restart(5);
+        assert!(!knows(&net, 5));
+        net.run(contact);
+        assert!(knows(&net, 5), "loss {loss}");
+    }
+}
--- a/crates/standin/src/net.rs
+++ b/crates/standin/src/net.rs
@@ -12,7 +12,7 @@
 use fleet::{
     Bundle, Capacity, Effect, Exchange, FetchFailure, Identity, Key, Keys, Message, Phase, Reads,
 };
-use policy::Time;
+use policy::{Rejection, Time};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use resources::{Document, Published, RegistryChange};
@@ -297,6 +297,12 @@
         self.nodes.iter().map(|it| it.replica().facts().version).collect()
     }
 
+    /// Node `i` has come to reject a request.
+    pub fn reject(&mut self, i: usize, it: Rejection) {
+        let effects = self.nodes[i].tell_rejections(self.now, vec![it]);
+        self.apply(i, effects);
+    }
+
     /// Nodes whose duty it is to read the platform.
     pub fn readers(&self) -> usize {
         let reads = |it: &&Exchange| it.duty().reads(self.now) == Reads::Everything;
