--- a/crates/dappleway/tests/crashing.rs
+++ b/crates/dappleway/tests/crashing.rs
@@ -28,6 +28,9 @@
 /// Sends later than that are too late to be excused, but for this many.
 const LATE_SENDS: usize = 3;
 
+/// Time for a node to start.
+const START: Duration = Duration::from_secs(60);
+
 fn crashes(bed: &Bed) -> Vec<Instant> {
     let mut all: Vec<Instant> = bed.upstreams.iter().flat_map(|it| it.crashes()).collect();
     all.sort();
@@ -50,3 +53,21 @@
     let after = caller::run(Plan { duration: Duration::from_secs(2), ..harmless }).await;
     assert!(after.answered * 100 >= after.sent * 98, "the endpoints are in use again: {after:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_that_start_anew_one_after_the_other_do_not_send_it_on() {
+    let bin = Path::new(env!("CARGO_BIN_EXE_dappleway"));
+    let mut bed = Bed::start(bin, &Layout::small()).await.unwrap();
+    let path = format!("/slots/today?{CRASHING}=1");
+    let crashing = Plan { path, ..bed.lookups(20.0, 3.0) };
+    caller::run(crashing.clone()).await;
+    let before = crashes(&bed).len();
+    assert!(before >= 3);
+    for i in 0..bed.nodes.len() {
+        bed.nodes[i].restart().unwrap();
+        bed.nodes[i].wait_ready(START).await.unwrap();
+        caller::run(Plan { duration: Duration::from_secs(1), ..crashing.clone() }).await;
+    }
+    let after = crashes(&bed).len() - before;
+    assert!(after <= LATE_SENDS, "{after} endpoints end after {before}");
+}
