--- a/crates/dappleway/tests/crashing.rs
+++ b/crates/dappleway/tests/crashing.rs
@@ -12,9 +12,9 @@
 //! Cause: every send was judged by itself. Nothing told that two requests are the same one, and a process that ended
 //! under a request looked like any other failure, which speaks against the endpoint alone.
 //!
-//! Evidence: on a day of 36 nodes and nine endpoints the service's endpoints were started anew 20 and 29 times, each time
-//! under a request with the same path, and each of its sends ended as `unknown` at the node that sent it; no other
-//! service lost an endpoint.
+//! Evidence: on a day of 36 nodes 20 and 29 endpoints of one service ended under one request each, no other service lost
+//! one, and the sends to them ended as `unknown` at nodes of all failure domains. Before endpoints that end as the ones
+//! here, 35 of 53 crashes came later than all nodes could have known, and one request of a caller ended up to three.
 
 use std::path::Path;
 use std::time::{Duration, Instant};
