--- a/crates/caller/tests/suspended.rs
+++ b/crates/caller/tests/suspended.rs
@@ -68,9 +68,9 @@
     let header = HeaderName::from_static;
     let names = HeaderNames {
         request_id: header("x-request-id"),
-        deadline: header("x-timeout-ms"),
-        wanted_endpoint: header("x-target-instance"),
-        not_run: header("x-not-executed"),
+        deadline: header("x-left-ms"),
+        wanted_endpoint: header("x-endpoint"),
+        not_run: header("x-not-run"),
     };
     let metrics = Metrics::register(&Registry::new()).unwrap();
     let builder = ListenerBuilder::new(shared, Suspended(grant), names, metrics);
