Read again: whether an endpoint is to be there is decided once, waits and keys are simpler

Cause: the same condition (not missing, not leaving) stood in the rests, the suspicion and the control thread; it is now EndpointStatus::is_expected. Two arms that recorded a crash are one.

Ruled out: one type for verdicts and rejections in the exchange, which differ in key, slack and bound; it would change more than it saves.

--- a/crates/caller/src/content.rs
+++ b/crates/caller/src/content.rs
@@ -23,7 +23,7 @@
         hasher.update(part);
     };
     add(method.as_str().as_bytes());
-    add(uri.to_string().as_bytes());
+    add(uri.path_and_query().map_or("/", |it| it.as_str()).as_bytes());
     // Without its port, by which nodes of one VM differ.
     add(headers::host_of(uri, head).as_bytes());
     for name in [headers::ORGANISATION, header::AUTHORIZATION, header::RANGE] {
--- a/crates/caller/src/open.rs
+++ b/crates/caller/src/open.rs
@@ -20,7 +20,6 @@
     slot: Option<S>,
     grant: Grant,
     started: Moment,
-    stall_after: Duration,
     answered_after: Option<Duration>,
     was_paused: bool,
     race: Race,
@@ -49,17 +48,8 @@
     /// The same for a send beside which a hedge may run.
     pub(crate) fn in_race(slot: S, race: Race) -> Self {
         let grant = slot.grant().clone();
-        let stall_after = grant.stall_after;
         let started = Moment::now();
-        Self {
-            slot: Some(slot),
-            grant,
-            started,
-            stall_after,
-            answered_after: None,
-            was_paused: false,
-            race,
-        }
+        Self { slot: Some(slot), grant, started, answered_after: None, was_paused: false, race }
     }
 
     pub(crate) fn grant(&self) -> &Grant {
@@ -107,7 +97,7 @@
     /// Waits until the deadline and reports a stall on the way. Nothing means that it passed.
     pub(crate) async fn watch<F: Future>(&mut self, fut: F, deadline: Moment) -> Option<F::Output> {
         let mut fut = pin!(fut);
-        let stall_at = (self.started + self.stall_after).min(deadline);
+        let stall_at = (self.started + self.grant.stall_after).min(deadline);
         tokio::select! {
             biased;
             out = &mut fut => return Some(out),
--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -3,12 +3,13 @@
 //! The clock behind `std` and `tokio` instants stands still meanwhile, so that what is seconds old, or past its
 //! deadline, looks fresh to a node that was resumed. This crate must not know what the ages and deadlines are for.
 
+use std::future::pending;
 use std::ops::Add;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use nix::time::{ClockId, clock_gettime};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 /// Timers count the steady clock, so that a wait is cut into pieces of this length: as long after a machine was
 /// resumed it ends at the latest.
@@ -58,20 +59,17 @@
 
 /// Waits until a moment.
 pub async fn sleep_until(moment: Moment) {
-    while !moment.left().is_zero() {
-        sleep(moment.left().min(PIECE)).await;
-    }
+    timeout_at(moment, pending::<()>()).await;
 }
 
 /// Runs a future until a moment; nothing means that the moment came first.
 pub async fn timeout_at<F: Future>(moment: Moment, fut: F) -> Option<F::Output> {
     let mut fut = std::pin::pin!(fut);
     loop {
-        let left = moment.left();
-        if let Ok(out) = timeout(left.min(PIECE), &mut fut).await {
+        if let Ok(out) = timeout(moment.left().min(PIECE), &mut fut).await {
             return Some(out);
         }
-        if left <= PIECE && moment.left().is_zero() {
+        if moment.left().is_zero() {
             return None;
         }
     }
--- a/crates/dappleway/src/control/suspects.rs
+++ b/crates/dappleway/src/control/suspects.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use fleet::{Directory, PermitMessage, Place};
-use policy::{EndpointStatus, Kind, NodeId, RunEnd, State, Time};
+use policy::{EndpointStatus, Kind, NodeId, RunEnd, Time};
 use slog::warn;
 
 use super::{Control, Nodes, OpenPermit, SUCCESSORS};
@@ -53,12 +53,12 @@
         }
     }
 
-    /// Whether the endpoint is expected to be there: one that leaves ends by itself.
+    /// Whether the endpoint is known here and to be there.
     fn is_expected(&self, open: &OpenPermit) -> bool {
         let is_it = |it: &&EndpointStatus| it.id == open.endpoint;
         let endpoints = self.services.get(open.service).map(|it| it.direct.endpoints());
         let found = endpoints.and_then(|all| all.iter().find(is_it));
-        found.is_some_and(|it| !it.is_missing && it.state != State::Leaving)
+        found.is_some_and(EndpointStatus::is_expected)
     }
 
     /// Tells every node of the requests that a dispatcher of this one has come to reject.
--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -216,7 +216,7 @@
             self.due_after = (self.strain.idle_for(), now);
         } else if now.since(self.due_after.1) >= DUE_REFRESH {
             let endpoints = self.endpoints().iter().zip(&self.loads);
-            let there = endpoints.filter(|(it, _)| !it.is_missing && it.state != State::Leaving);
+            let there = endpoints.filter(|(it, _)| it.is_expected());
             let rested = there.map(|(status, load)| Rested {
                 idle: load.idle(now),
                 is_sound: load.age(now) > SETTLED_AFTER
--- a/crates/policy/src/dispatcher/suspicion.rs
+++ b/crates/policy/src/dispatcher/suspicion.rs
@@ -10,7 +10,6 @@
 use super::{Dispatcher, Permit};
 use crate::observation::Kind;
 use crate::permit::{Ask, Reply, Settled};
-use crate::rotation::State;
 use crate::suspects::{Rejection, RequestKey, RunEnd};
 use crate::time::Time;
 
@@ -37,10 +36,7 @@
     pub fn ran(&mut self, now: Time, request: RequestKey, end: RunEnd, elapsed: Duration) {
         match end {
             RunEnd::Answered => self.suspects.answered(now, request),
-            RunEnd::Crashed => {
-                self.suspects.crashed(now, request, now - (elapsed + SAME_CRASH));
-                self.has_rejected = true;
-            }
+            RunEnd::Crashed => self.crashed(now, request, now - (elapsed + SAME_CRASH)),
         }
     }
 
@@ -48,18 +44,16 @@
     pub(super) fn suspect(&mut self, now: Time, permit: &Permit, kind: Kind) {
         match kind {
             Kind::Answered => self.suspects.answered(now, permit.request),
-            Kind::Crashed if self.is_expected(permit.endpoint) => {
-                self.suspects.crashed(now, permit.request, permit.granted);
-                self.has_rejected = true;
+            Kind::Crashed if self.endpoints()[permit.endpoint].is_expected() => {
+                self.crashed(now, permit.request, permit.granted);
             }
             _ => {}
         }
     }
 
-    /// Whether an endpoint is expected to be there: one that leaves ends by itself.
-    fn is_expected(&self, endpoint: usize) -> bool {
-        let it = &self.endpoints()[endpoint];
-        !it.is_missing && it.state != State::Leaving
+    fn crashed(&mut self, now: Time, request: RequestKey, sent: Time) {
+        self.suspects.crashed(now, request, sent);
+        self.has_rejected = true;
     }
 
     /// Whether one of the slots is held by the request.
@@ -79,7 +73,7 @@
 
     /// Answers those that wait for a slot and are sent no more.
     pub(super) fn turn_away_rejected(&mut self, now: Time) -> Vec<Settled> {
-        if !std::mem::take(&mut self.has_rejected) || self.suspects.is_empty() {
+        if !std::mem::take(&mut self.has_rejected) {
             return Vec::new();
         }
         let suspects = &self.suspects;
--- a/crates/policy/src/rotation.rs
+++ b/crates/policy/src/rotation.rs
@@ -164,6 +164,11 @@
         }
     }
 
+    /// Whether it is to be there: one that leaves, or whose entry is gone, may end by itself.
+    pub fn is_expected(&self) -> bool {
+        !self.is_missing && self.state != State::Leaving
+    }
+
     /// Whether it is in rotation with fresh proof of health.
     pub fn is_proven(&self, now: Time) -> bool {
         let fresh = self.last_good.is_some_and(|it| now.since(it) <= PROOF_LIFETIME);
--- a/crates/policy/src/suspects.rs
+++ b/crates/policy/src/suspects.rs
@@ -121,12 +121,7 @@
 
     /// Whether an endpoint has ended under a request that may be sent.
     pub(crate) fn is_watched(&self, request: RequestKey) -> bool {
-        !self.by_key.is_empty() && self.by_key.contains_key(&request)
-    }
-
-    /// Whether any request is suspected.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.by_key.is_empty()
+        self.by_key.contains_key(&request)
     }
 
     /// Requests that are remembered.
