Sight: slots that expire, slots in use, and sound endpoints without work are told once a second

Cause: permits that end unheard of were counted nowhere, so that slots held by requests that had ended could not be told from slots in use; idle endpoints were named in need only, and the users look at calm too.

Ruled out: naming idle endpoints in calm as well, a line a second for each service whose text grows with its endpoints.

--- a/crates/dappleway/src/control/dispatch_log.rs
+++ b/crates/dappleway/src/control/dispatch_log.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use policy::{DispatchCounts, Dispatcher, IdleEndpoint, Time};
+use policy::{DispatchCounts, Dispatcher, IdleEndpoint, Occupancy, Time};
 use serde_json::json;
 use slog::info;
 
@@ -13,6 +13,18 @@
 /// Idle endpoints named in one line at most.
 const MAX_NAMED: usize = 24;
 
+/// What one service's dispatcher tells.
+struct Line {
+    service: u64,
+    scope: Scope,
+    counts: DispatchCounts,
+    occupancy: Occupancy,
+    queued: usize,
+    strain: &'static str,
+    /// Endpoints without work, described.
+    idle: Vec<String>,
+}
+
 impl Control {
     /// Logs what was handed out here since the last time.
     pub(super) fn log_dispatch(&mut self, now: Time) {
@@ -21,12 +33,22 @@
             let counts = it.take_counts();
             if counts != DispatchCounts::default() {
                 let idle = if it.is_strained() { name_idle(now, it) } else { Vec::new() };
-                lines.push((service, scope, counts, it.strain_name(), it.queued(), idle));
+                lines.push(Line {
+                    service,
+                    scope,
+                    counts,
+                    occupancy: it.occupancy(now),
+                    queued: it.queued(),
+                    strain: it.strain_name(),
+                    idle,
+                });
             }
         });
-        for (service, scope, counts, strain, queued, idle) in lines {
-            let Some(state) = self.services.get(service) else { continue };
-            let (name, is_fleet) = (state.service.name.as_str(), scope == Scope::Fleet);
+        for it in lines {
+            let Some(state) = self.services.get(it.service) else { continue };
+            let (name, is_fleet) = (state.service.name.as_str(), it.scope == Scope::Fleet);
+            let Line { counts, occupancy, idle, .. } = it;
+            self.metrics.note_permits(&counts);
             info!(self.log, "slots handed out"; "service" => name, "dispatched_here" => is_fleet,
                 "first_sends" => counts.first, "repeats" => counts.repeats,
                 "repeats_refused" => counts.repeats_refused, "answered" => counts.answered,
@@ -34,8 +56,11 @@
                 "shed_last" => counts.shed_last, "queue_refused" => counts.queue_refused,
                 "waited_in_vain" => counts.waited_in_vain, "withdrawn" => counts.withdrawn,
                 "rejected" => counts.rejected,
-                "unserved_elsewhere" => counts.unserved_elsewhere, "queued" => queued,
-                "strain" => strain);
+                "unserved_elsewhere" => counts.unserved_elsewhere, "queued" => it.queued,
+                "released" => counts.released, "expired" => counts.expired,
+                "in_use" => occupancy.in_use, "expected" => occupancy.expected,
+                "sound" => occupancy.sound, "sound_idle" => occupancy.sound_idle,
+                "strain" => it.strain);
             if !idle.is_empty() {
                 info!(self.log, "endpoints without work"; "service" => name,
                     "dispatched_here" => is_fleet, "endpoints" => state.service.endpoints.len(),
--- a/crates/dappleway/src/control/metrics.rs
+++ b/crates/dappleway/src/control/metrics.rs
@@ -2,7 +2,7 @@
 //! none grows with services, endpoints or nodes.
 
 use fleet::ServedFetch;
-use policy::{State, Time};
+use policy::{DispatchCounts, State, Time};
 use prometheus::{
     Gauge, GaugeVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
 };
@@ -25,6 +25,7 @@
     nodes: IntGauge,
     first_sends: IntCounter,
     asks: IntCounterVec,
+    permits: IntCounterVec,
     fetches: FetchesServed,
 }
 
@@ -122,6 +123,13 @@
                 ),
                 &["outcome"],
             )?,
+            permits: IntCounterVec::new(
+                Opts::new(
+                    "dappleway_permits_ended_total",
+                    "Slots handed out here that came free, by how: released, or expired unheard of.",
+                ),
+                &["how"],
+            )?,
             fetches: FetchesServed::new()?,
         };
         registry.register(Box::new(it.endpoints.clone()))?;
@@ -130,11 +138,18 @@
         registry.register(Box::new(it.platform_calls.clone()))?;
         registry.register(Box::new(it.first_sends.clone()))?;
         registry.register(Box::new(it.asks.clone()))?;
+        registry.register(Box::new(it.permits.clone()))?;
         registry.register(Box::new(it.fetches.count.clone()))?;
         registry.register(Box::new(it.fetches.bytes.clone()))?;
         Ok(it)
     }
 
+    /// Counts the slots that came free since the last time.
+    pub fn note_permits(&self, counts: &DispatchCounts) {
+        self.permits.with_label_values(&["released"]).inc_by(counts.released.into());
+        self.permits.with_label_values(&["expired"]).inc_by(counts.expired.into());
+    }
+
     /// Figures of what peers fetch, for the task that serves them.
     pub fn fetches_served(&self) -> FetchesServed {
         self.fetches.clone()
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -33,7 +33,7 @@
 use crate::time::Time;
 use load::Load;
 
-pub use counts::{DispatchCounts, IdleEndpoint};
+pub use counts::{DispatchCounts, IdleEndpoint, Occupancy};
 pub use evidence::EvidenceReport;
 
 /// A permit that is neither released nor renewed for this long is taken back.
@@ -238,6 +238,7 @@
         rng: &mut impl Rng,
     ) -> Vec<Settled> {
         let Some(permit) = self.permits.remove(&id) else { return Vec::new() };
+        self.counts.released += 1;
         let load = &mut self.loads[permit.endpoint];
         load.give_back(id);
         if kind == Kind::Shed {
@@ -255,6 +256,7 @@
         self.note_unserved(now, withdrawn.len());
         self.leave_queue(withdrawn.iter().map(|it| &it.item));
         let Some(permit) = self.permits.remove(&id) else { return Vec::new() };
+        self.counts.released += 1;
         self.loads[permit.endpoint].give_back(id);
         self.drain(now, rng)
     }
@@ -285,11 +287,12 @@
         self.judge.tick(now);
         self.refresh_signs(now);
         self.suspects.tick(now);
-        let loads = &mut self.loads;
+        let (loads, counts) = (&mut self.loads, &mut self.counts);
         self.permits.retain(|id, it| {
             let keep = now < it.expires;
             if !keep {
                 loads[it.endpoint].give_back(*id);
+                counts.expired += 1;
             }
             keep
         });
--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -28,7 +28,7 @@
 /// seconds without any.
 const SETTLED_AFTER: Duration = Duration::from_secs(8);
 /// The users count an endpoint as sound two seconds after its last failure, and look at two more.
-const SOUND_AFTER: Duration = Duration::from_secs(4);
+pub(super) const SOUND_AFTER: Duration = Duration::from_secs(4);
 
 /// Steps by which endpoints count as equally likely to be sick.
 const DOUBT_STEPS: f64 = 50.0;
--- a/crates/policy/src/dispatcher/counts.rs
+++ b/crates/policy/src/dispatcher/counts.rs
@@ -6,6 +6,7 @@
 use resources::Name;
 
 use super::Dispatcher;
+use super::choice::SOUND_AFTER;
 use crate::belief::Strain;
 use crate::time::Time;
 
@@ -39,6 +40,23 @@
     pub rejected: u32,
     /// Requests of routes that lead here too, and that another service did not serve.
     pub unserved_elsewhere: u32,
+    /// Slots that were given back.
+    pub released: u32,
+    /// Slots that were taken back because nothing was heard of their request any more.
+    pub expired: u32,
+}
+
+/// The slots of a service and the endpoints without work at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Occupancy {
+    /// Slots in use.
+    pub in_use: u32,
+    /// Endpoints that are expected to serve.
+    pub expected: u32,
+    /// Those of them whose last failure is old enough for the users to count them as sound.
+    pub sound: u32,
+    /// Sound ones that have had no work for two seconds.
+    pub sound_idle: u32,
 }
 
 /// An endpoint that has had no work for two seconds, and what may be the reason.
@@ -90,6 +108,23 @@
         )
     }
 
+    /// Slots in use and sound endpoints without work.
+    pub fn occupancy(&self, now: Time) -> Occupancy {
+        let mut it = Occupancy::default();
+        for (status, load) in self.endpoints().iter().zip(&self.loads) {
+            it.in_use += load.in_use();
+            if !status.is_expected() {
+                continue;
+            }
+            it.expected += 1;
+            if load.age(now) >= REPORTED_IDLE && load.belief.failed_before(now, SOUND_AFTER) {
+                it.sound += 1;
+                it.sound_idle += u32::from(load.idle(now).is_none_or(|idle| idle >= REPORTED_IDLE));
+            }
+        }
+        it
+    }
+
     /// Whether so much is not served, here or elsewhere, that endpoints without work are missed; as of the last choice.
     pub fn is_strained(&self) -> bool {
         self.strain != Strain::None
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,7 +25,7 @@
 
 pub use baseline::RouteTerms;
 pub use budget::{BudgetLimits, RepeatsReport};
-pub use dispatcher::{DispatchCounts, Dispatcher, EvidenceReport, IdleEndpoint};
+pub use dispatcher::{DispatchCounts, Dispatcher, EvidenceReport, IdleEndpoint, Occupancy};
 pub use observation::{Kind, Observation, Reporter};
 pub use permit::{Ask, Doubt, Grant, PermitId, Reply, SendKind, Settled, Tier};
 pub use rendezvous::{NodeId, rank, rank_strong_first, stable_hash};
