A grant that is said twice gives back no slot in use

What callers saw: nothing by itself; a slot in use counted as free, and how its request ended counted nowhere, so that an endpoint got more than its slots. Cause: a queued ask is said again after 250 ms, each is answered, and an answer to a wish that was settled counted as a slot that nobody wants. The asking side now remembers for five seconds whom it was granted by.

--- a/crates/fleet/src/permits.rs
+++ b/crates/fleet/src/permits.rs
@@ -20,6 +20,10 @@
 /// A queued ask is repeated after this, because its grant or the queue itself may be lost.
 const ASK_AGAIN: Duration = Duration::from_millis(250);
 
+/// How long a grant is remembered. An ask that was said more than once is answered as often, with the same slot; the later
+/// answers must not give it back under the request that uses it.
+const REMEMBER_GRANT: Duration = Duration::from_secs(5);
+
 /// Who hands out a slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Place {
@@ -103,6 +107,9 @@
     /// asked within the window: 192 repeats where 160 are allowed, four of ten frames lost
     /// (`tests/repeats.rs`).
     parts: FxHashMap<u64, (Place, Time)>,
+    /// Wishes that were granted lately, and by whom.
+    granted: FxHashMap<PermitId, (Place, Time)>,
+    next_forget: Time,
     /// The window of the budget.
     window: Duration,
     /// Dispatching nodes lost or regained since this was last taken.
@@ -122,6 +129,8 @@
             pending: FxHashMap::default(),
             passed_over: FxHashMap::default(),
             parts: FxHashMap::default(),
+            granted: FxHashMap::default(),
+            next_forget: Time(0),
             window,
             contacts: Vec::new(),
             timeouts: 0,
@@ -157,7 +166,7 @@
             self.contacts.push(Contact::Regained(node));
         }
         let Some(pending) = self.pending.get_mut(&id).filter(|it| it.place == place) else {
-            return unwanted(place, id, &reply);
+            return self.unwanted(place, id, &reply);
         };
         match reply {
             Reply::Queued => {
@@ -179,6 +188,7 @@
             }
             Reply::Granted(grant) => {
                 self.pending.remove(&id);
+                self.granted.insert(id, (place, now));
                 Some(Action::Settle(id, Settlement::Granted(grant, place)))
             }
             Reply::Refused { retry_after } => {
@@ -204,6 +214,7 @@
 
     /// Handles what was not answered in time.
     pub fn tick(&mut self, now: Time, directory: &impl Directory) -> Vec<Action> {
+        self.forget_grants(now);
         let lost: Vec<PermitId> = self
             .pending
             .iter()
@@ -285,6 +296,26 @@
     }
 }
 
+impl Client {
+    /// A slot that arrives after its wish has moved on is given back at once.
+    fn unwanted(&self, place: Place, id: PermitId, reply: &Reply) -> Option<Action> {
+        let is_in_use = self.granted.get(&id).is_some_and(|(it, _)| *it == place);
+        match (place, reply) {
+            (Place::Peer(node), Reply::Granted(_)) if !is_in_use => {
+                Some(Action::Send(node, PermitMessage::Release { id, outcome: None }))
+            }
+            _ => None,
+        }
+    }
+
+    fn forget_grants(&mut self, now: Time) {
+        if now >= self.next_forget {
+            self.next_forget = now + REMEMBER_GRANT;
+            self.granted.retain(|_, (_, at)| now.since(*at) < REMEMBER_GRANT);
+        }
+    }
+}
+
 impl Pending {
     fn is_lost(&self, now: Time, timeout: Duration) -> bool {
         let patience = match (self.queued, self.place) {
@@ -312,13 +343,3 @@
         None => Place::Direct,
     }
 }
-
-/// A slot that arrives after its wish has moved on is given back at once.
-fn unwanted(place: Place, id: PermitId, reply: &Reply) -> Option<Action> {
-    match (place, reply) {
-        (Place::Peer(node), Reply::Granted(_)) => {
-            Some(Action::Send(node, PermitMessage::Release { id, outcome: None }))
-        }
-        _ => None,
-    }
-}
