An ask is said three times before its node is passed over, and a node that is left gives back what it may have granted

What callers saw: the same waits. Cause: an ask or its answer that is lost once made the asking node pass the node that hands out slots over for a second and more; the slot that it may have granted stayed taken until its permit expired, and the successor handed out the same slots anew, knowing nothing of what was in use. Why it holds: asks with the same identity are answered with the same slot, and whoever is left is told so until it acknowledges.

Ruled out: a node that was heard of since counts as alive; at five asks a second for a node nothing else is heard in time. Known and left: a wish that comes back to a node that it has left while that message is still under way may lose its slot there.

--- a/crates/fleet/src/permits.rs
+++ b/crates/fleet/src/permits.rs
@@ -15,8 +15,11 @@
 const PASS_OVER: Duration = Duration::from_secs(1);
 /// Longest such time.
 const MAX_PASS_OVER: Duration = Duration::from_secs(8);
-/// Unanswered asks after which a node picks for itself.
-const MAX_TIMEOUTS: u32 = 2;
+/// Asks without an answer after which a node is passed over. One may be lost, or its answer, on a link that is full with
+/// an answer to a caller; the successor knows nothing of the slots in use.
+const ASKS_IN_VAIN: u32 = 3;
+/// Silent nodes after which a node picks for itself.
+const MAX_SILENT: u32 = 2;
 /// A queued ask is repeated after this, because its grant or the queue itself may be lost.
 const ASK_AGAIN: Duration = Duration::from_millis(250);
 
@@ -74,7 +77,9 @@
     place: Place,
     asked: Time,
     queued: bool,
-    /// Asks of this wish that brought nothing.
+    /// Asks at this place since it last said something.
+    asks: u32,
+    /// Places that brought nothing.
     vain: u32,
 }
 
@@ -146,7 +151,8 @@
     /// Starts on a wish.
     pub fn wish(&mut self, now: Time, wish: Wish, directory: &impl Directory) -> Action {
         let id = wish.ask.id;
-        let pending = Pending { wish, place: Place::Direct, asked: now, queued: false, vain: 0 };
+        let pending =
+            Pending { wish, place: Place::Direct, asked: now, queued: false, asks: 0, vain: 0 };
         self.pending.insert(id, pending);
         self.ask(now, id, directory)
     }
@@ -171,6 +177,7 @@
         match reply {
             Reply::Queued => {
                 pending.queued = true;
+                pending.asks = 0;
                 pending.asked = now;
                 None
             }
@@ -221,24 +228,36 @@
             .filter(|(_, it)| it.is_lost(now, self.timeout))
             .map(|(id, _)| *id)
             .collect();
-        lost.into_iter().filter_map(|id| self.lost(now, id, directory)).collect()
+        lost.into_iter().flat_map(|id| self.lost(now, id, directory)).collect()
     }
 
-    fn lost(&mut self, now: Time, id: PermitId, directory: &impl Directory) -> Option<Action> {
-        let pending = self.pending.get_mut(&id)?;
+    fn lost(&mut self, now: Time, id: PermitId, directory: &impl Directory) -> Vec<Action> {
+        let Some(pending) = self.pending.get_mut(&id) else { return Vec::new() };
+        let place = pending.place;
         if now >= pending.wish.deadline {
             self.pending.remove(&id);
-            return Some(Action::Settle(id, Settlement::Refused(PASS_OVER)));
+            let refused = Action::Settle(id, Settlement::Refused(PASS_OVER));
+            return leave(place, id).into_iter().chain([refused]).collect();
         }
-        if std::mem::take(&mut pending.queued) {
-            return Some(self.ask(now, id, directory));
-        }
-        pending.vain += 1;
-        self.timeouts += 1;
-        if let Place::Peer(node) = pending.place {
-            self.pass_over(now, node);
+        let is_passed_over =
+            |node| self.passed_over.get(&node).is_some_and(|(until, _)| now < *until);
+        match place {
+            // It may be another node's turn by now.
+            _ if std::mem::take(&mut pending.queued) => {}
+            Place::Peer(node) if pending.asks < ASKS_IN_VAIN && !is_passed_over(node) => {
+                return vec![self.ask_at(now, id, place)];
+            }
+            Place::Peer(node) => {
+                pending.vain += 1;
+                self.timeouts += 1;
+                self.pass_over(now, node);
+            }
+            Place::Own | Place::Direct => pending.vain += 1,
         }
-        Some(self.ask(now, id, directory))
+        let ask = self.ask(now, id, directory);
+        let is_elsewhere = self.pending.get(&id).is_some_and(|it| it.place != place);
+        let left = leave(place, id).filter(|_| is_elsewhere);
+        left.into_iter().chain([ask]).collect()
     }
 
     fn pass_over(&mut self, now: Time, node: NodeId) {
@@ -250,18 +269,28 @@
         self.passed_over.insert(node, (now + length, length));
     }
 
+    /// Asks whoever hands out the slots now.
     fn ask(&mut self, now: Time, id: PermitId, directory: &impl Directory) -> Action {
         let pending = self.pending.get_mut(&id).expect("asked for pending wishes only");
-        let wish = &pending.wish;
-        let service = wish.service;
-        let ask = Ask { left: wish.deadline.since(now), ..wish.ask.clone() };
-        pending.wish.ask.send = ask.send.again();
-        pending.asked = now;
-        let place = match pending.vain < MAX_TIMEOUTS {
-            true => place(self.me, &self.passed_over, now, service, directory),
+        let place = match pending.vain < MAX_SILENT {
+            true => place(self.me, &self.passed_over, now, pending.wish.service, directory),
             false => Place::Direct,
         };
+        if place != pending.place {
+            pending.asks = 0;
+        }
+        self.ask_at(now, id, place)
+    }
+
+    fn ask_at(&mut self, now: Time, id: PermitId, place: Place) -> Action {
+        let pending = self.pending.get_mut(&id).expect("asked for pending wishes only");
         pending.place = place;
+        pending.asked = now;
+        pending.asks += 1;
+        let wish = &mut pending.wish;
+        let service = wish.service;
+        let ask = Ask { left: wish.deadline.since(now), ..wish.ask.clone() };
+        wish.ask.send = ask.send.again();
         let ask = Ask { brings_part: self.brings_part(now, service, place), ..ask };
         match place {
             Place::Peer(node) => Action::Send(node, PermitMessage::Ask { service, ask }),
@@ -300,10 +329,8 @@
     /// A slot that arrives after its wish has moved on is given back at once.
     fn unwanted(&self, place: Place, id: PermitId, reply: &Reply) -> Option<Action> {
         let is_in_use = self.granted.get(&id).is_some_and(|(it, _)| *it == place);
-        match (place, reply) {
-            (Place::Peer(node), Reply::Granted(_)) if !is_in_use => {
-                Some(Action::Send(node, PermitMessage::Release { id, outcome: None }))
-            }
+        match reply {
+            Reply::Granted(_) if !is_in_use => leave(place, id),
             _ => None,
         }
     }
@@ -343,3 +370,11 @@
         None => Place::Direct,
     }
 }
+
+/// Gives back what a node may have granted to a wish that is asked for elsewhere: its answer may have been lost.
+fn leave(place: Place, id: PermitId) -> Option<Action> {
+    match place {
+        Place::Peer(node) => Some(Action::Send(node, PermitMessage::Release { id, outcome: None })),
+        Place::Own | Place::Direct => None,
+    }
+}
--- a/crates/fleet/src/tests/permits.rs
+++ b/crates/fleet/src/tests/permits.rs
@@ -85,6 +85,13 @@
     client.tick(now, table).iter().map(name).collect()
 }
 
+/// The node that was asked first says nothing, and the next one is asked.
+fn ask_in_vain(client: &mut Client, table: &Table) {
+    let asked: Vec<String> =
+        [10, 20, 30].into_iter().flat_map(|it| tick(client, table, it)).collect();
+    assert_eq!(asked, ["ask 2", "ask 2", "release 2", "ask 3"]);
+}
+
 fn three_nodes() -> Table {
     Table(vec![NodeId(2), NodeId(3), NodeId(4)])
 }
@@ -135,12 +142,18 @@
     let table = three_nodes();
     let (mut client, _) = start(&table);
     assert!(tick(&mut client, &table, 9).is_empty());
-    assert_eq!(tick(&mut client, &table, 10), ["ask 3"]);
-    assert_eq!(tick(&mut client, &table, 20), ["direct"]);
+    // An ask or its answer may be lost.
+    assert_eq!(tick(&mut client, &table, 10), ["ask 2"]);
+    assert_eq!(tick(&mut client, &table, 20), ["ask 2"]);
+    // So may be the answer that granted a slot.
+    assert_eq!(tick(&mut client, &table, 30), ["release 2", "ask 3"]);
+    assert_eq!(tick(&mut client, &table, 40), ["ask 3"]);
+    assert_eq!(tick(&mut client, &table, 50), ["ask 3"]);
+    assert_eq!(tick(&mut client, &table, 60), ["release 3", "direct"]);
     // The next request does not wait for the silent nodes again.
     let mut other = wish();
     other.ask.id.seq = 2;
-    let action = client.wish(Time(0) + Duration::from_millis(30), other, &table);
+    let action = client.wish(Time(0) + Duration::from_millis(70), other, &table);
     assert_eq!(name(&action), "ask 4");
 }
 
@@ -148,7 +161,7 @@
 fn a_grant_that_comes_too_late_is_given_back() {
     let table = three_nodes();
     let (mut client, _) = start(&table);
-    tick(&mut client, &table, 10);
+    ask_in_vain(&mut client, &table);
     assert_eq!(reply(&mut client, &table, 2, Reply::Granted(grant())), "release 2");
     let granted = reply(&mut client, &table, 3, Reply::Granted(grant()));
     assert_eq!(granted, "granted by Peer(NodeId(3))");
@@ -170,7 +183,7 @@
 fn past_the_deadline_the_wish_is_refused() {
     let table = three_nodes();
     let (mut client, _) = start(&table);
-    assert_eq!(tick(&mut client, &table, 1_000), ["refused"]);
+    assert_eq!(tick(&mut client, &table, 1_000), ["release 2", "refused"]);
 }
 
 #[test]
@@ -186,7 +199,7 @@
     let table = three_nodes();
     let (mut client, _) = start(&table);
     assert_eq!(client.take_contacts(), []);
-    tick(&mut client, &table, 20);
+    ask_in_vain(&mut client, &table);
     assert_eq!(client.take_contacts(), [Contact::Lost(NodeId(2))]);
     // Its answer comes after all; a second one is no news.
     reply(&mut client, &table, 2, Reply::Queued);
--- a/crates/fleet/tests/repeats.rs
+++ b/crates/fleet/tests/repeats.rs
@@ -30,8 +30,11 @@
 
 use virtual_fleet::{Fleet, LIMITS, MS, NONE, RUN, Trouble};
 
-/// The worst window: repeats in it, those allowed, and its end.
-fn worst(fleet: &Fleet) -> (usize, f64, u64) {
+/// Repeats in a window, those allowed, and its end.
+type Window = (usize, f64, u64);
+
+/// The windows with the most repeats beyond what is allowed, and with the most repeats.
+fn worst_and_busiest(fleet: &Fleet) -> (Window, Window) {
     let window = LIMITS.window.as_micros() as u64;
     let count = |times: &[u64], end: u64| {
         times.iter().filter(|it| **it > end.saturating_sub(window) && **it <= end).count()
@@ -42,9 +45,11 @@
         let first = before.map(|it| count(&fleet.first, it)).into_iter().max().unwrap_or(0);
         (count(&fleet.repeats, end), first as f64 * LIMITS.ratio + LIMITS.extra, end)
     };
-    let ends = (1..=RUN / (250 * MS)).map(|i| at(i * 250 * MS));
-    let over = |it: &(usize, f64, u64)| it.0 as f64 - it.1;
-    ends.max_by(|a, b| over(a).total_cmp(&over(b))).expect("a run has windows")
+    let windows: Vec<Window> = (1..=RUN / (250 * MS)).map(|i| at(i * 250 * MS)).collect();
+    let over = |it: &Window| it.0 as f64 - it.1;
+    let worst = windows.iter().max_by(|a, b| over(a).total_cmp(&over(b)));
+    let busiest = windows.iter().max_by_key(|it| it.0);
+    (*worst.expect("a run has windows"), *busiest.expect("a run has windows"))
 }
 
 #[track_caller]
@@ -53,10 +58,11 @@
     for seed in 1..=4 {
         let mut fleet = Fleet::new(seed, trouble);
         fleet.run();
-        let (repeats, allowed, end) = worst(&fleet);
+        let ((repeats, allowed, end), (most, allowed_then, _)) = worst_and_busiest(&fleet);
         let end = end as f64 / 1e6;
         seen.push_back(format!("seed {seed}: {repeats} repeats, allowed {allowed}, until {end} s"));
-        assert!(repeats > 0, "{seen:#?}");
+        // A bound that nothing comes near to would prove nothing.
+        assert!(most as f64 > allowed_then / 3.0, "{most} of {allowed_then}: {seen:#?}");
         assert!(repeats as f64 <= allowed, "{seen:#?}");
     }
 }
