Rests are bounded at each moment of calm, for the fewest endpoints that the users may count

What users saw: 4 of 11 sound endpoints idle for two seconds while 30 of 179 hand-ins were not served; all 30 were lost with the whole fleet after those two seconds. Cause: in calm 0.24 of all that looked sound could rest, and only what had been idle for 3.6 s counted; the users look at two seconds and left out 8 of 19. Class: a bound that is kept only once it is seen to bind. Why it holds: the number that rests is bounded whatever comes, and an idle endpoint goes first wherever it is.

Need that only grows now tries endpoints as calm does, and not those that failed a moment ago.

--- a/crates/policy/src/belief.rs
+++ b/crates/policy/src/belief.rs
@@ -31,9 +31,12 @@
 /// the well ones in any two seconds: one that is left alone for longer may count as idle. They look at
 /// those without trouble only, so that a share of all endpoints proves nothing.
 pub(crate) const IDLE_AFTER: Duration = Duration::from_millis(3_600);
-/// While a part of the requests is not served, an endpoint is given work after this long without: the users look at two
-/// seconds, and the next request must come and travel.
-const MISSED_AFTER: Duration = Duration::from_millis(1_500);
+/// In calm an endpoint without work for this long counts as left alone: the users look at two seconds, and the next request
+/// must come and travel.
+pub(crate) const ALONE_AFTER: Duration = Duration::from_millis(1_750);
+/// While a part of the requests is not served, an endpoint is given work after this long without: it may have to wait for
+/// a slot.
+pub(crate) const MISSED_AFTER: Duration = Duration::from_millis(1_500);
 /// While a part of the requests is not served, an endpoint is tried again this long after its last
 /// failure.
 pub(crate) const TRY_AGAIN: Duration = Duration::from_millis(1_900);
@@ -78,11 +81,11 @@
         }
     }
 
-    /// How long an endpoint is left without work at most, if its last failure is old enough.
+    /// How long an endpoint is left without work while nobody rests.
     pub(crate) fn idle_for(self) -> Duration {
         match self {
-            Self::None => IDLE_AFTER,
-            Self::Growing | Self::Unserved => MISSED_AFTER,
+            Self::None | Self::Growing => ALONE_AFTER,
+            Self::Unserved => MISSED_AFTER,
         }
     }
 
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -20,7 +20,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::baseline::RouteTerms;
-use crate::belief::{IDLE_AFTER, Strain};
+use crate::belief::{ALONE_AFTER, Strain};
 use crate::budget::{Budget, BudgetLimits, RepeatsReport, Spend};
 use crate::judge::Judge;
 use crate::observation::{Kind, Observation, Reporter};
@@ -144,7 +144,7 @@
             counts: DispatchCounts::default(),
             granted_at: None,
             strain: Strain::None,
-            due_after: (IDLE_AFTER, now),
+            due_after: (ALONE_AFTER, now),
             elsewhere: elsewhere(routes),
             floor_share: floor_share(service),
             is_budget_short: false,
--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -4,8 +4,11 @@
 use std::time::Duration;
 
 use super::Dispatcher;
+use super::load::Load;
 use super::rest::{Rested, due_after};
-use crate::belief::{Belief, SILENCE_FAILS, Strain, TRY_AGAIN, Use};
+use crate::belief::{
+    ALONE_AFTER, Belief, IDLE_AFTER, MISSED_AFTER, SILENCE_FAILS, Strain, TRY_AGAIN, Use,
+};
 use crate::permit::{Ask, Doubt, SendKind, Tier};
 use crate::rotation::{EndpointStatus, State};
 use crate::time::Time;
@@ -44,6 +47,9 @@
     sick: f64,
     /// It had no work for so long that the next request is to show whether it is well.
     is_due: bool,
+    /// It is due, and the users may count it as idle. They count the endpoints of all failure domains alike, so that it
+    /// goes first wherever it is.
+    is_missed: bool,
 }
 
 /// All endpoints and the queue at one moment, for all choices that are made then. How likely an endpoint is sick
@@ -91,13 +97,6 @@
         is_out && self.strain == Strain::Unserved && self.belief.failed_before(self.now, TRY_AGAIN)
     }
 
-    /// Whether it is without work for so long, while a part is not served, that the users may count it as idle. They
-    /// count the endpoints of all failure domains alike: with those of its own preferred, a failure domain that had
-    /// ten of 19 idle ones stayed without while others' endpoints had work twice.
-    fn is_missed(&self) -> bool {
-        self.is_due && self.strain == Strain::Unserved
-    }
-
     /// Slots that may be used now: one while nothing proves that the endpoint is well again.
     fn usable_slots(&self) -> u32 {
         if self.is_needed() {
@@ -173,7 +172,7 @@
                 it if it < look.status.usable_slots(now) && tier < Tier::Last => Tier::Last,
                 _ => continue,
             };
-            let way = if is_near || look.is_missed() { 0 } else { FAR_SLOTS };
+            let way = if is_near || look.is_missed { 0 } else { FAR_SLOTS };
             let cost = load.in_use() + way;
             // Among equals the one that has been without work for longest. Drawn by chance, a quarter of the endpoints
             // have nothing for two seconds where 1.2 sends come for each, are then taken for a little doubtful, and
@@ -219,8 +218,8 @@
             let there = endpoints.filter(|(it, _)| it.is_expected());
             let rested = there.map(|(status, load)| Rested {
                 idle: load.idle(now),
-                is_sound: load.age(now) > SETTLED_AFTER
-                    && load.belief.failed_before(now, SOUND_AFTER),
+                may_be_sound: load.belief.failed_before(now, IDLE_AFTER),
+                is_settled: load.age(now) > SETTLED_AFTER,
                 is_open: status.state.in_rotation(),
             });
             self.due_after = (due_after(rested, self.floor_share), now);
@@ -239,17 +238,27 @@
     fn look(&self, now: Time, i: usize) -> Look<'_> {
         let load = &self.loads[i];
         let silence = load.silence(now, &self.judge.baseline, &self.signs);
+        let is_due = self.is_due(now, load);
         Look {
             now,
             strain: self.strain,
             status: &self.endpoints()[i],
             belief: &load.belief,
             silence,
-            is_due: load.idle(now).is_none_or(|it| it > self.due_after.0),
+            is_due,
+            is_missed: is_due && load.alone(now) > MISSED_AFTER,
             sick: load.belief.sick_given(now, silence, self.signs.share()),
         }
     }
 
+    /// Whether the next request is to show if it is well: it is left alone for too long, and nobody leaves it out for a young
+    /// failure.
+    fn is_due(&self, now: Time, load: &Load) -> bool {
+        let alone_for = self.strain.alone_for();
+        let is_alone = |idle| idle > self.due_after.0 && load.belief.failed_before(now, alone_for);
+        load.idle(now).is_none_or(is_alone)
+    }
+
     fn tier(&self, look: &Look<'_>, i: usize, ask: &Ask, is_near: bool) -> Option<Tier> {
         let (now, it, load) = (look.now, look.status, &self.loads[i]);
         if !it.admits(now, ask.repeatable) {
@@ -278,7 +287,7 @@
             _ if is_on_trial && ask.repeatable && !ask.bulky => Some(Tier::Trial),
             _ if last && ask.bulky && is_near && !self.is_last_send(ask) => Some(Tier::Near),
             _ if last => Some(Tier::Last),
-            _ if look.is_missed() => Some(Tier::Good),
+            _ if look.is_missed => Some(Tier::Good),
             _ if ask.bulky && !is_near => Some(Tier::Far),
             Use::Cautiously if !ask.repeatable => Some(Tier::Cautious),
             _ => Some(Tier::Good),
--- a/crates/policy/src/dispatcher/load.rs
+++ b/crates/policy/src/dispatcher/load.rs
@@ -69,6 +69,11 @@
         self.used_at.map(|it| now.since(it))
     }
 
+    /// Time without work, since it was first known here if it has had none.
+    pub(super) fn alone(&self, now: Time) -> Duration {
+        self.idle(now).unwrap_or(self.age(now))
+    }
+
     /// Time since it was first known here.
     pub(super) fn age(&self, now: Time) -> Duration {
         now.since(self.known_since)
--- a/crates/policy/src/tests/rest.rs
+++ b/crates/policy/src/tests/rest.rs
@@ -445,6 +445,10 @@
 /// is under way is lost. So what makes the floor bind comes after the two seconds that are looked at. Cause: rests were
 /// bounded in calm by a part of all endpoints that looked sound, where the users count far fewer, and counted after
 /// 3.6 s, where the users look at two.
+///
+/// Evidence: on a calm day with 99 endpoints behind it, 7 of 22 looks of the node that hands out the slots of a service found more
+/// than three tenths of the endpoints that it took for sound itself idle for two seconds (18 of 48 at worst); and this model
+/// finds 12 of 18 sound endpoints at work where 40 % are in trouble.
 #[test]
 fn in_calm_no_more_endpoints_are_left_alone_than_the_floor_leaves() {
     for seed in 1..=6 {
