--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -54,6 +54,8 @@
     first_config: Vec<u8>,
     revision: u64,
     items: BTreeMap<String, Event>,
+    /// All changes that the store has acknowledged and not lost.
+    log: Vec<Event>,
     /// Changes that can still be asked for.
     history: Vec<Event>,
     /// Changes up to this revision are forgotten.
@@ -61,10 +63,34 @@
     /// Values that stand in the place of what was written.
     spoiled: BTreeMap<String, Value>,
     fault: Fault,
+    /// Times that the store has come back from an older copy.
+    returns: u64,
+    /// What is told in its place; nothing to leave it out.
+    told_era: Option<Option<String>>,
     calls: u64,
 }
 
 impl State {
+    /// The era as the answers tell it.
+    fn era(&self) -> Option<String> {
+        self.told_era.clone().unwrap_or(Some((self.returns + 1).to_string()))
+    }
+
+    fn restore(&mut self, revision: u64) {
+        self.returns += 1;
+        self.revision = revision;
+        self.log.retain(|it| it.revision <= revision);
+        self.history.retain(|it| it.revision <= revision);
+        self.forgotten = self.forgotten.min(revision);
+        self.items.clear();
+        for it in &self.log {
+            match it.value {
+                Some(_) => drop(self.items.insert(it.key.clone(), it.clone())),
+                None => drop(self.items.remove(&it.key)),
+            }
+        }
+    }
+
     fn put(&mut self, key: &str, value: Option<Vec<u8>>) {
         self.revision += 1;
         let event = Event { revision: self.revision, key: key.to_owned(), value };
@@ -72,6 +98,7 @@
             Some(_) => drop(self.items.insert(key.to_owned(), event.clone())),
             None => drop(self.items.remove(key)),
         }
+        self.log.push(event.clone());
         self.history.push(event);
     }
 
@@ -164,6 +191,23 @@
         state.history.clear();
     }
 
+    /// The store's revision.
+    pub fn revision(&self) -> u64 {
+        self.state.lock().revision
+    }
+
+    /// The store comes back from the copy that it had at `revision`: what was written since is lost, and revisions are
+    /// given out again.
+    pub fn come_back(&self, revision: u64) {
+        self.state.lock().restore(revision);
+        self.changed.notify_waiters();
+    }
+
+    /// Answers tell this as the era; nothing to leave it out. For answers that no store should give.
+    pub fn tell_era(&self, era: Option<&str>) {
+        self.state.lock().told_era = Some(era.map(str::to_owned));
+    }
+
     /// Switches a fault.
     pub fn set_fault(&self, fault: Fault) {
         self.state.lock().fault = fault;
@@ -194,6 +238,14 @@
         if fault == Fault::Down {
             return Err(std::io::Error::other("down"));
         }
+        let mut answer = self.answer(req, path, fault).await?;
+        if let Some(era) = self.state.lock().era() {
+            answer.headers_mut().insert("store-era", era.parse().map_err(std::io::Error::other)?);
+        }
+        Ok(answer)
+    }
+
+    async fn answer(&self, req: &Request<Incoming>, path: &str, fault: Fault) -> Answer {
         let text = |name: &str| server::query::<String>(req, name).unwrap_or_default();
         match path {
             "/kv-key" => Ok(self.item(&text("key"), fault)),
@@ -250,7 +302,7 @@
         is_over: bool,
     ) -> Option<http::Response<server::Body>> {
         let state = self.state.lock();
-        if after < state.forgotten {
+        if after < state.forgotten || after > state.revision {
             return Some(answer(StatusCode::GONE, ""));
         }
         let shown = state.history.iter().filter(|it| {
