--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -6,9 +6,7 @@
 use super::Dispatcher;
 use super::load::Load;
 use super::rest::{Rested, due_after};
-use crate::belief::{
-    ALONE_AFTER, Belief, IDLE_AFTER, MISSED_AFTER, SILENCE_FAILS, Strain, TRY_AGAIN, Use,
-};
+use crate::belief::{Belief, IDLE_AFTER, MISSED_AFTER, SILENCE_FAILS, Strain, TRY_AGAIN, Use};
 use crate::permit::{Ask, Doubt, SendKind, Tier};
 use crate::rotation::{EndpointStatus, State};
 use crate::time::Time;
