--- a/crates/dappleway/src/ask.rs
+++ b/crates/dappleway/src/ask.rs
@@ -6,6 +6,7 @@
 
 use clap::ValueEnum;
 use operator::{Client, ClientError, EndpointReport, Report, ResourceView, ServiceReport};
+use resources::Position;
 use serde::Serialize;
 use tabwriter::TabWriter;
 
@@ -155,7 +156,7 @@
     format!(
         "{}: `{}` for {} ms, used {}: sick with a probability of {:.2}, and {failed}.\n\
          {} of {} endpoints of {} are proven healthy, its floor is {}. {} knows the registry up to \
-         revision {}; {whose}.",
+         era {}, revision {}; {whose}.",
         it.id,
         it.state,
         it.since_ms,
@@ -166,16 +167,18 @@
         service.name,
         service.floor,
         report.node,
+        report.registry_era,
         report.registry_revision,
     )
 }
 
 fn nodes(report: &Report) -> Result<(), Failure> {
     let mut table = Table::new(&["NODE", "PHASE", "IN FORCE", "REGISTRY", "HEARD MS AGO"]);
-    let revision = report.registry_revision;
-    table.row(&[&report.node, &report.phase, &report.in_force, &revision, &"(asked)"])?;
+    let position = Position { era: report.registry_era, revision: report.registry_revision };
+    table.row(&[&report.node, &report.phase, &report.in_force, &position, &"(asked)"])?;
     for it in &report.members {
-        table.row(&[&it.node, &it.phase, &it.in_force, &it.registry_revision, &it.heard_ms])?;
+        let position = Position { era: it.registry_era, revision: it.registry_revision };
+        table.row(&[&it.node, &it.phase, &it.in_force, &position, &it.heard_ms])?;
     }
     table.print()
 }
--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -121,6 +121,8 @@
     metrics: ControlMetrics,
     /// Other nodes that were known when this was last logged.
     known_peers: usize,
+    /// The platform's era when this was last logged.
+    known_era: u32,
     /// Changes of the endpoints since they were last logged.
     endpoint_changes: u32,
     draining: bool,
@@ -226,6 +228,7 @@
             in_force_since: now,
             metrics: start.metrics,
             known_peers: 0,
+            known_era: 0,
             endpoint_changes: 0,
             draining: false,
             last_tick: now,
--- a/crates/dappleway/src/control/metrics.rs
+++ b/crates/dappleway/src/control/metrics.rs
@@ -21,6 +21,7 @@
     platform_age: Gauge,
     config_version: IntGauge,
     config_age: Gauge,
+    platform_era: IntGauge,
     registry_revision: IntGauge,
     nodes: IntGauge,
     first_sends: IntCounter,
@@ -106,6 +107,10 @@
                 "dappleway_config_age_seconds",
                 "Time since the configuration came into force here.",
             )?,
+            platform_era: gauge(
+                "dappleway_platform_era",
+                "Era of the platform that is known; it rises when the platform comes back from an older copy.",
+            )?,
             registry_revision: gauge(
                 "dappleway_registry_revision",
                 "The platform's revision of the latest change of the endpoints that is known.",
@@ -216,7 +221,8 @@
         raise(&it.platform_calls, self.platform_calls);
         let facts = self.exchange.replica().facts();
         it.config_version.set(facts.version as i64);
-        it.registry_revision.set(facts.revision as i64);
+        it.platform_era.set(facts.registry.era as i64);
+        it.registry_revision.set(facts.registry.revision as i64);
         it.config_age.set(now.since(self.in_force_since).as_secs_f64());
         it.platform_age.set(self.exchange.duty().age(now).as_secs_f64());
         it.nodes.set(self.exchange.members().len() as i64 + 1);
--- a/crates/dappleway/src/control/report.rs
+++ b/crates/dappleway/src/control/report.rs
@@ -18,7 +18,8 @@
             phase: phase_name(self.exchange.phase()).to_owned(),
             not_ready: self.not_ready(),
             in_force: facts.version,
-            registry_revision: facts.revision,
+            registry_era: facts.registry.era,
+            registry_revision: facts.registry.revision,
             reads_platform: self.exchange.duty().reads(now) == Reads::Everything,
             is_fresh: self.exchange.duty().is_fresh(now),
             platform_calls: self.platform_calls,
@@ -56,7 +57,8 @@
             node: it.info.addr.to_string(),
             phase: phase_name(it.info.phase).to_owned(),
             in_force: it.info.facts.version,
-            registry_revision: it.info.facts.revision,
+            registry_era: it.info.facts.registry.era,
+            registry_revision: it.info.facts.registry.revision,
             heard_ms: now.since(it.heard).as_millis() as u64,
         });
         let mut members: Vec<_> = members.collect();
--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -54,6 +54,7 @@
             self.renew(now);
             self.log_peers();
             self.log_endpoints();
+            self.log_era();
             self.log_repeats(now);
             self.log_dispatch(now);
             self.measure(now);
@@ -86,11 +87,21 @@
         let changes = std::mem::take(&mut self.endpoint_changes);
         if changes > 0 {
             let replica = self.exchange.replica();
-            info!(self.log, "endpoints in force"; "revision" => replica.facts().revision,
+            info!(self.log, "endpoints in force"; "position" => %replica.facts().registry,
                 "endpoints" => replica.registrations().count(), "changes" => changes);
         }
     }
 
+    /// Says that the platform has come back from an older copy, also where that was heard of from a peer.
+    fn log_era(&mut self) {
+        let position = self.exchange.replica().facts().registry;
+        let before = std::mem::replace(&mut self.known_era, position.era);
+        if position.era > before && before > 0 {
+            warn!(self.log, "the platform has come back from an older copy";
+                "era" => position.era, "era_before" => before, "position" => %position);
+        }
+    }
+
     /// Says for which services repeats were refused since the last time, and by which figures.
     fn log_repeats(&mut self, now: Time) {
         let mut refused = Vec::new();
@@ -198,13 +209,13 @@
 
     pub(super) fn set_reads(&self, now: Time) {
         let reads = self.exchange.duty().reads(now);
-        let known = self.exchange.replica().facts().revision;
+        let known = self.exchange.replica().facts().registry;
         self.outputs.wanted.send_if_modified(|it| {
             let is_news = it.reads != reads;
             *it = Wanted { reads, known };
             if is_news {
                 info!(self.log, "duty to read the platform"; "reads" => ?reads,
-                    "why" => self.exchange.duty().why(now), "known" => known,
+                    "why" => self.exchange.duty().why(now), "known" => %known,
                     "calls" => self.platform_calls);
             }
             is_news
--- a/crates/dappleway/src/reader.rs
+++ b/crates/dappleway/src/reader.rs
@@ -5,7 +5,7 @@
 
 use fleet::{FetchError, FetchFailure, Fetched, Keys, NodeInfo, Reads};
 use rand::RngExt;
-use resources::{Published, Source, SourceError};
+use resources::{Position, Published, Source, SourceError};
 use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -25,13 +25,13 @@
 pub struct Wanted {
     /// What this node is to read.
     pub reads: Reads,
-    /// The platform's revision up to which the registry is known here; 0 if it is not.
-    pub known: u64,
+    /// Up to where the registry is known here.
+    pub known: Position,
 }
 
 impl Wanted {
     /// Of a node that has just started.
-    pub const NOTHING: Self = Self { reads: Reads::Nothing, known: 0 };
+    pub const NOTHING: Self = Self { reads: Reads::Nothing, known: Position::START };
 }
 
 /// Where reading goes on.
@@ -151,11 +151,11 @@
 async fn read_from<S: Source>(
     source: &mut S,
     from: From,
-    known: u64,
+    known: Position,
 ) -> Result<Published, SourceError> {
     match from {
         From::LastRead => source.next().await,
-        From::Copy if known > 0 => source.resume(known).await,
+        From::Copy if known.is_known() => source.resume(known).await,
         From::Copy | From::Start => source.read().await,
     }
 }
--- a/crates/dappleway/tests/older_copy.rs
+++ b/crates/dappleway/tests/older_copy.rs
@@ -10,7 +10,7 @@
 use fleet::Replica;
 use platform::{Reader, ServiceDefaults, Store};
 use policy::Time;
-use resources::{Bias, Floor, Resource, Source, SourceError, Standing};
+use resources::{Bias, Endpoint, Floor, Resource, Source, SourceError, Standing};
 use standin::platform::Platform;
 use standin::server;
 
@@ -92,11 +92,18 @@
     serde_json::from_str(DOCUMENTS).unwrap()
 }
 
-/// Registers `id` as one more endpoint.
+/// Lets `id` announce itself.
 fn register(platform: &Platform, id: &str) {
-    let entry = r#"{"service":"slots","address":"127.0.0.1:9009","zone":"a","version":"v1",
-        "slots":3,"state":"ready","warmupLeftS":0.0,"seq":1}"#;
-    platform.put_raw(&format!("servers/{id}"), entry.as_bytes());
+    let endpoint = Endpoint {
+        id: id.into(),
+        addr: ([127, 0, 0, 1], 9_009).into(),
+        failure_domain: "a".into(),
+        slots: 3,
+        standing: Standing::Present,
+        warm_up_ms: 0,
+        started_ms: 0,
+    };
+    platform.register("slots", &endpoint);
 }
 
 #[tokio::test]
--- a/crates/fleet/src/bundle.rs
+++ b/crates/fleet/src/bundle.rs
@@ -7,7 +7,7 @@
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
-use resources::{Document, Published, RegistryChange};
+use resources::{Document, Position, Published, RegistryChange};
 use serde::{Deserialize, Serialize};
 
 use crate::replica::{Facts, Replica};
@@ -37,12 +37,12 @@
 /// The registry, or what has changed in it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RegistryCopy {
-    /// It has the changes after this revision alone; nothing if it has all endpoints.
-    pub after: Option<u64>,
-    /// The platform's revision of the latest change that is known.
-    pub revision: u64,
-    /// The platform's revision up to which the endpoints are complete.
-    pub complete_to: u64,
+    /// It has the changes after this position alone; nothing if it has all endpoints.
+    pub after: Option<Position>,
+    /// The latest change that is known.
+    pub latest: Position,
+    /// Up to where the endpoints are complete.
+    pub complete_to: Position,
     /// The endpoints.
     pub endpoints: Vec<RegistryChange>,
 }
@@ -74,11 +74,11 @@
     ) -> Self {
         let mine = replica.facts();
         let newer = replica.document().filter(|it| it.version > have.version);
-        let registry = (mine.revision > have.revision).then(|| {
-            let it = replica.since(have.revision).unwrap_or_else(|| replica.whole());
+        let registry = (mine.registry > have.registry).then(|| {
+            let it = replica.since(have.registry).unwrap_or_else(|| replica.whole());
             RegistryCopy {
                 after: it.after,
-                revision: it.revision,
+                latest: it.latest,
                 complete_to: it.complete_to,
                 endpoints: it.endpoints,
             }
@@ -97,7 +97,7 @@
         Ok(match self.registry {
             Some(it) => Published {
                 after: it.after,
-                revision: it.revision,
+                latest: it.latest,
                 complete_to: it.complete_to,
                 document,
                 endpoints: it.endpoints,
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -11,6 +11,7 @@
 
 use policy::{NodeId, Rejection, Time};
 use rand::{Rng, RngExt};
+use resources::Position;
 use rustc_hash::FxHashMap;
 
 use crate::bundle::EncodedDocument;
@@ -244,7 +245,11 @@
             effects.push(Effect::Endpoints);
         }
         if self.duty.news_is_due(now) {
-            effects.extend(self.tell_news(0, Vec::new(), self.replica.facts().version));
+            effects.extend(self.tell_news(
+                Position::START,
+                Vec::new(),
+                self.replica.facts().version,
+            ));
         }
         if now >= self.next_round {
             effects.extend(self.round(now, rng));
--- a/crates/fleet/src/exchange/news.rs
+++ b/crates/fleet/src/exchange/news.rs
@@ -5,7 +5,7 @@
 use policy::{NodeId, Time};
 use rand::Rng;
 use rand::seq::{IndexedRandom, IteratorRandom};
-use resources::{Published, RegistryChange};
+use resources::{Position, Published, RegistryChange};
 
 use super::{Effect, Exchange, FetchFailure};
 use crate::bundle::{Bundle, EncodedDocument};
@@ -25,7 +25,7 @@
         self.duty.contacted(now);
         let before = self.replica.facts();
         // What this node reads follows what it has read before: in between nothing has changed.
-        news.after = news.after.map(|_| before.revision);
+        news.after = news.after.map(|_| before.registry);
         let mut effects = Vec::new();
         if self.replica.update(now, &news) {
             effects.push(Effect::Endpoints);
@@ -38,7 +38,7 @@
             // A read of everything is no change; peers that lack something will see it.
             let changes = if news.after.is_none() { Vec::new() } else { news.endpoints };
             let version = news.document.map_or(before.version, |it| it.version);
-            effects.extend(self.tell_news(before.revision, changes, version.max(before.version)));
+            effects.extend(self.tell_news(before.registry, changes, version.max(before.version)));
         }
         effects
     }
@@ -60,7 +60,7 @@
     pub fn fetched(&mut self, now: Time, news: &Published, members: Vec<NodeInfo>) -> Vec<Effect> {
         self.is_fetching = false;
         self.is_unreached = false;
-        if self.replica.facts().revision == 0 {
+        if !self.replica.facts().registry.is_known() {
             self.duty.copied(now);
         }
         let mut effects = self.learn_all(now, members);
@@ -105,16 +105,20 @@
         news: News,
     ) -> Vec<Effect> {
         let mut effects = self.learn_all(now, vec![news.sender]);
-        let revision = if news.changes.is_empty() { 0 } else { news.facts.revision };
+        // A reader that has not noticed yet that the platform came back from an older copy proves nothing.
+        if news.facts.registry.era < self.replica.facts().registry.era {
+            return effects;
+        }
+        let latest = if news.changes.is_empty() { Position::START } else { news.facts.registry };
         let update = Published {
             after: Some(news.after),
-            revision,
-            complete_to: revision,
+            latest,
+            complete_to: latest,
             document: None,
             endpoints: news.changes,
         };
-        // Without changes there is nothing that would make this copy complete up to a revision.
-        if revision > 0 && self.replica.update(now, &update) {
+        // Without changes there is nothing that would make this copy complete up to a position.
+        if latest.is_known() && self.replica.update(now, &update) {
             effects.push(Effect::Endpoints);
         }
         self.told = self.told.max_of(news.facts);
@@ -127,15 +131,15 @@
         effects
     }
 
-    /// Tells those of the own failure domain of changes after the revision `after`, in a chain of frames.
+    /// Tells those of the own failure domain of changes after `after`, in a chain of frames.
     pub(super) fn tell_news(
         &mut self,
-        after: u64,
+        after: Position,
         mut changes: Vec<RegistryChange>,
         version: u64,
     ) -> Vec<Effect> {
-        let newest = Facts { version, revision: self.replica.facts().revision };
-        changes.sort_by_key(|it| it.revision);
+        let newest = Facts { version, registry: self.replica.facts().registry };
+        changes.sort_by_key(|it| it.at);
         if changes.len() > CHANGES_PER_FRAME * MAX_FRAMES {
             changes.clear();
         }
@@ -148,12 +152,12 @@
         let parts: Vec<_> = changes.chunks(CHANGES_PER_FRAME).collect();
         for (i, part) in parts.iter().enumerate() {
             let is_last = i + 1 == parts.len();
-            let reached = part.last().map_or(after, |it| it.revision);
-            let revision = if is_last { newest.revision } else { reached };
-            let facts = Facts { revision, ..newest };
+            let reached = part.last().map_or(after, |it| it.at);
+            let registry = if is_last { newest.registry } else { reached };
+            let facts = Facts { registry, ..newest };
             let news = News { facts, after, changes: part.to_vec(), ..self.empty_news() };
             effects.extend(self.to_own_domain(Message::News(news)));
-            after = revision;
+            after = registry;
         }
         effects
     }
@@ -164,7 +168,7 @@
         News {
             sender: self.info(),
             facts,
-            after: facts.revision,
+            after: facts.registry,
             changes: Vec::new(),
             contact: true,
         }
@@ -200,7 +204,7 @@
         let mine = self.replica.facts();
         let is_cut_off = !self.duty.is_fresh(now);
         let is_newer =
-            |it: &Facts| it.version > mine.version || is_cut_off && it.revision > mine.revision;
+            |it: &Facts| it.version > mine.version || is_cut_off && it.registry > mine.registry;
         let newer: Vec<NodeInfo> =
             self.members.iter().map(|(_, it)| it.info).filter(|it| is_newer(&it.facts)).collect();
         // What passes between failure domains has a price. A peer that cannot be reached may be one of many: then
@@ -227,12 +231,12 @@
     fn note_lacks(&mut self, now: Time) {
         let mine = self.replica.facts();
         let config = self.told.version > mine.version;
-        let registry = self.told.revision > mine.revision;
+        let registry = self.told.registry > mine.registry;
         self.duty.set_lacks(now, Lacks { config, registry });
     }
 
     fn is_behind(&self, facts: Facts) -> bool {
         let mine = self.replica.facts();
-        facts.version > mine.version || facts.revision > mine.revision
+        facts.version > mine.version || facts.registry > mine.registry
     }
 }
--- a/crates/fleet/src/exchange/rounds.rs
+++ b/crates/fleet/src/exchange/rounds.rs
@@ -50,7 +50,7 @@
 
     /// A node that has no copy yet waits for its turn among those that start.
     fn follow_precedence(&mut self) {
-        if self.replica.facts().revision == 0 {
+        if !self.replica.facts().registry.is_known() {
             return;
         }
         let me = Rank { link_mbps: self.me.capacity.link_mbps, node: self.id };
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -1,5 +1,9 @@
 //! This node's copy of what the platform has published: the configuration and the registry of
-//! endpoints, up to a revision of the platform.
+//! endpoints, up to a position of the platform.
+//!
+//! The platform may come back from an older copy. All that it says then is newer than what it said before, but an older
+//! copy proves nothing of what happened after it was made: an endpoint that left meanwhile gets no work because the copy
+//! names it, and one that was draining drains on. Only what is written again does.
 //!
 //! Copies only move forward, whoever they come from. Within the life of a process a configuration is
 //! never replaced by an older one, and a registry entry never by an older state of it; that is
@@ -10,7 +14,8 @@
 use std::time::Duration;
 
 use policy::Time;
-use resources::{Document, Name, Published, Registration, RegistryChange, Standing};
+use resources::{Document, Name, Position, Published, Registration, RegistryChange, Standing};
+use rustc_hash::FxHashSet;
 use serde::{Deserialize, Serialize};
 
 /// An endpoint whose entry is gone is used last for this long before it counts as gone: entries also
@@ -18,6 +23,13 @@
 /// below the two seconds after which an endpoint that left must get no more work.
 pub(crate) const MISSING_FOR: Duration = Duration::from_millis(1_700);
 
+/// An endpoint that was gone, and that an older copy of the platform names again, is believed to be there after this: if it
+/// has ended, its entry lapses sooner.
+pub(crate) const RETURNS_AFTER: Duration = Duration::from_secs(10);
+
+/// An endpoint that is gone is remembered for this long, far longer than a copy of the platform is old.
+const REMEMBER_GONE: Duration = Duration::from_secs(120);
+
 /// Changes that are kept for peers that lack the latest of them. All of 720 endpoints are 58 KB; the changes that
 /// a lost frame has told of are a few hundred bytes.
 const MAX_HISTORY: usize = 1_024;
@@ -29,9 +41,8 @@
 pub struct Facts {
     /// Version of the configuration in force; 0 for none.
     pub version: u64,
-    /// The platform's revision of the latest change of the registry that is known; all earlier ones
-    /// are known too.
-    pub revision: u64,
+    /// The latest change of the registry that is known; all earlier ones are known too.
+    pub registry: Position,
 }
 
 impl Facts {
@@ -39,39 +50,89 @@
     pub(crate) fn max_of(self, other: Self) -> Self {
         Self {
             version: self.version.max(other.version),
-            revision: self.revision.max(other.revision),
+            registry: self.registry.max(other.registry),
         }
     }
 }
 
 #[derive(Clone, Debug)]
 struct Entry {
-    revision: u64,
+    at: Position,
     registration: Registration,
-    /// The entry is gone and the endpoint counts as gone from then on.
-    missing_until: Option<Time>,
+    presence: Presence,
+}
+
+/// Whether an endpoint is there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Presence {
+    There,
+    /// Its entry is gone, and it counts as gone from then on. An older copy may name it again meanwhile.
+    Missing {
+        until: Time,
+        is_named: bool,
+    },
+    /// It is gone. One that an older copy names is there again from `until` on, all others are forgotten then.
+    Gone {
+        until: Time,
+        is_named: bool,
+    },
+}
+
+impl Entry {
+    /// It gets no work any more.
+    fn go(&mut self, now: Time, is_named: bool) {
+        let until = now + if is_named { RETURNS_AFTER } else { REMEMBER_GONE };
+        self.presence = Presence::Gone { until, is_named };
+    }
+
+    /// An older copy names it: that speaks of the time before it was removed.
+    fn name_again(&mut self, now: Time, at: Position) {
+        self.at = at;
+        match &mut self.presence {
+            Presence::There => {}
+            Presence::Missing { is_named, .. } => *is_named = true,
+            Presence::Gone { .. } => self.go(now, true),
+        }
+    }
+
+    /// Moves what time alone moves; returns whether it gets work or gets none any more by that.
+    fn tick(&mut self, now: Time) -> bool {
+        match self.presence {
+            Presence::Missing { until, is_named } if now >= until => self.go(now, is_named),
+            Presence::Gone { until, is_named: true } if now >= until => {
+                self.presence = Presence::There;
+            }
+            _ => return false,
+        }
+        true
+    }
+
+    /// Whether nothing of it matters any more.
+    fn is_forgotten(&self, now: Time) -> bool {
+        matches!(self.presence, Presence::Gone { until, is_named: false } if now >= until)
+    }
 }
 
 /// The copy of one node.
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
-    /// Revision of the latest change that is known.
-    revision: u64,
-    /// Entries that are not listed here were not there at this revision of the platform.
-    complete_to: u64,
+    /// The latest change that is known.
+    latest: Position,
+    /// Entries that are not listed here were not there at this position of the platform.
+    complete_to: Position,
     document: Option<Arc<Document>>,
     entries: BTreeMap<Name, Entry>,
     /// The latest changes, in their order.
     history: VecDeque<RegistryChange>,
-    /// Revision after which the history has all changes.
-    history_after: u64,
+    /// Position after which the history has all changes.
+    history_after: Position,
 }
 
 impl Replica {
     /// How new the copy is.
     pub fn facts(&self) -> Facts {
         let version = self.document.as_ref().map_or(0, |it| it.version);
-        Facts { version, revision: self.revision }
+        Facts { version, registry: self.latest }
     }
 
     /// The configuration in force.
@@ -91,138 +152,202 @@
     /// Takes in changes of the registry; returns whether an endpoint changed.
     pub fn update(&mut self, now: Time, news: &Published) -> bool {
         let is_whole = news.after.is_none();
+        // The first word of a new era is a list of all that an older copy has.
+        let is_older_copy = is_whole && news.complete_to.era > self.complete_to.era;
         let complete_to = self.complete_to;
         let mut changed = false;
         for it in &news.endpoints {
-            changed |= self.change(now, complete_to, it);
+            changed |= match is_older_copy && self.is_known_gone(it) {
+                true => self.name_again(now, it),
+                false => self.change(now, complete_to, it),
+            };
         }
         let removed = is_whole && self.remove_unlisted(now, news);
-        let revision = if removed { news.complete_to } else { news.revision };
-        // Changes after a revision that is not known here leave a gap before them.
-        if news.after.is_none_or(|it| it <= self.revision) {
-            self.remember(news, revision);
-            self.revision = self.revision.max(revision);
+        let latest = match is_whole {
+            true if removed => news.complete_to,
+            // Also one who has nothing of it yet knows that a new era has begun.
+            true => news.latest.max(Position { era: news.complete_to.era, revision: 0 }),
+            false => news.latest,
+        };
+        // Changes after a position that is not known here leave a gap before them.
+        if news.after.is_none_or(|it| it <= self.latest) {
+            self.remember(news, latest);
+            self.latest = self.latest.max(latest);
             self.complete_to = complete_to.max(news.complete_to);
         }
         changed || removed
     }
 
-    /// Keeps what follows the revision that was known so far. All of the registry says nothing of what was in
+    /// Keeps what follows the position that was known so far. All of the registry says nothing of what was in
     /// between.
-    fn remember(&mut self, news: &Published, revision: u64) {
+    fn remember(&mut self, news: &Published, latest: Position) {
         if news.after.is_none() {
-            if revision > self.revision {
+            if latest > self.latest {
                 self.history.clear();
-                self.history_after = revision;
+                self.history_after = latest;
             }
             return;
         }
-        let before = self.revision;
-        let mut new: Vec<_> = news.endpoints.iter().filter(|it| it.revision > before).collect();
-        new.sort_by_key(|it| it.revision);
+        let before = self.latest;
+        let mut new: Vec<_> = news.endpoints.iter().filter(|it| it.at > before).collect();
+        new.sort_by_key(|it| it.at);
         self.history.extend(new.into_iter().cloned());
         while self.history.len() > MAX_HISTORY {
-            let dropped = self.history.pop_front().map_or(0, |it| it.revision);
+            let dropped = self.history.pop_front().map_or(Position::START, |it| it.at);
             self.history_after = self.history_after.max(dropped);
         }
     }
 
-    /// Drops the endpoints that have been missing for too long; returns whether there were any.
+    /// Drops the endpoints that have been missing for too long, and takes back those that an older copy goes on naming;
+    /// returns whether there were any.
     pub fn tick(&mut self, now: Time) -> bool {
-        let before = self.entries.len();
-        self.entries.retain(|_, it| it.missing_until.is_none_or(|until| now < until));
-        self.entries.len() < before
+        let mut changed = false;
+        for it in self.entries.values_mut() {
+            changed |= it.tick(now);
+        }
+        self.entries.retain(|_, it| !it.is_forgotten(now));
+        changed
     }
 
     /// All endpoints, those that are missing for a moment marked as such.
     pub fn registrations(&self) -> impl Iterator<Item = Registration> + '_ {
-        self.entries.values().map(|it| {
+        self.entries.values().filter_map(|it| {
             let mut registration = it.registration.clone();
-            if it.missing_until.is_some() {
-                registration.endpoint.standing = Standing::Missing;
+            match it.presence {
+                Presence::There => {}
+                Presence::Missing { .. } => registration.endpoint.standing = Standing::Missing,
+                Presence::Gone { .. } => return None,
             }
-            registration
+            Some(registration)
         })
     }
 
     /// All of the registry, for a peer that lacks some of it.
     pub fn whole(&self) -> Published {
-        let present = self.entries.iter().filter(|(_, it)| it.missing_until.is_none());
+        let present = self.entries.iter().filter(|(_, it)| it.presence == Presence::There);
         let endpoints = present
             .map(|(id, it)| RegistryChange {
                 id: id.clone(),
-                revision: it.revision,
+                at: it.at,
                 entry: Some(it.registration.clone()),
             })
             .collect();
         Published {
             after: None,
-            revision: self.revision,
+            latest: self.latest,
             complete_to: self.complete_to,
             document: None,
             endpoints,
         }
     }
 
-    /// What has changed after the revision `have`; nothing if that is not known any more.
-    pub fn since(&self, have: u64) -> Option<Published> {
-        if have < self.history_after || have == 0 {
+    /// What has changed after the position `have`; nothing if that is not known any more.
+    pub fn since(&self, have: Position) -> Option<Published> {
+        if have < self.history_after || !have.is_known() {
             return None;
         }
         let mut latest = BTreeMap::new();
-        for it in self.history.iter().filter(|it| it.revision > have) {
+        for it in self.history.iter().filter(|it| it.at > have) {
             latest.insert(&it.id, it);
         }
         Some(Published {
             after: Some(have),
-            revision: self.revision,
+            latest: self.latest,
             complete_to: self.complete_to,
             document: None,
             endpoints: latest.into_values().cloned().collect(),
         })
     }
 
-    fn change(&mut self, now: Time, complete_to: u64, it: &RegistryChange) -> bool {
-        let known = self.entries.get(&it.id).map_or(complete_to, |entry| entry.revision);
-        if it.revision <= known {
+    /// Whether this life of an endpoint is missing or gone.
+    fn is_known_gone(&self, it: &RegistryChange) -> bool {
+        let Some(entry) = self.entries.get(&it.id) else { return false };
+        let started = |it: &Registration| it.endpoint.started_ms;
+        let is_another =
+            it.entry.as_ref().is_some_and(|it| started(it) > started(&entry.registration));
+        entry.presence != Presence::There && !is_another
+    }
+
+    /// Takes in that an older copy has an endpoint that is missing or gone: what is known of it came after the copy was
+    /// made. Nobody gets or loses work by that at once.
+    fn name_again(&mut self, now: Time, it: &RegistryChange) -> bool {
+        self.entries.get_mut(&it.id).into_iter().for_each(|entry| entry.name_again(now, it.at));
+        false
+    }
+
+    fn change(&mut self, now: Time, complete_to: Position, it: &RegistryChange) -> bool {
+        let known = self.entries.get(&it.id).map_or(complete_to, |entry| entry.at);
+        if it.at <= known {
             return false;
         }
         match &it.entry {
             Some(registration) => {
-                let registration = registration.clone();
-                let entry = Entry { revision: it.revision, registration, missing_until: None };
-                let old = self.entries.insert(it.id.clone(), entry);
-                old.is_none_or(|old| {
-                    old.missing_until.is_some() || Some(&old.registration) != it.entry.as_ref()
-                })
+                let registration = self.drains_on(it.at, registration);
+                let entry = Entry { at: it.at, registration, presence: Presence::There };
+                let is_new = |old: &Entry| {
+                    old.presence != Presence::There || old.registration != entry.registration
+                };
+                let changed = self.entries.get(&it.id).is_none_or(is_new);
+                self.entries.insert(it.id.clone(), entry);
+                changed
             }
-            None => self.remove(now, &it.id, it.revision),
+            None => self.remove(now, &it.id, it.at),
+        }
+    }
+
+    /// The registration as it counts: one that leaves goes on leaving, also where a later era knows nothing of that.
+    fn drains_on(&self, at: Position, it: &Registration) -> Registration {
+        let mut it = it.clone();
+        let leaves = self.entries.get(&it.endpoint.id).is_some_and(|old| {
+            old.at.era < at.era
+                && old.presence == Presence::There
+                && old.registration.endpoint.standing == Standing::Leaving
+                && old.registration.endpoint.started_ms == it.endpoint.started_ms
+        });
+        if leaves {
+            it.endpoint.standing = Standing::Leaving;
         }
+        it
     }
 
     fn remove_unlisted(&mut self, now: Time, news: &Published) -> bool {
+        let listed: FxHashSet<&Name> = news.endpoints.iter().map(|it| &it.id).collect();
         let gone: Vec<Name> = self
             .entries
             .iter()
             .filter(|(id, it)| {
-                it.missing_until.is_none()
-                    && it.revision <= news.complete_to
-                    && !news.endpoints.iter().any(|change| change.id == **id)
+                it.presence == Presence::There && it.at <= news.complete_to && !listed.contains(id)
             })
             .map(|(id, _)| id.clone())
             .collect();
-        gone.iter().fold(false, |changed, id| changed | self.remove(now, id, news.complete_to))
+        let mut changed = false;
+        for id in &gone {
+            changed |= self.remove(now, id, news.complete_to);
+        }
+        changed
     }
 
-    fn remove(&mut self, now: Time, id: &Name, revision: u64) -> bool {
+    fn remove(&mut self, now: Time, id: &Name, at: Position) -> bool {
         let Some(entry) = self.entries.get_mut(id) else { return false };
-        if entry.registration.endpoint.standing == Standing::Leaving {
-            self.entries.remove(id);
-            return true;
-        }
-        entry.revision = revision;
-        let is_news = entry.missing_until.is_none();
-        entry.missing_until.get_or_insert(now + MISSING_FOR);
-        is_news
+        entry.at = at;
+        match &mut entry.presence {
+            Presence::There if entry.registration.endpoint.standing == Standing::Leaving => {
+                entry.go(now, false);
+                true
+            }
+            Presence::There => {
+                let until = now + MISSING_FOR;
+                entry.presence = Presence::Missing { until, is_named: false };
+                true
+            }
+            Presence::Missing { is_named, .. } => {
+                *is_named = false;
+                false
+            }
+            Presence::Gone { .. } => {
+                entry.go(now, false);
+                false
+            }
+        }
     }
 }
--- a/crates/fleet/src/tests/replica.rs
+++ b/crates/fleet/src/tests/replica.rs
@@ -1,10 +1,15 @@
 use std::time::Duration;
 
 use policy::Time;
-use resources::{Endpoint, Name, Published, Registration, RegistryChange, Standing};
+use resources::{Endpoint, Name, Position, Published, Registration, RegistryChange, Standing};
 
 use crate::replica::{MISSING_FOR, Replica};
 
+/// A position in the only era.
+fn at(revision: u64) -> Position {
+    Position { era: 0, revision }
+}
+
 fn entry(id: &str, revision: u64, standing: Standing) -> RegistryChange {
     let endpoint = Endpoint {
         id: id.into(),
@@ -16,7 +21,7 @@
         started_ms: 0,
     };
     let entry = Some(Registration { service: "s".into(), endpoint });
-    RegistryChange { id: id.into(), revision, entry }
+    RegistryChange { id: id.into(), at: at(revision), entry }
 }
 
 fn present(id: &str, revision: u64) -> RegistryChange {
@@ -24,15 +29,15 @@
 }
 
 fn removed(id: &str, revision: u64) -> RegistryChange {
-    RegistryChange { id: id.into(), revision, entry: None }
+    RegistryChange { id: id.into(), at: at(revision), entry: None }
 }
 
 fn whole(revision: u64, endpoints: Vec<RegistryChange>) -> Published {
-    Published { revision, complete_to: revision, endpoints, ..Published::default() }
+    Published { latest: at(revision), complete_to: at(revision), endpoints, ..Published::default() }
 }
 
 fn changes(after: u64, revision: u64, endpoints: Vec<RegistryChange>) -> Published {
-    Published { after: Some(after), ..whole(revision, endpoints) }
+    Published { after: Some(at(after)), ..whole(revision, endpoints) }
 }
 
 fn known(replica: &Replica) -> Vec<(Name, Standing)> {
@@ -75,9 +80,9 @@
     replica.update(Time(0), &whole(5, vec![present("a", 5)]));
     replica.update(Time(0), &changes(7, 8, vec![present("b", 8)]));
     assert_eq!(known(&replica).len(), 2);
-    assert_eq!(replica.facts().revision, 5);
+    assert_eq!(replica.facts().registry, at(5));
     replica.update(Time(0), &changes(5, 8, vec![removed("a", 6), present("b", 8)]));
-    assert_eq!(replica.facts().revision, 8);
+    assert_eq!(replica.facts().registry, at(8));
 }
 
 #[test]
@@ -93,7 +98,7 @@
 #[test]
 fn a_copy_of_the_same_content_carries_the_same_revision() {
     let (mut early, mut late) = (Replica::default(), Replica::default());
-    let read = |complete_to| Published { complete_to, ..whole(5, vec![present("a", 5)]) };
+    let read = |to| Published { complete_to: at(to), ..whole(5, vec![present("a", 5)]) };
     early.update(Time(0), &read(5));
     // Other keys of the platform have changed meanwhile.
     late.update(Time(0), &read(40));
@@ -101,7 +106,7 @@
 }
 
 fn ids(news: &Published) -> Vec<(&str, u64)> {
-    news.endpoints.iter().map(|it| (it.id.as_str(), it.revision)).collect()
+    news.endpoints.iter().map(|it| (it.id.as_str(), it.at.revision)).collect()
 }
 
 /// One lost frame cost 58 KB where a few hundred bytes were missing.
@@ -111,16 +116,16 @@
     replica.update(Time(0), &whole(5, vec![present("a", 4), present("b", 5)]));
     replica.update(Time(0), &changes(5, 7, vec![present("c", 6), removed("a", 7)]));
     replica.update(Time(0), &changes(7, 8, vec![present("c", 8)]));
-    assert!(replica.since(4).is_none(), "what was before the first copy is not known");
-    assert!(replica.since(0).is_none(), "who knows nothing gets all");
-    let news = replica.since(5).unwrap();
+    assert!(replica.since(at(4)).is_none(), "what was before the first copy is not known");
+    assert!(replica.since(at(0)).is_none(), "who knows nothing gets all");
+    let news = replica.since(at(5)).unwrap();
     assert_eq!(ids(&news), [("a", 7), ("c", 8)]);
     let mut peer = Replica::default();
     peer.update(Time(0), &whole(5, vec![present("a", 4), present("b", 5)]));
     peer.update(Time(0), &news);
     assert_eq!(known(&peer), known(&replica));
     assert_eq!(peer.facts(), replica.facts());
-    assert_eq!(ids(&replica.since(8).unwrap()), []);
+    assert_eq!(ids(&replica.since(at(8)).unwrap()), []);
 }
 
 /// Changes beyond a gap are known but not all of those before them: a peer is not given them as complete.
@@ -129,10 +134,10 @@
     let mut replica = Replica::default();
     replica.update(Time(0), &whole(5, vec![present("a", 5)]));
     replica.update(Time(0), &changes(7, 8, vec![present("c", 8)]));
-    assert_eq!(replica.facts().revision, 5);
-    assert_eq!(ids(&replica.since(5).unwrap()), []);
+    assert_eq!(replica.facts().registry, at(5));
+    assert_eq!(ids(&replica.since(at(5)).unwrap()), []);
     replica.update(Time(0), &changes(5, 8, vec![present("b", 6), present("c", 8)]));
-    assert_eq!(ids(&replica.since(5).unwrap()), [("b", 6), ("c", 8)]);
+    assert_eq!(ids(&replica.since(at(5)).unwrap()), [("b", 6), ("c", 8)]);
 }
 
 #[test]
@@ -142,8 +147,8 @@
     for revision in 2..3_000 {
         replica.update(Time(0), &changes(revision - 1, revision, vec![present("a", revision)]));
     }
-    assert!(replica.since(1_900).is_none());
-    assert_eq!(ids(&replica.since(2_900).unwrap()), [("a", 2_999)]);
+    assert!(replica.since(at(1_900)).is_none());
+    assert_eq!(ids(&replica.since(at(2_900)).unwrap()), [("a", 2_999)]);
 }
 
 /// What was said of an endpoint's life before, its leaving too, ends with the next one.
--- a/crates/fleet/src/tests/replica_model.rs
+++ b/crates/fleet/src/tests/replica_model.rs
@@ -5,21 +5,38 @@
 //! entry, and the newest configuration, of all that it was told since its start. Every step is also
 //! made by the copy that runs in production, and the two must agree in every reachable state.
 //!
-//! The environment publishes, lets nodes read everything or the changes since their last read, loses
-//! and delays what one node tells another, lets a node fetch from another, and restarts nodes.
+//! The environment publishes, comes back from older copies, lets nodes read everything or the changes since their last
+//! read, loses and delays what one node tells another, lets a node fetch from another, and restarts nodes. What comes
+//! after a return is newer than all before it; but that an older copy has an entry proves nothing to one who knows
+//! that it was removed.
 
 use std::sync::Arc;
 
 use pathfinding::directed::bfs::bfs_reach;
 use policy::Time;
-use resources::{Document, Endpoint, Published, Registration, RegistryChange, Standing};
+use resources::{Document, Endpoint, Position, Published, Registration, RegistryChange, Standing};
 
 use crate::replica::Replica;
 
 const NODES: usize = 2;
-/// Changes that the platform makes: entry present, gone, present again, and configurations.
-const HISTORY: [Change; 5] =
-    [Change::Config, Change::Present, Change::Config, Change::Removed, Change::Present];
+/// What happens at the platform, by schedule: an entry is there, gone, there again, configurations, returns.
+const SCHEDULES: [&[Change]; 5] = [
+    &[Change::Config, Change::Present, Change::Config, Change::Removed, Change::Present],
+    // The older copy has an entry that was removed, and it lapses there too, or is written again.
+    &[Change::Present, Change::Config, Change::Removed, Change::ReturnTo(1), Change::Removed],
+    &[Change::Present, Change::Removed, Change::ReturnTo(1), Change::Config, Change::Present],
+    // The older copy lacks an entry, whose revision is given out again.
+    &[Change::Config, Change::Present, Change::ReturnTo(1), Change::Config, Change::Present],
+    // A return during a return.
+    &[
+        Change::Present,
+        Change::Config,
+        Change::Removed,
+        Change::ReturnTo(2),
+        Change::ReturnTo(1),
+        Change::Config,
+    ],
+];
 /// Restarts in one schedule.
 const RESTARTS: u8 = 1;
 
@@ -28,20 +45,69 @@
     Config,
     Present,
     Removed,
+    /// The platform comes back from the copy made after so many changes.
+    ReturnTo(usize),
 }
 
-/// What a node should know: the version, and the revision of the entry's latest change.
+/// The platform after some changes.
+#[derive(Clone, Debug, Default)]
+struct Store {
+    /// Up to where it has published.
+    now: Position,
+    version: u64,
+    /// The revision at which the entry was written, and which write that was.
+    entry: Option<(u64, u64)>,
+    /// What was written in this era, with the write if the entry is there then.
+    written: Vec<(u64, Option<u64>)>,
+}
+
+impl Store {
+    fn after(schedule: usize, changes: usize) -> Self {
+        let mut it = Self { now: Position { era: 1, revision: 0 }, ..Self::default() };
+        for (i, change) in SCHEDULES[schedule].iter().enumerate().take(changes) {
+            let write = i as u64 + 1;
+            match *change {
+                Change::ReturnTo(copy) => {
+                    let era = it.now.era + 1;
+                    let copy = Self::after(schedule, copy);
+                    it = Self { written: Vec::new(), ..copy };
+                    it.now.era = era;
+                    continue;
+                }
+                Change::Config => it.version = write,
+                Change::Present => it.entry = Some((it.now.revision + 1, write)),
+                Change::Removed => it.entry = None,
+            }
+            it.now.revision += 1;
+            if *change != Change::Config {
+                it.written.push((it.now.revision, it.entry.map(|(_, write)| write)));
+            }
+        }
+        it
+    }
+
+    fn at(&self, revision: u64) -> Position {
+        Position { revision, ..self.now }
+    }
+}
+
+/// What a node should know.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 struct Known {
     version: u64,
-    /// Revision of the entry's latest change that was heard of; 0 for none.
-    entry: u64,
-    /// The platform's revision up to which it has read itself; 0 if it has read nothing.
-    read_to: u64,
+    /// The latest that was heard of the entry, and where: which write it is, or nothing if it is gone.
+    entry: Option<(Position, Option<u64>)>,
+    /// The latest change that is known with all before it.
+    latest: Position,
+    /// Up to where all that is there was listed.
+    complete_to: Position,
+    /// Changes after which it has read the platform itself; 0 if it has read nothing.
+    read_to: usize,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct World {
+    schedule: usize,
     published: usize,
     nodes: [Known; NODES],
     /// The steps that made the production copies what they are.
@@ -52,72 +118,109 @@
 /// Something that a node takes in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum Told {
-    /// Everything, as of a revision.
-    Whole(u64),
-    /// The changes after a revision, up to another.
-    Changes(u64, u64),
-}
-
-/// The newest configuration and the entry's latest change at a revision.
-fn state_at(revision: u64) -> Known {
-    let mut known = Known::default();
-    for (i, change) in HISTORY.iter().enumerate().take(revision as usize) {
-        let revision = i as u64 + 1;
-        match change {
-            Change::Config => known.version = revision,
-            Change::Present | Change::Removed => known.entry = revision,
+    /// Everything, as of so many changes at the platform.
+    Whole(usize),
+    /// The changes from one number of them to another, within an era.
+    Changes(usize, usize),
+}
+
+fn take_in(known: &mut Known, schedule: usize, told: Told) {
+    let (Told::Whole(to) | Told::Changes(_, to)) = told;
+    let store = Store::after(schedule, to);
+    known.version = known.version.max(store.version);
+    match told {
+        Told::Whole(_) => take_in_whole(known, &store),
+        Told::Changes(from, _) => {
+            let after = Store::after(schedule, from).now;
+            take_in_changes(known, &store, after);
         }
     }
-    known
 }
 
-fn take_in(known: &mut Known, told: Told) {
-    let (Told::Whole(to) | Told::Changes(_, to)) = told;
-    let news = state_at(to);
-    known.version = known.version.max(news.version);
-    known.entry = known.entry.max(news.entry);
+fn take_in_whole(known: &mut Known, store: &Store) {
+    let is_older_copy = store.now.era > known.complete_to.era;
+    let mut latest = store.at(0);
+    match (store.entry, known.entry) {
+        (Some((revision, _)), Some((_, None))) if is_older_copy => {
+            known.entry = Some((store.at(revision), None));
+            latest = store.at(revision);
+        }
+        (Some((revision, write)), heard) => {
+            let at = store.at(revision);
+            latest = at;
+            if at > heard.map_or(known.complete_to, |(at, _)| at) {
+                known.entry = Some((at, Some(write)));
+            }
+        }
+        (None, Some((at, Some(_)))) if at <= store.now => {
+            known.entry = Some((store.now, None));
+            latest = store.now;
+        }
+        (None, _) => {}
+    }
+    known.latest = known.latest.max(latest);
+    known.complete_to = known.complete_to.max(store.now);
 }
 
-fn published(told: Told) -> Published {
-    let (after, to) = match told {
-        Told::Whole(to) => (None, to),
-        Told::Changes(after, to) => (Some(after), to),
-    };
-    let seen = HISTORY.iter().enumerate().map(|(i, it)| (i as u64 + 1, *it));
-    let seen: Vec<_> = seen.filter(|(revision, _)| *revision <= to).collect();
-    let mut endpoints: Vec<_> = seen
-        .iter()
-        .filter(|(revision, it)| *it != Change::Config && *revision > after.unwrap_or(0))
-        .map(|(revision, it)| entry(*revision, *it == Change::Present))
-        .collect();
-    if after.is_none() {
-        // Only what is there is listed.
-        endpoints = endpoints.pop().into_iter().filter(|it| it.entry.is_some()).collect();
+fn take_in_changes(known: &mut Known, store: &Store, after: Position) {
+    let complete_to = known.complete_to;
+    let new: Vec<_> = store.written.iter().filter(|it| it.0 > after.revision).collect();
+    for (revision, write) in &new {
+        let at = store.at(*revision);
+        let is_news = at > known.entry.map_or(complete_to, |(at, _)| at);
+        // Nothing is known of an entry that was never there.
+        if is_news && (write.is_some() || known.entry.is_some()) {
+            known.entry = Some((at, *write));
+        }
+    }
+    if after <= known.latest {
+        let latest = new.last().map_or(Position::START, |it| store.at(it.0));
+        known.latest = known.latest.max(latest);
+        known.complete_to = known.complete_to.max(store.now);
     }
-    let revision = endpoints.iter().map(|it| it.revision).max().unwrap_or(0);
-    let version = state_at(to).version;
+}
+
+fn published(schedule: usize, told: Told) -> Published {
+    let (Told::Whole(to) | Told::Changes(_, to)) = told;
+    let store = Store::after(schedule, to);
+    let (after, endpoints) = match told {
+        Told::Whole(_) => {
+            let entry = store.entry.map(|(revision, write)| entry(store.at(revision), Some(write)));
+            (None, entry.into_iter().collect::<Vec<_>>())
+        }
+        Told::Changes(from, _) => {
+            let after = Store::after(schedule, from).now;
+            let new = store.written.iter().filter(|it| it.0 > after.revision);
+            (Some(after), new.map(|(revision, it)| entry(store.at(*revision), *it)).collect())
+        }
+    };
+    let latest = endpoints.iter().map(|it| it.at).max().unwrap_or_default();
+    let version = store.version;
     let document = (version > 0).then(|| Document { version, ..Document::default() });
-    Published { after, revision, complete_to: to, document, endpoints }
-}
-
-fn entry(revision: u64, is_present: bool) -> RegistryChange {
-    let endpoint = Endpoint {
-        id: "i".into(),
-        addr: ([127, 0, 0, 1], 80).into(),
-        failure_domain: "a".into(),
-        slots: 1,
-        standing: Standing::Present,
-        warm_up_ms: revision as u32,
-        started_ms: 0,
+    Published { after, latest, complete_to: store.now, document, endpoints }
+}
+
+/// An entry as it was made by a write, or its removal.
+fn entry(at: Position, write: Option<u64>) -> RegistryChange {
+    let registration = |write: u64| {
+        let endpoint = Endpoint {
+            id: "i".into(),
+            addr: ([127, 0, 0, 1], 80).into(),
+            failure_domain: "a".into(),
+            slots: 1,
+            standing: Standing::Present,
+            warm_up_ms: write as u32,
+            started_ms: 0,
+        };
+        Registration { service: "s".into(), endpoint }
     };
-    let entry = is_present.then(|| Registration { service: "s".into(), endpoint });
-    RegistryChange { id: "i".into(), revision, entry }
+    RegistryChange { id: "i".into(), at, entry: write.map(registration) }
 }
 
-fn real(told: &[Told]) -> Replica {
+fn real(schedule: usize, told: &[Told]) -> Replica {
     let mut replica = Replica::default();
     for it in told {
-        let published = published(*it);
+        let published = published(schedule, *it);
         if let Some(document) = &published.document {
             replica.accept(Arc::new(document.clone()));
         }
@@ -129,21 +232,28 @@
 /// What the production copy shows, against what the specification says.
 fn check(world: &World) {
     for (known, told) in world.nodes.iter().zip(&world.told) {
-        let replica = real(told);
-        assert_eq!(replica.facts().version, known.version, "{told:?}");
+        let replica = real(world.schedule, told);
+        let context = format!("schedule {}, {told:?}", world.schedule);
+        assert_eq!(replica.facts().version, known.version, "{context}");
+        assert_eq!(replica.facts().registry, known.latest, "{context}");
         let shown = replica.registrations().next().map(|it| it.endpoint);
         let present = shown.filter(|it| it.standing == Standing::Present);
-        let is_present = known.entry > 0 && HISTORY[known.entry as usize - 1] == Change::Present;
-        let expected = is_present.then_some(known.entry as u32);
-        assert_eq!(present.map(|it| it.warm_up_ms), expected, "{told:?}");
+        let expected = known.entry.and_then(|(_, write)| write).map(|it| it as u32);
+        assert_eq!(present.map(|it| it.warm_up_ms), expected, "{context}");
     }
 }
 
+/// Steps that a node takes in, in one life: the platform's returns make many more schedules.
+fn most_told(schedule: usize) -> usize {
+    if schedule == 0 { 4 } else { 3 }
+}
+
 fn successors(world: &World) -> Vec<World> {
     let mut next = Vec::new();
-    let now = world.published as u64;
-    if world.published < HISTORY.len() {
-        next.push(World { published: world.published + 1, ..world.clone() });
+    let now = world.published;
+    let era = |changes| Store::after(world.schedule, changes).now.era;
+    if now < SCHEDULES[world.schedule].len() {
+        next.push(World { published: now + 1, ..world.clone() });
     }
     for i in 0..NODES {
         let read_to = world.nodes[i].read_to;
@@ -152,7 +262,7 @@
             // A reader passes on what it has read, at once or, seen from here, much later.
             for (j, node) in it.nodes.iter_mut().enumerate() {
                 if (j == i) == reads {
-                    take_in(node, told);
+                    take_in(node, world.schedule, told);
                     it.told[j].push(told);
                 }
             }
@@ -161,10 +271,10 @@
             }
             next.push(it);
         };
-        if read_to == 0 && now > 0 {
+        if now > 0 && (read_to == 0 || era(read_to) < era(now)) {
             tell(Told::Whole(now), true);
         }
-        if read_to > 0 && read_to < now {
+        if read_to > 0 && read_to < now && era(read_to) == era(now) {
             tell(Told::Changes(read_to, now), true);
         }
         // The other node hears of it late, or only now and not before.
@@ -179,30 +289,46 @@
             next.push(it);
         }
     }
-    next.retain(|it| it.told.iter().all(|told| told.len() <= 4));
+    next.retain(|it| it.told.iter().all(|told| told.len() <= most_told(world.schedule)));
     next
 }
 
+/// Within a life a configuration is never replaced by an older one, nor the copy of an era by one of an era before, and
+/// who knows that an entry was removed does not get it back from an older copy.
+fn check_step(before: &World, after: &World) {
+    for i in 0..NODES {
+        let is_restart = after.told[i].is_empty();
+        let (old, new) = (before.nodes[i], after.nodes[i]);
+        if is_restart {
+            continue;
+        }
+        assert!(new.version >= old.version && new.latest >= old.latest, "{after:?}");
+        assert!(new.complete_to >= old.complete_to, "{after:?}");
+        let is_named = matches!(after.told[i].last(), Some(Told::Whole(_)))
+            && new.complete_to.era > old.complete_to.era;
+        let was_removed = matches!(old.entry, Some((_, None)));
+        let is_there = matches!(new.entry, Some((_, Some(_))));
+        assert!(!(is_named && was_removed && is_there), "{after:?}");
+    }
+}
+
 #[test]
 fn copies_never_revert_and_agree_with_the_specification() {
-    let start = World {
-        published: 0,
-        nodes: [Known::default(); NODES],
-        told: Default::default(),
-        restarts: 0,
-    };
     let mut states = 0;
-    for world in bfs_reach(start, successors) {
-        check(&world);
-        for (before, after) in successors(&world).iter().map(|it| (&world, it)) {
-            for i in 0..NODES {
-                let is_restart = after.told[i].is_empty();
-                let (old, new) = (before.nodes[i], after.nodes[i]);
-                assert!(is_restart || new.version >= old.version && new.entry >= old.entry);
-            }
+    for schedule in 0..SCHEDULES.len() {
+        let start = World {
+            schedule,
+            published: 0,
+            nodes: [Known::default(); NODES],
+            told: Default::default(),
+            restarts: 0,
+        };
+        for world in bfs_reach(start, successors) {
+            check(&world);
+            successors(&world).iter().for_each(|it| check_step(&world, it));
+            states += 1;
         }
-        states += 1;
     }
     println!("{states} states, all that can be reached");
-    assert!(states > 1_000, "the model has {states} states: too few to mean anything");
+    assert!(states > 5_000, "the model has {states} states: too few to mean anything");
 }
--- a/crates/fleet/src/tests/wire.rs
+++ b/crates/fleet/src/tests/wire.rs
@@ -5,7 +5,7 @@
     Ask, Grant, Kind, NodeId, PermitId, Rejection, Reply, Reporter, RequestKey, SendKind, Tier,
 };
 use proptest::prelude::*;
-use resources::{Endpoint, Priority, Registration, RegistryChange, Standing};
+use resources::{Endpoint, Position, Priority, Registration, RegistryChange, Standing};
 
 use crate::exchange::{CHANGES_PER_FRAME, MAX_GOSSIP};
 use crate::replica::Facts;
@@ -14,6 +14,9 @@
     PermitMessage, Phase, VERSION, Verdict, WireError,
 };
 
+/// A position of the greatest encoded length.
+const LAST: Position = Position { era: u32::MAX, revision: u64::MAX };
+
 fn keys(text: &str) -> Keys {
     Keys { current: Key::new(text.as_bytes()), also: None }
 }
@@ -37,7 +40,7 @@
         version: u32::MAX,
         capacity: Capacity { millicores: u32::MAX, link_mbps: u32::MAX },
         phase: Phase::Leaving,
-        facts: Facts { version: u64::MAX, revision: u64::MAX },
+        facts: Facts { version: u64::MAX, registry: LAST },
     }
 }
 
@@ -70,11 +73,11 @@
     };
     let id = endpoint.id.clone();
     let entry = Some(Registration { service: "a-service-with-a-long-name".into(), endpoint });
-    let change = RegistryChange { id, revision: u64::MAX, entry };
+    let change = RegistryChange { id, at: LAST, entry };
     News {
         sender: longest_info(),
         facts: longest_info().facts,
-        after: u64::MAX,
+        after: LAST,
         changes: vec![change; CHANGES_PER_FRAME],
         contact: true,
     }
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use policy::{Ask, Kind, NodeId, Observation, PermitId, Rejection, Reply, RequestKey, RunEnd};
-use resources::{Name, RegistryChange};
+use resources::{Name, Position, RegistryChange};
 use serde::{Deserialize, Serialize};
 
 use crate::replica::Facts;
@@ -140,8 +140,8 @@
     pub sender: NodeInfo,
     /// How new a copy is that has these changes and all before them.
     pub facts: Facts,
-    /// The changes are all those after this revision of the platform.
-    pub after: u64,
+    /// The changes are all those after this position of the platform.
+    pub after: Position,
     /// Changes of the registry; none if there were none or too many for a frame.
     pub changes: Vec<RegistryChange>,
     /// Whether the platform answers this node.
--- a/crates/fleet/tests/exchange.rs
+++ b/crates/fleet/tests/exchange.rs
@@ -8,7 +8,7 @@
 use policy::{Rejection, RequestKey, Time};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use resources::Published;
+use resources::{Position, Published};
 use standin::net::{Net, addr};
 
 /// Nodes that know each other and have configuration 1 in force.
@@ -170,6 +170,9 @@
     assert_eq!((0..5).map(|i| serving(&net, i)).collect::<Vec<_>>(), [4; 5]);
 }
 
+/// Up to where a node has read the platform.
+const READ: Position = Position { era: 1, revision: 5 };
+
 /// One node of ten read the platform for half a minute, because the reader did not know it and never told it.
 #[test]
 fn a_reader_tells_those_at_once_whom_it_has_not_known() {
@@ -181,11 +184,11 @@
     };
     let (mut reader, stranger) = (node(0, 200), node(1, 20));
     let now = Time(0) + Duration::from_secs(2);
-    reader.read(now, Published { revision: 5, complete_to: 5, ..Published::default() });
+    reader.read(now, Published { latest: READ, complete_to: READ, ..Published::default() });
     let news = News {
         sender: stranger.info(),
         facts: stranger.info().facts,
-        after: 0,
+        after: Position::START,
         changes: Vec::new(),
         contact: true,
     };
@@ -216,3 +219,44 @@
         assert!(knows(&net, 5), "loss {loss}");
     }
 }
+
+/// A node that reads the platform in `era`, and one that has read it in era 2.
+fn reader_and_later(era: u32) -> (Exchange, Exchange) {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut node = |i, era| {
+        let capacity = Capacity { link_mbps: 200, ..Capacity::default() };
+        let me = Identity { addr: addr(i), failure_domain: 0, incarnation: 1, capacity };
+        let mut it = Exchange::new(Time(0), me, &[], &mut rng);
+        let read = Position { era, revision: 100 / u64::from(era) };
+        it.read(Time(0), Published { latest: read, complete_to: read, ..Published::default() });
+        it
+    };
+    (node(0, era), node(1, 2))
+}
+
+/// What the later node makes of the word of the reader: whether it fetches, and whether its copy is proven fresh.
+fn hears_of(era: u32) -> (bool, bool) {
+    let (reader, mut later) = reader_and_later(era);
+    let now = Time(0) + Duration::from_secs(5);
+    let facts = reader.info().facts;
+    let news = News {
+        sender: reader.info(),
+        facts,
+        after: facts.registry,
+        changes: Vec::new(),
+        contact: true,
+    };
+    let frame = reader.frame(Message::News(news));
+    let effects = later.receive(now, addr(0), frame, &mut StdRng::seed_from_u64(2));
+    let fetches = effects.iter().any(|it| matches!(it, Effect::Fetch(_)));
+    (fetches, later.duty().is_fresh(now))
+}
+
+/// A node that has read a later era takes no word of an earlier one, however high its revision, and follows one that has
+/// read a later one still.
+#[test]
+fn the_word_of_an_earlier_era_proves_nothing() {
+    assert_eq!(hears_of(1), (false, false));
+    assert_eq!(hears_of(2), (false, true));
+    assert_eq!(hears_of(3), (true, true));
+}
--- a/crates/fleet/tests/start.rs
+++ b/crates/fleet/tests/start.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use policy::Time;
-use resources::{Document, Endpoint, Registration, RegistryChange, Standing};
+use resources::{Document, Endpoint, Position, Registration, RegistryChange, Standing};
 use standin::net::Net;
 
 /// Links of the few strong nodes and of all others, in Mbit/s.
@@ -26,7 +26,7 @@
         started_ms: 0,
     };
     let entry = Some(Registration { service: "booking".into(), endpoint });
-    RegistryChange { id: id.as_str().into(), revision: 0, entry }
+    RegistryChange { id: id.as_str().into(), at: Position::START, entry }
 }
 
 /// A fleet that has just started.
--- a/crates/operator/src/report.rs
+++ b/crates/operator/src/report.rs
@@ -16,7 +16,9 @@
     pub not_ready: Option<String>,
     /// Version of the configuration in force here; 0 for none.
     pub in_force: u64,
-    /// The platform's revision of the latest change of the endpoints that is known here.
+    /// Times that the platform has come back from an older copy, as it counts them, as far as is known here.
+    pub registry_era: u32,
+    /// The platform's revision of the latest change of the endpoints that is known here, within that era.
     pub registry_revision: u64,
     /// Whether this node reads the platform, for itself and its failure domain.
     pub reads_platform: bool,
@@ -53,7 +55,9 @@
     pub phase: String,
     /// Version of the configuration in force there.
     pub in_force: u64,
-    /// The platform's revision of the latest change of the endpoints that is known there.
+    /// The platform's era as far as it is known there.
+    pub registry_era: u32,
+    /// The platform's revision of the latest change of the endpoints that is known there, within that era.
     pub registry_revision: u64,
     /// Milliseconds since it was heard of.
     pub heard_ms: u64,
--- a/crates/resources/src/document.rs
+++ b/crates/resources/src/document.rs
@@ -62,13 +62,42 @@
     pub endpoint: Endpoint,
 }
 
+/// A point in what the platform has published. The platform may come back from a copy some seconds old: what it had
+/// published since is gone, and revisions are given out again. Each time begins an era, and all of a later era is newer
+/// than all of one before, whatever its revisions.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Position {
+    /// Rises with each return from an older copy.
+    pub era: u32,
+    /// The platform's revision in that era.
+    pub revision: u64,
+}
+
+impl Position {
+    /// Before all that was ever published.
+    pub const START: Self = Self { era: 0, revision: 0 };
+
+    /// Whether anything is known.
+    pub fn is_known(self) -> bool {
+        self > Self::START
+    }
+}
+
+impl std::fmt::Display for Position {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}.{}", self.era, self.revision)
+    }
+}
+
 /// A change of one entry in the registry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RegistryChange {
     /// Identity of the endpoint.
     pub id: Name,
-    /// The platform's revision at which the entry changed.
-    pub revision: u64,
+    /// Where the entry changed.
+    pub at: Position,
     /// The entry; nothing if it was removed.
     pub entry: Option<Registration>,
 }
@@ -76,13 +105,13 @@
 /// What the platform has published.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Published {
-    /// The changes are all those after this revision; nothing if all that exists is listed.
-    pub after: Option<u64>,
-    /// Revision of the latest change that is listed. Other changes of the platform do not count, so
-    /// that copies with the same content carry the same revision.
-    pub revision: u64,
-    /// The platform was read at this revision: what was removed before it is not listed.
-    pub complete_to: u64,
+    /// The changes are all those after this position; nothing if all that exists is listed.
+    pub after: Option<Position>,
+    /// Position of the latest change that is listed. Other changes of the platform do not count, so
+    /// that copies with the same content carry the same position.
+    pub latest: Position,
+    /// The platform was read at this position: what was removed before it is not listed.
+    pub complete_to: Position,
     /// The newest configuration, if it was read.
     pub document: Option<Document>,
     /// Entries of the registry that have changed, or all of them.
@@ -92,6 +121,6 @@
 impl Published {
     /// News of the configuration alone, which say nothing of the registry.
     pub fn only(document: Option<Document>) -> Self {
-        Self { after: Some(0), document, ..Self::default() }
+        Self { after: Some(Position::START), document, ..Self::default() }
     }
 }
--- a/crates/resources/src/lib.rs
+++ b/crates/resources/src/lib.rs
@@ -10,7 +10,7 @@
 mod source;
 mod validate;
 
-pub use document::{CallerLimits, Document, Published, Registration, RegistryChange};
+pub use document::{CallerLimits, Document, Position, Published, Registration, RegistryChange};
 pub use model::{
     Bias, Endpoint, Floor, Name, Organisation, Priority, Repeat, Resource, Route, Service, Share,
     Standing,
--- a/crates/resources/src/source.rs
+++ b/crates/resources/src/source.rs
@@ -1,6 +1,6 @@
 //! Where configurations and endpoints come from. The platform's adapter implements it.
 
-use crate::{Document, Published};
+use crate::{Document, Position, Published};
 
 /// Why nothing could be read. It will be tried again.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -25,8 +25,10 @@
 
     /// Takes over from another reader: reads the configuration and, without waiting, what has changed after `known`,
     /// up to where the registry was learnt from peers.
-    fn resume(&mut self, known: u64)
-    -> impl Future<Output = Result<Published, SourceError>> + Send;
+    fn resume(
+        &mut self,
+        known: Position,
+    ) -> impl Future<Output = Result<Published, SourceError>> + Send;
 
     /// Waits for what has changed since the last read, for a short time only: an answer without
     /// changes proves that there are none.
--- a/crates/standin/src/net.rs
+++ b/crates/standin/src/net.rs
@@ -131,7 +131,8 @@
     /// The platform has so many endpoints more.
     pub fn publish_endpoints(&mut self, entries: impl Iterator<Item = RegistryChange>) {
         let first = self.platform.registry.len() as u64 + 1;
-        let numbered = entries.zip(first..).map(|(it, revision)| RegistryChange { revision, ..it });
+        let numbered =
+            entries.zip(first..).map(|(it, i)| RegistryChange { at: Platform::at(i), ..it });
         self.platform.registry.extend(numbered);
     }
 
@@ -213,7 +214,7 @@
         }
         let known = self.nodes[i].replica().facts().version;
         let newer = self.platform.newest.clone().filter(|it| it.version > known);
-        let has = self.nodes[i].replica().facts().revision;
+        let has = self.nodes[i].replica().facts().registry;
         let news = self.platform.since(has, newer.clone());
         let mut bytes =
             newer.as_ref().map_or(0.0, |it| length(it) as f64 * PLATFORM_LENGTH) as usize;
@@ -242,7 +243,7 @@
     }
 
     fn note_endpoints(&mut self, i: usize) {
-        if self.nodes[i].replica().facts().revision > 0 {
+        if self.nodes[i].replica().facts().registry.is_known() {
             self.endpoints_at.entry(i).or_insert(self.now);
         }
     }
--- a/crates/standin/src/net/platform.rs
+++ b/crates/standin/src/net/platform.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use policy::Time;
-use resources::{Document, Published, RegistryChange};
+use resources::{Document, Position, Published, RegistryChange};
 
 /// A node that waits for news of the platform hears of it after this if there is none.
 pub(super) const WATCH: Duration = Duration::from_millis(700);
+/// The only era of this platform.
+const ERA: u32 = 1;
 /// Entries in one page of the registry.
 const PAGE: usize = 500;
 
@@ -64,15 +66,20 @@
         self.counted.insert(i, now);
     }
 
-    /// What has changed after a revision, beside a configuration.
-    pub(super) fn since(&self, known: u64, document: Option<Document>) -> Published {
-        let revision = self.registry.len() as u64;
+    /// Where a change of the registry stands.
+    pub(super) fn at(revision: u64) -> Position {
+        Position { era: ERA, revision }
+    }
+
+    /// What has changed after a position, beside a configuration.
+    pub(super) fn since(&self, known: Position, document: Option<Document>) -> Published {
+        let latest = Self::at(self.registry.len() as u64);
         Published {
-            after: (known > 0).then_some(known),
-            revision,
-            complete_to: revision,
+            after: known.is_known().then_some(known),
+            latest,
+            complete_to: latest,
             document,
-            endpoints: self.registry[known as usize..].to_vec(),
+            endpoints: self.registry[known.revision as usize..].to_vec(),
         }
     }
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -160,6 +160,12 @@
         self.put_raw(key, b"");
     }
 
+    /// Lets one more endpoint of a service announce itself.
+    pub fn register(&self, service: &str, endpoint: &Endpoint) {
+        let entry = entry(service, endpoint, endpoint.slots).to_string();
+        self.put_raw(&format!("{ENDPOINTS}{}", endpoint.id), entry.as_bytes());
+    }
+
     /// Lets an endpoint say that it is going away.
     pub fn leave(&self, id: &str) {
         let key = format!("{ENDPOINTS}{id}");
