Returns of the platform in a fleet in virtual time

Test only; the platform of the virtual network comes back from older copies and numbers changes by era.

--- a/crates/standin/src/net.rs
+++ b/crates/standin/src/net.rs
@@ -130,10 +130,12 @@
 
     /// The platform has so many endpoints more.
     pub fn publish_endpoints(&mut self, entries: impl Iterator<Item = RegistryChange>) {
-        let first = self.platform.registry.len() as u64 + 1;
-        let numbered =
-            entries.zip(first..).map(|(it, i)| RegistryChange { at: Platform::at(i), ..it });
-        self.platform.registry.extend(numbered);
+        self.platform.registry.extend(entries);
+    }
+
+    /// The platform comes back from the copy that it had after so many endpoints.
+    pub fn come_back(&mut self, endpoints: usize) {
+        self.platform.come_back(endpoints);
     }
 
     /// Calls to the platform so far. Only nodes with links make any.
--- a/crates/standin/src/net/platform.rs
+++ b/crates/standin/src/net/platform.rs
@@ -8,8 +8,6 @@
 
 /// A node that waits for news of the platform hears of it after this if there is none.
 pub(super) const WATCH: Duration = Duration::from_millis(700);
-/// The only era of this platform.
-const ERA: u32 = 1;
 /// Entries in one page of the registry.
 const PAGE: usize = 500;
 
@@ -19,6 +17,8 @@
     pub(super) newest: Option<Document>,
     /// Changes of the registry; their revisions are 1, 2, 3, ….
     pub(super) registry: Vec<RegistryChange>,
+    /// Times that it has come back from an older copy.
+    returns: u32,
     /// Calls that were made.
     made: u64,
     /// When each node that reads last made a call that counts. Here a node asks again each turn; a watch that waits
@@ -67,19 +67,23 @@
     }
 
     /// Where a change of the registry stands.
-    pub(super) fn at(revision: u64) -> Position {
-        Position { era: ERA, revision }
+    fn at(&self, revision: usize) -> Position {
+        Position { era: self.returns + 1, revision: revision as u64 }
     }
 
-    /// What has changed after a position, beside a configuration.
+    /// It comes back from the copy that it had at this revision of the registry.
+    pub(super) fn come_back(&mut self, revision: usize) {
+        self.registry.truncate(revision);
+        self.returns += 1;
+    }
+
+    /// What has changed after a position, beside a configuration; everything if that is of an era before.
     pub(super) fn since(&self, known: Position, document: Option<Document>) -> Published {
-        let latest = Self::at(self.registry.len() as u64);
-        Published {
-            after: known.is_known().then_some(known),
-            latest,
-            complete_to: latest,
-            document,
-            endpoints: self.registry[known.revision as usize..].to_vec(),
-        }
+        let latest = self.at(self.registry.len());
+        let after = Some(known).filter(|it| it.is_known() && it.era == latest.era);
+        let first = after.map_or(0, |it| it.revision as usize);
+        let new = self.registry.iter().enumerate().skip(first);
+        let endpoints = new.map(|(i, it)| RegistryChange { at: self.at(i + 1), ..it.clone() });
+        Published { after, latest, complete_to: latest, document, endpoints: endpoints.collect() }
     }
 }
