--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -257,9 +257,8 @@
         effects
     }
 
-    /// Accounts for bytes of rounds that were sent or received. News are not counted: in half a minute without
-    /// rounds, for which the news of a start had used up the budget, nodes knew 385 of 442 others, and one of ten
-    /// read the platform because the reader did not know it.
+    /// Accounts for bytes of rounds that were sent or received. News are not counted: those of a start would use up the
+    /// budget, and without rounds nodes do not know each other.
     pub fn spend(&mut self, bytes: usize) {
         self.budget -= bytes as f64;
     }
--- a/crates/fleet/src/permits.rs
+++ b/crates/fleet/src/permits.rs
@@ -109,8 +109,7 @@
     passed_over: FxHashMap<NodeId, (Time, Duration)>,
     /// For each service, where this node's part of the fixed budget for repeats is spent, and when that was last
     /// asked. Brought along with every ask, the part of one node was spent by each dispatching node that it had
-    /// asked within the window: 192 repeats where 160 are allowed, four of ten frames lost
-    /// (`tests/repeats.rs`).
+    /// asked within the window, where frames are lost.
     parts: FxHashMap<u64, (Place, Time)>,
     /// Wishes that were granted lately, and by whom.
     granted: FxHashMap<PermitId, (Place, Time)>,
--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -18,8 +18,8 @@
 /// Part of the objective that a send waits for a good endpoint if another one may follow: so little that a
 /// second send still fits.
 const FIRST_SEND_PATIENCE: f64 = 0.15;
-/// The same for the last send of a request. With all of the time left the worth of a day is 0.019 less
-/// (48 days with endpoints that hang): under load all requests wait, and all of them are late.
+/// The same for the last send of a request. With all of the time left all requests would wait under load, and all of
+/// them would be late.
 const LAST_SEND_PATIENCE: f64 = 0.5;
 
 /// Interval at which it is worked out who is due, while the service has slots to spare. In it a few endpoints
@@ -52,8 +52,7 @@
 
 /// All endpoints and the queue at one moment, for all choices that are made then. How likely an endpoint is sick
 /// takes most of the time of a choice, and while requests wait there may be a choice for each of them: worked out
-/// anew each time, a slot that came free among 99 endpoints while 500 requests waited took 7.4 ms of a whole
-/// core instead of 0.06, and a node on a tenth of a core fell behind for seconds.
+/// anew each time, a node on a tenth of a core would fall behind for seconds.
 pub(super) struct Survey<'a> {
     now: Time,
     looks: Vec<Look<'a>>,
--- a/crates/policy/src/permit.rs
+++ b/crates/policy/src/permit.rs
@@ -26,8 +26,7 @@
     First,
     /// The first one, asked for again: the ask before it brought nothing, or the send reached nobody. It
     /// neither earns a part of the budget nor costs any. Counted as a first one, sends that reach
-    /// nobody in three of ten cases let through 803 repeats where 639 are allowed (`tests/repeats.rs` of
-    /// `fleet`, 300 requests a second).
+    /// nobody would let through more repeats than are allowed.
     FirstAgain,
     /// An endpoint was reached before for the same request: it costs a part of the budget.
     Further,
