--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -95,6 +95,14 @@
         }
     }
 
+    /// Whether it gets work, or will because an older copy names it.
+    fn may_get_work(&self) -> bool {
+        match self.presence {
+            Presence::There => true,
+            Presence::Missing { is_named, .. } | Presence::Gone { is_named, .. } => is_named,
+        }
+    }
+
     /// Moves what time alone moves; returns whether it gets work or gets none any more by that.
     fn tick(&mut self, now: Time) -> bool {
         match self.presence {
@@ -316,7 +324,7 @@
             .entries
             .iter()
             .filter(|(id, it)| {
-                it.presence == Presence::There && it.at <= news.complete_to && !listed.contains(id)
+                it.may_get_work() && it.at <= news.complete_to && !listed.contains(id)
             })
             .map(|(id, _)| id.clone())
             .collect();
--- a/crates/fleet/src/tests/replica.rs
+++ b/crates/fleet/src/tests/replica.rs
@@ -3,7 +3,7 @@
 use policy::Time;
 use resources::{Endpoint, Name, Position, Published, Registration, RegistryChange, Standing};
 
-use crate::replica::{MISSING_FOR, Replica};
+use crate::replica::{MISSING_FOR, RETURNS_AFTER, Replica};
 
 /// A position in the only era.
 fn at(revision: u64) -> Position {
@@ -169,3 +169,24 @@
         assert!(!replica.update(Time(0), &changes(6, 7, vec![again(7)])));
     }
 }
+
+/// Found on reading: of an endpoint that was gone, named by an older copy, and not there any more when all was read once
+/// more, nobody took back the name, and it got work again.
+#[test]
+fn an_endpoint_that_an_older_copy_named_is_gone_once_it_is_listed_no_more() {
+    let of_era_2 = |revision| Position { era: 2, revision };
+    let again = |revision, endpoints| Published {
+        latest: of_era_2(revision),
+        complete_to: of_era_2(revision),
+        ..whole(revision, endpoints)
+    };
+    let mut replica = Replica::default();
+    replica.update(Time(0), &whole(5, vec![present("a", 4), present("b", 5)]));
+    replica.update(Time(0), &changes(5, 6, vec![removed("a", 6)]));
+    replica.tick(Time(0) + MISSING_FOR);
+    let named = |id: &str, revision| RegistryChange { at: of_era_2(revision), ..present(id, 0) };
+    replica.update(Time(0) + MISSING_FOR, &again(5, vec![named("a", 4), named("b", 5)]));
+    replica.update(Time(0) + MISSING_FOR * 2, &again(7, vec![named("b", 5)]));
+    replica.tick(Time(0) + MISSING_FOR + RETURNS_AFTER);
+    assert_eq!(known(&replica), [("b".into(), Standing::Present)]);
+}
