Messages about slots are sent again every 160 ms at most

With 160 ms there are 18. What is not acknowledged is at most 512 messages a peer, in frames of 1,100 bytes.

--- a/crates/fleet/src/delivery.rs
+++ b/crates/fleet/src/delivery.rs
@@ -15,7 +15,7 @@
 /// A message without an acknowledgement is sent again after this. It is longer than a long answer fills a weak link.
 const RESEND_AFTER: Duration = Duration::from_millis(80);
 /// Longest pause between two sends of a message; the pauses double until then.
-const MAX_RESEND_AFTER: Duration = Duration::from_millis(320);
+const MAX_RESEND_AFTER: Duration = Duration::from_millis(160);
 /// A message is given up after this: permits that nothing is heard of have expired by then.
 const LIFETIME: Duration = Duration::from_secs(3);
 /// Messages held for one peer at most; the oldest are given up first.
