--- a/crates/caller/src/answer.rs
+++ b/crates/caller/src/answer.rs
@@ -11,6 +11,8 @@
 
 /// On an error: `not-run` if the request certainly did not run, `unknown` if it may have run.
 pub const OUTCOME_HEADER: HeaderName = HeaderName::from_static("x-request-outcome");
+/// When to come back to another node.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(250);
 /// When to come back to a node that has just started.
 const RETRY_AFTER_START: Duration = Duration::from_millis(500);
 
@@ -37,6 +39,26 @@
         Self::not_run_because("crashes-endpoints", reason, retry_after)
     }
 
+    /// The caller's organisation has used up its allowance.
+    pub(crate) fn allowance_used_up(retry_after: Duration) -> Self {
+        let reason = "the organisation's allowance is used up";
+        let it = Self::not_run_because("allowance", reason, retry_after);
+        Self { status: StatusCode::TOO_MANY_REQUESTS, ..it }
+    }
+
+    /// What is left of the organisation's allowance cannot be found out.
+    pub(crate) fn allowance_unknown() -> Self {
+        let reason = "this node cannot ask what is left of the organisation's allowance";
+        Self::not_run_because("allowance-unknown", reason, RETRY_ELSEWHERE)
+    }
+
+    /// The caller's key was taken away before the request was sent.
+    pub(crate) fn key_taken_away() -> Self {
+        let reason = "the key was taken away";
+        let it = Self::not_run_because("key-taken-away", reason, RETRY_AFTER_START);
+        Self { status: StatusCode::UNAUTHORIZED, ..it }
+    }
+
     /// Nothing that was sent has run.
     pub(crate) fn not_run(retry_after: Duration) -> Self {
         let reason = "no upstream took it, and no further send is granted";
@@ -83,8 +105,8 @@
 
     pub(crate) fn outcome(self) -> &'static str {
         match self.status {
-            StatusCode::SERVICE_UNAVAILABLE => "not-run",
-            _ => "unknown",
+            StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => "unknown",
+            _ => "not-run",
         }
     }
 
--- a/crates/caller/src/content.rs
+++ b/crates/caller/src/content.rs
@@ -4,13 +4,14 @@
 use policy::RequestKey;
 
 use crate::body::Received;
-use crate::headers;
+use crate::headers::{self, HeaderNames};
 
 /// The key of a request: of what an endpoint sees of it, without what differs each time it comes (its identity, its
 /// deadline, its trace) and without the caller's address, which changes behind balancers.
 ///
 /// Of a body that is too long to be held its start and its length count.
 pub(crate) fn request_key(
+    names: &HeaderNames,
     method: &Method,
     uri: &Uri,
     head: &HeaderMap,
@@ -26,7 +27,7 @@
     add(uri.path_and_query().map_or("/", |it| it.as_str()).as_bytes());
     // Without its port, by which nodes of one VM differ.
     add(headers::host_of(uri, head).as_bytes());
-    for name in [headers::ORGANISATION, header::AUTHORIZATION, header::RANGE] {
+    for name in [&names.organisation, &header::AUTHORIZATION, &header::RANGE] {
         add(head.get(name).map_or(b"", |it| it.as_bytes()));
     }
     match body {
--- a/crates/caller/src/dispatch.rs
+++ b/crates/caller/src/dispatch.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use policy::{Grant, Kind, RequestKey, SendKind};
-use resources::{Name, Route};
+use resources::{Name, Priority, Route};
 
 /// A request that needs a slot.
 #[derive(Clone, Debug)]
@@ -20,6 +20,8 @@
     pub organisation: u64,
     /// Weight of the organisation.
     pub weight: u32,
+    /// Which work goes first.
+    pub priority: Priority,
     /// Endpoints to use last.
     pub avoid: Vec<SocketAddr>,
     /// Which send of the request it is for.
@@ -57,6 +59,20 @@
     }
 }
 
+/// Whether an organisation may make one more request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It may.
+    Granted,
+    /// Its allowance is used up.
+    Exhausted {
+        /// When there is room for one that comes back.
+        retry_after: Duration,
+    },
+    /// No node can be asked that knows what is left of it, and the part of this one is used up.
+    Unknown,
+}
+
 /// A slot on one endpoint. Dropping it gives it back without evidence.
 pub trait Slot: Send + 'static {
     /// What was granted.
@@ -79,6 +95,9 @@
     /// Tells that a request of `route` was not served by `service`, one of several that the route leads to.
     fn unserved(&self, route: &Arc<Route>, service: &Name);
 
+    /// Finds out whether an organisation with an allowance, known by the hash of its name, may make one more request.
+    fn admit(&self, organisation: u64) -> impl Future<Output = Admission> + Send;
+
     /// Waits for a slot; dropping the future withdraws the wish.
     fn acquire(&self, want: Want) -> impl Future<Output = Result<Self::Slot, Refused>> + Send;
 }
--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -7,7 +7,6 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout};
 
-use crate::Dispatch;
 use crate::answer::{GiveUp, refuse};
 use crate::body::{AnswerOut, BodyError, Received};
 use crate::content::request_key;
@@ -16,6 +15,7 @@
 use crate::sending::send_until_done;
 use crate::trace;
 use crate::work::{NoWork, Work};
+use crate::{Admission, Dispatch};
 
 /// Serves one request.
 pub(crate) async fn serve<D: Dispatch>(
@@ -37,11 +37,19 @@
         _ if cx.metrics.in_flight.get() > cx.limits.max_in_flight as i64 => {
             give_up_unrouted(cx, id.as_ref(), GiveUp::too_many_in_flight())
         }
-        Ok(work) => run(cx, work, req.into_body(), started).await,
+        Ok(work) => match admit(cx, &work).await {
+            Ok(()) => run(cx, work, req.into_body(), started).await,
+            Err(give_up) => given_up(cx, &work, give_up, started),
+        },
         Err(NoWork::NoConfiguration) => {
             give_up_unrouted(cx, id.as_ref(), GiveUp::no_configuration())
         }
         Err(NoWork::MayBeOutdated) => give_up_unrouted(cx, id.as_ref(), GiveUp::may_be_outdated()),
+        Err(NoWork::Denied(denied)) => {
+            cx.metrics.denied.with_label_values(&[denied.name()]).inc();
+            trace::refused(&cx.log, id.as_ref(), denied.status(), denied.name());
+            refuse(denied.status(), denied.text())
+        }
         Err(NoWork::NoRoute) => {
             trace::refused(&cx.log, id.as_ref(), StatusCode::NOT_FOUND, "no route");
             refuse(StatusCode::NOT_FOUND, "no route: check host, path and method\n")
@@ -65,6 +73,19 @@
     why.response()
 }
 
+/// Takes the request from the allowance of its organisation, before its body is read.
+async fn admit<D: Dispatch>(cx: &Arc<Cx<D>>, work: &Work) -> Result<(), GiveUp> {
+    if !work.caller.is_limited() {
+        return Ok(());
+    }
+    let admission = clock::timeout_at(work.deadline, cx.dispatch.admit(work.caller.hash)).await;
+    match admission.unwrap_or(Admission::Unknown) {
+        Admission::Granted => Ok(()),
+        Admission::Exhausted { retry_after } => Err(GiveUp::allowance_used_up(retry_after)),
+        Admission::Unknown => Err(GiveUp::allowance_unknown()),
+    }
+}
+
 async fn run<D: Dispatch>(
     cx: &Arc<Cx<D>>,
     mut work: Work,
@@ -75,7 +96,7 @@
     let read = timeout(cx.limits.read_timeout, Received::read(body, limit)).await;
     let refused = match read {
         Ok(Ok(mut body)) => {
-            work.key = request_key(&work.method, &work.uri, &work.headers, &body);
+            work.key = request_key(&cx.names, &work.method, &work.uri, &work.headers, &body);
             return finish(cx, &Arc::new(work), &mut body, started).await;
         }
         Ok(Err(BodyError::TooLong(_))) => {
@@ -95,21 +116,43 @@
     body: &mut Received,
     started: Instant,
 ) -> Response<AnswerOut> {
-    let (outcome, res) = match send_until_done(cx, work, body).await {
-        Ok(res) => ("answered", res),
-        Err(give_up) => {
-            trace::give_up(&cx.log, &cx.names, work, give_up);
-            cx.metrics.given_up.with_label_values(&[give_up.cause]).inc();
-            (give_up.outcome(), give_up.response())
+    let res = match send_until_done(cx, work, body).await {
+        Ok(res) => {
+            ended(cx, work, "answered", &res, started);
+            res
         }
+        Err(it) => given_up(cx, work, it, started),
     };
     // Who uses one of several services judges the others by it too.
     if res.status().is_server_error() && !work.route.split.is_empty() {
         cx.dispatch.unserved(&work.route, &work.service);
     }
+    res
+}
+
+fn given_up<D: Dispatch>(
+    cx: &Arc<Cx<D>>,
+    work: &Work,
+    why: GiveUp,
+    started: Instant,
+) -> Response<AnswerOut> {
+    trace::give_up(&cx.log, &cx.names, work, why);
+    cx.metrics.given_up.with_label_values(&[why.cause]).inc();
+    let res = why.response();
+    ended(cx, work, why.outcome(), &res, started);
+    res
+}
+
+/// Takes note of how a request has ended.
+fn ended<D: Dispatch>(
+    cx: &Arc<Cx<D>>,
+    work: &Work,
+    outcome: &'static str,
+    res: &Response<AnswerOut>,
+    started: Instant,
+) {
     let elapsed = started.elapsed();
     cx.metrics.requests.with_label_values(&[outcome]).inc();
     cx.metrics.latency.with_label_values(&[outcome]).observe(elapsed.as_secs_f64());
     trace::request(&cx.log, &cx.names, work, outcome, res.status(), elapsed);
-    res
 }
--- a/crates/caller/src/headers.rs
+++ b/crates/caller/src/headers.rs
@@ -17,10 +17,12 @@
     pub wanted_endpoint: HeaderName,
     /// Said by an upstream that refused a request before any work on it.
     pub not_run: HeaderName,
+    /// The caller's API key; never told to an upstream where keys are asked for.
+    pub api_key: HeaderName,
+    /// Name of the caller's organisation, told to the upstream.
+    pub organisation: HeaderName,
 }
 
-/// The caller's organisation.
-pub(crate) const ORGANISATION: HeaderName = HeaderName::from_static("x-organisation");
 /// W3C trace context.
 pub(crate) const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
 const HOP_BY_HOP: [HeaderName; 8] = [
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -12,6 +12,7 @@
 mod dispatch;
 mod exchange;
 mod headers;
+mod identity;
 mod in_flight;
 mod listener;
 mod metrics;
@@ -24,7 +25,7 @@
 mod work;
 
 pub use answer::OUTCOME_HEADER;
-pub use dispatch::{Dispatch, Refused, Slot, Want, Why};
+pub use dispatch::{Admission, Dispatch, Refused, Slot, Want, Why};
 pub use headers::HeaderNames;
 pub use listener::{Limits, Listener, ListenerBuilder};
 pub use metrics::Metrics;
--- a/crates/caller/src/metrics.rs
+++ b/crates/caller/src/metrics.rs
@@ -11,6 +11,8 @@
     pub requests: IntCounterVec,
     /// Requests that got no answer of an upstream, by why.
     pub given_up: IntCounterVec,
+    /// Callers that were turned away, by why.
+    pub denied: IntCounterVec,
     /// Sends to upstreams by how they ended.
     pub sends: IntCounterVec,
     /// First sends of a request that met a full endpoint.
@@ -48,6 +50,10 @@
                 ),
                 &["cause"],
             )?,
+            denied: IntCounterVec::new(
+                Opts::new("dappleway_denied_total", "Callers that were turned away, by why."),
+                &["why"],
+            )?,
             sends: by("dappleway_sends_total", "Sends to upstreams by how they ended.")?,
             first_shed: counter(
                 "dappleway_first_sends_shed_total",
@@ -61,6 +67,7 @@
         };
         registry.register(Box::new(it.requests.clone()))?;
         registry.register(Box::new(it.given_up.clone()))?;
+        registry.register(Box::new(it.denied.clone()))?;
         registry.register(Box::new(it.sends.clone()))?;
         registry.register(Box::new(it.first_shed.clone()))?;
         registry.register(Box::new(it.hedges.clone()))?;
--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -179,6 +179,9 @@
         want.send = SendKind::Further;
         let acquire = self.cx.dispatch.acquire(want);
         let slot = timeout(RESUME_WITHIN, acquire).await.ok()?.ok()?;
+        if !self.work.may_be_sent(&self.cx) {
+            return None;
+        }
         let mut open = Open::new(slot);
         let body = RequestOut::Held(Full::default());
         let span = self.work.span.child();
--- a/crates/caller/src/sending.rs
+++ b/crates/caller/src/sending.rs
@@ -63,6 +63,12 @@
             Ok(slot) => slot,
             Err(refused) => return end(failure, refused, &progress),
         };
+        if !work.may_be_sent(cx) {
+            return match progress.reached {
+                0 => Err(GiveUp::key_taken_away()),
+                _ => end(failure, Refused::no_capacity(RETRY_AFTER_FAILURE), &progress),
+            };
+        }
         // A long body can be sent once. The wait for a slot may also have been a pause of this
         // process: nothing is sent too late.
         let Some(out) = body.next().filter(|_| !work.left().is_zero()) else {
@@ -233,6 +239,9 @@
             Err(_) => sleep(HEDGE_AGAIN).await,
         }
     };
+    if !work.may_be_sent(cx) {
+        return None;
+    }
     is_sent.store(true, Ordering::Relaxed);
     cx.metrics.hedges.inc();
     let lane = Lane::Further(Race::default());
--- a/crates/caller/src/tests.rs
+++ b/crates/caller/src/tests.rs
@@ -20,6 +20,17 @@
     pairs.iter().map(pair).collect()
 }
 
+fn names() -> HeaderNames {
+    HeaderNames {
+        request_id: HeaderName::from_static("x-id"),
+        deadline: HeaderName::from_static("x-left"),
+        wanted_endpoint: HeaderName::from_static("x-wanted"),
+        not_run: HeaderName::from_static("x-not-run"),
+        api_key: HeaderName::from_static("x-key"),
+        organisation: HeaderName::from_static("x-organisation"),
+    }
+}
+
 #[test]
 fn hop_by_hop_headers_end_here_and_so_do_those_that_connection_names() {
     let mut map = headers(&[
@@ -49,12 +60,7 @@
 
 #[test]
 fn a_deadline_that_is_no_number_is_ignored() {
-    let names = HeaderNames {
-        request_id: HeaderName::from_static("x-id"),
-        deadline: HeaderName::from_static("x-left"),
-        wanted_endpoint: HeaderName::from_static("x-wanted"),
-        not_run: HeaderName::from_static("x-not-run"),
-    };
+    let names = names();
     let deadline = |text| deadline_of(&names, &headers(&[("x-left", text)]));
     assert_eq!(deadline("70"), Some(Duration::from_millis(70)));
     assert_eq!(deadline("soon"), None);
@@ -130,7 +136,7 @@
     body: &'static str,
 ) -> RequestKey {
     let body = Received::Whole(Bytes::from_static(body.as_bytes()));
-    request_key(&method.parse().unwrap(), &uri.parse().unwrap(), &headers(pairs), &body)
+    request_key(&names(), &method.parse().unwrap(), &uri.parse().unwrap(), &headers(pairs), &body)
 }
 
 #[test]
--- a/crates/caller/src/trace.rs
+++ b/crates/caller/src/trace.rs
@@ -27,7 +27,8 @@
             $level!(log, "request";
                 "request_id" => work.request_id(names), "config" => work.snapshot.config.version,
                 "trace" => %Hex128(work.span.trace), "route" => work.route.name.as_str(),
-                "service" => work.service.as_str(), "slot_ms" => work.slot_ms(),
+                "service" => work.service.as_str(), "organisation" => work.caller.name(),
+                "slot_ms" => work.slot_ms(),
                 "outcome" => outcome, "status" => status.as_u16(),
                 "ms" => elapsed.as_millis() as u64)
         };
--- a/crates/caller/src/work.rs
+++ b/crates/caller/src/work.rs
@@ -9,12 +9,13 @@
 use http::header::{self, HeaderValue};
 use http::{HeaderMap, Method, Request, Uri};
 use hyper::body::Incoming;
-use policy::{RequestKey, SendKind, stable_hash};
+use policy::{RequestKey, SendKind};
 use resources::{Name, Repeat, Route};
 
 use crate::body::RequestOut;
 use crate::cx::Cx;
 use crate::headers::{self, HeaderNames, Span};
+use crate::identity::{Caller, Denied};
 use crate::{Snapshot, Want};
 
 /// An endpoint stops at the deadline that it was handed and says so; its own word is waited for
@@ -33,8 +34,7 @@
     /// What makes it the same as another request; known once its body was read.
     pub(crate) key: RequestKey,
     pub(crate) span: Span,
-    pub(crate) organisation: u64,
-    pub(crate) weight: u32,
+    pub(crate) caller: Caller,
     /// No work is handed out after it, and no endpoint is given more time.
     pub(crate) deadline: Moment,
     /// An answer is not waited for any longer.
@@ -52,6 +52,8 @@
     MayBeOutdated,
     /// No route matches.
     NoRoute,
+    /// The caller may not use it.
+    Denied(Denied),
 }
 
 impl Work {
@@ -66,16 +68,19 @@
         let Some(route) = snapshot.config.routes.find(&host, path, req.method().as_str()) else {
             return Err(if cx.shared.is_fresh() { NoWork::NoRoute } else { NoWork::MayBeOutdated });
         };
+        let callers = &snapshot.config.callers;
+        let caller = Caller::of(callers, route, &cx.names, req.headers()).map_err(|denied| {
+            let may_be_outdated = denied.depends_on_configuration() && !cx.shared.is_fresh();
+            if may_be_outdated { NoWork::MayBeOutdated } else { NoWork::Denied(denied) }
+        })?;
         let span = Span::of(req.headers());
-        let out = onward_headers(&cx.names, req, &span);
-        let org = out.get(headers::ORGANISATION).and_then(|it| it.to_str().ok()).unwrap_or("");
-        let weight = snapshot.config.organisations.get(org).copied().unwrap_or(1);
+        let mut out = onward_headers(&cx.names, req, &span);
+        caller.introduce(callers, &cx.names, &mut out);
         let limit = Duration::from_millis(route.deadline_ms.into());
         let left = headers::deadline_of(&cx.names, &out).map_or(limit, |it| it.min(limit));
         let deadline = Moment::now() + left;
         Ok(Self {
-            organisation: stable_hash(org.as_bytes()),
-            weight,
+            caller,
             service: snapshot.pick_service(route),
             route: route.clone(),
             method: req.method().clone(),
@@ -104,6 +109,13 @@
         self.slot_ms.load(Ordering::Relaxed)
     }
 
+    /// Whether the caller may still be served by what is in force now.
+    pub(crate) fn may_be_sent<D>(&self, cx: &Cx<D>) -> bool {
+        let current = cx.shared.load();
+        current.config.version == self.snapshot.config.version
+            || self.caller.is_known_to(&current.config.callers)
+    }
+
     pub(crate) fn left(&self) -> Duration {
         self.deadline.left()
     }
@@ -118,8 +130,9 @@
             route: self.route.clone(),
             service: self.service.clone(),
             request: self.key,
-            organisation: self.organisation,
-            weight: self.weight,
+            organisation: self.caller.hash,
+            weight: self.caller.weight(),
+            priority: self.caller.priority().unwrap_or(self.route.priority),
             avoid,
             send: SendKind::First,
             wait: true,
--- a/crates/caller/tests/bed/mod.rs
+++ b/crates/caller/tests/bed/mod.rs
@@ -41,6 +41,8 @@
         deadline: header("x-left-ms"),
         wanted_endpoint: header("x-endpoint"),
         not_run: header("x-not-run"),
+        api_key: header("x-key"),
+        organisation: header("x-organisation"),
     };
     let metrics = Metrics::register(&Registry::new()).unwrap();
     let builder = ListenerBuilder::new(shared, dispatch, names, metrics);
--- a/crates/caller/tests/suspended.rs
+++ b/crates/caller/tests/suspended.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use caller::{Dispatch, Refused, Slot, Want};
+use caller::{Admission, Dispatch, Refused, Slot, Want};
 use policy::{Grant, Kind};
 use resources::{Name, Route};
 use tokio::net::TcpListener;
@@ -37,6 +37,10 @@
 
     fn unserved(&self, _: &Arc<Route>, _: &Name) {}
 
+    async fn admit(&self, _: u64) -> Admission {
+        Admission::Granted
+    }
+
     async fn acquire(&self, _: Want) -> Result<Granted, Refused> {
         clock::suspend(Duration::from_secs(60));
         Ok(Granted(self.0.clone()))
--- a/crates/caller/tests/travelling.rs
+++ b/crates/caller/tests/travelling.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use caller::{Dispatch, Refused, Slot, Want};
+use caller::{Admission, Dispatch, Refused, Slot, Want};
 use expect_test::{Expect, expect};
 use policy::{Grant, Kind};
 use resources::{Name, Route};
@@ -53,6 +53,10 @@
 
     fn unserved(&self, _: &Arc<Route>, _: &Name) {}
 
+    async fn admit(&self, _: u64) -> Admission {
+        Admission::Granted
+    }
+
     async fn acquire(&self, want: Want) -> Result<Self, Refused> {
         match want.send {
             policy::SendKind::First => Ok(self.clone()),
--- a/crates/dappleway/src/baselines.rs
+++ b/crates/dappleway/src/baselines.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use caller::{Dispatch, Refused, Slot, Want};
+use caller::{Admission, Dispatch, Refused, Slot, Want};
 use policy::{Grant, Kind, Tier};
 use resources::{Endpoint, Name, Service};
 use rustc_hash::FxHashMap;
@@ -57,6 +57,11 @@
     /// It judges each endpoint by its own answers alone.
     fn unserved(&self, _route: &Arc<resources::Route>, _service: &Name) {}
 
+    /// It knows no allowances.
+    async fn admit(&self, _organisation: u64) -> Admission {
+        Admission::Granted
+    }
+
     async fn acquire(&self, want: Want) -> Result<RoundRobinSlot, Refused> {
         let services = self.services.borrow().clone();
         let found = services.iter().find(|it| it.name == want.service && !it.endpoints.is_empty());
--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -1,6 +1,7 @@
 //! The control thread: owns the exchange with other nodes, the dispatchers and the revisions, and
 //! is the only one that changes them.
 
+mod allowances;
 mod dispatch_log;
 mod exchange;
 mod metrics;
@@ -37,6 +38,7 @@
 use tokio::task::yield_now;
 use tokio::time::sleep_until;
 
+use self::allowances::Allowances;
 use crate::event::Event;
 use crate::reader::Wanted;
 use crate::services::{Scope, Services, name_hash, route_hash};
@@ -103,6 +105,7 @@
     client: Client,
     /// Messages about slots to and from other nodes that are to arrive.
     delivery: Delivery,
+    allowances: Allowances,
     services: Services,
     waiting: FxHashMap<PermitId, Waiter>,
     open: FxHashMap<PermitId, OpenPermit>,
@@ -183,6 +186,8 @@
     pub keys: Keys,
     /// The asking side of dispatch.
     pub client: Client,
+    /// An ask to another node that is not answered for this long is lost.
+    pub ask_timeout: Duration,
     /// The way of dispatch.
     pub mode: Mode,
     /// Name of this node's failure domain.
@@ -206,9 +211,10 @@
     pub fn new(clock: Moment, node_addr: SocketAddr, mut start: Start) -> Self {
         let failure_domain = name_hash(&start.failure_domain);
         let now = Time(0);
+        let me = start.exchange.id();
         Self {
             clock,
-            me: Reporter { node: start.exchange.id(), failure_domain },
+            me: Reporter { node: me, failure_domain },
             node_addr,
             failure_domain: start.failure_domain,
             mode: start.mode,
@@ -217,6 +223,7 @@
             keys: start.keys,
             client: start.client,
             delivery: Delivery::new(start.rng.random()),
+            allowances: Allowances::new(me, start.ask_timeout, start.rng.random::<u32>().into()),
             services: Services::new(start.budget),
             waiting: FxHashMap::default(),
             open: FxHashMap::default(),
@@ -288,7 +295,8 @@
     /// Asks that are under way need fine timers; otherwise waking up is most of what a node costs.
     fn tick_interval(&self) -> Duration {
         let is_finding = self.exchange.is_finding(self.now());
-        if self.client.is_idle() && !is_finding { IDLE_TICK } else { TICK }
+        let is_asking = !self.client.is_idle() || !self.allowances.is_idle();
+        if is_asking || is_finding { TICK } else { IDLE_TICK }
     }
 
     fn now(&self) -> Time {
@@ -347,12 +355,19 @@
     /// Strong nodes go first: a tenth of a core is late when it hands out the slots of a busy service.
     /// Newcomers are asked only where nobody else is known.
     fn candidates(&self, service: u64) -> Vec<NodeId> {
+        rank_strong_first(service, &self.serving())
+    }
+}
+
+impl Nodes<'_> {
+    /// The nodes that may do something for others, with their thousandths of a core.
+    fn serving(&self) -> Vec<(NodeId, u32)> {
         let serving = self.exchange.members().serving(self.now, fleet::ROUND);
         let mut nodes: Vec<_> = serving.map(|(id, it)| (id, it.info.capacity.millicores)).collect();
         let serves = matches!(self.exchange.phase(), Phase::Fresh | Phase::Ready);
         if serves && (nodes.is_empty() || !self.exchange.is_newcomer(self.now)) {
             nodes.push((self.me.node, self.exchange.capacity().millicores));
         }
-        rank_strong_first(service, &nodes)
+        nodes
     }
 }
--- /dev/null
+++ b/crates/dappleway/src/control/allowances.rs
@@ -0,0 +1,209 @@
+//! Allowances of organisations: asked for at the owners of their accounts, decided where this node is one.
+
+use std::time::Duration;
+
+use caller::Admission;
+use fleet::{Accounts, AllowanceAction, AllowanceMessage, AllowanceOutcome, Message, Purse};
+use policy::{Decision, NodeId, Time, owners};
+use resources::{Allowance, Callers, Name};
+use rustc_hash::FxHashMap;
+use slog::{info, warn};
+use tokio::sync::oneshot;
+
+use super::{Control, Nodes};
+use crate::services::name_hash;
+
+/// Interval at which the owners are worked out anew.
+const OWNERS_REFRESH: Duration = Duration::from_millis(100);
+/// Size that a fleet counts as while this node still finds others: what accrues until then is next to nothing, so that
+/// nodes which do not know each other yet have no allowance each.
+const UNKNOWN_SIZE: usize = 100_000;
+/// Organisations named in the log in a second at most.
+const MAX_LOGGED: usize = 8;
+
+/// A limited organisation.
+#[derive(Clone, Debug)]
+struct Limited {
+    name: Name,
+    allowance: Allowance,
+    /// Requests refused here when that was last logged.
+    refused_before: u64,
+}
+
+/// What the control thread holds for allowances.
+pub(super) struct Allowances {
+    purse: Purse,
+    accounts: Accounts,
+    waiting: FxHashMap<u64, oneshot::Sender<Admission>>,
+    /// Organisations that are limited, by the hash of their name.
+    limited: FxHashMap<u64, Limited>,
+    /// The owners that this node asks, and when they were worked out.
+    owners: (Vec<NodeId>, Time),
+    /// Requests granted and refused to callers of this node.
+    pub(super) granted: u64,
+    pub(super) refused: u64,
+}
+
+impl Allowances {
+    pub(super) fn new(me: NodeId, timeout: Duration, first: u64) -> Self {
+        Self {
+            purse: Purse::new(me, timeout, first),
+            accounts: Accounts::new(me),
+            waiting: FxHashMap::default(),
+            limited: FxHashMap::default(),
+            owners: (Vec::new(), Time::default()),
+            granted: 0,
+            refused: 0,
+        }
+    }
+
+    /// Whether no ask is under way.
+    pub(super) fn is_idle(&self) -> bool {
+        self.purse.is_idle()
+    }
+
+    /// Follows a configuration that has come into force.
+    pub(super) fn reconfigure(&mut self, callers: &Callers) {
+        let limited = callers.iter().filter_map(|it| {
+            let allowance = it.allowance()?;
+            let limited = Limited { name: it.name.clone(), allowance, refused_before: 0 };
+            Some((name_hash(&it.name), limited))
+        });
+        self.limited = limited.collect();
+    }
+
+    fn account(&self, organisation: u64) -> (u64, Option<Allowance>) {
+        (organisation, self.limited.get(&organisation).map(|it| it.allowance))
+    }
+
+    /// Asks that were settled by this node alone.
+    pub(super) fn alone(&self) -> u64 {
+        self.purse.alone
+    }
+}
+
+impl Control {
+    /// Finds out whether an organisation may make one more request.
+    pub(super) fn admit(&mut self, now: Time, organisation: u64, tx: oneshot::Sender<Admission>) {
+        self.refresh_owners(now);
+        let owners = &self.allowances.owners.0;
+        let (seq, action) = self.allowances.purse.ask(now, organisation, owners);
+        self.allowances.waiting.insert(seq, tx);
+        self.allowance_action(now, action);
+    }
+
+    pub(super) fn allowance_message(&mut self, now: Time, from: NodeId, message: AllowanceMessage) {
+        match message {
+            AllowanceMessage::Ask { seq, organisation, owners } => {
+                let account = self.allowances.account(organisation);
+                let accounts = &mut self.allowances.accounts;
+                let decision = accounts.ask(now, from, seq, account, &owners);
+                self.send_allowance(from, AllowanceMessage::Answer { seq, decision });
+            }
+            AllowanceMessage::Answer { seq, decision } => {
+                let action = self.allowances.purse.answer(now, from, seq, decision);
+                action.into_iter().for_each(|it| self.allowance_action(now, it));
+            }
+            AllowanceMessage::Entrust { owners } => {
+                self.allowances.accounts.ledger.entrust(now, from, &owners);
+            }
+        }
+    }
+
+    /// Moves what time alone moves. Costs nothing where no organisation is limited.
+    pub(super) fn tick_allowances(&mut self, now: Time) {
+        if self.allowances.limited.is_empty() {
+            return;
+        }
+        self.refresh_owners(now);
+        let size = match self.exchange.is_finding(now) {
+            true => UNKNOWN_SIZE,
+            false => self.exchange.members().len() + 1,
+        };
+        let Allowances { purse, accounts, owners: (owners, _), .. } = &mut self.allowances;
+        accounts.ledger.set_nodes(now, size);
+        accounts.ledger.entrust(now, self.me.node, owners);
+        for action in purse.tick(now, owners) {
+            self.allowance_action(now, action);
+        }
+    }
+
+    fn allowance_action(&mut self, now: Time, action: AllowanceAction) {
+        match action {
+            AllowanceAction::AskHere { seq, organisation, owners } => {
+                let me = self.me.node;
+                let account = self.allowances.account(organisation);
+                let accounts = &mut self.allowances.accounts;
+                let decision = accounts.ask(now, me, seq, account, &owners);
+                if let Some(it) = self.allowances.purse.answer(now, me, seq, decision) {
+                    self.allowance_action(now, it);
+                }
+            }
+            AllowanceAction::Send(node, message) => self.send_allowance(node, message),
+            AllowanceAction::PassOver(node) => {
+                if !self.client.passes_over(now, node) {
+                    self.client.pass_over(now, node);
+                }
+                self.allowances.owners.1 = Time::default();
+                self.refresh_owners(now);
+            }
+            AllowanceAction::Settle(seq, outcome) => self.settle_admission(seq, outcome),
+        }
+    }
+
+    fn settle_admission(&mut self, seq: u64, outcome: AllowanceOutcome) {
+        let admission = match outcome {
+            AllowanceOutcome::Decided(Decision::Granted) => Admission::Granted,
+            AllowanceOutcome::Decided(Decision::Exhausted { retry_after, .. }) => {
+                Admission::Exhausted { retry_after }
+            }
+            AllowanceOutcome::Unknown => Admission::Unknown,
+        };
+        match admission {
+            Admission::Granted => self.allowances.granted += 1,
+            _ => self.allowances.refused += 1,
+        }
+        if let Some(tx) = self.allowances.waiting.remove(&seq) {
+            // The caller may have left.
+            let _ = tx.send(admission);
+        }
+    }
+
+    fn send_allowance(&mut self, node: NodeId, message: AllowanceMessage) {
+        self.send_frame(node, Message::Allowance(message));
+    }
+
+    fn refresh_owners(&mut self, now: Time) {
+        let (known, at) = &self.allowances.owners;
+        if !known.is_empty() && now.since(*at) < OWNERS_REFRESH {
+            return;
+        }
+        let nodes = Nodes { now, me: self.me, exchange: &self.exchange }.serving();
+        let asked: Vec<_> =
+            nodes.into_iter().filter(|(id, _)| !self.client.passes_over(now, *id)).collect();
+        self.allowances.owners = (owners(&asked), now);
+    }
+
+    /// Says whose allowances were used up at the accounts of this node.
+    pub(super) fn log_allowances(&mut self) {
+        let Allowances { accounts, limited, .. } = &mut self.allowances;
+        let mut refusing: Vec<_> = Vec::new();
+        for it in accounts.ledger.report() {
+            let Some(known) = limited.get_mut(&it.organisation) else { continue };
+            let before = std::mem::replace(&mut known.refused_before, it.refused);
+            if it.refused > before {
+                refusing.push((it.refused - before, known.name.clone(), known.allowance, it));
+            }
+        }
+        refusing.sort_by_key(|it| std::cmp::Reverse(it.0));
+        let more = refusing.len().saturating_sub(MAX_LOGGED);
+        for (refused, name, allowance, it) in refusing.into_iter().take(MAX_LOGGED) {
+            info!(self.log, "allowance used up"; "organisation" => name.as_str(),
+                "refused" => refused, "granted_so_far" => it.granted, "left" => it.left,
+                "rate_per_s" => allowance.rate_per_s, "burst" => allowance.burst);
+        }
+        if more > 0 {
+            warn!(self.log, "more allowances used up"; "organisations" => more);
+        }
+    }
+}
--- a/crates/dappleway/src/control/exchange.rs
+++ b/crates/dappleway/src/control/exchange.rs
@@ -34,6 +34,11 @@
                 self.delivery.acknowledged(frame.from, &ack);
                 return;
             }
+            Message::Allowance(message) => {
+                self.askers.insert(frame.from, from);
+                self.allowance_message(now, frame.from, message);
+                return;
+            }
             Message::Gossip(_) => self.exchange.spend(n),
             Message::News(_) => {}
         }
@@ -102,7 +107,7 @@
         }
     }
 
-    fn send_frame(&mut self, node: NodeId, message: Message) {
+    pub(super) fn send_frame(&mut self, node: NodeId, message: Message) {
         let member = self.exchange.members().get(node).map(|it| it.info.addr);
         let Some(addr) = member.or_else(|| self.askers.get(&node).copied()) else { return };
         self.edge.send(addr, &self.exchange.frame(message));
--- a/crates/dappleway/src/control/metrics.rs
+++ b/crates/dappleway/src/control/metrics.rs
@@ -29,6 +29,7 @@
     permits: IntCounterVec,
     peer_messages: IntCounterVec,
     unacknowledged: IntGauge,
+    admissions: IntCounterVec,
     fetches: FetchesServed,
 }
 
@@ -148,6 +149,13 @@
                 "dappleway_peer_messages_unacknowledged",
                 "Messages about slots that no peer has acknowledged yet.",
             )?,
+            admissions: IntCounterVec::new(
+                Opts::new(
+                    "dappleway_allowance_requests_total",
+                    "Requests of limited organisations at this node: granted, refused, or decided by its own share alone.",
+                ),
+                &["outcome"],
+            )?,
             fetches: FetchesServed::new()?,
         };
         registry.register(Box::new(it.endpoints.clone()))?;
@@ -158,6 +166,7 @@
         registry.register(Box::new(it.asks.clone()))?;
         registry.register(Box::new(it.permits.clone()))?;
         registry.register(Box::new(it.peer_messages.clone()))?;
+        registry.register(Box::new(it.admissions.clone()))?;
         registry.register(Box::new(it.fetches.count.clone()))?;
         registry.register(Box::new(it.fetches.bytes.clone()))?;
         Ok(it)
@@ -219,6 +228,9 @@
         raise(&it.peer_messages.with_label_values(&["resent"]), self.delivery.resent);
         raise(&it.peer_messages.with_label_values(&["given_up"]), self.delivery.given_up);
         it.unacknowledged.set(self.delivery.held() as i64);
+        raise(&it.admissions.with_label_values(&["granted"]), self.allowances.granted);
+        raise(&it.admissions.with_label_values(&["refused"]), self.allowances.refused);
+        raise(&it.admissions.with_label_values(&["alone"]), self.allowances.alone());
         raise(&it.platform_calls, self.platform_calls);
         let facts = self.exchange.replica().facts();
         it.config_version.set(facts.version as i64);
--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -18,6 +18,7 @@
     pub(super) fn command(&mut self, now: Time, command: Command) {
         match command {
             Command::Acquire(id, want, tx) => self.acquire(now, id, &want, tx),
+            Command::Admit(organisation, tx) => self.admit(now, organisation, tx),
             Command::Withdraw(id) => self.withdraw(now, id),
             Command::Stalled(id, elapsed) => self.stalled(now, id, elapsed),
             Command::AnswerBegan(id, elapsed) => self.answer_began(now, id, elapsed),
@@ -53,7 +54,7 @@
             route: route_hash(&want.route.name),
             request: want.request,
             repeatable: want.route.repeat == Repeat::Anytime,
-            priority: want.route.priority,
+            priority: want.priority,
             organisation: want.organisation,
             weight: want.weight,
             bulky: want.route.stream,
--- a/crates/dappleway/src/control/tests.rs
+++ b/crates/dappleway/src/control/tests.rs
@@ -70,6 +70,7 @@
         edge,
         keys,
         client,
+        ask_timeout: Duration::from_millis(40),
         mode: Mode::Permits,
         failure_domain: "a".into(),
         budget: BudgetLimits { ratio: 0.2, extra: 58.0, window: Duration::from_secs(10) },
--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -42,6 +42,7 @@
         for action in self.client.tick(now, &directory) {
             self.act(now, action);
         }
+        self.tick_allowances(now);
         self.log_contacts();
         if !self.draining {
             let effects = self.exchange.set_phase(self.phase(now));
@@ -57,6 +58,7 @@
             self.log_era();
             self.log_repeats(now);
             self.log_dispatch(now);
+            self.log_allowances();
             self.measure(now);
         }
         if now >= self.next_readiness {
--- a/crates/dappleway/src/event.rs
+++ b/crates/dappleway/src/event.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use caller::{Refused, Want};
+use caller::{Admission, Refused, Want};
 use fleet::{Bundle, FetchFailure, NodeInfo, Place};
 use operator::Report;
 use policy::{Grant, Kind, PermitId};
@@ -47,6 +47,8 @@
 pub enum Command {
     /// Find a slot.
     Acquire(PermitId, Want, oneshot::Sender<Result<(Grant, Place), Refused>>),
+    /// Find out whether an organisation, by the hash of its name, may make one more request.
+    Admit(u64, oneshot::Sender<Admission>),
     /// The wish for a slot is withdrawn.
     Withdraw(PermitId),
     /// A request is stalled.
--- a/crates/dappleway/src/handle.rs
+++ b/crates/dappleway/src/handle.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use caller::{Dispatch, Refused, Slot, Want};
+use caller::{Admission, Dispatch, Refused, Slot, Want};
 use fleet::Place;
 use policy::{Grant, Kind, NodeId, PermitId};
 use resources::{Name, Route};
@@ -39,6 +39,12 @@
         self.send(Command::Unserved(route.clone(), service.clone()));
     }
 
+    async fn admit(&self, organisation: u64) -> Admission {
+        let (tx, rx) = oneshot::channel();
+        self.send(Command::Admit(organisation, tx));
+        rx.await.unwrap_or(Admission::Unknown)
+    }
+
     async fn acquire(&self, want: Want) -> Result<HandleSlot, Refused> {
         let id = PermitId { node: self.node, seq: self.next.fetch_add(1, Ordering::Relaxed) };
         let (tx, rx) = oneshot::channel();
--- a/crates/dappleway/src/node.rs
+++ b/crates/dappleway/src/node.rs
@@ -201,6 +201,7 @@
         edge,
         keys,
         client,
+        ask_timeout,
         mode: settings.dispatch.mode,
         failure_domain: settings.node.failure_domain.clone(),
         budget: settings.dispatch.budget(),
--- /dev/null
+++ b/crates/fleet/src/allowances.rs
@@ -0,0 +1,291 @@
+//! Allowances between nodes: asks the owner of an organisation's account whether one more request may run, and answers
+//! those that ask this node.
+//!
+//! Each ask names the owners that its node asks, which entrusts its share of all allowances to them
+//! (`policy::Ledger`). A node that has nothing to ask says so as often as needed.
+
+use std::time::Duration;
+
+use policy::{Decision, Ledger, NodeId, Time, owner_of};
+use resources::Allowance;
+use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
+
+/// Asks without an answer after which an owner is passed over.
+const ASKS_IN_VAIN: u32 = 3;
+/// Silent owners after which a node has its own share alone.
+const MAX_SILENT: u32 = 2;
+/// An owner hears from each node at least this often: three times while a share counts.
+const ENTRUST_EVERY: Duration = Duration::from_millis(500);
+/// An answer is remembered for this long: an ask that is said again takes no second request from the account.
+const REMEMBER_ANSWER: Duration = Duration::from_secs(1);
+/// Organisations for which a node remembers that asking is in vain.
+const MAX_CLOSED: usize = 4_096;
+
+/// Messages about allowances.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum AllowanceMessage {
+    /// Asks whether a request may run.
+    Ask {
+        /// Which ask of the sender it is.
+        seq: u64,
+        /// Hash of the organisation's name.
+        organisation: u64,
+        /// The owners that the sender asks now.
+        owners: Vec<NodeId>,
+    },
+    /// Answers an ask.
+    Answer {
+        /// Which one.
+        seq: u64,
+        /// The answer.
+        decision: Decision,
+    },
+    /// Names the owners that the sender asks.
+    Entrust {
+        /// The owners.
+        owners: Vec<NodeId>,
+    },
+}
+
+/// What became of an ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AllowanceOutcome {
+    /// Decided by the owner of the account.
+    Decided(Decision),
+    /// No owner answers, and this node's own share is used up.
+    Unknown,
+}
+
+/// What the asking side wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AllowanceAction {
+    /// Decide by the accounts of this node, which stands for these owners.
+    AskHere {
+        /// Which ask.
+        seq: u64,
+        /// Hash of the organisation's name.
+        organisation: u64,
+        /// The owners that this node asks: itself among others, or itself alone.
+        owners: Vec<NodeId>,
+    },
+    /// Send a message.
+    Send(NodeId, AllowanceMessage),
+    /// An owner does not answer.
+    PassOver(NodeId),
+    /// An ask is settled.
+    Settle(u64, AllowanceOutcome),
+}
+
+/// An ask that is under way.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    organisation: u64,
+    owner: NodeId,
+    asked: Time,
+    /// Asks at this owner.
+    asks: u32,
+    /// Owners that did not answer.
+    silent: u32,
+}
+
+/// Asking is in vain until then.
+#[derive(Clone, Copy, Debug)]
+struct Closed {
+    until: Time,
+    retry_at: Time,
+}
+
+/// The asking side of one node.
+#[derive(Debug)]
+pub struct Purse {
+    me: NodeId,
+    timeout: Duration,
+    next_seq: u64,
+    pending: FxHashMap<u64, Pending>,
+    closed: FxHashMap<u64, Closed>,
+    /// When each owner last heard from this node.
+    told: FxHashMap<NodeId, Time>,
+    /// Asks that were settled without an owner.
+    pub alone: u64,
+}
+
+impl Purse {
+    /// The asking side of the node `me`. Asks without an answer for `timeout` are said again; numbers begin with
+    /// `first`, which differs between lives of the node.
+    pub fn new(me: NodeId, timeout: Duration, first: u64) -> Self {
+        Self {
+            me,
+            timeout,
+            next_seq: first,
+            pending: FxHashMap::default(),
+            closed: FxHashMap::default(),
+            told: FxHashMap::default(),
+            alone: 0,
+        }
+    }
+
+    /// Whether nothing is under way.
+    pub fn is_idle(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    /// Asks for one request of an organisation; returns the number of the ask.
+    pub fn ask(
+        &mut self,
+        now: Time,
+        organisation: u64,
+        owners: &[NodeId],
+    ) -> (u64, AllowanceAction) {
+        let seq = self.next_seq;
+        self.next_seq += 1;
+        if let Some(it) = self.closed.get(&organisation).filter(|it| now < it.until) {
+            let (next, retry_after) = (it.until.since(now), it.retry_at.since(now));
+            let decision = Decision::Exhausted { next, retry_after: retry_after.max(next) };
+            return (seq, AllowanceAction::Settle(seq, AllowanceOutcome::Decided(decision)));
+        }
+        let pending = Pending { organisation, owner: self.me, asked: now, asks: 0, silent: 0 };
+        self.pending.insert(seq, pending);
+        (seq, self.ask_owner(now, seq, owners))
+    }
+
+    /// Takes in a decision of `from`.
+    pub fn answer(
+        &mut self,
+        now: Time,
+        from: NodeId,
+        seq: u64,
+        decision: Decision,
+    ) -> Option<AllowanceAction> {
+        let pending = self.pending.remove(&seq)?;
+        if let Decision::Exhausted { next, retry_after } = decision {
+            if self.closed.len() >= MAX_CLOSED {
+                self.closed.retain(|_, it| now < it.until);
+            }
+            let closed = Closed { until: now + next, retry_at: now + retry_after };
+            self.closed.insert(pending.organisation, closed);
+        }
+        let is_alone = from == self.me && pending.silent >= MAX_SILENT;
+        let outcome = match decision {
+            Decision::Exhausted { .. } if is_alone => AllowanceOutcome::Unknown,
+            _ => AllowanceOutcome::Decided(decision),
+        };
+        Some(AllowanceAction::Settle(seq, outcome))
+    }
+
+    /// Handles what was not answered in time, and lets the owners hear from this node.
+    pub fn tick(&mut self, now: Time, owners: &[NodeId]) -> Vec<AllowanceAction> {
+        let is_late = |it: &Pending| now.since(it.asked) >= self.timeout;
+        let late: Vec<u64> =
+            self.pending.iter().filter(|(_, it)| is_late(it)).map(|(seq, _)| *seq).collect();
+        let mut actions = Vec::new();
+        for seq in late {
+            self.is_late(now, seq, owners, &mut actions);
+        }
+        self.told.retain(|_, at| now.since(*at) < ENTRUST_EVERY);
+        for owner in owners.iter().filter(|it| **it != self.me) {
+            if !self.told.contains_key(owner) {
+                self.told.insert(*owner, now);
+                let message = AllowanceMessage::Entrust { owners: owners.to_vec() };
+                actions.push(AllowanceAction::Send(*owner, message));
+            }
+        }
+        actions
+    }
+
+    fn is_late(
+        &mut self,
+        now: Time,
+        seq: u64,
+        owners: &[NodeId],
+        actions: &mut Vec<AllowanceAction>,
+    ) {
+        let Some(pending) = self.pending.get_mut(&seq) else { return };
+        let silent = pending.owner;
+        let mut left = owners.to_vec();
+        if pending.asks >= ASKS_IN_VAIN {
+            pending.silent += 1;
+            pending.asks = 0;
+            left.retain(|it| *it != silent);
+            actions.push(AllowanceAction::PassOver(silent));
+        }
+        actions.push(self.ask_owner(now, seq, &left));
+    }
+
+    fn ask_owner(&mut self, now: Time, seq: u64, owners: &[NodeId]) -> AllowanceAction {
+        let pending = self.pending.get_mut(&seq).expect("asked for pending asks only");
+        let organisation = pending.organisation;
+        let owner = match pending.silent < MAX_SILENT {
+            true => owner_of(organisation, owners),
+            false => None,
+        };
+        pending.asked = now;
+        let Some(owner) = owner else {
+            pending.silent = MAX_SILENT;
+            pending.owner = self.me;
+            self.alone += 1;
+            return AllowanceAction::AskHere { seq, organisation, owners: vec![self.me] };
+        };
+        if owner != pending.owner {
+            pending.asks = 0;
+        }
+        pending.owner = owner;
+        pending.asks += 1;
+        let owners = owners.to_vec();
+        if owner == self.me {
+            return AllowanceAction::AskHere { seq, organisation, owners };
+        }
+        self.told.insert(owner, now);
+        AllowanceAction::Send(owner, AllowanceMessage::Ask { seq, organisation, owners })
+    }
+}
+
+/// The accounts of one node, and what it has answered lately.
+#[derive(Debug)]
+pub struct Accounts {
+    /// The accounts.
+    pub ledger: Ledger,
+    answered: FxHashMap<(NodeId, u64), (Decision, Time)>,
+    next_forget: Time,
+}
+
+impl Accounts {
+    /// No accounts yet at the node `me`.
+    pub fn new(me: NodeId) -> Self {
+        Self {
+            ledger: Ledger::new(me),
+            answered: FxHashMap::default(),
+            next_forget: Time::default(),
+        }
+    }
+
+    /// Decides on an ask of `from`, which names these owners. Nothing limits an organisation that is not known here to be
+    /// limited: whoever asks may have a newer configuration.
+    pub fn ask(
+        &mut self,
+        now: Time,
+        from: NodeId,
+        seq: u64,
+        account: (u64, Option<Allowance>),
+        owners: &[NodeId],
+    ) -> Decision {
+        self.forget(now);
+        self.ledger.entrust(now, from, owners);
+        if let Some((decision, _)) = self.answered.get(&(from, seq)) {
+            return *decision;
+        }
+        let decision = match account {
+            (organisation, Some(allowance)) => self.ledger.ask(now, organisation, allowance),
+            (_, None) => Decision::Granted,
+        };
+        self.answered.insert((from, seq), (decision, now));
+        decision
+    }
+
+    fn forget(&mut self, now: Time) {
+        if now >= self.next_forget {
+            self.next_forget = now + REMEMBER_ANSWER;
+            self.answered.retain(|_, (_, at)| now.since(*at) < REMEMBER_ANSWER);
+        }
+    }
+}
--- a/crates/fleet/src/edge.rs
+++ b/crates/fleet/src/edge.rs
@@ -70,7 +70,7 @@
         let Some(buf) = frame.encode(&self.keys) else { return 0 };
         // A full socket buffer is a loss like any other.
         let Ok(n) = self.socket.try_send_to(&buf, to) else { return 0 };
-        match frame.message.is_about_slots() {
+        match frame.message.is_about_requests() {
             true => self.count_permit(n),
             false => self.counts.control_out += n as u64,
         }
@@ -96,7 +96,7 @@
 
     fn decode(&mut self, buf: &[u8]) -> Result<Frame, WireError> {
         let frame = Frame::decode(buf, &self.keys)?;
-        match frame.message.is_about_slots() {
+        match frame.message.is_about_requests() {
             true => self.count_permit(buf.len()),
             false => self.counts.control_in += buf.len() as u64,
         }
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -228,7 +228,9 @@
                 effects
             }
             Message::News(news) => self.receive_news(now, from, frame.from, news),
-            Message::Permit(_) | Message::Reliable(_) | Message::Ack(_) => Vec::new(),
+            Message::Permit(_) | Message::Reliable(_) | Message::Ack(_) | Message::Allowance(_) => {
+                Vec::new()
+            }
         }
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 //! The state machines are free of I/O; `edge` and `fetch` are the thin socket edges. This crate must
 //! not know HTTP, requests of callers, or what a configuration means.
 
+mod allowances;
 mod backlog;
 mod bundle;
 mod delivery;
@@ -15,6 +16,7 @@
 mod replica;
 mod wire;
 
+pub use allowances::{Accounts, AllowanceAction, AllowanceMessage, AllowanceOutcome, Purse};
 pub use backlog::{Admitted, Backlog};
 pub use bundle::{Bundle, EncodedDocument, RegistryCopy};
 pub use delivery::{Delivery, MessageTooLong};
--- a/crates/fleet/src/permits.rs
+++ b/crates/fleet/src/permits.rs
@@ -259,7 +259,8 @@
         left.into_iter().chain([ask]).collect()
     }
 
-    fn pass_over(&mut self, now: Time, node: NodeId) {
+    /// Asks a node that does not answer for nothing for a while.
+    pub fn pass_over(&mut self, now: Time, node: NodeId) {
         let before = self.passed_over.get(&node).map(|(_, length)| *length);
         if before.is_none() {
             self.contacts.push(Contact::Lost(node));
@@ -306,6 +307,11 @@
         place(self.me, &self.passed_over, now, service, directory)
     }
 
+    /// Whether a node is passed over now.
+    pub fn passes_over(&self, now: Time, node: NodeId) -> bool {
+        self.passed_over.get(&node).is_some_and(|(until, _)| now < *until)
+    }
+
     /// Follows a change of the budget's window.
     pub fn set_window(&mut self, window: Duration) {
         self.window = window;
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -10,6 +10,7 @@
 use resources::{Name, Position, RegistryChange};
 use serde::{Deserialize, Serialize};
 
+use crate::allowances::AllowanceMessage;
 use crate::replica::Facts;
 
 /// Largest frame in bytes; it fits one datagram on usual networks.
@@ -17,7 +18,7 @@
 /// Nodes told of in one round; with the header this keeps a frame at about 400 bytes.
 pub(crate) const NODES_PER_FRAME: usize = 10;
 /// Version of the protocol. A node drops frames of other versions.
-pub(crate) const VERSION: u8 = 7;
+pub(crate) const VERSION: u8 = 8;
 /// Bytes of the keyed hash that a frame carries.
 pub(crate) const TAG_BYTES: usize = 16;
 const HEADER_BYTES: usize = 1 + TAG_BYTES;
@@ -267,12 +268,14 @@
     Reliable(Batch),
     /// Acknowledges messages about slots.
     Ack(Ack),
+    /// About allowances of organisations.
+    Allowance(AllowanceMessage),
 }
 
 impl Message {
-    /// Whether it is about slots: such messages are a cost of requests, not of control.
-    pub fn is_about_slots(&self) -> bool {
-        matches!(self, Self::Permit(_) | Self::Reliable(_) | Self::Ack(_))
+    /// Whether it is about requests, a cost of these and not of control.
+    pub fn is_about_requests(&self) -> bool {
+        matches!(self, Self::Permit(_) | Self::Reliable(_) | Self::Ack(_) | Self::Allowance(_))
     }
 }
 
--- a/crates/fleet/tests/links.rs
+++ b/crates/fleet/tests/links.rs
@@ -51,6 +51,7 @@
         hedge: false,
         stream: false,
         priority: Priority(1),
+        public: false,
     })
 }
 
--- a/crates/fleet/tests/virtual_fleet/mod.rs
+++ b/crates/fleet/tests/virtual_fleet/mod.rs
@@ -464,7 +464,7 @@
                 new.into_iter().for_each(|it| self.receive_permit(from, to, it));
             }
             Message::Ack(ack) => self.nodes[to].delivery.acknowledged(sender, &ack),
-            Message::Gossip(_) | Message::News(_) => {}
+            Message::Gossip(_) | Message::News(_) | Message::Allowance(_) => {}
         }
     }
 
--- a/crates/resources/src/document.rs
+++ b/crates/resources/src/document.rs
@@ -16,10 +16,24 @@
     /// What callers may send.
     #[serde(default)]
     pub limits: CallerLimits,
+    /// How callers show whose they are.
+    #[serde(default)]
+    pub access: Access,
     /// Services, routes and organisations.
     pub resources: Vec<Resource>,
 }
 
+/// How callers show which organisation they belong to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum Access {
+    /// They say so, and whoever says nothing is served too.
+    #[default]
+    Open,
+    /// By a key of their organisation, but on public routes.
+    Keys,
+}
+
 /// Bounds on what callers may send.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/resources/src/lib.rs
+++ b/crates/resources/src/lib.rs
@@ -4,16 +4,22 @@
 //! same code and therefore accept or reject a configuration alike. This crate must not know any I/O,
 //! clock or thread.
 
+mod callers;
 mod document;
+mod key;
 mod model;
 mod routing;
 mod source;
 mod validate;
 
-pub use document::{CallerLimits, Document, Position, Published, Registration, RegistryChange};
+pub use callers::Callers;
+pub use document::{
+    Access, CallerLimits, Document, Position, Published, Registration, RegistryChange,
+};
+pub use key::KeyDigest;
 pub use model::{
-    Bias, Endpoint, Floor, Name, Organisation, Priority, Repeat, Resource, Route, Service, Share,
-    Standing,
+    Allowance, Bias, Endpoint, Floor, Name, Organisation, Priority, Repeat, Resource, Route,
+    Service, Share, Standing,
 };
 pub use routing::{Config, RouteTable};
 pub use source::{Source, SourceError};
--- a/crates/resources/src/model.rs
+++ b/crates/resources/src/model.rs
@@ -5,6 +5,8 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+use crate::KeyDigest;
+
 /// A shared immutable name; cloning it copies no text.
 pub type Name = smol_str::SmolStr;
 
@@ -222,6 +224,9 @@
     /// Which work goes first under overload.
     #[serde(default)]
     pub priority: Priority,
+    /// Whether callers need no key.
+    #[serde(default)]
+    pub public: bool,
 }
 
 fn default_max_sends() -> u32 {
@@ -283,13 +288,47 @@
 #[serde(transparent)]
 pub struct Priority(pub u8);
 
-/// A caller organisation, named by the `x-organisation` request header.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+/// A caller organisation. Callers show one of its keys or, where access is open, name it in the `x-organisation` header.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Organisation {
     /// Unique name of the organisation.
     #[schemars(with = "String")]
     pub name: Name,
     /// Relative share under overload; organisations that are not listed weigh 1.
+    #[serde(default = "default_weight")]
     pub weight: u32,
+    /// Keys of its callers.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub keys: Vec<KeyDigest>,
+    /// Requests a second that it may make of the whole fleet; 0 for any number.
+    #[serde(default)]
+    pub rate_per_s: f64,
+    /// Requests beyond that at once.
+    #[serde(default)]
+    pub burst: f64,
+    /// Which work goes first under overload, in place of what its routes say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub priority: Option<Priority>,
+}
+
+fn default_weight() -> u32 {
+    1
+}
+
+/// What an organisation may ask of the whole fleet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// Requests a second.
+    pub rate_per_s: f64,
+    /// Requests beyond that at once.
+    pub burst: f64,
+}
+
+impl Organisation {
+    /// What it may ask for; nothing if that is unlimited.
+    pub fn allowance(&self) -> Option<Allowance> {
+        let Self { rate_per_s, burst, .. } = *self;
+        (rate_per_s > 0.0).then_some(Allowance { rate_per_s, burst })
+    }
 }
--- a/crates/resources/src/routing.rs
+++ b/crates/resources/src/routing.rs
@@ -5,7 +5,7 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::{CallerLimits, Document, Name, Problem, Resource, Route, Service, validate};
+use crate::{CallerLimits, Callers, Document, Name, Problem, Resource, Route, Service, validate};
 
 /// A configuration that is valid, ready to serve from.
 #[derive(Debug, Default)]
@@ -18,8 +18,8 @@
     pub services: FxHashMap<Name, Arc<Service>>,
     /// Routes by host, path and method.
     pub routes: RouteTable,
-    /// Weights of organisations; those not listed weigh 1.
-    pub organisations: FxHashMap<Name, u32>,
+    /// Organisations by name and by the keys of their callers.
+    pub callers: Callers,
     /// The documents as published.
     pub resources: Vec<Resource>,
 }
@@ -27,21 +27,20 @@
 impl Config {
     /// Compiles a document, or returns every problem.
     pub fn compile(document: Document) -> Result<Self, Vec<Problem>> {
-        let Document { version, limits, resources } = document;
+        let Document { version, limits, access, resources } = document;
         let problems = validate(&resources);
         if !problems.is_empty() {
             return Err(problems);
         }
-        let mut config = Self { version, limits, ..Self::default() };
+        let callers = Callers::new(access);
+        let mut config = Self { version, limits, callers, ..Self::default() };
         for it in &resources {
             match it {
                 Resource::Service(it) => {
                     config.services.insert(it.name.clone(), Arc::new(it.clone()));
                 }
                 Resource::Route(it) => config.routes.insert(Arc::new(it.clone())),
-                Resource::Organisation(it) => {
-                    config.organisations.insert(it.name.clone(), it.weight);
-                }
+                Resource::Organisation(it) => config.callers.insert(Arc::new(it.clone())),
             }
         }
         config.resources = resources;
--- a/crates/resources/src/tests.rs
+++ b/crates/resources/src/tests.rs
@@ -75,7 +75,13 @@
 #[test]
 fn longest_prefix_host_and_method_decide() {
     let limits = CallerLimits::default();
-    let config = Config::compile(Document { version: 7, limits, resources: parse(GOOD) }).unwrap();
+    let config = Config::compile(Document {
+        version: 7,
+        limits,
+        access: Default::default(),
+        resources: parse(GOOD),
+    })
+    .unwrap();
     let find = |host: &str, path: &str, method: &str| {
         config.routes.find(host, path, method).map(|it| it.name.to_string())
     };
--- a/crates/resources/src/validate.rs
+++ b/crates/resources/src/validate.rs
@@ -4,7 +4,7 @@
 
 use rustc_hash::{FxHashMap, FxHashSet};
 
-use crate::{Floor, Repeat, Resource, Route, Service};
+use crate::{Floor, KeyDigest, Organisation, Repeat, Resource, Route, Service};
 
 /// Largest count of endpoints in one service.
 const MAX_ENDPOINTS: usize = 4_096;
@@ -45,10 +45,7 @@
                 cx.route(route, &services);
                 cx.unique_match(route, &mut matches);
             }
-            Resource::Organisation(org) if org.weight == 0 => {
-                cx.add(it, "weight", "write 1 or more");
-            }
-            Resource::Organisation(_) => {}
+            Resource::Organisation(org) => cx.organisation(it, org),
         }
     }
     cx.problems
@@ -57,6 +54,8 @@
 #[derive(Default)]
 struct Validation {
     problems: Vec<Problem>,
+    /// Keys of the organisations so far.
+    keys: FxHashSet<KeyDigest>,
 }
 
 impl Validation {
@@ -77,6 +76,25 @@
         }
     }
 
+    /// Problems name a key by its place: its text is a secret, and its digest tells nobody which one it is.
+    fn organisation(&mut self, cx: &Resource, organisation: &Organisation) {
+        if organisation.weight == 0 {
+            self.add(cx, "weight", "write 1 or more");
+        }
+        for (i, key) in organisation.keys.iter().enumerate() {
+            if !self.keys.insert(*key) {
+                self.add(cx, "keys", format!("key {} is held twice: give it to one", i + 1));
+            }
+        }
+        for (field, value) in
+            [("rate_per_s", organisation.rate_per_s), ("burst", organisation.burst)]
+        {
+            if !value.is_finite() || value < 0.0 {
+                self.add(cx, field, "write a number from 0 on");
+            }
+        }
+    }
+
     fn service(&mut self, service: &Service) {
         let cx = Resource::Service(service.clone());
         let total = service.endpoints.len();
