Tests of keys and allowances: documents, the platform's table, identities, and real processes

What is shown: a key decides the organisation whatever a caller forges, and reaches no endpoint; nothing runs without a valid one; keys come and go with the configuration at all nodes; a key that is held twice refuses a configuration as a whole; no log, report, resource or metric holds a key, also where the platform's columns are shifted; 300 requests over three nodes stay within an allowance of 20 a second, and a neighbour loses none. The stand-ins publish organisations and say what endpoints were told.

--- a/crates/caller/src/tests.rs
+++ b/crates/caller/src/tests.rs
@@ -1,3 +1,5 @@
+mod identity;
+
 use std::time::Duration;
 
 use bytes::Bytes;
--- /dev/null
+++ b/crates/dappleway/tests/keys.rs
@@ -0,0 +1,164 @@
+//! Callers' keys and organisations' allowances, at real processes.
+//!
+//! Nothing here asserts a duration: conditions are waited for.
+
+use std::path::Path;
+use std::time::Duration;
+
+use standin::bed::{Bed, Layout};
+use standin::client::{self, Got};
+use standin::platform::Keyed;
+use standin::upstream::{TOLD_KEY, TOLD_ORGANISATION};
+use tokio::time::{Instant, sleep};
+
+const BIN: &str = env!("CARGO_BIN_EXE_dappleway");
+const ALICE: &str = "alice-0123456789abcdef";
+const ALICE_TOO: &str = "alice-fedcba9876543210";
+const BOB: &str = "bob-0123456789abcdef0";
+
+fn unlimited<'a>(name: &'a str, keys: &'a [&'a str]) -> Keyed<'a> {
+    Keyed { name, keys, rate_per_s: 0.0, burst: 0.0 }
+}
+
+async fn bed(organisations: &[Keyed<'_>]) -> Bed {
+    let bed = Bed::start(Path::new(BIN), &Layout::small()).await.unwrap();
+    publish(&bed, organisations).await;
+    bed
+}
+
+async fn publish(bed: &Bed, organisations: &[Keyed<'_>]) {
+    let version = bed.platform.publish_keyed(&bed.resources, organisations);
+    bed.wait_in_force(version).await.unwrap();
+}
+
+/// Sends a lookup to a node with these headers.
+async fn lookup(bed: &Bed, node: usize, headers: &[(&str, &str)]) -> Got {
+    client::get_with(bed.nodes[node].addrs.traffic, "/slots/1", headers).await.unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_key_decides_whose_a_request_is_and_stays_with_the_proxy() {
+    let bed = bed(&[unlimited("alice", &[ALICE, ALICE_TOO]), unlimited("bob", &[BOB])]).await;
+    for (key, name) in [(ALICE, "alice"), (ALICE_TOO, "alice"), (BOB, "bob")] {
+        let forged = [("x-api-key", key), ("x-tenant", "mallory"), ("connection", "x-tenant")];
+        let got = lookup(&bed, 0, &forged).await;
+        let told = (got.header(TOLD_ORGANISATION), got.header(TOLD_KEY));
+        assert_eq!((got.status.as_u16(), told), (200, (name, "")), "{key}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_a_valid_key_nothing_runs() {
+    let bed = bed(&[unlimited("alice", &[ALICE])]).await;
+    let long = "k".repeat(8 * 1024);
+    let cases: [(&[(&str, &str)], u16); 6] = [
+        (&[], 401),
+        (&[("x-api-key", "")], 401),
+        (&[("x-api-key", "nobody's")], 401),
+        (&[("x-api-key", &long)], 400),
+        (&[("x-api-key", "schl\u{fc}ssel")], 400),
+        (&[("x-api-key", ALICE), ("x-api-key", BOB)], 400),
+    ];
+    for (headers, status) in cases {
+        let got = lookup(&bed, 0, headers).await;
+        assert_eq!(got.status.as_u16(), status, "{headers:.40?}");
+        assert_eq!(got.header("x-request-outcome"), "not-run", "{headers:.40?}");
+    }
+    let run: u64 = bed.upstreams.iter().map(|it| it.counts().run).sum();
+    assert_eq!(run, 0);
+}
+
+/// A key that is taken away serves nobody any more, at no node; the other ones go on.
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_come_and_go_with_the_configuration() {
+    let bed = bed(&[unlimited("alice", &[ALICE])]).await;
+    publish(&bed, &[unlimited("alice", &[ALICE_TOO]), unlimited("bob", &[BOB])]).await;
+    for node in 0..bed.nodes.len() {
+        let status = async |key| lookup(&bed, node, &[("x-api-key", key)]).await.status.as_u16();
+        assert_eq!(status(ALICE).await, 401);
+        assert_eq!((status(ALICE_TOO).await, status(BOB).await), (200, 200));
+    }
+    // One key for two organisations: the configuration is refused as a whole.
+    let shared = [unlimited("alice", &[ALICE]), unlimited("bob", &[ALICE])];
+    bed.platform.publish_keyed(&bed.resources, &shared);
+    wait_for_log(&bed, "key 1 is held twice").await;
+    assert_eq!(lookup(&bed, 0, &[("x-api-key", ALICE)]).await.status.as_u16(), 401);
+    assert_eq!(lookup(&bed, 0, &[("x-api-key", BOB)]).await.status.as_u16(), 200);
+}
+
+/// A key is a secret: nothing that a node writes or shows holds it.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_key_is_logged_or_shown() {
+    let bed = bed(&[unlimited("alice", &[ALICE]), unlimited("bob", &[BOB])]).await;
+    for key in [ALICE, "a-key-that-nobody-holds"] {
+        lookup(&bed, 0, &[("x-api-key", key)]).await;
+    }
+    // A configuration whose columns are shifted puts a key where a number belongs.
+    let broken = format!(
+        r#"{{"version":99,"routes":{{"columns":[],"rows":[]}},"services":{{"columns":[],"rows":[]}},
+            "limits":{{"maxHeaderBytes":1,"maxBodyBytes":1,"headerTimeoutS":1,"idleTimeoutS":1}},
+            "tenants":{{"columns":["name","ratePerS"],"rows":[["alice","{ALICE}"]]}}}}"#
+    );
+    bed.platform.put_raw_config(broken.as_bytes());
+    wait_for_log(&bed, "another form").await;
+    let operator = bed.nodes[0].addrs.operator;
+    let mut shown = String::new();
+    for path in ["/v1/resources", "/v1/resources?kind=Organisation", "/v1/fleet", "/metrics"] {
+        shown.push_str(&client::get(operator, path).await.unwrap().text());
+    }
+    assert!(shown.contains("alice"), "organisations are shown: {shown:.300}");
+    for node in &bed.nodes {
+        shown.push_str(&std::fs::read_to_string(&node.log).unwrap());
+    }
+    for key in [ALICE, BOB, "a-key-that-nobody-holds"] {
+        assert!(!shown.contains(key), "{key} is shown");
+    }
+}
+
+async fn wait_for_log(bed: &Bed, text: &str) {
+    let limit = Instant::now() + Duration::from_secs(60);
+    while Instant::now() < limit {
+        let has_it = |it: &standin::lab::Node| {
+            std::fs::read_to_string(&it.log).is_ok_and(|log| log.contains(text))
+        };
+        if bed.nodes.iter().any(has_it) {
+            return;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    panic!("no node logs `{text}`");
+}
+
+/// What an organisation asks beyond its allowance gets 429, whichever nodes it comes to; its neighbours lose nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_allowance_holds_over_all_nodes_and_costs_neighbours_nothing() {
+    let alice = Keyed { name: "alice", keys: &[ALICE], rate_per_s: 20.0, burst: 10.0 };
+    let bob = Keyed { name: "bob", keys: &[BOB], rate_per_s: 20.0, burst: 10.0 };
+    let bed = bed(&[alice, bob]).await;
+    // Accounts fill.
+    sleep(Duration::from_secs(2)).await;
+    let started = Instant::now();
+    let (mut served, mut refused, mut neighbours) = (0, 0, 0);
+    for i in 0..300 {
+        let got = lookup(&bed, i % 3, &[("x-api-key", ALICE)]).await;
+        match got.status.as_u16() {
+            200 => served += 1,
+            429 => {
+                refused += 1;
+                assert_eq!(got.header("x-request-outcome"), "not-run");
+                let after: f64 = got.header("retry-after").parse().unwrap();
+                assert!(after > 0.0 && after <= 10.0, "{after}");
+            }
+            status => panic!("{status}: {}", got.text()),
+        }
+        if i % 30 == 0 {
+            let got = lookup(&bed, i % 2, &[("x-api-key", BOB)]).await;
+            neighbours += u32::from(got.status.as_u16() == 200);
+        }
+    }
+    let windows = started.elapsed().as_secs_f64();
+    let bound = (20.0 * windows + 10.0) * 1.25 + 20.0;
+    assert!(f64::from(served) <= bound, "{served} served in {windows} s");
+    assert!(served >= 10 && refused > 0, "{served} served, {refused} refused in {windows} s");
+    assert_eq!(neighbours, 10);
+}
--- a/crates/resources/src/tests.rs
+++ b/crates/resources/src/tests.rs
@@ -1,6 +1,6 @@
 use expect_test::{Expect, expect};
 
-use crate::{CallerLimits, Config, Document, Floor, Resource, validate};
+use crate::{CallerLimits, Config, Document, Floor, KeyDigest, Resource, validate};
 
 const GOOD: &str = r#"[
   {"kind":"Service","name":"slots","floor":"60%","slots":3,"endpoints":[
@@ -94,3 +94,55 @@
     assert_eq!(find("x.example", "/packs", "POST").as_deref(), Some("host"));
     assert_eq!(find("y", "", "POST"), None);
 }
+
+const ORGANISATIONS: &str = r#"[
+  {"kind":"Organisation","name":"a","weight":2,"keys":["key-1","key-2"],"rate_per_s":10,"burst":5,"priority":0},
+  {"kind":"Organisation","name":"b","keys":["key-3"]}]"#;
+
+fn keyed(text: &str) -> Config {
+    let document =
+        Document { access: crate::Access::Keys, resources: parse(text), ..Document::default() };
+    Config::compile(document).unwrap()
+}
+
+#[test]
+fn organisations_are_found_by_their_keys() {
+    let config = keyed(ORGANISATIONS);
+    let name = |key: &str| {
+        config.callers.by_key(KeyDigest::of(key.as_bytes())).map(|it| it.name.to_string())
+    };
+    assert!(config.callers.need_keys());
+    assert_eq!(name("key-2").as_deref(), Some("a"));
+    assert_eq!(name("key-3").as_deref(), Some("b"));
+    assert_eq!(name("key-4"), None);
+    let a = config.callers.by_name("a").unwrap();
+    assert_eq!((a.weight, a.allowance().map(|it| it.burst)), (2, Some(5.0)));
+    assert_eq!(config.callers.by_name("b").unwrap().allowance(), None);
+}
+
+#[test]
+fn a_document_shows_digests_in_place_of_keys_and_takes_them() {
+    let resources = parse(ORGANISATIONS);
+    let shown = serde_json::to_string(&resources).unwrap();
+    assert!(!shown.contains("key-1") && shown.contains("blake3:"), "{shown}");
+    assert_eq!(parse(&shown), resources);
+    assert!(!format!("{resources:?}").contains("key-1"));
+}
+
+#[test]
+fn keys_and_allowances_that_cannot_be_are_refused_without_telling_them() {
+    check_problems(
+        r#"[{"kind":"Organisation","name":"a","keys":["key-1"],"rate_per_s":-1,"burst":-1e300},
+            {"kind":"Organisation","name":"b","keys":["key-2","key-1"]}]"#,
+        expect![[r#"
+            Organisation/a: rate_per_s: write a number from 0 on
+            Organisation/a: burst: write a number from 0 on
+            Organisation/b: keys: key 2 is held twice: give it to one"#]],
+    );
+    let errors = [r#"[""]"#, r#"["blake3:key-1"]"#, r#"[{"key-1":1}]"#].map(|keys| {
+        let text = format!(r#"{{"kind":"Organisation","name":"a","keys":{keys}}}"#);
+        serde_json::from_str::<Resource>(&text).unwrap_err().to_string()
+    });
+    assert!(errors.iter().all(|it| !it.contains("key-1")), "{errors:?}");
+    expect!["a key is empty: remove it"].assert_eq(&errors[0]);
+}
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -58,6 +58,19 @@
     send(addr, request(method, path).body(Full::new(body.into()))?).await
 }
 
+/// Sends a GET request with more headers.
+pub async fn get_with(
+    addr: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+) -> anyhow::Result<Got> {
+    let mut req = request("GET", path);
+    for (name, value) in headers {
+        req = req.header(*name, HeaderValue::from_bytes(value.as_bytes())?);
+    }
+    send(addr, req.body(Full::default())?).await
+}
+
 /// Sends a GET request.
 pub async fn get(addr: SocketAddr, path: &str) -> anyhow::Result<Got> {
     call(addr, "GET", path, "").await
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -112,6 +112,19 @@
     }
 }
 
+/// An organisation with the keys of its callers, as operators publish it.
+#[derive(Clone, Copy, Debug)]
+pub struct Keyed<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its keys.
+    pub keys: &'a [&'a str],
+    /// Requests a second that it may make; 0 for any number.
+    pub rate_per_s: f64,
+    /// Requests beyond that at once.
+    pub burst: f64,
+}
+
 /// The platform.
 #[derive(Clone, Debug, Default)]
 pub struct Platform {
@@ -128,9 +141,25 @@
     /// Publishes resources as the next configuration, whose version is returned, and lets the
     /// endpoints of its services announce themselves.
     pub fn publish(&self, resources: &[Resource]) -> u64 {
+        self.publish_config(resources, |_| {})
+    }
+
+    /// The same with organisations, whose callers show keys.
+    pub fn publish_keyed(&self, resources: &[Resource], organisations: &[Keyed<'_>]) -> u64 {
+        let row = |it: &Keyed<'_>| json!([it.name, it.keys, it.rate_per_s, it.burst]);
+        let rows: Vec<Value> = organisations.iter().map(row).collect();
+        let columns = ["name", "apiKeys", "ratePerS", "burst"];
+        self.publish_config(resources, |config| {
+            config["tenants"] = json!({ "columns": columns, "rows": rows });
+        })
+    }
+
+    fn publish_config(&self, resources: &[Resource], add: impl FnOnce(&mut Value)) -> u64 {
         let mut state = self.state.lock();
         state.version += 1;
-        let config = config(state.version, resources).to_string().into_bytes();
+        let mut config = config(state.version, resources);
+        add(&mut config);
+        let config = config.to_string().into_bytes();
         if state.first_config.is_empty() {
             state.first_config.clone_from(&config);
         }
@@ -396,7 +425,7 @@
         "version": version,
         "routes": {
             "columns": ["name", "host", "pathPrefix", "kind", "timeoutS", "sloS", "priority",
-                        "split", "maxAttempts", "service"],
+                        "split", "maxAttempts", "service", "public"],
             "rows": routes,
         },
         "services": { "columns": ["name", "healthPath", "maxConns"], "rows": services },
@@ -436,6 +465,7 @@
                 split,
                 it.max_sends,
                 service,
+                it.public,
             ])
         })
         .collect()
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -101,6 +101,11 @@
     crashes: Vec<std::time::Instant>,
 }
 
+/// Answers say here which organisation the endpoint was told of.
+pub const TOLD_ORGANISATION: &str = "x-standin-organisation";
+/// Answers say here which key the endpoint was shown.
+pub const TOLD_KEY: &str = "x-standin-key";
+
 /// One endpoint.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -222,6 +227,7 @@
         let fault = self.arrive();
         let id = header(&req, "x-request-id");
         let wanted = header(&req, "x-target-instance");
+        let told = [header(&req, "x-tenant"), header(&req, "x-api-key")];
         if !wanted.is_empty() && *wanted != *self.name {
             return Ok(answer(StatusCode::MISDIRECTED_REQUEST, "another endpoint is here\n"));
         }
@@ -259,6 +265,9 @@
         drop(slot);
         let answered = if fault == Fault::Swap { "another-request".to_owned() } else { id };
         res.headers_mut().insert("x-request-id", answered.parse().expect("came as a header"));
+        for (name, value) in [TOLD_ORGANISATION, TOLD_KEY].into_iter().zip(told) {
+            res.headers_mut().insert(name, value.parse().expect("came as a header"));
+        }
         Ok(res)
     }
 
