Tests of asks for allowances: lost, silent owners, nobody reached, said twice

Each asserts what callers get of it: an answer settles an ask once, three asks go to a silent owner before its successor, a node that reaches none decides by its own share and says that it does not know more, an ask that is said again takes one request.

--- a/crates/fleet/src/tests.rs
+++ b/crates/fleet/src/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the exchange, driven without sockets.
 
+mod allowances;
 mod delivery;
 mod duty;
 mod permits;
