Organisations in the fleet report and the command line; `dappleway key` makes the digest of a key

Operators see for each limited organisation its allowance, who owns its account, and at that node what is left, granted and refused. A document may hold a digest in place of a key; the command reads the key from standard input, since an argument shows in the list of processes. Shown at real processes (tests/keys.rs).

--- a/crates/dappleway/src/ask.rs
+++ b/crates/dappleway/src/ask.rs
@@ -113,6 +113,7 @@
     }
     nodes(&report)?;
     services(&report)?;
+    organisations(&report)?;
     endpoints(report.services.iter().flat_map(|it| it.endpoints.iter().map(move |e| (it, e))))
 }
 
@@ -194,6 +195,29 @@
     table.print()
 }
 
+fn organisations(report: &Report) -> Result<(), Failure> {
+    if report.organisations.is_empty() {
+        return Ok(());
+    }
+    let titles =
+        ["\nORGANISATION", "RATE PER S", "BURST", "LEFT", "GRANTED", "REFUSED", "ACCOUNT OWNED BY"];
+    let mut table = Table::new(&titles);
+    for it in &report.organisations {
+        let left = it.left.map_or("-".to_owned(), |it| format!("{it:.0}"));
+        let owner = it.owned_by.as_deref().unwrap_or("-");
+        table.row(&[
+            &it.name,
+            &it.rate_per_s,
+            &it.burst,
+            &left,
+            &it.granted,
+            &it.refused,
+            &owner,
+        ])?;
+    }
+    table.print()
+}
+
 fn endpoints<'a>(
     all: impl Iterator<Item = (&'a ServiceReport, &'a EndpointReport)>,
 ) -> Result<(), Failure> {
--- a/crates/dappleway/src/cli.rs
+++ b/crates/dappleway/src/cli.rs
@@ -6,6 +6,8 @@
 
 use clap::{Args, CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
+use resources::KeyDigest;
+use zeroize::Zeroizing;
 
 use crate::ask::{self, Failure, Output};
 use crate::node::Secrets;
@@ -81,6 +83,8 @@
         #[command(flatten)]
         target: Target,
     },
+    /// Reads an API key from standard input and prints its digest, which a document may hold in its place.
+    Key,
     /// Prints settings that pass all checks, as a start for one's own.
     Settings,
     /// Prints a completion script for a shell.
@@ -120,6 +124,7 @@
         }
         Command::Fleet { target } => target.ask(ask::fleet),
         Command::Explain { logs, subject, target } => explain(logs, subject, &target),
+        Command::Key => digest(),
         Command::Settings => {
             print!("{}", toml::to_string(&Settings::example()).expect("plain data"));
             ExitCode::SUCCESS
@@ -132,6 +137,19 @@
     }
 }
 
+/// A key given as an argument would show in the list of processes.
+fn digest() -> ExitCode {
+    let mut text = Zeroizing::new(String::new());
+    match std::io::stdin().read_line(&mut text) {
+        Ok(_) if !text.trim_end().is_empty() => {
+            println!("{}", KeyDigest::of(text.trim_end().as_bytes()));
+            ExitCode::SUCCESS
+        }
+        Ok(_) => refuse(["no key on standard input: write one line".to_owned()]),
+        Err(error) => refuse([format!("standard input: {error}")]),
+    }
+}
+
 fn run(path: &Path) -> ExitCode {
     let loaded = settings::load(path).and_then(|it| {
         let secrets = Secrets { keys: it.keys()?, token: it.token()? };
--- a/crates/dappleway/src/control/allowances.rs
+++ b/crates/dappleway/src/control/allowances.rs
@@ -4,7 +4,8 @@
 
 use caller::Admission;
 use fleet::{Accounts, AllowanceAction, AllowanceMessage, AllowanceOutcome, Message, Purse};
-use policy::{Decision, NodeId, Time, owners};
+use operator::OrganisationReport;
+use policy::{Decision, NodeId, Time, owner_of, owners};
 use resources::{Allowance, Callers, Name};
 use rustc_hash::FxHashMap;
 use slog::{info, warn};
@@ -18,6 +19,8 @@
 /// Size that a fleet counts as while this node still finds others: what accrues until then is next to nothing, so that
 /// nodes which do not know each other yet have no allowance each.
 const UNKNOWN_SIZE: usize = 100_000;
+/// Organisations in a report at most.
+const MAX_REPORTED: usize = 200;
 /// Organisations named in the log in a second at most.
 const MAX_LOGGED: usize = 8;
 
@@ -184,6 +187,31 @@
         self.allowances.owners = (owners(&asked), now);
     }
 
+    /// The limited organisations as this node knows them.
+    pub(super) fn organisations(&self) -> Vec<OrganisationReport> {
+        let Allowances { accounts, limited, owners: (owners, _), .. } = &self.allowances;
+        let held: FxHashMap<_, _> =
+            accounts.ledger.report().map(|it| (it.organisation, it)).collect();
+        let mut all: Vec<OrganisationReport> = limited
+            .iter()
+            .map(|(hash, it)| {
+                let account = held.get(hash);
+                OrganisationReport {
+                    name: it.name.to_string(),
+                    rate_per_s: it.allowance.rate_per_s,
+                    burst: it.allowance.burst,
+                    owned_by: owner_of(*hash, owners).map(|it| self.addr_of(it)),
+                    left: account.map(|it| it.left),
+                    granted: account.map_or(0, |it| it.granted),
+                    refused: account.map_or(0, |it| it.refused),
+                }
+            })
+            .collect();
+        all.sort_by(|a, b| (b.refused, &a.name).cmp(&(a.refused, &b.name)));
+        all.truncate(MAX_REPORTED);
+        all
+    }
+
     /// Says whose allowances were used up at the accounts of this node.
     pub(super) fn log_allowances(&mut self) {
         let Allowances { accounts, limited, .. } = &mut self.allowances;
--- a/crates/dappleway/src/control/report.rs
+++ b/crates/dappleway/src/control/report.rs
@@ -2,7 +2,7 @@
 
 use fleet::{Directory, Phase, Reads};
 use operator::{EndpointReport, MemberReport, Report, ServiceReport};
-use policy::{Dispatcher, Time};
+use policy::{Dispatcher, NodeId, Time};
 
 use super::{Control, Nodes};
 use crate::services::{ServiceState, name_hash};
@@ -29,6 +29,7 @@
                 .map(|it| format!("version {}: {}", it.version, it.reason)),
             members: self.members(now),
             services: self.services.iter().map(|it| self.service(now, it)).collect(),
+            organisations: self.organisations(),
             control_bytes: counts.control_in + counts.control_out,
             permit_frames: counts.permit_frames,
             permit_bytes: counts.permit_bytes,
@@ -88,11 +89,13 @@
     fn dispatched_by(&self, now: Time, service: &str) -> Option<String> {
         let directory = Nodes { now, me: self.me, exchange: &self.exchange };
         let node = directory.candidates(name_hash(service)).into_iter().next()?;
-        let addr = match self.exchange.members().get(node) {
-            Some(it) => it.info.addr,
-            None => self.node_addr,
-        };
-        Some(addr.to_string())
+        Some(self.addr_of(node))
+    }
+
+    /// Address of the exchange of a node that is known here.
+    pub(super) fn addr_of(&self, node: NodeId) -> String {
+        let member = self.exchange.members().get(node);
+        member.map_or(self.node_addr, |it| it.info.addr).to_string()
     }
 }
 
--- a/crates/dappleway/tests/keys.rs
+++ b/crates/dappleway/tests/keys.rs
@@ -156,9 +156,34 @@
             neighbours += u32::from(got.status.as_u16() == 200);
         }
     }
+    let owned = bed.nodes[0].report().await.unwrap()["organisations"].clone();
+    let owner = owned.as_array().unwrap().iter().find(|it| it["name"] == "alice").unwrap();
+    assert_eq!(owner["rate_per_s"], 20.0, "{owned}");
+    assert!(owner["owned_by"].is_string(), "{owned}");
     let windows = started.elapsed().as_secs_f64();
     let bound = (20.0 * windows + 10.0) * 1.25 + 20.0;
     assert!(f64::from(served) <= bound, "{served} served in {windows} s");
     assert!(served >= 10 && refused > 0, "{served} served, {refused} refused in {windows} s");
     assert_eq!(neighbours, 10);
 }
+
+/// A document may hold a digest in place of a key.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_command_line_makes_a_digest_of_a_key() {
+    let mut command = tokio::process::Command::new(BIN);
+    command.arg("key").stdin(std::process::Stdio::piped()).stdout(std::process::Stdio::piped());
+    let mut child = command.spawn().unwrap();
+    let mut stdin = child.stdin.take().unwrap();
+    tokio::io::AsyncWriteExt::write_all(&mut stdin, format!("{ALICE}\n").as_bytes()).await.unwrap();
+    drop(stdin);
+    let out = child.wait_with_output().await.unwrap();
+    let digest = String::from_utf8(out.stdout).unwrap();
+    assert!(out.status.success() && digest.starts_with("blake3:"), "{digest}");
+    let document = |key: &str| {
+        serde_json::from_str::<resources::Resource>(&format!(
+            r#"{{"kind":"Organisation","name":"a","keys":["{key}"]}}"#
+        ))
+        .unwrap()
+    };
+    assert_eq!(document(digest.trim()), document(ALICE));
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -8,7 +8,7 @@
 
 pub use access::{Access, Denied, MIN_TOKEN_BYTES, Token};
 pub use client::{Client, ClientError};
-pub use report::{EndpointReport, MemberReport, Report, ServiceReport};
+pub use report::{EndpointReport, MemberReport, OrganisationReport, Report, ServiceReport};
 pub use server::{
     Cut, Published, ResourceStatus, ResourceView, Resources, View, api_description, serve,
 };
--- a/crates/operator/src/report.rs
+++ b/crates/operator/src/report.rs
@@ -32,6 +32,8 @@
     pub members: Vec<MemberReport>,
     /// Services.
     pub services: Vec<ServiceReport>,
+    /// Limited organisations: those that were refused most at this node's accounts first, and not all if they are many.
+    pub organisations: Vec<OrganisationReport>,
     /// Bytes of the exchange sent and received since the start.
     pub control_bytes: u64,
     /// Frames and bytes about slots since the start.
@@ -83,6 +85,25 @@
     pub endpoints: Vec<EndpointReport>,
 }
 
+/// An organisation with an allowance.
+#[derive(Clone, Debug, Default, Serialize, Deserialize, JsonSchema)]
+pub struct OrganisationReport {
+    /// Its name.
+    pub name: String,
+    /// Requests a second that it may make of the fleet.
+    pub rate_per_s: f64,
+    /// Requests beyond that at once.
+    pub burst: f64,
+    /// Address of the exchange of the node that owns its account, as this node sees it. The figures there are what counts.
+    pub owned_by: Option<String>,
+    /// Requests that may run now; absent where this node was not asked lately.
+    pub left: Option<f64>,
+    /// Requests that this node has granted as the owner.
+    pub granted: u64,
+    /// Requests that this node has refused as the owner.
+    pub refused: u64,
+}
+
 /// One endpoint.
 #[derive(Clone, Debug, Default, Serialize, Deserialize, JsonSchema)]
 pub struct EndpointReport {
