Accounts after a return of all: asks wait until the fleet is known, and asking is in vain for a moment at most

What callers saw: after all nodes were killed and had come back, half of the requests of organisations that kept to their limits got 429 for ten seconds. The same ten seconds followed at single nodes whose owner was late, since its successor has next to nothing. Mend: an owner that still finds others does not answer, and is asked again; asking is in vain for 0.1 s at most; when to come back is worked out for a quarter of the allowance at least; an owner that is late is asked six times before its successor.

--- a/crates/caller/src/dispatch.rs
+++ b/crates/caller/src/dispatch.rs
@@ -95,6 +95,9 @@
     /// Tells that a request of `route` was not served by `service`, one of several that the route leads to.
     fn unserved(&self, route: &Arc<Route>, service: &Name);
 
+    /// Tells that a request of `route` was refused because its organisation's allowance is used up.
+    fn refused(&self, route: &Arc<Route>);
+
     /// Finds out whether an organisation with an allowance, known by the hash of its name, may make one more request.
     fn admit(&self, organisation: u64) -> impl Future<Output = Admission> + Send;
 
--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -39,7 +39,10 @@
         }
         Ok(work) => match admit(cx, &work).await {
             Ok(()) => run(cx, work, req.into_body(), started).await,
-            Err(give_up) => given_up(cx, &work, give_up, started),
+            Err(give_up) => {
+                cx.dispatch.refused(&work.route);
+                given_up(cx, &work, give_up, started)
+            }
         },
         Err(NoWork::NoConfiguration) => {
             give_up_unrouted(cx, id.as_ref(), GiveUp::no_configuration())
--- a/crates/caller/tests/suspended.rs
+++ b/crates/caller/tests/suspended.rs
@@ -37,6 +37,8 @@
 
     fn unserved(&self, _: &Arc<Route>, _: &Name) {}
 
+    fn refused(&self, _: &Arc<Route>) {}
+
     async fn admit(&self, _: u64) -> Admission {
         Admission::Granted
     }
--- a/crates/caller/tests/travelling.rs
+++ b/crates/caller/tests/travelling.rs
@@ -53,6 +53,8 @@
 
     fn unserved(&self, _: &Arc<Route>, _: &Name) {}
 
+    fn refused(&self, _: &Arc<Route>) {}
+
     async fn admit(&self, _: u64) -> Admission {
         Admission::Granted
     }
--- a/crates/dappleway/src/baselines.rs
+++ b/crates/dappleway/src/baselines.rs
@@ -57,6 +57,9 @@
     /// It judges each endpoint by its own answers alone.
     fn unserved(&self, _route: &Arc<resources::Route>, _service: &Name) {}
 
+    /// It judges each endpoint by its own answers alone.
+    fn refused(&self, _route: &Arc<resources::Route>) {}
+
     /// It knows no allowances.
     async fn admit(&self, _organisation: u64) -> Admission {
         Admission::Granted
--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -112,9 +112,8 @@
     /// Replies of this node's dispatchers that are still to be delivered. A delivery may free the
     /// next slot, so they wait here instead of on the stack.
     undelivered: VecDeque<(Scope, Settled)>,
-    /// Requests since the last tick, by the service that might have served them: routes that lead to several
-    /// services were served badly by another one.
-    unserved_elsewhere: FxHashMap<u64, u32>,
+    /// Requests since the last tick that were not served, by the service that might have served them.
+    untold: FxHashMap<u64, Untold>,
     /// Addresses of nodes that have asked for slots.
     askers: FxHashMap<NodeId, SocketAddr>,
     rejected: Option<Rejected>,
@@ -141,6 +140,15 @@
     log: Logger,
 }
 
+/// Requests of this node that were not served, as a service that was not asked for them is to be told.
+#[derive(Clone, Copy, Debug, Default)]
+struct Untold {
+    /// Another service of their routes did not serve them.
+    elsewhere: u32,
+    /// They were refused before any service was asked.
+    refused: u32,
+}
+
 /// A request of this node that waits for a slot.
 #[derive(Debug)]
 struct Waiter {
@@ -228,7 +236,7 @@
             waiting: FxHashMap::default(),
             open: FxHashMap::default(),
             undelivered: VecDeque::new(),
-            unserved_elsewhere: FxHashMap::default(),
+            untold: FxHashMap::default(),
             askers: FxHashMap::default(),
             rejected: None,
             platform_calls: 0,
--- a/crates/dappleway/src/control/allowances.rs
+++ b/crates/dappleway/src/control/allowances.rs
@@ -16,9 +16,8 @@
 
 /// Interval at which the owners are worked out anew.
 const OWNERS_REFRESH: Duration = Duration::from_millis(100);
-/// Size that a fleet counts as while this node still finds others: what accrues until then is next to nothing, so that
-/// nodes which do not know each other yet have no allowance each.
-const UNKNOWN_SIZE: usize = 100_000;
+/// Asks are said again after so many times the patience for slots: nobody's slot is held meanwhile.
+const PATIENCE: u32 = 2;
 /// Organisations in a report at most.
 const MAX_REPORTED: usize = 200;
 /// Organisations named in the log in a second at most.
@@ -50,7 +49,7 @@
 impl Allowances {
     pub(super) fn new(me: NodeId, timeout: Duration, first: u64) -> Self {
         Self {
-            purse: Purse::new(me, timeout, first),
+            purse: Purse::new(me, timeout * PATIENCE, first),
             accounts: Accounts::new(me),
             waiting: FxHashMap::default(),
             limited: FxHashMap::default(),
@@ -97,6 +96,9 @@
 
     pub(super) fn allowance_message(&mut self, now: Time, from: NodeId, message: AllowanceMessage) {
         match message {
+            // What a node that still finds others owns of an allowance is not known. Whoever asks asks again.
+            AllowanceMessage::Ask { .. } | AllowanceMessage::Entrust { .. }
+                if self.exchange.is_finding(now) => {}
             AllowanceMessage::Ask { seq, organisation, owners } => {
                 let account = self.allowances.account(organisation);
                 let accounts = &mut self.allowances.accounts;
@@ -119,13 +121,12 @@
             return;
         }
         self.refresh_owners(now);
-        let size = match self.exchange.is_finding(now) {
-            true => UNKNOWN_SIZE,
-            false => self.exchange.members().len() + 1,
-        };
+        let (size, is_finding) = (self.exchange.members().len() + 1, self.exchange.is_finding(now));
         let Allowances { purse, accounts, owners: (owners, _), .. } = &mut self.allowances;
         accounts.ledger.set_nodes(now, size);
-        accounts.ledger.entrust(now, self.me.node, owners);
+        if !is_finding {
+            accounts.ledger.entrust(now, self.me.node, owners);
+        }
         for action in purse.tick(now, owners) {
             self.allowance_action(now, action);
         }
@@ -133,6 +134,8 @@
 
     fn allowance_action(&mut self, now: Time, action: AllowanceAction) {
         match action {
+            // It is asked for again.
+            AllowanceAction::AskHere { .. } if self.exchange.is_finding(now) => {}
             AllowanceAction::AskHere { seq, organisation, owners } => {
                 let me = self.me.node;
                 let account = self.allowances.account(organisation);
--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -9,7 +9,7 @@
 use resources::{Name, Repeat, Route};
 use tokio::sync::oneshot;
 
-use super::{Control, Nodes, OpenPermit, RENEW, SUCCESSORS, SentRequest, Waiter};
+use super::{Control, Nodes, OpenPermit, RENEW, SUCCESSORS, SentRequest, Untold, Waiter};
 use crate::event::Command;
 use crate::services::{Scope, name_hash, route_hash};
 use crate::settings::Mode;
@@ -24,6 +24,7 @@
             Command::AnswerBegan(id, elapsed) => self.answer_began(now, id, elapsed),
             Command::End(id, outcome) => self.end(now, id, outcome),
             Command::Unserved(route, service) => self.unserved(&route, &service),
+            Command::RefusedOnRoute(route) => self.refused(&route),
         }
     }
 
@@ -264,21 +265,33 @@
     fn unserved(&mut self, route: &Route, service: &Name) {
         for (other, weight) in route.shares() {
             if other != service && weight > 0 {
-                *self.unserved_elsewhere.entry(name_hash(other)).or_default() += 1;
+                self.untold.entry(name_hash(other)).or_default().elsewhere += 1;
+            }
+        }
+    }
+
+    /// Counts a request for all services that it might have gone to. None of them was asked, and the users count it as not
+    /// served by each.
+    fn refused(&mut self, route: &Route) {
+        for (service, weight) in route.shares() {
+            if weight > 0 {
+                self.untold.entry(name_hash(service)).or_default().refused += 1;
             }
         }
     }
 
     /// Tells those that hand out the slots of the other services.
     pub(super) fn tell_unserved(&mut self, now: Time) {
-        for (service, requests) in std::mem::take(&mut self.unserved_elsewhere) {
+        for (service, Untold { elsewhere: requests, refused }) in std::mem::take(&mut self.untold) {
             let directory = Nodes { now, me: self.me, exchange: &self.exchange };
             match self.client.place(now, service, &directory) {
                 Place::Peer(node) => {
-                    self.send_to(now, node, PermitMessage::UnservedElsewhere { service, requests });
+                    let message = PermitMessage::UnservedElsewhere { service, requests, refused };
+                    self.send_to(now, node, message);
                 }
                 place => self.here(place, service, |it, _| {
                     it.unserved_elsewhere(now, requests);
+                    it.refused_before(now, refused);
                     Vec::new()
                 }),
             }
--- a/crates/dappleway/src/control/peer_slots.rs
+++ b/crates/dappleway/src/control/peer_slots.rs
@@ -54,9 +54,10 @@
             PermitMessage::Ran { service, request, end, elapsed } => {
                 self.services.ran(now, service, Ran { request, end, elapsed });
             }
-            PermitMessage::UnservedElsewhere { service, requests } => {
+            PermitMessage::UnservedElsewhere { service, requests, refused } => {
                 if let Some(it) = self.services.own(now, service) {
                     it.unserved_elsewhere(now, requests);
+                    it.refused_before(now, refused);
                 }
             }
             PermitMessage::Renew { ids } => self.each_own(|it, _| {
--- a/crates/dappleway/src/event.rs
+++ b/crates/dappleway/src/event.rs
@@ -57,6 +57,8 @@
     AnswerBegan(PermitId, Duration),
     /// A request of a route that leads to several services was not served by this one.
     Unserved(Arc<Route>, Name),
+    /// A request of a route was refused before it was sent.
+    RefusedOnRoute(Arc<Route>),
     /// A slot comes back; without an outcome it proves nothing.
     End(PermitId, Option<(Kind, Duration)>),
 }
--- a/crates/dappleway/src/handle.rs
+++ b/crates/dappleway/src/handle.rs
@@ -39,6 +39,10 @@
         self.send(Command::Unserved(route.clone(), service.clone()));
     }
 
+    fn refused(&self, route: &Arc<Route>) {
+        self.send(Command::RefusedOnRoute(route.clone()));
+    }
+
     async fn admit(&self, organisation: u64) -> Admission {
         let (tx, rx) = oneshot::channel();
         self.send(Command::Admit(organisation, tx));
--- a/crates/fleet/src/allowances.rs
+++ b/crates/fleet/src/allowances.rs
@@ -11,8 +11,9 @@
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
-/// Asks without an answer after which an owner is passed over.
-const ASKS_IN_VAIN: u32 = 3;
+/// Asks without an answer after which an owner is passed over. A successor has next to nothing to grant to the few that
+/// come to it, so that waiting for an owner that is merely late is better than asking the next.
+const ASKS_IN_VAIN: u32 = 6;
 /// Silent owners after which a node has its own share alone.
 const MAX_SILENT: u32 = 2;
 /// An owner hears from each node at least this often: three times while a share counts.
@@ -203,7 +204,8 @@
         let Some(pending) = self.pending.get_mut(&seq) else { return };
         let silent = pending.owner;
         let mut left = owners.to_vec();
-        if pending.asks >= ASKS_IN_VAIN {
+        // This node itself answers as soon as it knows the fleet.
+        if pending.asks >= ASKS_IN_VAIN && silent != self.me {
             pending.silent += 1;
             pending.asks = 0;
             left.retain(|it| *it != silent);
--- a/crates/fleet/src/tests/allowances.rs
+++ b/crates/fleet/src/tests/allowances.rs
@@ -46,14 +46,14 @@
 }
 
 #[test]
-fn a_silent_owner_is_asked_three_times_and_then_passed_over() {
+fn a_silent_owner_is_asked_again_and_then_passed_over() {
     let mut purse = purse();
     let (_, action) = purse.ask(ms(0), ORGANISATION, &owners());
     let first = asked(&[action]).unwrap();
-    for at in [40, 80] {
+    for at in [40, 80, 120, 160, 200] {
         assert_eq!(asked(&purse.tick(ms(at), &owners())), Some(first), "{at} ms");
     }
-    let actions = purse.tick(ms(120), &owners());
+    let actions = purse.tick(ms(240), &owners());
     assert!(actions.contains(&AllowanceAction::PassOver(first)));
     assert!(asked(&actions).is_some_and(|it| it != first), "{actions:?}");
 }
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -218,6 +218,8 @@
         service: u64,
         /// Requests since the last message.
         requests: u32,
+        /// Requests that were refused before any service was asked.
+        refused: u32,
     },
 }
 
--- a/crates/policy/src/allowance/account.rs
+++ b/crates/policy/src/allowance/account.rs
@@ -20,6 +20,11 @@
 /// first moments after a return of the fleet.
 const BROUGHT_OF_BURST: f64 = 0.12;
 const BROUGHT: f64 = 7.0;
+/// Asking is said to be in vain for this long at most: an account that grows slowly may be entrusted with more at any time.
+const MAX_IN_VAIN: Duration = Duration::from_millis(100);
+/// When to come back is worked out for this part of an allowance at least. With less an owner has just taken over, or stands in
+/// for a node that lost a few messages; neither lasts.
+const MIN_PART: f64 = 0.25;
 /// Longest time after which one that was refused is asked to come back.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
 
@@ -51,11 +56,11 @@
             return Decision::Granted;
         }
         self.refused += 1;
-        let rate = (rate * fund.part).max(f64::EPSILON);
+        let rate = rate * fund.part.max(MIN_PART);
         let after = |requests: f64| {
             Duration::from_secs_f64((requests / rate).min(MAX_RETRY_AFTER.as_secs_f64()))
         };
-        let next = after(1.0 - self.left);
+        let next = after(1.0 - self.left).min(MAX_IN_VAIN);
         // Each gets a place of its own, so that they do not all come back for the same one.
         self.line = self.line.max(now + next).min(now + MAX_RETRY_AFTER) + after(1.0);
         let retry_after = self.line.since(now).min(MAX_RETRY_AFTER);
--- a/crates/policy/src/dispatcher/counts.rs
+++ b/crates/policy/src/dispatcher/counts.rs
@@ -40,6 +40,8 @@
     pub rejected: u32,
     /// Requests of routes that lead here too, and that another service did not serve.
     pub unserved_elsewhere: u32,
+    /// Requests that were refused before the service was asked for them.
+    pub refused_before: u32,
     /// Slots that were given back.
     pub released: u32,
     /// Slots that came free when an answer had begun, before it was whole.
--- a/crates/policy/src/dispatcher/evidence.rs
+++ b/crates/policy/src/dispatcher/evidence.rs
@@ -98,6 +98,13 @@
         }
     }
 
+    /// Learns of requests that were refused before this service was asked for them. The users count them as not served by
+    /// it, and want work at most of its sound endpoints while many are.
+    pub fn refused_before(&mut self, now: Time, requests: u32) {
+        self.counts.refused_before += requests;
+        self.note_unserved(now, requests as usize);
+    }
+
     /// Counts requests that ended here without being served.
     pub(super) fn note_unserved(&mut self, now: Time, requests: usize) {
         (0..requests).for_each(|_| self.served.note(now, Ending::Unserved));
