`cargo xtask try` shows keys and allowances

A newcomer sees a 401, a 429 with its time to come back, and a neighbour that loses nothing. The stand-in platform publishes organisations over HTTP too.

--- a/crates/dappleway/tests/keys.rs
+++ b/crates/dappleway/tests/keys.rs
@@ -16,17 +16,18 @@
 const ALICE_TOO: &str = "alice-fedcba9876543210";
 const BOB: &str = "bob-0123456789abcdef0";
 
-fn unlimited<'a>(name: &'a str, keys: &'a [&'a str]) -> Keyed<'a> {
-    Keyed { name, keys, rate_per_s: 0.0, burst: 0.0 }
+fn unlimited(name: &str, keys: &[&str]) -> Keyed {
+    let keys = keys.iter().map(ToString::to_string).collect();
+    Keyed { name: name.to_owned(), keys, rate_per_s: 0.0, burst: 0.0 }
 }
 
-async fn bed(organisations: &[Keyed<'_>]) -> Bed {
+async fn bed(organisations: &[Keyed]) -> Bed {
     let bed = Bed::start(Path::new(BIN), &Layout::small()).await.unwrap();
     publish(&bed, organisations).await;
     bed
 }
 
-async fn publish(bed: &Bed, organisations: &[Keyed<'_>]) {
+async fn publish(bed: &Bed, organisations: &[Keyed]) {
     let version = bed.platform.publish_keyed(&bed.resources, organisations);
     bed.wait_in_force(version).await.unwrap();
 }
@@ -132,8 +133,9 @@
 /// What an organisation asks beyond its allowance gets 429, whichever nodes it comes to; its neighbours lose nothing.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_allowance_holds_over_all_nodes_and_costs_neighbours_nothing() {
-    let alice = Keyed { name: "alice", keys: &[ALICE], rate_per_s: 20.0, burst: 10.0 };
-    let bob = Keyed { name: "bob", keys: &[BOB], rate_per_s: 20.0, burst: 10.0 };
+    let limited = |it: Keyed| Keyed { rate_per_s: 20.0, burst: 10.0, ..it };
+    let alice = limited(unlimited("alice", &[ALICE]));
+    let bob = limited(unlimited("bob", &[BOB]));
     let bed = bed(&[alice, bob]).await;
     // Accounts fill.
     sleep(Duration::from_secs(2)).await;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use resources::{Endpoint, Repeat, Resource, Route, Standing};
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -113,12 +114,12 @@
 }
 
 /// An organisation with the keys of its callers, as operators publish it.
-#[derive(Clone, Copy, Debug)]
-pub struct Keyed<'a> {
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Keyed {
     /// Its name.
-    pub name: &'a str,
+    pub name: String,
     /// Its keys.
-    pub keys: &'a [&'a str],
+    pub keys: Vec<String>,
     /// Requests a second that it may make; 0 for any number.
     pub rate_per_s: f64,
     /// Requests beyond that at once.
@@ -145,8 +146,8 @@
     }
 
     /// The same with organisations, whose callers show keys.
-    pub fn publish_keyed(&self, resources: &[Resource], organisations: &[Keyed<'_>]) -> u64 {
-        let row = |it: &Keyed<'_>| json!([it.name, it.keys, it.rate_per_s, it.burst]);
+    pub fn publish_keyed(&self, resources: &[Resource], organisations: &[Keyed]) -> u64 {
+        let row = |it: &Keyed| json!([it.name, it.keys, it.rate_per_s, it.burst]);
         let rows: Vec<Value> = organisations.iter().map(row).collect();
         let columns = ["name", "apiKeys", "ratePerS", "burst"];
         self.publish_config(resources, |config| {
@@ -257,6 +258,7 @@
         let path = req.uri().path().to_owned();
         match (req.method(), path.as_str()) {
             (&Method::PUT, "/_standin/publish") => self.put_resources(req).await,
+            (&Method::PUT, "/_standin/publish-keyed") => self.put_keyed(req).await,
             (&Method::PUT, "/_standin/fault") => self.put_fault(&req),
             (&Method::GET, "/_standin/calls") => Ok(server::json(&self.calls())),
             (&Method::GET, _) => self.read(&req, &path).await,
@@ -355,6 +357,12 @@
         Ok(server::json(&self.publish(&resources)))
     }
 
+    async fn put_keyed(self, req: Request<Incoming>) -> Answer {
+        let buf = req.into_body().collect().await.map_err(std::io::Error::other)?.to_bytes();
+        let (resources, organisations): (Vec<Resource>, Vec<Keyed>) = serde_json::from_slice(&buf)?;
+        Ok(server::json(&self.publish_keyed(&resources, &organisations)))
+    }
+
     fn put_fault(&self, req: &Request<Incoming>) -> Answer {
         let fault = match server::query::<String>(req, "kind").as_deref() {
             Some("none") => Fault::None,
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -1,5 +1,7 @@
 //! `cargo xtask try`: the main job, seen working on one machine.
 
+mod organisations;
+
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -92,6 +94,7 @@
     print_endpoints(&nodes[0]).await?;
 
     client::call(sick, "PUT", "/_standin/fault?kind=none", "").await?;
+    organisations::demonstrate(platform, &resources, &nodes).await?;
     stop_during_download(&mut nodes).await
 }
 
@@ -102,7 +105,7 @@
     let path = format!("/archives/2026-11?bytes={DOWNLOAD_BYTES}");
     let download = tokio::spawn({
         let target = node.addrs.traffic;
-        async move { client::get(target, &path).await }
+        async move { client::get_with(target, &path, &[organisations::VALID_KEY]).await }
     });
     tokio::time::sleep(Duration::from_millis(300)).await;
     node.signal("TERM")?;
--- /dev/null
+++ b/xtask/src/demo/organisations.rs
@@ -0,0 +1,88 @@
+//! Keys and allowances: who is let in, and how much one organisation may ask of the whole fleet.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use resources::Resource;
+use standin::client;
+use standin::lab::Node;
+use standin::platform::Keyed;
+use tokio::time::{Instant, sleep};
+
+/// The header of a caller with a key, and the key of an organisation without a limit.
+pub(super) const VALID_KEY: (&str, &str) = ("x-api-key", "key-of-tours");
+const LIMITED_KEY: &str = "key-of-bakery";
+/// Requests a second that the bakery may make, and beyond that at once.
+const RATE: f64 = 20.0;
+const BURST: f64 = 10.0;
+/// Requests that it makes.
+const REQUESTS: usize = 300;
+/// Pause between them.
+const PAUSE: Duration = Duration::from_millis(8);
+/// Time for a configuration to be in force, and for accounts to fill.
+const IN_FORCE: Duration = Duration::from_secs(10);
+const FILLS: Duration = Duration::from_secs(2);
+
+/// Publishes organisations with keys and sends requests with and without them.
+pub(super) async fn demonstrate(
+    platform: SocketAddr,
+    resources: &[Resource],
+    nodes: &[Node],
+) -> anyhow::Result<()> {
+    println!("\nTwo organisations with keys; the bakery may make {RATE} requests a second:");
+    let keyed = |name: &str, key: &str, rate_per_s, burst| Keyed {
+        name: name.to_owned(),
+        keys: vec![key.to_owned()],
+        rate_per_s,
+        burst,
+    };
+    let organisations =
+        [keyed("tours", VALID_KEY.1, 0.0, 0.0), keyed("bakery", LIMITED_KEY, RATE, BURST)];
+    let body = serde_json::to_vec(&(resources, organisations))?;
+    client::call(platform, "PUT", "/_standin/publish-keyed", body).await?;
+    wait_for_keys(nodes).await?;
+    sleep(FILLS).await;
+    for (who, headers) in
+        [("without a key", vec![]), ("with a key that nobody holds", vec![("x-api-key", "?")])]
+    {
+        let got = client::get_with(nodes[0].addrs.traffic, "/slots/today", &headers).await?;
+        println!("  a caller {who} gets {}", got.status);
+    }
+    let since = Instant::now();
+    let (mut served, mut refused, mut neighbour) = (0, 0, 0);
+    let mut retry_after = String::new();
+    for i in 0..REQUESTS {
+        let node = nodes[i % nodes.len()].addrs.traffic;
+        let got = client::get_with(node, "/slots/today", &[("x-api-key", LIMITED_KEY)]).await?;
+        match got.status.as_u16() {
+            200 => served += 1,
+            429 => refused += 1,
+            _ => {}
+        }
+        if got.status.as_u16() == 429 {
+            retry_after = got.header("retry-after").to_owned();
+        }
+        let got = client::get_with(node, "/slots/today", &[VALID_KEY]).await?;
+        neighbour += u32::from(got.status.is_success());
+        sleep(PAUSE).await;
+    }
+    let seconds = since.elapsed().as_secs_f64();
+    println!(
+        "  the bakery sent {REQUESTS} requests over all nodes in {seconds:.1} s: {served} answered, \
+         {refused} refused with 429, the last to come back after {retry_after} s"
+    );
+    println!("  the tours beside it: {neighbour} of {REQUESTS} answered");
+    anyhow::ensure!(refused > 0 && neighbour as usize == REQUESTS, "the allowance did not hold");
+    Ok(())
+}
+
+async fn wait_for_keys(nodes: &[Node]) -> anyhow::Result<()> {
+    let limit = Instant::now() + IN_FORCE;
+    for it in nodes {
+        while it.report().await?["organisations"].as_array().is_none_or(Vec::is_empty) {
+            anyhow::ensure!(Instant::now() < limit, "the organisations are not in force");
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+    Ok(())
+}
