Work that may be sent again lets no endpoint rest

Rest is there for work that must not be repeated; a lookup that meets a sick endpoint loses a repeat. Measured: the test that was red passes, and so do all others of the decisions.

--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -43,11 +43,22 @@
     /// How much more likely the silence of what is open on it is if it is sick.
     silence: f64,
     sick: f64,
-    /// It had no work for so long that the next request is to show whether it is well.
-    is_due: bool,
-    /// It is due, and the users may count it as idle. They count the endpoints of all failure domains alike, so that it
-    /// goes first wherever it is.
-    is_missed: bool,
+    /// For how long it had no work, if that is so long that the next request is to show whether it is well.
+    due: Due,
+    /// It is due, and the users may count it as idle.
+    is_old: bool,
+}
+
+/// Whether an endpoint is due for the next request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Due {
+    /// For none.
+    Not,
+    /// For one that may be sent again. Rest spares those that may not; the others lose a repeat at most, and a rest
+    /// that is bounded by a part of all endpoints may be that of most of the few that the users count.
+    ForRepeatable,
+    /// For any.
+    ForAny,
 }
 
 /// All endpoints and the queue at one moment, for all choices that are made then. How likely an endpoint is sick
@@ -78,6 +89,21 @@
 }
 
 impl Look<'_> {
+    /// Whether it is due for such a request.
+    fn is_due(&self, ask: &Ask) -> bool {
+        match self.due {
+            Due::Not => false,
+            Due::ForRepeatable => ask.repeatable,
+            Due::ForAny => true,
+        }
+    }
+
+    /// Whether it is due, and the users may count it as idle. They count the endpoints of all failure domains alike, so that
+    /// it goes first wherever it is.
+    fn is_missed(&self, ask: &Ask) -> bool {
+        self.is_old && self.is_due(ask)
+    }
+
     fn usage(&self) -> Use {
         if self.silence > SILENCE_FAILS {
             return Use::Last;
@@ -109,7 +135,7 @@
     /// Whether a request may go there beside those that are open on it, whatever their age says: the users miss it, and what
     /// holds its slots may never be answered though it is well. Work that may be sent again loses little by it.
     fn takes_beside(&self, ask: &Ask) -> bool {
-        self.is_missed
+        self.is_missed(ask)
             && self.strain == Strain::Unserved
             && ask.repeatable
             && self.status.state.in_rotation()
@@ -141,7 +167,7 @@
             Tier::Near | Tier::Last => (self.sick * DOUBT_STEPS) as u32,
             // The last chance of its request.
             _ if ask.send == SendKind::Further => (self.sick * DOUBT_STEPS) as u32,
-            _ if self.is_due => 0,
+            _ if self.is_due(ask) => 0,
             _ => u32::from(self.usage() != Use::Freely),
         }
     }
@@ -187,7 +213,7 @@
                 it if it < look.status.usable_slots(now) && tier < Tier::Last => Tier::Last,
                 _ => continue,
             };
-            let way = if is_near || look.is_missed { 0 } else { FAR_SLOTS };
+            let way = if is_near || look.is_missed(ask) { 0 } else { FAR_SLOTS };
             let cost = load.in_use() + way;
             // Among equals the one that has been without work for longest. Drawn by chance, a quarter of the endpoints
             // have nothing for two seconds where 1.2 sends come for each, are then taken for a little doubtful, and
@@ -254,31 +280,35 @@
     fn look(&self, now: Time, i: usize) -> Look<'_> {
         let load = &self.loads[i];
         let silence = load.silence(now, &self.judge.baseline, &self.signs);
-        let is_due = self.is_due(now, load);
         Look {
             now,
             strain: self.strain,
             status: &self.endpoints()[i],
             belief: &load.belief,
             silence,
-            is_due,
-            is_missed: is_due && load.alone(now) > MISSED_AFTER,
+            due: self.due(now, load),
+            is_old: load.alone(now) > MISSED_AFTER,
             sick: load.belief.sick_given(now, silence, self.signs.share()),
         }
     }
 
     /// Whether the next request is to show if it is well: it is left alone for too long, and nobody leaves it out for a young
     /// failure.
-    fn is_due(&self, now: Time, load: &Load) -> bool {
-        let alone_for = self.strain.alone_for();
-        let is_alone = |idle| idle > self.due_after.0 && load.belief.failed_before(now, alone_for);
-        load.idle(now).is_none_or(is_alone)
+    fn due(&self, now: Time, load: &Load) -> Due {
+        let Some(idle) = load.idle(now) else { return Due::ForAny };
+        let may_be_well = load.belief.failed_before(now, self.strain.alone_for());
+        match idle {
+            _ if !may_be_well => Due::Not,
+            it if it > self.due_after.0 => Due::ForAny,
+            it if it > self.strain.idle_for() => Due::ForRepeatable,
+            _ => Due::Not,
+        }
     }
 
     fn tier(&self, look: &Look<'_>, i: usize, ask: &Ask, is_near: bool) -> Option<Tier> {
         let (now, it, load) = (look.now, look.status, &self.loads[i]);
         if !it.admits(now, ask.repeatable) {
-            return look.is_needed().then_some(if look.is_due {
+            return look.is_needed().then_some(if look.is_due(ask) {
                 Tier::Good
             } else {
                 Tier::Cautious
@@ -304,7 +334,7 @@
             _ if look.takes_beside(ask) && !is_out_of_use => Some(Tier::Good),
             _ if last && ask.bulky && is_near && !self.is_last_send(ask) => Some(Tier::Near),
             _ if last => Some(Tier::Last),
-            _ if look.is_missed => Some(Tier::Good),
+            _ if look.is_missed(ask) => Some(Tier::Good),
             _ if ask.bulky && !is_near => Some(Tier::Far),
             Use::Cautiously if !ask.repeatable => Some(Tier::Cautious),
             _ => Some(Tier::Good),
