What nodes bring along when they start, and owners that are named no more are told so

Cause: accounts began with next to nothing, though nobody had used the allowance while all were down; and asks to owners that still found others ended as unknown after a second. - A node that has just started brings half of the burst (or of a second's rate) to the first owners that it names once it knows the fleet, once in its life; others bring 0.05 of the burst instead of 0.12. - An owner that does not know the fleet yet says so, and is asked again. - Owners that are named no more are told: a fleet that left its owners for a second and came back had 1,481 requests in a window where 1,370 are allowed, since the shares counted twice on both moves. Found by drawn cases after the first of these changes; kept as a test.

--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -231,7 +231,7 @@
             keys: start.keys,
             client: start.client,
             delivery: Delivery::new(start.rng.random()),
-            allowances: Allowances::new(me, start.ask_timeout, start.rng.random::<u32>().into()),
+            allowances: Allowances::new(me, start.ask_timeout, start.rng.random()),
             services: Services::new(start.budget),
             waiting: FxHashMap::default(),
             open: FxHashMap::default(),
--- a/crates/dappleway/src/control/allowances.rs
+++ b/crates/dappleway/src/control/allowances.rs
@@ -47,9 +47,9 @@
 }
 
 impl Allowances {
-    pub(super) fn new(me: NodeId, timeout: Duration, first: u64) -> Self {
+    pub(super) fn new(me: NodeId, timeout: Duration, life: u32) -> Self {
         Self {
-            purse: Purse::new(me, timeout * PATIENCE, first),
+            purse: Purse::new(me, timeout * PATIENCE, life),
             accounts: Accounts::new(me),
             waiting: FxHashMap::default(),
             limited: FxHashMap::default(),
@@ -96,21 +96,24 @@
 
     pub(super) fn allowance_message(&mut self, now: Time, from: NodeId, message: AllowanceMessage) {
         match message {
-            // What a node that still finds others owns of an allowance is not known. Whoever asks asks again.
-            AllowanceMessage::Ask { .. } | AllowanceMessage::Entrust { .. }
-                if self.exchange.is_finding(now) => {}
-            AllowanceMessage::Ask { seq, organisation, owners } => {
+            // What a node that still finds others owns of an allowance is not known.
+            AllowanceMessage::Ask { seq, .. } if self.exchange.is_finding(now) => {
+                let decision = Decision::NotYet;
+                self.send_allowance(from, AllowanceMessage::Answer { seq, decision });
+            }
+            AllowanceMessage::Entrust(_) if self.exchange.is_finding(now) => {}
+            AllowanceMessage::Ask { seq, organisation, entrusted } => {
                 let account = self.allowances.account(organisation);
                 let accounts = &mut self.allowances.accounts;
-                let decision = accounts.ask(now, from, seq, account, &owners);
+                let decision = accounts.ask(now, from, seq, account, &entrusted);
                 self.send_allowance(from, AllowanceMessage::Answer { seq, decision });
             }
             AllowanceMessage::Answer { seq, decision } => {
                 let action = self.allowances.purse.answer(now, from, seq, decision);
                 action.into_iter().for_each(|it| self.allowance_action(now, it));
             }
-            AllowanceMessage::Entrust { owners } => {
-                self.allowances.accounts.ledger.entrust(now, from, &owners);
+            AllowanceMessage::Entrust(it) => {
+                self.allowances.accounts.ledger.entrust(now, from, &it);
             }
         }
     }
@@ -125,7 +128,9 @@
         let Allowances { purse, accounts, owners: (owners, _), .. } = &mut self.allowances;
         accounts.ledger.set_nodes(now, size);
         if !is_finding {
-            accounts.ledger.entrust(now, self.me.node, owners);
+            purse.know_fleet(now, owners);
+            let entrusted = purse.entrusted(now, owners, self.me.node);
+            accounts.ledger.entrust(now, self.me.node, &entrusted);
         }
         for action in purse.tick(now, owners) {
             self.allowance_action(now, action);
@@ -136,11 +141,11 @@
         match action {
             // It is asked for again.
             AllowanceAction::AskHere { .. } if self.exchange.is_finding(now) => {}
-            AllowanceAction::AskHere { seq, organisation, owners } => {
+            AllowanceAction::AskHere { seq, organisation, entrusted } => {
                 let me = self.me.node;
                 let account = self.allowances.account(organisation);
                 let accounts = &mut self.allowances.accounts;
-                let decision = accounts.ask(now, me, seq, account, &owners);
+                let decision = accounts.ask(now, me, seq, account, &entrusted);
                 if let Some(it) = self.allowances.purse.answer(now, me, seq, decision) {
                     self.allowance_action(now, it);
                 }
@@ -160,6 +165,7 @@
     fn settle_admission(&mut self, seq: u64, outcome: AllowanceOutcome) {
         let admission = match outcome {
             AllowanceOutcome::Decided(Decision::Granted) => Admission::Granted,
+            AllowanceOutcome::Decided(Decision::NotYet) => Admission::Unknown,
             AllowanceOutcome::Decided(Decision::Exhausted { retry_after, .. }) => {
                 Admission::Exhausted { retry_after }
             }
--- a/crates/fleet/src/allowances.rs
+++ b/crates/fleet/src/allowances.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use policy::{Decision, Ledger, NodeId, Time, owner_of};
+use policy::{Decision, Entrusted, Ledger, NodeId, Time, owner_of};
 use resources::Allowance;
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
@@ -18,6 +18,8 @@
 const MAX_SILENT: u32 = 2;
 /// An owner hears from each node at least this often: three times while a share counts.
 const ENTRUST_EVERY: Duration = Duration::from_millis(500);
+/// The first owners are told that they are for this long: a few messages may be lost.
+const FIRST_FOR: Duration = Duration::from_secs(3);
 /// An answer is remembered for this long: an ask that is said again takes no second request from the account.
 const REMEMBER_ANSWER: Duration = Duration::from_secs(1);
 /// Organisations for which a node remembers that asking is in vain.
@@ -33,7 +35,7 @@
         /// Hash of the organisation's name.
         organisation: u64,
         /// The owners that the sender asks now.
-        owners: Vec<NodeId>,
+        entrusted: Entrusted,
     },
     /// Answers an ask.
     Answer {
@@ -43,10 +45,7 @@
         decision: Decision,
     },
     /// Names the owners that the sender asks.
-    Entrust {
-        /// The owners.
-        owners: Vec<NodeId>,
-    },
+    Entrust(Entrusted),
 }
 
 /// What became of an ask.
@@ -68,7 +67,7 @@
         /// Hash of the organisation's name.
         organisation: u64,
         /// The owners that this node asks: itself among others, or itself alone.
-        owners: Vec<NodeId>,
+        entrusted: Entrusted,
     },
     /// Send a message.
     Send(NodeId, AllowanceMessage),
@@ -107,25 +106,46 @@
     closed: FxHashMap<u64, Closed>,
     /// When each owner last heard from this node.
     told: FxHashMap<NodeId, Time>,
+    /// The owners that were named last.
+    named: Vec<NodeId>,
+    /// Tells this life of the process from those before.
+    life: u32,
+    /// The first owners that were named once the fleet was known, and until when they are told so.
+    first: Option<(Vec<NodeId>, Time)>,
     /// Asks that were settled without an owner.
     pub alone: u64,
 }
 
 impl Purse {
-    /// The asking side of the node `me`. Asks without an answer for `timeout` are said again; numbers begin with
-    /// `first`, which differs between lives of the node.
-    pub fn new(me: NodeId, timeout: Duration, first: u64) -> Self {
+    /// The asking side of the node `me`. Asks without an answer for `timeout` are said again. `life` differs between lives of
+    /// the node.
+    pub fn new(me: NodeId, timeout: Duration, life: u32) -> Self {
         Self {
             me,
             timeout,
-            next_seq: first,
+            life,
+            first: None,
+            next_seq: life.into(),
             pending: FxHashMap::default(),
             closed: FxHashMap::default(),
             told: FxHashMap::default(),
+            named: Vec::new(),
             alone: 0,
         }
     }
 
+    /// The fleet is known from now on: the owners are those that it names.
+    pub fn know_fleet(&mut self, now: Time, owners: &[NodeId]) {
+        self.first.get_or_insert_with(|| (owners.to_vec(), now + FIRST_FOR));
+    }
+
+    /// What this node says to an owner.
+    pub fn entrusted(&self, now: Time, owners: &[NodeId], to: NodeId) -> Entrusted {
+        let is_first =
+            self.first.as_ref().is_some_and(|(it, until)| now < *until && it.contains(&to));
+        Entrusted { owners: owners.to_vec(), life: self.life, is_first }
+    }
+
     /// Whether nothing is under way.
     pub fn is_idle(&self) -> bool {
         self.pending.is_empty()
@@ -158,6 +178,11 @@
         seq: u64,
         decision: Decision,
     ) -> Option<AllowanceAction> {
+        if decision == Decision::NotYet {
+            let pending = self.pending.get_mut(&seq)?;
+            pending.asks = 0;
+            return None;
+        }
         let pending = self.pending.remove(&seq)?;
         if let Decision::Exhausted { next, retry_after } = decision {
             if self.closed.len() >= MAX_CLOSED {
@@ -184,16 +209,32 @@
             self.is_late(now, seq, owners, &mut actions);
         }
         self.told.retain(|_, at| now.since(*at) < ENTRUST_EVERY);
+        actions.extend(self.leave_former(now, owners));
         for owner in owners.iter().filter(|it| **it != self.me) {
             if !self.told.contains_key(owner) {
                 self.told.insert(*owner, now);
-                let message = AllowanceMessage::Entrust { owners: owners.to_vec() };
+                let message = AllowanceMessage::Entrust(self.entrusted(now, owners, *owner));
                 actions.push(AllowanceAction::Send(*owner, message));
             }
         }
         actions
     }
 
+    /// Tells owners that are named no more: they would count the share of this node beside those that have it now.
+    fn leave_former(&mut self, now: Time, owners: &[NodeId]) -> Vec<AllowanceAction> {
+        if self.named == owners {
+            return Vec::new();
+        }
+        self.told.clear();
+        let former = std::mem::replace(&mut self.named, owners.to_vec());
+        let left = former.into_iter().filter(|it| !owners.contains(it) && *it != self.me);
+        left.map(|it| {
+            let entrusted = self.entrusted(now, owners, it);
+            AllowanceAction::Send(it, AllowanceMessage::Entrust(entrusted))
+        })
+        .collect()
+    }
+
     fn is_late(
         &mut self,
         now: Time,
@@ -226,19 +267,20 @@
             pending.silent = MAX_SILENT;
             pending.owner = self.me;
             self.alone += 1;
-            return AllowanceAction::AskHere { seq, organisation, owners: vec![self.me] };
+            let entrusted = self.entrusted(now, &[self.me], self.me);
+            return AllowanceAction::AskHere { seq, organisation, entrusted };
         };
         if owner != pending.owner {
             pending.asks = 0;
         }
         pending.owner = owner;
         pending.asks += 1;
-        let owners = owners.to_vec();
+        let entrusted = self.entrusted(now, owners, owner);
         if owner == self.me {
-            return AllowanceAction::AskHere { seq, organisation, owners };
+            return AllowanceAction::AskHere { seq, organisation, entrusted };
         }
         self.told.insert(owner, now);
-        AllowanceAction::Send(owner, AllowanceMessage::Ask { seq, organisation, owners })
+        AllowanceAction::Send(owner, AllowanceMessage::Ask { seq, organisation, entrusted })
     }
 }
 
@@ -261,7 +303,7 @@
         }
     }
 
-    /// Decides on an ask of `from`, which names these owners. Nothing limits an organisation that is not known here to be
+    /// Decides on an ask of `from`. Nothing limits an organisation that is not known here to be
     /// limited: whoever asks may have a newer configuration.
     pub fn ask(
         &mut self,
@@ -269,10 +311,10 @@
         from: NodeId,
         seq: u64,
         account: (u64, Option<Allowance>),
-        owners: &[NodeId],
+        entrusted: &Entrusted,
     ) -> Decision {
         self.forget(now);
-        self.ledger.entrust(now, from, owners);
+        self.ledger.entrust(now, from, entrusted);
         if let Some((decision, _)) = self.answered.get(&(from, seq)) {
             return *decision;
         }
--- a/crates/fleet/src/tests/allowances.rs
+++ b/crates/fleet/src/tests/allowances.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use policy::{Decision, NodeId, Time, owner_of};
+use policy::{Decision, Entrusted, NodeId, Time, owner_of};
 use resources::Allowance;
 
 use crate::{Accounts, AllowanceAction, AllowanceMessage, AllowanceOutcome, Purse};
@@ -73,7 +73,8 @@
         }
         actions.into_iter().find(|it| matches!(it, AllowanceAction::AskHere { .. }))
     });
-    let alone = AllowanceAction::AskHere { seq, organisation: ORGANISATION, owners: vec![ME] };
+    let entrusted = purse.entrusted(ms(900), &[ME], ME);
+    let alone = AllowanceAction::AskHere { seq, organisation: ORGANISATION, entrusted };
     assert_eq!(here, Some(alone));
     let refused = Decision::Exhausted { next: TIMEOUT, retry_after: TIMEOUT };
     let settled = purse.answer(ms(900), ME, seq, refused);
@@ -107,7 +108,7 @@
     let mut purse = purse();
     let told = |actions: Vec<AllowanceAction>| {
         let is_told = |it: &AllowanceAction| {
-            matches!(it, AllowanceAction::Send(_, AllowanceMessage::Entrust { .. }))
+            matches!(it, AllowanceAction::Send(_, AllowanceMessage::Entrust(_)))
         };
         actions.iter().filter(|it| is_told(it)).count()
     };
@@ -122,13 +123,14 @@
     let mut accounts = Accounts::new(ME);
     accounts.ledger.set_nodes(ms(0), 1);
     let account = (ORGANISATION, Some(ALLOWANCE));
-    accounts.ledger.entrust(ms(0), ME, &[ME]);
+    let mine = Entrusted { owners: vec![ME], ..Entrusted::default() };
+    accounts.ledger.entrust(ms(0), ME, &mine);
     for it in 1..=4 {
-        accounts.ledger.entrust(ms(it * 500), ME, &[ME]);
+        accounts.ledger.entrust(ms(it * 500), ME, &mine);
     }
     let mut granted = 0;
     for seq in 0..40 {
-        let decisions = [0, 1, 2].map(|_| accounts.ask(ms(2_000), ME, seq, account, &[ME]));
+        let decisions = [0, 1, 2].map(|_| accounts.ask(ms(2_000), ME, seq, account, &mine));
         assert!(decisions.iter().all(|it| *it == decisions[0]), "{decisions:?}");
         granted += u32::from(decisions[0] == Decision::Granted);
     }
@@ -138,6 +140,6 @@
 #[test]
 fn what_is_not_known_to_be_limited_is_granted() {
     let mut accounts = Accounts::new(ME);
-    let decision = accounts.ask(ms(0), NodeId(9), 1, (ORGANISATION, None), &[ME]);
+    let decision = accounts.ask(ms(0), NodeId(9), 1, (ORGANISATION, None), &Entrusted::default());
     assert_eq!(decision, Decision::Granted);
 }
--- a/crates/fleet/tests/allowances_after_a_return.rs
+++ b/crates/fleet/tests/allowances_after_a_return.rs
@@ -83,10 +83,10 @@
         let now = Time(self.now);
         match action {
             AllowanceAction::AskHere { .. } if self.is_finding() => {}
-            AllowanceAction::AskHere { seq, organisation, owners } => {
+            AllowanceAction::AskHere { seq, organisation, entrusted } => {
                 let me = NodeId(i as u64);
                 let account = account(organisation);
-                let decision = self.nodes[i].1.ask(now, me, seq, account, &owners);
+                let decision = self.nodes[i].1.ask(now, me, seq, account, &entrusted);
                 let action = self.nodes[i].0.answer(now, me, seq, decision);
                 action.into_iter().for_each(|it| self.act(i, it));
             }
@@ -120,14 +120,18 @@
                 let action = self.nodes[to].0.answer(now, NodeId(from), seq, decision);
                 action.into_iter().for_each(|it| self.act(to, it));
             }
-            _ if self.is_finding() => {}
-            AllowanceMessage::Ask { seq, organisation, owners } => {
+            AllowanceMessage::Ask { seq, .. } if self.is_finding() => {
+                let decision = Decision::NotYet;
+                self.send(to as u64, from, AllowanceMessage::Answer { seq, decision });
+            }
+            AllowanceMessage::Entrust(_) if self.is_finding() => {}
+            AllowanceMessage::Ask { seq, organisation, entrusted } => {
                 let account = account(organisation);
-                let decision = self.nodes[to].1.ask(now, NodeId(from), seq, account, &owners);
+                let decision = self.nodes[to].1.ask(now, NodeId(from), seq, account, &entrusted);
                 self.send(to as u64, from, AllowanceMessage::Answer { seq, decision });
             }
-            AllowanceMessage::Entrust { owners } => {
-                self.nodes[to].1.ledger.entrust(now, NodeId(from), &owners);
+            AllowanceMessage::Entrust(it) => {
+                self.nodes[to].1.ledger.entrust(now, NodeId(from), &it);
             }
         }
     }
@@ -136,7 +140,10 @@
         let (now, owners) = (Time(self.now), self.owners());
         self.nodes[i].1.ledger.set_nodes(now, NODES as usize);
         if !self.is_finding() {
-            self.nodes[i].1.ledger.entrust(now, NodeId(i as u64), &owners);
+            let (purse, accounts) = &mut self.nodes[i];
+            purse.know_fleet(now, &owners);
+            let entrusted = purse.entrusted(now, &owners, NodeId(i as u64));
+            accounts.ledger.entrust(now, NodeId(i as u64), &entrusted);
         }
         let actions = self.nodes[i].0.tick(now, &owners);
         actions.into_iter().for_each(|it| self.act(i, it));
--- a/crates/policy/src/allowance.rs
+++ b/crates/policy/src/allowance.rs
@@ -35,6 +35,8 @@
 pub enum Decision {
     /// It may run.
     Granted,
+    /// Nobody knows yet how large the fleet is: ask again.
+    NotYet,
     /// The allowance is used up.
     Exhausted {
         /// When the next request may run. Until then asking is in vain.
@@ -44,6 +46,17 @@
     },
 }
 
+/// What a node says when it entrusts its share.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Entrusted {
+    /// The owners that it asks.
+    pub owners: Vec<NodeId>,
+    /// Tells this life of its process from those before.
+    pub life: u32,
+    /// Whether it has started lately, and these are the first owners that it names to the one that hears it.
+    pub is_first: bool,
+}
+
 /// The nodes that own accounts, of `nodes` with their thousandths of a core.
 pub fn owners(nodes: &[(NodeId, u32)]) -> Vec<NodeId> {
     let mut ranked = rank_strong_first(OWNERS_KEY, nodes);
@@ -94,9 +107,9 @@
         self.shares.set_nodes(now, nodes);
     }
 
-    /// Takes in that `node` entrusts its share to these owners from now on.
-    pub fn entrust(&mut self, now: Time, node: NodeId, owners: &[NodeId]) {
-        self.shares.entrust(now, node, owners);
+    /// Takes in that `node` entrusts its share from now on.
+    pub fn entrust(&mut self, now: Time, node: NodeId, it: &Entrusted) {
+        self.shares.entrust(now, node, it);
     }
 
     /// Decides on one request of an organisation.
--- a/crates/policy/src/allowance/account.rs
+++ b/crates/policy/src/allowance/account.rs
@@ -11,15 +11,18 @@
 /// The rate is granted a little beyond its figure, so that an organisation that keeps to it is not refused for coming in
 /// clusters. The users count a quarter beyond it, and twenty, as kept in each window of five seconds; the rest of that is for
 /// shares that count at two owners until one of them notices.
-const RATE: f64 = 1.03;
+const RATE: f64 = 1.02;
 /// Requests a second beyond that: a small organisation's come in clusters all the more.
 const RATE_EXTRA: f64 = 0.6;
 /// Requests at once beyond the burst.
 const EXTRA: f64 = 8.0;
-/// What a new owner is given: a part of the burst, and requests beyond it. Without it all organisations would be refused in the
-/// first moments after a return of the fleet.
-const BROUGHT_OF_BURST: f64 = 0.12;
+/// What a new owner is given: a part of the burst, and requests beyond it.
+const BROUGHT_OF_BURST: f64 = 0.05;
 const BROUGHT: f64 = 9.0;
+/// What nodes that have just started bring along: a part of the burst, or of what a second grants where that is less, in
+/// place of the other part. No owner still counts their shares, so that there is more room for it; without it most
+/// requests would be refused in the first second after a return of the fleet.
+const BROUGHT_FIRST: f64 = 0.5;
 /// Asking is said to be in vain for this long at most: an account that grows slowly may be entrusted with more at any time.
 const MAX_IN_VAIN: Duration = Duration::from_millis(100);
 /// When to come back is worked out for this part of an allowance at least. With less an owner has just taken over, or stands in
@@ -49,7 +52,7 @@
     pub(super) fn ask(&mut self, now: Time, fund: Fund, allowance: Allowance) -> Decision {
         self.asked = now;
         let rate = allowance.rate_per_s * RATE + RATE_EXTRA;
-        self.grow(fund, rate, allowance.burst);
+        self.grow(fund, rate, allowance);
         if self.left >= 1.0 {
             self.left -= 1.0;
             self.granted += 1;
@@ -76,11 +79,15 @@
         AccountReport { organisation, left, granted, refused }
     }
 
-    fn grow(&mut self, fund: Fund, rate: f64, burst: f64) {
+    fn grow(&mut self, fund: Fund, rate: f64, allowance: Allowance) {
+        let Allowance { rate_per_s, burst } = allowance;
         let seconds = (fund.seconds - self.had.seconds).max(0.0);
         let brought = (fund.brought - self.had.brought).max(0.0);
+        let brought_first = (fund.brought_first - self.had.brought_first).max(0.0);
         self.had = fund;
-        let more = seconds * rate + brought * (burst * BROUGHT_OF_BURST + BROUGHT);
+        let more = seconds * rate
+            + brought * (burst * BROUGHT_OF_BURST + BROUGHT)
+            + brought_first * (burst.min(rate_per_s) * BROUGHT_FIRST + BROUGHT);
         let most = (burst + EXTRA) * fund.part;
         self.left = (self.left + more).min(most);
     }
--- a/crates/policy/src/allowance/shares.rs
+++ b/crates/policy/src/allowance/shares.rs
@@ -4,7 +4,7 @@
 
 use rustc_hash::FxHashMap;
 
-use super::owner_of;
+use super::{Entrusted, owner_of};
 use crate::rendezvous::NodeId;
 use crate::time::Time;
 
@@ -31,10 +31,14 @@
     seconds: f64,
     /// What they have brought along, in shares of the whole.
     brought: f64,
+    /// The same for what they have brought when they had just started.
+    brought_first: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Holder {
+    /// The life that has brought something when it had just started.
+    first_life: Option<u32>,
     part: usize,
     heard: Time,
     /// Up to then its time stands in its part.
@@ -50,6 +54,8 @@
     pub(super) seconds: f64,
     /// Wholes of what a new owner is given.
     pub(super) brought: f64,
+    /// Wholes of what nodes that have just started bring along.
+    pub(super) brought_first: f64,
     /// The part that is entrusted now.
     pub(super) part: f64,
 }
@@ -68,20 +74,28 @@
         }
     }
 
-    pub(super) fn entrust(&mut self, now: Time, node: NodeId, owners: &[NodeId]) {
-        let part = self.part(owners);
+    pub(super) fn entrust(&mut self, now: Time, node: NodeId, it: &Entrusted) {
+        let part = self.part(&it.owners);
         let known = self.holders.get(&node).copied();
         if let Some(it) = known {
             self.parts[it.part].seconds += it.uncounted(now).as_secs_f64() / self.nodes as f64;
         }
         let is_held = known.is_some_and(|it| it.part == part && it.is_held(now));
         let may_bring = known.is_none_or(|it| now.since(it.brought) >= BRINGS_EVERY);
-        let brings = !is_held && may_bring;
+        let before = known.and_then(|it| it.first_life);
+        let brings_first = it.is_first && before != Some(it.life);
+        let brings = brings_first || (!is_held && may_bring);
         let brought = if brings { now } else { known.map_or(now, |it| it.brought) };
-        self.holders.insert(node, Holder { part, heard: now, counted_to: now, brought });
+        let first_life = if brings_first { Some(it.life) } else { before };
+        self.holders
+            .insert(node, Holder { first_life, part, heard: now, counted_to: now, brought });
         self.set_nodes(now, self.nodes);
-        if brings {
-            self.parts[part].brought += 1.0 / self.nodes as f64;
+        let share = 1.0 / self.nodes as f64;
+        let part = &mut self.parts[part];
+        match brings_first {
+            true => part.brought_first += share,
+            false if brings => part.brought += share,
+            false => {}
         }
     }
 
@@ -93,6 +107,7 @@
         for (it, _) in self.parts.iter().zip(&is_mine).filter(|(_, is_mine)| **is_mine) {
             fund.seconds += it.seconds;
             fund.brought += it.brought;
+            fund.brought_first += it.brought_first;
         }
         let share = 1.0 / self.nodes as f64;
         for it in self.holders.values().filter(|it| is_mine[it.part]) {
@@ -132,7 +147,12 @@
         match self.parts.iter().position(|it| it.owners == owners) {
             Some(it) => it,
             None => {
-                self.parts.push(Part { owners: owners.to_vec(), seconds: 0.0, brought: 0.0 });
+                self.parts.push(Part {
+                    owners: owners.to_vec(),
+                    seconds: 0.0,
+                    brought: 0.0,
+                    brought_first: 0.0,
+                });
                 self.parts.len() - 1
             }
         }
--- a/crates/policy/src/tests/allowance.rs
+++ b/crates/policy/src/tests/allowance.rs
@@ -8,7 +8,7 @@
 use resources::Allowance;
 
 use super::fixture::SECOND;
-use crate::{Decision, Ledger, NodeId, Time, owner_of, owners};
+use crate::{Decision, Entrusted, Ledger, NodeId, Time, owner_of, owners};
 
 const MS: u64 = 1_000;
 /// Length of the windows that users count, in microseconds.
@@ -65,6 +65,12 @@
     ledger: Ledger,
     /// Nothing while it is down.
     started: Option<u64>,
+    /// Lives before this one.
+    lives: u32,
+    /// The first owners of this life that were named once the fleet was known.
+    first: Option<Vec<NodeId>>,
+    /// The owners that were named last.
+    named: Vec<NodeId>,
     frozen_until: u64,
     group: usize,
     passed_over: Vec<u64>,
@@ -85,6 +91,9 @@
         let node = |i: usize| Node {
             ledger: Ledger::new(NodeId(i as u64)),
             started: Some(0),
+            lives: 0,
+            first: None,
+            named: Vec::new(),
             frozen_until: 0,
             group: 0,
             passed_over: vec![0; case.nodes],
@@ -115,11 +124,25 @@
         }
     }
 
-    fn know_size(&mut self, now: u64, i: usize) {
-        let size = self.nodes.len();
-        let it = &mut self.nodes[i];
-        let is_young = it.started.is_none_or(|at| now < at + FOUND_ALL && at > 0);
-        it.ledger.set_nodes(Time(now), if is_young { 100_000 } else { size });
+    /// Whether a node knows the fleet.
+    fn knows(&self, now: u64, i: usize) -> bool {
+        self.nodes[i].started.is_some_and(|at| now >= at + FOUND_ALL || at == 0)
+    }
+
+    /// Tells owners that are named no more, and the own accounts.
+    fn leave_former(&mut self, now: u64, i: usize, lost: f64) {
+        let owners = self.owners(now, i);
+        if self.nodes[i].named == owners {
+            return;
+        }
+        let former = std::mem::replace(&mut self.nodes[i].named, owners.clone());
+        let me = NodeId(i as u64);
+        for it in former.into_iter().chain([me]).filter(|it| !owners.contains(it)) {
+            let to = it.0 as usize;
+            if self.answers(now, i, to) && (to == i || !self.rng.random_bool(lost)) {
+                self.entrust(now, i, to);
+            }
+        }
     }
 
     fn heartbeat(&mut self, now: u64, i: usize, lost: f64) {
@@ -133,8 +156,25 @@
 
     fn entrust(&mut self, now: u64, from: usize, to: usize) {
         let owners = self.owners(now, from);
-        self.know_size(now, to);
-        self.nodes[to].ledger.entrust(Time(now), NodeId(from as u64), &owners);
+        self.entrust_to(now, from, to, owners);
+    }
+
+    fn entrust_to(&mut self, now: u64, from: usize, to: usize, owners: Vec<NodeId>) {
+        if !self.knows(now, to) {
+            return;
+        }
+        let knows = self.knows(now, from);
+        let node = &mut self.nodes[from];
+        if knows {
+            node.first.get_or_insert_with(|| owners.clone());
+        }
+        let is_lately = node.started.is_some_and(|at| now < at + FOUND_ALL + 3_000 * MS);
+        let named = node.first.as_ref().is_some_and(|it| it.contains(&NodeId(to as u64)));
+        let entrusted = Entrusted { owners, life: node.lives, is_first: is_lately && named };
+        let size = self.nodes.len();
+        let ledger = &mut self.nodes[to].ledger;
+        ledger.set_nodes(Time(now), size);
+        ledger.entrust(Time(now), NodeId(from as u64), &entrusted);
     }
 
     /// Whether a request of an organisation that comes to node `i` may run.
@@ -149,16 +189,20 @@
                 self.nodes[i].passed_over[owner] = now + PASS_OVER;
                 continue;
             }
+            if !self.knows(now, owner) {
+                return false;
+            }
             self.entrust(now, i, owner);
             let ledger = &mut self.nodes[owner].ledger;
             let decision = ledger.ask(Time(now), id, Allowance { rate_per_s, burst });
             return decision == Decision::Granted;
         }
         // Nobody answers: this node alone has its own share.
-        self.know_size(now, i);
-        let me = NodeId(i as u64);
+        if !self.knows(now, i) {
+            return false;
+        }
+        self.entrust_to(now, i, i, vec![NodeId(i as u64)]);
         let ledger = &mut self.nodes[i].ledger;
-        ledger.entrust(Time(now), me, &[me]);
         ledger.ask(Time(now), id, Allowance { rate_per_s, burst }) == Decision::Granted
     }
 
@@ -188,6 +232,9 @@
                     let it = &mut self.nodes[i];
                     it.ledger = Ledger::new(NodeId(i as u64));
                     it.started = Some(now);
+                    it.lives += 1;
+                    it.first = None;
+                    it.named.clear();
                     it.passed_over.fill(0);
                 }
             }
@@ -230,6 +277,9 @@
         }
         for i in 0..case.nodes {
             let is_up = fleet.nodes[i].started.is_some() && now >= fleet.nodes[i].frozen_until;
+            if is_up && now % (10 * step) == 0 {
+                fleet.leave_former(now, i, case.lost);
+            }
             let turn = i as u64 * HEARTBEAT / case.nodes as u64 / step * step;
             if is_up && now % HEARTBEAT == turn {
                 fleet.heartbeat(now, i, case.lost);
@@ -409,7 +459,8 @@
     let mut refused = 0;
     for i in 0..40 {
         let now = Time(i * 1_000);
-        ledger.entrust(now, NodeId(1), &[NodeId(1)]);
+        let mine = Entrusted { owners: vec![NodeId(1)], ..Entrusted::default() };
+        ledger.entrust(now, NodeId(1), &mine);
         if let Decision::Exhausted { next, retry_after } = ledger.ask(now, 7, allowance) {
             assert!(next <= retry_after && next <= Duration::from_millis(300), "{next:?}");
             assert!(
@@ -435,6 +486,14 @@
     (6_000_u64..20_000, fault).prop_map(|(at, fault)| (at * MS, fault))
 }
 
+/// Two moves of most nodes within one window: away from owners that are cut off, and back.
+#[test]
+fn the_bound_holds_when_most_nodes_leave_their_owners_for_a_second() {
+    for length in [300, 600, 1_028, 1_600, 2_500] {
+        check(vec![(6_000 * MS, Fault::Split { from: 0, to: 6, length: length * MS })], 0.0);
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(24))]
     #[test]
