Allowances: names of the field, the two sides of the exchange apart

Token buckets, their owner and the client in place of accounts, ledgers and purses; messages, asking and answering side in files of their own; how sends beside answers fare stands with its decision. No behaviour meant, but one found on reading: asks that were under way when a configuration dropped all limits were not said again.

--- a/crates/dappleway/src/ask.rs
+++ b/crates/dappleway/src/ask.rs
@@ -200,7 +200,7 @@
         return Ok(());
     }
     let titles =
-        ["\nORGANISATION", "RATE PER S", "BURST", "LEFT", "GRANTED", "REFUSED", "ACCOUNT OWNED BY"];
+        ["\nORGANISATION", "RATE PER S", "BURST", "LEFT", "GRANTED", "REFUSED", "OWNED BY"];
     let mut table = Table::new(&titles);
     for it in &report.organisations {
         let left = it.left.map_or("-".to_owned(), |it| format!("{it:.0}"));
--- a/crates/dappleway/src/control/allowances.rs
+++ b/crates/dappleway/src/control/allowances.rs
@@ -1,9 +1,11 @@
-//! Allowances of organisations: asked for at the owners of their accounts, decided where this node is one.
+//! Allowances of organisations: asked for at the owners of their buckets, decided where this node is one.
 
 use std::time::Duration;
 
 use caller::Admission;
-use fleet::{Accounts, AllowanceAction, AllowanceMessage, AllowanceOutcome, Message, Purse};
+use fleet::{
+    AllowanceAction, AllowanceClient, AllowanceMessage, AllowanceOutcome, AllowanceOwner, Message,
+};
 use operator::OrganisationReport;
 use policy::{Decision, NodeId, Time, owner_of, owners};
 use resources::{Allowance, Callers, Name};
@@ -34,8 +36,8 @@
 
 /// What the control thread holds for allowances.
 pub(super) struct Allowances {
-    purse: Purse,
-    accounts: Accounts,
+    client: AllowanceClient,
+    owner: AllowanceOwner,
     waiting: FxHashMap<u64, oneshot::Sender<Admission>>,
     /// Organisations that are limited, by the hash of their name.
     limited: FxHashMap<u64, Limited>,
@@ -49,8 +51,8 @@
 impl Allowances {
     pub(super) fn new(me: NodeId, timeout: Duration, life: u32) -> Self {
         Self {
-            purse: Purse::new(me, timeout * PATIENCE, life),
-            accounts: Accounts::new(me),
+            client: AllowanceClient::new(me, timeout * PATIENCE, life),
+            owner: AllowanceOwner::new(me),
             waiting: FxHashMap::default(),
             limited: FxHashMap::default(),
             owners: (Vec::new(), Time::default()),
@@ -61,7 +63,7 @@
 
     /// Whether no ask is under way.
     pub(super) fn is_idle(&self) -> bool {
-        self.purse.is_idle()
+        self.client.is_idle()
     }
 
     /// Follows a configuration that has come into force.
@@ -74,13 +76,13 @@
         self.limited = limited.collect();
     }
 
-    fn account(&self, organisation: u64) -> (u64, Option<Allowance>) {
+    fn bucket(&self, organisation: u64) -> (u64, Option<Allowance>) {
         (organisation, self.limited.get(&organisation).map(|it| it.allowance))
     }
 
     /// Asks that were settled by this node alone.
     pub(super) fn alone(&self) -> u64 {
-        self.purse.alone
+        self.client.alone
     }
 }
 
@@ -89,7 +91,7 @@
     pub(super) fn admit(&mut self, now: Time, organisation: u64, tx: oneshot::Sender<Admission>) {
         self.refresh_owners(now);
         let owners = &self.allowances.owners.0;
-        let (seq, action) = self.allowances.purse.ask(now, organisation, owners);
+        let (seq, action) = self.allowances.client.ask(now, organisation, owners);
         self.allowances.waiting.insert(seq, tx);
         self.allowance_action(now, action);
     }
@@ -103,36 +105,36 @@
             }
             AllowanceMessage::Entrust(_) if self.exchange.is_finding(now) => {}
             AllowanceMessage::Ask { seq, organisation, entrusted } => {
-                let account = self.allowances.account(organisation);
-                let accounts = &mut self.allowances.accounts;
-                let decision = accounts.ask(now, from, seq, account, &entrusted);
+                let bucket = self.allowances.bucket(organisation);
+                let owner = &mut self.allowances.owner;
+                let decision = owner.ask(now, from, seq, bucket, &entrusted);
                 self.send_allowance(from, AllowanceMessage::Answer { seq, decision });
             }
             AllowanceMessage::Answer { seq, decision } => {
-                let action = self.allowances.purse.answer(now, from, seq, decision);
+                let action = self.allowances.client.answer(now, from, seq, decision);
                 action.into_iter().for_each(|it| self.allowance_action(now, it));
             }
             AllowanceMessage::Entrust(it) => {
-                self.allowances.accounts.ledger.entrust(now, from, &it);
+                self.allowances.owner.buckets.entrust(now, from, &it);
             }
         }
     }
 
     /// Moves what time alone moves. Costs nothing where no organisation is limited.
     pub(super) fn tick_allowances(&mut self, now: Time) {
-        if self.allowances.limited.is_empty() {
+        if self.allowances.limited.is_empty() && self.allowances.is_idle() {
             return;
         }
         self.refresh_owners(now);
         let (size, is_finding) = (self.exchange.members().len() + 1, self.exchange.is_finding(now));
-        let Allowances { purse, accounts, owners: (owners, _), .. } = &mut self.allowances;
-        accounts.ledger.set_nodes(now, size);
+        let Allowances { client, owner, owners: (owners, _), .. } = &mut self.allowances;
+        owner.buckets.set_nodes(now, size);
         if !is_finding {
-            purse.know_fleet(now, owners);
-            let entrusted = purse.entrusted(now, owners, self.me.node);
-            accounts.ledger.entrust(now, self.me.node, &entrusted);
+            client.know_fleet(now, owners);
+            let entrusted = client.entrusted(now, owners, self.me.node);
+            owner.buckets.entrust(now, self.me.node, &entrusted);
         }
-        for action in purse.tick(now, owners) {
+        for action in client.tick(now, owners) {
             self.allowance_action(now, action);
         }
     }
@@ -143,10 +145,10 @@
             AllowanceAction::AskHere { .. } if self.exchange.is_finding(now) => {}
             AllowanceAction::AskHere { seq, organisation, entrusted } => {
                 let me = self.me.node;
-                let account = self.allowances.account(organisation);
-                let accounts = &mut self.allowances.accounts;
-                let decision = accounts.ask(now, me, seq, account, &entrusted);
-                if let Some(it) = self.allowances.purse.answer(now, me, seq, decision) {
+                let bucket = self.allowances.bucket(organisation);
+                let owner = &mut self.allowances.owner;
+                let decision = owner.ask(now, me, seq, bucket, &entrusted);
+                if let Some(it) = self.allowances.client.answer(now, me, seq, decision) {
                     self.allowance_action(now, it);
                 }
             }
@@ -198,21 +200,21 @@
 
     /// The limited organisations as this node knows them.
     pub(super) fn organisations(&self) -> Vec<OrganisationReport> {
-        let Allowances { accounts, limited, owners: (owners, _), .. } = &self.allowances;
+        let Allowances { owner, limited, owners: (owners, _), .. } = &self.allowances;
         let held: FxHashMap<_, _> =
-            accounts.ledger.report().map(|it| (it.organisation, it)).collect();
+            owner.buckets.report().map(|it| (it.organisation, it)).collect();
         let mut all: Vec<OrganisationReport> = limited
             .iter()
             .map(|(hash, it)| {
-                let account = held.get(hash);
+                let bucket = held.get(hash);
                 OrganisationReport {
                     name: it.name.to_string(),
                     rate_per_s: it.allowance.rate_per_s,
                     burst: it.allowance.burst,
                     owned_by: owner_of(*hash, owners).map(|it| self.addr_of(it)),
-                    left: account.map(|it| it.left),
-                    granted: account.map_or(0, |it| it.granted),
-                    refused: account.map_or(0, |it| it.refused),
+                    left: bucket.map(|it| it.left),
+                    granted: bucket.map_or(0, |it| it.granted),
+                    refused: bucket.map_or(0, |it| it.refused),
                 }
             })
             .collect();
@@ -221,11 +223,11 @@
         all
     }
 
-    /// Says whose allowances were used up at the accounts of this node.
+    /// Says whose allowances were used up at the buckets of this node.
     pub(super) fn log_allowances(&mut self) {
-        let Allowances { accounts, limited, .. } = &mut self.allowances;
+        let Allowances { owner, limited, .. } = &mut self.allowances;
         let mut refusing: Vec<_> = Vec::new();
-        for it in accounts.ledger.report() {
+        for it in owner.buckets.report() {
             let Some(known) = limited.get_mut(&it.organisation) else { continue };
             let before = std::mem::replace(&mut known.refused_before, it.refused);
             if it.refused > before {
--- a/crates/dappleway/tests/keys.rs
+++ b/crates/dappleway/tests/keys.rs
@@ -137,7 +137,7 @@
     let alice = limited(unlimited("alice", &[ALICE]));
     let bob = limited(unlimited("bob", &[BOB]));
     let bed = bed(&[alice, bob]).await;
-    // Accounts fill.
+    // AllowanceOwner fill.
     sleep(Duration::from_secs(2)).await;
     let started = Instant::now();
     let (mut served, mut refused, mut neighbours) = (0, 0, 0);
--- /dev/null
+++ b/crates/fleet/src/allowances/owner.rs
@@ -0,0 +1,60 @@
+//! The answering side of allowances.
+
+use std::time::Duration;
+
+use policy::{Buckets, Decision, Entrusted, NodeId, Time};
+use resources::Allowance;
+use rustc_hash::FxHashMap;
+
+/// An answer is remembered for this long: an ask that is said again takes no second request from the bucket.
+const REMEMBER_ANSWER: Duration = Duration::from_secs(1);
+
+/// The buckets of one node, and what it has answered lately.
+#[derive(Debug)]
+pub struct AllowanceOwner {
+    /// The buckets.
+    pub buckets: Buckets,
+    answered: FxHashMap<(NodeId, u64), (Decision, Time)>,
+    next_forget: Time,
+}
+
+impl AllowanceOwner {
+    /// No buckets yet at the node `me`.
+    pub fn new(me: NodeId) -> Self {
+        Self {
+            buckets: Buckets::new(me),
+            answered: FxHashMap::default(),
+            next_forget: Time::default(),
+        }
+    }
+
+    /// Decides on an ask of `from`. Nothing limits an organisation that is not known here to be
+    /// limited: whoever asks may have a newer configuration.
+    pub fn ask(
+        &mut self,
+        now: Time,
+        from: NodeId,
+        seq: u64,
+        bucket: (u64, Option<Allowance>),
+        entrusted: &Entrusted,
+    ) -> Decision {
+        self.forget(now);
+        self.buckets.entrust(now, from, entrusted);
+        if let Some((decision, _)) = self.answered.get(&(from, seq)) {
+            return *decision;
+        }
+        let decision = match bucket {
+            (organisation, Some(allowance)) => self.buckets.ask(now, organisation, allowance),
+            (_, None) => Decision::Granted,
+        };
+        self.answered.insert((from, seq), (decision, now));
+        decision
+    }
+
+    fn forget(&mut self, now: Time) {
+        if now >= self.next_forget {
+            self.next_forget = now + REMEMBER_ANSWER;
+            self.answered.retain(|_, (_, at)| now.since(*at) < REMEMBER_ANSWER);
+        }
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,7 +16,9 @@
 mod replica;
 mod wire;
 
-pub use allowances::{Accounts, AllowanceAction, AllowanceMessage, AllowanceOutcome, Purse};
+pub use allowances::{
+    AllowanceAction, AllowanceClient, AllowanceMessage, AllowanceOutcome, AllowanceOwner,
+};
 pub use backlog::{Admitted, Backlog};
 pub use bundle::{Bundle, EncodedDocument, RegistryCopy};
 pub use delivery::{Delivery, MessageTooLong};
--- a/crates/fleet/src/tests/allowances.rs
+++ b/crates/fleet/src/tests/allowances.rs
@@ -5,7 +5,7 @@
 use policy::{Decision, Entrusted, NodeId, Time, owner_of};
 use resources::Allowance;
 
-use crate::{Accounts, AllowanceAction, AllowanceMessage, AllowanceOutcome, Purse};
+use crate::{AllowanceAction, AllowanceClient, AllowanceMessage, AllowanceOutcome, AllowanceOwner};
 
 const ME: NodeId = NodeId(1);
 const TIMEOUT: Duration = Duration::from_millis(40);
@@ -21,8 +21,8 @@
     vec![NodeId(2), NodeId(3), NodeId(4)]
 }
 
-fn purse() -> Purse {
-    Purse::new(ME, TIMEOUT, 100)
+fn client() -> AllowanceClient {
+    AllowanceClient::new(ME, TIMEOUT, 100)
 }
 
 /// The node that an ask goes to.
@@ -35,25 +35,25 @@
 
 #[test]
 fn an_answer_settles_an_ask_once() {
-    let mut purse = purse();
-    let (seq, action) = purse.ask(ms(0), ORGANISATION, &owners());
+    let mut client = client();
+    let (seq, action) = client.ask(ms(0), ORGANISATION, &owners());
     let owner = owner_of(ORGANISATION, &owners()).unwrap();
     assert_eq!(asked(&[action]), Some(owner));
-    let settled = purse.answer(ms(1), owner, seq, Decision::Granted);
+    let settled = client.answer(ms(1), owner, seq, Decision::Granted);
     assert_eq!(settled, Some(AllowanceAction::Settle(seq, GRANTED)));
-    assert_eq!(purse.answer(ms(2), owner, seq, Decision::Granted), None);
-    assert!(purse.is_idle());
+    assert_eq!(client.answer(ms(2), owner, seq, Decision::Granted), None);
+    assert!(client.is_idle());
 }
 
 #[test]
 fn a_silent_owner_is_asked_again_and_then_passed_over() {
-    let mut purse = purse();
-    let (_, action) = purse.ask(ms(0), ORGANISATION, &owners());
+    let mut client = client();
+    let (_, action) = client.ask(ms(0), ORGANISATION, &owners());
     let first = asked(&[action]).unwrap();
     for at in [40, 80, 120, 160, 200] {
-        assert_eq!(asked(&purse.tick(ms(at), &owners())), Some(first), "{at} ms");
+        assert_eq!(asked(&client.tick(ms(at), &owners())), Some(first), "{at} ms");
     }
-    let actions = purse.tick(ms(240), &owners());
+    let actions = client.tick(ms(240), &owners());
     assert!(actions.contains(&AllowanceAction::PassOver(first)));
     assert!(asked(&actions).is_some_and(|it| it != first), "{actions:?}");
 }
@@ -61,11 +61,11 @@
 /// Two silent owners are enough: the node's own share decides, and what it lacks is not known to be used up.
 #[test]
 fn a_node_that_reaches_no_owner_has_its_own_share() {
-    let mut purse = purse();
-    let (seq, _) = purse.ask(ms(0), ORGANISATION, &owners());
+    let mut client = client();
+    let (seq, _) = client.ask(ms(0), ORGANISATION, &owners());
     let mut left = owners();
     let here = (1..20).find_map(|i| {
-        let actions = purse.tick(ms(i * 40), &left);
+        let actions = client.tick(ms(i * 40), &left);
         for it in &actions {
             if let AllowanceAction::PassOver(node) = it {
                 left.retain(|it| it != node);
@@ -73,22 +73,22 @@
         }
         actions.into_iter().find(|it| matches!(it, AllowanceAction::AskHere { .. }))
     });
-    let entrusted = purse.entrusted(ms(900), &[ME], ME);
+    let entrusted = client.entrusted(ms(900), &[ME], ME);
     let alone = AllowanceAction::AskHere { seq, organisation: ORGANISATION, entrusted };
     assert_eq!(here, Some(alone));
     let refused = Decision::Exhausted { next: TIMEOUT, retry_after: TIMEOUT };
-    let settled = purse.answer(ms(900), ME, seq, refused);
+    let settled = client.answer(ms(900), ME, seq, refused);
     assert_eq!(settled, Some(AllowanceAction::Settle(seq, AllowanceOutcome::Unknown)));
 }
 
 #[test]
 fn nobody_is_asked_while_asking_is_in_vain() {
-    let mut purse = purse();
+    let mut client = client();
     let owner = owner_of(ORGANISATION, &owners()).unwrap();
-    let (seq, _) = purse.ask(ms(0), ORGANISATION, &owners());
+    let (seq, _) = client.ask(ms(0), ORGANISATION, &owners());
     let (next, retry_after) = (Duration::from_millis(30), Duration::from_millis(200));
-    purse.answer(ms(1), owner, seq, Decision::Exhausted { next, retry_after });
-    let (_, action) = purse.ask(ms(10), ORGANISATION, &owners());
+    client.answer(ms(1), owner, seq, Decision::Exhausted { next, retry_after });
+    let (_, action) = client.ask(ms(10), ORGANISATION, &owners());
     let AllowanceAction::Settle(
         _,
         AllowanceOutcome::Decided(Decision::Exhausted { retry_after, .. }),
@@ -97,40 +97,40 @@
         panic!("{action:?}")
     };
     assert_eq!(retry_after, Duration::from_millis(191));
-    let (_, other) = purse.ask(ms(10), ORGANISATION + 1, &owners());
+    let (_, other) = client.ask(ms(10), ORGANISATION + 1, &owners());
     assert!(asked(&[other]).is_some(), "another organisation");
-    let (_, later) = purse.ask(ms(32), ORGANISATION, &owners());
+    let (_, later) = client.ask(ms(32), ORGANISATION, &owners());
     assert!(asked(&[later]).is_some());
 }
 
 #[test]
 fn owners_hear_from_a_node_that_asks_for_nothing() {
-    let mut purse = purse();
+    let mut client = client();
     let told = |actions: Vec<AllowanceAction>| {
         let is_told = |it: &AllowanceAction| {
             matches!(it, AllowanceAction::Send(_, AllowanceMessage::Entrust(_)))
         };
         actions.iter().filter(|it| is_told(it)).count()
     };
-    assert_eq!(told(purse.tick(ms(0), &owners())), 3);
-    assert_eq!(told(purse.tick(ms(400), &owners())), 0);
-    purse.ask(ms(450), ORGANISATION, &owners());
-    assert_eq!(told(purse.tick(ms(500), &owners())), 2, "one was asked a moment ago");
+    assert_eq!(told(client.tick(ms(0), &owners())), 3);
+    assert_eq!(told(client.tick(ms(400), &owners())), 0);
+    client.ask(ms(450), ORGANISATION, &owners());
+    assert_eq!(told(client.tick(ms(500), &owners())), 2, "one was asked a moment ago");
 }
 
 #[test]
 fn an_ask_that_is_said_again_takes_one_request() {
-    let mut accounts = Accounts::new(ME);
-    accounts.ledger.set_nodes(ms(0), 1);
-    let account = (ORGANISATION, Some(ALLOWANCE));
+    let mut owner = AllowanceOwner::new(ME);
+    owner.buckets.set_nodes(ms(0), 1);
+    let bucket = (ORGANISATION, Some(ALLOWANCE));
     let mine = Entrusted { owners: vec![ME], ..Entrusted::default() };
-    accounts.ledger.entrust(ms(0), ME, &mine);
+    owner.buckets.entrust(ms(0), ME, &mine);
     for it in 1..=4 {
-        accounts.ledger.entrust(ms(it * 500), ME, &mine);
+        owner.buckets.entrust(ms(it * 500), ME, &mine);
     }
     let mut granted = 0;
     for seq in 0..40 {
-        let decisions = [0, 1, 2].map(|_| accounts.ask(ms(2_000), ME, seq, account, &mine));
+        let decisions = [0, 1, 2].map(|_| owner.ask(ms(2_000), ME, seq, bucket, &mine));
         assert!(decisions.iter().all(|it| *it == decisions[0]), "{decisions:?}");
         granted += u32::from(decisions[0] == Decision::Granted);
     }
@@ -139,7 +139,7 @@
 
 #[test]
 fn what_is_not_known_to_be_limited_is_granted() {
-    let mut accounts = Accounts::new(ME);
-    let decision = accounts.ask(ms(0), NodeId(9), 1, (ORGANISATION, None), &Entrusted::default());
+    let mut owner = AllowanceOwner::new(ME);
+    let decision = owner.ask(ms(0), NodeId(9), 1, (ORGANISATION, None), &Entrusted::default());
     assert_eq!(decision, Decision::Granted);
 }
--- a/crates/fleet/tests/allowances_after_a_return.rs
+++ b/crates/fleet/tests/allowances_after_a_return.rs
@@ -12,7 +12,7 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use fleet::{Accounts, AllowanceAction, AllowanceMessage, AllowanceOutcome, Purse};
+use fleet::{AllowanceAction, AllowanceClient, AllowanceMessage, AllowanceOutcome, AllowanceOwner};
 use policy::{Decision, NodeId, Time, owners};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -27,7 +27,7 @@
 const RUN: u64 = 12_000 * MS;
 
 /// An organisation that keeps to nine tenths of its rate, and the share of its requests that may be refused in the seconds
-/// after a return. A small one's come in clusters, for which the account is not full yet.
+/// after a return. A small one's come in clusters, for which the bucket is not full yet.
 #[derive(Clone, Copy)]
 struct Organisation {
     hash: u64,
@@ -51,7 +51,7 @@
 struct Fleet {
     now: u64,
     rng: StdRng,
-    nodes: Vec<(Purse, Accounts)>,
+    nodes: Vec<(AllowanceClient, AllowanceOwner)>,
     events: BinaryHeap<std::cmp::Reverse<(u64, Event)>>,
     /// Messages under way: from, to, what.
     messages: Vec<(u64, u64, AllowanceMessage)>,
@@ -85,8 +85,8 @@
             AllowanceAction::AskHere { .. } if self.is_finding() => {}
             AllowanceAction::AskHere { seq, organisation, entrusted } => {
                 let me = NodeId(i as u64);
-                let account = account(organisation);
-                let decision = self.nodes[i].1.ask(now, me, seq, account, &entrusted);
+                let bucket = bucket(organisation);
+                let decision = self.nodes[i].1.ask(now, me, seq, bucket, &entrusted);
                 let action = self.nodes[i].0.answer(now, me, seq, decision);
                 action.into_iter().for_each(|it| self.act(i, it));
             }
@@ -126,24 +126,24 @@
             }
             AllowanceMessage::Entrust(_) if self.is_finding() => {}
             AllowanceMessage::Ask { seq, organisation, entrusted } => {
-                let account = account(organisation);
-                let decision = self.nodes[to].1.ask(now, NodeId(from), seq, account, &entrusted);
+                let bucket = bucket(organisation);
+                let decision = self.nodes[to].1.ask(now, NodeId(from), seq, bucket, &entrusted);
                 self.send(to as u64, from, AllowanceMessage::Answer { seq, decision });
             }
             AllowanceMessage::Entrust(it) => {
-                self.nodes[to].1.ledger.entrust(now, NodeId(from), &it);
+                self.nodes[to].1.buckets.entrust(now, NodeId(from), &it);
             }
         }
     }
 
     fn tick(&mut self, i: usize) {
         let (now, owners) = (Time(self.now), self.owners());
-        self.nodes[i].1.ledger.set_nodes(now, NODES as usize);
+        self.nodes[i].1.buckets.set_nodes(now, NODES as usize);
         if !self.is_finding() {
-            let (purse, accounts) = &mut self.nodes[i];
-            purse.know_fleet(now, &owners);
-            let entrusted = purse.entrusted(now, &owners, NodeId(i as u64));
-            accounts.ledger.entrust(now, NodeId(i as u64), &entrusted);
+            let (client, owner) = &mut self.nodes[i];
+            client.know_fleet(now, &owners);
+            let entrusted = client.entrusted(now, &owners, NodeId(i as u64));
+            owner.buckets.entrust(now, NodeId(i as u64), &entrusted);
         }
         let actions = self.nodes[i].0.tick(now, &owners);
         actions.into_iter().for_each(|it| self.act(i, it));
@@ -163,14 +163,14 @@
     }
 }
 
-fn account(organisation: u64) -> (u64, Option<Allowance>) {
+fn bucket(organisation: u64) -> (u64, Option<Allowance>) {
     let it = ORGANISATIONS.iter().find(|it| it.hash == organisation).expect("it is one of these");
     (organisation, Some(Allowance { rate_per_s: it.rate, burst: it.rate }))
 }
 
 /// Plays the first seconds of a fleet; returns what became of each organisation's requests.
 fn play(seed: u64, lost: f64) -> Vec<(u32, u32, u64)> {
-    let node = |id| (Purse::new(NodeId(id), TIMEOUT, 0), Accounts::new(NodeId(id)));
+    let node = |id| (AllowanceClient::new(NodeId(id), TIMEOUT, 0), AllowanceOwner::new(NodeId(id)));
     let mut fleet = Fleet {
         now: 0,
         rng: StdRng::seed_from_u64(seed),
--- a/crates/operator/src/report.rs
+++ b/crates/operator/src/report.rs
@@ -32,7 +32,7 @@
     pub members: Vec<MemberReport>,
     /// Services.
     pub services: Vec<ServiceReport>,
-    /// Limited organisations: those that were refused most at this node's accounts first, and not all if they are many.
+    /// Limited organisations: those that were refused most at this node's buckets first, and not all if they are many.
     pub organisations: Vec<OrganisationReport>,
     /// Bytes of the exchange sent and received since the start.
     pub control_bytes: u64,
@@ -94,7 +94,7 @@
     pub rate_per_s: f64,
     /// Requests beyond that at once.
     pub burst: f64,
-    /// Address of the exchange of the node that owns its account, as this node sees it. The figures there are what counts.
+    /// Address of the exchange of the node that owns its bucket, as this node sees it. The figures there are what counts.
     pub owned_by: Option<String>,
     /// Requests that may run now; absent where this node was not asked lately.
     pub left: Option<f64>,
--- a/crates/policy/src/allowance.rs
+++ b/crates/policy/src/allowance.rs
@@ -1,15 +1,15 @@
 //! Allowances of organisations over the whole fleet, without shared state.
 //!
-//! One node owns the account of an organisation; rendezvous hashing over a few strong nodes names it. What accrues in an
-//! account rests on what nodes say, not on what the owner remembers: each node owns an equal share of every allowance and
-//! entrusts it to one owner at a time, by naming the owners that it asks. An account grows by the shares that are entrusted
+//! One node owns the bucket of an organisation; rendezvous hashing over a few strong nodes names it. What accrues in a
+//! bucket rests on what nodes say, not on what the owner remembers: each node owns an equal share of every allowance and
+//! entrusts it to one owner at a time, by naming the owners that it asks. A bucket grows by the shares that are entrusted
 //! to its owner (`shares`). So the parts of a fleet that has fallen apart have a part of each allowance, a node that takes
-//! over begins with what nodes bring along, and two owners of one account have no more together than one.
+//! over begins with what nodes bring along, and two owners of one bucket have no more together than one.
 //!
 //! It answers the load of one organisation that sends many times what it may while others, in the same moment, are at nine
 //! tenths of what they may: the one gets its rate, the others lose nothing.
 
-mod account;
+mod bucket;
 mod shares;
 
 use std::time::Duration;
@@ -19,15 +19,15 @@
 
 use crate::rendezvous::{NodeId, rank, rank_strong_first, strong};
 use crate::time::Time;
-use account::Account;
+use bucket::Bucket;
 use shares::Shares;
 
-/// Nodes that own accounts: few, so that each hears of most nodes by their asks alone, and more than one hot organisation
+/// Nodes that own buckets: few, so that each hears of most nodes by their asks alone, and more than one hot organisation
 /// needs.
 pub const OWNERS: usize = 4;
-/// Accounts are held for organisations that have asked in this time; a later ask finds the same as a first one.
+/// Buckets are kept for organisations that have asked in this time; a later ask finds the same as a first one.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
-/// Names the nodes that own accounts.
+/// Names the nodes that own buckets.
 const OWNERS_KEY: u64 = 0x0a11_0a4c_e5ca_feed;
 
 /// What becomes of a request.
@@ -57,47 +57,47 @@
     pub is_first: bool,
 }
 
-/// The nodes that own accounts, of `nodes` with their thousandths of a core.
+/// The nodes that own buckets, of `nodes` with their thousandths of a core.
 pub fn owners(nodes: &[(NodeId, u32)]) -> Vec<NodeId> {
     let mut ranked = rank_strong_first(OWNERS_KEY, nodes);
     ranked.truncate(strong(nodes).count().min(OWNERS));
     ranked
 }
 
-/// The owner of an organisation's account among `owners`.
+/// The owner of an organisation's bucket among `owners`.
 pub fn owner_of(organisation: u64, owners: &[NodeId]) -> Option<NodeId> {
     rank(organisation, owners.iter().copied()).first().copied()
 }
 
 /// What an organisation has used, for reports.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct AccountReport {
+pub struct BucketReport {
     /// Hash of the organisation's name.
     pub organisation: u64,
     /// Requests that may run now.
     pub left: f64,
-    /// Requests granted since the account was opened here.
+    /// Requests granted since the bucket was opened here.
     pub granted: u64,
     /// Requests refused since then.
     pub refused: u64,
 }
 
-/// The accounts that one node owns.
+/// The buckets that one node owns.
 #[derive(Debug)]
-pub struct Ledger {
+pub struct Buckets {
     me: NodeId,
     shares: Shares,
-    accounts: FxHashMap<u64, Account>,
+    buckets: FxHashMap<u64, Bucket>,
     next_forget: Time,
 }
 
-impl Ledger {
-    /// Accounts of the node `me`, which knows of no other yet.
+impl Buckets {
+    /// Buckets of the node `me`, which knows of no other yet.
     pub fn new(me: NodeId) -> Self {
         Self {
             me,
             shares: Shares::new(),
-            accounts: FxHashMap::default(),
+            buckets: FxHashMap::default(),
             next_forget: Time::default(),
         }
     }
@@ -115,20 +115,20 @@
     /// Decides on one request of an organisation.
     pub fn ask(&mut self, now: Time, organisation: u64, allowance: Allowance) -> Decision {
         self.forget(now);
-        let fund = self.shares.fund(now, self.me, organisation);
-        let account = self.accounts.entry(organisation).or_insert_with(|| Account::new(now));
-        account.ask(now, fund, allowance)
+        let supply = self.shares.supply(now, self.me, organisation);
+        let bucket = self.buckets.entry(organisation).or_insert_with(|| Bucket::new(now));
+        bucket.ask(now, supply, allowance)
     }
 
-    /// The accounts that were asked for lately.
-    pub fn report(&self) -> impl Iterator<Item = AccountReport> + '_ {
-        self.accounts.iter().map(|(organisation, it)| it.report(*organisation))
+    /// The buckets that were asked for lately.
+    pub fn report(&self) -> impl Iterator<Item = BucketReport> + '_ {
+        self.buckets.iter().map(|(organisation, it)| it.report(*organisation))
     }
 
     fn forget(&mut self, now: Time) {
         if now >= self.next_forget {
             self.next_forget = now + FORGET_AFTER;
-            self.accounts.retain(|_, it| it.is_in_use(now, FORGET_AFTER));
+            self.buckets.retain(|_, it| it.is_in_use(now, FORGET_AFTER));
             self.shares.forget(now);
         }
     }
--- a/crates/policy/src/allowance/account.rs
+++ b/crates/policy/src/allowance/bucket.rs
@@ -1,11 +1,11 @@
-//! One organisation's account at its owner: a token bucket that grows by what nodes entrust.
+//! One organisation's bucket at its owner: a token bucket that grows by what nodes entrust.
 
 use std::time::Duration;
 
 use resources::Allowance;
 
-use super::shares::Fund;
-use super::{AccountReport, Decision};
+use super::shares::Supply;
+use super::{BucketReport, Decision};
 use crate::time::Time;
 
 /// The rate is granted a little beyond its figure, so that an organisation that keeps to it is not refused for coming in
@@ -23,7 +23,7 @@
 /// place of the other part. No owner still counts their shares, so that there is more room for it; without it most
 /// requests would be refused in the first second after a return of the fleet.
 const BROUGHT_FIRST: f64 = 0.5;
-/// Asking is said to be in vain for this long at most: an account that grows slowly may be entrusted with more at any time.
+/// Asking is said to be in vain for this long at most: a bucket that grows slowly may be entrusted with more at any time.
 const MAX_IN_VAIN: Duration = Duration::from_millis(100);
 /// When to come back is worked out for this part of an allowance at least. With less an owner has just taken over, or stands in
 /// for a node that lost a few messages; neither lasts.
@@ -32,11 +32,11 @@
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
 
 #[derive(Clone, Debug)]
-pub(super) struct Account {
+pub(super) struct Bucket {
     /// Requests that may run now.
     left: f64,
-    /// What was had of the fund.
-    had: Fund,
+    /// What was had of the supply.
+    had: Supply,
     /// Until when the places of those that were refused reach.
     line: Time,
     asked: Time,
@@ -44,22 +44,22 @@
     refused: u64,
 }
 
-impl Account {
+impl Bucket {
     pub(super) fn new(now: Time) -> Self {
-        Self { left: 0.0, had: Fund::default(), line: now, asked: now, granted: 0, refused: 0 }
+        Self { left: 0.0, had: Supply::default(), line: now, asked: now, granted: 0, refused: 0 }
     }
 
-    pub(super) fn ask(&mut self, now: Time, fund: Fund, allowance: Allowance) -> Decision {
+    pub(super) fn ask(&mut self, now: Time, supply: Supply, allowance: Allowance) -> Decision {
         self.asked = now;
         let rate = allowance.rate_per_s * RATE + RATE_EXTRA;
-        self.grow(fund, rate, allowance);
+        self.grow(supply, rate, allowance);
         if self.left >= 1.0 {
             self.left -= 1.0;
             self.granted += 1;
             return Decision::Granted;
         }
         self.refused += 1;
-        let rate = rate * fund.part.max(MIN_PART);
+        let rate = rate * supply.part.max(MIN_PART);
         let after = |requests: f64| {
             Duration::from_secs_f64((requests / rate).min(MAX_RETRY_AFTER.as_secs_f64()))
         };
@@ -74,21 +74,21 @@
         now.since(self.asked) < within
     }
 
-    pub(super) fn report(&self, organisation: u64) -> AccountReport {
+    pub(super) fn report(&self, organisation: u64) -> BucketReport {
         let Self { left, granted, refused, .. } = *self;
-        AccountReport { organisation, left, granted, refused }
+        BucketReport { organisation, left, granted, refused }
     }
 
-    fn grow(&mut self, fund: Fund, rate: f64, allowance: Allowance) {
+    fn grow(&mut self, supply: Supply, rate: f64, allowance: Allowance) {
         let Allowance { rate_per_s, burst } = allowance;
-        let seconds = (fund.seconds - self.had.seconds).max(0.0);
-        let brought = (fund.brought - self.had.brought).max(0.0);
-        let brought_first = (fund.brought_first - self.had.brought_first).max(0.0);
-        self.had = fund;
+        let seconds = (supply.seconds - self.had.seconds).max(0.0);
+        let brought = (supply.brought - self.had.brought).max(0.0);
+        let brought_first = (supply.brought_first - self.had.brought_first).max(0.0);
+        self.had = supply;
         let more = seconds * rate
             + brought * (burst * BROUGHT_OF_BURST + BROUGHT)
             + brought_first * (burst.min(rate_per_s) * BROUGHT_FIRST + BROUGHT);
-        let most = (burst + EXTRA) * fund.part;
+        let most = (burst + EXTRA) * supply.part;
         self.left = (self.left + more).min(most);
     }
 }
--- a/crates/policy/src/allowance/shares.rs
+++ b/crates/policy/src/allowance/shares.rs
@@ -8,8 +8,8 @@
 use crate::rendezvous::NodeId;
 use crate::time::Time;
 
-/// A share counts here for this long after its node was last heard: two messages in a row may be lost. It is what an account may have twice when a
-/// fleet falls apart, so it is short.
+/// A share counts here for this long after its node was last heard: two messages in a row may be lost. It is what a
+/// bucket may have twice when a fleet falls apart, so it is short.
 pub(super) const HELD_FOR: Duration = Duration::from_millis(1_500);
 /// A node brings something along to a new owner no more often than this.
 const BRINGS_EVERY: Duration = Duration::from_secs(5);
@@ -47,9 +47,9 @@
     brought: Time,
 }
 
-/// What an account has had until now. It only grows while the same nodes entrust it.
+/// What a bucket has had until now. It only grows while the same nodes entrust it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(super) struct Fund {
+pub(super) struct Supply {
     /// Seconds of the whole allowance.
     pub(super) seconds: f64,
     /// Wholes of what a new owner is given.
@@ -99,22 +99,22 @@
         }
     }
 
-    /// What the account of an organisation has had here.
-    pub(super) fn fund(&self, now: Time, me: NodeId, organisation: u64) -> Fund {
+    /// What the bucket of an organisation has had here.
+    pub(super) fn supply(&self, now: Time, me: NodeId, organisation: u64) -> Supply {
         let is_mine = |it: &Part| owner_of(organisation, &it.owners) == Some(me);
         let is_mine: Vec<bool> = self.parts.iter().map(is_mine).collect();
-        let mut fund = Fund::default();
+        let mut supply = Supply::default();
         for (it, _) in self.parts.iter().zip(&is_mine).filter(|(_, is_mine)| **is_mine) {
-            fund.seconds += it.seconds;
-            fund.brought += it.brought;
-            fund.brought_first += it.brought_first;
+            supply.seconds += it.seconds;
+            supply.brought += it.brought;
+            supply.brought_first += it.brought_first;
         }
         let share = 1.0 / self.nodes as f64;
         for it in self.holders.values().filter(|it| is_mine[it.part]) {
-            fund.seconds += it.uncounted(now).as_secs_f64() * share;
-            fund.part += if it.is_held(now) { share } else { 0.0 };
+            supply.seconds += it.uncounted(now).as_secs_f64() * share;
+            supply.part += if it.is_held(now) { share } else { 0.0 };
         }
-        fund
+        supply
     }
 
     /// Drops nodes that are long gone.
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -33,7 +33,7 @@
 use crate::suspects::{RequestKey, Suspects};
 use crate::time::Time;
 use load::Load;
-use overlap::{Began, Overlap, Sent};
+use overlap::{Overlap, Sent};
 
 pub use counts::{DispatchCounts, IdleEndpoint, Occupancy};
 pub use evidence::EvidenceReport;
@@ -272,7 +272,7 @@
         let held_slot = load.give_back(id);
         if kind == Kind::Shed {
             load.full_until = now + FULL_FOR;
-            self.overlap.note(now, permit.sent, Began::Shed);
+            self.note_shed(now, permit.sent);
         }
         if kind == Kind::Answered && !permit.told.has_answer() {
             self.note_answer(now, &permit, elapsed);
@@ -433,23 +433,6 @@
         let next = mean + HOLD_GAIN * (held.as_secs_f64() - mean);
         self.mean_hold = Duration::from_secs_f64(next);
     }
-
-    /// Whether a send that goes to an endpoint now goes there only because answers that travel hold no slot.
-    fn sent_to(&self, now: Time, endpoint: usize) -> Sent {
-        let load = &self.loads[endpoint];
-        let slots = self.endpoints()[endpoint].usable_slots(now);
-        match load.in_use() + load.travelling() >= slots && load.travelling() > 0 {
-            true => Sent::BesideAnswers,
-            false => Sent::Alone,
-        }
-    }
-
-    /// Takes in after what part of the objective an answer began.
-    fn note_answer(&mut self, now: Time, permit: &Permit, elapsed: Duration) {
-        let objective = permit.objective.max(Duration::from_millis(1));
-        let took = elapsed.as_secs_f64() / objective.as_secs_f64();
-        self.overlap.note(now, permit.sent, Began::Answered(took));
-    }
 }
 
 fn floor_share(service: &Service) -> f64 {
--- a/crates/policy/src/dispatcher/overlap.rs
+++ b/crates/policy/src/dispatcher/overlap.rs
@@ -9,6 +9,7 @@
 
 use std::time::Duration;
 
+use super::{Dispatcher, Permit};
 use crate::time::Time;
 
 /// Sends of a kind before they are judged.
@@ -52,7 +53,7 @@
 
 /// How a send began.
 #[derive(Clone, Copy, Debug)]
-pub(super) enum Began {
+enum Began {
     /// Turned away before any work.
     Shed,
     /// Its answer began after so many times the objective.
@@ -76,7 +77,7 @@
     }
 
     /// Takes in how a send began.
-    pub(super) fn note(&mut self, now: Time, sent: Sent, began: Began) {
+    fn note(&mut self, now: Time, sent: Sent, began: Began) {
         match sent {
             Sent::Alone => self.alone.add(now, began),
             Sent::BesideAnswers => self.beside.add(now, began),
@@ -129,3 +130,27 @@
         self.took / self.answered.max(1.0)
     }
 }
+
+impl Dispatcher {
+    /// Whether a send that goes to an endpoint now goes there only because answers that travel hold no slot.
+    pub(super) fn sent_to(&self, now: Time, endpoint: usize) -> Sent {
+        let load = &self.loads[endpoint];
+        let slots = self.endpoints()[endpoint].usable_slots(now);
+        match load.in_use() + load.travelling() >= slots && load.travelling() > 0 {
+            true => Sent::BesideAnswers,
+            false => Sent::Alone,
+        }
+    }
+
+    /// Takes in after what part of the objective an answer began.
+    pub(super) fn note_answer(&mut self, now: Time, permit: &Permit, elapsed: Duration) {
+        let objective = permit.objective.max(Duration::from_millis(1));
+        let took = elapsed.as_secs_f64() / objective.as_secs_f64();
+        self.overlap.note(now, permit.sent, Began::Answered(took));
+    }
+
+    /// Takes in that a send was turned away.
+    pub(super) fn note_shed(&mut self, now: Time, sent: Sent) {
+        self.overlap.note(now, sent, Began::Shed);
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,7 +24,7 @@
 mod time;
 mod verdict;
 
-pub use allowance::{AccountReport, Decision, Entrusted, Ledger, OWNERS, owner_of, owners};
+pub use allowance::{BucketReport, Buckets, Decision, Entrusted, OWNERS, owner_of, owners};
 pub use baseline::RouteTerms;
 pub use budget::{BudgetLimits, RepeatsReport};
 pub use dispatcher::{DispatchCounts, Dispatcher, EvidenceReport, IdleEndpoint, Occupancy};
--- a/crates/policy/src/tests/allowance.rs
+++ b/crates/policy/src/tests/allowance.rs
@@ -8,7 +8,7 @@
 use resources::Allowance;
 
 use super::fixture::SECOND;
-use crate::{Decision, Entrusted, Ledger, NodeId, Time, owner_of, owners};
+use crate::{Buckets, Decision, Entrusted, NodeId, Time, owner_of, owners};
 
 const MS: u64 = 1_000;
 /// Length of the windows that users count, in microseconds.
@@ -50,7 +50,7 @@
 #[derive(Clone, Debug)]
 struct Case {
     nodes: usize,
-    /// Nodes that may own accounts.
+    /// Nodes that may own buckets.
     strong: usize,
     organisations: Vec<Organisation>,
     faults: Vec<(u64, Fault)>,
@@ -62,7 +62,7 @@
 }
 
 struct Node {
-    ledger: Ledger,
+    buckets: Buckets,
     /// Nothing while it is down.
     started: Option<u64>,
     /// Lives before this one.
@@ -89,7 +89,7 @@
 impl Fleet {
     fn new(case: &Case, seed: u64) -> Self {
         let node = |i: usize| Node {
-            ledger: Ledger::new(NodeId(i as u64)),
+            buckets: Buckets::new(NodeId(i as u64)),
             started: Some(0),
             lives: 0,
             first: None,
@@ -129,7 +129,7 @@
         self.nodes[i].started.is_some_and(|at| now >= at + FOUND_ALL || at == 0)
     }
 
-    /// Tells owners that are named no more, and the own accounts.
+    /// Tells owners that are named no more, and the own buckets.
     fn leave_former(&mut self, now: u64, i: usize, lost: f64) {
         let owners = self.owners(now, i);
         if self.nodes[i].named == owners {
@@ -172,9 +172,9 @@
         let named = node.first.as_ref().is_some_and(|it| it.contains(&NodeId(to as u64)));
         let entrusted = Entrusted { owners, life: node.lives, is_first: is_lately && named };
         let size = self.nodes.len();
-        let ledger = &mut self.nodes[to].ledger;
-        ledger.set_nodes(Time(now), size);
-        ledger.entrust(Time(now), NodeId(from as u64), &entrusted);
+        let buckets = &mut self.nodes[to].buckets;
+        buckets.set_nodes(Time(now), size);
+        buckets.entrust(Time(now), NodeId(from as u64), &entrusted);
     }
 
     /// Whether a request of an organisation that comes to node `i` may run.
@@ -193,8 +193,8 @@
                 return false;
             }
             self.entrust(now, i, owner);
-            let ledger = &mut self.nodes[owner].ledger;
-            let decision = ledger.ask(Time(now), id, Allowance { rate_per_s, burst });
+            let buckets = &mut self.nodes[owner].buckets;
+            let decision = buckets.ask(Time(now), id, Allowance { rate_per_s, burst });
             return decision == Decision::Granted;
         }
         // Nobody answers: this node alone has its own share.
@@ -202,8 +202,8 @@
             return false;
         }
         self.entrust_to(now, i, i, vec![NodeId(i as u64)]);
-        let ledger = &mut self.nodes[i].ledger;
-        ledger.ask(Time(now), id, Allowance { rate_per_s, burst }) == Decision::Granted
+        let buckets = &mut self.nodes[i].buckets;
+        buckets.ask(Time(now), id, Allowance { rate_per_s, burst }) == Decision::Granted
     }
 
     fn fault(&mut self, now: u64, fault: Fault) {
@@ -230,7 +230,7 @@
             Fault::Kill { from, to, .. } => {
                 for i in from..to {
                     let it = &mut self.nodes[i];
-                    it.ledger = Ledger::new(NodeId(i as u64));
+                    it.buckets = Buckets::new(NodeId(i as u64));
                     it.started = Some(now);
                     it.lives += 1;
                     it.first = None;
@@ -452,16 +452,16 @@
 
 #[test]
 fn places_of_those_that_are_refused_follow_each_other() {
-    let mut ledger = Ledger::new(NodeId(1));
-    ledger.set_nodes(Time(0), 1);
+    let mut buckets = Buckets::new(NodeId(1));
+    buckets.set_nodes(Time(0), 1);
     let allowance = Allowance { rate_per_s: 10.0, burst: 0.0 };
     let mut last = Duration::ZERO;
     let mut refused = 0;
     for i in 0..40 {
         let now = Time(i * 1_000);
         let mine = Entrusted { owners: vec![NodeId(1)], ..Entrusted::default() };
-        ledger.entrust(now, NodeId(1), &mine);
-        if let Decision::Exhausted { next, retry_after } = ledger.ask(now, 7, allowance) {
+        buckets.entrust(now, NodeId(1), &mine);
+        if let Decision::Exhausted { next, retry_after } = buckets.ask(now, 7, allowance) {
             assert!(next <= retry_after && next <= Duration::from_millis(300), "{next:?}");
             assert!(
                 retry_after + Duration::from_millis(2) > last,
--- a/xtask/src/demo/organisations.rs
+++ b/xtask/src/demo/organisations.rs
@@ -19,7 +19,7 @@
 const REQUESTS: usize = 300;
 /// Pause between them.
 const PAUSE: Duration = Duration::from_millis(8);
-/// Time for a configuration to be in force, and for accounts to fill.
+/// Time for a configuration to be in force, and for buckets to fill.
 const IN_FORCE: Duration = Duration::from_secs(10);
 const FILLS: Duration = Duration::from_secs(2);
 
