Shares come in for a moment before an owner decides after a start

Cause: all that had waited met buckets with the shares of the few nodes that had stated theirs by then. An owner now takes in shares for 0.25 s before it decides, and nodes state theirs as soon as they know the fleet.

--- a/crates/dappleway/src/control/allowances.rs
+++ b/crates/dappleway/src/control/allowances.rs
@@ -7,7 +7,7 @@
     AllowanceAction, AllowanceClient, AllowanceMessage, AllowanceOutcome, AllowanceOwner, Message,
 };
 use operator::OrganisationReport;
-use policy::{Decision, NodeId, Time, owner_of, owners};
+use policy::{Decision, Entrusted, NodeId, Time, owner_of, owners};
 use resources::{Allowance, Callers, Name};
 use rustc_hash::FxHashMap;
 use slog::{info, warn};
@@ -20,6 +20,9 @@
 const OWNERS_REFRESH: Duration = Duration::from_millis(100);
 /// Asks are said again after so many times the patience for slots: nobody's slot is held meanwhile.
 const PATIENCE: u32 = 2;
+/// Once a node knows the fleet, the others entrust their shares to it within this. Requests that have waited until then would
+/// meet buckets with the shares of a few.
+const SETTLES: Duration = Duration::from_millis(250);
 /// Organisations in a report at most.
 const MAX_REPORTED: usize = 200;
 /// Organisations named in the log in a second at most.
@@ -43,6 +46,8 @@
     limited: FxHashMap<u64, Limited>,
     /// The owners that this node asks, and when they were worked out.
     owners: (Vec<NodeId>, Time),
+    /// Since when this node knows the fleet.
+    known_since: Option<Time>,
     /// Requests granted and refused to callers of this node.
     pub(super) granted: u64,
     pub(super) refused: u64,
@@ -56,6 +61,7 @@
             waiting: FxHashMap::default(),
             limited: FxHashMap::default(),
             owners: (Vec::new(), Time::default()),
+            known_since: None,
             granted: 0,
             refused: 0,
         }
@@ -76,6 +82,31 @@
         self.limited = limited.collect();
     }
 
+    /// Whether buckets hold what they will for now.
+    fn are_settled(&self, now: Time) -> bool {
+        self.known_since.is_some_and(|it| now.since(it) >= SETTLES)
+    }
+
+    /// Decides on an ask, or takes in the share that comes with it.
+    fn decide(
+        &mut self,
+        now: Time,
+        from: NodeId,
+        seq: u64,
+        organisation: u64,
+        entrusted: &Entrusted,
+    ) -> Decision {
+        if self.known_since.is_none() {
+            return Decision::NotYet;
+        }
+        if !self.are_settled(now) {
+            self.owner.buckets.entrust(now, from, entrusted);
+            return Decision::NotYet;
+        }
+        let bucket = self.bucket(organisation);
+        self.owner.ask(now, from, seq, bucket, entrusted)
+    }
+
     fn bucket(&self, organisation: u64) -> (u64, Option<Allowance>) {
         (organisation, self.limited.get(&organisation).map(|it| it.allowance))
     }
@@ -98,25 +129,19 @@
 
     pub(super) fn allowance_message(&mut self, now: Time, from: NodeId, message: AllowanceMessage) {
         match message {
-            // What a node that still finds others owns of an allowance is not known.
-            AllowanceMessage::Ask { seq, .. } if self.exchange.is_finding(now) => {
-                let decision = Decision::NotYet;
-                self.send_allowance(from, AllowanceMessage::Answer { seq, decision });
-            }
-            AllowanceMessage::Entrust(_) if self.exchange.is_finding(now) => {}
             AllowanceMessage::Ask { seq, organisation, entrusted } => {
-                let bucket = self.allowances.bucket(organisation);
-                let owner = &mut self.allowances.owner;
-                let decision = owner.ask(now, from, seq, bucket, &entrusted);
+                let decision = self.allowances.decide(now, from, seq, organisation, &entrusted);
                 self.send_allowance(from, AllowanceMessage::Answer { seq, decision });
             }
             AllowanceMessage::Answer { seq, decision } => {
                 let action = self.allowances.client.answer(now, from, seq, decision);
                 action.into_iter().for_each(|it| self.allowance_action(now, it));
             }
-            AllowanceMessage::Entrust(it) => {
+            // The size of the fleet, and so of a share, is not known before.
+            AllowanceMessage::Entrust(it) if self.allowances.known_since.is_some() => {
                 self.allowances.owner.buckets.entrust(now, from, &it);
             }
+            AllowanceMessage::Entrust(_) => {}
         }
     }
 
@@ -126,10 +151,14 @@
             return;
         }
         self.refresh_owners(now);
-        let (size, is_finding) = (self.exchange.members().len() + 1, self.exchange.is_finding(now));
-        let Allowances { client, owner, owners: (owners, _), .. } = &mut self.allowances;
+        let size = self.exchange.members().len() + 1;
+        if !self.exchange.is_finding(now) {
+            self.allowances.known_since.get_or_insert(now);
+        }
+        let Allowances { client, owner, owners: (owners, _), known_since, .. } =
+            &mut self.allowances;
         owner.buckets.set_nodes(now, size);
-        if !is_finding {
+        if known_since.is_some() {
             client.know_fleet(now, owners);
             let entrusted = client.entrusted(now, owners, self.me.node);
             owner.buckets.entrust(now, self.me.node, &entrusted);
@@ -141,13 +170,9 @@
 
     fn allowance_action(&mut self, now: Time, action: AllowanceAction) {
         match action {
-            // It is asked for again.
-            AllowanceAction::AskHere { .. } if self.exchange.is_finding(now) => {}
             AllowanceAction::AskHere { seq, organisation, entrusted } => {
                 let me = self.me.node;
-                let bucket = self.allowances.bucket(organisation);
-                let owner = &mut self.allowances.owner;
-                let decision = owner.ask(now, me, seq, bucket, &entrusted);
+                let decision = self.allowances.decide(now, me, seq, organisation, &entrusted);
                 if let Some(it) = self.allowances.client.answer(now, me, seq, decision) {
                     self.allowance_action(now, it);
                 }
--- a/crates/fleet/src/allowances/client.rs
+++ b/crates/fleet/src/allowances/client.rs
@@ -107,7 +107,11 @@
 
     /// The fleet is known from now on: the owners are those that it names.
     pub fn know_fleet(&mut self, now: Time, owners: &[NodeId]) {
-        self.first.get_or_insert_with(|| (owners.to_vec(), now + FIRST_FOR));
+        if self.first.is_none() {
+            self.first = Some((owners.to_vec(), now + FIRST_FOR));
+            // They are to hear of it at once.
+            self.told.clear();
+        }
     }
 
     /// What this node says to an owner.
--- a/crates/fleet/tests/allowances_after_a_return.rs
+++ b/crates/fleet/tests/allowances_after_a_return.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use fleet::{AllowanceAction, AllowanceClient, AllowanceMessage, AllowanceOutcome, AllowanceOwner};
-use policy::{Decision, NodeId, Time, owners};
+use policy::{Decision, Entrusted, NodeId, Time, owners};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use resources::Allowance;
@@ -24,6 +24,8 @@
 /// Nodes that have started find all others within this, and know then that they have.
 const FINDS_WITHIN: u64 = 400 * MS;
 const KNOWS_AFTER: u64 = 700 * MS;
+/// Then shares come in for a moment before anything is decided.
+const DECIDES_AFTER: u64 = 950 * MS;
 const RUN: u64 = 12_000 * MS;
 
 /// An organisation that keeps to nine tenths of its rate, and the share of its requests that may be refused in the seconds
@@ -75,6 +77,26 @@
         self.now < KNOWS_AFTER
     }
 
+    /// What node `to` makes of an ask.
+    fn decide(
+        &mut self,
+        from: u64,
+        to: usize,
+        seq: u64,
+        organisation: u64,
+        entrusted: &Entrusted,
+    ) -> Decision {
+        let (now, from) = (Time(self.now), NodeId(from));
+        match self.now {
+            it if it < KNOWS_AFTER => Decision::NotYet,
+            it if it < DECIDES_AFTER => {
+                self.nodes[to].1.buckets.entrust(now, from, entrusted);
+                Decision::NotYet
+            }
+            _ => self.nodes[to].1.ask(now, from, seq, bucket(organisation), entrusted),
+        }
+    }
+
     fn after(&mut self, wait: u64, event: Event) {
         self.events.push(std::cmp::Reverse((self.now + wait, event)));
     }
@@ -82,11 +104,9 @@
     fn act(&mut self, i: usize, action: AllowanceAction) {
         let now = Time(self.now);
         match action {
-            AllowanceAction::AskHere { .. } if self.is_finding() => {}
             AllowanceAction::AskHere { seq, organisation, entrusted } => {
                 let me = NodeId(i as u64);
-                let bucket = bucket(organisation);
-                let decision = self.nodes[i].1.ask(now, me, seq, bucket, &entrusted);
+                let decision = self.decide(i as u64, i, seq, organisation, &entrusted);
                 let action = self.nodes[i].0.answer(now, me, seq, decision);
                 action.into_iter().for_each(|it| self.act(i, it));
             }
@@ -120,14 +140,9 @@
                 let action = self.nodes[to].0.answer(now, NodeId(from), seq, decision);
                 action.into_iter().for_each(|it| self.act(to, it));
             }
-            AllowanceMessage::Ask { seq, .. } if self.is_finding() => {
-                let decision = Decision::NotYet;
-                self.send(to as u64, from, AllowanceMessage::Answer { seq, decision });
-            }
             AllowanceMessage::Entrust(_) if self.is_finding() => {}
             AllowanceMessage::Ask { seq, organisation, entrusted } => {
-                let bucket = bucket(organisation);
-                let decision = self.nodes[to].1.ask(now, NodeId(from), seq, bucket, &entrusted);
+                let decision = self.decide(from, to, seq, organisation, &entrusted);
                 self.send(to as u64, from, AllowanceMessage::Answer { seq, decision });
             }
             AllowanceMessage::Entrust(it) => {
