--- a/crates/dappleway/src/control/allowances.rs
+++ b/crates/dappleway/src/control/allowances.rs
@@ -5,6 +5,7 @@
 use caller::Admission;
 use fleet::{
     AllowanceAction, AllowanceClient, AllowanceMessage, AllowanceOutcome, AllowanceOwner, Message,
+    OwnerPhase,
 };
 use operator::OrganisationReport;
 use policy::{Decision, Entrusted, NodeId, Time, owner_of, owners};
@@ -20,8 +21,8 @@
 const OWNERS_REFRESH: Duration = Duration::from_millis(100);
 /// Asks are said again after so many times the patience for slots: nobody's slot is held meanwhile.
 const PATIENCE: u32 = 2;
-/// Once a node knows the fleet, the others entrust their shares to it within this. Requests that have waited until then would
-/// meet buckets with the shares of a few.
+/// Once a node knows the fleet, the others entrust their shares to it within this. Until then nobody is refused: those that have
+/// waited would meet buckets with the shares of a few.
 const SETTLES: Duration = Duration::from_millis(250);
 /// Organisations in a report at most.
 const MAX_REPORTED: usize = 200;
@@ -82,12 +83,7 @@
         self.limited = limited.collect();
     }
 
-    /// Whether buckets hold what they will for now.
-    fn are_settled(&self, now: Time) -> bool {
-        self.known_since.is_some_and(|it| now.since(it) >= SETTLES)
-    }
-
-    /// Decides on an ask, or takes in the share that comes with it.
+    /// Decides on an ask.
     fn decide(
         &mut self,
         now: Time,
@@ -96,15 +92,13 @@
         organisation: u64,
         entrusted: &Entrusted,
     ) -> Decision {
-        if self.known_since.is_none() {
-            return Decision::NotYet;
-        }
-        if !self.are_settled(now) {
-            self.owner.buckets.entrust(now, from, entrusted);
-            return Decision::NotYet;
-        }
+        let Some(known_since) = self.known_since else { return Decision::NotYet };
+        let phase = match now.since(known_since) {
+            it if it < SETTLES => OwnerPhase::Settling,
+            _ => OwnerPhase::Settled,
+        };
         let bucket = self.bucket(organisation);
-        self.owner.ask(now, from, seq, bucket, entrusted)
+        self.owner.ask(now, from, seq, bucket, entrusted, phase)
     }
 
     fn bucket(&self, organisation: u64) -> (u64, Option<Allowance>) {
--- a/crates/fleet/src/allowances.rs
+++ b/crates/fleet/src/allowances.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use client::{AllowanceAction, AllowanceClient, AllowanceOutcome};
-pub use owner::AllowanceOwner;
+pub use owner::{AllowanceOwner, OwnerPhase};
 
 /// Messages about allowances.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/fleet/src/allowances/owner.rs
+++ b/crates/fleet/src/allowances/owner.rs
@@ -9,6 +9,15 @@
 /// An answer is remembered for this long: an ask that is said again takes no second request from the bucket.
 const REMEMBER_ANSWER: Duration = Duration::from_secs(1);
 
+/// How far an owner that has started is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OwnerPhase {
+    /// It knows the fleet, whose nodes entrust their shares to it just now. What it cannot grant yet waits.
+    Settling,
+    /// It has the shares that it will have for now.
+    Settled,
+}
+
 /// The buckets of one node, and what it has answered lately.
 #[derive(Debug)]
 pub struct AllowanceOwner {
@@ -37,17 +46,25 @@
         seq: u64,
         bucket: (u64, Option<Allowance>),
         entrusted: &Entrusted,
+        phase: OwnerPhase,
     ) -> Decision {
         self.forget(now);
         self.buckets.entrust(now, from, entrusted);
         if let Some((decision, _)) = self.answered.get(&(from, seq)) {
             return *decision;
         }
-        let decision = match bucket {
-            (organisation, Some(allowance)) => self.buckets.ask(now, organisation, allowance),
-            (_, None) => Decision::Granted,
+        let decision = match (bucket, phase) {
+            ((_, None), _) => Decision::Granted,
+            ((organisation, Some(allowance)), OwnerPhase::Settled) => {
+                self.buckets.ask(now, organisation, allowance)
+            }
+            ((organisation, Some(allowance)), OwnerPhase::Settling) => {
+                self.buckets.ask_early(now, organisation, allowance)
+            }
         };
-        self.answered.insert((from, seq), (decision, now));
+        if decision != Decision::NotYet {
+            self.answered.insert((from, seq), (decision, now));
+        }
         decision
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub use allowances::{
     AllowanceAction, AllowanceClient, AllowanceMessage, AllowanceOutcome, AllowanceOwner,
+    OwnerPhase,
 };
 pub use backlog::{Admitted, Backlog};
 pub use bundle::{Bundle, EncodedDocument, RegistryCopy};
--- a/crates/fleet/src/tests/allowances.rs
+++ b/crates/fleet/src/tests/allowances.rs
@@ -5,7 +5,10 @@
 use policy::{Decision, Entrusted, NodeId, Time, owner_of};
 use resources::Allowance;
 
-use crate::{AllowanceAction, AllowanceClient, AllowanceMessage, AllowanceOutcome, AllowanceOwner};
+use crate::{
+    AllowanceAction, AllowanceClient, AllowanceMessage, AllowanceOutcome, AllowanceOwner,
+    OwnerPhase,
+};
 
 const ME: NodeId = NodeId(1);
 const TIMEOUT: Duration = Duration::from_millis(40);
@@ -130,7 +133,8 @@
     }
     let mut granted = 0;
     for seq in 0..40 {
-        let decisions = [0, 1, 2].map(|_| owner.ask(ms(2_000), ME, seq, bucket, &mine));
+        let decisions =
+            [0, 1, 2].map(|_| owner.ask(ms(2_000), ME, seq, bucket, &mine, OwnerPhase::Settled));
         assert!(decisions.iter().all(|it| *it == decisions[0]), "{decisions:?}");
         granted += u32::from(decisions[0] == Decision::Granted);
     }
@@ -140,6 +144,13 @@
 #[test]
 fn what_is_not_known_to_be_limited_is_granted() {
     let mut owner = AllowanceOwner::new(ME);
-    let decision = owner.ask(ms(0), NodeId(9), 1, (ORGANISATION, None), &Entrusted::default());
+    let decision = owner.ask(
+        ms(0),
+        NodeId(9),
+        1,
+        (ORGANISATION, None),
+        &Entrusted::default(),
+        OwnerPhase::Settled,
+    );
     assert_eq!(decision, Decision::Granted);
 }
--- a/crates/fleet/tests/allowances_after_a_return.rs
+++ b/crates/fleet/tests/allowances_after_a_return.rs
@@ -12,7 +12,10 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use fleet::{AllowanceAction, AllowanceClient, AllowanceMessage, AllowanceOutcome, AllowanceOwner};
+use fleet::{
+    AllowanceAction, AllowanceClient, AllowanceMessage, AllowanceOutcome, AllowanceOwner,
+    OwnerPhase,
+};
 use policy::{Decision, Entrusted, NodeId, Time, owners};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -24,7 +27,7 @@
 /// Nodes that have started find all others within this, and know then that they have.
 const FINDS_WITHIN: u64 = 400 * MS;
 const KNOWS_AFTER: u64 = 700 * MS;
-/// Then shares come in for a moment before anything is decided.
+/// Then shares come in for a moment before anything is refused.
 const DECIDES_AFTER: u64 = 950 * MS;
 const RUN: u64 = 12_000 * MS;
 
@@ -89,11 +92,11 @@
         let (now, from) = (Time(self.now), NodeId(from));
         match self.now {
             it if it < KNOWS_AFTER => Decision::NotYet,
-            it if it < DECIDES_AFTER => {
-                self.nodes[to].1.buckets.entrust(now, from, entrusted);
-                Decision::NotYet
+            it => {
+                let is_settled = it >= DECIDES_AFTER;
+                let phase = if is_settled { OwnerPhase::Settled } else { OwnerPhase::Settling };
+                self.nodes[to].1.ask(now, from, seq, bucket(organisation), entrusted, phase)
             }
-            _ => self.nodes[to].1.ask(now, from, seq, bucket(organisation), entrusted),
         }
     }
 
--- a/crates/policy/src/allowance.rs
+++ b/crates/policy/src/allowance.rs
@@ -20,7 +20,7 @@
 use crate::rendezvous::{NodeId, rank, rank_strong_first, strong};
 use crate::time::Time;
 use bucket::Bucket;
-use shares::Shares;
+use shares::{Shares, Supply};
 
 /// Nodes that own buckets: few, so that each hears of most nodes by their asks alone, and more than one hot organisation
 /// needs.
@@ -114,10 +114,24 @@
 
     /// Decides on one request of an organisation.
     pub fn ask(&mut self, now: Time, organisation: u64, allowance: Allowance) -> Decision {
+        let (bucket, supply) = self.bucket(now, organisation);
+        bucket.ask(now, supply, allowance)
+    }
+
+    /// The same while shares still come in: refuses nobody.
+    pub fn ask_early(&mut self, now: Time, organisation: u64, allowance: Allowance) -> Decision {
+        let (bucket, supply) = self.bucket(now, organisation);
+        match bucket.take(now, supply, allowance) {
+            true => Decision::Granted,
+            false => Decision::NotYet,
+        }
+    }
+
+    fn bucket(&mut self, now: Time, organisation: u64) -> (&mut Bucket, Supply) {
         self.forget(now);
         let supply = self.shares.supply(now, self.me, organisation);
         let bucket = self.buckets.entry(organisation).or_insert_with(|| Bucket::new(now));
-        bucket.ask(now, supply, allowance)
+        (bucket, supply)
     }
 
     /// The buckets that were asked for lately.
--- a/crates/policy/src/allowance/bucket.rs
+++ b/crates/policy/src/allowance/bucket.rs
@@ -50,16 +50,11 @@
     }
 
     pub(super) fn ask(&mut self, now: Time, supply: Supply, allowance: Allowance) -> Decision {
-        self.asked = now;
-        let rate = allowance.rate_per_s * RATE + RATE_EXTRA;
-        self.grow(supply, rate, allowance);
-        if self.left >= 1.0 {
-            self.left -= 1.0;
-            self.granted += 1;
+        if self.take(now, supply, allowance) {
             return Decision::Granted;
         }
         self.refused += 1;
-        let rate = rate * supply.part.max(MIN_PART);
+        let rate = grows(allowance) * supply.part.max(MIN_PART);
         let after = |requests: f64| {
             Duration::from_secs_f64((requests / rate).min(MAX_RETRY_AFTER.as_secs_f64()))
         };
@@ -70,6 +65,18 @@
         Decision::Exhausted { next, retry_after }
     }
 
+    /// Takes one request if there is one.
+    pub(super) fn take(&mut self, now: Time, supply: Supply, allowance: Allowance) -> bool {
+        self.asked = now;
+        self.grow(supply, allowance);
+        let is_granted = self.left >= 1.0;
+        if is_granted {
+            self.left -= 1.0;
+            self.granted += 1;
+        }
+        is_granted
+    }
+
     pub(super) fn is_in_use(&self, now: Time, within: Duration) -> bool {
         now.since(self.asked) < within
     }
@@ -79,16 +86,21 @@
         BucketReport { organisation, left, granted, refused }
     }
 
-    fn grow(&mut self, supply: Supply, rate: f64, allowance: Allowance) {
+    fn grow(&mut self, supply: Supply, allowance: Allowance) {
         let Allowance { rate_per_s, burst } = allowance;
         let seconds = (supply.seconds - self.had.seconds).max(0.0);
         let brought = (supply.brought - self.had.brought).max(0.0);
         let brought_first = (supply.brought_first - self.had.brought_first).max(0.0);
         self.had = supply;
-        let more = seconds * rate
+        let more = seconds * grows(allowance)
             + brought * (burst * BROUGHT_OF_BURST + BROUGHT)
             + brought_first * (burst.min(rate_per_s) * BROUGHT_FIRST + BROUGHT);
         let most = (burst + EXTRA) * supply.part;
         self.left = (self.left + more).min(most);
     }
 }
+
+/// Requests a second by which a whole allowance grows.
+fn grows(allowance: Allowance) -> f64 {
+    allowance.rate_per_s * RATE + RATE_EXTRA
+}
