Test of keys: whoever a node can't place yet is sent again until the node knows

That answer is the documented one, and is true: "not run, come back"; 401 would be wrong if the newer configuration had the key. Change: the test does what a caller does, it sends again while it is told so, and asks the same final answers as before. The answer's text now speaks of the key too, it named only routes.

--- a/crates/caller/src/answer.rs
+++ b/crates/caller/src/answer.rs
@@ -77,9 +77,9 @@
         Self::not_run_because("no-configuration", reason, RETRY_AFTER_START)
     }
 
-    /// There is no route, but a newer configuration may have one.
+    /// There is no route, or nobody holds the key, but that may differ in a newer configuration.
     pub(crate) fn may_be_outdated() -> Self {
-        let reason = "no route here, and this node may have missed a change of configuration";
+        let reason = "neither route nor key known here, and this node may have missed a change of configuration";
         Self::not_run_because("maybe-outdated", reason, RETRY_AFTER_START)
     }
 
--- a/crates/dappleway/tests/keys.rs
+++ b/crates/dappleway/tests/keys.rs
@@ -32,9 +32,22 @@
     bed.wait_in_force(version).await.unwrap();
 }
 
-/// Sends a lookup to a node with these headers.
+/// Sends a lookup to a node with these headers. A node that has no proof yet that its configuration is the
+/// newest tells whoever it can't place to come back, so that one is sent again until the node knows.
 async fn lookup(bed: &Bed, node: usize, headers: &[(&str, &str)]) -> Got {
-    client::get_with(bed.nodes[node].addrs.traffic, "/slots/1", headers).await.unwrap()
+    let limit = Instant::now() + Duration::from_secs(60);
+    loop {
+        let got =
+            client::get_with(bed.nodes[node].addrs.traffic, "/slots/1", headers).await.unwrap();
+        let may_be_outdated = got.status.as_u16() == 503
+            && got.header("x-request-outcome") == "not-run"
+            && got.text().contains("may have missed a change of configuration");
+        if !may_be_outdated {
+            return got;
+        }
+        assert!(Instant::now() < limit, "node {node} never knows: {}", got.text());
+        sleep(Duration::from_millis(50)).await;
+    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
