Rate limits that endpoints name are read, logged and reported

Callers saw nothing of it; endpoints that had named a limit of 1.2 to 2.9 requests a second in their answers went on getting up to 9 a second. Nothing in logs, metrics or reports told whether such a limit is read at all, reaches the node that hands out slots, or is exceeded there or beside it.

Change, of sight alone: the header is decoded (its name in `platform/`; an unreadable one is passed over and logged), told to whoever handed out the slot, and kept by endpoint and life. Log line `endpoint rate limit` at each node that hears of a change; `slots handed out` gains `limited`, `limit_per_s`, `to_limited`; the fleet report and `explain` show the limit. No choice depends on it yet. An answer that names no limit is told only where one was known, so that endpoints without a limit cost nothing. Frames between nodes have version 9.

--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -158,6 +158,10 @@
         open.end(Kind::Failed);
         return Sent::NotRun;
     }
+    match headers::rate_limit_of(&cx.names, res.headers()) {
+        Ok(limit) => open.rate_limited(limit),
+        Err(e) => trace::bad_answer(&cx.log, &open.grant().endpoint, &e),
+    }
     if res.headers().contains_key(&cx.names.not_run) && !res.status().is_success() {
         if is_first {
             cx.metrics.first_shed.inc();
--- a/crates/caller/src/headers.rs
+++ b/crates/caller/src/headers.rs
@@ -4,6 +4,7 @@
 
 use http::header::{self, HeaderName, HeaderValue};
 use http::{HeaderMap, Uri};
+use policy::RateLimit;
 use rand::RngExt;
 
 /// Names of the headers that callers and upstreams of a platform agree on.
@@ -17,6 +18,8 @@
     pub wanted_endpoint: HeaderName,
     /// Said by an upstream that refused a request before any work on it.
     pub not_run: HeaderName,
+    /// Requests a second that an upstream in need takes from all nodes together.
+    pub rate_limit: HeaderName,
     /// The caller's API key; never told to an upstream where keys are asked for.
     pub api_key: HeaderName,
     /// Name of the caller's organisation, told to the upstream.
@@ -69,6 +72,24 @@
     text.parse().ok().map(Duration::from_millis)
 }
 
+/// A rate limit that is no number of requests.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+#[error(
+    "the rate limit {0:?} is passed over: an endpoint names a number of requests a second, 0 or more"
+)]
+pub(crate) struct BadRateLimit(HeaderValue);
+
+/// The rate limit that an upstream names.
+pub(crate) fn rate_limit_of(
+    names: &HeaderNames,
+    headers: &HeaderMap,
+) -> Result<Option<RateLimit>, BadRateLimit> {
+    let Some(value) = headers.get(&names.rate_limit) else { return Ok(None) };
+    let number = value.to_str().ok().and_then(|it| it.trim().parse().ok());
+    let limit = number.and_then(RateLimit::from_per_second);
+    limit.map(Some).ok_or_else(|| BadRateLimit(value.clone()))
+}
+
 /// Identity of a trace and of the span of one hop.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Span {
--- a/crates/caller/src/open.rs
+++ b/crates/caller/src/open.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use clock::{Moment, sleep_until, timeout_at};
 use http_body::Body;
-use policy::{Grant, Kind};
+use policy::{Grant, Kind, RateLimit};
 
 use crate::Slot;
 use crate::body::{Reading, Start};
@@ -109,6 +109,14 @@
         }
     }
 
+    /// An answer names a rate limit, or none; that is news only where one was known.
+    pub(crate) fn rate_limited(&mut self, limit: Option<RateLimit>) {
+        let is_news = limit.is_some() || self.grant.is_rate_limited;
+        if let Some(slot) = self.slot.as_mut().filter(|_| is_news) {
+            slot.rate_limited(limit);
+        }
+    }
+
     /// Something came from the endpoint, or nothing was waited for until now.
     pub(crate) fn heard(&mut self) {
         self.heard = Moment::now();
--- a/crates/caller/src/tests.rs
+++ b/crates/caller/src/tests.rs
@@ -28,6 +28,7 @@
         deadline: HeaderName::from_static("x-left"),
         wanted_endpoint: HeaderName::from_static("x-wanted"),
         not_run: HeaderName::from_static("x-not-run"),
+        rate_limit: HeaderName::from_static("x-limit"),
         api_key: HeaderName::from_static("x-key"),
         organisation: HeaderName::from_static("x-organisation"),
     }
--- a/crates/caller/src/trace.rs
+++ b/crates/caller/src/trace.rs
@@ -82,6 +82,11 @@
     }
 }
 
+/// Logs a part of an answer that cannot be read.
+pub(crate) fn bad_answer(log: &Logger, endpoint: &str, error: &dyn std::error::Error) {
+    warn!(log, "answer unreadable in part"; "endpoint" => endpoint, "error" => %error);
+}
+
 /// Logs that a long answer goes on from another endpoint.
 pub(crate) fn continued<D>(cx: &Cx<D>, work: &Work, endpoint: &str, sent: u64) {
     info!(cx.log, "download continued"; "request_id" => work.request_id(&cx.names),
--- a/crates/caller/tests/bed/mod.rs
+++ b/crates/caller/tests/bed/mod.rs
@@ -28,6 +28,7 @@
         tier: Tier::Good,
         doubt: Default::default(),
         is_watched: false,
+        is_rate_limited: false,
     }
 }
 
@@ -41,6 +42,7 @@
         deadline: header("x-left-ms"),
         wanted_endpoint: header("x-endpoint"),
         not_run: header("x-not-run"),
+        rate_limit: header("x-limit"),
         api_key: header("x-key"),
         organisation: header("x-organisation"),
     };
--- a/crates/caller/tests/travelling.rs
+++ b/crates/caller/tests/travelling.rs
@@ -7,7 +7,7 @@
 
 use caller::{Admission, Dispatch, Refused, Slot, Want};
 use expect_test::{Expect, expect};
-use policy::{Grant, Kind};
+use policy::{Grant, Kind, RateLimit};
 use resources::{Name, Route};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -43,6 +43,10 @@
         self.tell("began");
     }
 
+    fn rate_limited(&mut self, limit: Option<RateLimit>) {
+        self.tell(format!("{limit:?}"));
+    }
+
     fn end(self, kind: Kind, _: Duration) {
         self.tell(format!("{kind:?}"));
     }
--- a/crates/dappleway/src/ask.rs
+++ b/crates/dappleway/src/ask.rs
@@ -154,8 +154,12 @@
         true => "this node hands out its slots, so this is what counts".to_owned(),
         false => format!("{dispatcher} hands out its slots: ask that node for what counts"),
     };
+    let limit = match it.limit_per_s {
+        Some(per_s) => format!(" It takes {per_s} requests a second from all nodes together."),
+        None => String::new(),
+    };
     format!(
-        "{}: `{}` for {} ms, used {}: sick with a probability of {:.2}, and {failed}.\n\
+        "{}: `{}` for {} ms, used {}: sick with a probability of {:.2}, and {failed}.{limit}\n\
          {} of {} endpoints of {} are proven healthy, its floor is {}. {} knows the registry up to \
          era {}, revision {}; {whose}.",
         it.id,
--- a/crates/dappleway/src/baselines.rs
+++ b/crates/dappleway/src/baselines.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use caller::{Admission, Dispatch, Refused, Slot, Want};
-use policy::{Grant, Kind, Tier};
+use policy::{Grant, Kind, RateLimit, Tier};
 use resources::{Endpoint, Name, Service};
 use rustc_hash::FxHashMap;
 use tokio::sync::watch;
@@ -81,6 +81,7 @@
             tier: Tier::Good,
             doubt: Default::default(),
             is_watched: false,
+            is_rate_limited: false,
         };
         Ok(RoundRobinSlot { dispatch: self.clone(), service: service.clone(), grant })
     }
@@ -135,6 +136,8 @@
 
     fn answer_began(&mut self, _elapsed: Duration) {}
 
+    fn rate_limited(&mut self, _limit: Option<RateLimit>) {}
+
     fn end(self, kind: Kind, elapsed: Duration) {
         if !self.dispatch.ejects || kind == Kind::Shed {
             return;
--- a/crates/dappleway/src/control/dispatch_log.rs
+++ b/crates/dappleway/src/control/dispatch_log.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use policy::{DispatchCounts, Dispatcher, IdleEndpoint, Occupancy, Time};
+use policy::{DispatchCounts, Dispatcher, IdleEndpoint, Occupancy, RateLimit, Time};
 use serde_json::json;
 use slog::info;
 
@@ -61,7 +61,8 @@
                 "released" => counts.released, "freed_early" => counts.freed_early, "expired" => counts.expired,
                 "in_use" => occupancy.in_use, "travelling" => occupancy.travelling, "expected" => occupancy.expected,
                 "sound" => occupancy.sound, "sound_idle" => occupancy.sound_idle,
-                "strain" => it.strain);
+                "limited" => occupancy.limited, "limit_per_s" => occupancy.limit_per_s,
+                "to_limited" => counts.to_limited, "strain" => it.strain);
             if !idle.is_empty() {
                 info!(self.log, "endpoints without work"; "service" => name,
                     "dispatched_here" => is_fleet, "endpoints" => state.service.endpoints.len(),
@@ -71,6 +72,16 @@
     }
 }
 
+impl Control {
+    /// Logs a rate limit that is news to this node.
+    pub(super) fn log_rate_limit(&self, service: u64, endpoint: &str, limit: Option<RateLimit>) {
+        let Some(state) = self.services.get(service) else { return };
+        info!(self.log, "endpoint rate limit"; "service" => state.service.name.as_str(),
+            "endpoint" => endpoint, "dispatched_here" => state.own.is_some(),
+            "per_s" => limit.map(RateLimit::per_second));
+    }
+}
+
 fn name_idle(now: Time, it: &Dispatcher) -> Vec<String> {
     it.idle_endpoints(now).take(MAX_NAMED).map(|it| describe(&it)).collect()
 }
--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -4,7 +4,7 @@
 
 use caller::{Refused, Want, Why};
 use fleet::{Action, Directory, PermitMessage, Place, Settlement, Wish};
-use policy::{Ask, Grant, Kind, NodeId, Observation, PermitId, Reply, Settled, Time};
+use policy::{Ask, Grant, Kind, NodeId, Observation, PermitId, RateLimit, Reply, Settled, Time};
 use rand::rngs::StdRng;
 use resources::{Name, Repeat, Route};
 use tokio::sync::oneshot;
@@ -22,6 +22,7 @@
             Command::Withdraw(id) => self.withdraw(now, id),
             Command::Stalled(id, elapsed) => self.stalled(now, id, elapsed),
             Command::AnswerBegan(id, elapsed) => self.answer_began(now, id, elapsed),
+            Command::RateLimited(id, limit) => self.rate_limited(now, id, limit),
             Command::End(id, outcome) => self.end(now, id, outcome),
             Command::Unserved(route, service) => self.unserved(&route, &service),
             Command::RefusedOnRoute(route) => self.refused(&route),
@@ -215,6 +216,19 @@
         }
     }
 
+    /// Learns of a rate limit, for when this node picks for itself too, and tells whoever handed out the slot.
+    fn rate_limited(&mut self, now: Time, id: PermitId, limit: Option<RateLimit>) {
+        let Some(open) = self.open.get(&id) else { return };
+        let (place, service, endpoint) = (open.place, open.service, open.endpoint.clone());
+        if self.services.rate_limited(service, &endpoint, limit) {
+            self.log_rate_limit(service, &endpoint, limit);
+        }
+        if let Place::Peer(node) = place {
+            let message = PermitMessage::RateLimited { service, endpoint, limit };
+            self.send_to(now, node, message);
+        }
+    }
+
     pub(super) fn end(&mut self, now: Time, id: PermitId, outcome: Option<(Kind, Duration)>) {
         let Some(open) = self.open.remove(&id) else { return };
         // What was open while this process was paused says nothing about the endpoint.
--- a/crates/dappleway/src/control/peer_slots.rs
+++ b/crates/dappleway/src/control/peer_slots.rs
@@ -51,6 +51,11 @@
             PermitMessage::Observed { service, endpoint, observation } => {
                 self.services.observe(now, service, &endpoint, observation);
             }
+            PermitMessage::RateLimited { service, endpoint, limit } => {
+                if self.services.rate_limited(service, &endpoint, limit) {
+                    self.log_rate_limit(service, &endpoint, limit);
+                }
+            }
             PermitMessage::Ran { service, request, end, elapsed } => {
                 self.services.ran(now, service, Ran { request, end, elapsed });
             }
--- a/crates/dappleway/src/control/report.rs
+++ b/crates/dappleway/src/control/report.rs
@@ -2,7 +2,7 @@
 
 use fleet::{Directory, Phase, Reads};
 use operator::{EndpointReport, MemberReport, Report, ServiceReport};
-use policy::{Dispatcher, NodeId, Time};
+use policy::{Dispatcher, NodeId, RateLimit, Time};
 
 use super::{Control, Nodes};
 use crate::services::{ServiceState, name_hash};
@@ -123,6 +123,7 @@
         sick: evidence.sick,
         used: evidence.used.to_owned(),
         failed_ms: evidence.since_failure.map(|it| it.as_millis() as u64),
+        limit_per_s: evidence.rate_limit.map(RateLimit::per_second),
         in_use: evidence.in_use,
         dispatched_here: service.own.is_some(),
     }
--- a/crates/dappleway/src/handle.rs
+++ b/crates/dappleway/src/handle.rs
@@ -6,7 +6,7 @@
 
 use caller::{Admission, Dispatch, Refused, Slot, Want};
 use fleet::Place;
-use policy::{Grant, Kind, NodeId, PermitId};
+use policy::{Grant, Kind, NodeId, PermitId, RateLimit};
 use resources::{Name, Route};
 use tokio::sync::{mpsc, oneshot};
 
@@ -111,6 +111,10 @@
         self.handle.send(Command::AnswerBegan(self.id, elapsed));
     }
 
+    fn rate_limited(&mut self, limit: Option<RateLimit>) {
+        self.handle.send(Command::RateLimited(self.id, limit));
+    }
+
     fn end(mut self, kind: Kind, elapsed: Duration) {
         self.ended = true;
         self.handle.send(Command::End(self.id, Some((kind, elapsed))));
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use policy::{
-    BudgetLimits, Change, Dispatcher, Observation, Rejection, RequestKey, RouteTerms, RunEnd,
-    Settled, Time, stable_hash,
+    BudgetLimits, Change, Dispatcher, Observation, RateLimit, Rejection, RequestKey, RouteTerms,
+    RunEnd, Settled, Time, stable_hash,
 };
 use rand::Rng;
 use resources::{Config, Endpoint, Name, Registration, Service};
@@ -142,6 +142,16 @@
         state.own.iter_mut().for_each(|own| own.observe(now, endpoint, it));
     }
 
+    /// Learns of the rate limit that an endpoint names, or that it names none. Returns whether that is news.
+    pub fn rate_limited(&mut self, service: u64, endpoint: &str, limit: Option<RateLimit>) -> bool {
+        let Some(state) = self.by_hash.get_mut(&service) else { return false };
+        let is_news = state.direct.rate_limited(endpoint, limit);
+        state
+            .own
+            .iter_mut()
+            .fold(is_news, |is_news, own| own.rate_limited(endpoint, limit) || is_news)
+    }
+
     /// Learns from another node how a request ended, for the time when this one dispatches.
     pub fn ran(&mut self, now: Time, service: u64, ran: Ran) {
         let Some(state) = self.by_hash.get_mut(&service) else { return };
--- a/crates/fleet/src/tests/permits.rs
+++ b/crates/fleet/src/tests/permits.rs
@@ -50,6 +50,7 @@
         tier: Tier::Good,
         doubt: Default::default(),
         is_watched: false,
+        is_rate_limited: false,
     }
 }
 
--- a/crates/fleet/src/tests/wire.rs
+++ b/crates/fleet/src/tests/wire.rs
@@ -122,6 +122,7 @@
         tier: Tier::Good,
         doubt: Default::default(),
         is_watched: false,
+        is_rate_limited: false,
     };
     let messages = [
         Message::Permit(PermitMessage::Answer { id, reply: Reply::Granted(grant) }),
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -6,7 +6,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use policy::{Ask, Kind, NodeId, Observation, PermitId, Rejection, Reply, RequestKey, RunEnd};
+use policy::{
+    Ask, Kind, NodeId, Observation, PermitId, RateLimit, Rejection, Reply, RequestKey, RunEnd,
+};
 use resources::{Name, Position, RegistryChange};
 use serde::{Deserialize, Serialize};
 
@@ -18,7 +20,7 @@
 /// Nodes told of in one round; with the header this keeps a frame at about 400 bytes.
 pub(crate) const NODES_PER_FRAME: usize = 10;
 /// Version of the protocol. A node drops frames of other versions.
-pub(crate) const VERSION: u8 = 8;
+pub(crate) const VERSION: u8 = 9;
 /// Bytes of the keyed hash that a frame carries.
 pub(crate) const TAG_BYTES: usize = 16;
 const HEADER_BYTES: usize = 1 + TAG_BYTES;
@@ -201,6 +203,15 @@
         /// Time from the send to its beginning.
         elapsed: Duration,
     },
+    /// Tells of the rate limit that an endpoint has named in an answer, or that it names none any more.
+    RateLimited {
+        /// Hash of the service's name.
+        service: u64,
+        /// Identity of the endpoint.
+        endpoint: Name,
+        /// The limit.
+        limit: Option<RateLimit>,
+    },
     /// Tells how a request ended that speaks for or against it, to those that may hand out slots for it.
     Ran {
         /// Hash of the service's name.
--- a/crates/operator/src/report.rs
+++ b/crates/operator/src/report.rs
@@ -125,6 +125,8 @@
     pub used: String,
     /// Milliseconds since its last failure; absent if none is known.
     pub failed_ms: Option<u64>,
+    /// Requests a second that it says it takes from all nodes together; absent if it names no limit.
+    pub limit_per_s: Option<f64>,
     /// Slots in use, as counted here.
     pub in_use: u32,
     /// Whether this node dispatches the endpoint for the fleet.
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -403,6 +403,7 @@
             trial: tier == Tier::Trial || matches!(it.state, State::Trial { .. }),
             tier,
             is_watched: self.suspects.is_watched(ask.request),
+            is_rate_limited: self.loads[endpoint].rate_limit.is_some(),
         };
         let permit = Permit {
             endpoint,
@@ -422,6 +423,7 @@
             self.counts.repeats += 1;
             self.budget.spend(now);
         }
+        self.counts.to_limited += u32::from(grant.is_rate_limited);
         self.loads[endpoint].take(now, ask);
         self.granted_at = Some(now);
         self.permits.insert(ask.id, permit);
--- a/crates/policy/src/dispatcher/counts.rs
+++ b/crates/policy/src/dispatcher/counts.rs
@@ -8,6 +8,7 @@
 use super::Dispatcher;
 use super::choice::SOUND_AFTER;
 use crate::belief::Strain;
+use crate::rate_limit::RateLimit;
 use crate::time::Time;
 
 /// Endpoints without work for this long are reported. The users look at stretches of two seconds.
@@ -48,10 +49,12 @@
     pub freed_early: u32,
     /// Slots that were taken back because nothing was heard of their request any more.
     pub expired: u32,
+    /// Sends granted to endpoints under a rate limit.
+    pub to_limited: u32,
 }
 
 /// The slots of a service and the endpoints without work at one moment.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Occupancy {
     /// Slots in use.
     pub in_use: u32,
@@ -63,6 +66,10 @@
     pub sound: u32,
     /// Sound ones that have had no work for two seconds.
     pub sound_idle: u32,
+    /// Endpoints under a rate limit.
+    pub limited: u32,
+    /// Requests a second that these take.
+    pub limit_per_s: f64,
 }
 
 /// An endpoint that has had no work for two seconds, and what may be the reason.
@@ -120,6 +127,8 @@
         for (status, load) in self.endpoints().iter().zip(&self.loads) {
             it.in_use += load.in_use();
             it.travelling += load.travelling();
+            it.limited += u32::from(load.rate_limit.is_some());
+            it.limit_per_s += load.rate_limit.map_or(0.0, RateLimit::per_second);
             if !status.is_expected() {
                 continue;
             }
--- a/crates/policy/src/dispatcher/evidence.rs
+++ b/crates/policy/src/dispatcher/evidence.rs
@@ -10,6 +10,7 @@
 use crate::belief::{Strain, Use};
 use crate::observation::{Kind, Observation};
 use crate::permit::{PermitId, Settled};
+use crate::rate_limit::RateLimit;
 use crate::served::Ending;
 use crate::time::Time;
 
@@ -29,6 +30,8 @@
     pub used: &'static str,
     /// Time since its last failure.
     pub since_failure: Option<Duration>,
+    /// The rate limit that it has named.
+    pub rate_limit: Option<RateLimit>,
 }
 
 impl Dispatcher {
@@ -90,6 +93,13 @@
         }
     }
 
+    /// Learns of the rate limit that an endpoint names in an answer, or that it names none. Returns whether that is news.
+    pub fn rate_limited(&mut self, id: &str, limit: Option<RateLimit>) -> bool {
+        let Some(endpoint) = self.judge.rotation.position(id) else { return false };
+        let known = &mut self.loads[endpoint].rate_limit;
+        std::mem::replace(known, limit) != limit
+    }
+
     /// Learns of requests that another service did not serve, on routes that lead to this one too.
     pub fn unserved_elsewhere(&mut self, now: Time, requests: u32) {
         if requests > 0 {
@@ -150,6 +160,7 @@
             sick: load.belief.sick(now, self.signs.share()),
             used: load.belief.usage(now, self.strain, self.signs.share()).name(),
             since_failure: load.belief.since_failure(now),
+            rate_limit: load.rate_limit,
         }
     }
 
--- a/crates/policy/src/permit.rs
+++ b/crates/policy/src/permit.rs
@@ -100,6 +100,8 @@
     pub doubt: Doubt,
     /// Whether an endpoint has ended under the request before: its answer is then of interest.
     pub is_watched: bool,
+    /// Whether the endpoint is taken for one under a rate limit: an answer that names none lifts it.
+    pub is_rate_limited: bool,
 }
 
 /// What was believed of an endpoint when one of its slots was granted.
