--- a/crates/fleet/tests/virtual_fleet/mod.rs
+++ b/crates/fleet/tests/virtual_fleet/mod.rs
@@ -6,15 +6,17 @@
 
 use fleet::{Action, Client, Delivery, Directory, Message, PermitMessage, Place, Settlement, Wish};
 use policy::{
-    Ask, BudgetLimits, Dispatcher, Kind, NodeId, PermitId, Reply, Reporter, RequestKey, SendKind,
-    Time, rank,
+    Ask, BudgetLimits, Dispatcher, Grant, Kind, NodeId, PermitId, RateLimit, Reply, Reporter,
+    RequestKey, SendKind, Time, rank,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use resources::{Endpoint, Floor, Priority, Service, Standing};
+use resources::{Endpoint, Floor, Name, Priority, Service, Standing};
 
 pub const NODES: u64 = 20;
 const SERVICE: u64 = 1;
+/// Port of the first endpoint.
+const FIRST_PORT: u16 = 1_000;
 pub const LIMITS: BudgetLimits =
     BudgetLimits { ratio: 0.2, extra: 40.0, window: Duration::from_secs(10) };
 /// An ask without an answer for this long is put to the next node.
@@ -60,6 +62,17 @@
     pub cut_off_at: Option<u64>,
     /// All processes begin anew, this many times, one second apart.
     pub restarts_from: Option<(u64, u64)>,
+    /// The rate limit that some endpoints name.
+    pub rate_limit: Option<Limited>,
+}
+
+/// The first endpoints name a rate limit in all their answers for a while.
+#[derive(Clone, Copy)]
+pub struct Limited {
+    pub endpoints: usize,
+    pub per_s: f64,
+    pub from: u64,
+    pub until: u64,
 }
 
 /// When the node that asked for a slot says that the endpoint has done its work.
@@ -90,12 +103,17 @@
     fails_from: 0,
     cut_off_at: None,
     restarts_from: None,
+    rate_limit: None,
 };
 
+fn endpoint_name(i: usize) -> Name {
+    format!("i-{i}").into()
+}
+
 fn service(trouble: &Trouble) -> Service {
     let endpoint = |i: u16| Endpoint {
-        id: format!("i-{i}").into(),
-        addr: ([127, 0, 0, 1], 1_000 + i).into(),
+        id: endpoint_name(i.into()),
+        addr: ([127, 0, 0, 1], FIRST_PORT + i).into(),
         failure_domain: "a".into(),
         slots: trouble.slots,
         standing: Standing::Present,
@@ -182,13 +200,21 @@
     /// Picks for this node alone.
     direct: Dispatcher,
     /// Slots that its requests use.
-    open: BTreeMap<PermitId, Place>,
+    open: BTreeMap<PermitId, Open>,
     /// Until when answers from endpoints fill its link.
     receives_until: u64,
     /// Until when its link is full of answers to callers.
     link_full_until: u64,
 }
 
+/// A slot that a request uses.
+#[derive(Clone, Copy)]
+struct Open {
+    place: Place,
+    endpoint: usize,
+    is_rate_limited: bool,
+}
+
 impl Node {
     fn new(now: Time, id: NodeId, trouble: &Trouble) -> Self {
         // Each start has a stream of its own.
@@ -229,6 +255,19 @@
     pub most_queued: usize,
     /// What the dispatchers have counted.
     pub counted: Counted,
+    /// When each node was first told of the rate limit of an endpoint.
+    told: BTreeMap<(usize, usize), u64>,
+    /// Sends to endpoints under a rate limit.
+    pub to_limited: Vec<Arrival>,
+}
+
+/// A send to an endpoint under a rate limit.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub at: u64,
+    pub endpoint: usize,
+    /// Time since its node was told of the limit, if it was.
+    pub known_for: Option<u64>,
 }
 
 /// Counts of all dispatchers.
@@ -271,6 +310,8 @@
             answered: 0,
             most_queued: 0,
             counted: Counted::default(),
+            told: BTreeMap::new(),
+            to_limited: Vec::new(),
         };
         (0..NODES as usize).for_each(|i| fleet.after(0, Event::Request(i)));
         if let Some((from, times)) = trouble.restarts_from {
@@ -329,8 +370,8 @@
     /// Keeps the slots of long requests alive.
     fn renew(&mut self, i: usize) {
         let now = self.now();
-        for (id, place) in self.nodes[i].open.clone() {
-            match place {
+        for (id, open) in self.nodes[i].open.clone() {
+            match open.place {
                 Place::Peer(node) => {
                     self.send(i, node.0 as usize, PermitMessage::Renew { ids: vec![id] });
                 }
@@ -387,6 +428,7 @@
         let now = self.now();
         self.nodes = (0..NODES).map(|i| Node::new(now, NodeId(i), &self.trouble)).collect();
         self.requests.clear();
+        self.told.clear();
         let is_kept = |it: &Due| matches!(it.2, Event::Request(_) | Event::Restart);
         self.events.retain(is_kept);
     }
@@ -439,7 +481,9 @@
                 let reply = dispatcher.ask(now, ask, &mut self.rng);
                 self.reply(i, place, id, reply);
             }
-            Action::Settle(id, Settlement::Granted(_, place)) => self.granted(i, id, place),
+            Action::Settle(id, Settlement::Granted(grant, place)) => {
+                self.granted(i, id, &grant, place);
+            }
             Action::Settle(id, Settlement::Refused(_) | Settlement::Rejected(_)) => {
                 self.requests.remove(&id);
             }
@@ -507,6 +551,10 @@
                 let settled = self.nodes[to].own.answer_began(now, id, elapsed, &mut self.rng);
                 settled.into_iter().for_each(|it| self.answer(to, it.id, it.reply));
             }
+            PermitMessage::RateLimited { endpoint, limit, .. } => {
+                self.nodes[to].own.rate_limited(&endpoint, limit);
+                self.nodes[to].direct.rate_limited(&endpoint, limit);
+            }
             PermitMessage::Renew { ids } => {
                 ids.iter().for_each(|it| self.nodes[to].own.renew(now, *it));
             }
@@ -528,8 +576,14 @@
     }
 
     /// The request goes out and is answered or fails.
-    fn granted(&mut self, i: usize, id: PermitId, place: Place) {
-        self.nodes[i].open.insert(id, place);
+    fn granted(&mut self, i: usize, id: PermitId, grant: &Grant, place: Place) {
+        let endpoint = usize::from(grant.addr.port() - FIRST_PORT);
+        let is_rate_limited = grant.is_rate_limited;
+        self.nodes[i].open.insert(id, Open { place, endpoint, is_rate_limited });
+        if self.limit_named_by(endpoint).is_some() {
+            let known_for = self.told.get(&(i, endpoint)).map(|at| self.now - at);
+            self.to_limited.push(Arrival { at: self.now, endpoint, known_for });
+        }
         let reached = self.requests[&id];
         if reached > 0 {
             self.repeats.push(self.now);
@@ -541,8 +595,35 @@
         self.after(self.trouble.work, event);
     }
 
+    /// The rate limit that an endpoint names now.
+    fn limit_named_by(&self, endpoint: usize) -> Option<RateLimit> {
+        let it = self.trouble.rate_limit?;
+        let is_named = endpoint < it.endpoints && (it.from..it.until).contains(&self.now);
+        RateLimit::from_per_second(it.per_s).filter(|_| is_named)
+    }
+
+    /// An answer tells its node of the endpoint's rate limit.
+    fn hear_rate_limit(&mut self, i: usize, id: PermitId) {
+        let Some(open) = self.nodes[i].open.get(&id).copied() else { return };
+        let limit = self.limit_named_by(open.endpoint);
+        if limit.is_some() {
+            self.told.entry((i, open.endpoint)).or_insert(self.now);
+        }
+        if limit.is_none() && !open.is_rate_limited {
+            return;
+        }
+        let endpoint = endpoint_name(open.endpoint);
+        self.nodes[i].direct.rate_limited(&endpoint, limit);
+        self.nodes[i].own.rate_limited(&endpoint, limit);
+        if let Place::Peer(node) = open.place {
+            let message = PermitMessage::RateLimited { service: SERVICE, endpoint, limit };
+            self.send(i, node.0 as usize, message);
+        }
+    }
+
     /// The answer begins to travel.
     fn began(&mut self, i: usize, id: PermitId, place: Place) {
+        self.hear_rate_limit(i, id);
         let is_long = self.rng.random_bool(self.trouble.long_answers);
         let length = if is_long { LONG } else { 1 };
         if self.trouble.answer_travels > 0 && self.trouble.release == Release::Beginning {
@@ -597,6 +678,7 @@
     }
 
     fn failed(&mut self, i: usize, id: PermitId, place: Place) {
+        self.hear_rate_limit(i, id);
         self.end(i, id, place, Kind::Shed);
         let reached = self.requests.remove(&id).unwrap_or_default();
         let is_unreached = reached == 0 && self.rng.random_bool(self.trouble.unreached);
