--- a/crates/fleet/tests/virtual_fleet/mod.rs
+++ b/crates/fleet/tests/virtual_fleet/mod.rs
@@ -263,6 +263,7 @@
 
 /// A send to an endpoint under a rate limit.
 #[derive(Clone, Copy, Debug)]
+#[allow(dead_code, reason = "each program of tests looks at runs in its own way")]
 pub struct Arrival {
     pub at: u64,
     pub endpoint: usize,
