The rest of a download tells a rate limit too

The same cause elsewhere: a download that goes on from another endpoint has an answer of its own, whose head was compared with the first one and not read for what the endpoint says of itself. The reading stands in one place now (`caller::notice`), used for both; a misdirected request was answered by another endpoint and says nothing.

Test: `the_rest_of_a_download_tells_a_rate_limit_too`, which failed before ("began Failed began Answered"), and one over the kinds of answers. Ruled out: bodies of answers that are given up after their head, since the head is read first.

--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -18,7 +18,7 @@
 use crate::open::{Open, Race};
 use crate::relay::Relay;
 use crate::work::Work;
-use crate::{Dispatch, trace};
+use crate::{Dispatch, notice, trace};
 
 /// Endpoints say that the deadline has passed a little before it has: what is left is handed to them in
 /// whole milliseconds, and their clocks do not run quite like this one.
@@ -158,10 +158,7 @@
         open.end(Kind::Failed);
         return Sent::NotRun;
     }
-    match headers::rate_limit_of(&cx.names, res.headers()) {
-        Ok(limit) => open.rate_limited(limit),
-        Err(e) => trace::bad_answer(&cx.log, &open.grant().endpoint, &e),
-    }
+    notice::hear(cx, &mut open, &res);
     if res.headers().contains_key(&cx.names.not_run) && !res.status().is_success() {
         if is_first {
             cx.metrics.first_shed.inc();
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -16,6 +16,7 @@
 mod in_flight;
 mod listener;
 mod metrics;
+mod notice;
 mod open;
 mod paths;
 mod relay;
--- /dev/null
+++ b/crates/caller/src/notice.rs
@@ -0,0 +1,18 @@
+//! What an endpoint says of itself in the head of an answer.
+
+use http::{Response, StatusCode};
+
+use crate::cx::Cx;
+use crate::open::Open;
+use crate::{Dispatch, headers, trace};
+
+/// Tells of what the endpoint says of itself. A misdirected request was answered by another endpoint.
+pub(crate) fn hear<D: Dispatch, B>(cx: &Cx<D>, open: &mut Open<D::Slot>, res: &Response<B>) {
+    if res.status() == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    match headers::rate_limit_of(&cx.names, res.headers()) {
+        Ok(limit) => open.rate_limited(limit),
+        Err(e) => trace::bad_answer(&cx.log, &open.grant().endpoint, &e),
+    }
+}
--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -21,7 +21,7 @@
 use crate::cx::Cx;
 use crate::open::{Open, STALL_AFTER};
 use crate::work::Work;
-use crate::{Dispatch, trace};
+use crate::{Dispatch, notice, trace};
 
 /// A stalled body that cannot be continued elsewhere is broken off after this.
 const GIVE_UP_AFTER: Duration = Duration::from_secs(30);
@@ -198,6 +198,7 @@
                 return None;
             }
         };
+        notice::hear(&self.cx, &mut open, &res);
         if !resume.matches(&res, self.sent) {
             return None;
         }
--- a/crates/caller/tests/travelling.rs
+++ b/crates/caller/tests/travelling.rs
@@ -17,6 +17,8 @@
 #[derive(Clone)]
 struct Recorder {
     grant: Grant,
+    /// Slots for further sends are granted too.
+    grants_further: bool,
     told: Arc<Mutex<Vec<String>>>,
 }
 
@@ -66,6 +68,7 @@
     async fn acquire(&self, want: Want) -> Result<Self, Refused> {
         match want.send {
             policy::SendKind::First => Ok(self.clone()),
+            _ if self.grants_further => Ok(self.clone()),
             _ => Err(Refused::no_capacity(Duration::ZERO)),
         }
     }
@@ -75,7 +78,7 @@
 async fn check(parts: &[&'static str], pause: Duration, expect: Expect) {
     let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let grant = bed::grant(endpoint.local_addr().unwrap());
-    let recorder = Recorder { grant, told: Arc::default() };
+    let recorder = Recorder { grant, grants_further: false, told: Arc::default() };
     let answering = async {
         let (mut stream, _) = endpoint.accept().await.unwrap();
         let _ = stream.read(&mut [0; 4096]).await.unwrap();
@@ -131,3 +134,53 @@
     let head = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 4\r\n\r\n";
     check(&[head, "body"], LONG, expect!["Failed"]).await;
 }
+
+#[tokio::test]
+async fn a_rate_limit_is_told_whatever_the_answer_is() {
+    let told = expect!["Some(RateLimit(2.5)) Answered"];
+    check(&["HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-limit: 2.5\r\n\r\n"], LONG, told).await;
+    let shed = "HTTP/1.1 503 Full\r\ncontent-length: 0\r\nx-not-run: 1\r\nx-limit: 1\r\n\r\n";
+    check(&[shed], LONG, expect!["Some(RateLimit(1.0)) Shed"]).await;
+    let of_another = "HTTP/1.1 421 No\r\ncontent-length: 0\r\nx-limit: 1\r\n\r\n";
+    check(&[of_another], LONG, expect!["Failed"]).await;
+    let unreadable = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-limit: few\r\n\r\n";
+    check(&[unreadable], LONG, expect!["Answered"]).await;
+}
+
+#[tokio::test]
+async fn the_rest_of_a_download_tells_a_rate_limit_too() {
+    let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let grant = bed::grant(endpoint.local_addr().unwrap());
+    let recorder = Recorder { grant, grants_further: true, told: Arc::default() };
+    let total = 2_000_000;
+    let answers = [
+        format!("200 OK\r\ncontent-length: {total}\r\naccept-ranges: bytes\r\netag: \"a\""),
+        format!(
+            "206 Rest\r\ncontent-length: 1\r\ncontent-range: bytes {}-{}/{total}\r\n\
+             etag: \"a\"\r\nx-limit: 3",
+            total - 1,
+            total - 1
+        ),
+    ];
+    let bodies = [vec![b'.'; total - 1], vec![b'.']];
+    let answering = async {
+        for (head, body) in answers.iter().zip(bodies) {
+            // A connection without a request looks whether the endpoint has ended.
+            let mut stream = loop {
+                let (mut stream, _) = endpoint.accept().await.unwrap();
+                if stream.read(&mut [0; 4096]).await.unwrap() > 0 {
+                    break stream;
+                }
+            };
+            stream.write_all(format!("HTTP/1.1 {head}\r\n\r\n").as_bytes()).await.unwrap();
+            stream.write_all(&body).await.unwrap();
+        }
+        std::future::pending::<()>().await
+    };
+    tokio::select! {
+        _ = bed::request(recorder.clone()) => {}
+        () = answering => {}
+    }
+    let told = recorder.told.lock().unwrap().join(" ");
+    expect!["began Failed Some(RateLimit(3.0)) began Answered"].assert_eq(&told);
+}
