What an endpoint says of itself travels as one kind of notice, with the life that said it

A notice names the start of the life that said it; what an earlier life said is passed over, where it was taken for the next one's.

--- a/crates/caller/src/dispatch.rs
+++ b/crates/caller/src/dispatch.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use policy::{Grant, Kind, RateLimit, RequestKey, SendKind};
+use policy::{Grant, Kind, Notice, RequestKey, SendKind};
 use resources::{Name, Priority, Route};
 
 /// A request that needs a slot.
@@ -83,8 +83,8 @@
     fn stalled(&mut self, elapsed: Duration);
     /// Reports that a long answer has begun.
     fn answer_began(&mut self, elapsed: Duration);
-    /// Reports the rate limit that an answer of the endpoint names, or that it names none any more.
-    fn rate_limited(&mut self, limit: Option<RateLimit>);
+    /// Reports what the endpoint says of itself in an answer.
+    fn noticed(&mut self, notice: Notice);
     /// Gives the slot back with the way the request ended.
     fn end(self, kind: Kind, elapsed: Duration);
 }
--- a/crates/caller/src/notice.rs
+++ b/crates/caller/src/notice.rs
@@ -1,6 +1,7 @@
 //! What an endpoint says of itself in the head of an answer.
 
 use http::{Response, StatusCode};
+use policy::Notice;
 
 use crate::cx::Cx;
 use crate::open::Open;
@@ -12,7 +13,7 @@
         return;
     }
     match headers::rate_limit_of(&cx.names, res.headers()) {
-        Ok(limit) => open.rate_limited(limit),
+        Ok(limit) => open.noticed(Notice::RateLimit(limit)),
         Err(e) => trace::bad_answer(&cx.log, &open.grant().endpoint, &e),
     }
 }
--- a/crates/caller/src/open.rs
+++ b/crates/caller/src/open.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use clock::{Moment, sleep_until, timeout_at};
 use http_body::Body;
-use policy::{Grant, Kind, RateLimit};
+use policy::{Grant, Kind, Notice};
 
 use crate::Slot;
 use crate::body::{Reading, Start};
@@ -109,11 +109,11 @@
         }
     }
 
-    /// An answer names a rate limit, or none; that is news only where one was known.
-    pub(crate) fn rate_limited(&mut self, limit: Option<RateLimit>) {
-        let is_news = limit.is_some() || self.grant.is_rate_limited;
+    /// The endpoint says something of itself. That it names no rate limit is news only where one was known.
+    pub(crate) fn noticed(&mut self, notice: Notice) {
+        let is_news = self.grant.is_rate_limited || notice != Notice::RateLimit(None);
         if let Some(slot) = self.slot.as_mut().filter(|_| is_news) {
-            slot.rate_limited(limit);
+            slot.noticed(notice);
         }
     }
 
--- a/crates/caller/tests/bed/mod.rs
+++ b/crates/caller/tests/bed/mod.rs
@@ -21,6 +21,7 @@
 pub fn grant(addr: SocketAddr) -> Grant {
     Grant {
         endpoint: "e".into(),
+        started_ms: 0,
         addr,
         stall_after: Duration::from_secs(1),
         hedge_after: Duration::from_secs(1),
--- a/crates/caller/tests/suspended.rs
+++ b/crates/caller/tests/suspended.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use caller::{Admission, Dispatch, Refused, Slot, Want};
-use policy::{Grant, Kind, RateLimit};
+use policy::{Grant, Kind, Notice};
 use resources::{Name, Route};
 use tokio::net::TcpListener;
 
@@ -29,7 +29,7 @@
 
     fn answer_began(&mut self, _: Duration) {}
 
-    fn rate_limited(&mut self, _: Option<RateLimit>) {}
+    fn noticed(&mut self, _: Notice) {}
 
     fn end(self, _: Kind, _: Duration) {}
 }
--- a/crates/caller/tests/travelling.rs
+++ b/crates/caller/tests/travelling.rs
@@ -7,7 +7,7 @@
 
 use caller::{Admission, Dispatch, Refused, Slot, Want};
 use expect_test::{Expect, expect};
-use policy::{Grant, Kind, RateLimit};
+use policy::{Grant, Kind, Notice};
 use resources::{Name, Route};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -45,8 +45,8 @@
         self.tell("began");
     }
 
-    fn rate_limited(&mut self, limit: Option<RateLimit>) {
-        self.tell(format!("{limit:?}"));
+    fn noticed(&mut self, notice: Notice) {
+        self.tell(format!("{notice:?}"));
     }
 
     fn end(self, kind: Kind, _: Duration) {
@@ -137,10 +137,10 @@
 
 #[tokio::test]
 async fn a_rate_limit_is_told_whatever_the_answer_is() {
-    let told = expect!["Some(RateLimit(2.5)) Answered"];
+    let told = expect!["RateLimit(Some(RateLimit(2.5))) Answered"];
     check(&["HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-limit: 2.5\r\n\r\n"], LONG, told).await;
     let shed = "HTTP/1.1 503 Full\r\ncontent-length: 0\r\nx-not-run: 1\r\nx-limit: 1\r\n\r\n";
-    check(&[shed], LONG, expect!["Some(RateLimit(1.0)) Shed"]).await;
+    check(&[shed], LONG, expect!["RateLimit(Some(RateLimit(1.0))) Shed"]).await;
     let of_another = "HTTP/1.1 421 No\r\ncontent-length: 0\r\nx-limit: 1\r\n\r\n";
     check(&[of_another], LONG, expect!["Failed"]).await;
     let unreadable = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-limit: few\r\n\r\n";
@@ -182,5 +182,5 @@
         () = answering => {}
     }
     let told = recorder.told.lock().unwrap().join(" ");
-    expect!["began Failed Some(RateLimit(3.0)) began Answered"].assert_eq(&told);
+    expect!["began Failed RateLimit(Some(RateLimit(3.0))) began Answered"].assert_eq(&told);
 }
--- a/crates/dappleway/src/baselines.rs
+++ b/crates/dappleway/src/baselines.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use caller::{Admission, Dispatch, Refused, Slot, Want};
-use policy::{Grant, Kind, RateLimit, Tier};
+use policy::{Grant, Kind, Notice, Tier};
 use resources::{Endpoint, Name, Service};
 use rustc_hash::FxHashMap;
 use tokio::sync::watch;
@@ -71,9 +71,11 @@
         let Some(service) = found else { return Err(Refused::no_capacity(OUT)) };
         let mut state = self.state.lock().expect("no panic while the state is held");
         let endpoint = state.entry(service.name.clone()).or_default().pick(service);
-        let (endpoint, addr) = (endpoint.id.clone(), endpoint.addr);
+        let (started_ms, addr) = (endpoint.started_ms, endpoint.addr);
+        let endpoint = endpoint.id.clone();
         let grant = Grant {
             endpoint,
+            started_ms,
             addr,
             stall_after: NEVER,
             hedge_after: NEVER,
@@ -136,7 +138,7 @@
 
     fn answer_began(&mut self, _elapsed: Duration) {}
 
-    fn rate_limited(&mut self, _limit: Option<RateLimit>) {}
+    fn noticed(&mut self, _notice: Notice) {}
 
     fn end(self, kind: Kind, elapsed: Duration) {
         if !self.dispatch.ejects || kind == Kind::Shed {
--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -171,6 +171,8 @@
     service: u64,
     sent: SentRequest,
     endpoint: Name,
+    /// When the endpoint's life began, in Unix milliseconds.
+    started_ms: u64,
     /// An endpoint has ended under the request before.
     is_watched: bool,
     /// A stall was reported.
--- a/crates/dappleway/src/control/dispatch_log.rs
+++ b/crates/dappleway/src/control/dispatch_log.rs
@@ -3,12 +3,12 @@
 
 use std::time::Duration;
 
-use policy::{DispatchCounts, Dispatcher, IdleEndpoint, Occupancy, RateLimit, Time};
+use policy::{DispatchCounts, Dispatcher, IdleEndpoint, Notice, Occupancy, RateLimit, Time};
 use serde_json::json;
 use slog::info;
 
 use super::Control;
-use crate::services::Scope;
+use crate::services::{Noticed, Scope};
 
 /// Idle endpoints named in one line at most.
 const MAX_NAMED: usize = 24;
@@ -73,12 +73,16 @@
 }
 
 impl Control {
-    /// Logs a rate limit that is news to this node.
-    pub(super) fn log_rate_limit(&self, service: u64, endpoint: &str, limit: Option<RateLimit>) {
+    /// Logs what an endpoint says of itself and this node did not know.
+    pub(super) fn log_notice(&self, service: u64, it: &Noticed) {
         let Some(state) = self.services.get(service) else { return };
-        info!(self.log, "endpoint rate limit"; "service" => state.service.name.as_str(),
-            "endpoint" => endpoint, "dispatched_here" => state.own.is_some(),
-            "per_s" => limit.map(RateLimit::per_second));
+        let (service, endpoint) = (state.service.name.as_str(), it.endpoint.as_str());
+        let dispatched_here = state.own.is_some();
+        match it.notice {
+            Notice::RateLimit(limit) => info!(self.log, "endpoint rate limit";
+                "service" => service, "endpoint" => endpoint, "dispatched_here" => dispatched_here,
+                "per_s" => limit.map(RateLimit::per_second)),
+        }
     }
 }
 
--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -4,14 +4,14 @@
 
 use caller::{Refused, Want, Why};
 use fleet::{Action, Directory, PermitMessage, Place, Settlement, Wish};
-use policy::{Ask, Grant, Kind, NodeId, Observation, PermitId, RateLimit, Reply, Settled, Time};
+use policy::{Ask, Grant, Kind, NodeId, Notice, Observation, PermitId, Reply, Settled, Time};
 use rand::rngs::StdRng;
 use resources::{Name, Repeat, Route};
 use tokio::sync::oneshot;
 
 use super::{Control, Nodes, OpenPermit, RENEW, SUCCESSORS, SentRequest, Untold, Waiter};
 use crate::event::Command;
-use crate::services::{Scope, name_hash, route_hash};
+use crate::services::{Noticed, Scope, name_hash, route_hash};
 use crate::settings::Mode;
 
 impl Control {
@@ -22,7 +22,7 @@
             Command::Withdraw(id) => self.withdraw(now, id),
             Command::Stalled(id, elapsed) => self.stalled(now, id, elapsed),
             Command::AnswerBegan(id, elapsed) => self.answer_began(now, id, elapsed),
-            Command::RateLimited(id, limit) => self.rate_limited(now, id, limit),
+            Command::Noticed(id, notice) => self.noticed(now, id, notice),
             Command::End(id, outcome) => self.end(now, id, outcome),
             Command::Unserved(route, service) => self.unserved(&route, &service),
             Command::RefusedOnRoute(route) => self.refused(&route),
@@ -159,8 +159,9 @@
         {
             state.direct.sent_elsewhere(now, &endpoint);
         }
-        let is_watched = grant.is_watched;
-        let open = OpenPermit { place, service, sent, endpoint, is_watched, stalled: false };
+        let (started_ms, is_watched) = (grant.started_ms, grant.is_watched);
+        let open =
+            OpenPermit { place, service, sent, endpoint, started_ms, is_watched, stalled: false };
         self.open.insert(id, open);
         if tx.send(Ok((grant, place))).is_err() {
             self.end(now, id, None);
@@ -223,19 +224,26 @@
         }
     }
 
-    /// Learns of a rate limit, for when this node picks for itself too, and tells whoever handed out the slot.
-    fn rate_limited(&mut self, now: Time, id: PermitId, limit: Option<RateLimit>) {
+    /// Learns what an endpoint says of itself, for when this node picks for itself too, and tells whoever handed out the slot.
+    fn noticed(&mut self, now: Time, id: PermitId, notice: Notice) {
         let Some(open) = self.open.get(&id) else { return };
-        let (place, service, endpoint) = (open.place, open.service, open.endpoint.clone());
-        if self.services.rate_limited(now, service, &endpoint, limit) {
-            self.log_rate_limit(service, &endpoint, limit);
-        }
+        let (place, service) = (open.place, open.service);
+        let it = Noticed { endpoint: open.endpoint.clone(), started_ms: open.started_ms, notice };
+        self.take_notice(now, service, &it);
         if let Place::Peer(node) = place {
-            let message = PermitMessage::RateLimited { service, endpoint, limit };
+            let Noticed { endpoint, started_ms, notice } = it;
+            let message = PermitMessage::Noticed { service, endpoint, started_ms, notice };
             self.send_to(now, node, message);
         }
     }
 
+    /// Takes in what an endpoint says of itself, and logs what is news.
+    pub(super) fn take_notice(&mut self, now: Time, service: u64, it: &Noticed) {
+        if self.services.noticed(now, service, it) {
+            self.log_notice(service, it);
+        }
+    }
+
     pub(super) fn end(&mut self, now: Time, id: PermitId, outcome: Option<(Kind, Duration)>) {
         let Some(open) = self.open.remove(&id) else { return };
         // What was open while this process was paused says nothing about the endpoint.
--- a/crates/dappleway/src/control/peer_slots.rs
+++ b/crates/dappleway/src/control/peer_slots.rs
@@ -7,7 +7,7 @@
 use rand::rngs::StdRng;
 
 use super::{Control, Nodes};
-use crate::services::{Ran, Scope};
+use crate::services::{Noticed, Ran, Scope};
 
 impl Control {
     pub(super) fn permit_message(
@@ -51,10 +51,8 @@
             PermitMessage::Observed { service, endpoint, observation } => {
                 self.services.observe(now, service, &endpoint, observation);
             }
-            PermitMessage::RateLimited { service, endpoint, limit } => {
-                if self.services.rate_limited(now, service, &endpoint, limit) {
-                    self.log_rate_limit(service, &endpoint, limit);
-                }
+            PermitMessage::Noticed { service, endpoint, started_ms, notice } => {
+                self.take_notice(now, service, &Noticed { endpoint, started_ms, notice });
             }
             PermitMessage::Ran { service, request, end, elapsed } => {
                 self.services.ran(now, service, Ran { request, end, elapsed });
--- a/crates/dappleway/src/event.rs
+++ b/crates/dappleway/src/event.rs
@@ -7,7 +7,7 @@
 use caller::{Admission, Refused, Want};
 use fleet::{Bundle, FetchFailure, NodeInfo, Place};
 use operator::Report;
-use policy::{Grant, Kind, PermitId, RateLimit};
+use policy::{Grant, Kind, Notice, PermitId};
 use resources::{Document, Name, Published, Route};
 use tokio::sync::oneshot;
 
@@ -55,8 +55,8 @@
     Stalled(PermitId, Duration),
     /// A long answer has begun.
     AnswerBegan(PermitId, Duration),
-    /// An answer has named a rate limit of its endpoint, or none any more.
-    RateLimited(PermitId, Option<RateLimit>),
+    /// An endpoint says something of itself in an answer.
+    Noticed(PermitId, Notice),
     /// A request of a route that leads to several services was not served by this one.
     Unserved(Arc<Route>, Name),
     /// A request of a route was refused before it was sent.
--- a/crates/dappleway/src/handle.rs
+++ b/crates/dappleway/src/handle.rs
@@ -6,7 +6,7 @@
 
 use caller::{Admission, Dispatch, Refused, Slot, Want};
 use fleet::Place;
-use policy::{Grant, Kind, NodeId, PermitId, RateLimit};
+use policy::{Grant, Kind, NodeId, Notice, PermitId};
 use resources::{Name, Route};
 use tokio::sync::{mpsc, oneshot};
 
@@ -111,8 +111,8 @@
         self.handle.send(Command::AnswerBegan(self.id, elapsed));
     }
 
-    fn rate_limited(&mut self, limit: Option<RateLimit>) {
-        self.handle.send(Command::RateLimited(self.id, limit));
+    fn noticed(&mut self, notice: Notice) {
+        self.handle.send(Command::Noticed(self.id, notice));
     }
 
     fn end(mut self, kind: Kind, elapsed: Duration) {
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use policy::{
-    BudgetLimits, Change, Dispatcher, Observation, Precedence, RateLimit, Rejection, RequestKey,
+    BudgetLimits, Change, Dispatcher, Notice, Observation, Precedence, Rejection, RequestKey,
     RouteTerms, RunEnd, Settled, Time, stable_hash,
 };
 use rand::Rng;
@@ -142,20 +142,12 @@
         state.own.iter_mut().for_each(|own| own.observe(now, endpoint, it));
     }
 
-    /// Learns of the rate limit that an endpoint names, or that it names none. Returns whether that is news.
-    pub fn rate_limited(
-        &mut self,
-        now: Time,
-        service: u64,
-        endpoint: &str,
-        limit: Option<RateLimit>,
-    ) -> bool {
+    /// Learns what an endpoint said of itself. Returns whether that is news.
+    pub fn noticed(&mut self, now: Time, service: u64, it: &Noticed) -> bool {
         let Some(state) = self.by_hash.get_mut(&service) else { return false };
-        let is_news = state.direct.rate_limited(now, endpoint, limit);
-        state
-            .own
-            .iter_mut()
-            .fold(is_news, |is_news, own| own.rate_limited(now, endpoint, limit) || is_news)
+        let hear = |to: &mut Dispatcher| to.noticed(now, &it.endpoint, it.started_ms, it.notice);
+        let is_news = hear(&mut state.direct);
+        state.own.iter_mut().fold(is_news, |is_news, own| hear(own) || is_news)
     }
 
     /// Learns from another node how a request ended, for the time when this one dispatches.
@@ -221,6 +213,17 @@
     Fleet,
 }
 
+/// What an endpoint said of itself in an answer.
+#[derive(Clone, Debug)]
+pub struct Noticed {
+    /// Identity of the endpoint.
+    pub endpoint: Name,
+    /// When its life began, in Unix milliseconds.
+    pub started_ms: u64,
+    /// What it said.
+    pub notice: Notice,
+}
+
 /// How a request ended that another node sent.
 #[derive(Clone, Copy, Debug)]
 pub struct Ran {
--- a/crates/fleet/src/tests/permits.rs
+++ b/crates/fleet/src/tests/permits.rs
@@ -44,6 +44,7 @@
 fn grant() -> Grant {
     Grant {
         endpoint: "i-1".into(),
+        started_ms: 0,
         addr: ([127, 0, 0, 1], 1).into(),
         stall_after: Duration::from_millis(100),
         hedge_after: Duration::from_millis(30),
--- a/crates/fleet/src/tests/wire.rs
+++ b/crates/fleet/src/tests/wire.rs
@@ -123,6 +123,7 @@
     let id = PermitId { node: NodeId(1), seq: 2 };
     let grant = Grant {
         endpoint: "i-7f3a91c2".into(),
+        started_ms: 0,
         addr: longest_info().addr,
         stall_after: Duration::from_millis(90),
         hedge_after: Duration::from_millis(30),
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use policy::{
-    Ask, Kind, NodeId, Observation, PermitId, RateLimit, Rejection, Reply, RequestKey, RunEnd,
+    Ask, Kind, NodeId, Notice, Observation, PermitId, Rejection, Reply, RequestKey, RunEnd,
 };
 use resources::{Name, Position, RegistryChange};
 use serde::{Deserialize, Serialize};
@@ -203,14 +203,16 @@
         /// Time from the send to its beginning.
         elapsed: Duration,
     },
-    /// Tells of the rate limit that an endpoint has named in an answer, or that it names none any more.
-    RateLimited {
+    /// Tells what an endpoint has said of itself in an answer.
+    Noticed {
         /// Hash of the service's name.
         service: u64,
         /// Identity of the endpoint.
         endpoint: Name,
-        /// The limit.
-        limit: Option<RateLimit>,
+        /// When its life began, in Unix milliseconds.
+        started_ms: u64,
+        /// What it has said.
+        notice: Notice,
     },
     /// Tells how a request ended that speaks for or against it, to those that may hand out slots for it.
     Ran {
--- a/crates/fleet/tests/virtual_fleet/mod.rs
+++ b/crates/fleet/tests/virtual_fleet/mod.rs
@@ -6,8 +6,8 @@
 
 use fleet::{Action, Client, Delivery, Directory, Message, PermitMessage, Place, Settlement, Wish};
 use policy::{
-    Ask, BudgetLimits, Dispatcher, Grant, Kind, NodeId, PermitId, Precedence, RateLimit, Reply,
-    Reporter, RequestKey, SendKind, Time, rank,
+    Ask, BudgetLimits, Dispatcher, Grant, Kind, NodeId, Notice, PermitId, Precedence, RateLimit,
+    Reply, Reporter, RequestKey, SendKind, Time, rank,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -555,9 +555,9 @@
                 let settled = self.nodes[to].own.answer_began(now, id, elapsed, &mut self.rng);
                 settled.into_iter().for_each(|it| self.answer(to, it.id, it.reply));
             }
-            PermitMessage::RateLimited { endpoint, limit, .. } => {
-                self.nodes[to].own.rate_limited(now, &endpoint, limit);
-                self.nodes[to].direct.rate_limited(now, &endpoint, limit);
+            PermitMessage::Noticed { endpoint, started_ms, notice, .. } => {
+                self.nodes[to].own.noticed(now, &endpoint, started_ms, notice);
+                self.nodes[to].direct.noticed(now, &endpoint, started_ms, notice);
             }
             PermitMessage::Renew { ids } => {
                 ids.iter().for_each(|it| self.nodes[to].own.renew(now, *it));
@@ -622,10 +622,12 @@
         }
         let endpoint = endpoint_name(open.endpoint);
         let now = self.now();
-        self.nodes[i].direct.rate_limited(now, &endpoint, limit);
-        self.nodes[i].own.rate_limited(now, &endpoint, limit);
+        let notice = Notice::RateLimit(limit);
+        self.nodes[i].direct.noticed(now, &endpoint, 0, notice);
+        self.nodes[i].own.noticed(now, &endpoint, 0, notice);
         if let Place::Peer(node) = open.place {
-            let message = PermitMessage::RateLimited { service: SERVICE, endpoint, limit };
+            let message =
+                PermitMessage::Noticed { service: SERVICE, endpoint, started_ms: 0, notice };
             self.send(i, node.0 as usize, message);
         }
     }
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -9,6 +9,7 @@
 mod counts;
 mod evidence;
 mod load;
+mod notices;
 mod overlap;
 mod paced;
 mod rest;
@@ -419,6 +420,7 @@
         let it = &self.endpoints()[endpoint];
         let grant = Grant {
             endpoint: it.id.clone(),
+            started_ms: it.started_ms,
             addr: it.addr,
             stall_after: self.judge.baseline.stall_after(ask.route),
             hedge_after: self.judge.baseline.hedge_after(ask.route),
--- /dev/null
+++ b/crates/policy/src/dispatcher/notices.rs
@@ -0,0 +1,19 @@
+//! What endpoints say of themselves.
+
+use super::Dispatcher;
+use crate::notice::Notice;
+use crate::time::Time;
+
+impl Dispatcher {
+    /// Learns what an endpoint said of itself in an answer. What another life of it said is passed over. Returns whether it
+    /// is news.
+    pub fn noticed(&mut self, now: Time, id: &str, started_ms: u64, notice: Notice) -> bool {
+        let Some(endpoint) = self.judge.rotation.position(id) else { return false };
+        if self.endpoints()[endpoint].started_ms != started_ms {
+            return false;
+        }
+        match notice {
+            Notice::RateLimit(limit) => self.rate_limited(now, endpoint, limit),
+        }
+    }
+}
--- a/crates/policy/src/dispatcher/paced.rs
+++ b/crates/policy/src/dispatcher/paced.rs
@@ -13,8 +13,12 @@
 
 impl Dispatcher {
     /// Learns of the rate limit that an endpoint names in an answer, or that it names none. Returns whether that is news.
-    pub fn rate_limited(&mut self, now: Time, id: &str, limit: Option<RateLimit>) -> bool {
-        let Some(endpoint) = self.judge.rotation.position(id) else { return false };
+    pub(super) fn rate_limited(
+        &mut self,
+        now: Time,
+        endpoint: usize,
+        limit: Option<RateLimit>,
+    ) -> bool {
         let sharers = self.sharers();
         self.loads[endpoint].pace.hear(now, now, limit, sharers)
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 mod class;
 mod dispatcher;
 mod judge;
+mod notice;
 mod observation;
 mod permit;
 mod queue;
@@ -31,6 +32,7 @@
 pub use dispatcher::{
     DispatchCounts, Dispatcher, EvidenceReport, IdleEndpoint, Occupancy, Precedence,
 };
+pub use notice::Notice;
 pub use observation::{Kind, Observation, Reporter};
 pub use permit::{Ask, Doubt, Grant, PermitId, Reply, SendKind, Settled, Tier};
 pub use rate_limit::{HeardLimit, RateLimit};
--- a/crates/policy/src/permit.rs
+++ b/crates/policy/src/permit.rs
@@ -89,6 +89,8 @@
 pub struct Grant {
     /// Identity of the endpoint.
     pub endpoint: Name,
+    /// When its life began, in Unix milliseconds; 0 where nobody says.
+    pub started_ms: u64,
     /// Its address.
     pub addr: SocketAddr,
     /// Report the request as stalled when it is open for longer than this.
