Endpoints that say they leave, or ask a node for rest, are heard, logged and reported

Sight for two faults: requests reached an endpoint 4.9 s after its answer had told the node that sent them that it leaves, and endpoints that had asked a node for 3 s of rest got four more requests from it. Nothing told whether such words are read, by which node, or whether they reach the node that hands out slots.

The header of a leaving endpoint (its name in `platform/`) and `Retry-After` of a 503 become notices, kept by endpoint and life, rests by node as well. Log lines `endpoint says that it leaves`, `endpoint asks for rest`; `slots handed out` counts endpoints that are `leaving` and `resting`. No choice depends on them yet.

Tests: what each answer tells (`caller/tests/travelling.rs`).

--- a/crates/caller/src/headers.rs
+++ b/crates/caller/src/headers.rs
@@ -20,6 +20,8 @@
     pub not_run: HeaderName,
     /// Requests a second that an upstream in need takes from all nodes together.
     pub rate_limit: HeaderName,
+    /// Says `1` where an upstream leaves.
+    pub leaving: HeaderName,
     /// The caller's API key; never told to an upstream where keys are asked for.
     pub api_key: HeaderName,
     /// Name of the caller's organisation, told to the upstream.
@@ -90,6 +92,24 @@
     limit.map(Some).ok_or_else(|| BadRateLimit(value.clone()))
 }
 
+/// Whether an upstream says that it leaves.
+pub(crate) fn is_leaving(names: &HeaderNames, headers: &HeaderMap) -> bool {
+    headers.get(&names.leaving).is_some_and(|it| it.as_bytes().trim_ascii() == b"1")
+}
+
+/// A time to come back that is no number of seconds.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+#[error("the rest {0:?} is passed over: an endpoint names seconds, with or without a fraction")]
+pub(crate) struct BadRest(HeaderValue);
+
+/// For how long an upstream that turns a request away wants nothing.
+pub(crate) fn rest_of(headers: &HeaderMap) -> Result<Option<Duration>, BadRest> {
+    let Some(value) = headers.get(header::RETRY_AFTER) else { return Ok(None) };
+    let number: Option<f64> = value.to_str().ok().and_then(|it| it.trim().parse().ok());
+    let rest = number.and_then(|it| Duration::try_from_secs_f64(it).ok());
+    rest.map(Some).ok_or_else(|| BadRest(value.clone()))
+}
+
 /// Identity of a trace and of the span of one hop.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Span {
--- a/crates/caller/src/notice.rs
+++ b/crates/caller/src/notice.rs
@@ -16,4 +16,13 @@
         Ok(limit) => open.noticed(Notice::RateLimit(limit)),
         Err(e) => trace::bad_answer(&cx.log, &open.grant().endpoint, &e),
     }
+    if headers::is_leaving(&cx.names, res.headers()) {
+        open.noticed(Notice::Leaving);
+    }
+    if res.status() == StatusCode::SERVICE_UNAVAILABLE {
+        match headers::rest_of(res.headers()) {
+            Ok(rest) => rest.into_iter().for_each(|it| open.noticed(Notice::Rest(it))),
+            Err(e) => trace::bad_answer(&cx.log, &open.grant().endpoint, &e),
+        }
+    }
 }
--- a/crates/caller/src/tests.rs
+++ b/crates/caller/src/tests.rs
@@ -29,6 +29,7 @@
         wanted_endpoint: HeaderName::from_static("x-wanted"),
         not_run: HeaderName::from_static("x-not-run"),
         rate_limit: HeaderName::from_static("x-limit"),
+        leaving: HeaderName::from_static("x-leaving"),
         api_key: HeaderName::from_static("x-key"),
         organisation: HeaderName::from_static("x-organisation"),
     }
--- a/crates/caller/tests/bed/mod.rs
+++ b/crates/caller/tests/bed/mod.rs
@@ -44,6 +44,7 @@
         wanted_endpoint: header("x-endpoint"),
         not_run: header("x-not-run"),
         rate_limit: header("x-limit"),
+        leaving: header("x-leaving"),
         api_key: header("x-key"),
         organisation: header("x-organisation"),
     };
--- a/crates/caller/tests/travelling.rs
+++ b/crates/caller/tests/travelling.rs
@@ -184,3 +184,17 @@
     let told = recorder.told.lock().unwrap().join(" ");
     expect!["began Failed RateLimit(Some(RateLimit(3.0))) began Answered"].assert_eq(&told);
 }
+
+#[tokio::test]
+async fn an_endpoint_that_leaves_or_asks_for_rest_is_heard() {
+    let leaving = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-leaving: 1\r\n\r\n";
+    check(&[leaving], LONG, expect!["Leaving Answered"]).await;
+    let staying = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-leaving: 0\r\n\r\n";
+    check(&[staying], LONG, expect!["Answered"]).await;
+    let resting =
+        "HTTP/1.1 503 Full\r\ncontent-length: 0\r\nx-not-run: 1\r\nretry-after: 2.5\r\n\r\n";
+    check(&[resting], LONG, expect!["Rest(2.5s) Shed"]).await;
+    let some_day =
+        "HTTP/1.1 503 Full\r\ncontent-length: 0\r\nx-not-run: 1\r\nretry-after: x\r\n\r\n";
+    check(&[some_day], LONG, expect!["Shed"]).await;
+}
--- a/crates/dappleway/src/control/dispatch_log.rs
+++ b/crates/dappleway/src/control/dispatch_log.rs
@@ -62,7 +62,7 @@
                 "in_use" => occupancy.in_use, "travelling" => occupancy.travelling, "expected" => occupancy.expected,
                 "sound" => occupancy.sound, "sound_idle" => occupancy.sound_idle,
                 "limited" => occupancy.limited, "limit_per_s" => occupancy.limit_per_s,
-                "to_limited" => counts.to_limited, "strain" => it.strain);
+                "to_limited" => counts.to_limited, "leaving" => occupancy.leaving, "resting" => occupancy.resting, "strain" => it.strain);
             if !idle.is_empty() {
                 info!(self.log, "endpoints without work"; "service" => name,
                     "dispatched_here" => is_fleet, "endpoints" => state.service.endpoints.len(),
@@ -82,6 +82,11 @@
             Notice::RateLimit(limit) => info!(self.log, "endpoint rate limit";
                 "service" => service, "endpoint" => endpoint, "dispatched_here" => dispatched_here,
                 "per_s" => limit.map(RateLimit::per_second)),
+            Notice::Leaving => info!(self.log, "endpoint says that it leaves";
+                "service" => service, "endpoint" => endpoint, "dispatched_here" => dispatched_here),
+            Notice::Rest(length) => info!(self.log, "endpoint asks for rest";
+                "service" => service, "endpoint" => endpoint, "dispatched_here" => dispatched_here,
+                "node" => self.addr_of(it.by), "ms" => length.as_millis() as u64),
         }
     }
 }
--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -228,10 +228,15 @@
     fn noticed(&mut self, now: Time, id: PermitId, notice: Notice) {
         let Some(open) = self.open.get(&id) else { return };
         let (place, service) = (open.place, open.service);
-        let it = Noticed { endpoint: open.endpoint.clone(), started_ms: open.started_ms, notice };
+        let it = Noticed {
+            by: self.me.node,
+            endpoint: open.endpoint.clone(),
+            started_ms: open.started_ms,
+            notice,
+        };
         self.take_notice(now, service, &it);
         if let Place::Peer(node) = place {
-            let Noticed { endpoint, started_ms, notice } = it;
+            let Noticed { endpoint, started_ms, notice, .. } = it;
             let message = PermitMessage::Noticed { service, endpoint, started_ms, notice };
             self.send_to(now, node, message);
         }
--- a/crates/dappleway/src/control/peer_slots.rs
+++ b/crates/dappleway/src/control/peer_slots.rs
@@ -52,7 +52,11 @@
                 self.services.observe(now, service, &endpoint, observation);
             }
             PermitMessage::Noticed { service, endpoint, started_ms, notice } => {
-                self.take_notice(now, service, &Noticed { endpoint, started_ms, notice });
+                self.take_notice(
+                    now,
+                    service,
+                    &Noticed { by: from.0, endpoint, started_ms, notice },
+                );
             }
             PermitMessage::Ran { service, request, end, elapsed } => {
                 self.services.ran(now, service, Ran { request, end, elapsed });
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use policy::{
-    BudgetLimits, Change, Dispatcher, Notice, Observation, Precedence, Rejection, RequestKey,
-    RouteTerms, RunEnd, Settled, Time, stable_hash,
+    BudgetLimits, Change, Dispatcher, NodeId, Notice, Observation, Precedence, Rejection,
+    RequestKey, RouteTerms, RunEnd, Settled, Time, stable_hash,
 };
 use rand::Rng;
 use resources::{Config, Endpoint, Name, Registration, Service};
@@ -145,7 +145,8 @@
     /// Learns what an endpoint said of itself. Returns whether that is news.
     pub fn noticed(&mut self, now: Time, service: u64, it: &Noticed) -> bool {
         let Some(state) = self.by_hash.get_mut(&service) else { return false };
-        let hear = |to: &mut Dispatcher| to.noticed(now, &it.endpoint, it.started_ms, it.notice);
+        let hear =
+            |to: &mut Dispatcher| to.noticed(now, it.by, &it.endpoint, it.started_ms, it.notice);
         let is_news = hear(&mut state.direct);
         state.own.iter_mut().fold(is_news, |is_news, own| hear(own) || is_news)
     }
@@ -216,6 +217,8 @@
 /// What an endpoint said of itself in an answer.
 #[derive(Clone, Debug)]
 pub struct Noticed {
+    /// The node whose request it answered.
+    pub by: NodeId,
     /// Identity of the endpoint.
     pub endpoint: Name,
     /// When its life began, in Unix milliseconds.
--- a/crates/fleet/tests/virtual_fleet/mod.rs
+++ b/crates/fleet/tests/virtual_fleet/mod.rs
@@ -533,7 +533,7 @@
     }
 
     fn receive_permit(&mut self, from: usize, to: usize, message: PermitMessage) {
-        let now = self.now();
+        let (now, sender) = (self.now(), NodeId(from as u64));
         match message {
             PermitMessage::Ask { ask, .. } => {
                 let id = ask.id;
@@ -556,8 +556,8 @@
                 settled.into_iter().for_each(|it| self.answer(to, it.id, it.reply));
             }
             PermitMessage::Noticed { endpoint, started_ms, notice, .. } => {
-                self.nodes[to].own.noticed(now, &endpoint, started_ms, notice);
-                self.nodes[to].direct.noticed(now, &endpoint, started_ms, notice);
+                self.nodes[to].own.noticed(now, sender, &endpoint, started_ms, notice);
+                self.nodes[to].direct.noticed(now, sender, &endpoint, started_ms, notice);
             }
             PermitMessage::Renew { ids } => {
                 ids.iter().for_each(|it| self.nodes[to].own.renew(now, *it));
@@ -623,8 +623,8 @@
         let endpoint = endpoint_name(open.endpoint);
         let now = self.now();
         let notice = Notice::RateLimit(limit);
-        self.nodes[i].direct.noticed(now, &endpoint, 0, notice);
-        self.nodes[i].own.noticed(now, &endpoint, 0, notice);
+        self.nodes[i].direct.noticed(now, id.node, &endpoint, 0, notice);
+        self.nodes[i].own.noticed(now, id.node, &endpoint, 0, notice);
         if let Place::Peer(node) = open.place {
             let message =
                 PermitMessage::Noticed { service: SERVICE, endpoint, started_ms: 0, notice };
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -13,6 +13,7 @@
 mod overlap;
 mod paced;
 mod rest;
+mod rests;
 mod suspicion;
 mod waiting;
 
--- a/crates/policy/src/dispatcher/counts.rs
+++ b/crates/policy/src/dispatcher/counts.rs
@@ -70,6 +70,10 @@
     pub limited: u32,
     /// Requests a second that these take.
     pub limit_per_s: f64,
+    /// Endpoints that have said that they leave.
+    pub leaving: u32,
+    /// Endpoints that want nothing from some nodes for a while.
+    pub resting: u32,
 }
 
 /// An endpoint that has had no work for two seconds, and what may be the reason.
@@ -127,6 +131,8 @@
         for (status, load) in self.endpoints().iter().zip(&self.loads) {
             it.in_use += load.in_use();
             it.travelling += load.travelling();
+            it.leaving += u32::from(load.is_leaving);
+            it.resting += u32::from(load.rests.count(now) > 0);
             it.limited += u32::from(load.pace.limit().is_some());
             it.limit_per_s += load.pace.limit().map_or(0.0, RateLimit::per_second);
             if !status.is_expected() {
--- a/crates/policy/src/dispatcher/load.rs
+++ b/crates/policy/src/dispatcher/load.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use super::rests::Rests;
 use crate::baseline::Baseline;
 use crate::belief::Belief;
 use crate::permit::{Ask, PermitId};
@@ -22,6 +23,9 @@
     pub(super) hinted_until: Time,
     pub(super) belief: Belief,
     pub(super) pace: Pace,
+    /// It has said that it leaves.
+    pub(super) is_leaving: bool,
+    pub(super) rests: Rests,
     open: Vec<OpenSend>,
     /// When it last got a request.
     used_at: Option<Time>,
@@ -73,6 +77,8 @@
             hinted_until: Time::default(),
             belief: Belief::default(),
             pace: Pace::default(),
+            is_leaving: false,
+            rests: Rests::default(),
             open: Vec::new(),
             used_at: None,
             known_since: now,
--- a/crates/policy/src/tests/rate_limit.rs
+++ b/crates/policy/src/tests/rate_limit.rs
@@ -8,7 +8,9 @@
 
 use super::fixture::{BUDGET, SECOND, TERMS, ask, service};
 use crate::rate_limit::Pace;
-use crate::{Ask, Dispatcher, HeardLimit, Kind, Notice, Precedence, RateLimit, Reply, Time};
+use crate::{
+    Ask, Dispatcher, HeardLimit, Kind, NodeId, Notice, Precedence, RateLimit, Reply, Time,
+};
 
 const MS: u64 = 1_000;
 const WORK: Duration = Duration::from_millis(100);
@@ -29,7 +31,7 @@
 fn limited(per_s: f64) -> (Dispatcher, StdRng) {
     let service = service(&[1], 1, Bias::Balanced);
     let (mut it, rng) = dispatcher(&service);
-    assert!(it.noticed(at(0), "i-1000", 0, Notice::RateLimit(limit(per_s))));
+    assert!(it.noticed(at(0), NodeId(1), "i-1000", 0, Notice::RateLimit(limit(per_s))));
     (it, rng)
 }
 
@@ -86,7 +88,7 @@
 fn a_limit_ends_with_the_answer_that_names_none() {
     let (mut it, mut rng) = limited(0.5);
     grants(&mut it, &mut rng, 30, 0, 4_000);
-    assert!(it.noticed(at(4_000), "i-1000", 0, Notice::RateLimit(None)));
+    assert!(it.noticed(at(4_000), NodeId(1), "i-1000", 0, Notice::RateLimit(None)));
     let granted = grants(&mut it, &mut rng, 20, 4_000, 6_000);
     assert!(granted.len() > 35, "{}", granted.len());
 }
@@ -95,7 +97,7 @@
 fn the_next_life_of_an_endpoint_has_no_limit() {
     let mut service = service(&[1], 1, Bias::Balanced);
     let (mut it, _) = dispatcher(&service);
-    it.noticed(at(0), "i-1000", 0, Notice::RateLimit(limit(1.0)));
+    it.noticed(at(0), NodeId(1), "i-1000", 0, Notice::RateLimit(limit(1.0)));
     service.endpoints[0].started_ms += 1_000;
     it.reconfigure(at(1_000), &service, &[TERMS]);
     assert_eq!(it.evidence_of(at(1_000), 0).rate_limit, None);
@@ -105,7 +107,7 @@
 fn work_beyond_a_limit_goes_to_the_other_endpoints() {
     let service = service(&[2, 2], 2, Bias::Balanced);
     let (mut it, mut rng) = dispatcher(&service);
-    it.noticed(at(0), "i-1000", 0, Notice::RateLimit(limit(1.0)));
+    it.noticed(at(0), NodeId(1), "i-1000", 0, Notice::RateLimit(limit(1.0)));
     let granted = grants(&mut it, &mut rng, 50, 0, 10_000);
     assert_eq!((granted.len(), it.queued()), (499, 0), "nobody waits for the limited one");
 }
@@ -156,7 +158,7 @@
 fn an_older_word_of_an_asker_undoes_no_newer_one() {
     let service = service(&[1], 1, Bias::Balanced);
     let (mut it, mut rng) = dispatcher(&service);
-    it.noticed(at(5_000), "i-1000", 0, Notice::RateLimit(None));
+    it.noticed(at(5_000), NodeId(1), "i-1000", 0, Notice::RateLimit(None));
     let heard = HeardLimit {
         endpoint: service.endpoints[0].addr,
         limit: limit(1.0).unwrap(),
