--- /dev/null
+++ b/crates/dappleway/tests/notices.rs
@@ -0,0 +1,29 @@
+//! What endpoints say of themselves, at real processes.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use standin::bed::{Bed, Layout};
+use standin::caller;
+use standin::upstream::Says;
+
+/// An endpoint that leaves gets nothing new after this time.
+const LEAVING: Duration = Duration::from_secs(2);
+
+fn count(arrivals: &[Instant], from: Instant, to: Instant) -> usize {
+    arrivals.iter().filter(|it| (from..to).contains(it)).count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_says_it_leaves_gets_no_new_work_though_the_registry_lists_it() {
+    let bin = Path::new(env!("CARGO_BIN_EXE_dappleway"));
+    let bed = Bed::start(bin, &Layout::small()).await.unwrap();
+    caller::run(bed.lookups(100.0, 1.0)).await;
+    let leaving = &bed.upstreams[0];
+    leaving.say(Says { leaving: true, ..Says::default() });
+    let told_by = Instant::now() + LEAVING;
+    let seen = caller::run(bed.lookups(100.0, 6.0)).await;
+    let late = count(&leaving.arrivals(), told_by, Instant::now());
+    assert_eq!(late, 0, "requests after all nodes could know");
+    assert!(seen.answered * 100 >= seen.sent * 99, "the others have slots to spare: {seen:?}");
+}
--- a/crates/policy/src/tests.rs
+++ b/crates/policy/src/tests.rs
@@ -9,6 +9,7 @@
 mod floor_model;
 mod kinds;
 mod lives;
+mod notices;
 mod queue;
 mod rate_limit;
 mod rendezvous;
--- /dev/null
+++ b/crates/policy/src/tests/notices.rs
@@ -0,0 +1,28 @@
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use resources::{Bias, Service};
+
+use super::fixture::{BUDGET, SECOND, TERMS, ask, reporter, service};
+use crate::{Ask, Dispatcher, NodeId, Notice, Reply, Time};
+
+fn dispatcher(service: &Service) -> (Dispatcher, StdRng) {
+    (Dispatcher::new(Time(0), service, &[TERMS], BUDGET), StdRng::seed_from_u64(1))
+}
+
+/// An ask of a node that does not wait.
+fn ask_of(node: u64, seq: u64) -> Ask {
+    Ask { reporter: reporter(node), ..ask(seq, false) }
+}
+
+#[test]
+fn an_endpoint_that_says_it_leaves_gets_no_new_work() {
+    let service = service(&[1], 1, Bias::Balanced);
+    let (mut it, mut rng) = dispatcher(&service);
+    assert!(it.noticed(Time(0), NodeId(1), "i-1000", 0, Notice::Leaving));
+    for seconds in [0, 1, 5, 60] {
+        let now = Time(0) + SECOND * seconds;
+        assert_eq!(it.ask(now, ask_of(2, seconds.into()), &mut rng), Reply::Full);
+    }
+    it.reconfigure(Time(0) + SECOND, &service, &[TERMS]);
+    assert_eq!(it.ask(Time(0) + SECOND, ask_of(2, 99), &mut rng), Reply::Full);
+}
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -72,6 +72,34 @@
     pub piece_us: u64,
 }
 
+/// What an endpoint says of itself in its answers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Says {
+    /// Requests a second that it takes from all nodes together.
+    pub rate_limit: Option<f64>,
+    /// It leaves.
+    pub leaving: bool,
+    /// Seconds of rest that it asks for when it sheds.
+    pub rest: Option<f64>,
+}
+
+impl Says {
+    fn add_to(self, res: &mut Response<Body>) {
+        let is_shed = res.status() == StatusCode::SERVICE_UNAVAILABLE;
+        let said = [
+            ("server-limit", self.rate_limit),
+            ("server-leaving", self.leaving.then_some(1.0)),
+            ("retry-after", self.rest.filter(|_| is_shed)),
+        ];
+        for (name, value) in said {
+            if let Some(value) = value {
+                let value = value.to_string().parse().expect("digits and a point");
+                res.headers_mut().insert(name, value);
+            }
+        }
+    }
+}
+
 /// What an endpoint has done.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Counts {
@@ -99,8 +127,7 @@
     runs: FxHashMap<String, u32>,
     /// When it crashed.
     crashes: Vec<std::time::Instant>,
-    /// The rate limit that its answers name, in requests a second.
-    rate_limit: Option<f64>,
+    says: Says,
     /// When requests arrived.
     arrivals: Vec<std::time::Instant>,
 }
@@ -132,7 +159,7 @@
             counts: Counts::default(),
             runs: FxHashMap::default(),
             crashes: Vec::new(),
-            rate_limit: None,
+            says: Says::default(),
             arrivals: Vec::new(),
         };
         Self {
@@ -171,9 +198,9 @@
         self.state.lock().crashes.clone()
     }
 
-    /// Names a rate limit in all answers from now on, or none any more.
-    pub fn set_rate_limit(&self, per_s: Option<f64>) {
-        self.state.lock().rate_limit = per_s;
+    /// Says something of itself in all answers from now on.
+    pub fn say(&self, says: Says) {
+        self.state.lock().says = says;
     }
 
     /// When requests arrived.
@@ -219,10 +246,8 @@
             (_, "/_standin/runs") => Ok(json(&self.runs())),
             _ => {
                 let mut res = self.clone().work(req).await?;
-                if let Some(per_s) = self.state.lock().rate_limit {
-                    let value = per_s.to_string().parse().expect("digits and a point");
-                    res.headers_mut().insert("server-limit", value);
-                }
+                let says = self.state.lock().says;
+                says.add_to(&mut res);
                 Ok(res)
             }
         }
