Tests that fail: a node that an endpoint asks for rest sends nothing until it is over

At the decision alone a slot is granted at once; at one real process before six endpoints, one of which turns all away and asks for three seconds, that one gets 23 requests in a rest.

--- a/crates/dappleway/tests/notices.rs
+++ b/crates/dappleway/tests/notices.rs
@@ -5,10 +5,14 @@
 
 use standin::bed::{Bed, Layout};
 use standin::caller;
-use standin::upstream::Says;
+use standin::upstream::{Fault, Says};
 
 /// An endpoint that leaves gets nothing new after this time.
 const LEAVING: Duration = Duration::from_secs(2);
+const REST: Duration = Duration::from_secs(3);
+/// An endpoint that asks for rest may get a request that is under way, and two more.
+const UNDER_WAY: Duration = Duration::from_millis(500);
+const BEFORE_THE_END: usize = 2;
 
 fn count(arrivals: &[Instant], from: Instant, to: Instant) -> usize {
     arrivals.iter().filter(|it| (from..to).contains(it)).count()
@@ -27,3 +31,22 @@
     assert_eq!(late, 0, "requests after all nodes could know");
     assert!(seen.answered * 100 >= seen.sent * 99, "the others have slots to spare: {seen:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_asks_a_node_for_rest_has_it() {
+    let bin = Path::new(env!("CARGO_BIN_EXE_dappleway"));
+    let bed = Bed::start(bin, &Layout { nodes: 1, ..Layout::small() }).await.unwrap();
+    caller::run(bed.lookups(100.0, 1.0)).await;
+    let resting = &bed.upstreams[0];
+    resting.say(Says { rest: Some(REST.as_secs_f64()), ..Says::default() });
+    resting.set_fault(Fault::Shed, 1.0, 1.0);
+    let before = resting.arrivals().len();
+    let seen = caller::run(bed.lookups(100.0, 8.0)).await;
+    let arrivals = &resting.arrivals()[before..];
+    assert!(!arrivals.is_empty(), "it is asked at all");
+    for asked in arrivals {
+        let n = count(arrivals, *asked + UNDER_WAY, *asked + REST);
+        assert!(n <= BEFORE_THE_END, "{n} requests in the rest it asked for");
+    }
+    assert!(seen.answered * 100 >= seen.sent * 99, "the others have slots to spare: {seen:?}");
+}
--- a/crates/policy/src/tests/notices.rs
+++ b/crates/policy/src/tests/notices.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use resources::{Bias, Service};
@@ -5,6 +7,8 @@
 use super::fixture::{BUDGET, SECOND, TERMS, ask, reporter, service};
 use crate::{Ask, Dispatcher, NodeId, Notice, Reply, Time};
 
+const REST: Duration = Duration::from_secs(3);
+
 fn dispatcher(service: &Service) -> (Dispatcher, StdRng) {
     (Dispatcher::new(Time(0), service, &[TERMS], BUDGET), StdRng::seed_from_u64(1))
 }
@@ -26,3 +30,14 @@
     it.reconfigure(Time(0) + SECOND, &service, &[TERMS]);
     assert_eq!(it.ask(Time(0) + SECOND, ask_of(2, 99), &mut rng), Reply::Full);
 }
+
+#[test]
+fn a_node_that_is_asked_for_rest_sends_nothing_until_it_is_over() {
+    let (mut it, mut rng) = dispatcher(&service(&[1], 1, Bias::Balanced));
+    it.noticed(Time(0), NodeId(1), "i-1000", 0, Notice::Rest(REST));
+    for ms in [0, 500, 1_500, 2_900] {
+        let now = Time(0) + Duration::from_millis(ms);
+        assert_eq!(it.ask(now, ask_of(1, ms), &mut rng), Reply::Full, "{ms}");
+    }
+    assert!(matches!(it.ask(Time(0) + REST, ask_of(1, 9), &mut rng), Reply::Granted(_)));
+}
