Endpoints that say they leave get no new work, whatever the registry tells

Callers' side: requests reached an endpoint 4.9 s and 2.6 s after an answer had told the node that sent them that it leaves; such endpoints end soon, and what runs there is lost.

Cause: only the registry told who leaves, and the store was away for 13 s when the endpoint did. Its answers said so; nothing read them. Class: as for rate limits, a word of an endpoint about itself that reaches nobody who decides.

Evidence: the store acknowledged the endpoint's state 11.6 s after the endpoint had said it; five requests went there in between, one of them a hedge. Ruled out: requests that waited for a slot (two seconds at most would be explained by that).

Change: `Notice::Leaving` takes the endpoint out of rotation for the rest of its life, at the node that was told and at whoever hands out its slots, as if the registry had said so. Nothing rests on that node: each ask names the endpoints that are closed to its asker, and a slot that is granted all the same (it was asked for before, or by a node that has taken over) goes back and another one is asked for, without cost to the budget for repeats.

Ways weighed: the word to the dispatching node alone (a node that takes over sends there again); to all nodes by the exchange (the rule binds each node by what it was told itself, and a node that was not told is told by its first answer); both ends, kept.

--- a/crates/caller/src/dispatch.rs
+++ b/crates/caller/src/dispatch.rs
@@ -50,9 +50,16 @@
     NoCapacity,
     /// Endpoints end under the request.
     CrashesEndpoints,
+    /// The endpoint of the slot has told this node since it asked that it wants nothing: another one may.
+    Closed,
 }
 
 impl Refused {
+    /// The slot was at an endpoint that wants nothing from this node.
+    pub fn closed() -> Self {
+        Self { retry_after: Duration::ZERO, why: Why::Closed }
+    }
+
     /// No slot is free in time.
     pub fn no_capacity(retry_after: Duration) -> Self {
         Self { retry_after, why: Why::NoCapacity }
--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -20,6 +20,7 @@
 use crate::body::{AnswerOut, Part, RequestOut};
 use crate::cx::Cx;
 use crate::open::{Open, STALL_AFTER};
+use crate::sending::acquire_open;
 use crate::work::Work;
 use crate::{Dispatch, notice, trace};
 
@@ -177,7 +178,7 @@
         let mut want = self.work.want(self.cx.paths.avoided(&[self.open.addr()]));
         want.left = RESUME_WITHIN;
         want.send = SendKind::Further;
-        let acquire = self.cx.dispatch.acquire(want);
+        let acquire = acquire_open(&self.cx, want);
         let slot = timeout(RESUME_WITHIN, acquire).await.ok()?.ok()?;
         if !self.work.may_be_sent(&self.cx) {
             return None;
--- a/crates/caller/src/sending.rs
+++ b/crates/caller/src/sending.rs
@@ -30,6 +30,8 @@
 /// trial.
 const TRIAL_HEDGE_PART: u32 = 2;
 
+/// Slots at closed endpoints that are given back before a request counts as refused.
+const MAX_CLOSED: u32 = 4;
 /// A hedge that found no good endpoint free asks again after this long, a third of a short request.
 const HEDGE_AGAIN: Duration = Duration::from_millis(50);
 
@@ -136,7 +138,7 @@
         None if progress.unknown_before => Err(GiveUp::unknown(refused.retry_after)),
         None if progress.reached > 0 => Err(GiveUp::not_run(refused.retry_after)),
         None => Err(match refused.why {
-            Why::NoCapacity => GiveUp::overloaded(refused.retry_after),
+            Why::NoCapacity | Why::Closed => GiveUp::overloaded(refused.retry_after),
             Why::CrashesEndpoints => GiveUp::crashes_endpoints(refused.retry_after),
         }),
     }
@@ -148,12 +150,26 @@
     want: Want,
 ) -> Result<D::Slot, Refused> {
     let since = Instant::now();
-    let slot = clock::timeout_at(work.deadline, cx.dispatch.acquire(want)).await;
+    let slot = clock::timeout_at(work.deadline, acquire_open(cx, want)).await;
     work.waited(since.elapsed());
     cx.metrics.slot_wait.observe(since.elapsed().as_secs_f64());
     slot.unwrap_or(Err(Refused::no_capacity(RETRY_AFTER_FAILURE)))
 }
 
+/// Asks again if the slot that is granted turns out to be at an endpoint that wants nothing from this node.
+pub(crate) async fn acquire_open<D: Dispatch>(
+    cx: &Arc<Cx<D>>,
+    mut want: Want,
+) -> Result<D::Slot, Refused> {
+    for _ in 0..MAX_CLOSED {
+        match cx.dispatch.acquire(want.clone()).await {
+            Err(Refused { why: Why::Closed, .. }) => want.send = want.send.again(),
+            settled => return settled,
+        }
+    }
+    Err(Refused::no_capacity(RETRY_AFTER_FAILURE))
+}
+
 /// One send and, on routes that allow it, a second one beside it when the first is late.
 async fn hedged<D: Dispatch>(
     cx: &Arc<Cx<D>>,
--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -63,6 +63,7 @@
             send: want.send,
             brings_part: true,
             avoid: want.avoid.clone(),
+            closed: state.direct.closed(),
             limits: state.direct.heard_limits(now),
             left: want.left,
             is_last: want.is_last,
@@ -152,6 +153,13 @@
             return;
         };
         let Waiter { tx, service, sent } = waiter;
+        let direct = self.services.get(service).map(|it| &it.direct);
+        if direct.is_some_and(|it| it.is_closed(&grant.endpoint, grant.started_ms)) {
+            self.give_back(now, place, id);
+            // The request may have been cancelled meanwhile.
+            let _ = tx.send(Err(Refused::closed()));
+            return;
+        }
         let endpoint = grant.endpoint.clone();
         if grant.is_rate_limited
             && place != Place::Direct
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -284,7 +284,7 @@
         let make = || {
             let mut new = Dispatcher::new(now, &self.service, &self.routes, budget);
             new.set_nodes(nodes);
-            new.with_beliefs_of(&self.direct)
+            new.with_beliefs_of(now, &self.direct)
         };
         self.own.get_or_insert_with(make)
     }
--- a/crates/fleet/src/tests/permits.rs
+++ b/crates/fleet/src/tests/permits.rs
@@ -32,6 +32,7 @@
         send: SendKind::First,
         brings_part: true,
         avoid: Vec::new(),
+        closed: Vec::new(),
         limits: Vec::new(),
         left: Duration::from_secs(1),
         is_last: false,
--- a/crates/fleet/tests/rate_limits.rs
+++ b/crates/fleet/tests/rate_limits.rs
@@ -2,7 +2,8 @@
 
 mod virtual_fleet;
 
-use virtual_fleet::{Arrival, Fleet, Limited, MS, NONE, RUN, Trouble};
+use policy::{Notice, RateLimit};
+use virtual_fleet::{Arrival, Fleet, MS, NONE, RUN, Says, Trouble};
 
 /// Sends are counted over this time.
 const WINDOW: u64 = 4_000 * MS;
@@ -15,8 +16,20 @@
 
 const FROM: u64 = 10_000 * MS;
 const UNTIL: u64 = 30_000 * MS;
-const LIMIT: Limited = Limited { endpoints: 4, per_s: 2.0, from: FROM, until: UNTIL };
-const LIMITED: Trouble = Trouble { fails_from: RUN, rate_limit: Some(LIMIT), ..NONE };
+const PER_S: f64 = 2.0;
+const ENDPOINTS: usize = 4;
+
+/// Endpoints name a limit.
+fn limited(endpoints: usize, per_s: f64) -> Trouble {
+    let notice = Notice::RateLimit(RateLimit::from_per_second(per_s));
+    let says = Says { endpoints, notice, from: FROM, until: UNTIL };
+    Trouble { fails_from: RUN, says: Some(says), ..NONE }
+}
+
+/// A few endpoints name a limit.
+fn few_limited() -> Trouble {
+    limited(ENDPOINTS, PER_S)
+}
 
 /// Most sends in a window to one endpoint, from nodes that knew of its limit.
 fn most_in_a_window(sends: &[Arrival], endpoint: usize) -> usize {
@@ -30,14 +43,14 @@
 }
 
 #[track_caller]
-fn check(trouble: Trouble) {
-    let limit = trouble.rate_limit.expect("endpoints name a limit");
-    let allowed = limit.per_s * 1.5 * WINDOW as f64 / 1e6 + SLACK;
+fn check(per_s: f64, trouble: Trouble) {
+    let allowed = per_s * 1.5 * WINDOW as f64 / 1e6 + SLACK;
+    let endpoints = trouble.says.map_or(0, |it| it.endpoints);
     for seed in 1..=4 {
         let mut fleet = Fleet::new(seed, trouble);
         fleet.run();
-        for endpoint in 0..limit.endpoints {
-            let most = most_in_a_window(&fleet.to_limited, endpoint);
+        for endpoint in 0..endpoints {
+            let most = most_in_a_window(&fleet.sends, endpoint);
             assert!(most as f64 <= allowed, "seed {seed}: {most} sends, allowed {allowed}");
         }
     }
@@ -46,40 +59,39 @@
 #[test]
 fn no_rate_limit_is_exceeded_in_calm() {
     for per_s in [0.0, 0.7, 2.0, 8.0] {
-        check(Trouble { rate_limit: Some(Limited { per_s, ..LIMIT }), ..LIMITED });
+        check(per_s, limited(ENDPOINTS, per_s));
     }
 }
 
 #[test]
 fn no_rate_limit_is_exceeded_while_another_node_takes_over() {
     for after in [1, 4, 8] {
-        check(Trouble { cut_off_at: Some(FROM + after * 1_000 * MS), ..LIMITED });
+        check(PER_S, Trouble { cut_off_at: Some(FROM + after * 1_000 * MS), ..few_limited() });
     }
 }
 
 #[test]
 fn no_rate_limit_is_exceeded_while_asks_go_from_one_node_to_the_next() {
-    check(Trouble { late: 0.6, ..LIMITED });
+    check(PER_S, Trouble { late: 0.6, ..few_limited() });
 }
 
 #[test]
 fn no_rate_limit_is_exceeded_while_frames_are_lost() {
     for lost in [0.05, 0.2, 0.4] {
-        check(Trouble { lost, ..LIMITED });
+        check(PER_S, Trouble { lost, ..few_limited() });
     }
 }
 
 #[test]
 fn a_limited_endpoint_keeps_its_work_up_to_the_limit() {
-    let mut fleet = Fleet::new(1, LIMITED);
+    let mut fleet = Fleet::new(1, few_limited());
     fleet.run();
-    let sends = fleet.to_limited.iter().filter(|it| it.at >= FROM + CONTACT).count() as f64;
-    let allowed = LIMIT.per_s * LIMIT.endpoints as f64 * (UNTIL - FROM - CONTACT) as f64 / 1e6;
+    let sends = fleet.sends.iter().filter(|it| it.at >= FROM + CONTACT).count() as f64;
+    let allowed = PER_S * ENDPOINTS as f64 * (UNTIL - FROM - CONTACT) as f64 / 1e6;
     assert!(sends >= 0.9 * allowed, "{sends} of {allowed}");
 }
 
 #[test]
 fn no_rate_limit_is_exceeded_while_all_endpoints_name_one() {
-    let limit = Limited { endpoints: NONE.endpoints.into(), ..LIMIT };
-    check(Trouble { rate_limit: Some(limit), ..LIMITED });
+    check(PER_S, limited(NONE.endpoints.into(), PER_S));
 }
--- a/crates/fleet/tests/virtual_fleet/mod.rs
+++ b/crates/fleet/tests/virtual_fleet/mod.rs
@@ -6,8 +6,8 @@
 
 use fleet::{Action, Client, Delivery, Directory, Message, PermitMessage, Place, Settlement, Wish};
 use policy::{
-    Ask, BudgetLimits, Dispatcher, Grant, Kind, NodeId, Notice, PermitId, Precedence, RateLimit,
-    Reply, Reporter, RequestKey, SendKind, Time, rank,
+    Ask, BudgetLimits, Dispatcher, Grant, Kind, NodeId, Notice, PermitId, Precedence, Reply,
+    Reporter, RequestKey, SendKind, Time, rank,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -62,15 +62,15 @@
     pub cut_off_at: Option<u64>,
     /// All processes begin anew, this many times, one second apart.
     pub restarts_from: Option<(u64, u64)>,
-    /// The rate limit that some endpoints name.
-    pub rate_limit: Option<Limited>,
+    /// What some endpoints say of themselves.
+    pub says: Option<Says>,
 }
 
-/// The first endpoints name a rate limit in all their answers for a while.
+/// The first endpoints say something of themselves in all their answers for a while.
 #[derive(Clone, Copy)]
-pub struct Limited {
+pub struct Says {
     pub endpoints: usize,
-    pub per_s: f64,
+    pub notice: Notice,
     pub from: u64,
     pub until: u64,
 }
@@ -103,7 +103,7 @@
     fails_from: 0,
     cut_off_at: None,
     restarts_from: None,
-    rate_limit: None,
+    says: None,
 };
 
 fn endpoint_name(i: usize) -> Name {
@@ -257,19 +257,19 @@
     pub most_queued: usize,
     /// What the dispatchers have counted.
     pub counted: Counted,
-    /// When each node was first told of the rate limit of an endpoint.
+    /// When each node was first told of an endpoint.
     told: BTreeMap<(usize, usize), u64>,
-    /// Sends to endpoints under a rate limit.
-    pub to_limited: Vec<Arrival>,
+    /// Sends to endpoints while they say something of themselves.
+    pub sends: Vec<Arrival>,
 }
 
-/// A send to an endpoint under a rate limit.
+/// A send to an endpoint that says something of itself.
 #[derive(Clone, Copy, Debug)]
 #[allow(dead_code, reason = "each program of tests looks at runs in its own way")]
 pub struct Arrival {
     pub at: u64,
     pub endpoint: usize,
-    /// Time since its node was told of the limit, if it was.
+    /// Time since its node was first told, if it was.
     pub known_for: Option<u64>,
 }
 
@@ -314,7 +314,7 @@
             most_queued: 0,
             counted: Counted::default(),
             told: BTreeMap::new(),
-            to_limited: Vec::new(),
+            sends: Vec::new(),
         };
         (0..NODES as usize).for_each(|i| fleet.after(0, Event::Request(i)));
         if let Some((from, times)) = trouble.restarts_from {
@@ -460,6 +460,7 @@
             send,
             brings_part: true,
             avoid: Vec::new(),
+            closed: self.nodes[i].direct.closed(),
             limits: self.nodes[i].direct.heard_limits(self.now()),
             left: TIME_LIMIT,
             is_last: false,
@@ -581,6 +582,9 @@
 
     /// The request goes out and is answered or fails.
     fn granted(&mut self, i: usize, id: PermitId, grant: &Grant, place: Place) {
+        if self.nodes[i].direct.is_closed(&grant.endpoint, grant.started_ms) {
+            return self.give_back(i, id, place);
+        }
         let endpoint = usize::from(grant.addr.port() - FIRST_PORT);
         let is_rate_limited = grant.is_rate_limited;
         if is_rate_limited && place != Place::Direct {
@@ -588,9 +592,9 @@
             self.nodes[i].direct.sent_elsewhere(now, &grant.endpoint);
         }
         self.nodes[i].open.insert(id, Open { place, endpoint, is_rate_limited });
-        if self.limit_named_by(endpoint).is_some() {
+        if self.said_by(endpoint).is_some() {
             let known_for = self.told.get(&(i, endpoint)).map(|at| self.now - at);
-            self.to_limited.push(Arrival { at: self.now, endpoint, known_for });
+            self.sends.push(Arrival { at: self.now, endpoint, known_for });
         }
         let reached = self.requests[&id];
         if reached > 0 {
@@ -603,26 +607,43 @@
         self.after(self.trouble.work, event);
     }
 
-    /// The rate limit that an endpoint names now.
-    fn limit_named_by(&self, endpoint: usize) -> Option<RateLimit> {
-        let it = self.trouble.rate_limit?;
-        let is_named = endpoint < it.endpoints && (it.from..it.until).contains(&self.now);
-        RateLimit::from_per_second(it.per_s).filter(|_| is_named)
+    /// A slot at an endpoint that wants nothing from this node goes back, and another one is asked for.
+    fn give_back(&mut self, i: usize, id: PermitId, place: Place) {
+        let now = self.now();
+        match place {
+            Place::Peer(node) => {
+                let message = PermitMessage::Release { id, outcome: None };
+                self.send(i, node.0 as usize, message);
+            }
+            Place::Own | Place::Direct => {
+                let node = &mut self.nodes[i];
+                let dispatcher = if place == Place::Own { &mut node.own } else { &mut node.direct };
+                let settled = dispatcher.cancel(now, id, &mut self.rng);
+                settled.into_iter().for_each(|it| self.answer(i, it.id, it.reply));
+            }
+        }
+        let reached = self.requests.remove(&id).unwrap_or_default();
+        let send = if reached == 0 { SendKind::FirstAgain } else { SendKind::Further };
+        self.wish(i, reached, send);
+    }
+
+    /// What an endpoint says of itself now.
+    fn said_by(&self, endpoint: usize) -> Option<Notice> {
+        let it = self.trouble.says?;
+        let is_said = endpoint < it.endpoints && (it.from..it.until).contains(&self.now);
+        is_said.then_some(it.notice)
     }
 
-    /// An answer tells its node of the endpoint's rate limit.
-    fn hear_rate_limit(&mut self, i: usize, id: PermitId) {
+    /// An answer tells its node what the endpoint says of itself.
+    fn hear(&mut self, i: usize, id: PermitId) {
         let Some(open) = self.nodes[i].open.get(&id).copied() else { return };
-        let limit = self.limit_named_by(open.endpoint);
-        if limit.is_some() {
+        let said = self.said_by(open.endpoint);
+        if said.is_some() {
             self.told.entry((i, open.endpoint)).or_insert(self.now);
         }
-        if limit.is_none() && !open.is_rate_limited {
-            return;
-        }
-        let endpoint = endpoint_name(open.endpoint);
-        let now = self.now();
-        let notice = Notice::RateLimit(limit);
+        let unlimited = open.is_rate_limited.then_some(Notice::RateLimit(None));
+        let Some(notice) = said.or(unlimited) else { return };
+        let (now, endpoint) = (self.now(), endpoint_name(open.endpoint));
         self.nodes[i].direct.noticed(now, id.node, &endpoint, 0, notice);
         self.nodes[i].own.noticed(now, id.node, &endpoint, 0, notice);
         if let Place::Peer(node) = open.place {
@@ -634,7 +655,7 @@
 
     /// The answer begins to travel.
     fn began(&mut self, i: usize, id: PermitId, place: Place) {
-        self.hear_rate_limit(i, id);
+        self.hear(i, id);
         let is_long = self.rng.random_bool(self.trouble.long_answers);
         let length = if is_long { LONG } else { 1 };
         if self.trouble.answer_travels > 0 && self.trouble.release == Release::Beginning {
@@ -689,7 +710,7 @@
     }
 
     fn failed(&mut self, i: usize, id: PermitId, place: Place) {
-        self.hear_rate_limit(i, id);
+        self.hear(i, id);
         self.end(i, id, place, Kind::Shed);
         let reached = self.requests.remove(&id).unwrap_or_default();
         let is_unreached = reached == 0 && self.rng.random_bool(self.trouble.unreached);
--- a/crates/policy/benches/decision.rs
+++ b/crates/policy/benches/decision.rs
@@ -49,6 +49,7 @@
         send: SendKind::First,
         brings_part: true,
         avoid: Vec::new(),
+        closed: Vec::new(),
         limits: Vec::new(),
         left: Duration::from_secs(1),
         is_last: false,
--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -212,6 +212,9 @@
             if is_watched && self.runs_watched(load) {
                 continue;
             }
+            if ask.closed.contains(&look.status.addr) {
+                continue;
+            }
             let Some(tier) = self.tier(look, i, ask, is_near) else { continue };
             let usable = look.slots_for(ask, tier);
             if tier < Tier::Near {
--- a/crates/policy/src/dispatcher/evidence.rs
+++ b/crates/policy/src/dispatcher/evidence.rs
@@ -114,13 +114,17 @@
     }
 
     /// Takes over what another dispatcher of the same service knows of failures.
-    pub fn with_beliefs_of(mut self, other: &Self) -> Self {
+    pub fn with_beliefs_of(mut self, now: Time, other: &Self) -> Self {
         for (it, load) in self.judge.rotation.endpoints().iter().zip(&mut self.loads) {
             if let Some(i) = other.judge.rotation.position(&it.id) {
                 load.belief = other.loads[i].belief;
                 load.pace = other.loads[i].pace;
+                load.is_leaving = other.loads[i].is_leaving;
             }
         }
+        for i in (0..self.loads.len()).filter(|i| self.loads[*i].is_leaving) {
+            self.judge.rotation.leave(now, i);
+        }
         self.signs = other.signs.clone();
         self.suspects = other.suspects.clone();
         self
--- a/crates/policy/src/dispatcher/paced.rs
+++ b/crates/policy/src/dispatcher/paced.rs
@@ -8,7 +8,7 @@
 
 use super::{Dispatcher, Precedence};
 use crate::permit::Ask;
-use crate::rate_limit::{HeardLimit, MAX_TOLD, RateLimit};
+use crate::rate_limit::{HeardLimit, RateLimit};
 use crate::time::Time;
 
 impl Dispatcher {
@@ -35,7 +35,7 @@
         let all = self.endpoints().iter().zip(&self.loads);
         let mut told: Vec<_> = all.filter_map(|(it, load)| load.pace.told(now, it.addr)).collect();
         told.sort_by_key(|it| it.age_ms);
-        told.truncate(MAX_TOLD);
+        told.truncate(Ask::MAX_LIMITS);
         told
     }
 
--- a/crates/policy/src/dispatcher/waiting.rs
+++ b/crates/policy/src/dispatcher/waiting.rs
@@ -119,6 +119,7 @@
     priority: Priority,
     objective: Duration,
     avoid: &'a [SocketAddr],
+    closed: &'a [SocketAddr],
     /// The request, if an endpoint has ended under it.
     watched: Option<RequestKey>,
 }
@@ -135,6 +136,7 @@
             priority: ask.priority,
             objective: ask.objective,
             avoid: &ask.avoid,
+            closed: &ask.closed,
             watched: None,
         }
     }
--- a/crates/policy/src/permit.rs
+++ b/crates/policy/src/permit.rs
@@ -71,6 +71,8 @@
     pub brings_part: bool,
     /// Endpoints that the asker cannot reach or has tried already; used last.
     pub avoid: Vec<SocketAddr>,
+    /// Endpoints that have told the asker that they want nothing from it; never used.
+    pub closed: Vec<SocketAddr>,
     /// Rate limits that the asker has heard of. Whoever hands out slots from now on knows what the asker was told.
     pub limits: Vec<HeardLimit>,
     /// Time left until the request's deadline.
@@ -84,6 +86,13 @@
     pub wait: bool,
 }
 
+impl Ask {
+    /// Closed endpoints in one ask at most, so that it fits its frame.
+    pub const MAX_CLOSED: usize = 12;
+    /// Rate limits in one ask at most, for the same reason.
+    pub const MAX_LIMITS: usize = 8;
+}
+
 /// A slot on an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -9,8 +9,6 @@
 
 /// Sends go on at this rate, in requests a second, under a lower limit: the end of a limit is told by answers alone.
 const LEAST_RATE: f64 = 0.25;
-/// Limits that an asker tells of at once at most, so that an ask fits its frame.
-pub(crate) const MAX_TOLD: usize = 16;
 /// A limit is passed on for this long after it was heard. While it holds, some answer names it again.
 const PASSED_ON_FOR: Duration = Duration::from_secs(10);
 
--- a/crates/policy/src/rotation.rs
+++ b/crates/policy/src/rotation.rs
@@ -308,8 +308,7 @@
         }
     }
 
-    /// Marks an endpoint that is going away.
-    #[cfg(test)]
+    /// Marks an endpoint that says it is going away, whatever the registry tells. It stays so for all of its life.
     pub(crate) fn leave(&mut self, now: Time, i: usize) {
         if self.endpoints[i].state == State::Leaving {
             return;
--- a/crates/policy/src/tests/choice.rs
+++ b/crates/policy/src/tests/choice.rs
@@ -203,7 +203,7 @@
     let elapsed = Duration::from_millis(5);
     let it = seen(1, Kind::Failed, elapsed);
     told.observe(Time(0), &sick.id, it);
-    let taken_over = new().with_beliefs_of(&told);
+    let taken_over = new().with_beliefs_of(Time(0), &told);
     assert_eq!(taken_over.set_back(Time(1)).collect::<Vec<_>>(), [sick.addr]);
 }
 
--- a/crates/policy/src/tests/fixture.rs
+++ b/crates/policy/src/tests/fixture.rs
@@ -157,6 +157,7 @@
         send: SendKind::First,
         brings_part: true,
         avoid: Vec::new(),
+        closed: Vec::new(),
         limits: Vec::new(),
         left: SECOND,
         is_last: false,
