A node that an endpoint asks for rest sends nothing there until it is over

Callers' side: an endpoint that turned all away and asked a node for 3 s of rest got four more requests from that node; each costs its caller a further send, and those are budgeted: 10 to 11 of some 60 bookings a second were refused.

Cause: `Retry-After` of an endpoint was not read; a request turned away made its endpoint count as full for 0.1 s, for all nodes alike. Class: as for rate limits and leaving endpoints, a word of an endpoint about itself that reaches nobody who decides.

Evidence: of 43 requests that the endpoint turned away in six seconds none changed what came next (8 5 7 10 6 7 a second). Ruled out: a word lost on its way to the dispatching node (none was sent).

Change: `Notice::Rest` closes an endpoint to the node that was asked, until the rest is over; the node's asks name it, and a slot there goes back, as for endpoints that leave. All other nodes use an endpoint that asks one of them for rest last, for a second at most: it turns others away as well, but may not. If all endpoints want nothing from the asker for longer than it waits, the request is refused at once; it is told to come back soon where another node may be served.

--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -63,7 +63,7 @@
             send: want.send,
             brings_part: true,
             avoid: want.avoid.clone(),
-            closed: state.direct.closed(),
+            closed: state.direct.closed(now, self.me.node),
             limits: state.direct.heard_limits(now),
             left: want.left,
             is_last: want.is_last,
@@ -154,7 +154,9 @@
         };
         let Waiter { tx, service, sent } = waiter;
         let direct = self.services.get(service).map(|it| &it.direct);
-        if direct.is_some_and(|it| it.is_closed(&grant.endpoint, grant.started_ms)) {
+        if direct
+            .is_some_and(|it| it.is_closed(now, self.me.node, &grant.endpoint, grant.started_ms))
+        {
             self.give_back(now, place, id);
             // The request may have been cancelled meanwhile.
             let _ = tx.send(Err(Refused::closed()));
--- a/crates/fleet/tests/virtual_fleet/mod.rs
+++ b/crates/fleet/tests/virtual_fleet/mod.rs
@@ -261,6 +261,8 @@
     told: BTreeMap<(usize, usize), u64>,
     /// Sends to endpoints while they say something of themselves.
     pub sends: Vec<Arrival>,
+    /// When a node was asked for rest by an endpoint.
+    pub asked_for_rest: Vec<(u64, usize, usize)>,
 }
 
 /// A send to an endpoint that says something of itself.
@@ -268,6 +270,7 @@
 #[allow(dead_code, reason = "each program of tests looks at runs in its own way")]
 pub struct Arrival {
     pub at: u64,
+    pub node: usize,
     pub endpoint: usize,
     /// Time since its node was first told, if it was.
     pub known_for: Option<u64>,
@@ -315,6 +318,7 @@
             counted: Counted::default(),
             told: BTreeMap::new(),
             sends: Vec::new(),
+            asked_for_rest: Vec::new(),
         };
         (0..NODES as usize).for_each(|i| fleet.after(0, Event::Request(i)));
         if let Some((from, times)) = trouble.restarts_from {
@@ -460,7 +464,7 @@
             send,
             brings_part: true,
             avoid: Vec::new(),
-            closed: self.nodes[i].direct.closed(),
+            closed: self.nodes[i].direct.closed(self.now(), id.node),
             limits: self.nodes[i].direct.heard_limits(self.now()),
             left: TIME_LIMIT,
             is_last: false,
@@ -582,7 +586,8 @@
 
     /// The request goes out and is answered or fails.
     fn granted(&mut self, i: usize, id: PermitId, grant: &Grant, place: Place) {
-        if self.nodes[i].direct.is_closed(&grant.endpoint, grant.started_ms) {
+        let (now, direct) = (self.now(), &self.nodes[i].direct);
+        if direct.is_closed(now, id.node, &grant.endpoint, grant.started_ms) {
             return self.give_back(i, id, place);
         }
         let endpoint = usize::from(grant.addr.port() - FIRST_PORT);
@@ -594,17 +599,19 @@
         self.nodes[i].open.insert(id, Open { place, endpoint, is_rate_limited });
         if self.said_by(endpoint).is_some() {
             let known_for = self.told.get(&(i, endpoint)).map(|at| self.now - at);
-            self.sends.push(Arrival { at: self.now, endpoint, known_for });
+            self.sends.push(Arrival { at: self.now, node: i, endpoint, known_for });
         }
         let reached = self.requests[&id];
         if reached > 0 {
             self.repeats.push(self.now);
         }
-        let event = match self.now >= self.trouble.fails_from {
+        let is_turned_away = matches!(self.said_by(endpoint), Some(Notice::Rest(_)));
+        let event = match self.now >= self.trouble.fails_from || is_turned_away {
             true => Event::Failed { node: i, id, place },
             false => Event::Began { node: i, id, place },
         };
-        self.after(self.trouble.work, event);
+        let work = if is_turned_away { MS } else { self.trouble.work };
+        self.after(work, event);
     }
 
     /// A slot at an endpoint that wants nothing from this node goes back, and another one is asked for.
@@ -641,6 +648,9 @@
         if said.is_some() {
             self.told.entry((i, open.endpoint)).or_insert(self.now);
         }
+        if matches!(said, Some(Notice::Rest(_))) {
+            self.asked_for_rest.push((self.now, i, open.endpoint));
+        }
         let unlimited = open.is_rate_limited.then_some(Notice::RateLimit(None));
         let Some(notice) = said.or(unlimited) else { return };
         let (now, endpoint) = (self.now(), endpoint_name(open.endpoint));
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -270,12 +270,18 @@
         let survey = self.survey(now);
         let choice = self.choose(&survey, &ask, || rng.random());
         let slots = survey.capacity();
+        let closed_for = self.closed_for(&survey, &ask);
         if let Some(choice) = choice {
             return Reply::Granted(self.grant(now, &ask, choice));
         }
         if !ask.wait {
             return Reply::Full;
         }
+        if let Some(retry_after) = closed_for {
+            self.counts.queue_refused += 1;
+            self.note_unserved(now, 1);
+            return Reply::Refused { retry_after };
+        }
         self.enqueue(now, ask, slots)
     }
 
@@ -295,7 +301,7 @@
         let load = &mut self.loads[permit.endpoint];
         let held_slot = load.give_back(id);
         if kind == Kind::Shed {
-            load.full_until = now + FULL_FOR;
+            load.full_until = load.full_until.max(now + FULL_FOR);
             self.note_shed(now, permit.sent);
         }
         if kind == Kind::Answered && !permit.told.has_answer() {
--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -212,7 +212,8 @@
             if is_watched && self.runs_watched(load) {
                 continue;
             }
-            if ask.closed.contains(&look.status.addr) {
+            let is_closed = load.is_closed_to(now, ask.reporter.node);
+            if is_closed || ask.closed.contains(&look.status.addr) {
                 continue;
             }
             let Some(tier) = self.tier(look, i, ask, is_near) else { continue };
@@ -250,7 +251,7 @@
 
     /// How long a good endpoint is waited for. A send that can be followed by another one loses little
     /// on an endpoint that fails; the last one loses all.
-    fn patience(&self, ask: &Ask) -> Duration {
+    pub(super) fn patience(&self, ask: &Ask) -> Duration {
         let part = if self.is_last_send(ask) { LAST_SEND_PATIENCE } else { FIRST_SEND_PATIENCE };
         ask.objective.mul_f64(part)
     }
--- a/crates/policy/src/dispatcher/evidence.rs
+++ b/crates/policy/src/dispatcher/evidence.rs
@@ -120,6 +120,7 @@
                 load.belief = other.loads[i].belief;
                 load.pace = other.loads[i].pace;
                 load.is_leaving = other.loads[i].is_leaving;
+                load.rests = other.loads[i].rests.clone();
             }
         }
         for i in (0..self.loads.len()).filter(|i| self.loads[*i].is_leaving) {
--- a/crates/policy/src/dispatcher/load.rs
+++ b/crates/policy/src/dispatcher/load.rs
@@ -8,7 +8,7 @@
 use crate::belief::Belief;
 use crate::permit::{Ask, PermitId};
 use crate::rate_limit::Pace;
-use crate::rendezvous::stable_hash;
+use crate::rendezvous::{NodeId, stable_hash};
 use crate::signs::Signs;
 use crate::suspects::RequestKey;
 use crate::time::Time;
@@ -111,6 +111,11 @@
         now.since(self.known_since)
     }
 
+    /// Whether it has said that it wants no request of a node.
+    pub(super) fn is_closed_to(&self, now: Time, node: NodeId) -> bool {
+        self.is_leaving || !self.rests.left(now, node).is_zero()
+    }
+
     /// Slots in use.
     pub(super) fn in_use(&self) -> u32 {
         self.open.iter().filter(|it| it.holds_slot()).count() as u32
--- a/crates/policy/src/dispatcher/notices.rs
+++ b/crates/policy/src/dispatcher/notices.rs
@@ -2,12 +2,18 @@
 
 use std::net::SocketAddr;
 
-use super::Dispatcher;
+use std::time::Duration;
+
+use super::choice::Survey;
+use super::{Dispatcher, MIN_RETRY_AFTER};
 use crate::notice::Notice;
 use crate::permit::Ask;
 use crate::rendezvous::NodeId;
 use crate::time::Time;
 
+/// An endpoint that asks one node for rest is used last by all for this long at most.
+const MAX_FULL: Duration = Duration::from_secs(1);
+
 impl Dispatcher {
     /// Learns what an endpoint said of itself in an answer to the node `by`. What another life of it said is passed over. Returns whether it
     /// is news.
@@ -29,22 +35,52 @@
                 self.judge.rotation.leave(now, endpoint);
                 !std::mem::replace(&mut self.loads[endpoint].is_leaving, true)
             }
-            Notice::Rest(length) => self.loads[endpoint].rests.ask(now, by, length),
+            Notice::Rest(length) => {
+                let load = &mut self.loads[endpoint];
+                load.full_until = load.full_until.max(now + length.min(MAX_FULL));
+                load.rests.ask(now, by, length)
+            }
         }
     }
 
-    /// Whether an endpoint wants no request, by what it has said itself to this node.
-    pub fn is_closed(&self, id: &str, started_ms: u64) -> bool {
+    /// Whether an endpoint has said that it wants no request of a node.
+    pub fn is_closed(&self, now: Time, node: NodeId, id: &str, started_ms: u64) -> bool {
         let known = self.judge.rotation.position(id);
         known.is_some_and(|i| {
-            self.endpoints()[i].started_ms == started_ms && self.loads[i].is_leaving
+            self.endpoints()[i].started_ms == started_ms && self.loads[i].is_closed_to(now, node)
         })
     }
 
-    /// The endpoints that want no request, by what they have said themselves to this node.
-    pub fn closed(&self) -> Vec<SocketAddr> {
+    /// The endpoints that have said that they want no request of a node.
+    pub fn closed(&self, now: Time, node: NodeId) -> Vec<SocketAddr> {
         let all = self.endpoints().iter().zip(&self.loads);
-        let closed = all.filter(|(_, load)| load.is_leaving).map(|(it, _)| it.addr);
+        let closed = all.filter(|(_, load)| load.is_closed_to(now, node)).map(|(it, _)| it.addr);
         closed.take(Ask::MAX_CLOSED).collect()
     }
+
+    /// Whether an endpoint wants nothing from some node for a while.
+    pub(super) fn has_rests(&self, now: Time) -> bool {
+        self.loads.iter().any(|it| it.rests.count(now) > 0)
+    }
+
+    /// When to come back, if all endpoints that take work want nothing from the asker for longer than it has patience.
+    /// Other nodes may be served at once.
+    pub(super) fn closed_for(&self, survey: &Survey<'_>, ask: &Ask) -> Option<Duration> {
+        let (now, node) = (survey.now(), ask.reporter.node);
+        let mut rests = Vec::new();
+        for (it, load) in self.endpoints().iter().zip(&self.loads) {
+            if it.usable_slots(now) == 0 {
+                continue;
+            }
+            let rest = load.rests.left(now, node);
+            if rest.is_zero() && !ask.closed.contains(&it.addr) {
+                return None;
+            }
+            rests.push((rest, load.rests.count(now) < self.nodes));
+        }
+        let (soonest, _) = rests.iter().min()?;
+        let elsewhere = rests.iter().any(|(_, is_open_to_others)| *is_open_to_others);
+        let retry_after = if elsewhere { MIN_RETRY_AFTER } else { (*soonest).max(MIN_RETRY_AFTER) };
+        (*soonest > self.patience(ask)).then_some(retry_after)
+    }
 }
--- a/crates/policy/src/dispatcher/rests.rs
+++ b/crates/policy/src/dispatcher/rests.rs
@@ -29,6 +29,12 @@
         }
     }
 
+    /// For how much longer a node is to send nothing.
+    pub(super) fn left(&self, now: Time, node: NodeId) -> Duration {
+        let until = self.0.iter().find(|(it, _)| *it == node).map(|(_, until)| *until);
+        until.map_or(Duration::ZERO, |it| it.since(now))
+    }
+
     /// Nodes that are asked for a rest now.
     pub(super) fn count(&self, now: Time) -> usize {
         self.0.iter().filter(|(_, until)| now < *until).count()
--- a/crates/policy/src/dispatcher/waiting.rs
+++ b/crates/policy/src/dispatcher/waiting.rs
@@ -77,7 +77,7 @@
     /// The next request in order for which there is an endpoint now. Requests that differ in nothing that
     /// bears on the choice have the same answer, and most of those that wait do.
     fn next_waiting(&self, survey: &Survey<'_>) -> Option<usize> {
-        let by_node = self.judge.has_path_faults();
+        let by_node = self.judge.has_path_faults() || self.has_rests(survey.now());
         let may_repeat = self.budget.covers(survey.now());
         let mut known: Vec<(ChoiceKey<'_>, bool)> = Vec::new();
         self.queue.best(|ask| {
