A time limit that passes speaks of the time at which its request was sent

Callers' side: 148 of 978 bookings of two seconds were not served while 5 of 13 sound endpoints of the service had no work.

Cause: an endpoint hangs for a moment with its slots taken; its requests reach their time limits seconds later, one after the other, and each renewed the time of its last failure, so that it was left alone for 1.9 s more although nobody had asked it for longer. Class: evidence that is dated by when it is heard of, not by what it speaks of.

Change: a silence fails its send; the time of the last failure is that of the send, and never moves back. How likely the endpoint is sick is weighed when it is known, as before, and requests that are still open speak for themselves.

Ruled out: only taking an endpoint that is idle for longer for one that may be well (`Dispatcher::due`): it stays a last choice by its last failure, and gets no work while better ones are free.

--- a/crates/policy/src/belief.rs
+++ b/crates/policy/src/belief.rs
@@ -145,11 +145,11 @@
                     self.weigh(began.max(self.at), ratio, rest);
                 }
             }
-            Kind::Failed | Kind::Crashed => self.fail(now, ratio, rest),
+            Kind::Failed | Kind::Crashed => self.fail(now, now, ratio, rest),
             Kind::Stalled | Kind::Beaten | Kind::TimedOut | Kind::Abandoned => {
-                self.wait_in_vain(now, ratio, rest);
+                self.wait_in_vain(now, elapsed, ratio, rest);
             }
-            Kind::Unreachable if self.is_unreachable(reporter) => self.fail(now, ratio, rest),
+            Kind::Unreachable if self.is_unreachable(reporter) => self.fail(now, now, ratio, rest),
             Kind::Unreachable | Kind::Shed => {}
         }
     }
@@ -203,15 +203,16 @@
         self.failed_at.is_none_or(|it| now.since(it) > age)
     }
 
-    fn fail(&mut self, now: Time, ratio: f64, rest: f64) {
+    /// It failed at `at`, as is known now.
+    fn fail(&mut self, now: Time, at: Time, ratio: f64, rest: f64) {
         self.weigh(now, ratio, rest);
-        self.failed_at = Some(now);
+        self.failed_at = self.failed_at.max(Some(at));
     }
 
-    /// No answer came.
-    fn wait_in_vain(&mut self, now: Time, ratio: f64, rest: f64) {
+    /// No answer came for `elapsed`. What failed is the send: a time limit that passes says nothing of the time since.
+    fn wait_in_vain(&mut self, now: Time, elapsed: Duration, ratio: f64, rest: f64) {
         match ratio > SILENCE_FAILS {
-            true => self.fail(now, ratio, rest),
+            true => self.fail(now, now - elapsed, ratio, rest),
             false => self.weigh(now, ratio, rest),
         }
     }
