A node that becomes the first choice uses the whole of a rate limit at once

Found on reading: when its send is due next was fixed at the last send, by the part of the limit that the node had then. One that takes over from 35 others at 2 requests a second waited for 18 s where it may send after 0.5.

Change: the time of the last send is kept, and the interval is that of the present part.

--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -306,7 +306,7 @@
             due: self.due(now, load),
             is_old: load.alone(now) > MISSED_AFTER,
             paced_slots: load.pace.limit().map(|it| it.per_second() * self.mean_hold.as_secs_f64()),
-            may_send: load.pace.allows(now),
+            may_send: load.pace.allows(now, self.sharers()),
             sick: load.belief.sick_given(now, silence, self.signs.share()),
         }
     }
--- a/crates/policy/src/dispatcher/paced.rs
+++ b/crates/policy/src/dispatcher/paced.rs
@@ -19,8 +19,7 @@
         endpoint: usize,
         limit: Option<RateLimit>,
     ) -> bool {
-        let sharers = self.sharers();
-        self.loads[endpoint].pace.hear(now, now, limit, sharers)
+        self.loads[endpoint].pace.hear(now, now, limit)
     }
 
     /// Learns that a request of this node goes to an endpoint on the word of another dispatcher.
@@ -41,13 +40,12 @@
 
     /// Takes in the limits that an asker has heard of, and its sends under them.
     pub(super) fn hear_limits(&mut self, now: Time, ask: &Ask) {
-        let sharers = self.sharers();
         let before = |ms: u32| now - Duration::from_millis(ms.into());
         for it in &ask.limits {
             let all = self.judge.rotation.endpoints().iter().zip(&mut self.loads);
             for (_, load) in all.filter(|(status, _)| status.addr == it.endpoint) {
-                load.pace.hear(now, before(it.age_ms), Some(it.limit), sharers);
-                it.sent_ms.map(before).into_iter().for_each(|at| load.pace.asker_sent(at, sharers));
+                load.pace.hear(now, before(it.age_ms), Some(it.limit));
+                it.sent_ms.map(before).into_iter().for_each(|at| load.pace.asker_sent(at));
             }
         }
     }
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -55,8 +55,8 @@
     limit: Option<RateLimit>,
     /// When the latest answer came that speaks of a limit or of none.
     heard: Option<Time>,
-    /// When the next send is due at the rate of the limit.
-    next: Time,
+    /// The latest send, as the rate of the limit counts it. The next one is due an interval later, whatever that is by then.
+    last: Time,
     /// The latest send of this node itself.
     sent: Option<Time>,
 }
@@ -68,27 +68,21 @@
     }
 
     /// Takes in what an answer said at `heard`, unless something later is known. Returns whether it changes the limit.
-    pub(crate) fn hear(
-        &mut self,
-        now: Time,
-        heard: Time,
-        limit: Option<RateLimit>,
-        sharers: usize,
-    ) -> bool {
+    pub(crate) fn hear(&mut self, now: Time, heard: Time, limit: Option<RateLimit>) -> bool {
         if self.heard.is_some_and(|it| it > heard) {
             return false;
         }
         self.heard = Some(heard);
         let before = std::mem::replace(&mut self.limit, limit);
-        if let (None, Some(limit)) = (before, limit) {
-            self.next = now + limit.interval(sharers);
+        if before.is_none() {
+            self.last = now;
         }
         before != limit
     }
 
     /// Whether a send may go out now.
-    pub(crate) fn allows(&self, now: Time) -> bool {
-        self.limit.is_none() || now >= self.next
+    pub(crate) fn allows(&self, now: Time, sharers: usize) -> bool {
+        self.limit.is_none_or(|it| now >= self.last + it.interval(sharers))
     }
 
     /// A send goes out.
@@ -96,7 +90,7 @@
         self.sent = Some(now);
         if let Some(limit) = self.limit {
             let interval = limit.interval(sharers);
-            self.next = self.next.max(now - interval) + interval;
+            self.last = (self.last + interval).max(now - interval);
         }
     }
 
@@ -106,10 +100,8 @@
     }
 
     /// An asker has sent there at `sent`, on whoever's word.
-    pub(crate) fn asker_sent(&mut self, sent: Time, sharers: usize) {
-        if let Some(limit) = self.limit {
-            self.next = self.next.max(sent + limit.interval(sharers));
-        }
+    pub(crate) fn asker_sent(&mut self, sent: Time) {
+        self.last = self.last.max(sent);
     }
 
     /// What is told of the limit of the endpoint at `endpoint`.
--- a/crates/policy/src/tests/rate_limit.rs
+++ b/crates/policy/src/tests/rate_limit.rs
@@ -178,6 +178,17 @@
     assert!((3..=6).contains(&granted), "{granted}");
 }
 
+#[test]
+fn a_node_that_becomes_the_first_choice_uses_the_limit_at_once() {
+    let (mut it, mut rng) = limited(2.0);
+    it.set_nodes(36);
+    it.set_precedence(Precedence::OneOfMany);
+    grants(&mut it, &mut rng, 30, 0, 20_000);
+    it.set_precedence(Precedence::First);
+    let granted = grants(&mut it, &mut rng, 30, 20_000, 24_000).len();
+    assert!((7..=10).contains(&granted), "{granted} where 8 are allowed");
+}
+
 proptest! {
     #[test]
     fn sends_keep_to_the_limit_in_every_window(
@@ -185,12 +196,12 @@
         pauses in prop::collection::vec(0..2_000_u64, 1..200),
     ) {
         let mut pace = Pace::default();
-        pace.hear(at(0), at(0), limit(per_s), 1);
+        pace.hear(at(0), at(0), limit(per_s));
         let mut now = at(0);
         let mut sent = Vec::new();
         for pause in pauses {
             now = now + Duration::from_millis(pause);
-            if pace.allows(now) {
+            if pace.allows(now, 1) {
                 pace.sent(now, 1);
                 sent.push(now);
             }
