A failure that names no rate limit lifts none

Found on reading: each answer without the header lifted the limit of its endpoint, those included that say no more than that it failed. An endpoint in need fails more often than others, and a limit that comes and goes with each failure lets sends through that it does not take.

Change: only an answer that is no failure lifts a limit; any answer names one. Test: `a_failure_without_a_rate_limit_lifts_none` (told `RateLimit(None)` before).

--- a/crates/caller/src/notice.rs
+++ b/crates/caller/src/notice.rs
@@ -13,6 +13,8 @@
         return;
     }
     match headers::rate_limit_of(&cx.names, res.headers()) {
+        // A failure may come without the headers that the endpoint's work sets.
+        Ok(None) if res.status().is_server_error() => {}
         Ok(limit) => open.noticed(Notice::RateLimit(limit)),
         Err(e) => trace::bad_answer(&cx.log, &open.grant().endpoint, &e),
     }
--- a/crates/caller/tests/travelling.rs
+++ b/crates/caller/tests/travelling.rs
@@ -76,8 +76,22 @@
 
 /// An endpoint sends parts of an answer with pauses between them and closes the connection.
 async fn check(parts: &[&'static str], pause: Duration, expect: Expect) {
+    check_with(|it| it, parts, pause, expect).await;
+}
+
+/// The same with an endpoint that is taken for one under a rate limit.
+async fn check_limited(parts: &[&'static str], pause: Duration, expect: Expect) {
+    check_with(|it| Grant { is_rate_limited: true, ..it }, parts, pause, expect).await;
+}
+
+async fn check_with(
+    granted: impl Fn(Grant) -> Grant,
+    parts: &[&'static str],
+    pause: Duration,
+    expect: Expect,
+) {
     let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let grant = bed::grant(endpoint.local_addr().unwrap());
+    let grant = granted(bed::grant(endpoint.local_addr().unwrap()));
     let recorder = Recorder { grant, grants_further: false, told: Arc::default() };
     let answering = async {
         let (mut stream, _) = endpoint.accept().await.unwrap();
@@ -147,6 +161,14 @@
     check(&[unreadable], LONG, expect!["Answered"]).await;
 }
 
+#[tokio::test]
+async fn a_failure_without_a_rate_limit_lifts_none() {
+    let failed = "HTTP/1.1 500 Oh\r\ncontent-length: 0\r\n\r\n";
+    check_limited(&[failed], LONG, expect!["Failed"]).await;
+    let good = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    check_limited(&[good], LONG, expect!["RateLimit(None) Answered"]).await;
+}
+
 #[tokio::test]
 async fn the_rest_of_a_download_tells_a_rate_limit_too() {
     let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
