What an endpoint said holds when its entry lapses and comes back

Found on reading: an entry may lapse while the store is away and come back seconds later, for the same life. The endpoint was taken out with all that was known of it and came back as a new one, so that a node that it had told that it leaves sent there again, and rests and rate limits ended early.

Beliefs begin anew as before.

Test: `what_an_endpoint_said_holds_when_its_entry_lapses_and_comes_back`, which failed before at each of the three words. Ruled out: an endpoint that starts again (another life, tested).

--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -14,7 +14,7 @@
 mod overlap;
 mod paced;
 mod rest;
-mod rests;
+mod said;
 mod suspicion;
 mod waiting;
 
@@ -39,6 +39,7 @@
 use congestion::Congestion;
 use load::Load;
 use overlap::{Overlap, Sent};
+use said::Remembered;
 
 pub use counts::{DispatchCounts, IdleEndpoint, Occupancy};
 pub use evidence::EvidenceReport;
@@ -133,6 +134,7 @@
     refreshed: Time,
     /// In the order of the rotation.
     loads: Vec<Load>,
+    remembered: Remembered,
     permits: FxHashMap<PermitId, Permit>,
     /// Permits that came back or were withdrawn lately. An ask for one is a late copy: granted, its slot would be held
     /// until the permit expires.
@@ -175,6 +177,7 @@
             signs: Signs::default(),
             refreshed: now,
             loads: service.endpoints.iter().map(|it| Load::new(now, &it.failure_domain)).collect(),
+            remembered: Remembered::default(),
             permits: FxHashMap::default(),
             ended: FxHashMap::default(),
             queue: Queue::new(),
@@ -207,6 +210,9 @@
     /// kept; those on one that has started again went with its life before.
     pub fn reconfigure(&mut self, now: Time, service: &Service, routes: &[RouteTerms]) {
         let before = Lives::of(self.endpoints());
+        for (it, load) in self.judge.rotation.endpoints().iter().zip(&self.loads) {
+            self.remembered.keep(now, &it.id, it.started_ms, &load.said);
+        }
         self.judge.reconfigure(now, service, routes);
         self.floor_share = floor_share(service);
         self.elsewhere = elsewhere(routes);
@@ -219,6 +225,7 @@
             })
         };
         self.loads = self.endpoints().iter().map(load_of).collect();
+        self.recall(now);
         // Where each endpoint stands now, by where it stood before.
         let mut moved = vec![None; old.len()];
         for (i, it) in self.judge.rotation.endpoints().iter().enumerate() {
@@ -442,7 +449,7 @@
             trial: tier == Tier::Trial || matches!(it.state, State::Trial { .. }),
             tier,
             is_watched: self.suspects.is_watched(ask.request),
-            is_rate_limited: self.loads[endpoint].pace.limit().is_some(),
+            is_rate_limited: self.loads[endpoint].said.pace.limit().is_some(),
         };
         let permit = Permit {
             endpoint,
@@ -464,7 +471,7 @@
         }
         self.counts.to_limited += u32::from(grant.is_rate_limited);
         let sharers = self.sharers();
-        self.loads[endpoint].pace.sent(now, sharers);
+        self.loads[endpoint].said.pace.sent(now, sharers);
         self.loads[endpoint].take(now, ask);
         self.granted_at = Some(now);
         self.permits.insert(ask.id, permit);
--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -212,7 +212,7 @@
             if is_watched && self.runs_watched(load) {
                 continue;
             }
-            let is_closed = load.is_closed_to(now, ask.reporter.node);
+            let is_closed = load.said.is_closed_to(now, ask.reporter.node);
             if is_closed || ask.closed.contains(&look.status.addr) {
                 continue;
             }
@@ -305,8 +305,12 @@
             silence,
             due: self.due(now, load),
             is_old: load.alone(now) > MISSED_AFTER,
-            paced_slots: load.pace.limit().map(|it| it.per_second() * self.mean_hold.as_secs_f64()),
-            may_send: load.pace.allows(now, self.sharers()),
+            paced_slots: load
+                .said
+                .pace
+                .limit()
+                .map(|it| it.per_second() * self.mean_hold.as_secs_f64()),
+            may_send: load.said.pace.allows(now, self.sharers()),
             sick: load.belief.sick_given(now, silence, self.signs.share()),
         }
     }
--- a/crates/policy/src/dispatcher/counts.rs
+++ b/crates/policy/src/dispatcher/counts.rs
@@ -131,10 +131,10 @@
         for (status, load) in self.endpoints().iter().zip(&self.loads) {
             it.in_use += load.in_use();
             it.travelling += load.travelling();
-            it.leaving += u32::from(load.is_leaving);
-            it.resting += u32::from(load.rests.count(now) > 0);
-            it.limited += u32::from(load.pace.limit().is_some());
-            it.limit_per_s += load.pace.limit().map_or(0.0, RateLimit::per_second);
+            it.leaving += u32::from(load.said.is_leaving);
+            it.resting += u32::from(load.said.rests.count(now) > 0);
+            it.limited += u32::from(load.said.pace.limit().is_some());
+            it.limit_per_s += load.said.pace.limit().map_or(0.0, RateLimit::per_second);
             if !status.is_expected() {
                 continue;
             }
--- a/crates/policy/src/dispatcher/evidence.rs
+++ b/crates/policy/src/dispatcher/evidence.rs
@@ -118,14 +118,10 @@
         for (it, load) in self.judge.rotation.endpoints().iter().zip(&mut self.loads) {
             if let Some(i) = other.judge.rotation.position(&it.id) {
                 load.belief = other.loads[i].belief;
-                load.pace = other.loads[i].pace;
-                load.is_leaving = other.loads[i].is_leaving;
-                load.rests = other.loads[i].rests.clone();
+                load.said = other.loads[i].said.clone();
             }
         }
-        for i in (0..self.loads.len()).filter(|i| self.loads[*i].is_leaving) {
-            self.judge.rotation.leave(now, i);
-        }
+        self.leave_as_said(now);
         self.signs = other.signs.clone();
         self.suspects = other.suspects.clone();
         self
@@ -159,7 +155,7 @@
             sick: load.belief.sick(now, self.signs.share()),
             used: load.belief.usage(now, self.strain, self.signs.share()).name(),
             since_failure: load.belief.since_failure(now),
-            rate_limit: load.pace.limit(),
+            rate_limit: load.said.pace.limit(),
         }
     }
 
--- a/crates/policy/src/dispatcher/load.rs
+++ b/crates/policy/src/dispatcher/load.rs
@@ -3,12 +3,11 @@
 
 use std::time::Duration;
 
-use super::rests::Rests;
+use super::said::Said;
 use crate::baseline::Baseline;
 use crate::belief::Belief;
 use crate::permit::{Ask, PermitId};
-use crate::rate_limit::Pace;
-use crate::rendezvous::{NodeId, stable_hash};
+use crate::rendezvous::stable_hash;
 use crate::signs::Signs;
 use crate::suspects::RequestKey;
 use crate::time::Time;
@@ -22,10 +21,8 @@
     /// Used last until then, on the word of the peer that dispatches the endpoint.
     pub(super) hinted_until: Time,
     pub(super) belief: Belief,
-    pub(super) pace: Pace,
-    /// It has said that it leaves.
-    pub(super) is_leaving: bool,
-    pub(super) rests: Rests,
+    /// What it has said of itself.
+    pub(super) said: Said,
     open: Vec<OpenSend>,
     /// When it last got a request.
     used_at: Option<Time>,
@@ -76,9 +73,7 @@
             full_until: Time::default(),
             hinted_until: Time::default(),
             belief: Belief::default(),
-            pace: Pace::default(),
-            is_leaving: false,
-            rests: Rests::default(),
+            said: Said::default(),
             open: Vec::new(),
             used_at: None,
             known_since: now,
@@ -111,11 +106,6 @@
         now.since(self.known_since)
     }
 
-    /// Whether it has said that it wants no request of a node.
-    pub(super) fn is_closed_to(&self, now: Time, node: NodeId) -> bool {
-        self.is_leaving || !self.rests.left(now, node).is_zero()
-    }
-
     /// Slots in use.
     pub(super) fn in_use(&self) -> u32 {
         self.open.iter().filter(|it| it.holds_slot()).count() as u32
--- a/crates/policy/src/dispatcher/notices.rs
+++ b/crates/policy/src/dispatcher/notices.rs
@@ -33,12 +33,12 @@
             Notice::RateLimit(limit) => self.rate_limited(now, endpoint, limit),
             Notice::Leaving => {
                 self.judge.rotation.leave(now, endpoint);
-                !std::mem::replace(&mut self.loads[endpoint].is_leaving, true)
+                !std::mem::replace(&mut self.loads[endpoint].said.is_leaving, true)
             }
             Notice::Rest(length) => {
                 let load = &mut self.loads[endpoint];
                 load.full_until = load.full_until.max(now + length.min(MAX_FULL));
-                load.rests.ask(now, by, length)
+                load.said.rests.ask(now, by, length)
             }
         }
     }
@@ -47,20 +47,40 @@
     pub fn is_closed(&self, now: Time, node: NodeId, id: &str, started_ms: u64) -> bool {
         let known = self.judge.rotation.position(id);
         known.is_some_and(|i| {
-            self.endpoints()[i].started_ms == started_ms && self.loads[i].is_closed_to(now, node)
+            self.endpoints()[i].started_ms == started_ms
+                && self.loads[i].said.is_closed_to(now, node)
         })
     }
 
     /// The endpoints that have said that they want no request of a node.
     pub fn closed(&self, now: Time, node: NodeId) -> Vec<SocketAddr> {
         let all = self.endpoints().iter().zip(&self.loads);
-        let closed = all.filter(|(_, load)| load.is_closed_to(now, node)).map(|(it, _)| it.addr);
+        let closed =
+            all.filter(|(_, load)| load.said.is_closed_to(now, node)).map(|(it, _)| it.addr);
         closed.take(Ask::MAX_CLOSED).collect()
     }
 
+    /// What endpoints had said whose entries were gone for a moment holds again.
+    pub(super) fn recall(&mut self, now: Time) {
+        for i in 0..self.loads.len() {
+            let it = &self.judge.rotation.endpoints()[i];
+            if let Some(said) = self.remembered.take(now, &it.id, it.started_ms) {
+                self.loads[i].said = said;
+            }
+        }
+        self.leave_as_said(now);
+    }
+
+    /// Takes endpoints that have said that they leave out of rotation, whatever the registry tells.
+    pub(super) fn leave_as_said(&mut self, now: Time) {
+        for i in (0..self.loads.len()).filter(|i| self.loads[*i].said.is_leaving) {
+            self.judge.rotation.leave(now, i);
+        }
+    }
+
     /// Whether an endpoint wants nothing from some node for a while.
     pub(super) fn has_rests(&self, now: Time) -> bool {
-        self.loads.iter().any(|it| it.rests.count(now) > 0)
+        self.loads.iter().any(|it| it.said.rests.count(now) > 0)
     }
 
     /// When to come back, if all endpoints that take work want nothing from the asker for longer than it has patience.
@@ -72,11 +92,11 @@
             if it.usable_slots(now) == 0 {
                 continue;
             }
-            let rest = load.rests.left(now, node);
+            let rest = load.said.rests.left(now, node);
             if rest.is_zero() && !ask.closed.contains(&it.addr) {
                 return None;
             }
-            rests.push((rest, load.rests.count(now) < self.nodes));
+            rests.push((rest, load.said.rests.count(now) < self.nodes));
         }
         let (soonest, _) = rests.iter().min()?;
         let elsewhere = rests.iter().any(|(_, is_open_to_others)| *is_open_to_others);
--- a/crates/policy/src/dispatcher/paced.rs
+++ b/crates/policy/src/dispatcher/paced.rs
@@ -19,20 +19,21 @@
         endpoint: usize,
         limit: Option<RateLimit>,
     ) -> bool {
-        self.loads[endpoint].pace.hear(now, now, limit)
+        self.loads[endpoint].said.pace.hear(now, now, limit)
     }
 
     /// Learns that a request of this node goes to an endpoint on the word of another dispatcher.
     pub fn sent_elsewhere(&mut self, now: Time, id: &str) {
         if let Some(endpoint) = self.judge.rotation.position(id) {
-            self.loads[endpoint].pace.sent_elsewhere(now);
+            self.loads[endpoint].said.pace.sent_elsewhere(now);
         }
     }
 
     /// The rate limits that this node has heard of lately, the latest first.
     pub fn heard_limits(&self, now: Time) -> Vec<HeardLimit> {
         let all = self.endpoints().iter().zip(&self.loads);
-        let mut told: Vec<_> = all.filter_map(|(it, load)| load.pace.told(now, it.addr)).collect();
+        let mut told: Vec<_> =
+            all.filter_map(|(it, load)| load.said.pace.told(now, it.addr)).collect();
         told.sort_by_key(|it| it.age_ms);
         told.truncate(Ask::MAX_LIMITS);
         told
@@ -44,15 +45,15 @@
         for it in &ask.limits {
             let all = self.judge.rotation.endpoints().iter().zip(&mut self.loads);
             for (_, load) in all.filter(|(status, _)| status.addr == it.endpoint) {
-                load.pace.hear(now, before(it.age_ms), Some(it.limit));
-                it.sent_ms.map(before).into_iter().for_each(|at| load.pace.asker_sent(at));
+                load.said.pace.hear(now, before(it.age_ms), Some(it.limit));
+                it.sent_ms.map(before).into_iter().for_each(|at| load.said.pace.asker_sent(at));
             }
         }
     }
 
     /// Whether an endpoint names a rate limit.
     pub fn has_limits(&self) -> bool {
-        self.loads.iter().any(|it| it.pace.limit().is_some())
+        self.loads.iter().any(|it| it.said.pace.limit().is_some())
     }
 
     /// Dispatchers that may send under one limit at the same time, each with an equal part. The first choice has all of it:
--- a/crates/policy/src/tests/notices.rs
+++ b/crates/policy/src/tests/notices.rs
@@ -5,7 +5,7 @@
 use resources::{Bias, Service};
 
 use super::fixture::{BUDGET, SECOND, TERMS, ask, reporter, service};
-use crate::{Ask, Dispatcher, NodeId, Notice, Reply, Time};
+use crate::{Ask, Dispatcher, NodeId, Notice, RateLimit, Reply, State, Time};
 
 const REST: Duration = Duration::from_secs(3);
 
@@ -41,3 +41,26 @@
     }
     assert!(matches!(it.ask(Time(0) + REST, ask_of(1, 9), &mut rng), Reply::Granted(_)));
 }
+
+#[test]
+fn what_an_endpoint_said_holds_when_its_entry_lapses_and_comes_back() {
+    let there = service(&[2], 1, Bias::Balanced);
+    let mut lapsed = there.clone();
+    lapsed.endpoints.remove(0);
+    let back_at = Time(0) + SECOND * 2;
+    let after_a_lapse = |notice| {
+        let (mut it, rng) = dispatcher(&there);
+        it.noticed(Time(0), NodeId(1), "i-1000", 0, notice);
+        it.reconfigure(Time(0) + SECOND, &lapsed, &[TERMS]);
+        it.reconfigure(back_at, &there, &[TERMS]);
+        (it, rng)
+    };
+    let (it, _) = after_a_lapse(Notice::Leaving);
+    assert!(it.is_closed(back_at, NodeId(1), "i-1000", 0));
+    assert_eq!(it.endpoints()[0].state, State::Leaving);
+    let (it, _) = after_a_lapse(Notice::Rest(REST));
+    assert!(it.is_closed(back_at, NodeId(1), "i-1000", 0));
+    let limit = RateLimit::from_per_second(2.0);
+    let (it, _) = after_a_lapse(Notice::RateLimit(limit));
+    assert_eq!(it.evidence_of(back_at, 0).rate_limit, limit);
+}
