How long messages to peers take beside other bytes is measured

Nothing told how long what nodes tell each other about slots waits on links that carry answers. Now each message counts from its first send to its acknowledgement (`dappleway_peer_acknowledged_seconds`), and a line `messages to peers slow` tells of seconds in which one took over 40 ms. No decision changes.

That small messages go ahead of bodies is not built.

Test: what an acknowledgement concerns is told once (`fleet/src/tests/delivery.rs`).

--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -121,6 +121,8 @@
     /// When the configuration in force came into force.
     in_force_since: Time,
     metrics: ControlMetrics,
+    /// How long messages to peers took to be acknowledged since that was last logged.
+    acknowledged: Vec<Duration>,
     /// Other nodes that were known when this was last logged.
     known_peers: usize,
     /// The platform's era when this was last logged.
@@ -244,6 +246,7 @@
             platform_calls: 0,
             in_force_since: now,
             metrics: start.metrics,
+            acknowledged: Vec::new(),
             known_peers: 0,
             known_era: 0,
             endpoint_changes: 0,
--- a/crates/dappleway/src/control/dispatch_log.rs
+++ b/crates/dappleway/src/control/dispatch_log.rs
@@ -72,7 +72,27 @@
     }
 }
 
+/// Messages to peers that take longer than this were lost, or waited beside what else a link carries.
+const SLOW_MESSAGE: Duration = Duration::from_millis(40);
+
 impl Control {
+    /// Counts a message to a peer that was acknowledged after `it`.
+    pub(super) fn note_acknowledged(&mut self, it: Duration) {
+        self.metrics.note_acknowledged(it);
+        self.acknowledged.push(it);
+    }
+
+    /// Logs how long messages to peers took in a second in which one of them was slow.
+    pub(super) fn log_acknowledged(&mut self) {
+        let mut took = std::mem::take(&mut self.acknowledged);
+        took.sort_unstable();
+        let Some(longest) = took.last().filter(|it| **it > SLOW_MESSAGE) else { return };
+        let ms = |it: &Duration| it.as_secs_f64() * 1e3;
+        info!(self.log, "messages to peers slow"; "messages" => took.len(),
+            "slow" => took.iter().filter(|it| **it > SLOW_MESSAGE).count(),
+            "middle_ms" => ms(&took[took.len() / 2]), "longest_ms" => ms(longest));
+    }
+
     /// Logs what an endpoint says of itself and this node did not know.
     pub(super) fn log_notice(&self, service: u64, it: &Noticed) {
         let Some(state) = self.services.get(service) else { return };
--- a/crates/dappleway/src/control/exchange.rs
+++ b/crates/dappleway/src/control/exchange.rs
@@ -31,7 +31,9 @@
                 return;
             }
             Message::Ack(ack) => {
-                self.delivery.acknowledged(frame.from, &ack);
+                for sent in self.delivery.acknowledged(frame.from, &ack) {
+                    self.note_acknowledged(now.since(sent));
+                }
                 return;
             }
             Message::Allowance(message) => {
--- a/crates/dappleway/src/control/metrics.rs
+++ b/crates/dappleway/src/control/metrics.rs
@@ -1,10 +1,13 @@
 //! Figures of the control thread: endpoints, repeats, the platform, what is in force. Labels are bounded:
 //! none grows with services, endpoints or nodes.
 
+use std::time::Duration;
+
 use fleet::ServedFetch;
 use policy::{DispatchCounts, State, Time};
 use prometheus::{
-    Gauge, GaugeVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    Gauge, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry,
 };
 use rustc_hash::FxHashMap;
 
@@ -29,6 +32,7 @@
     permits: IntCounterVec,
     peer_messages: IntCounterVec,
     unacknowledged: IntGauge,
+    acknowledged: Histogram,
     admissions: IntCounterVec,
     fetches: FetchesServed,
 }
@@ -149,6 +153,13 @@
                 "dappleway_peer_messages_unacknowledged",
                 "Messages about slots that no peer has acknowledged yet.",
             )?,
+            acknowledged: Histogram::with_opts(
+                HistogramOpts::new(
+                    "dappleway_peer_acknowledged_seconds",
+                    "Time from the first send of a message about slots until its peer has acknowledged it.",
+                )
+                .buckets(vec![0.002, 0.005, 0.01, 0.02, 0.04, 0.08, 0.16, 0.32, 0.64, 1.3, 3.0]),
+            )?,
             admissions: IntCounterVec::new(
                 Opts::new(
                     "dappleway_allowance_requests_total",
@@ -166,6 +177,7 @@
         registry.register(Box::new(it.asks.clone()))?;
         registry.register(Box::new(it.permits.clone()))?;
         registry.register(Box::new(it.peer_messages.clone()))?;
+        registry.register(Box::new(it.acknowledged.clone()))?;
         registry.register(Box::new(it.admissions.clone()))?;
         registry.register(Box::new(it.fetches.count.clone()))?;
         registry.register(Box::new(it.fetches.bytes.clone()))?;
@@ -179,6 +191,11 @@
         self.permits.with_label_values(&["expired"]).inc_by(counts.expired.into());
     }
 
+    /// Counts a message to a peer that was acknowledged after `it`.
+    pub fn note_acknowledged(&self, it: Duration) {
+        self.acknowledged.observe(it.as_secs_f64());
+    }
+
     /// Figures of what peers fetch, for the task that serves them.
     pub fn fetches_served(&self) -> FetchesServed {
         self.fetches.clone()
--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -58,6 +58,7 @@
             self.log_era();
             self.log_repeats(now);
             self.log_dispatch(now);
+            self.log_acknowledged();
             self.log_allowances();
             self.measure(now);
         }
--- a/crates/fleet/src/delivery.rs
+++ b/crates/fleet/src/delivery.rs
@@ -60,6 +60,8 @@
     message: PermitMessage,
     /// Bytes that it takes in a frame, with its number.
     bytes: usize,
+    /// When it was first sent.
+    sent: Time,
     expires: Time,
     due: Time,
     /// Pause before the next send.
@@ -115,6 +117,7 @@
             number,
             message: message.clone(),
             bytes,
+            sent: now,
             expires: now + LIFETIME,
             due,
             pause: RESEND_AFTER * 2,
@@ -144,16 +147,22 @@
         (new, ack)
     }
 
-    /// Takes in an acknowledgement.
-    pub fn acknowledged(&mut self, from: NodeId, ack: &Ack) {
+    /// Takes in an acknowledgement. Returns when the messages that it concerns were first sent.
+    pub fn acknowledged(&mut self, from: NodeId, ack: &Ack) -> Vec<Time> {
         let Some(outbox) = self.outboxes.get_mut(&from).filter(|_| ack.stream == self.stream)
         else {
-            return;
+            return Vec::new();
         };
-        outbox.held.retain(|it| !ack.numbers.contains(&it.number));
+        let mut sent = Vec::new();
+        outbox.held.retain(|it| {
+            let is_concerned = ack.numbers.contains(&it.number);
+            sent.extend(is_concerned.then_some(it.sent));
+            !is_concerned
+        });
         if outbox.held.is_empty() && self.outboxes.values().all(|it| it.held.is_empty()) {
             self.due = None;
         }
+        sent
     }
 
     /// The next moment at which `tick` has something to do.
--- a/crates/fleet/src/tests/delivery.rs
+++ b/crates/fleet/src/tests/delivery.rs
@@ -48,8 +48,9 @@
     let mut delivery = Delivery::new(1);
     let batch = delivery.send(ms(0), RECEIVER, message(1)).unwrap();
     let (_, ack) = Delivery::new(9).receive(ms(1), SENDER, batch);
-    delivery.acknowledged(RECEIVER, &ack);
+    assert_eq!(delivery.acknowledged(RECEIVER, &ack), [ms(0)]);
     assert_eq!((delivery.held(), delivery.due()), (0, None));
+    assert_eq!(delivery.acknowledged(RECEIVER, &ack), [], "it is told once");
 }
 
 #[test]
@@ -186,7 +187,9 @@
                     new.iter().for_each(|it| taken[seq(it) as usize] += 1);
                     net.send(now, Sent::Ack(ack));
                 }
-                Sent::Ack(ack) => sender.acknowledged(RECEIVER, &ack),
+                Sent::Ack(ack) => {
+                    sender.acknowledged(RECEIVER, &ack);
+                }
             }
         }
     }
--- a/crates/fleet/tests/virtual_fleet/mod.rs
+++ b/crates/fleet/tests/virtual_fleet/mod.rs
@@ -532,7 +532,9 @@
                 self.transmit(to, from, Message::Ack(ack));
                 new.into_iter().for_each(|it| self.receive_permit(from, to, it));
             }
-            Message::Ack(ack) => self.nodes[to].delivery.acknowledged(sender, &ack),
+            Message::Ack(ack) => {
+                self.nodes[to].delivery.acknowledged(sender, &ack);
+            }
             Message::Gossip(_) | Message::News(_) | Message::Allowance(_) => {}
         }
     }
