Only the first choice of all nodes has the whole of a rate limit, in the program too

Found on reading the whole change: the parts of a rate limit were there at the decision and in virtual time, and nothing in the program ever told a dispatcher that its node is not the first choice.

Change: a dispatcher for the fleet begins as one of many; as long as one of its endpoints names a limit, its node looks at each turn of the dispatchers whether it is the first choice. Test: `only_the_first_choice_of_all_nodes…` at the control thread, alone and beside a stronger node.

--- a/crates/dappleway/src/control/tests.rs
+++ b/crates/dappleway/src/control/tests.rs
@@ -4,12 +4,14 @@
 use clock::Moment;
 
 use caller::Shared;
-use fleet::{Client, Edge, Exchange, Identity, Key, Keys};
-use policy::{BudgetLimits, Time};
+use fleet::{
+    Capacity, Client, Edge, Exchange, Frame, Gossip, Identity, Key, Keys, Message, NodeInfo, Phase,
+};
+use policy::{BudgetLimits, NodeId, Notice, Precedence, RateLimit, Time};
 use prometheus::Registry;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use resources::{Document, Published};
+use resources::{Config, Document, Published};
 use slog::{Discard, Logger, o};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::yield_now;
@@ -17,6 +19,7 @@
 use super::{Control, ControlMetrics, Outputs, Start};
 use crate::event::Event;
 use crate::reader::Wanted;
+use crate::services::name_hash;
 use crate::settings::Mode;
 
 /// Events that wait for the control thread when it begins.
@@ -103,3 +106,43 @@
     assert!(now.since(before) >= Duration::from_secs(5));
     assert_eq!(control.woke, now, "evidence from before it is dropped");
 }
+
+const LIMITED: &str = r#"{"version": 1, "resources": [{"kind": "Service", "name": "s", "slots": 1, "connections": 9,
+    "floor": "50%", "bias": "speed",
+    "endpoints": [{"id": "e", "addr": "127.0.0.1:9", "failure_domain": "a"}]}]}"#;
+
+/// A node of another address that serves, on a strong VM.
+fn strong_node(control: &Control) -> Frame {
+    let info = NodeInfo {
+        addr: ([127, 0, 0, 2], 9).into(),
+        incarnation: 2,
+        version: 1,
+        capacity: Capacity { millicores: 64_000, link_mbps: 1_000 },
+        phase: Phase::Ready,
+        ..control.exchange.info()
+    };
+    let gossip = Gossip { nodes: vec![info], ..Gossip::default() };
+    Frame { from: NodeId(7), message: Message::Gossip(gossip) }
+}
+
+#[tokio::test]
+async fn only_the_first_choice_of_all_nodes_has_the_whole_of_a_rate_limit() {
+    let (urgent, _received) = mpsc::unbounded_channel();
+    let mut control = control(urgent).await;
+    let config = Config::compile(serde_json::from_str(LIMITED).unwrap()).unwrap();
+    control.services.reconfigure(Time(0), &config);
+    control.exchange.set_phase(Phase::Ready);
+    let service = name_hash("s");
+    let limit = Notice::RateLimit(RateLimit::from_per_second(1.0));
+    let own = control.services.own(Time(0), service).unwrap();
+    own.noticed(Time(0), NodeId(1), "e", 0, limit);
+    let precedence = |it: &mut Control| {
+        it.set_precedences(it.now());
+        it.services.own(it.now(), service).unwrap().precedence()
+    };
+    assert_eq!(precedence(&mut control), Precedence::First, "it is alone");
+    let frame = strong_node(&control);
+    let NodeInfo { addr, .. } = control.exchange.info();
+    control.receive(control.now(), addr, frame, 1);
+    assert_eq!(precedence(&mut control), Precedence::OneOfMany, "the strong one goes first");
+}
--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use fleet::{Contact, PermitMessage, Phase, Place, Verdict};
-use policy::{NodeId, PermitId, State, Time};
+use fleet::{Contact, Directory, PermitMessage, Phase, Place, Verdict};
+use policy::{NodeId, PermitId, Precedence, State, Time};
 use rustc_hash::FxHashMap;
 use slog::{info, warn};
 
@@ -34,6 +34,7 @@
         if now >= self.next_dispatcher_tick {
             self.next_dispatcher_tick = now + DISPATCHER_TICK;
             self.services.set_nodes(self.exchange.members().len() + 1);
+            self.set_precedences(now);
             let ticked = self.services.tick(now, &mut self.rng);
             self.ticked(now, ticked);
             self.tell_unserved(now);
@@ -75,6 +76,18 @@
         self.set_reads(now);
     }
 
+    /// Finds out for which services this node is the first choice, where that matters.
+    pub(super) fn set_precedences(&mut self, now: Time) {
+        let directory = Nodes { now, me: self.me, exchange: &self.exchange };
+        let me = self.me.node;
+        self.services.for_each(|service, scope, it| {
+            if scope == Scope::Fleet && it.has_limits() {
+                let is_first = directory.candidates(service).first() == Some(&me);
+                it.set_precedence(if is_first { Precedence::First } else { Precedence::OneOfMany });
+            }
+        });
+    }
+
     /// One line a second at most, however many nodes come and go.
     fn log_peers(&mut self) {
         let known = self.exchange.members().len();
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -284,6 +284,8 @@
         let make = || {
             let mut new = Dispatcher::new(now, &self.service, &self.routes, budget);
             new.set_nodes(nodes);
+            // Until it is known whether this node is the first choice.
+            new.set_precedence(Precedence::OneOfMany);
             new.with_beliefs_of(now, &self.direct)
         };
         self.own.get_or_insert_with(make)
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -201,6 +201,11 @@
         }
     }
 
+    /// Which part it has in handing out slots.
+    pub fn precedence(&self) -> Precedence {
+        self.precedence
+    }
+
     /// Follows a change of who hands out the slots of the service.
     pub fn set_precedence(&mut self, precedence: Precedence) {
         self.precedence = precedence;
--- a/crates/policy/src/dispatcher/choice.rs
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -305,11 +305,7 @@
             silence,
             due: self.due(now, load),
             is_old: load.alone(now) > MISSED_AFTER,
-            paced_slots: load
-                .said
-                .pace
-                .limit()
-                .map(|it| it.per_second() * self.mean_hold.as_secs_f64()),
+            paced_slots: load.said.pace.slots(self.mean_hold),
             may_send: load.said.pace.allows(now, self.sharers()),
             sick: load.belief.sick_given(now, silence, self.signs.share()),
         }
--- a/crates/policy/src/dispatcher/notices.rs
+++ b/crates/policy/src/dispatcher/notices.rs
@@ -1,7 +1,6 @@
 //! What endpoints say of themselves.
 
 use std::net::SocketAddr;
-
 use std::time::Duration;
 
 use super::choice::Survey;
@@ -15,8 +14,8 @@
 const MAX_FULL: Duration = Duration::from_secs(1);
 
 impl Dispatcher {
-    /// Learns what an endpoint said of itself in an answer to the node `by`. What another life of it said is passed over. Returns whether it
-    /// is news.
+    /// Learns what an endpoint said of itself in an answer to the node `by`. What another life of it said is passed over.
+    /// Returns whether it is news.
     pub fn noticed(
         &mut self,
         now: Time,
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -67,6 +67,11 @@
         self.limit
     }
 
+    /// Slots that sends at the rate of the limit keep busy for `hold` each, if there is one.
+    pub(crate) fn slots(&self, hold: Duration) -> Option<f64> {
+        self.limit.map(|it| it.per_second() * hold.as_secs_f64())
+    }
+
     /// Takes in what an answer said at `heard`, unless something later is known. Returns whether it changes the limit.
     pub(crate) fn hear(&mut self, now: Time, heard: Time, limit: Option<RateLimit>) -> bool {
         if self.heard.is_some_and(|it| it > heard) {
