Test: no kind of send goes to an endpoint that wants none

Each kind of send (first, waiting, asked again, repeat, hedge, rest of a download, last, one that must not repeat) at an endpoint that is well, a last choice, on trial or left alone, against leaving, rest and a rate limit of nothing. Without the word each standing gets a send; with either check of the choice taken out the test fails.

--- a/crates/policy/src/tests/notices.rs
+++ b/crates/policy/src/tests/notices.rs
@@ -4,8 +4,8 @@
 use rand::rngs::StdRng;
 use resources::{Bias, Service};
 
-use super::fixture::{BUDGET, SECOND, TERMS, ask, reporter, service};
-use crate::{Ask, Dispatcher, NodeId, Notice, RateLimit, Reply, State, Time};
+use super::fixture::{BUDGET, SECOND, TERMS, ask, reporter, seen, service};
+use crate::{Ask, Dispatcher, Kind, NodeId, Notice, RateLimit, Reply, SendKind, State, Time};
 
 const REST: Duration = Duration::from_secs(3);
 
@@ -64,3 +64,46 @@
     let (it, _) = after_a_lapse(Notice::RateLimit(limit));
     assert_eq!(it.evidence_of(back_at, 0).rate_limit, limit);
 }
+
+/// How an endpoint stands: its failures, and the time since.
+const STANDINGS: [(&str, u64, u64); 4] =
+    [("well", 0, 0), ("last choice", 1, 10), ("on trial", 6, 2_100), ("left alone", 6, 5_000)];
+
+/// Whether a send goes to the only endpoint, which stands so and says something.
+fn reaches((_, failures, ms): (&str, u64, u64), notice: Option<Notice>, ask: &Ask) -> bool {
+    let (mut it, mut rng) = dispatcher(&service(&[1], 0, Bias::Speed));
+    let soon = Duration::from_millis(5);
+    (0..failures).for_each(|i| it.observe(Time(0), "i-1000", seen(i % 3, Kind::Failed, soon)));
+    let now = Time(0) + Duration::from_millis(ms);
+    it.tick(now, &mut rng);
+    if let Some(notice) = notice {
+        it.noticed(now, NodeId(1), "i-1000", 0, notice);
+    }
+    matches!(it.ask(now, ask.clone(), &mut rng), Reply::Granted(_))
+}
+
+#[test]
+fn no_kind_of_send_goes_to_an_endpoint_that_wants_none() {
+    let limit = Notice::RateLimit(RateLimit::from_per_second(0.0));
+    let plain = ask_of(1, 0);
+    let sends = [
+        ("first", plain.clone()),
+        ("first, which waits", Ask { wait: true, ..plain.clone() }),
+        ("first, asked again", Ask { send: SendKind::FirstAgain, ..plain.clone() }),
+        ("repeat", Ask { send: SendKind::Further, wait: true, ..plain.clone() }),
+        ("hedge", Ask { send: SendKind::Further, ..plain.clone() }),
+        ("rest of a download", Ask { send: SendKind::Further, bulky: true, ..plain.clone() }),
+        ("last send", Ask { is_last: true, wait: true, ..plain.clone() }),
+        ("must not repeat", Ask { repeatable: false, wait: true, ..plain }),
+    ];
+    for standing in STANDINGS {
+        let free = sends.iter().filter(|(_, ask)| reaches(standing, None, ask)).count();
+        assert!(free > 0, "{}: nothing goes there in any case", standing.0);
+        for notice in [Notice::Leaving, Notice::Rest(REST), limit] {
+            for (name, ask) in &sends {
+                let is_sent = reaches(standing, Some(notice), ask);
+                assert!(!is_sent, "{}, {notice:?}: {name}", standing.0);
+            }
+        }
+    }
+}
