Words of endpoints: one reading of numbers, nothing worked out before it is needed

Found on reading the whole change; no behaviour is meant but the text of two log lines.

- The rate limit and the rest of an answer were read and refused by twin functions with an error each: `headers::number_of` serves both, and the log line takes it without `dyn`.
- Whether all endpoints are closed to an asker was worked out at each ask, before it was known that none is free: now after that.
- Whether a granted endpoint is closed began with a search by identity at each grant: now only closed ones are looked at.
- What endpoints had said went into the memory of lapsed entries and out again at each change of the registry, for all of them and with a search each: now only for lives whose entry went, by identity.
The search grew with endpoints times limits.
- A function of one line on rate limits is gone; the fleet in virtual time finds its dispatcher in one place.

--- a/crates/caller/src/headers.rs
+++ b/crates/caller/src/headers.rs
@@ -74,22 +74,32 @@
     text.parse().ok().map(Duration::from_millis)
 }
 
-/// A rate limit that is no number of requests.
+/// A header of an upstream that is no number that it may be.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
-#[error(
-    "the rate limit {0:?} is passed over: an endpoint names a number of requests a second, 0 or more"
-)]
-pub(crate) struct BadRateLimit(HeaderValue);
+#[error("`{name}: {value:?}` is passed over: an upstream names a number there, 0 or more")]
+pub(crate) struct BadNumber {
+    name: HeaderName,
+    value: HeaderValue,
+}
+
+/// The number that an upstream names, as what it stands for.
+fn number_of<T>(
+    headers: &HeaderMap,
+    name: &HeaderName,
+    meant: impl Fn(f64) -> Option<T>,
+) -> Result<Option<T>, BadNumber> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    let number = value.to_str().ok().and_then(|it| it.trim().parse().ok());
+    let meant = number.and_then(meant);
+    meant.map(Some).ok_or_else(|| BadNumber { name: name.clone(), value: value.clone() })
+}
 
 /// The rate limit that an upstream names.
 pub(crate) fn rate_limit_of(
     names: &HeaderNames,
     headers: &HeaderMap,
-) -> Result<Option<RateLimit>, BadRateLimit> {
-    let Some(value) = headers.get(&names.rate_limit) else { return Ok(None) };
-    let number = value.to_str().ok().and_then(|it| it.trim().parse().ok());
-    let limit = number.and_then(RateLimit::from_per_second);
-    limit.map(Some).ok_or_else(|| BadRateLimit(value.clone()))
+) -> Result<Option<RateLimit>, BadNumber> {
+    number_of(headers, &names.rate_limit, RateLimit::from_per_second)
 }
 
 /// Whether an upstream says that it leaves.
@@ -97,17 +107,9 @@
     headers.get(&names.leaving).is_some_and(|it| it.as_bytes().trim_ascii() == b"1")
 }
 
-/// A time to come back that is no number of seconds.
-#[derive(Clone, Debug, PartialEq, thiserror::Error)]
-#[error("the rest {0:?} is passed over: an endpoint names seconds, with or without a fraction")]
-pub(crate) struct BadRest(HeaderValue);
-
 /// For how long an upstream that turns a request away wants nothing.
-pub(crate) fn rest_of(headers: &HeaderMap) -> Result<Option<Duration>, BadRest> {
-    let Some(value) = headers.get(header::RETRY_AFTER) else { return Ok(None) };
-    let number: Option<f64> = value.to_str().ok().and_then(|it| it.trim().parse().ok());
-    let rest = number.and_then(|it| Duration::try_from_secs_f64(it).ok());
-    rest.map(Some).ok_or_else(|| BadRest(value.clone()))
+pub(crate) fn rest_of(headers: &HeaderMap) -> Result<Option<Duration>, BadNumber> {
+    number_of(headers, &header::RETRY_AFTER, |it| Duration::try_from_secs_f64(it).ok())
 }
 
 /// Identity of a trace and of the span of one hop.
--- a/crates/caller/src/trace.rs
+++ b/crates/caller/src/trace.rs
@@ -10,7 +10,7 @@
 
 use crate::answer::GiveUp;
 use crate::cx::Cx;
-use crate::headers::{HeaderNames, Span};
+use crate::headers::{BadNumber, HeaderNames, Span};
 use crate::work::Work;
 
 /// Logs a request that has ended, at warning level if it failed.
@@ -83,7 +83,7 @@
 }
 
 /// Logs a part of an answer that cannot be read.
-pub(crate) fn bad_answer(log: &Logger, endpoint: &str, error: &dyn std::error::Error) {
+pub(crate) fn bad_answer(log: &Logger, endpoint: &str, error: &BadNumber) {
     warn!(log, "answer unreadable in part"; "endpoint" => endpoint, "error" => %error);
 }
 
--- a/crates/fleet/tests/virtual_fleet/mod.rs
+++ b/crates/fleet/tests/virtual_fleet/mod.rs
@@ -238,6 +238,13 @@
     }
 }
 
+impl Node {
+    /// Its dispatcher that grants at a place that is no other node.
+    fn dispatcher(&mut self, place: Place) -> &mut Dispatcher {
+        if place == Place::Own { &mut self.own } else { &mut self.direct }
+    }
+}
+
 pub struct Fleet {
     now: u64,
     nodes: Vec<Node>,
@@ -482,12 +489,7 @@
             Action::Send(to, message) => self.send(i, to.0 as usize, message),
             Action::AskHere(place, _, ask) => {
                 let (now, id) = (self.now(), ask.id);
-                let node = &mut self.nodes[i];
-                let dispatcher = match place {
-                    Place::Own => &mut node.own,
-                    _ => &mut node.direct,
-                };
-                let reply = dispatcher.ask(now, ask, &mut self.rng);
+                let reply = self.nodes[i].dispatcher(place).ask(now, ask, &mut self.rng);
                 self.reply(i, place, id, reply);
             }
             Action::Settle(id, Settlement::Granted(grant, place)) => {
@@ -625,9 +627,7 @@
                 self.send(i, node.0 as usize, message);
             }
             Place::Own | Place::Direct => {
-                let node = &mut self.nodes[i];
-                let dispatcher = if place == Place::Own { &mut node.own } else { &mut node.direct };
-                let settled = dispatcher.cancel(now, id, &mut self.rng);
+                let settled = self.nodes[i].dispatcher(place).cancel(now, id, &mut self.rng);
                 settled.into_iter().for_each(|it| self.answer(i, it.id, it.reply));
             }
         }
@@ -688,9 +688,8 @@
             }
             Place::Own | Place::Direct => {
                 let now = self.now();
-                let node = &mut self.nodes[i];
-                let dispatcher = if place == Place::Own { &mut node.own } else { &mut node.direct };
-                let settled = dispatcher.answer_began(now, id, elapsed, &mut self.rng);
+                let settled =
+                    self.nodes[i].dispatcher(place).answer_began(now, id, elapsed, &mut self.rng);
                 settled.into_iter().for_each(|it| self.answer(i, it.id, it.reply));
             }
         }
@@ -713,9 +712,8 @@
                 self.send(i, node.0 as usize, PermitMessage::Release { id, outcome });
             }
             Place::Own | Place::Direct => {
-                let node = &mut self.nodes[i];
-                let dispatcher = if place == Place::Own { &mut node.own } else { &mut node.direct };
-                let settled = dispatcher.release(now, id, kind, took, &mut self.rng);
+                let settled =
+                    self.nodes[i].dispatcher(place).release(now, id, kind, took, &mut self.rng);
                 settled.into_iter().for_each(|it| self.answer(i, it.id, it.reply));
             }
         }
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -215,9 +215,6 @@
     /// kept; those on one that has started again went with its life before.
     pub fn reconfigure(&mut self, now: Time, service: &Service, routes: &[RouteTerms]) {
         let before = Lives::of(self.endpoints());
-        for (it, load) in self.judge.rotation.endpoints().iter().zip(&self.loads) {
-            self.remembered.keep(now, &it.id, it.started_ms, &load.said);
-        }
         self.judge.reconfigure(now, service, routes);
         self.floor_share = floor_share(service);
         self.elsewhere = elsewhere(routes);
@@ -238,6 +235,9 @@
                 moved[was] = Some(i);
             }
         }
+        for (id, started_ms, i) in before.iter().filter(|(.., i)| moved[*i].is_none()) {
+            self.remembered.keep(now, id, started_ms, &old[i].said);
+        }
         self.permits.retain(|_, it| {
             let to = moved[it.endpoint];
             it.endpoint = to.unwrap_or_default();
@@ -286,7 +286,6 @@
         let survey = self.survey(now);
         let choice = self.choose(&survey, &ask, || rng.random());
         let slots = survey.capacity();
-        let closed_for = self.closed_for(&survey, &ask);
         if let Some(choice) = choice {
             if self.queue.len() == 0 {
                 self.congestion.note_free_slot(now, ask.objective);
@@ -296,7 +295,7 @@
         if !ask.wait {
             return Reply::Full;
         }
-        if let Some(retry_after) = closed_for {
+        if let Some(retry_after) = self.closed_for(now, &ask) {
             self.counts.queue_refused += 1;
             self.note_unserved(now, 1);
             return Reply::Refused { retry_after };
--- a/crates/policy/src/dispatcher/notices.rs
+++ b/crates/policy/src/dispatcher/notices.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::choice::Survey;
 use super::{Dispatcher, MIN_RETRY_AFTER};
 use crate::notice::Notice;
 use crate::permit::Ask;
 use crate::rendezvous::NodeId;
+use crate::rotation::EndpointStatus;
 use crate::time::Time;
 
 /// An endpoint that asks one node for rest is used last by all for this long at most.
@@ -29,7 +29,7 @@
             return false;
         }
         match notice {
-            Notice::RateLimit(limit) => self.rate_limited(now, endpoint, limit),
+            Notice::RateLimit(limit) => self.loads[endpoint].said.pace.hear(now, now, limit),
             Notice::Leaving => {
                 self.judge.rotation.leave(now, endpoint);
                 !std::mem::replace(&mut self.loads[endpoint].said.is_leaving, true)
@@ -44,19 +44,18 @@
 
     /// Whether an endpoint has said that it wants no request of a node.
     pub fn is_closed(&self, now: Time, node: NodeId, id: &str, started_ms: u64) -> bool {
-        let known = self.judge.rotation.position(id);
-        known.is_some_and(|i| {
-            self.endpoints()[i].started_ms == started_ms
-                && self.loads[i].said.is_closed_to(now, node)
-        })
+        let mut closed = self.closed_to(now, node);
+        closed.any(|it| it.id == id && it.started_ms == started_ms)
     }
 
     /// The endpoints that have said that they want no request of a node.
     pub fn closed(&self, now: Time, node: NodeId) -> Vec<SocketAddr> {
+        self.closed_to(now, node).map(|it| it.addr).take(Ask::MAX_CLOSED).collect()
+    }
+
+    fn closed_to(&self, now: Time, node: NodeId) -> impl Iterator<Item = &EndpointStatus> {
         let all = self.endpoints().iter().zip(&self.loads);
-        let closed =
-            all.filter(|(_, load)| load.said.is_closed_to(now, node)).map(|(it, _)| it.addr);
-        closed.take(Ask::MAX_CLOSED).collect()
+        all.filter(move |(_, load)| load.said.is_closed_to(now, node)).map(|(it, _)| it)
     }
 
     /// What endpoints had said whose entries were gone for a moment holds again.
@@ -84,8 +83,8 @@
 
     /// When to come back, if all endpoints that take work want nothing from the asker for longer than it has patience.
     /// Other nodes may be served at once.
-    pub(super) fn closed_for(&self, survey: &Survey<'_>, ask: &Ask) -> Option<Duration> {
-        let (now, node) = (survey.now(), ask.reporter.node);
+    pub(super) fn closed_for(&self, now: Time, ask: &Ask) -> Option<Duration> {
+        let node = ask.reporter.node;
         let mut rests = Vec::new();
         for (it, load) in self.endpoints().iter().zip(&self.loads) {
             if it.usable_slots(now) == 0 {
--- a/crates/policy/src/dispatcher/paced.rs
+++ b/crates/policy/src/dispatcher/paced.rs
@@ -8,20 +8,10 @@
 
 use super::{Dispatcher, Precedence};
 use crate::permit::Ask;
-use crate::rate_limit::{HeardLimit, RateLimit};
+use crate::rate_limit::HeardLimit;
 use crate::time::Time;
 
 impl Dispatcher {
-    /// Learns of the rate limit that an endpoint names in an answer, or that it names none. Returns whether that is news.
-    pub(super) fn rate_limited(
-        &mut self,
-        now: Time,
-        endpoint: usize,
-        limit: Option<RateLimit>,
-    ) -> bool {
-        self.loads[endpoint].said.pace.hear(now, now, limit)
-    }
-
     /// Learns that a request of this node goes to an endpoint on the word of another dispatcher.
     pub fn sent_elsewhere(&mut self, now: Time, id: &str) {
         if let Some(endpoint) = self.judge.rotation.position(id) {
--- a/crates/policy/src/dispatcher/said.rs
+++ b/crates/policy/src/dispatcher/said.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use resources::Name;
+use rustc_hash::FxHashMap;
 
 use crate::rate_limit::Pace;
 use crate::rendezvous::NodeId;
@@ -69,14 +70,12 @@
     }
 }
 
-/// What endpoints had said whose entries went from the registry.
+/// What lives of endpoints had said whose entries went from the registry, by identity and start.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Remembered(Vec<Absent>);
+pub(super) struct Remembered(FxHashMap<(Name, u64), Absent>);
 
 #[derive(Clone, Debug)]
 struct Absent {
-    id: Name,
-    started_ms: u64,
     said: Said,
     since: Time,
 }
@@ -87,19 +86,20 @@
         if !said.is_anything(now) {
             return;
         }
-        self.0.retain(|it| now.since(it.since) < REMEMBERED_FOR);
+        self.0.retain(|_, it| now.since(it.since) < REMEMBERED_FOR);
         if self.0.len() >= MAX_REMEMBERED {
-            self.0.remove(0);
+            let first = self.0.iter().min_by_key(|(_, it)| it.since).map(|(key, _)| key.clone());
+            first.into_iter().for_each(|it| drop(self.0.remove(&it)));
         }
-        self.0.push(Absent { id: id.clone(), started_ms, said: said.clone(), since: now });
+        self.0.insert((id.clone(), started_ms), Absent { said: said.clone(), since: now });
     }
 
     /// What a life of an endpoint that is back had said.
     pub(super) fn take(&mut self, now: Time, id: &Name, started_ms: u64) -> Option<Said> {
-        let is_it = |it: &Absent| {
-            it.id == *id && it.started_ms == started_ms && now.since(it.since) < REMEMBERED_FOR
-        };
-        let i = self.0.iter().position(is_it)?;
-        Some(self.0.remove(i).said)
+        if self.0.is_empty() {
+            return None;
+        }
+        let known = self.0.remove(&(id.clone(), started_ms))?;
+        (now.since(known.since) < REMEMBERED_FOR).then_some(known.said)
     }
 }
--- a/crates/policy/src/rotation.rs
+++ b/crates/policy/src/rotation.rs
@@ -142,6 +142,11 @@
         (started_ms == it.started_ms).then_some(i)
     }
 
+    /// All of them: identity, start, position.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&Name, u64, usize)> {
+        self.0.iter().map(|(id, (started_ms, i))| (id, *started_ms, *i))
+    }
+
     /// Whether some life of this endpoint is among them.
     pub(crate) fn knows(&self, id: &Name) -> bool {
         self.0.contains_key(id)
