A soak: the program as many processes on loopback, with faults from outside them

cargo xtask soak plays a schedule drawn from a seed: kills, freezes, planned stops, SIGHUP, cuts of frames, links to the store that fall silent, answer nothing, reset, refuse, delay, break off or close, a store that forgets or comes back older, storms of versions. Each version moves a route to another of 16 services, so that an answer tells the version it was sent by; what callers and endpoints saw is checked by a pure function, by the bounds of the promises (2 s, and 3 s without a fault before).

--- /dev/null
+++ b/crates/soak/src/callers.rs
@@ -0,0 +1,106 @@
+//! Callers: open-loop requests to each node on connections that are kept.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use parking_lot::Mutex;
+use rand::RngExt;
+use rand::rngs::StdRng;
+use tokio::task::JoinSet;
+
+use crate::check::{End, Seen, Target};
+use crate::deployment::{Deployment, ROUTE_LIFE};
+
+/// A caller gives up after this.
+const GIVE_UP: Duration = Duration::from_secs(4);
+/// What callers say they wait, in milliseconds.
+const TIMEOUT_MS: &str = "2000";
+
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Sends requests to all nodes until `end`, `rate` a second to each; returns what came of them.
+pub(crate) async fn call(
+    deployment: Arc<Deployment>,
+    mut rng: StdRng,
+    rate: f64,
+    end: Instant,
+) -> Vec<Seen> {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(Duration::from_secs(1)));
+    // A request that is sent again unasked would be two for its endpoint.
+    let client: HttpClient =
+        Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build(connector);
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    let targets = deployment.targets();
+    let mut tasks = JoinSet::new();
+    let mut number = 0;
+    while Instant::now() < end {
+        let node = number % targets.len();
+        let id = format!("soak-{number}");
+        let version = deployment.history.lock().versions.last().map_or(1, |it| it.number);
+        let target = match rng.random_range(0..4) {
+            0 => Target::Booking,
+            1 => Target::Moved,
+            _ => Target::Added(version.saturating_sub(rng.random_range(0..ROUTE_LIFE)).max(1)),
+        };
+        let (client, deployment) = (client.clone(), deployment.clone());
+        let (addr, seen) = (targets[node], seen.clone());
+        tasks.spawn(async move {
+            let sent = Instant::now();
+            let exchange = send(&client, &deployment, addr, &id, &target);
+            let end = tokio::time::timeout(GIVE_UP, exchange).await.ok().flatten();
+            let (ended, end) = (Instant::now(), end.unwrap_or(End::Broken));
+            seen.lock().push(Seen { id, node, target, sent, ended, end });
+        });
+        while tasks.try_join_next().is_some() {}
+        number += 1;
+        let pause = 1.0 / (rate * targets.len() as f64);
+        tokio::time::sleep(Duration::from_secs_f64(pause)).await;
+    }
+    while tasks.join_next().await.is_some() {}
+    std::mem::take(&mut *seen.lock())
+}
+
+async fn send(
+    client: &HttpClient,
+    deployment: &Deployment,
+    addr: SocketAddr,
+    id: &str,
+    target: &Target,
+) -> Option<End> {
+    let (method, path) = match target {
+        Target::Moved => (Method::GET, "/moved/x".to_owned()),
+        Target::Booking => (Method::POST, "/bookings/x".to_owned()),
+        Target::Added(version) => (Method::GET, format!("/since-{version}/x")),
+    };
+    let body = if method == Method::POST { "work" } else { "" };
+    let req = Request::builder()
+        .method(method)
+        .uri(format!("http://{addr}{path}"))
+        .header("host", "stand.in")
+        .header("x-request-id", id)
+        .header("x-timeout-ms", TIMEOUT_MS)
+        .body(Full::new(body.into()))
+        .expect("the parts are valid");
+    let res = client.request(req).await.ok()?;
+    let (head, body) = res.into_parts();
+    let body = body.collect().await.ok()?.to_bytes();
+    let text = String::from_utf8_lossy(&body).into_owned();
+    if !head.status.is_success() {
+        return Some(End::Refused(head.status.as_u16(), text));
+    }
+    let mut words = text.split_whitespace();
+    let service = words.next().and_then(|it| deployment.service_of(it));
+    match (service, words.next() == Some(id)) {
+        (Some(service), true) => Some(End::Ran(service)),
+        _ => Some(End::Mixed(text)),
+    }
+}
--- /dev/null
+++ b/crates/soak/src/check.rs
@@ -0,0 +1,267 @@
+//! The promises, checked on what callers and endpoints saw. Pure: it knows no process and no socket.
+
+use std::fmt;
+use std::time::{Duration, Instant};
+
+use crate::deployment::{ROUTE_LIFE, SERVICES};
+
+/// A version is in force this long after the store has acknowledged it.
+pub(crate) const IN_FORCE: Duration = Duration::from_secs(2);
+/// A node is in touch if nothing disturbed it or the store for this long.
+pub(crate) const CONTACT: Duration = Duration::from_secs(3);
+/// What an endpoint saw of a version holds for requests that are sent this much later.
+const BACK: Duration = Duration::from_millis(250);
+
+/// A promise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// Handled as only an older version allows, by a node in touch.
+    Stale,
+    /// Handled as only an older version allows than one that the same process had in force.
+    Back,
+    /// A proper request was answered 3xx or 4xx by the node itself.
+    Denied,
+    /// A node in touch refuses because of its configuration.
+    Unserved,
+    /// Work that must not repeat ran more than once.
+    Twice,
+    /// Work that was told to have not run has run.
+    NotRun,
+    /// An answer to another request, or not the whole of one.
+    Mixed,
+    /// A process ended by itself.
+    Ended,
+    /// More memory or log lines than a node may use.
+    Grown,
+}
+
+/// A promise that was broken.
+#[derive(Clone, Debug)]
+pub struct Broken {
+    /// Which one.
+    pub rule: Rule,
+    /// What was seen.
+    pub what: String,
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}: {}", self.rule, self.what)
+    }
+}
+
+/// A version that the operator has published.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Version {
+    pub(crate) number: u64,
+    pub(crate) acked: Instant,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Disturbance {
+    from: Instant,
+    until: Option<Instant>,
+}
+
+impl Disturbance {
+    fn overlaps(&self, from: Instant, until: Instant) -> bool {
+        self.from <= until && self.until.is_none_or(|it| it >= from)
+    }
+}
+
+/// What the operator did and the faults met.
+#[derive(Debug)]
+pub(crate) struct History {
+    pub(crate) versions: Vec<Version>,
+    /// By node; an open one for each fault that goes on.
+    nodes: Vec<Vec<Disturbance>>,
+    core: Vec<Instant>,
+    /// When the processes of each node started.
+    starts: Vec<Vec<Instant>>,
+}
+
+/// What a request was for.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Target {
+    /// A route that each version moves.
+    Moved,
+    /// The same with work that must not repeat.
+    Booking,
+    /// A route that this version has added.
+    Added(u64),
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum End {
+    /// An endpoint of this service ran it.
+    Ran(u64),
+    /// The node refused it: status and text.
+    Refused(u16, String),
+    /// The answer was another request's, or is no answer.
+    Mixed(String),
+    /// The connection broke, or nothing came in time.
+    Broken,
+}
+
+/// One request as its caller saw it.
+#[derive(Clone, Debug)]
+pub(crate) struct Seen {
+    pub(crate) id: String,
+    pub(crate) node: usize,
+    pub(crate) target: Target,
+    pub(crate) sent: Instant,
+    pub(crate) ended: Instant,
+    pub(crate) end: End,
+}
+
+impl History {
+    pub(crate) fn new(nodes: usize) -> Self {
+        Self {
+            versions: Vec::new(),
+            nodes: vec![Vec::new(); nodes],
+            core: Vec::new(),
+            starts: vec![Vec::new(); nodes],
+        }
+    }
+
+    pub(crate) fn started(&mut self, node: usize, at: Instant) {
+        self.starts[node].push(at);
+    }
+
+    pub(crate) fn disturbed(&mut self, nodes: &[usize], from: Instant) {
+        nodes.iter().for_each(|it| self.nodes[*it].push(Disturbance { from, until: None }));
+    }
+
+    /// One fault of each of these nodes is over.
+    pub(crate) fn calmed(&mut self, nodes: &[usize], at: Instant) {
+        for it in nodes {
+            let open = self.nodes[*it].iter_mut().find(|it| it.until.is_none());
+            open.into_iter().for_each(|it| it.until = Some(at));
+        }
+    }
+
+    pub(crate) fn core_disturbed(&mut self, at: Instant) {
+        self.core.push(at);
+    }
+
+    /// Whether a node was in touch from a moment to a later one. A store that no node reaches is disturbed.
+    fn in_touch(&self, node: usize, from: Instant, until: Instant) -> bool {
+        let from = from - CONTACT;
+        let is_core_calm = !self.core.iter().any(|it| (from..=until).contains(it));
+        is_core_calm && !self.nodes[node].iter().any(|it| it.overlaps(from, until))
+    }
+
+    /// Requests that a node in touch handled, which are checked against the bound on configurations.
+    pub(crate) fn checked(&self, seen: &[Seen]) -> usize {
+        seen.iter().filter(|it| self.in_touch(it.node, it.sent, it.ended)).count()
+    }
+
+    /// Longest time after the acknowledgement of a version for which a node in touch handled requests by an older one.
+    pub(crate) fn longest_lag(&self, seen: &[Seen]) -> Duration {
+        let lag = |it: &Seen| {
+            let End::Ran(service) = it.end else { return None };
+            let newest = self.newest_at(it.ended);
+            let version = (0..=newest).rev().find(|it| it % SERVICES == service)?;
+            let next = self.versions.iter().find(|it| it.number > version)?;
+            it.sent.checked_duration_since(next.acked)
+        };
+        let in_touch = seen.iter().filter(|it| self.in_touch(it.node, it.sent, it.ended));
+        in_touch.filter_map(lag).max().unwrap_or_default()
+    }
+
+    /// The oldest version that may still be in force for a request that is sent then.
+    fn oldest_at(&self, sent: Instant) -> u64 {
+        let due = self.versions.iter().rev().find(|it| it.acked + IN_FORCE <= sent);
+        due.map_or(0, |it| it.number)
+    }
+
+    fn newest_at(&self, at: Instant) -> u64 {
+        self.versions.iter().rev().find(|it| it.acked <= at).map_or(0, |it| it.number)
+    }
+
+    fn life(&self, node: usize, at: Instant) -> usize {
+        self.starts[node].iter().filter(|it| **it <= at).count()
+    }
+
+    /// The promises about configurations that callers have seen broken.
+    pub(crate) fn check(&self, seen: &[Seen]) -> Vec<Broken> {
+        let mut broken: Vec<Broken> = seen.iter().filter_map(|it| self.check_one(it)).collect();
+        for node in 0..self.nodes.len() {
+            let mut own: Vec<&Seen> = seen.iter().filter(|it| it.node == node).collect();
+            own.sort_by_key(|it| it.ended);
+            broken.extend(self.check_back(node, &own));
+        }
+        broken
+    }
+
+    fn check_one(&self, it: &Seen) -> Option<Broken> {
+        let in_touch = self.in_touch(it.node, it.sent, it.ended);
+        let (oldest, newest) = (self.oldest_at(it.sent), self.newest_at(it.ended));
+        let broken = |rule| {
+            let first = self.versions.first().map_or(it.sent, |it| it.acked);
+            let at = it.sent.duration_since(first).as_secs_f64();
+            let Seen { id, node, target, end, .. } = it;
+            let what = format!(
+                "request {id} at node {node}, {at:.3} s, {target:?}: {end:?}; versions {oldest} to {newest} are allowed"
+            );
+            Some(Broken { rule, what })
+        };
+        let is_proper = match it.target {
+            Target::Added(version) => version <= oldest && newest < version + ROUTE_LIFE,
+            Target::Moved | Target::Booking => true,
+        };
+        match &it.end {
+            End::Ran(service) => {
+                let allowed = (oldest..=newest).any(|it| it % SERVICES == *service);
+                if in_touch && !allowed { broken(Rule::Stale) } else { None }
+            }
+            End::Refused(300..=407 | 409..=420 | 422..=428 | 430..=499, _) if is_proper => {
+                let is_always_proper = it.target != Target::Added(0)
+                    && matches!(it.target, Target::Moved | Target::Booking);
+                if in_touch || is_always_proper { broken(Rule::Denied) } else { None }
+            }
+            End::Refused(503, text) if is_proper && in_touch && is_about_configuration(text) => {
+                broken(Rule::Unserved)
+            }
+            End::Mixed(_) => broken(Rule::Mixed),
+            End::Refused(..) | End::Broken => None,
+        }
+    }
+
+    /// Within one life of a process a version that was seen is not followed by an older one.
+    fn check_back(&self, node: usize, seen: &[&Seen]) -> Vec<Broken> {
+        let mut broken = Vec::new();
+        let mut known: Vec<(Instant, u64)> = Vec::new();
+        let mut life = 0;
+        for it in seen {
+            let End::Ran(service) = it.end else { continue };
+            if self.life(node, it.sent) != self.life(node, it.ended) {
+                continue;
+            }
+            if self.life(node, it.sent) != life {
+                life = self.life(node, it.sent);
+                known.clear();
+            }
+            let before = known.iter().filter(|(ended, _)| *ended + BACK <= it.sent);
+            let least = before.map(|(_, version)| *version).max().unwrap_or(0);
+            let newest = self.newest_at(it.ended);
+            let version = (least..=newest).find(|it| it % SERVICES == service);
+            match version {
+                Some(it_is) => known.push((it.ended, it_is)),
+                None => {
+                    let what = format!(
+                        "request {} at node {node} ran at service {service} after version {least}",
+                        it.id
+                    );
+                    broken.push(Broken { rule: Rule::Back, what });
+                }
+            }
+        }
+        broken
+    }
+}
+
+fn is_about_configuration(text: &str) -> bool {
+    ["no configuration", "missed a change", "cannot be served"].iter().any(|it| text.contains(it))
+}
--- /dev/null
+++ b/crates/soak/src/deployment.rs
@@ -0,0 +1,317 @@
+//! The processes, the stand-ins beside them, and the operator's versions.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::IteratorRandom;
+use resources::{Endpoint, Resource, Standing};
+use serde_json::json;
+use standin::lab::{self, Node, NodeAddrs, Options as NodeOptions};
+use standin::platform::Platform;
+use standin::server;
+use standin::upstream::{Profile, Upstream};
+use tempfile::TempDir;
+
+use crate::check::{History, Version};
+use crate::link::{self, Link};
+use crate::schedule::{Fault, Scope};
+
+/// Failure domains.
+pub const DOMAINS: [&str; 3] = ["a", "b", "c"];
+/// Each version moves a route to the next of these, so that an answer tells the version that it was sent by.
+pub(crate) const SERVICES: u64 = 16;
+/// A route that a version adds is dropped by the version that comes this many later.
+pub(crate) const ROUTE_LIFE: u64 = 8;
+/// Endpoints of each service.
+const ENDPOINTS: usize = 2;
+/// Nodes that others know at their start.
+const SEEDS: usize = 3;
+/// Time for the first start of all nodes.
+const START: Duration = Duration::from_secs(60);
+/// A planned stop that lasts longer than this is ended.
+const STOP: Duration = Duration::from_secs(6);
+/// A revision that the store may come back from is at least this.
+const FIRST_REVISION: u64 = 1;
+
+/// All that one play starts.
+pub(crate) struct Deployment {
+    nodes: Vec<tokio::sync::Mutex<Node>>,
+    addrs: Vec<NodeAddrs>,
+    links: Vec<Link>,
+    pub(crate) platform: Platform,
+    pub(crate) upstreams: Vec<Upstream>,
+    endpoints: Vec<Endpoint>,
+    pub(crate) history: Mutex<History>,
+    dir: TempDir,
+}
+
+impl Deployment {
+    /// Starts `count` nodes of the program at `bin` and waits until all are ready.
+    pub(crate) async fn start(bin: &Path, count: usize) -> anyhow::Result<Self> {
+        let dir = tempfile::tempdir()?;
+        let free = lab::free_addrs(1 + SERVICES as usize * ENDPOINTS + 4 * count)?;
+        let (store, free) = free.split_first().expect("more than one is asked for");
+        let (of_endpoints, free) = free.split_at(SERVICES as usize * ENDPOINTS);
+        let (of_links, of_nodes) = free.split_at(count);
+        let platform = Platform::default();
+        tokio::spawn(platform.clone().serve(server::bind(*store).await?));
+        let (mut upstreams, mut endpoints) = (Vec::new(), Vec::new());
+        for (i, addr) in of_endpoints.iter().enumerate() {
+            let profile =
+                Profile { slots: 8, service_us: 2_000, heavy_tail: false, cold_ms: 0, piece_us: 0 };
+            let upstream = Upstream::new(&addr.to_string(), profile);
+            tokio::spawn(upstream.clone().serve(server::bind(*addr).await?));
+            upstreams.push(upstream);
+            endpoints.push(endpoint(*addr, DOMAINS[i % DOMAINS.len()]));
+        }
+        let addrs = lab::nodes_at(of_nodes, &DOMAINS);
+        let mut links = Vec::new();
+        for addr in of_links {
+            links.push(Link::start(*addr, *store, platform.clone()).await?);
+        }
+        let mut it = Self {
+            nodes: Vec::new(),
+            links,
+            platform,
+            upstreams,
+            endpoints,
+            history: Mutex::new(History::new(count)),
+            dir,
+            addrs,
+        };
+        it.publish();
+        for i in 0..count {
+            let mut options = NodeOptions::new(bin, it.links[i].addr);
+            options.seeds = it.addrs.iter().take(SEEDS).map(|it| it.fleet).collect();
+            let node = Node::start(it.dir.path(), &it.addrs[i], &options)?;
+            it.history.lock().started(i, Instant::now());
+            it.nodes.push(tokio::sync::Mutex::new(node));
+        }
+        for node in &it.nodes {
+            node.lock().await.wait_ready(START).await?;
+        }
+        Ok(it)
+    }
+
+    /// Where callers connect.
+    pub(crate) fn targets(&self) -> Vec<SocketAddr> {
+        self.addrs.iter().map(|it| it.traffic).collect()
+    }
+
+    /// Which service an endpoint belongs to.
+    pub(crate) fn service_of(&self, endpoint: &str) -> Option<u64> {
+        let i = self.upstreams.iter().position(|it| it.name() == endpoint)?;
+        Some((i / ENDPOINTS) as u64)
+    }
+
+    /// Publishes the next version.
+    pub(crate) fn publish(&self) -> u64 {
+        // Versions are numbered from 1 on, without gaps.
+        let mut history = self.history.lock();
+        let number = history.versions.last().map_or(1, |it| it.number + 1);
+        let published = self.platform.publish(&self.resources(number));
+        assert_eq!(published, number, "the operator is the only writer");
+        history.versions.push(Version { number, acked: Instant::now() });
+        number
+    }
+
+    fn resources(&self, version: u64) -> Vec<Resource> {
+        let name = |service: u64| format!("service-{service}");
+        let services = (0..SERVICES).map(|i| {
+            let from = i as usize * ENDPOINTS;
+            json!({
+                "kind": "Service", "name": name(i), "floor": "60%", "slots": 8, "connections": 200,
+                "endpoints": self.endpoints[from..from + ENDPOINTS],
+            })
+        });
+        let to = name(version % SERVICES);
+        let route = |path: String, repeat: &str| {
+            json!({
+                "kind": "Route", "name": path.trim_matches('/'), "path": path, "service": to,
+                "deadline_ms": 2_000, "repeat": repeat,
+            })
+        };
+        let moved =
+            [route("/moved/".to_owned(), "anytime"), route("/bookings/".to_owned(), "if-not-run")];
+        let oldest = version.saturating_sub(ROUTE_LIFE - 1).max(1);
+        let added = (oldest..=version).map(|it| route(format!("/since-{it}/"), "anytime"));
+        let all = services.chain(moved).chain(added);
+        all.map(|it| serde_json::from_value(it).expect("the form of resources")).collect()
+    }
+
+    /// The nodes that a scope names now.
+    pub(crate) async fn nodes_in(&self, scope: Scope) -> Vec<usize> {
+        let all = 0..self.nodes.len();
+        match scope {
+            Scope::All => all.collect(),
+            Scope::Share(share, seed) => {
+                let count = ((share * self.nodes.len() as f64).ceil() as usize).max(1);
+                all.sample(&mut StdRng::seed_from_u64(seed), count)
+            }
+            Scope::Readers => {
+                let mut readers = Vec::new();
+                for i in all {
+                    // A node that does not answer reads nothing.
+                    let report = self.nodes[i].lock().await.report().await;
+                    if report.is_ok_and(|it| it["reads_platform"] == true) {
+                        readers.push(i);
+                    }
+                }
+                readers
+            }
+        }
+    }
+
+    /// Plays a fault from its beginning to its end.
+    pub(crate) async fn suffer(&self, fault: Fault, lasts: Duration) -> anyhow::Result<()> {
+        let began = Instant::now();
+        match fault {
+            Fault::Kill(scope) => {
+                let nodes = self.begin(scope).await;
+                for i in &nodes {
+                    self.nodes[*i].lock().await.kill();
+                }
+                tokio::time::sleep(lasts).await;
+                self.restart(&nodes).await?;
+            }
+            Fault::Freeze(scope) => {
+                let nodes = self.begin(scope).await;
+                self.signal(&nodes, "STOP").await;
+                tokio::time::sleep(lasts).await;
+                self.signal(&nodes, "CONT").await;
+                self.end(&nodes);
+            }
+            Fault::Terminate(scope) => {
+                let nodes = self.begin(scope).await;
+                self.signal(&nodes, "TERM").await;
+                self.wait_stopped(&nodes).await?;
+                self.restart(&nodes).await?;
+            }
+            Fault::Hangup(scope) => {
+                let nodes = self.nodes_in(scope).await;
+                self.signal(&nodes, "HUP").await;
+            }
+            Fault::Link(scope, fault) => {
+                let nodes = self.begin(scope).await;
+                self.set_links(&nodes, fault);
+                tokio::time::sleep(lasts).await;
+                self.set_links(&nodes, link::Fault::None);
+                self.end(&nodes);
+            }
+            Fault::Cut(scope) => {
+                let nodes = self.begin(scope).await;
+                self.cut(&nodes, &self.addrs.iter().map(|it| it.fleet).collect::<Vec<_>>()).await;
+                tokio::time::sleep(lasts).await;
+                self.cut(&nodes, &[]).await;
+                self.end(&nodes);
+            }
+            Fault::Forget => {
+                self.platform.forget();
+                self.history.lock().core_disturbed(began);
+            }
+            Fault::Return(revisions) => {
+                let to = self.platform.revision().saturating_sub(revisions).max(FIRST_REVISION);
+                self.platform.come_back(to);
+                self.publish();
+                self.history.lock().core_disturbed(began);
+            }
+            Fault::Storm(gap) => {
+                while began.elapsed() < lasts {
+                    self.publish();
+                    tokio::time::sleep(gap).await;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn begin(&self, scope: Scope) -> Vec<usize> {
+        let nodes = self.nodes_in(scope).await;
+        self.history.lock().disturbed(&nodes, Instant::now());
+        nodes
+    }
+
+    fn end(&self, nodes: &[usize]) {
+        self.history.lock().calmed(nodes, Instant::now());
+    }
+
+    async fn restart(&self, nodes: &[usize]) -> anyhow::Result<()> {
+        for i in nodes {
+            self.nodes[*i].lock().await.restart()?;
+            self.history.lock().started(*i, Instant::now());
+        }
+        self.end(nodes);
+        Ok(())
+    }
+
+    async fn signal(&self, nodes: &[usize], name: &str) {
+        for i in nodes {
+            // One that does not run any more was killed by another fault.
+            let _ = self.nodes[*i].lock().await.signal(name);
+        }
+    }
+
+    async fn wait_stopped(&self, nodes: &[usize]) -> anyhow::Result<()> {
+        let since = Instant::now();
+        for i in nodes {
+            let mut node = self.nodes[*i].lock().await;
+            while node.pid().is_some() && node.exit_code()?.is_none() && since.elapsed() < STOP {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        Ok(())
+    }
+
+    fn set_links(&self, nodes: &[usize], fault: link::Fault) {
+        nodes.iter().for_each(|i| self.links[*i].set(fault));
+    }
+
+    async fn cut(&self, nodes: &[usize], from: &[SocketAddr]) {
+        for i in nodes {
+            // One that does not answer sends nothing either.
+            let _ = self.nodes[*i].lock().await.cut(from).await;
+        }
+    }
+
+    /// Processes that have ended by themselves, and what each holds in MB.
+    pub(crate) async fn processes(&self) -> anyhow::Result<Vec<Process>> {
+        let mut all = Vec::new();
+        for node in &self.nodes {
+            let mut node = node.lock().await;
+            let has_ended = node.pid().is_some() && node.exit_code()?.is_some();
+            let memory_mb = node.pid().and_then(standin::lab::memory_mb);
+            let log_bytes = std::fs::metadata(&node.log)?.len();
+            all.push(Process { has_ended, memory_mb, log_bytes });
+        }
+        Ok(all)
+    }
+
+    /// Keeps the logs of this play.
+    pub(crate) fn keep_logs(self) -> PathBuf {
+        self.dir.keep()
+    }
+}
+
+/// What one process is like at the end of a play.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Process {
+    pub(crate) has_ended: bool,
+    pub(crate) memory_mb: Option<f64>,
+    pub(crate) log_bytes: u64,
+}
+
+fn endpoint(addr: SocketAddr, domain: &str) -> Endpoint {
+    Endpoint {
+        id: addr.to_string().into(),
+        addr,
+        failure_domain: domain.into(),
+        slots: 0,
+        standing: Standing::Present,
+        warm_up_ms: 0,
+        started_ms: 0,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/schedule.rs
@@ -0,0 +1,133 @@
+//! What happens when: drawn from a seed, printed line by line.
+
+use std::fmt;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::link;
+
+/// Whom a fault meets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Scope {
+    /// All nodes.
+    All,
+    /// This share of them, by a draw of its own.
+    Share(f64, u64),
+    /// The nodes that read the store at that moment.
+    Readers,
+}
+
+/// What happens.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    /// Processes are killed, and started again after the fault's time.
+    Kill(Scope),
+    /// Processes stand still.
+    Freeze(Scope),
+    /// A planned stop, and a start.
+    Terminate(Scope),
+    /// The settings are read again.
+    Hangup(Scope),
+    /// The links to the store.
+    Link(Scope, link::Fault),
+    /// Frames to all other nodes are dropped.
+    Cut(Scope),
+    /// The store forgets its history.
+    Forget,
+    /// The store comes back from a copy this many revisions old.
+    Return(u64),
+    /// Versions follow each other this quickly.
+    Storm(Duration),
+}
+
+/// One line of a schedule.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Entry {
+    /// From the start of the callers.
+    pub at: Duration,
+    /// How long it lasts.
+    pub lasts: Duration,
+    /// Whether a version is published as it begins and as it ends.
+    pub is_met: bool,
+    /// What happens.
+    pub fault: Fault,
+}
+
+impl fmt::Display for Entry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { at, lasts, is_met, fault } = self;
+        let met = if *is_met { ", met by a version" } else { "" };
+        write!(f, "{:6.2} s for {:.2} s: {fault:?}{met}", at.as_secs_f64(), lasts.as_secs_f64())
+    }
+}
+
+/// All that happens in one play.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Schedule {
+    /// By their beginning.
+    pub entries: Vec<Entry>,
+}
+
+/// Shortest and longest pause between the beginnings of two faults.
+const GAP_MS: std::ops::Range<u64> = 500..6_000;
+/// Shortest and longest time of a fault.
+const LASTS_MS: std::ops::Range<u64> = 50..5_000;
+/// After the last fault the deployment has this long to recover, which is checked.
+pub(crate) const CALM_END: Duration = Duration::from_secs(8);
+
+impl Schedule {
+    /// The schedule of a seed.
+    pub fn drawn(seed: u64, length: Duration) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut at = Duration::from_millis(rng.random_range(0..2_000));
+        let mut entries = Vec::new();
+        let end = length.saturating_sub(CALM_END);
+        while at < end {
+            let lasts = Duration::from_millis(rng.random_range(LASTS_MS)).min(end - at);
+            let is_met = rng.random_bool(0.5);
+            entries.push(Entry { at, lasts, is_met, fault: drawn_fault(&mut rng) });
+            // Some faults begin at the same moment.
+            if rng.random_bool(0.7) {
+                at += Duration::from_millis(rng.random_range(GAP_MS));
+            }
+        }
+        Self { entries }
+    }
+}
+
+fn drawn_scope(rng: &mut StdRng) -> Scope {
+    match rng.random_range(0..10) {
+        0 => Scope::All,
+        1..5 => Scope::Readers,
+        _ => Scope::Share(rng.random_range(0.05..0.7), rng.random()),
+    }
+}
+
+fn drawn_link(rng: &mut StdRng) -> link::Fault {
+    match rng.random_range(0..7) {
+        0 => link::Fault::Silent,
+        1 => link::Fault::OneWay,
+        2 => link::Fault::Reset,
+        3 => link::Fault::Busy,
+        4 => link::Fault::Slow(Duration::from_millis(rng.random_range(20..400))),
+        5 => link::Fault::Broken,
+        _ => link::Fault::Closing,
+    }
+}
+
+fn drawn_fault(rng: &mut StdRng) -> Fault {
+    let scope = drawn_scope(rng);
+    match rng.random_range(0..14) {
+        0..3 => Fault::Kill(scope),
+        3 => Fault::Freeze(scope),
+        4 => Fault::Terminate(Scope::Share(0.2, rng.random())),
+        5 => Fault::Hangup(scope),
+        6..10 => Fault::Link(scope, drawn_link(rng)),
+        10 => Fault::Cut(Scope::Share(0.3, rng.random())),
+        11 => Fault::Forget,
+        12 => Fault::Return(rng.random_range(1..20)),
+        _ => Fault::Storm(Duration::from_millis(rng.random_range(50..400))),
+    }
+}
--- a/crates/standin/src/bed.rs
+++ b/crates/standin/src/bed.rs
@@ -217,11 +217,7 @@
 
     /// Resident memory of the first node in MB.
     pub fn memory_mb(&self) -> Option<f64> {
-        let pid = self.nodes.first()?.pid()?;
-        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-        let line = status.lines().find(|it| it.starts_with("VmRSS:"))?;
-        let kb: f64 = line.split_whitespace().nth(1)?.parse().ok()?;
-        Some(kb / 1024.0)
+        lab::memory_mb(self.nodes.first()?.pid()?)
     }
 }
 
--- a/crates/standin/src/lab.rs
+++ b/crates/standin/src/lab.rs
@@ -249,6 +249,14 @@
     }
 }
 
+/// Resident memory of a process in MB.
+pub fn memory_mb(pid: u32) -> Option<f64> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find(|it| it.starts_with("VmRSS:"))?;
+    let kb: f64 = line.split_whitespace().nth(1)?.parse().ok()?;
+    Some(kb / 1024.0)
+}
+
 impl Drop for Node {
     fn drop(&mut self) {
         self.kill();
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -260,6 +260,11 @@
         self.state.lock().told_era = Some(era.map(str::to_owned));
     }
 
+    /// The era as answers tell it.
+    pub fn era(&self) -> Option<String> {
+        self.state.lock().era()
+    }
+
     /// Switches a fault.
     pub fn set_fault(&self, fault: Fault) {
         self.state.lock().fault = fault;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,10 +1,11 @@
-//! Automation of the project: `cargo xtask try`, `ci`, `faults`, `measure`, `plot`.
+//! Automation of the project: `cargo xtask try`, `ci`, `faults`, `measure`, `soak`, `plot`.
 
 mod ci;
 mod demo;
 mod faults;
 mod measure;
 mod plot;
+mod soak;
 
 use clap::{Parser, Subcommand};
 
@@ -31,6 +32,8 @@
         #[arg(long)]
         only: Option<String>,
     },
+    /// Plays faults by seeds at many processes on loopback and checks what callers and endpoints see.
+    Soak(soak::Args),
     /// Draws the worth of a site's played days by version, from the journal.
     Plot {
         /// Name of the site.
@@ -44,6 +47,7 @@
         Command::Ci => ci::run(),
         Command::Faults => faults::run(),
         Command::Measure { what, only } => measure::run(what, only.as_deref()),
+        Command::Soak(args) => soak::run(&args),
         Command::Plot { site } => plot::run(&site),
     }
 }
