Logs and metrics tell how old the proof of a configuration is, and since when a newer one is lacking

Nothing told apart a node that had no word of a newer version from one that knew of it and could not get it, nor one whose pauses had grown. Refusals name the version in force; the version in force names the age of its proof; a node that is behind for 0.8 s says so with what it knows; reads that failed are counted, and told when the platform is regained.

--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -52,11 +52,11 @@
         Err(NoWork::Suspended) => give_up_unrouted(cx, id.as_ref(), GiveUp::suspended()),
         Err(NoWork::Denied(denied)) => {
             cx.metrics.denied.with_label_values(&[denied.name()]).inc();
-            trace::refused(&cx.log, id.as_ref(), denied.status(), denied.name());
+            trace::refused(&cx.log, id.as_ref(), version(cx), denied.status(), denied.name());
             refuse(denied.status(), denied.text())
         }
         Err(NoWork::NoRoute) => {
-            trace::refused(&cx.log, id.as_ref(), StatusCode::NOT_FOUND, "no route");
+            trace::refused(&cx.log, id.as_ref(), version(cx), StatusCode::NOT_FOUND, "no route");
             refuse(StatusCode::NOT_FOUND, "no route: check host, path and method\n")
         }
     };
@@ -66,6 +66,11 @@
     res
 }
 
+/// The version in force, for the log of a request that has found no route in it.
+fn version<D>(cx: &Cx<D>) -> u64 {
+    cx.shared.load().config.version
+}
+
 /// Gives up a request before it has a route.
 fn give_up_unrouted<D: Dispatch>(
     cx: &Arc<Cx<D>>,
@@ -74,7 +79,7 @@
 ) -> Response<AnswerOut> {
     cx.metrics.requests.with_label_values(&[why.outcome()]).inc();
     cx.metrics.given_up.with_label_values(&[why.cause]).inc();
-    trace::refused(&cx.log, id, why.status(), why.reason);
+    trace::refused(&cx.log, id, version(cx), why.status(), why.reason);
     why.response()
 }
 
@@ -111,7 +116,7 @@
         Err(_) => (StatusCode::REQUEST_TIMEOUT, "the request came too slowly\n"),
     };
     let id = work.headers.get(&cx.names.request_id);
-    trace::refused(&cx.log, id, refused.0, refused.1.trim_end());
+    trace::refused(&cx.log, id, work.snapshot.config.version, refused.0, refused.1.trim_end());
     refuse(refused.0, refused.1)
 }
 
--- a/crates/caller/src/trace.rs
+++ b/crates/caller/src/trace.rs
@@ -44,12 +44,13 @@
 pub(crate) fn refused(
     log: &Logger,
     id: Option<&HeaderValue>,
+    version: u64,
     status: StatusCode,
     why: &'static str,
 ) {
     let id = id.and_then(|it| it.to_str().ok()).unwrap_or("(none)");
     warn!(log, "request refused";
-        "request_id" => id, "status" => status.as_u16(), "reason" => why);
+        "request_id" => id, "config" => version, "status" => status.as_u16(), "reason" => why);
 }
 
 /// One send that has ended.
--- a/crates/dappleway/src/control/metrics.rs
+++ b/crates/dappleway/src/control/metrics.rs
@@ -24,6 +24,8 @@
     platform_age: Gauge,
     config_version: IntGauge,
     config_age: Gauge,
+    config_behind: Gauge,
+    platform_failures: IntCounter,
     platform_era: IntGauge,
     registry_revision: IntGauge,
     nodes: IntGauge,
@@ -112,6 +114,14 @@
                 "dappleway_config_age_seconds",
                 "Time since the configuration came into force here.",
             )?,
+            config_behind: seconds(
+                "dappleway_config_behind_seconds",
+                "For how long a newer configuration has been known to exist that is not in force here; 0 for none.",
+            )?,
+            platform_failures: IntCounter::new(
+                "dappleway_platform_failures_total",
+                "Reads of the platform that failed.",
+            )?,
             platform_era: gauge(
                 "dappleway_platform_era",
                 "Era of the platform that is known; it rises when the platform comes back from an older copy.",
@@ -173,6 +183,7 @@
         registry.register(Box::new(it.repeats.clone()))?;
         registry.register(Box::new(it.budget.clone()))?;
         registry.register(Box::new(it.platform_calls.clone()))?;
+        registry.register(Box::new(it.platform_failures.clone()))?;
         registry.register(Box::new(it.first_sends.clone()))?;
         registry.register(Box::new(it.asks.clone()))?;
         registry.register(Box::new(it.permits.clone()))?;
@@ -191,6 +202,11 @@
         self.permits.with_label_values(&["expired"]).inc_by(counts.expired.into());
     }
 
+    /// Counts a read of the platform that failed.
+    pub fn note_platform_failure(&self) {
+        self.platform_failures.inc();
+    }
+
     /// Counts a message to a peer that was acknowledged after `it`.
     pub fn note_acknowledged(&self, it: Duration) {
         self.acknowledged.observe(it.as_secs_f64());
@@ -254,6 +270,7 @@
         it.platform_era.set(facts.registry.era as i64);
         it.registry_revision.set(facts.registry.revision as i64);
         it.config_age.set(now.since(self.in_force_since).as_secs_f64());
+        it.config_behind.set(self.exchange.duty().behind_for(now).as_secs_f64());
         it.platform_age.set(self.exchange.duty().age(now).as_secs_f64());
         it.nodes.set(self.exchange.members().len() as i64 + 1);
     }
--- a/crates/dappleway/src/control/publications.rs
+++ b/crates/dappleway/src/control/publications.rs
@@ -54,6 +54,7 @@
 
     /// The platform did not answer this node.
     pub(super) fn read_failed(&mut self, now: Time) {
+        self.metrics.note_platform_failure();
         let effects = self.exchange.read_failed();
         self.apply(now, effects);
     }
@@ -104,7 +105,8 @@
     fn put_in_force(&mut self, now: Time, document: &Document, config: Config, origin: Origin) {
         let version = document.version;
         let services = config.services.len();
-        let behind = self.exchange.duty().behind_for(now);
+        let duty = self.exchange.duty();
+        let (behind, proof_age) = (duty.behind_for(now), duty.age(now));
         self.rejected = None;
         self.unreadable = None;
         self.in_force_since = now;
@@ -118,7 +120,7 @@
         self.next_readiness = now;
         info!(self.log, "configuration in force"; "config" => version, "services" => services,
             "resources" => document.resources.len(), "learnt_from" => origin.name(),
-            "behind_ms" => behind.as_millis() as u64,
+            "behind_ms" => behind.as_millis() as u64, "proof_age_ms" => proof_age.as_millis() as u64,
             "apply_ms" => self.now().since(now).as_millis() as u64);
     }
 
--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -1,6 +1,7 @@
 //! What time alone moves, and what a pause of this process undoes.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use fleet::{Contact, Directory, PermitMessage, Phase, Place, Verdict};
 use policy::{NodeId, PermitId, Precedence, State, Time};
@@ -15,6 +16,9 @@
 use crate::services::{Scope, Ticked};
 use crate::settings::Mode;
 
+/// A node that lacks a configuration for this long has failed to get it in both ways.
+const LONG_BEHIND: Duration = Duration::from_millis(800);
+
 impl Control {
     pub(super) fn notice_pause(&mut self, now: Time) {
         let pause = now.since(self.last_tick);
@@ -57,6 +61,7 @@
             self.log_peers();
             self.log_endpoints();
             self.log_era();
+            self.log_behind(now);
             self.log_repeats(now);
             self.log_dispatch(now);
             self.log_acknowledged();
@@ -118,6 +123,21 @@
         }
     }
 
+    /// Says that a newer configuration is known to exist and could not be had for a while.
+    fn log_behind(&self, now: Time) {
+        let duty = self.exchange.duty();
+        let behind = duty.behind_for(now);
+        if behind < LONG_BEHIND {
+            return;
+        }
+        warn!(self.log, "configuration is behind: peers and platform did not give the newer one";
+            "config" => self.exchange.replica().facts().version,
+            "known_to_exist" => self.exchange.told().version,
+            "behind_ms" => behind.as_millis() as u64,
+            "proof_age_ms" => duty.age(now).as_millis() as u64, "reads" => ?duty.reads(now),
+            "is_fetching" => self.exchange.is_fetching());
+    }
+
     /// Says for which services repeats were refused since the last time, and by which figures.
     fn log_repeats(&mut self, now: Time) {
         let mut refused = Vec::new();
@@ -233,6 +253,7 @@
             if is_news {
                 info!(self.log, "duty to read the platform"; "reads" => ?reads,
                     "why" => self.exchange.duty().why(now), "known" => %known,
+                    "proof_age_ms" => self.exchange.duty().age(now).as_millis() as u64,
                     "calls" => self.platform_calls);
             }
             is_news
--- a/crates/dappleway/src/reader.rs
+++ b/crates/dappleway/src/reader.rs
@@ -59,7 +59,7 @@
     log: Logger,
 ) {
     let from = From::Copy;
-    let reader = Reader { source, events, log, from, pause: FIRST_PAUSE, is_lost: false };
+    let reader = Reader { source, events, log, from, pause: FIRST_PAUSE, lost: None };
     reader.run(wanted).await;
 }
 
@@ -69,7 +69,8 @@
     log: Logger,
     from: From,
     pause: Duration,
-    is_lost: bool,
+    /// Calls that have failed since the last answer, and the time of the first.
+    lost: Option<(u32, Instant)>,
 }
 
 impl<S: Source> Reader<S> {
@@ -145,14 +146,18 @@
     }
 
     fn note_answer(&mut self) {
-        if std::mem::take(&mut self.is_lost) {
-            info!(self.log, "platform regained"; "calls" => self.source.calls());
+        if let Some((failed, since)) = self.lost.take() {
+            info!(self.log, "platform regained"; "calls" => self.source.calls(),
+                "failed_calls" => failed, "ms" => since.elapsed().as_millis() as u64);
         }
     }
 
     fn note_failure(&mut self, reason: &str) {
-        if !std::mem::replace(&mut self.is_lost, true) {
-            warn!(self.log, "platform lost: serving with what is known"; "reason" => reason);
+        let (failed, _) = self.lost.get_or_insert_with(|| (0, Instant::now()));
+        *failed += 1;
+        if *failed == 1 {
+            warn!(self.log, "platform lost: serving with what is known"; "reason" => reason,
+                "reading_from" => ?self.from);
         }
         send(&self.events, Event::ReadFailed);
     }
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -189,6 +189,16 @@
         &self.duty
     }
 
+    /// The newest that is known to exist, here or elsewhere.
+    pub fn told(&self) -> Facts {
+        self.told.max_of(self.replica.facts())
+    }
+
+    /// Whether a fetch from a peer is under way.
+    pub fn is_fetching(&self) -> bool {
+        self.is_fetching
+    }
+
     /// What this node is doing.
     pub fn phase(&self) -> Phase {
         self.phase
