Whoever takes over a read has the configuration first; pauses fit the nodes that try, and end when another reads

What callers saw: single nodes that stay behind after the store had trouble. Cause: taking over made two calls and threw away the configuration of the first where the second failed. After failures a node slept for up to 3.25 s, whatever it heard meanwhile, also where it was the only one of its failure domain. Now the configuration is in force after the first call; the longest pause is 0.2 s for each node of the failure domain, up to the 2.5 s of before; a pause ends when another node reads. Same calls in the whole: two to take over.

--- a/crates/dappleway/src/reader.rs
+++ b/crates/dappleway/src/reader.rs
@@ -1,14 +1,17 @@
 //! Reads the platform while this node has the duty to, and what peers know of it.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use fleet::{FetchError, FetchFailure, Fetched, Keys, NodeInfo, Reads};
 use rand::RngExt;
-use resources::{Position, Published, Source, SourceError};
+use resources::{Document, Position, Published, Source, SourceError};
 use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::event::Event;
 
@@ -19,6 +22,9 @@
 /// Longest pause after a call that failed. Calls have a price also while the platform is away, and
 /// whoever finds it first tells the others of its failure domain.
 const LONGEST_PAUSE: Duration = Duration::from_millis(2_500);
+/// The nodes of a failure domain that find the platform away try again this often, all together: the first that is
+/// answered tells the others, and a node that is alone waits for nobody.
+const PAUSE_PER_NODE: Duration = Duration::from_millis(200);
 
 /// Nodes that would all read everything at once do so by turns of this length on average: what the first one
 /// finds out reaches the others before most of them begin. At 586 nodes and 6,000 endpoints all at once are a gigabyte.
@@ -80,7 +86,7 @@
             let Wanted { reads, known, others } = *wanted.borrow_and_update();
             let read = match reads {
                 Reads::Everything => tokio::select! {
-                    it = read_from(&mut self.source, self.from, known) => it,
+                    it = self.read_on(known) => it,
                     changed = wanted.wait_for(|it| it.reads != reads) => match changed {
                         Ok(_) => continue,
                         Err(_) => return,
@@ -89,7 +95,7 @@
                 Reads::Configuration => {
                     self.read_configuration().await;
                     // If it is still lacked after that, the platform does not have it yet.
-                    let pause = self.next_pause();
+                    let pause = self.next_pause(others);
                     let _ = timeout(pause, wanted.wait_for(|it| it.reads != reads)).await;
                     continue;
                 }
@@ -115,7 +121,6 @@
                     info!(self.log, "platform has forgotten changes: all is read anew");
                     // Who stands in for a silent reader is one of many that do.
                     if self.from == From::Copy {
-                        self.read_configuration().await;
                         let turn = SHARE_OF_TURN * others as u32;
                         let turn = turn.mul_f64(rand::rng().random_range(0.0..1.0));
                         if let Ok(Err(_)) =
@@ -128,23 +133,44 @@
                 }
                 Err(SourceError::Unavailable(reason)) => {
                     self.note_failure(&reason);
-                    sleep(self.next_pause()).await;
+                    let pause = self.next_pause(others);
+                    if let Ok(Err(_)) =
+                        timeout(pause, wanted.wait_for(|it| it.reads != reads)).await
+                    {
+                        return;
+                    }
                 }
             }
         }
     }
 
+    /// Reads all that changes. Whoever takes over reads the configuration first: peers may have the registry up to a
+    /// position and lack a configuration before it, and it is in force also where the next call fails.
+    async fn read_on(&mut self, known: Position) -> Result<Published, SourceError> {
+        match self.from {
+            From::LastRead => self.source.next().await,
+            From::Copy if known.is_known() => {
+                let document = self.source.configuration().await?;
+                self.take_configuration(document);
+                self.source.resume(known).await
+            }
+            From::Copy | From::Start => self.source.read().await,
+        }
+    }
+
     /// Reads the configuration alone: one call, where everything takes a call for each page.
     async fn read_configuration(&mut self) {
         match self.source.configuration().await {
-            Ok(document) => {
-                self.note_answer();
-                send(&self.events, Event::ConfigurationRead(document, self.source.calls()));
-            }
+            Ok(document) => self.take_configuration(document),
             Err(error) => self.note_failure(&error.to_string()),
         }
     }
 
+    fn take_configuration(&mut self, document: Option<Document>) {
+        self.note_answer();
+        send(&self.events, Event::ConfigurationRead(document, self.source.calls()));
+    }
+
     fn note_answer(&mut self) {
         if let Some((failed, since)) = self.lost.take() {
             info!(self.log, "platform regained"; "calls" => self.source.calls(),
@@ -162,26 +188,16 @@
         send(&self.events, Event::ReadFailed);
     }
 
-    fn next_pause(&mut self) -> Duration {
+    /// The pause after a call that failed, beside so many others that may try as well.
+    fn next_pause(&mut self, others: usize) -> Duration {
+        let longest = (PAUSE_PER_NODE * (others as u32 + 1)).clamp(FIRST_PAUSE, LONGEST_PAUSE);
         let jitter = rand::rng().random_range(0.7..1.3);
-        let pause = self.pause.mul_f64(jitter);
-        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+        let pause = self.pause.min(longest).mul_f64(jitter);
+        self.pause = (self.pause * 2).min(longest);
         pause
     }
 }
 
-async fn read_from<S: Source>(
-    source: &mut S,
-    from: From,
-    known: Position,
-) -> Result<Published, SourceError> {
-    match from {
-        From::LastRead => source.next().await,
-        From::Copy if known.is_known() => source.resume(known).await,
-        From::Copy | From::Start => source.read().await,
-    }
-}
-
 /// Fetches from a peer what it knows beyond the copy of `asker`, which is this node.
 pub async fn fetch_from_peer(
     addr: SocketAddr,
--- a/crates/resources/src/source.rs
+++ b/crates/resources/src/source.rs
@@ -23,8 +23,8 @@
         &mut self,
     ) -> impl Future<Output = Result<Option<Document>, SourceError>> + Send;
 
-    /// Takes over from another reader: reads the configuration and, without waiting, what has changed after `known`,
-    /// up to where the registry was learnt from peers.
+    /// Takes over from another reader: reads, without waiting, what has changed after `known`, up to where the registry
+    /// was learnt from peers. A configuration from before that is read by itself.
     fn resume(
         &mut self,
         known: Position,
