Whether the configuration is surely the newest is asked before it is loaded

Found on reading, in search of causes for DENIED: a request loaded the configuration in force and then asked whether it is surely the newest. Where threads really run side by side, a newer one may come into force in between, whose proof then let a 404 or 401 out by the older one. Asked first, with the ordering that carries over, the answer holds for what is loaded. No test: the window is a few instructions, and no test of ours can hold a thread there.

--- a/crates/caller/src/snapshot.rs
+++ b/crates/caller/src/snapshot.rs
@@ -65,10 +65,10 @@
 
     /// Says whether the configuration is surely the newest but for a moment.
     pub fn set_fresh(&self, is_fresh: bool) {
-        self.is_fresh.store(is_fresh, Ordering::Relaxed);
+        self.is_fresh.store(is_fresh, Ordering::Release);
     }
 
     pub(crate) fn is_fresh(&self) -> bool {
-        self.is_fresh.load(Ordering::Relaxed)
+        self.is_fresh.load(Ordering::Acquire)
     }
 }
--- a/crates/caller/src/work.rs
+++ b/crates/caller/src/work.rs
@@ -63,6 +63,8 @@
 impl Work {
     /// Finds the route.
     pub(crate) fn new<D>(cx: &Cx<D>, req: &Request<Incoming>) -> Result<Self, NoWork> {
+        // Before the configuration, which may be replaced meanwhile by the one that is surely the newest.
+        let is_fresh = cx.shared.is_fresh();
         let snapshot = Arc::clone(&cx.shared.load());
         if snapshot.config.version == 0 {
             return Err(NoWork::NoConfiguration);
@@ -70,7 +72,7 @@
         let host = headers::host_of(req.uri(), req.headers());
         let path = req.uri().path();
         // Why something that is not known here may be known elsewhere.
-        let gap = match (cx.shared.is_fresh(), snapshot.config.is_partial) {
+        let gap = match (is_fresh, snapshot.config.is_partial) {
             (false, _) => Some(NoWork::MayBeOutdated),
             (true, true) => Some(NoWork::MayBeLeftOut),
             (true, false) => None,
