All waits for a change follow the reader's last proof; hearsay proves only what is known here

What callers saw: requests run by a service that only an older configuration allows, and 404 for routes that the newest one has, at nodes in touch. Cause, a chain of trust by last signs of life. A reader whose platform had fallen silent went on saying for 1.3 s that it reads; those who heard it counted their silence from its last word, and their certainty too: 1.3 s and 1.0 s and a turn of 0.4 s until somebody steps in, 1.3 s and 1.5 s in which an unknown route is answered 404, where a change must be in force after 2 s. And any reader's word proved that nothing newer exists, also at a node that knew that it lacked a newer version, or whose reader could not read the newest. Now news tell the age of the reader's last answer. Everybody steps in when that answer is 1.2 s old, in turn, however much is heard; the sum of the waits is checked when the code is built. A proof counts from that answer, and only for a node that has what the reader has, or as soon as it has it. A reader that cannot read the newest configuration proves nothing. Frames have version 11. Ruled out: a shorter silence alone (the same chain, a smaller sum); no read beside another reader's word (each node would call).

--- a/crates/dappleway/src/control/publications.rs
+++ b/crates/dappleway/src/control/publications.rs
@@ -32,8 +32,8 @@
     /// Takes in what this node has read from the platform.
     pub(super) fn read(&mut self, now: Time, mut published: Published, calls: u64) {
         self.platform_calls = calls;
-        if let Some(reason) = published.unreadable.take() {
-            self.unreadable = Some(reason);
+        if let Some(reason) = &published.unreadable {
+            self.unreadable = Some(reason.clone());
         }
         let take = |it: &Document| self.accept(now, it, Origin::Platform);
         published.document = published.document.take().filter(take);
@@ -45,10 +45,9 @@
     /// Takes in the configuration that this node has read alone.
     pub(super) fn configuration_read(&mut self, now: Time, it: Option<Document>, calls: u64) {
         self.platform_calls = calls;
-        if let Some(it) = it {
-            self.accept(now, &it, Origin::Platform);
+        if it.is_some_and(|it| self.accept(now, &it, Origin::Platform)) {
+            self.exchange.configuration_read(now);
         }
-        self.exchange.configuration_read(now);
         self.set_reads(now);
     }
 
--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -76,7 +76,6 @@
                 *it = not_ready;
                 is_news
             });
-            self.outputs.shared.set_fresh(self.exchange.duty().is_fresh(now));
         }
         self.set_reads(now);
     }
@@ -244,6 +243,7 @@
     }
 
     pub(super) fn set_reads(&self, now: Time) {
+        self.outputs.shared.set_fresh(self.exchange.duty().is_fresh(now));
         let reads = self.exchange.duty().reads(now);
         let known = self.exchange.replica().facts().registry;
         let others = self.exchange.near();
--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -11,20 +11,27 @@
 
 /// Interval at which a node that reads says so.
 pub(crate) const NEWS_EVERY: Duration = Duration::from_millis(400);
-/// A reader that was not heard for this long is stepped in for. With the time of a read it leaves
-/// a margin before the two seconds within which changes must be in force.
-const SILENCE: Duration = Duration::from_millis(1_000);
+/// A change that the platform acknowledges is in force at each node that the platform answers after this.
+const IN_FORCE: Duration = Duration::from_secs(2);
+/// A reader is stepped in for when its last answer of the platform is older than this, whether it is heard or not.
+/// Longer than a watch without changes and one lost frame of news.
+const OLD_PROOF: Duration = Duration::from_millis(1_200);
+/// Time for a connection and two calls of a node that steps in, and for the timers before them.
+const STEP_IN: Duration = Duration::from_millis(400);
 /// A node that knows that it lacks something and cannot fetch it from peers reads after this.
 const BEHIND: Duration = Duration::from_millis(500);
-/// A node that heard nothing from the platform, itself or through peers, for this long may have
-/// missed a change.
+/// A node whose last proof is older than this may have missed a change.
 const FRESH_FOR: Duration = Duration::from_millis(1_500);
 /// Time that each node which precedes this one has to step in before it: an answer of the platform and the news of
 /// it take less.
 const STEP: Duration = Duration::from_millis(50);
-/// Longest time that a node waits for those before it, who may all be gone. Together with `SILENCE` and a call it
-/// stays below the two seconds within which changes must be in force.
+/// Longest time that a node waits for those before it, who may all be gone.
 const LONGEST_TURN: Duration = Duration::from_millis(400);
+// All waits follow the last proof, so that their sum is the bound.
+const _: () = assert!(
+    OLD_PROOF.as_millis() + LONGEST_TURN.as_millis() + STEP_IN.as_millis() <= IN_FORCE.as_millis()
+);
+const _: () = assert!(FRESH_FOR.as_millis() + STEP_IN.as_millis() <= IN_FORCE.as_millis());
 /// What a node that starts lets its link carry before it reads the platform, in bytes: about a page of the
 /// platform. By then those with better links have read it and can be asked, and reading it does not fill its own.
 const FIRST_COPY_BYTES: f64 = 1e6;
@@ -49,6 +56,17 @@
     Everything,
 }
 
+/// What a reader says that the platform has last said to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Word {
+    /// Nothing.
+    Lost,
+    /// That nothing was newer at this time than what is known here.
+    Proof(Time),
+    /// Something at this time that is not known here, or cannot be read.
+    Other(Time),
+}
+
 /// What is known to exist and is not known here.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Lacks {
@@ -78,7 +96,7 @@
 #[derive(Clone, Debug)]
 pub struct Duty {
     me: Rank,
-    /// A node that reads and that this one leaves it to, and when it was heard.
+    /// A node that reads and that this one leaves it to, and when the platform last answered it.
     reader: Option<(Rank, Time)>,
     /// Since when a newer configuration is known to exist.
     lacks_config: Option<Time>,
@@ -163,7 +181,7 @@
             (Reads::Nothing, _) => "another node reads, or has its turn first",
             (Reads::Configuration, _) => "a newer configuration cannot be had from peers",
             _ if !self.is_its_turn(now) => "changes of endpoints cannot be had from peers",
-            (_, Some(_)) => "the node that read is silent",
+            (_, Some(_)) => "the last answer to the node that read is old",
             (_, None) => "no node is known to read",
         }
     }
@@ -171,14 +189,15 @@
     /// Whether nobody reads that this node would leave it to, and those before it have had their time.
     fn is_its_turn(&self, now: Time) -> bool {
         match self.reader {
-            Some((_, heard)) => now.since(heard) > SILENCE + self.turn,
+            Some((_, answered)) => now.since(answered) > OLD_PROOF + self.turn,
             None => now >= self.vacant_since + self.turn,
         }
     }
 
     /// Whether what is known here is surely not older than the platform allows.
     pub fn is_fresh(&self, now: Time) -> bool {
-        self.contact.is_some_and(|it| now.since(it) < FRESH_FOR)
+        let is_proven = self.contact.is_some_and(|it| now.since(it) < FRESH_FOR);
+        is_proven && self.lacks_config.is_none()
     }
 
     /// Time since there was proof that the platform has nothing newer than what is known here; since the
@@ -193,20 +212,28 @@
     }
 
     /// Takes in the word of a reader of the same failure domain.
-    pub(crate) fn heard(&mut self, now: Time, from: Rank, has_contact: bool) {
-        if !has_contact {
-            if self.reader.is_some_and(|(it, _)| it.node == from.node) {
-                self.reader = None;
-                self.vacant_since = now;
+    pub(crate) fn heard(&mut self, now: Time, from: Rank, word: Word) {
+        let answered = match word {
+            Word::Lost => return self.lost(now, from),
+            Word::Proof(at) => {
+                self.proven(at);
+                at
             }
-            return;
-        }
-        self.contact = Some(now);
+            Word::Other(at) => at,
+        };
         let precedes_known =
-            self.reader.is_none_or(|(it, at)| !it.precedes(from) || now.since(at) > SILENCE);
+            self.reader.is_none_or(|(it, at)| !it.precedes(from) || now.since(at) > OLD_PROOF);
         // A node that the platform does not answer leaves it to anyone who is answered.
         if self.is_failing || from.precedes(self.me) && precedes_known {
-            self.reader = Some((from, now));
+            let known = self.reader.filter(|(it, _)| it.node == from.node);
+            self.reader = Some((from, known.map_or(answered, |(_, at)| at.max(answered))));
+        }
+    }
+
+    fn lost(&mut self, now: Time, from: Rank) {
+        if self.reader.is_some_and(|(it, _)| it.node == from.node) {
+            self.reader = None;
+            self.vacant_since = now;
         }
     }
 
@@ -223,11 +250,21 @@
     }
 
     /// Records an answer of the platform to this node.
-    pub(crate) fn contacted(&mut self, now: Time) {
-        self.contact = Some(now);
+    pub(crate) fn answered(&mut self, now: Time) {
         self.own_contact = Some(now);
         self.is_failing = false;
         self.has_copy = true;
+        self.next_news = now;
+    }
+
+    /// Records an answer of the platform that at this time that had nothing newer than what is known here.
+    pub(crate) fn proven(&mut self, at: Time) {
+        self.contact = self.contact.max(Some(at));
+    }
+
+    /// Time since the last answer of the platform to this node.
+    pub(crate) fn since_answer(&self, now: Time) -> Duration {
+        self.own_contact.map_or(Duration::MAX, |it| now.since(it))
     }
 
     /// Records that the platform did not answer this node; returns whether that is news.
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -107,6 +107,12 @@
     is_unreached: bool,
     /// The newest that peers have told of, as far as it is not known here.
     told: Facts,
+    /// A version that is not known here, and when a reader had proof that it is the newest.
+    unproven: Option<(u64, Time)>,
+    /// The platform's newest configuration cannot be read here.
+    is_unreadable: bool,
+    /// The version that the own failure domain was last told of.
+    told_others: u64,
     /// The configuration in force as it travels, with its version; encoded when it is first fetched.
     encoded: Option<(u64, EncodedDocument)>,
     /// Rounds put off because the budget was used up.
@@ -139,6 +145,9 @@
             is_fetching: false,
             is_unreached: false,
             told: Facts::default(),
+            unproven: None,
+            is_unreadable: false,
+            told_others: 0,
             encoded: None,
             delayed: 0,
         }
@@ -268,6 +277,7 @@
         }
         if self.duty.news_is_due(now) {
             effects.extend(self.tell_news(
+                now,
                 Position::START,
                 Vec::new(),
                 self.replica.facts().version,
--- a/crates/fleet/src/exchange/news.rs
+++ b/crates/fleet/src/exchange/news.rs
@@ -1,6 +1,7 @@
 //! News of the platform: what this node has read or fetched, and what readers tell.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use policy::{NodeId, Time};
 use rand::Rng;
@@ -9,9 +10,9 @@
 
 use super::{Effect, Exchange, FetchFailure};
 use crate::bundle::{Bundle, EncodedDocument};
-use crate::duty::{Lacks, Rank, Reads};
+use crate::duty::{Lacks, Rank, Reads, Word};
 use crate::replica::Facts;
-use crate::wire::{Message, News, NodeInfo};
+use crate::wire::{LastAnswer, Message, News, NodeInfo};
 
 /// Registry changes in one frame.
 pub(crate) const CHANGES_PER_FRAME: usize = 6;
@@ -22,7 +23,7 @@
 impl Exchange {
     /// Takes in what this node has read from the platform, and passes it on.
     pub fn read(&mut self, now: Time, mut news: Published) -> Vec<Effect> {
-        self.duty.contacted(now);
+        self.duty.answered(now);
         let before = self.replica.facts();
         // What this node reads follows what it has read before: in between nothing has changed.
         news.after = news.after.map(|_| before.registry);
@@ -33,15 +34,21 @@
         // The platform's word counts for more than what peers told.
         self.told = self.replica.facts();
         self.note_lacks(now);
-        let has_news = !news.endpoints.is_empty() || news.document.is_some();
+        self.is_unreadable = match &news.document {
+            Some(_) => false,
+            None => self.is_unreadable || news.unreadable.is_some(),
+        };
+        if !self.is_unreadable {
+            self.duty.proven(now);
+        }
+        let has_news = !news.endpoints.is_empty() || before.version > self.told_others;
         if has_news && self.duty.reads(now) == Reads::Everything {
             let changes = match news.after {
                 Some(_) => news.endpoints,
                 // What is new in a list of everything, where that can be told.
                 None => self.replica.since(before.registry).map_or(Vec::new(), |it| it.endpoints),
             };
-            let version = news.document.map_or(before.version, |it| it.version);
-            effects.extend(self.tell_news(before.registry, changes, version.max(before.version)));
+            effects.extend(self.tell_news(now, before.registry, changes, before.version));
         }
         effects
     }
@@ -51,11 +58,15 @@
         if !self.duty.failed() {
             return Vec::new();
         }
-        self.to_own_domain(Message::News(News { contact: false, ..self.empty_news() }))
+        self.to_own_domain(Message::News(self.news(LastAnswer::Lost)))
     }
 
     /// Records that this node has read the configuration alone, and put it in force if it is newer.
     pub fn configuration_read(&mut self, now: Time) {
+        // The platform's word counts for more than what peers told.
+        self.told.version = self.replica.facts().version;
+        self.is_unreadable = false;
+        self.duty.proven(now);
         self.note_lacks(now);
     }
 
@@ -131,24 +142,47 @@
         }
         self.note_lacks(now);
         let from = Rank { link_mbps: news.sender.capacity.link_mbps, node: from };
-        self.duty.heard(now, from, news.contact);
+        let word = self.word(now, news.last_answer, news.facts.version);
+        self.duty.heard(now, from, word);
         effects
     }
 
+    /// What a reader's news prove for the copy of this node.
+    fn word(&mut self, now: Time, last_answer: LastAnswer, version: u64) -> Word {
+        let age = |ms: u32| Duration::from_millis(ms.into());
+        match last_answer {
+            LastAnswer::Lost => Word::Lost,
+            LastAnswer::Unreadable { age_ms } => Word::Other(now - age(age_ms)),
+            // Before this process started; its time does not go that far back.
+            LastAnswer::Read { age_ms } if age(age_ms) > now.since(Time(0)) => Word::Other(Time(0)),
+            LastAnswer::Read { age_ms } => {
+                let at = now - age(age_ms);
+                if version <= self.replica.facts().version {
+                    return Word::Proof(at);
+                }
+                self.unproven = Some((version, at));
+                Word::Other(at)
+            }
+        }
+    }
+
     /// Tells those of the own failure domain of changes after `after`, in a chain of frames.
     pub(super) fn tell_news(
         &mut self,
+        now: Time,
         after: Position,
         mut changes: Vec<RegistryChange>,
         version: u64,
     ) -> Vec<Effect> {
+        self.told_others = version;
+        let empty = self.news(self.last_answer(now));
         let newest = Facts { version, registry: self.replica.facts().registry };
         changes.sort_by_key(|it| it.at);
         if changes.len() > CHANGES_PER_FRAME * MAX_FRAMES {
             changes.clear();
         }
         if changes.is_empty() {
-            let news = News { facts: newest, after, ..self.empty_news() };
+            let news = News { facts: newest, after, ..empty };
             return self.to_own_domain(Message::News(news));
         }
         let mut effects = Vec::new();
@@ -159,25 +193,28 @@
             let reached = part.last().map_or(after, |it| it.at);
             let registry = if is_last { newest.registry } else { reached };
             let facts = Facts { registry, ..newest };
-            let news = News { facts, after, changes: part.to_vec(), ..self.empty_news() };
+            let news = News { facts, after, changes: part.to_vec(), ..empty.clone() };
             effects.extend(self.to_own_domain(Message::News(news)));
             after = registry;
         }
         effects
     }
 
-    /// That the platform answers this node and that nothing has changed.
-    fn empty_news(&self) -> News {
-        let facts = self.replica.facts();
-        News {
-            sender: self.info(),
-            facts,
-            after: facts.registry,
-            changes: Vec::new(),
-            contact: true,
+    /// What the platform has last said to this node.
+    fn last_answer(&self, now: Time) -> LastAnswer {
+        let age_ms = self.duty.since_answer(now).as_millis().try_into().unwrap_or(u32::MAX);
+        match self.is_unreadable {
+            true => LastAnswer::Unreadable { age_ms },
+            false => LastAnswer::Read { age_ms },
         }
     }
 
+    /// News without changes.
+    fn news(&self, last_answer: LastAnswer) -> News {
+        let facts = self.replica.facts();
+        News { sender: self.info(), facts, after: facts.registry, changes: Vec::new(), last_answer }
+    }
+
     /// Takes in facts about nodes. Those of the own failure domain that were not known are told who reads the
     /// platform, if it is this node: they would wait for the next news, or read it too.
     pub(super) fn learn_all(&mut self, now: Time, mut nodes: Vec<NodeInfo>) -> Vec<Effect> {
@@ -187,7 +224,8 @@
         }
         let own = self.me.failure_domain;
         let near = nodes.iter().filter(|it| it.failure_domain == own);
-        near.map(|it| Effect::Send(it.addr, Message::News(self.empty_news()))).collect()
+        let news = self.news(self.last_answer(now));
+        near.map(|it| Effect::Send(it.addr, Message::News(news.clone()))).collect()
     }
 
     pub(super) fn to_own_domain(&self, message: Message) -> Vec<Effect> {
@@ -233,6 +271,9 @@
 
     fn note_lacks(&mut self, now: Time) {
         let mine = self.replica.facts();
+        if let Some((_, at)) = self.unproven.take_if(|(version, _)| *version <= mine.version) {
+            self.duty.proven(at);
+        }
         let config = self.told.version > mine.version;
         let registry = self.told.registry > mine.registry;
         self.duty.set_lacks(now, Lacks { config, registry });
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -31,8 +31,8 @@
 pub use permits::{Action, Client, Contact, Directory, Place, Settlement, Wish};
 pub use replica::{Facts, Replica};
 pub use wire::{
-    Ack, Batch, Capacity, Frame, Gossip, Key, Keys, MAX_FRAME_BYTES, Message, News, NodeInfo,
-    PermitMessage, Phase, Verdict, WireError,
+    Ack, Batch, Capacity, Frame, Gossip, Key, Keys, LastAnswer, MAX_FRAME_BYTES, Message, News,
+    NodeInfo, PermitMessage, Phase, Verdict, WireError,
 };
 
 #[cfg(test)]
--- a/crates/fleet/src/tests/wire.rs
+++ b/crates/fleet/src/tests/wire.rs
@@ -11,8 +11,8 @@
 use crate::exchange::{CHANGES_PER_FRAME, MAX_GOSSIP};
 use crate::replica::Facts;
 use crate::wire::{
-    Ack, Batch, Capacity, Frame, Gossip, Key, Keys, MAX_FRAME_BYTES, Message, News, NodeInfo,
-    PermitMessage, Phase, VERSION, Verdict, WireError,
+    Ack, Batch, Capacity, Frame, Gossip, Key, Keys, LastAnswer, MAX_FRAME_BYTES, Message, News,
+    NodeInfo, PermitMessage, Phase, VERSION, Verdict, WireError,
 };
 
 /// A rate limit of the greatest encoded length.
@@ -87,7 +87,7 @@
         facts: longest_info().facts,
         after: LAST,
         changes: vec![change; CHANGES_PER_FRAME],
-        contact: true,
+        last_answer: LastAnswer::Read { age_ms: 0 },
     }
 }
 
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -20,7 +20,7 @@
 /// Nodes told of in one round; with the header this keeps a frame at about 400 bytes.
 pub(crate) const NODES_PER_FRAME: usize = 10;
 /// Version of the protocol. A node drops frames of other versions.
-pub(crate) const VERSION: u8 = 10;
+pub(crate) const VERSION: u8 = 11;
 /// Bytes of the keyed hash that a frame carries.
 pub(crate) const TAG_BYTES: usize = 16;
 const HEADER_BYTES: usize = 1 + TAG_BYTES;
@@ -147,8 +147,25 @@
     pub after: Position,
     /// Changes of the registry; none if there were none or too many for a frame.
     pub changes: Vec<RegistryChange>,
-    /// Whether the platform answers this node.
-    pub contact: bool,
+    /// What the platform last said to the sender.
+    pub last_answer: LastAnswer,
+}
+
+/// What the platform last said to a node that reads it. Ages are those at the time of the frame, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LastAnswer {
+    /// It did not answer.
+    Lost,
+    /// It had nothing newer than the facts of the frame.
+    Read {
+        /// Time since its answer.
+        age_ms: u32,
+    },
+    /// It answered, and its newest configuration cannot be read.
+    Unreadable {
+        /// Time since its answer.
+        age_ms: u32,
+    },
 }
 
 /// Messages about slots.
--- a/crates/fleet/tests/exchange.rs
+++ b/crates/fleet/tests/exchange.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use fleet::{
-    Capacity, Effect, Exchange, Gossip, Identity, Message, News, Phase, Reads, Verdict, node_id,
+    Capacity, Effect, Exchange, Gossip, Identity, LastAnswer, Message, News, Phase, Reads, Verdict,
+    node_id,
 };
 use policy::{Rejection, RequestKey, Time};
 use rand::SeedableRng;
@@ -190,12 +191,12 @@
         facts: stranger.info().facts,
         after: Position::START,
         changes: Vec::new(),
-        contact: true,
+        last_answer: LastAnswer::Read { age_ms: 0 },
     };
     let mut told = |message| {
         let frame = stranger.frame(message);
         let effects = reader.receive(now, addr(1), frame, &mut StdRng::seed_from_u64(2));
-        let is_news = |it: &Effect| matches!(it, Effect::Send(_, Message::News(it)) if it.contact);
+        let is_news = |it: &Effect| matches!(it, Effect::Send(_, Message::News(it)) if it.last_answer != LastAnswer::Lost);
         effects.iter().filter(|it| is_news(it)).count()
     };
     assert_eq!(told(Message::News(news.clone())), 1);
@@ -244,7 +245,7 @@
         facts,
         after: facts.registry,
         changes: Vec::new(),
-        contact: true,
+        last_answer: LastAnswer::Read { age_ms: 0 },
     };
     let frame = reader.frame(Message::News(news));
     let effects = later.receive(now, addr(0), frame, &mut StdRng::seed_from_u64(2));
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -20,8 +20,6 @@
 
 /// A caller gives up after this.
 const GIVE_UP: Duration = Duration::from_secs(4);
-/// What callers say they wait, in milliseconds.
-const TIMEOUT_MS: &str = "2000";
 
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
@@ -87,7 +85,6 @@
         .uri(format!("http://{addr}{path}"))
         .header("host", "stand.in")
         .header("x-request-id", id)
-        .header("x-timeout-ms", TIMEOUT_MS)
         .body(Full::new(body.into()))
         .expect("the parts are valid");
     let res = client.request(req).await.ok()?;
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -15,6 +15,7 @@
 use standin::server;
 use standin::upstream::{Profile, Upstream};
 use tempfile::TempDir;
+use tokio::time::timeout;
 
 use crate::check::{History, Version};
 use crate::link::{self, Link};
@@ -34,6 +35,8 @@
 const START: Duration = Duration::from_secs(60);
 /// A planned stop that lasts longer than this is ended.
 const STOP: Duration = Duration::from_secs(6);
+/// Time for an answer to an operator; a process that stands still gives none.
+const ANSWER: Duration = Duration::from_millis(300);
 /// A revision that the store may come back from is at least this.
 const FIRST_REVISION: u64 = 1;
 
@@ -155,9 +158,10 @@
             Scope::Readers => {
                 let mut readers = Vec::new();
                 for i in all {
+                    let node = self.nodes[i].lock().await;
                     // A node that does not answer reads nothing.
-                    let report = self.nodes[i].lock().await.report().await;
-                    if report.is_ok_and(|it| it["reads_platform"] == true) {
+                    let report = timeout(ANSWER, node.report()).await;
+                    if report.is_ok_and(|it| it.is_ok_and(|it| it["reads_platform"] == true)) {
                         readers.push(i);
                     }
                 }
@@ -273,7 +277,7 @@
     async fn cut(&self, nodes: &[usize], from: &[SocketAddr]) {
         for i in nodes {
             // One that does not answer sends nothing either.
-            let _ = self.nodes[*i].lock().await.cut(from).await;
+            let _ = timeout(ANSWER, self.nodes[*i].lock().await.cut(from)).await;
         }
     }
 
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -110,7 +110,7 @@
                     match (request.is_empty(), fault) {
                         (true, _) => return Ok(()),
                         (_, Fault::Busy) if request.ends_with(END_OF_HEAD) => {
-                            node.write_all(self.refusal().as_bytes()).await?;
+                            node.write_all(self.platform.refusal().as_bytes()).await?;
                         }
                         _ => store.write_all(request).await?,
                     }
@@ -146,9 +146,4 @@
         node.write_all(answer).await?;
         Ok(fault != Fault::Closing)
     }
-
-    fn refusal(&self) -> String {
-        let era = self.platform.era().unwrap_or_default();
-        format!("HTTP/1.1 503 Service Unavailable\r\nstore-era: {era}\r\ncontent-length: 0\r\n\r\n")
-    }
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -260,9 +260,10 @@
         self.state.lock().told_era = Some(era.map(str::to_owned));
     }
 
-    /// The era as answers tell it.
-    pub fn era(&self) -> Option<String> {
-        self.state.lock().era()
+    /// The answer to a call that is turned away, as it goes over the wire.
+    pub fn refusal(&self) -> String {
+        let era = self.state.lock().era().unwrap_or_default();
+        format!("HTTP/1.1 503 Service Unavailable\r\nstore-era: {era}\r\ncontent-length: 0\r\n\r\n")
     }
 
     /// Switches a fault.
