--- a/crates/soak/src/cases.rs
+++ b/crates/soak/src/cases.rs
@@ -16,6 +16,8 @@
     pub schedule: Schedule,
 }
 
+/// How often each case plays its faults.
+const ROUNDS: u64 = 2;
 /// The operator publishes one version.
 const PUBLISH: Fault = Fault::Storm(Duration::from_secs(60));
 
@@ -30,7 +32,7 @@
 
 /// Those who took over a read used connections that had gone silent while nobody used them.
 fn silent_while_idle() -> Case {
-    let rounds = (0..3).flat_map(|i| {
+    let rounds = (0..ROUNDS).flat_map(|i| {
         let at = 2_000 + i * 9_000;
         [
             entry(at, 200, Fault::Link(Scope::All, link::Fault::Silent)),
@@ -43,7 +45,7 @@
 
 /// Readers whose store is silent told others for a while that they read, and then fell silent themselves.
 fn readers_cut_in_turn() -> Case {
-    let rounds = (0..3).flat_map(|i| {
+    let rounds = (0..ROUNDS).flat_map(|i| {
         let at = 2_000 + i * 9_000;
         [
             entry(at, 10, PUBLISH),
@@ -55,7 +57,57 @@
     case("readers-cut-from-the-store-then-frozen", 24, rounds)
 }
 
+/// The store comes back from older copies, also while the nodes that read it are gone.
+fn store_returns() -> Case {
+    let returns = (0..ROUNDS).flat_map(|i| {
+        let at = 2_000 + i * 6_000;
+        [
+            entry(at, 10, Fault::Return(3 + 4 * i)),
+            entry(at + 100, 10, PUBLISH),
+            entry(at + 3_200, 10, PUBLISH),
+            entry(at + 4_000, 1_000, Fault::Kill(Scope::Readers)),
+            entry(at + 4_050, 10, PUBLISH),
+        ]
+    });
+    case("store-comes-back-older", 12, returns)
+}
+
+/// The store is away for all, and a version is published as soon as it is back.
+fn store_away() -> Case {
+    let away = (0..ROUNDS).flat_map(|i| {
+        let at = 1_000 + i * 9_000;
+        let fault = [link::Fault::Silent, link::Fault::OneWay][i as usize];
+        [
+            entry(at, 4_500, Fault::Link(Scope::All, fault)),
+            entry(at + 4_600, 10, PUBLISH),
+            entry(at + 6_500, 10, PUBLISH),
+        ]
+    });
+    case("store-away-for-all", 12, away)
+}
+
+/// All processes end while the store is slow or breaks off its answers.
+fn all_start_on_a_sick_store() -> Case {
+    let slow = link::Fault::Slow(Duration::from_millis(250));
+    let sick = [slow, link::Fault::Broken];
+    let starts = (0..ROUNDS).flat_map(|i| {
+        let at = 1_000 + i * 9_000;
+        [
+            entry(at, 3_000, Fault::Link(Scope::All, sick[i as usize])),
+            entry(at + 300, 700, Fault::Kill(Scope::All)),
+            entry(at + 1_100, 10, PUBLISH),
+        ]
+    });
+    case("all-start-on-a-sick-store", 24, starts)
+}
+
 /// All cases.
 pub fn cases() -> Vec<Case> {
-    vec![silent_while_idle(), readers_cut_in_turn()]
+    vec![
+        silent_while_idle(),
+        readers_cut_in_turn(),
+        store_returns(),
+        store_away(),
+        all_start_on_a_sick_store(),
+    ]
 }
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -1,5 +1,8 @@
 //! The promises, checked on what callers and endpoints saw. Pure: it knows no process and no socket.
 
+#[cfg(test)]
+mod tests;
+
 use std::fmt;
 use std::time::{Duration, Instant};
 
@@ -170,6 +173,19 @@
         in_touch.filter_map(lag).max().unwrap_or_default()
     }
 
+    /// Longest time from a start of a process until it had a request served, among those that did so.
+    pub(crate) fn longest_start(&self, seen: &[Seen]) -> Duration {
+        let served = |node: usize, life: usize| {
+            let own = seen.iter().filter(|it| it.node == node && matches!(it.end, End::Ran(_)));
+            own.filter(|it| self.life(node, it.sent) == life + 1).map(|it| it.ended).min()
+        };
+        let starts = self.starts.iter().enumerate().flat_map(|(node, starts)| {
+            starts.iter().enumerate().skip(1).map(move |(life, at)| (node, life, *at))
+        });
+        let times = starts.filter_map(|(node, life, at)| Some(served(node, life)? - at));
+        times.max().unwrap_or_default()
+    }
+
     /// The oldest version that may still be in force for a request that is sent then.
     fn oldest_at(&self, sent: Instant) -> u64 {
         let due = self.versions.iter().rev().find(|it| it.acked + IN_FORCE <= sent);
@@ -217,8 +233,7 @@
                 if in_touch && !allowed { broken(Rule::Stale) } else { None }
             }
             End::Refused(300..=407 | 409..=420 | 422..=428 | 430..=499, _) if is_proper => {
-                let is_always_proper = it.target != Target::Added(0)
-                    && matches!(it.target, Target::Moved | Target::Booking);
+                let is_always_proper = matches!(it.target, Target::Moved | Target::Booking);
                 if in_touch || is_always_proper { broken(Rule::Denied) } else { None }
             }
             End::Refused(503, text) if is_proper && in_touch && is_about_configuration(text) => {
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -226,7 +226,7 @@
             Fault::Storm(gap) => {
                 while began.elapsed() < lasts {
                     self.publish();
-                    tokio::time::sleep(gap).await;
+                    tokio::time::sleep(gap.min(lasts)).await;
                 }
             }
         }
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -1,6 +1,8 @@
 //! A loopback proxy between one node and the store, with the faults of real connections.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use standin::platform::Platform;
@@ -71,12 +73,13 @@
     platform: Platform,
     fault: watch::Receiver<Fault>,
 ) {
+    let answers = Arc::new(AtomicU32::new(0));
     let mut connections = JoinSet::new();
     loop {
         let Ok((node, _)) = listener.accept().await else { continue };
         while connections.try_join_next().is_some() {}
-        let connection =
-            Connection { fault: fault.clone(), platform: platform.clone(), answers: 0 };
+        let (fault, platform, answers) = (fault.clone(), platform.clone(), answers.clone());
+        let connection = Connection { fault, platform, answers };
         // A connection that breaks is what the node is to notice.
         connections.spawn(async move { drop(connection.serve(node, store).await) });
     }
@@ -85,7 +88,8 @@
 struct Connection {
     fault: watch::Receiver<Fault>,
     platform: Platform,
-    answers: u32,
+    /// Pieces of answers that all connections of the link have passed on.
+    answers: Arc<AtomicU32>,
 }
 
 impl Connection {
@@ -128,16 +132,16 @@
 
     /// Passes a piece of an answer on; returns whether the connection goes on.
     async fn pass(
-        &mut self,
+        &self,
         node: &mut TcpStream,
         answer: &[u8],
         fault: Fault,
     ) -> std::io::Result<bool> {
-        self.answers += 1;
+        let number = self.answers.fetch_add(1, Ordering::Relaxed);
         match fault {
             Fault::OneWay => return Ok(true),
             Fault::Slow(by) => sleep(by).await,
-            Fault::Broken if self.answers % 2 == 1 => {
+            Fault::Broken if number.is_multiple_of(2) => {
                 node.write_all(&answer[..answer.len() / 2]).await?;
                 return Ok(false);
             }
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -44,6 +44,8 @@
     pub in_touch: usize,
     /// Longest time after the acknowledgement of a version for which a node in touch used an older one.
     pub longest_lag: Duration,
+    /// Longest time from a start of a process until it served.
+    pub longest_start: Duration,
     /// Versions that were published.
     pub versions: usize,
     /// Promises that were broken.
@@ -110,6 +112,7 @@
     }
     let versions = deployment.history.lock().versions.len();
     let in_touch = deployment.history.lock().checked(seen);
+    let longest_start = deployment.history.lock().longest_start(seen);
     let longest_lag = deployment.history.lock().longest_lag(seen);
     let deployment = Arc::into_inner(deployment).filter(|_| !broken.is_empty());
     Ok(Outcome {
@@ -117,6 +120,7 @@
         answered: seen.iter().filter(|it| matches!(it.end, End::Ran(_))).count(),
         in_touch,
         longest_lag,
+        longest_start,
         versions,
         broken,
         logs: deployment.map(Deployment::keep_logs),
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use anyhow::{Context, ensure};
+use anyhow::{Context, bail, ensure};
 use soak::{Case, Options, Schedule, cases, play};
 
 use crate::demo;
@@ -54,14 +54,21 @@
         println!("seed {seed}");
         schedule.entries.iter().for_each(|it| println!("  {it}"));
         let options = Options { seed, length, nodes, rate: args.rate };
-        let outcome = runtime.block_on(play(&bin, &options, &schedule))?;
+        let outcome = runtime.block_on(async {
+            tokio::select! {
+                it = play(&bin, &options, &schedule) => it,
+                // The processes end with the runtime.
+                _ = tokio::signal::ctrl_c() => bail!("stopped before the end of seed {seed}"),
+            }
+        })?;
         println!(
-            "  {} requests, {} answered, {} by nodes in touch, {} versions, used {} ms after the next one at most, {} promises broken",
+            "  {} requests, {} answered, {} by nodes in touch, {} versions, used {} ms after the next one at most, served {} ms after a start at most, {} promises broken",
             outcome.requests,
             outcome.answered,
             outcome.in_touch,
             outcome.versions,
             outcome.longest_lag.as_millis(),
+            outcome.longest_start.as_millis(),
             outcome.broken.len()
         );
         outcome.broken.iter().take(SHOWN).for_each(|it| println!("  {it}"));
