--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -283,12 +283,7 @@
         if !self.may_tell(now) || now < self.next_news {
             return false;
         }
-        self.told(now);
-        true
-    }
-
-    /// Records that the others were told that this node reads.
-    pub(crate) fn told(&mut self, now: Time) {
         self.next_news = now + NEWS_EVERY;
+        true
     }
 }
--- a/crates/fleet/src/exchange/news.rs
+++ b/crates/fleet/src/exchange/news.rs
@@ -175,7 +175,6 @@
         version: u64,
     ) -> Vec<Effect> {
         self.told_others = version;
-        self.duty.told(now);
         let empty = self.news(self.last_answer(now));
         let newest = Facts { version, registry: self.replica.facts().registry };
         changes.sort_by_key(|it| it.at);
