--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -277,6 +277,21 @@
     }
 }
 
+/// What endpoints ran against what callers were told. `runs` counts the runs of work that must not repeat.
+pub(crate) fn check_runs(seen: &[Seen], runs: impl Fn(&str) -> u32) -> Vec<Broken> {
+    let check = |it: &Seen| {
+        let promised_not = matches!(it.end, End::Refused(408 | 421 | 429 | 503, _));
+        let runs = runs(&it.id);
+        let rule = match runs {
+            2.. => Rule::Twice,
+            1 if promised_not => Rule::NotRun,
+            _ => return None,
+        };
+        Some(Broken { rule, what: format!("request {} ran {runs} times: {it:?}", it.id) })
+    };
+    seen.iter().filter_map(check).collect()
+}
+
 fn is_about_configuration(text: &str) -> bool {
     ["no configuration", "missed a change", "cannot be served"].iter().any(|it| text.contains(it))
 }
--- a/crates/soak/src/check/tests.rs
+++ b/crates/soak/src/check/tests.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use super::{Broken, End, History, Rule, Seen, Target, Version};
+use super::{Broken, End, History, Rule, Seen, Target, Version, check_runs};
 
 fn at(start: Instant, ms: u64) -> Instant {
     start + Duration::from_millis(ms)
@@ -74,3 +74,16 @@
 fn an_answer_to_another_request_is_told() {
     check(None, &[(17_100, Target::Moved, End::Mixed("?".into()))], &[Rule::Mixed]);
 }
+
+#[test]
+fn what_endpoints_ran_is_held_against_what_callers_were_told() {
+    let check = |runs, end, expected: &[Rule]| {
+        let seen = [seen(Instant::now(), 17_100, Target::Booking, end)];
+        assert_eq!(rules(&check_runs(&seen, |_| runs)), expected);
+    };
+    check(1, End::Ran(1), &[]);
+    check(2, End::Ran(1), &[Rule::Twice]);
+    check(1, End::Refused(503, String::new()), &[Rule::NotRun]);
+    check(0, End::Refused(503, String::new()), &[]);
+    check(1, End::Refused(502, String::new()), &[]);
+}
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -22,7 +22,7 @@
 use crate::schedule::{Fault, Scope};
 
 /// Failure domains.
-pub const DOMAINS: [&str; 3] = ["a", "b", "c"];
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
 /// Each version moves a route to the next of these, so that an answer tells the version that it was sent by.
 pub(crate) const SERVICES: u64 = 16;
 /// A route that a version adds is dropped by the version that comes this many later.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,7 +15,6 @@
 
 pub use cases::{Case, cases};
 pub use check::{Broken, Rule};
-pub use deployment::DOMAINS;
 pub use link::Fault as LinkFault;
 pub use play::{Options, Outcome, play};
 pub use schedule::{Entry, Fault, Schedule, Scope};
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -9,7 +9,7 @@
 use tokio::task::JoinSet;
 
 use crate::callers;
-use crate::check::{Broken, End, Rule, Seen};
+use crate::check::{Broken, End, Rule, Seen, check_runs};
 use crate::deployment::Deployment;
 use crate::schedule::{Entry, Schedule};
 
@@ -100,7 +100,8 @@
     seen: &[Seen],
 ) -> anyhow::Result<Outcome> {
     let mut broken = deployment.history.lock().check(seen);
-    broken.extend(check_runs(&deployment, seen));
+    let runs: Vec<_> = deployment.upstreams.iter().map(|it| it.runs()).collect();
+    broken.extend(check_runs(seen, |id| runs.iter().filter_map(|it| it.get(id)).sum()));
     let max_log_bytes = MAX_LOG_BYTES_PER_S * options.length.as_secs().max(1);
     for (i, it) in deployment.processes().await?.into_iter().enumerate() {
         if it.has_ended {
@@ -126,21 +127,3 @@
         logs: deployment.map(Deployment::keep_logs),
     })
 }
-
-/// What endpoints ran against what callers were told.
-fn check_runs(deployment: &Deployment, seen: &[Seen]) -> Vec<Broken> {
-    let mut broken = Vec::new();
-    let runs: Vec<_> = deployment.upstreams.iter().map(|it| it.runs()).collect();
-    let count = |id: &str| runs.iter().filter_map(|it| it.get(id)).sum::<u32>();
-    for it in seen {
-        let runs = count(&it.id);
-        let promised_not = matches!(it.end, End::Refused(408 | 421 | 429 | 503, _));
-        let rule = match runs {
-            2.. => Rule::Twice,
-            1 if promised_not => Rule::NotRun,
-            _ => continue,
-        };
-        broken.push(Broken { rule, what: format!("request {} ran {runs} times: {it:?}", it.id) });
-    }
-    broken
-}
