--- a/crates/soak/src/cases.rs
+++ b/crates/soak/src/cases.rs
@@ -57,6 +57,20 @@
     case("readers-cut-from-the-store-then-frozen", 24, rounds)
 }
 
+/// Every node has read the store and left off, its kept connection goes silent, and the readers are lost in two steps.
+fn successors_on_silent_connections() -> Case {
+    let entries = [
+        entry(1_000, 2_500, Fault::Cut(Scope::All)),
+        entry(4_500, 200, Fault::Link(Scope::All, link::Fault::Silent)),
+        entry(9_500, 10, PUBLISH),
+        entry(9_520, 4_000, Fault::Link(Scope::Readers, link::Fault::OneWay)),
+        entry(9_520, 4_000, Fault::Link(Scope::Share(0.4, 3), link::Fault::OneWay)),
+        entry(9_600, 10, PUBLISH),
+        entry(10_480, 3_000, Fault::Freeze(Scope::Readers)),
+    ];
+    case("successors-on-silent-connections", 24, entries)
+}
+
 /// The store comes back from older copies, also while the nodes that read it are gone.
 fn store_returns() -> Case {
     let returns = (0..ROUNDS).flat_map(|i| {
@@ -106,6 +120,7 @@
     vec![
         silent_while_idle(),
         readers_cut_in_turn(),
+        successors_on_silent_connections(),
         store_returns(),
         store_away(),
         all_start_on_a_sick_store(),
