--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -257,7 +257,7 @@
         self.next_news = now;
     }
 
-    /// Records an answer of the platform that at this time that had nothing newer than what is known here.
+    /// Records that the platform had nothing newer than what is known here at this time.
     pub(crate) fn proven(&mut self, at: Time) {
         self.contact = self.contact.max(Some(at));
     }
