Policy: a request passes through stages, each a module

Cause: the choice of an endpoint held everything that bears on it in one loop, and the dispatcher knew every part, so that parts built side by side would meet there. The types that parts share are agreed: DomainLoad, FarReason, Reply::Elsewhere. The sends that overlap with answers in transit are OverlapKind, since placement is now a stage. Result: no behaviour changes; all tests of the crate pass as they were, but for the new variant of Reply in three matches.

--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -149,7 +149,7 @@
                     let action = PermitAction::Settle(id, PermitOutcome::Rejected(retry_after));
                     self.perform(now, action);
                 }
-                Reply::Full => {
+                Reply::Full | Reply::Elsewhere { .. } => {
                     self.perform(
                         now,
                         PermitAction::Settle(id, PermitOutcome::Refused(RENEWAL_INTERVAL)),
--- a/crates/fleet/src/permits.rs
+++ b/crates/fleet/src/permits.rs
@@ -200,7 +200,7 @@
                 }
                 Some(self.ask(now, id, directory))
             }
-            Reply::Full => {
+            Reply::Full | Reply::Elsewhere { .. } => {
                 self.pending.remove(&id);
                 Some(PermitAction::Settle(id, PermitOutcome::Refused(PASS_OVER_TIME)))
             }
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -5,8 +5,10 @@
 //! that asks for slots. Permits only guide capacity use. No guarantee to callers depends on them,
 //! so lost, late and duplicate permits are harmless.
 
+mod admission;
 mod advertised;
-mod choice;
+mod candidate;
+mod capacity;
 mod congestion;
 mod counts;
 mod crash_suspects;
@@ -15,6 +17,7 @@
 mod load;
 mod notices;
 mod overlap;
+mod placement;
 mod rate_limits;
 mod waiting;
 mod working_set;
@@ -42,7 +45,8 @@
 use advertised::LapsedEndpoints;
 use congestion::Congestion;
 use load::EndpointLoad;
-use overlap::{Overlap, Placement};
+use overlap::{Overlap, OverlapKind};
+use placement::Placed;
 use working_set::{Rate, WorkingSet};
 
 pub use counts::{DispatchCounts, IdleEndpoint, Occupancy};
@@ -99,7 +103,7 @@
     is_further: bool,
     reported: Reported,
     /// Whether the endpoint had room for this send only because answers in transit hold no slot.
-    placement: Placement,
+    overlap_kind: OverlapKind,
 }
 
 /// What has been reported of a request while it was open.
@@ -381,12 +385,12 @@
         now: Time,
         ask: &Ask,
         rng: &mut impl Rng,
-    ) -> Option<(usize, Tier)> {
+    ) -> Option<Placed> {
         let positions = self.first_candidates(now, ask)?;
         let survey = self.survey_of(now, positions.into_iter().map(|it| it as usize));
         self.counts.endpoints_evaluated += survey.len() as u64;
         let choice = self.choose(&survey, ask, || rng.random());
-        choice.filter(|(_, tier)| *tier < Tier::Last)
+        choice.filter(|it| it.tier < Tier::Last)
     }
 
     /// Takes a slot back and learns from the outcome of its request. Returns replies for queued
@@ -406,7 +410,7 @@
         let held_slot = load.end_request(id);
         if kind == Kind::Shed {
             load.full_until = load.full_until.max(now + FULL_AFTER_SHED);
-            self.note_shed(now, permit.placement);
+            self.note_shed(now, permit.overlap_kind);
         }
         if kind == Kind::Answered && !permit.reported.has_answer() {
             self.note_answer(now, &permit, elapsed);
@@ -528,7 +532,8 @@
         self.detector.rotation.take_changes()
     }
 
-    fn grant(&mut self, now: Time, ask: &Ask, (endpoint, tier): (usize, Tier)) -> Grant {
+    fn grant(&mut self, now: Time, ask: &Ask, choice: Placed) -> Grant {
+        let Placed { endpoint, tier, .. } = choice;
         let it = &self.endpoints()[endpoint];
         let grant = Grant {
             endpoint: it.id.clone(),
@@ -554,7 +559,7 @@
             is_last_send: ask.is_last,
             is_further: ask.send == SendKind::Further,
             reported: Reported::Nothing,
-            placement: self.placement(now, endpoint),
+            overlap_kind: self.overlap_kind(now, endpoint),
         };
         if ask.send == SendKind::Further {
             self.counts.repeats += 1;
--- a/crates/policy/src/dispatcher/counts.rs
+++ b/crates/policy/src/dispatcher/counts.rs
@@ -6,7 +6,7 @@
 use resources::Name;
 
 use super::Dispatcher;
-use super::choice::HEALTHY_AFTER;
+use super::candidate::HEALTHY_AFTER;
 use crate::belief::Pressure;
 use crate::rate_limit::RateLimit;
 use crate::time::Time;
--- a/crates/policy/src/dispatcher/overlap.rs
+++ b/crates/policy/src/dispatcher/overlap.rs
@@ -50,7 +50,7 @@
 
 /// Whether a send fits on its endpoint only because answers in transit hold no slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Placement {
+pub(super) enum OverlapKind {
     /// The endpoint would have had a free slot in any case.
     Regular,
     /// The endpoint has a free slot only because of answers in transit.
@@ -85,13 +85,13 @@
     }
 
     /// Records the response to a send.
-    fn note(&mut self, now: Time, placement: Placement, response: SendResponse) {
-        match placement {
-            Placement::Regular => self.regular.add(now, response),
-            Placement::Overlapping => self.overlapping.add(now, response),
+    fn note(&mut self, now: Time, overlap_kind: OverlapKind, response: SendResponse) {
+        match overlap_kind {
+            OverlapKind::Regular => self.regular.add(now, response),
+            OverlapKind::Overlapping => self.overlapping.add(now, response),
         }
         self.regular.decay(now);
-        if placement == Placement::Overlapping && self.must_hold_slots() {
+        if overlap_kind == OverlapKind::Overlapping && self.must_hold_slots() {
             let length =
                 self.held.map_or(FIRST_HOLD_PERIOD, |it| (it.length * 2).min(MAX_HOLD_PERIOD));
             self.held = Some(Held { until: now + length, length });
@@ -142,12 +142,12 @@
 
 impl Dispatcher {
     /// Whether a send to an endpoint fits now only because answers in transit hold no slot.
-    pub(super) fn placement(&self, now: Time, endpoint: usize) -> Placement {
+    pub(super) fn overlap_kind(&self, now: Time, endpoint: usize) -> OverlapKind {
         let load = &self.loads[endpoint];
         let slots = self.endpoints()[endpoint].usable_slots(now);
         match load.in_use() + load.in_transit() >= slots && load.in_transit() > 0 {
-            true => Placement::Overlapping,
-            false => Placement::Regular,
+            true => OverlapKind::Overlapping,
+            false => OverlapKind::Regular,
         }
     }
 
@@ -155,11 +155,11 @@
     pub(super) fn note_answer(&mut self, now: Time, permit: &Permit, elapsed: Duration) {
         let objective = permit.objective.max(Duration::from_millis(1));
         let took = elapsed.as_secs_f64() / objective.as_secs_f64();
-        self.overlap.note(now, permit.placement, SendResponse::Answered(took));
+        self.overlap.note(now, permit.overlap_kind, SendResponse::Answered(took));
     }
 
     /// Records that a send was shed.
-    pub(super) fn note_shed(&mut self, now: Time, placement: Placement) {
-        self.overlap.note(now, placement, SendResponse::Shed);
+    pub(super) fn note_shed(&mut self, now: Time, overlap_kind: OverlapKind) {
+        self.overlap.note(now, overlap_kind, SendResponse::Shed);
     }
 }
--- a/crates/policy/src/dispatcher/waiting.rs
+++ b/crates/policy/src/dispatcher/waiting.rs
@@ -1,4 +1,4 @@
-//! Queued requests: admission, order and grants of free slots.
+//! Queued requests: order and grants of free slots.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -6,59 +6,20 @@
 use rand::{Rng, RngExt};
 use resources::Priority;
 
-use super::choice::Survey;
-use super::congestion::Arrival;
+use super::candidate::Survey;
 use super::{Dispatcher, MIN_RETRY_AFTER};
 use crate::permit::{Ask, DomainFilter, PermitId, QueuedReply, Reply, SendKind};
-use crate::queue::Waiting;
 use crate::rendezvous::NodeId;
 use crate::suspects::RequestKey;
 use crate::time::Time;
 
-/// Maximum number of queued requests per slot.
-const QUEUE_PER_SLOT: f64 = 8.0;
-/// Lower bound for the number of slots in an estimate of the wait.
-const MIN_SLOTS: f64 = 0.05;
 /// Minimum time between two passes over the queue of a large service. A pass evaluates all
 /// endpoints, and slots come free as often as there are requests.
 const LARGE_DRAIN_INTERVAL: Duration = Duration::from_millis(5);
 /// Number of endpoints from which on a service is large.
 const LARGE_SERVICE: usize = 512;
-/// Maximum number of queued requests, whatever the number of slots, which bounds the cost of a pass
-/// over the queue.
-const MAX_QUEUE: usize = 512;
 
 impl Dispatcher {
-    /// Queues an ask or refuses it. `slots` is the number of slots that may be used now.
-    pub(super) fn enqueue(&mut self, now: Time, ask: Ask, slots: f64) -> Reply {
-        let wait = self.expected_wait(self.queue.ahead_of(ask.priority), slots);
-        let max_length = (slots * QUEUE_PER_SLOT).ceil() as usize;
-        let arrival =
-            Arrival { wait, work: self.mean_hold, objective: ask.objective, left: ask.left };
-        let may_wait = self.congestion.admits(now, arrival);
-        if !may_wait || self.queue.len() >= max_length.min(MAX_QUEUE) {
-            self.counts.queue_refused += 1;
-            self.note_unserved(now, 1);
-            return Reply::Refused { retry_after: wait.max(MIN_RETRY_AFTER) };
-        }
-        if ask.send == SendKind::Further {
-            self.budget.reserve();
-        }
-        self.queue.push(Waiting {
-            priority: ask.priority,
-            organisation: ask.organisation,
-            weight: ask.weight,
-            deadline: now + ask.left,
-            item: ask,
-        });
-        Reply::Queued
-    }
-
-    /// Expected wait of a request behind `ahead` others.
-    pub(super) fn expected_wait(&self, ahead: usize, slots: f64) -> Duration {
-        self.mean_hold.mul_f64((ahead + 1) as f64 / slots.max(MIN_SLOTS))
-    }
-
     /// Grants free slots to queued requests.
     pub(super) fn drain(&mut self, now: Time, rng: &mut impl Rng) -> Vec<QueuedReply> {
         let is_too_soon =
@@ -82,7 +43,7 @@
             let ask = self.queue.take(next).item;
             self.release_reserved_repeats(std::iter::once(&ask));
             let reply = Reply::Granted(self.grant(now, &ask, choice));
-            self.refresh_candidate(&mut survey, choice.0);
+            self.refresh_candidate(&mut survey, choice.endpoint);
             settled.push(QueuedReply { id: ask.id, reply });
         }
         settled
--- /dev/null
+++ b/crates/policy/src/domain_load.rs
@@ -0,0 +1,47 @@
+//! Demand and capacity of a service in one failure domain, as exchanged between the nodes that grant
+//! its slots there.
+
+use serde::{Deserialize, Serialize};
+
+/// Load on the endpoints of a service in one failure domain.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct DomainLoad {
+    /// Hash of the failure domain.
+    pub failure_domain: u64,
+    /// Slots that may be used now, free or not.
+    pub usable: f32,
+    /// Slots in use.
+    pub in_use: u32,
+    /// Requests that wait for one of these slots.
+    pub queued: u32,
+    /// Requests served in the last seconds; older ones count less.
+    pub served: f32,
+    /// Requests not served in the last seconds; older ones count less.
+    pub unserved: f32,
+}
+
+/// Why a request leaves its failure domain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum FarReason {
+    /// No endpoint of its own failure domain may serve it.
+    NoEndpoint,
+    /// Its own failure domain has no slot for it within the wait that its objective allows.
+    Overflow,
+    /// It is a further send or the last one, and the endpoints of its own failure domain are more
+    /// likely to fail.
+    Health,
+    /// An endpoint elsewhere has been idle so long that it counts against the floor.
+    Floor,
+}
+
+impl FarReason {
+    /// Name used in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoEndpoint => "no-endpoint",
+            Self::Overflow => "overflow",
+            Self::Health => "health",
+            Self::Floor => "floor",
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 mod budget;
 mod class;
 mod dispatcher;
+mod domain_load;
 mod likelihoods;
 mod notice;
 mod observation;
@@ -34,6 +35,7 @@
 pub use dispatcher::{
     DispatchCounts, Dispatcher, EvidenceReport, IdleEndpoint, Occupancy, Precedence,
 };
+pub use domain_load::{DomainLoad, FarReason};
 pub use notice::Notice;
 pub use observation::{Kind, Observation, Reporter};
 pub use permit::{
--- a/crates/policy/src/permit.rs
+++ b/crates/policy/src/permit.rs
@@ -6,6 +6,7 @@
 use resources::{Name, Priority};
 use serde::{Deserialize, Serialize};
 
+use crate::domain_load::FarReason;
 use crate::observation::Reporter;
 use crate::rate_limit::ObservedLimit;
 use crate::rendezvous::NodeId;
@@ -183,6 +184,14 @@
         /// For how much longer the request is rejected.
         retry_after: Duration,
     },
+    /// The node that grants the slots of another failure domain can serve the request sooner. Sent
+    /// only to nodes that support dispatch by failure domain.
+    Elsewhere {
+        /// Hash of that failure domain.
+        failure_domain: u64,
+        /// Why the request leaves its own.
+        reason: FarReason,
+    },
 }
 
 /// The reply to an ask that was queued.
--- a/crates/policy/src/tests/dispatcher.rs
+++ b/crates/policy/src/tests/dispatcher.rs
@@ -150,7 +150,10 @@
         match reply {
             Reply::Granted(_) => self.held.push(id),
             Reply::Queued => drop(self.waiting.insert(id, self.now + SECOND)),
-            Reply::Full | Reply::Refused { .. } | Reply::Rejected { .. } => {}
+            Reply::Full
+            | Reply::Refused { .. }
+            | Reply::Rejected { .. }
+            | Reply::Elsewhere { .. } => {}
         }
     }
 
--- a/crates/policy/src/tests/idle.rs
+++ b/crates/policy/src/tests/idle.rs
@@ -203,7 +203,7 @@
             Reply::Refused { .. } | Reply::Rejected { .. } => {
                 self.records.push(Record { at: now, endpoint: None, end: End::Unserved });
             }
-            Reply::Queued | Reply::Full => {}
+            Reply::Queued | Reply::Full | Reply::Elsewhere { .. } => {}
         }
     }
 
--- a/crates/policy/src/tests/suspects.rs
+++ b/crates/policy/src/tests/suspects.rs
@@ -259,7 +259,7 @@
             Reply::Rejected { .. } => {
                 assert_eq!(request, CRASHING, "a harmless request is rejected")
             }
-            Reply::Refused { .. } | Reply::Full => {}
+            Reply::Refused { .. } | Reply::Full | Reply::Elsewhere { .. } => {}
         }
     }
 
