Fleet: nodes announce the optional parts of the protocol that they support

Cause: a node drops a frame with a message that it does not know, so new messages must go only to nodes that know them, and a new version of the frame would split a fleet while it is upgraded. Change: one byte for each node state, behind the message of a frame. Former builds ignore what follows a message; a frame without these bytes means no optional part. One verdict fewer fits into the longest gossip (11 for 12). Result: frames_with_and_without_features_are_accepted_by_both_builds; the tests of fleet pass.

--- a/crates/dappleway/src/control/tests.rs
+++ b/crates/dappleway/src/control/tests.rs
@@ -5,8 +5,8 @@
 
 use caller::SharedSnapshot;
 use fleet::{
-    Capacity, Exchange, Frame, Gossip, Identity, Key, Keys, Message, NodeInfo, PermitClient, Phase,
-    Transport,
+    Capacity, Exchange, Features, Frame, Gossip, Identity, Key, Keys, Message, NodeInfo,
+    PermitClient, Phase, Transport,
 };
 use policy::{BudgetLimits, NodeId, Notice, Precedence, RateLimit, Time};
 use prometheus::Registry;
@@ -69,7 +69,13 @@
     let keys = Keys { current: Key::new(b"k"), also_accepted: None };
     let transport = Transport::bind(([127, 0, 0, 1], 0).into(), keys.clone()).await.unwrap();
     let addr: SocketAddr = transport.addr().unwrap();
-    let me = Identity { addr, failure_domain: 1, incarnation: 1, capacity: Default::default() };
+    let me = Identity {
+        addr,
+        failure_domain: 1,
+        incarnation: 1,
+        capacity: Default::default(),
+        features: Features::NONE,
+    };
     let exchange = Exchange::new(Time(0), me, &[], &mut StdRng::seed_from_u64(1));
     let client =
         PermitClient::new(exchange.id(), Duration::from_millis(40), Duration::from_secs(10));
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -20,7 +20,7 @@
 use crate::replica::{Replica, Versions};
 #[cfg(test)]
 use crate::wire::NODES_PER_FRAME;
-use crate::wire::{Capacity, Frame, Gossip, Message, NodeInfo, Phase, Verdict};
+use crate::wire::{Capacity, Features, Frame, Gossip, Message, NodeInfo, Phase, Verdict};
 
 use rejections::Rejections;
 #[cfg(test)]
@@ -33,7 +33,7 @@
 /// A node counts as recently started for this long.
 const RECENTLY_STARTED_FOR: Duration = Duration::from_secs(5);
 /// Maximum number of verdicts in one gossip message.
-const VERDICTS_PER_FRAME: usize = 12;
+const VERDICTS_PER_FRAME: usize = 11;
 /// Maximum number of nodes, verdicts and rejections in one frame.
 #[cfg(test)]
 pub(crate) const MAX_GOSSIP: (usize, usize, usize) =
@@ -55,6 +55,8 @@
     pub incarnation: u64,
     /// Resources of its VM.
     pub capacity: Capacity,
+    /// Optional parts of the protocol that it supports.
+    pub features: Features,
 }
 
 /// An action that the caller of the state machine has to carry out.
@@ -357,6 +359,7 @@
             version: self.version,
             phase: self.phase,
             versions: self.replica.versions(),
+            features: self.me.features,
         }
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -34,8 +34,8 @@
 pub use replica::{Replica, Versions};
 pub use transport::{Counts, Transport};
 pub use wire::{
-    Ack, Batch, Capacity, Frame, Gossip, Key, Keys, LastAnswer, MAX_FRAME_BYTES, Message, NodeInfo,
-    PermitMessage, Phase, PlatformUpdate, Verdict, WireError,
+    Ack, Batch, Capacity, Features, Frame, Gossip, Key, Keys, LastAnswer, MAX_FRAME_BYTES, Message,
+    NodeInfo, PermitMessage, Phase, PlatformUpdate, Verdict, WireError,
 };
 
 #[cfg(test)]
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -6,7 +6,7 @@
 use policy::{NodeId, Time, stable_hash};
 use rustc_hash::FxHashMap;
 
-use crate::wire::{NODES_PER_FRAME, NodeInfo, Phase};
+use crate::wire::{Features, NODES_PER_FRAME, NodeInfo, Phase};
 
 /// A node without updates for this many times the usual interval is not asked to dispatch. The
 /// value is generous, because nodes that disagree here ask different dispatching nodes; a node that
@@ -43,7 +43,7 @@
 
 impl Members {
     /// Records the state of a node; returns whether it was newer than the known one.
-    pub fn record(&mut self, now: Time, info: NodeInfo) -> bool {
+    pub fn record(&mut self, now: Time, mut info: NodeInfo) -> bool {
         let id = node_id(info.addr);
         let known = self.by_id.get(&id).copied();
         let sequence = |it: &NodeInfo| (it.incarnation, it.version);
@@ -51,6 +51,12 @@
             return false;
         }
         let same_incarnation = known.filter(|it| it.info.incarnation == info.incarnation);
+        // A node that knows no features passes on the state of others without them.
+        if let Some(it) = same_incarnation
+            && info.features == Features::NONE
+        {
+            info.features = it.info.features;
+        }
         let recently_joined_until = match same_incarnation {
             Some(it) => it.recently_joined_until,
             None if info.phase != Phase::Ready && self.any_other_ready(id) => {
--- a/crates/fleet/src/tests/wire.rs
+++ b/crates/fleet/src/tests/wire.rs
@@ -11,8 +11,8 @@
 use crate::exchange::{CHANGES_PER_FRAME, MAX_GOSSIP};
 use crate::replica::Versions;
 use crate::wire::{
-    Ack, Batch, Capacity, Frame, Gossip, Key, Keys, LastAnswer, MAX_FRAME_BYTES, Message, NodeInfo,
-    PermitMessage, Phase, PlatformUpdate, VERSION, Verdict, WireError,
+    Ack, Batch, Capacity, Features, Frame, Gossip, Key, Keys, LastAnswer, MAX_FRAME_BYTES, Message,
+    NodeInfo, PermitMessage, Phase, PlatformUpdate, VERSION, Verdict, WireError,
 };
 
 /// A rate limit of the greatest encoded length.
@@ -53,6 +53,7 @@
         capacity: Capacity { millicores: u32::MAX, link_mbps: u32::MAX },
         phase: Phase::Leaving,
         versions: Versions { config: u64::MAX, registry: LAST },
+        features: Features::DOMAIN_DISPATCH,
     }
 }
 
@@ -166,6 +167,24 @@
     }
 }
 
+/// Guards against a fleet that falls apart while nodes are upgraded one by one: a build that knows
+/// no features must accept the frames of one that does, and the reverse.
+#[test]
+fn frames_with_and_without_features_are_accepted_by_both_builds() {
+    let (with, keys) = (gossip(), keys("k"));
+    let body = postcard::to_stdvec(&with).unwrap();
+    let mut buf = vec![VERSION];
+    buf.extend(keys.sign(&body));
+    buf.extend(&body);
+    let without = NodeInfo { features: Features::NONE, ..longest_info() };
+    let gossip = Gossip { nodes: vec![without], ..Gossip::default() };
+    let without = frame(Message::Gossip(gossip));
+    assert_eq!(Frame::decode(&buf, &keys), Ok(without.clone()));
+    // The decoding of the former build, which does not expect anything behind the message.
+    let buf = with.encode(&keys).unwrap();
+    assert_eq!(postcard::from_bytes(&buf[buf.len() - body.len() - 1..]), Ok(without));
+}
+
 #[test]
 fn a_frame_under_another_key_is_dropped() {
     let buf = gossip().encode(&keys("ours")).unwrap();
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -96,6 +96,30 @@
     pub link_mbps: u32,
 }
 
+/// Optional parts of the protocol that a node supports. Messages of an optional part go only to
+/// nodes that support it, because a node drops a frame with a message that it does not know.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Features(u8);
+
+impl Features {
+    /// No optional part, as for builds that know none.
+    pub const NONE: Self = Self(0);
+    /// Slots of a service are granted by one node in each failure domain.
+    pub const DOMAIN_DISPATCH: Self = Self(1);
+    /// The state of a dispatcher is handed over to its successors.
+    pub const HANDOVER: Self = Self(1 << 1);
+
+    /// Adds other optional parts.
+    pub const fn with(self, other: Self) -> Self {
+        Self(self.0 | other.0)
+    }
+
+    /// Whether all of these optional parts are supported.
+    pub fn contains(self, other: Self) -> bool {
+        self.0 & other.0 == other.0
+    }
+}
+
 /// State of a node as sent to others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeInfo {
@@ -113,6 +137,10 @@
     pub phase: Phase,
     /// Versions of its copy of the state published by the platform.
     pub versions: Versions,
+    /// Optional parts of the protocol that it supports. Travels behind the message of a frame, where
+    /// builds that know no optional parts ignore it.
+    #[serde(skip)]
+    pub features: Features,
 }
 
 /// Marks an endpoint that its dispatching node uses last or has ejected.
@@ -309,6 +337,23 @@
 }
 
 impl Message {
+    /// The node states that the message carries, in the order of their features behind it.
+    fn nodes_mut(&mut self) -> &mut [NodeInfo] {
+        match self {
+            Self::Gossip(it) => &mut it.nodes,
+            Self::PlatformUpdate(it) => std::slice::from_mut(&mut it.sender),
+            Self::Permit(_) | Self::Reliable(_) | Self::Ack(_) | Self::Allowance(_) => &mut [],
+        }
+    }
+
+    fn nodes(&self) -> &[NodeInfo] {
+        match self {
+            Self::Gossip(it) => &it.nodes,
+            Self::PlatformUpdate(it) => std::slice::from_ref(&it.sender),
+            Self::Permit(_) | Self::Reliable(_) | Self::Ack(_) | Self::Allowance(_) => &[],
+        }
+    }
+
     /// Whether the message belongs to the handling of requests, whose traffic is counted apart from
     /// control traffic.
     pub fn is_about_requests(&self) -> bool {
@@ -345,7 +390,8 @@
 impl Frame {
     /// Encodes and signs the frame; returns `None` if it is too long for a datagram.
     pub fn encode(&self, keys: &Keys) -> Option<Vec<u8>> {
-        let body = postcard::to_stdvec(self).ok()?;
+        let mut body = postcard::to_stdvec(self).ok()?;
+        body.extend(self.message.nodes().iter().map(|it| it.features.0));
         if HEADER_BYTES + body.len() > MAX_FRAME_BYTES {
             return None;
         }
@@ -368,7 +414,12 @@
         if !keys.verify(tag, body) {
             return Err(WireError::Forged);
         }
-        postcard::from_bytes(body).map_err(|_| WireError::Malformed)
+        let (mut frame, features): (Self, _) =
+            postcard::take_from_bytes(body).map_err(|_| WireError::Malformed)?;
+        for (node, features) in frame.message.nodes_mut().iter_mut().zip(features) {
+            node.features = Features(*features);
+        }
+        Ok(frame)
     }
 }
 
--- a/crates/fleet/tests/exchange.rs
+++ b/crates/fleet/tests/exchange.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use fleet::{
-    Capacity, Effect, Exchange, Gossip, Identity, LastAnswer, Message, Phase, PlatformUpdate,
-    Reads, Verdict, node_id,
+    Capacity, Effect, Exchange, Features, Gossip, Identity, LastAnswer, Message, Phase,
+    PlatformUpdate, Reads, Verdict, node_id,
 };
 use policy::{Rejection, RequestKey, Time};
 use rand::SeedableRng;
@@ -184,7 +184,13 @@
     let mut rng = StdRng::seed_from_u64(1);
     let mut node = |i, link_mbps| {
         let capacity = Capacity { link_mbps, ..Capacity::default() };
-        let me = Identity { addr: addr(i), failure_domain: 0, incarnation: 1, capacity };
+        let me = Identity {
+            addr: addr(i),
+            failure_domain: 0,
+            incarnation: 1,
+            capacity,
+            features: Features::NONE,
+        };
         Exchange::new(Time(0), me, &[], &mut rng)
     };
     let (mut reader, unknown_node) = (node(0, 200), node(1, 20));
@@ -231,7 +237,13 @@
     let mut rng = StdRng::seed_from_u64(1);
     let mut node = |i, era| {
         let capacity = Capacity { link_mbps: 200, ..Capacity::default() };
-        let me = Identity { addr: addr(i), failure_domain: 0, incarnation: 1, capacity };
+        let me = Identity {
+            addr: addr(i),
+            failure_domain: 0,
+            incarnation: 1,
+            capacity,
+            features: Features::NONE,
+        };
         let mut it = Exchange::new(Time(0), me, &[], &mut rng);
         let read = Position { era, revision: 100 / u64::from(era) };
         it.platform_read(
--- a/crates/fleet/tests/fetch.rs
+++ b/crates/fleet/tests/fetch.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use fleet::{
-    Backlog, Bundle, Capacity, EncodedDocument, FetchError, Key, Keys, NodeInfo, Phase,
+    Backlog, Bundle, Capacity, EncodedDocument, Features, FetchError, Key, Keys, NodeInfo, Phase,
     ServedOutcome, Versions, fetch, serve_fetches,
 };
 use resources::Document;
@@ -21,6 +21,7 @@
         capacity: Capacity::default(),
         phase: Phase::Starting,
         versions: Versions::default(),
+        features: Features::NONE,
     }
 }
 
--- a/crates/standin/src/net.rs
+++ b/crates/standin/src/net.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use fleet::{
-    Bundle, Capacity, Effect, Exchange, FetchFailure, Identity, Key, Keys, Message, Phase, Reads,
+    Bundle, Capacity, Effect, Exchange, Features, FetchFailure, Identity, Key, Keys, Message,
+    Phase, Reads,
 };
 use policy::{Rejection, Time};
 use rand::rngs::StdRng;
@@ -86,7 +87,8 @@
     rng: &mut StdRng,
 ) -> Exchange {
     let failure_domain = i as u64 % FAILURE_DOMAINS;
-    let me = Identity { addr: addr(i), failure_domain, incarnation, capacity };
+    let me =
+        Identity { addr: addr(i), failure_domain, incarnation, capacity, features: Features::NONE };
     let seeds: Vec<_> = (0..SEEDS).map(addr).collect();
     Exchange::new(now, me, &seeds, rng)
 }
