--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -19,6 +19,7 @@
 mod overlap;
 mod placement;
 mod rate_limits;
+mod remote;
 mod waiting;
 mod working_set;
 
@@ -33,6 +34,7 @@
 use crate::budget::{Budget, BudgetLimits, RepeatsReport, Spend};
 use crate::likelihoods::Likelihoods;
 use crate::observation::{Kind, Observation, Reporter};
+use crate::options::DispatchOptions;
 use crate::outlier::OutlierDetector;
 use crate::permit::{Ask, Grant, PermitId, QueuedReply, Reply, SendKind, Tier};
 use crate::queue::Queue;
@@ -197,6 +199,7 @@
     /// Whether the repeat budget is so low that a failed send may have no successor, as of the last
     /// choice.
     is_budget_short: bool,
+    options: DispatchOptions,
 }
 
 impl Dispatcher {
@@ -239,6 +242,7 @@
             precedence: Precedence::First,
             nodes: 1,
             is_budget_short: false,
+            options: DispatchOptions::default(),
         };
         it.update_cold_limits(now);
         it.working_set.rebuild(now, &it.loads);
@@ -443,6 +447,11 @@
         }
     }
 
+    /// Applies a change of the settings.
+    pub fn set_options(&mut self, options: DispatchOptions) {
+        self.options = options;
+    }
+
     /// Applies a change of the repeat budget.
     pub fn set_budget(&mut self, now: Time, limits: BudgetLimits) {
         self.budget.set_limits(now, limits);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 mod likelihoods;
 mod notice;
 mod observation;
+mod options;
 mod outlier;
 mod permit;
 mod queue;
@@ -38,6 +39,7 @@
 pub use domain_load::{DomainLoad, FarReason};
 pub use notice::Notice;
 pub use observation::{Kind, Observation, Reporter};
+pub use options::DispatchOptions;
 pub use permit::{
     Ask, DomainFilter, Grant, HealthEstimate, PermitId, QueuedReply, Reply, SendKind, Tier,
 };
