--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -4,6 +4,7 @@
 mod allowances;
 mod crash_reports;
 mod dispatch_log;
+mod domain_dispatch;
 mod exchange;
 mod metrics;
 mod own_slots;
@@ -24,10 +25,10 @@
 
 use caller::{Refused, SharedSnapshot};
 use clock::Moment;
-use fleet::{Delivery, Directory, Exchange, Keys, PermitClient, Phase, Place, Transport};
+use fleet::{Delivery, Directory, Exchange, Features, Keys, PermitClient, Phase, Place, Transport};
 use operator::Published as InForce;
 use policy::{
-    BudgetLimits, Grant, NodeId, PermitId, QueuedReply, Reporter, RequestKey, Time, Topology,
+    BudgetLimits, Grant, NodeId, PermitId, QueuedReply, Reporter, RequestKey, Time, Topology, rank,
     rank_strong_first,
 };
 use rand::RngExt;
@@ -40,6 +41,7 @@
 use tokio::time::sleep_until;
 
 use self::allowances::Allowances;
+use self::domain_dispatch::DomainDispatch;
 use crate::event::Event;
 use crate::reader::ReadPlan;
 use crate::services::{Scope, Services, name_hash, route_hash};
@@ -112,6 +114,7 @@
     delivery: Delivery,
     allowances: Allowances,
     services: Services,
+    domain_dispatch: DomainDispatch,
     /// Hashes of the evacuated failure domains.
     evacuated: Vec<u64>,
     topology: Topology,
@@ -252,6 +255,7 @@
             delivery: Delivery::new(params.rng.random()),
             allowances: Allowances::new(me, params.ask_timeout, params.rng.random()),
             services: Services::new(params.budget, params.topology.clone(), failure_domain),
+            domain_dispatch: DomainDispatch::default(),
             evacuated: Vec::new(),
             topology: params.topology,
             waiting: FxHashMap::default(),
@@ -389,8 +393,15 @@
     /// Nodes of this node's own region come first, since slots from another region arrive late. Within a region,
     /// nodes with more CPU come first: a tenth of a core is too slow to hand out the slots of a busy service.
     /// Recently joined nodes are left out, except for this node if no other node serves.
-    fn candidates(&self, service: u64) -> Vec<NodeId> {
+    ///
+    /// For one failure domain, its strong nodes come first, then those of other failure domains of its region,
+    /// its weak nodes, and all others: near to the endpoints, but never on a node that is too slow while there is a
+    /// faster one.
+    fn candidates(&self, service: u64, failure_domain: Option<u64>) -> Vec<NodeId> {
         let serving = self.serving();
+        if let Some(failure_domain) = failure_domain {
+            return self.candidates_in(service, failure_domain, &serving);
+        }
         let rank = |is_own: bool| {
             let nodes = serving.iter().filter(|it| it.is_in_own_region == is_own);
             let nodes: Vec<_> = nodes.map(|it| (it.node, it.millicores)).collect();
@@ -406,6 +417,8 @@
 struct ServingNode {
     node: NodeId,
     millicores: u32,
+    failure_domain: u64,
+    features: Features,
     is_in_own_region: bool,
 }
 
@@ -421,14 +434,50 @@
         let others = serving.map(|(node, it)| ServingNode {
             node,
             millicores: it.info.capacity.millicores,
+            failure_domain: it.info.failure_domain,
+            features: it.info.features,
             is_in_own_region: self.topology.is_same_region(own_domain, it.info.failure_domain),
         });
         let mut nodes: Vec<_> = others.collect();
         let serves = matches!(self.exchange.phase(), Phase::Fresh | Phase::Ready);
         if serves && (nodes.is_empty() || !self.exchange.is_recently_joined(self.now)) {
-            let millicores = self.exchange.capacity().millicores;
-            nodes.push(ServingNode { node: self.me.node, millicores, is_in_own_region: true });
+            nodes.push(ServingNode {
+                node: self.me.node,
+                millicores: self.exchange.capacity().millicores,
+                failure_domain: own_domain,
+                features: self.exchange.info().features,
+                is_in_own_region: true,
+            });
         }
         nodes
     }
+
+    fn candidates_in(
+        &self,
+        service: u64,
+        failure_domain: u64,
+        serving: &[ServingNode],
+    ) -> Vec<NodeId> {
+        let is_in_region =
+            |it: &ServingNode| self.topology.is_same_region(failure_domain, it.failure_domain);
+        let in_region = serving.iter().filter(|it| is_in_region(it));
+        let most = in_region.map(|it| it.millicores).max().unwrap_or_default();
+        let group = |it: &ServingNode| {
+            let is_strong = it.millicores * 2 > most;
+            match (is_in_region(it), it.failure_domain == failure_domain) {
+                (true, true) if is_strong => 0,
+                (true, false) if is_strong => 1,
+                (true, true) => 2,
+                _ => 3,
+            }
+        };
+        let mut groups: [Vec<NodeId>; 4] = Default::default();
+        for it in serving.iter().filter(|it| it.features.contains(Features::DOMAIN_DISPATCH)) {
+            groups[group(it)].push(it.node);
+        }
+        // A node that stands in for several failure domains would be the same one for each of them if the key were
+        // the service alone.
+        let key = service ^ failure_domain;
+        groups.into_iter().flat_map(|nodes| rank(key, nodes)).collect()
+    }
 }
--- a/crates/dappleway/src/control/crash_reports.rs
+++ b/crates/dappleway/src/control/crash_reports.rs
@@ -8,7 +8,7 @@
 use slog::warn;
 
 use super::{Control, NOTIFIED_SUCCESSORS, OpenPermit, ServingNodes};
-use crate::services::{TickOutput, name_hash};
+use crate::services::{ServiceState, TickOutput, name_hash};
 
 impl Control {
     /// Reports how a request ended to the dispatchers of all services of its route and to their successors, so
@@ -33,8 +33,7 @@
         let services: Vec<u64> = open.request.route.shares().map(|(it, _)| name_hash(it)).collect();
         for service in services {
             let directory = ServingNodes::new(now, self.me, &self.topology, &self.exchange);
-            let nodes = directory.candidates(service).into_iter().take(NOTIFIED_SUCCESSORS + 1);
-            let nodes: Vec<NodeId> = nodes.filter(|it| *it != self.me.node).collect();
+            let nodes = self.run_end_receivers(service, &directory);
             // The dispatcher that granted the slot learns the outcome when the slot is released.
             let granted_by = (service == open.service).then_some(open.place);
             for node in nodes.into_iter().filter(|it| granted_by != Some(Place::Peer(*it))) {
@@ -45,12 +44,32 @@
             if granted_by != Some(Place::Direct) {
                 state.direct.run_ended(now, request, end, elapsed);
             }
-            if granted_by != Some(Place::Own) {
-                state.fleet.iter_mut().for_each(|it| it.run_ended(now, request, end, elapsed));
+            for (domain, it) in &mut state.fleet {
+                if granted_by != Some(Place::Own(*domain)) {
+                    it.run_ended(now, request, end, elapsed);
+                }
             }
         }
     }
 
+    /// The nodes that may grant a slot for a later send of a request: the caller may repeat the request at any node,
+    /// so these are the dispatching nodes of all failure domains, with their successors.
+    fn run_end_receivers(&self, service: u64, directory: &impl Directory) -> Vec<NodeId> {
+        let by_domain = self.services.get(service).and_then(ServiceState::dispatch_domains);
+        let domains: Vec<Option<u64>> =
+            by_domain.map_or(vec![None], |it| it.hashes().map(Some).collect());
+        let mut nodes: Vec<NodeId> = Vec::new();
+        for domain in domains {
+            let candidates = directory.candidates(service, domain).into_iter();
+            for it in candidates.take(NOTIFIED_SUCCESSORS + 1) {
+                if it != self.me.node && !nodes.contains(&it) {
+                    nodes.push(it);
+                }
+            }
+        }
+        nodes
+    }
+
     /// Records for this node's direct dispatcher that the request was answered, and so does not crash endpoints.
     fn record_answered(&mut self, now: Time, open: &OpenPermit) {
         if let Some(state) = self.services.get_mut(open.service)
--- a/crates/dappleway/src/control/dispatch_log.rs
+++ b/crates/dappleway/src/control/dispatch_log.rs
@@ -46,7 +46,7 @@
         });
         for it in lines {
             let Some(state) = self.services.get(it.service) else { continue };
-            let (name, is_fleet) = (state.service.name.as_str(), it.scope == Scope::Fleet);
+            let (name, is_fleet) = (state.service.name.as_str(), it.scope.is_fleet());
             let DispatchLine { counts, occupancy, idle, .. } = it;
             self.metrics.count_permits(&counts);
             info!(self.log, "slots handed out"; "service" => name, "dispatched_here" => is_fleet,
@@ -98,7 +98,7 @@
     pub(super) fn log_notice(&self, service: u64, it: &EndpointNotice) {
         let Some(state) = self.services.get(service) else { return };
         let (service, endpoint) = (state.service.name.as_str(), it.endpoint.as_str());
-        let dispatched_here = state.fleet.is_some();
+        let dispatched_here = !state.fleet.is_empty();
         match it.notice {
             Notice::RateLimit(limit) => info!(self.log, "endpoint rate limit";
                 "service" => service, "endpoint" => endpoint, "dispatched_here" => dispatched_here,
--- a/crates/dappleway/src/control/metrics.rs
+++ b/crates/dappleway/src/control/metrics.rs
@@ -12,7 +12,6 @@
 use rustc_hash::FxHashMap;
 
 use super::Control;
-use crate::services::Scope;
 
 /// Metrics of the control thread.
 pub struct ControlMetrics {
@@ -232,8 +231,9 @@
     pub(super) fn update_metrics(&mut self, now: Time) {
         let mut states: FxHashMap<&'static str, i64> = FxHashMap::default();
         for it in self.services.iter() {
-            for endpoint in it.active_dispatcher().endpoints() {
-                *states.entry(State::name(endpoint.state)).or_default() += 1;
+            for (dispatcher, i) in it.endpoint_views(now) {
+                let state = dispatcher.endpoints()[i].state;
+                *states.entry(State::name(state)).or_default() += 1;
             }
         }
         let (mut queued, mut granted, mut refused, mut first) = (0, 0, 0, 0);
@@ -244,7 +244,7 @@
             granted += repeats.granted;
             refused += repeats.refused;
             first += repeats.first_total;
-            if scope == Scope::Fleet && it.is_dispatching(now) {
+            if scope.is_fleet() && it.is_dispatching(now) {
                 allowed += repeats.allowed;
                 spent += repeats.spent;
             }
--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -49,9 +49,7 @@
             return;
         };
         let rejected = self.exchange.rejected(now, slot_request.request);
-        if let Some(retry_after) =
-            rejected.or_else(|| state.active_dispatcher().rejected(now, slot_request.request))
-        {
+        if let Some(retry_after) = rejected.or_else(|| state.rejected(now, slot_request.request)) {
             // The request may have been cancelled meanwhile.
             let _ = tx.send(Err(Refused { retry_after, reason: RefusalReason::CrashesEndpoints }));
             return;
@@ -79,12 +77,14 @@
         };
         let request =
             RoutedRequest { route: slot_request.route.clone(), key: slot_request.request };
+        let failure_domain = self.home_domain(state, self.me, ask.domains.as_deref());
         self.waiting.insert(id, Waiter { tx, service, request });
         if self.mode != Mode::Permits {
-            self.ask_own_dispatcher(now, Place::Direct, service, ask);
+            self.ask_own_dispatcher(now, Place::Direct, service, false, ask);
             return;
         }
-        let permit_request = PermitRequest { ask, service, deadline: now + slot_request.left };
+        let deadline = now + slot_request.left;
+        let permit_request = PermitRequest { ask, service, failure_domain, deadline };
         let directory = ServingNodes::new(now, self.me, &self.topology, &self.exchange);
         let action = self.client.request(now, permit_request, &directory);
         self.perform(now, action);
@@ -98,8 +98,8 @@
 
     pub(super) fn perform(&mut self, now: Time, action: PermitAction) {
         match action {
-            PermitAction::AskHere(place, service, ask) => {
-                self.ask_own_dispatcher(now, place, service, ask)
+            PermitAction::AskHere { place, service, may_redirect, ask } => {
+                self.ask_own_dispatcher(now, place, service, may_redirect, ask)
             }
             PermitAction::Send(node, message) => self.send_permit_message(now, node, message),
             PermitAction::Settle(id, PermitOutcome::Granted(grant, place)) => {
@@ -121,10 +121,17 @@
         }
     }
 
-    pub(super) fn ask_own_dispatcher(&mut self, now: Time, place: Place, service: u64, ask: Ask) {
+    pub(super) fn ask_own_dispatcher(
+        &mut self,
+        now: Time,
+        place: Place,
+        service: u64,
+        may_redirect: bool,
+        ask: Ask,
+    ) {
         let id = ask.id;
         let dispatcher = match place {
-            Place::Own => self.services.fleet_dispatcher(now, service),
+            Place::Own(domain) => self.services.fleet_dispatcher(now, service, domain),
             _ => self.services.get_mut(service).map(|it| &mut it.direct),
         };
         let Some(dispatcher) = dispatcher else {
@@ -132,7 +139,10 @@
             self.perform(now, PermitAction::Settle(id, PermitOutcome::Refused(RENEWAL_INTERVAL)));
             return;
         };
-        let reply = dispatcher.ask(now, ask, &mut self.rng);
+        let reply = match may_redirect {
+            true => dispatcher.ask_redirecting(now, ask, &mut self.rng),
+            false => dispatcher.ask(now, ask, &mut self.rng),
+        };
         self.handle_own_reply(now, place, id, reply);
     }
 
@@ -333,8 +343,9 @@
             return;
         }
         let directory = ServingNodes::new(now, self.me, &self.topology, &self.exchange);
-        let successors =
-            directory.candidates(open.service).into_iter().take(NOTIFIED_SUCCESSORS + 1);
+        let failure_domain = self.dispatch_domain_of(open.service, &open.endpoint);
+        let candidates = directory.candidates(open.service, failure_domain);
+        let successors = candidates.into_iter().take(NOTIFIED_SUCCESSORS + 1);
         let is_informed = |it: &NodeId| open.place == Place::Peer(*it) || *it == self.me.node;
         let successors: Vec<NodeId> = successors.filter(|it| !is_informed(it)).collect();
         let observation =
@@ -375,7 +386,9 @@
             std::mem::take(&mut self.unserved)
         {
             let directory = ServingNodes::new(now, self.me, &self.topology, &self.exchange);
-            match self.client.place(now, service, &directory) {
+            let state = self.services.get(service);
+            let failure_domain = state.and_then(|it| self.home_domain(it, self.me, None));
+            match self.client.place(now, service, failure_domain, &directory) {
                 Place::Peer(node) => {
                     let message = PermitMessage::UnservedElsewhere { service, requests, refused };
                     self.send_permit_message(now, node, message);
@@ -412,7 +425,7 @@
     ) {
         let Some(state) = self.services.get_mut(service) else { return };
         let (scope, dispatcher) = match place {
-            Place::Own => (Scope::Fleet, state.fleet.as_mut()),
+            Place::Own(domain) => (Scope::Fleet(domain), state.fleet.get_mut(&domain)),
             _ => (Scope::Node, Some(&mut state.direct)),
         };
         let Some(dispatcher) = dispatcher else { return };
@@ -432,7 +445,7 @@
         if it.id.node == self.me.node {
             let place = match scope {
                 Scope::Node => Place::Direct,
-                Scope::Fleet => Place::Own,
+                Scope::Fleet(domain) => Place::Own(domain),
             };
             self.handle_own_reply(now, place, it.id, it.reply);
             return;
--- a/crates/dappleway/src/control/peer_slots.rs
+++ b/crates/dappleway/src/control/peer_slots.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use fleet::{PermitMessage, Place};
-use policy::{Ask, NodeId, QueuedReply, Reply, Time};
+use policy::{Ask, NodeId, PermitId, QueuedReply, Reply, Time};
 use rand::rngs::StdRng;
 
 use super::{Control, ServingNodes};
@@ -18,14 +18,14 @@
     ) {
         match message {
             PermitMessage::Ask { service, ask } => {
-                self.asker_addrs.insert(from.0, from.1);
-                let id = ask.id;
-                let is_from_sender = id.node == from.0 && ask.reporter.node == from.0;
-                let reply = match is_from_sender && !self.draining {
-                    true => self.answer_ask(now, service, ask),
-                    false => Reply::Full,
-                };
-                self.send_permit_message(now, from.0, PermitMessage::Answer { id, reply });
+                self.handle_ask(now, from, (service, None), false, ask);
+            }
+            PermitMessage::DomainAsk { service, failure_domain, may_redirect, ask } => {
+                let failure_domain = Some(failure_domain);
+                self.handle_ask(now, from, (service, failure_domain), may_redirect, ask);
+            }
+            PermitMessage::DomainLoads { service, loads } => {
+                self.handle_domain_loads(now, service, &loads);
             }
             PermitMessage::Answer { id, reply } => {
                 let directory = ServingNodes::new(now, self.me, &self.topology, &self.exchange);
@@ -62,7 +62,8 @@
                 self.services.record_run(now, service, RunReport { request, end, elapsed });
             }
             PermitMessage::UnservedElsewhere { service, requests, refused } => {
-                if let Some(it) = self.services.fleet_dispatcher(now, service) {
+                let failure_domain = self.home_domain_of_peer(service, from.0);
+                if let Some(it) = self.services.fleet_dispatcher(now, service, failure_domain) {
                     it.unserved_elsewhere(now, requests);
                     it.refused_before_dispatch(now, refused);
                 }
@@ -74,10 +75,49 @@
         }
     }
 
-    fn answer_ask(&mut self, now: Time, service: u64, ask: Ask) -> Reply {
-        match self.services.fleet_dispatcher(now, service) {
-            Some(dispatcher) => dispatcher.ask(now, ask, &mut self.rng),
+    /// Answers an ask for a slot of a service, in one failure domain if one is given.
+    fn handle_ask(
+        &mut self,
+        now: Time,
+        from: (NodeId, SocketAddr),
+        (service, failure_domain): (u64, Option<u64>),
+        may_redirect: bool,
+        ask: Ask,
+    ) {
+        self.asker_addrs.insert(from.0, from.1);
+        let id = ask.id;
+        let is_from_sender = id.node == from.0 && ask.reporter.node == from.0;
+        if failure_domain.is_some() && !may_redirect && is_from_sender {
+            self.cancel_in_other_domains(now, service, failure_domain, id);
+        }
+        let dispatcher = match is_from_sender && !self.draining {
+            true => self.services.fleet_dispatcher(now, service, failure_domain),
+            false => None,
+        };
+        // An asker passes over a node that does not know the endpoints, and asks the next one.
+        let reply = match dispatcher {
+            Some(it) if may_redirect => it.ask_redirecting(now, ask, &mut self.rng),
+            Some(it) => it.ask(now, ask, &mut self.rng),
             None => Reply::Full,
+        };
+        self.send_permit_message(now, from.0, PermitMessage::Answer { id, reply });
+    }
+
+    /// Withdraws a redirected request from the failure domains that it has left. If this node grants for several
+    /// failure domains, a late copy of the first ask may have taken a slot or a place in a queue there.
+    fn cancel_in_other_domains(
+        &mut self,
+        now: Time,
+        service: u64,
+        failure_domain: Option<u64>,
+        id: PermitId,
+    ) {
+        let Some(state) = self.services.get_mut(service) else { return };
+        let others = state.fleet.iter_mut().filter(|(domain, _)| **domain != failure_domain);
+        for (domain, it) in others {
+            let settled = it.cancel(now, id, &mut self.rng);
+            let scope = Scope::Fleet(*domain);
+            self.pending_replies.extend(settled.into_iter().map(|it| (scope, it)));
         }
     }
 
@@ -90,7 +130,7 @@
         let rng = &mut self.rng;
         let mut settled = Vec::new();
         self.services.for_each(|_, scope, it| {
-            if scope == Scope::Fleet {
+            if scope.is_fleet() {
                 settled.extend(f(it, rng).into_iter().map(|it| (scope, it)));
             }
         });
--- a/crates/dappleway/src/control/report.rs
+++ b/crates/dappleway/src/control/report.rs
@@ -74,11 +74,11 @@
 
     fn service_report(&self, now: Time, it: &ServiceState) -> ServiceReport {
         let total = it.service.endpoints.len();
-        let excused = it.fleet.iter().fold(it.direct.faults_excused(), |sum, fleet| {
+        let excused = it.fleet.values().fold(it.direct.faults_excused(), |sum, fleet| {
             let fleet = fleet.faults_excused();
             std::array::from_fn(|i| sum[i] + fleet[i])
         });
-        let queued = it.direct.queued() + it.fleet.iter().map(Dispatcher::queued).sum::<usize>();
+        let queued = it.direct.queued() + it.fleet.values().map(Dispatcher::queued).sum::<usize>();
         ServiceReport {
             name: it.service.name.to_string(),
             floor: it.service.floor.endpoints(total),
@@ -86,14 +86,20 @@
             queued,
             dispatched_by: self.dispatched_by(now, &it.service.name),
             excused,
-            endpoints: (0..total).map(|i| endpoint_report(now, it, i)).collect(),
+            endpoints: it
+                .endpoint_views(now)
+                .map(|(dispatcher, i)| endpoint_report(now, dispatcher, i, !it.fleet.is_empty()))
+                .collect(),
         }
     }
 
     /// Address of the node that this node asks for slots of a service.
     fn dispatched_by(&self, now: Time, service: &str) -> Option<String> {
         let directory = ServingNodes::new(now, self.me, &self.topology, &self.exchange);
-        let node = directory.candidates(name_hash(service)).into_iter().next()?;
+        let service = name_hash(service);
+        let state = self.services.get(service);
+        let failure_domain = state.and_then(|it| self.home_domain(it, self.me, None));
+        let node = directory.candidates(service, failure_domain).into_iter().next()?;
         Some(self.addr_of(node))
     }
 
@@ -114,8 +120,12 @@
 }
 
 /// Reports on an endpoint from the view of the active dispatcher of its service on this node.
-fn endpoint_report(now: Time, service: &ServiceState, i: usize) -> EndpointReport {
-    let dispatcher = service.active_dispatcher();
+fn endpoint_report(
+    now: Time,
+    dispatcher: &Dispatcher,
+    i: usize,
+    dispatched_here: bool,
+) -> EndpointReport {
     let status = &dispatcher.endpoints()[i];
     let evidence = dispatcher.evidence_of(now, i);
     EndpointReport {
@@ -130,6 +140,6 @@
         failed_ms: evidence.since_failure.map(|it| it.as_millis() as u64),
         limit_per_s: evidence.rate_limit.map(RateLimit::per_second),
         in_use: evidence.in_use,
-        dispatched_here: service.fleet.is_some(),
+        dispatched_here,
     }
 }
--- a/crates/dappleway/src/control/tests.rs
+++ b/crates/dappleway/src/control/tests.rs
@@ -146,11 +146,11 @@
     control.exchange.set_phase(Phase::Ready);
     let service = name_hash("s");
     let limit = Notice::RateLimit(RateLimit::from_per_second(1.0));
-    let own = control.services.fleet_dispatcher(Time(0), service).unwrap();
+    let own = control.services.fleet_dispatcher(Time(0), service, None).unwrap();
     own.noticed(Time(0), NodeId(1), "e", 0, limit);
     let precedence = |it: &mut Control| {
         it.set_precedences(it.now());
-        it.services.fleet_dispatcher(it.now(), service).unwrap().precedence()
+        it.services.fleet_dispatcher(it.now(), service, None).unwrap().precedence()
     };
     assert_eq!(precedence(&mut control), Precedence::First, "no other node is known");
     let frame = strong_node(&control);
--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -5,7 +5,7 @@
 
 use fleet::{Directory, PermitMessage, Phase, Place, ReachabilityChange, Verdict};
 use policy::{NodeId, PermitId, Precedence, State, Time};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use slog::{info, warn};
 
 use super::{
@@ -40,10 +40,12 @@
         if now >= self.next_dispatcher_tick {
             self.next_dispatcher_tick = now + DISPATCHER_TICK;
             self.services.set_nodes(self.exchange.members().len() + 1);
+            self.update_domain_dispatch();
             self.set_precedences(now);
             let output = self.services.tick(now, &mut self.rng);
             self.apply_tick_output(now, output);
             self.report_unserved(now);
+            self.send_domain_loads(now);
         }
         let directory = ServingNodes::new(now, self.me, &self.topology, &self.exchange);
         for action in self.client.tick(now, &directory) {
@@ -86,9 +88,14 @@
     pub(super) fn set_precedences(&mut self, now: Time) {
         let directory = ServingNodes::new(now, self.me, &self.topology, &self.exchange);
         let me = self.me.node;
+        let by_domain: FxHashSet<u64> = self.services.dispatched_by_domain().collect();
         self.services.for_each(|service, scope, it| {
-            if scope == Scope::Fleet && it.has_limits(now) {
-                let is_first = directory.candidates(service).first() == Some(&me);
+            if let Scope::Fleet(domain) = scope
+                && it.has_limits(now)
+            {
+                let is_in_force = domain.is_some() == by_domain.contains(&service);
+                let is_first =
+                    is_in_force && directory.candidates(service, domain).first() == Some(&me);
                 it.set_precedence(if is_first { Precedence::First } else { Precedence::OneOfMany });
             }
         });
@@ -150,7 +157,7 @@
         for (service, scope, it) in refused {
             let Some(state) = self.services.get(service) else { continue };
             info!(self.log, "budget for repeats used up"; "service" => state.service.name.as_str(),
-                "dispatched_here" => scope == Scope::Fleet, "refused" => it.refused,
+                "dispatched_here" => scope.is_fleet(), "refused" => it.refused,
                 "allowed" => it.allowed as u64, "spent" => it.spent as u64,
                 "first_sends" => it.first, "askers" => it.askers);
         }
@@ -176,7 +183,7 @@
         for (service, scope, it) in output.changes {
             let Some(state) = self.services.get(service) else { continue };
             let dispatcher = match scope {
-                Scope::Fleet => state.fleet.as_ref(),
+                Scope::Fleet(domain) => state.fleet.get(&domain),
                 Scope::Node => Some(&state.direct),
             };
             let is_dispatching = dispatcher.is_some_and(|it| it.is_dispatching(now));
@@ -186,10 +193,10 @@
                 info!(self.log, "endpoint state"; "service" => state.service.name.as_str(),
                     "endpoint" => it.id.as_str(), "addr" => %it.addr, "from" => it.from.name(),
                     "to" => it.to.name(), "reason" => it.reason,
-                    "dispatched_here" => scope == Scope::Fleet);
+                    "dispatched_here" => scope.is_fleet());
             }
             let is_dispatcher_verdict =
-                is_dispatching && scope == Scope::Fleet || self.mode == Mode::Direct;
+                is_dispatching && scope.is_fleet() || self.mode == Mode::Direct;
             if matches!(it.to, State::Ejected { .. }) && is_dispatcher_verdict {
                 self.broadcast_ejection(now, it.addr);
             }
@@ -226,7 +233,7 @@
         self.services.for_each(|_, scope, it| {
             let endpoints = it.endpoints().iter();
             let endpoints = endpoints.filter(|it| matches!(it.state, State::Ejected { .. }));
-            if scope == Scope::Fleet && it.is_dispatching(now) {
+            if scope.is_fleet() && it.is_dispatching(now) {
                 ejected.extend(endpoints.map(|it| it.addr).chain(it.last_resort_endpoints(now)));
             }
         });
--- a/crates/dappleway/src/handle.rs
+++ b/crates/dappleway/src/handle.rs
@@ -99,7 +99,7 @@
     fn granted_by(&self) -> &'static str {
         match self.place {
             Place::Direct => "itself",
-            Place::Own => "own dispatcher",
+            Place::Own(_) => "own dispatcher",
             Place::Peer(_) => "peer",
         }
     }
--- a/crates/dappleway/src/node.rs
+++ b/crates/dappleway/src/node.rs
@@ -8,8 +8,8 @@
 use caller::{Dispatch, Limits, ListenerBuilder, Metrics, SharedSnapshot};
 use clock::Moment;
 use fleet::{
-    Backlog, Bundle, Exchange, Features, Identity, Keys, NodeInfo, PermitClient, ServedFetch,
-    Transport, serve_fetches,
+    Backlog, Bundle, Exchange, Identity, Keys, NodeInfo, PermitClient, ServedFetch, Transport,
+    serve_fetches,
 };
 use operator::{Access, ApiContext, Cut, Token};
 use platform::{ServiceDefaults, Store, header_names};
@@ -164,7 +164,7 @@
         failure_domain: name_hash(&settings.node.failure_domain),
         capacity: settings.node.capacity(),
         incarnation: SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as u64,
-        features: Features::NONE,
+        features: settings.dispatch.features(),
     };
     let clock = Moment::now();
     let seeds = settings.fleet.seed_addrs();
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -1,18 +1,23 @@
 //! The services in force with their endpoints, and the dispatchers of this node. Each service has a direct
-//! dispatcher for this node's own requests, and a fleet dispatcher if other nodes ask this node for slots.
+//! dispatcher for this node's own requests, and fleet dispatchers if other nodes ask this node for slots: one for
+//! all endpoints of the service, or one for each failure domain whose slots this node grants.
+
+mod failure_domains;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use policy::{
-    BudgetLimits, Change, Dispatcher, NodeId, Notice, Observation, Precedence, QueuedReply,
-    Rejection, RequestKey, RouteTerms, RunEnd, Time, Topology, stable_hash,
+    BudgetLimits, Change, Dispatcher, DomainLoad, NodeId, Notice, Observation, Precedence,
+    QueuedReply, Rejection, RequestKey, RouteTerms, RunEnd, Time, Topology, stable_hash,
 };
 use rand::Rng;
 use resources::{Config, Endpoint, Name, Registration, Service};
 use rustc_hash::FxHashMap;
 
+pub use self::failure_domains::FailureDomains;
+
 /// Hash of a name, as used in frames between nodes.
 pub fn name_hash(name: &str) -> u64 {
     stable_hash(name.as_bytes())
@@ -30,8 +35,15 @@
     pub service: Arc<Service>,
     /// Picks endpoints for this node's own requests.
     pub direct: Dispatcher,
-    /// Hands out slots to all nodes; created on first use.
-    pub fleet: Option<Dispatcher>,
+    /// Hand out slots to all nodes, by the failure domain of the endpoints; `None` for all endpoints. Each is
+    /// created on first use.
+    pub fleet: FxHashMap<Option<u64>, Dispatcher>,
+    /// The service's failure domains with their endpoints.
+    domains: FailureDomains,
+    /// Whether the settings allow dispatch by failure domain and all nodes support it.
+    is_domain_dispatch_allowed: bool,
+    /// Latest loads received from the nodes that grant slots in other failure domains, by failure domain.
+    remote_loads: FxHashMap<u64, (DomainLoad, Time)>,
     routes: Vec<RouteTerms>,
 }
 
@@ -49,6 +61,8 @@
     failure_domain: u64,
     /// Number of nodes in the fleet, this one included.
     nodes: usize,
+    /// Whether the settings allow dispatch by failure domain and all nodes support it.
+    is_domain_dispatch_allowed: bool,
 }
 
 impl Services {
@@ -62,9 +76,16 @@
             topology,
             failure_domain,
             nodes: 1,
+            is_domain_dispatch_allowed: false,
         }
     }
 
+    /// Sets whether services that qualify are dispatched by failure domain.
+    pub fn allow_domain_dispatch(&mut self, is_allowed: bool) {
+        self.is_domain_dispatch_allowed = is_allowed;
+        self.by_hash.values_mut().for_each(|it| it.is_domain_dispatch_allowed = is_allowed);
+    }
+
     /// Changes the limits of the budget for repeats.
     pub fn set_budget(&mut self, now: Time, budget: BudgetLimits) {
         self.budget = budget;
@@ -122,6 +143,12 @@
         self.by_hash.keys().copied()
     }
 
+    /// Name hashes of the services that are dispatched by failure domain.
+    pub fn dispatched_by_domain(&self) -> impl Iterator<Item = u64> {
+        let by_domain = self.by_hash.iter().filter(|(_, it)| it.dispatch_domains().is_some());
+        by_domain.map(|(hash, _)| *hash)
+    }
+
     /// Iterates over all services.
     pub fn iter(&self) -> impl Iterator<Item = &ServiceState> {
         self.by_hash.values()
@@ -131,7 +158,7 @@
     pub fn for_each(&mut self, mut f: impl FnMut(u64, Scope, &mut Dispatcher)) {
         for (hash, it) in &mut self.by_hash {
             f(*hash, Scope::Node, &mut it.direct);
-            it.fleet.iter_mut().for_each(|fleet| f(*hash, Scope::Fleet, fleet));
+            it.fleet.iter_mut().for_each(|(domain, fleet)| f(*hash, Scope::Fleet(*domain), fleet));
         }
     }
 
@@ -145,7 +172,7 @@
     pub fn observe(&mut self, now: Time, service: u64, endpoint: &str, it: Observation) {
         let Some(state) = self.by_hash.get_mut(&service) else { return };
         state.direct.observe(now, endpoint, it);
-        state.fleet.iter_mut().for_each(|fleet| fleet.observe(now, endpoint, it));
+        state.fleet.values_mut().for_each(|fleet| fleet.observe(now, endpoint, it));
     }
 
     /// Applies a notice from an endpoint. Returns whether it changed what a dispatcher knows.
@@ -154,7 +181,7 @@
         let apply =
             |to: &mut Dispatcher| to.noticed(now, it.by, &it.endpoint, it.started_ms, it.notice);
         let is_change = apply(&mut state.direct);
-        state.fleet.iter_mut().fold(is_change, |is_change, fleet| apply(fleet) || is_change)
+        state.fleet.values_mut().fold(is_change, |is_change, fleet| apply(fleet) || is_change)
     }
 
     /// Records how a request of another node ended, for the time when this node dispatches the service.
@@ -162,7 +189,7 @@
         let Some(state) = self.by_hash.get_mut(&service) else { return };
         let record = |it: &mut Dispatcher| it.run_ended(now, run.request, run.end, run.elapsed);
         record(&mut state.direct);
-        state.fleet.iter_mut().for_each(record);
+        state.fleet.values_mut().for_each(record);
     }
 
     /// Rejects all further sends of a request, at every service.
@@ -221,8 +248,15 @@
 pub enum Scope {
     /// This node only.
     Node,
-    /// All nodes of the fleet.
-    Fleet,
+    /// All nodes of the fleet, for the endpoints of one failure domain or, if none is given, for all endpoints.
+    Fleet(Option<u64>),
+}
+
+impl Scope {
+    /// Whether slots are handed out to all nodes.
+    pub fn is_fleet(self) -> bool {
+        matches!(self, Self::Fleet(_))
+    }
 }
 
 /// A notice from an endpoint, which it attached to an answer.
@@ -268,7 +302,15 @@
         params: &DispatcherParams,
     ) -> Self {
         let direct = params.new_dispatcher(now, &service, routes);
-        Self { service, direct, fleet: None, routes: routes.to_vec() }
+        Self {
+            direct,
+            fleet: FxHashMap::default(),
+            domains: FailureDomains::of(&service),
+            is_domain_dispatch_allowed: params.is_domain_dispatch_allowed,
+            remote_loads: FxHashMap::default(),
+            service,
+            routes: routes.to_vec(),
+        }
     }
 
     fn reconfigured(mut self, now: Time, service: Arc<Service>, routes: &[RouteTerms]) -> Self {
@@ -276,24 +318,86 @@
             return self;
         }
         self.direct.reconfigure(now, &service, routes);
-        self.fleet.iter_mut().for_each(|it| it.reconfigure(now, &service, routes));
-        Self { service, routes: routes.to_vec(), ..self }
+        for (domain, it) in &mut self.fleet {
+            let endpoints = failure_domains::endpoints_in(&service, *domain);
+            it.reconfigure(now, &endpoints, routes);
+        }
+        let domains = FailureDomains::of(&service);
+        Self { service, domains, routes: routes.to_vec(), ..self }
     }
 
-    /// The dispatcher whose view of the endpoints this node reports: the fleet dispatcher if there is one, the
-    /// direct dispatcher otherwise.
-    pub fn active_dispatcher(&self) -> &Dispatcher {
-        self.fleet.as_ref().unwrap_or(&self.direct)
+    /// The failure domains of the endpoints.
+    pub fn domains(&self) -> &FailureDomains {
+        &self.domains
     }
 
-    /// Returns the fleet dispatcher, and creates it on the first call. A new fleet dispatcher starts with the
-    /// beliefs of the direct dispatcher.
-    fn fleet_dispatcher(&mut self, now: Time, params: &DispatcherParams) -> &mut Dispatcher {
-        let make = || {
-            let new = params.new_dispatcher(now, &self.service, &self.routes);
-            new.with_health_of(now, &self.direct)
-        };
-        self.fleet.get_or_insert_with(make)
+    /// The failure domains of the endpoints if each of them has a dispatching node of its own; `None` if one node
+    /// dispatches all endpoints.
+    pub fn dispatch_domains(&self) -> Option<&FailureDomains> {
+        Some(&self.domains).filter(|it| self.is_domain_dispatch_allowed && it.qualify())
+    }
+
+    /// Applies loads that other nodes have sent, to the dispatchers of this node.
+    pub fn set_remote_loads(&mut self, now: Time, loads: &[DomainLoad]) {
+        for it in loads.iter().filter(|it| self.domains.contains(it.failure_domain)) {
+            self.remote_loads.insert(it.failure_domain, (*it, now));
+        }
+        for (_, it) in self.fleet.iter_mut().filter(|(domain, _)| domain.is_some()) {
+            it.set_remote_loads(now, loads);
+        }
+    }
+
+    /// Loads received from other nodes that are not older than `max_age`.
+    pub fn remote_loads(&self, now: Time, max_age: Duration) -> impl Iterator<Item = &DomainLoad> {
+        let recent = self.remote_loads.values().filter(move |(_, at)| now.since(*at) <= max_age);
+        recent.map(|(it, _)| it)
+    }
+
+    /// The dispatcher whose view of an endpoint of this failure domain this node reports: a fleet dispatcher that
+    /// grants slots now, else any fleet dispatcher, else the direct dispatcher.
+    pub fn active_dispatcher(&self, now: Time, failure_domain: u64) -> &Dispatcher {
+        let fleet = [self.fleet.get(&Some(failure_domain)), self.fleet.get(&None)];
+        let mut fleet = fleet.into_iter().flatten();
+        let active = fleet.clone().find(|it| it.is_dispatching(now));
+        active.or_else(|| fleet.next()).unwrap_or(&self.direct)
+    }
+
+    /// For each endpoint: the dispatcher whose view this node reports, and the endpoint's position in it.
+    pub fn endpoint_views(&self, now: Time) -> impl Iterator<Item = (&Dispatcher, usize)> {
+        self.service.endpoints.iter().filter_map(move |it| {
+            let dispatcher = self.active_dispatcher(now, name_hash(&it.failure_domain));
+            Some((dispatcher, dispatcher.rotation().position(&it.id)?))
+        })
+    }
+
+    /// For how much longer a dispatcher of this node rejects a request, if one does.
+    pub fn rejected(&self, now: Time, request: RequestKey) -> Option<Duration> {
+        let mut all = std::iter::once(&self.direct).chain(self.fleet.values());
+        all.find_map(|it| it.rejected(now, request))
+    }
+
+    /// Returns the fleet dispatcher of a failure domain, or of all endpoints, and creates it on the first call. A
+    /// new one starts with the beliefs of a fleet dispatcher that grants slots of the same endpoints, or else of
+    /// the direct dispatcher. Returns `None` if the service has no endpoint in the failure domain.
+    fn fleet_dispatcher(
+        &mut self,
+        now: Time,
+        failure_domain: Option<u64>,
+        params: &DispatcherParams,
+    ) -> Option<&mut Dispatcher> {
+        if !self.fleet.contains_key(&failure_domain) {
+            if failure_domain.is_some_and(|it| !self.domains.contains(it)) {
+                return None;
+            }
+            let endpoints = failure_domains::endpoints_in(&self.service, failure_domain);
+            let mut new = params.new_dispatcher(now, &endpoints, &self.routes);
+            new = new.with_health_of(now, &self.direct);
+            for it in self.fleet.values().filter(|it| it.is_dispatching(now)) {
+                new = new.with_health_of(now, it);
+            }
+            self.fleet.insert(failure_domain, new);
+        }
+        self.fleet.get_mut(&failure_domain)
     }
 }
 
@@ -303,12 +407,14 @@
     topology: Topology,
     failure_domain: u64,
     nodes: usize,
+    is_domain_dispatch_allowed: bool,
 }
 
 impl DispatcherParams {
     fn of(it: &Services) -> Self {
-        let Services { budget, failure_domain, nodes, .. } = *it;
-        Self { budget, topology: it.topology.clone(), failure_domain, nodes }
+        let Services { budget, failure_domain, nodes, is_domain_dispatch_allowed, .. } = *it;
+        let topology = it.topology.clone();
+        Self { budget, topology, failure_domain, nodes, is_domain_dispatch_allowed }
     }
 
     /// Creates a dispatcher. Its precedence is `OneOfMany` until this node is known to be the first choice.
@@ -322,9 +428,15 @@
 }
 
 impl Services {
-    /// Returns the fleet dispatcher of a service, and creates it on the first call.
-    pub fn fleet_dispatcher(&mut self, now: Time, hash: u64) -> Option<&mut Dispatcher> {
+    /// Returns the fleet dispatcher of a service for a failure domain, or for all endpoints if none is given, and
+    /// creates it on the first call. Returns `None` if no such endpoints are known.
+    pub fn fleet_dispatcher(
+        &mut self,
+        now: Time,
+        hash: u64,
+        failure_domain: Option<u64>,
+    ) -> Option<&mut Dispatcher> {
         let params = DispatcherParams::of(self);
-        self.by_hash.get_mut(&hash).map(|it| it.fleet_dispatcher(now, &params))
+        self.by_hash.get_mut(&hash)?.fleet_dispatcher(now, failure_domain, &params)
     }
 }
--- a/crates/dappleway/src/settings/model.rs
+++ b/crates/dappleway/src/settings/model.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use fleet::Capacity;
+use fleet::{Capacity, Features};
 use policy::{BudgetLimits, Topology};
 use resources::{Bias, Floor};
 use serde::{Deserialize, Serialize};
@@ -182,6 +182,21 @@
     /// Length of the window of `repeat_ratio` and `repeat_extra`.
     #[serde(default = "defaults::repeat_window_ms")]
     pub repeat_window_ms: u64,
+    /// Whether each failure domain of a large service has a dispatching node of its own. If it is off at one node,
+    /// one node dispatches for all at all nodes.
+    #[serde(default)]
+    pub by_failure_domain: ByFailureDomain,
+}
+
+/// Use of dispatch by failure domain.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ByFailureDomain {
+    /// For services with enough endpoints in each failure domain, while all nodes support it.
+    #[default]
+    Auto,
+    /// Never.
+    Off,
 }
 
 impl Default for Dispatch {
@@ -192,6 +207,7 @@
             repeat_ratio: defaults::repeat_ratio(),
             repeat_extra: defaults::repeat_extra(),
             repeat_window_ms: defaults::repeat_window_ms(),
+            by_failure_domain: ByFailureDomain::default(),
         }
     }
 }
@@ -202,6 +218,15 @@
         let window = Duration::from_millis(self.repeat_window_ms);
         BudgetLimits { ratio: self.repeat_ratio, extra: self.repeat_extra, window }
     }
+
+    /// Optional parts of the protocol that this node announces. A node that does not use a part does not announce
+    /// it, so that all nodes agree on what is used.
+    pub fn features(&self) -> Features {
+        match (self.mode, self.by_failure_domain) {
+            (Mode::Permits, ByFailureDomain::Auto) => Features::DOMAIN_DISPATCH,
+            _ => Features::NONE,
+        }
+    }
 }
 
 /// The dispatch mode.
--- a/crates/fleet/src/fetch.rs
+++ b/crates/fleet/src/fetch.rs
@@ -15,7 +15,7 @@
 
 use crate::backlog::Backlog;
 use crate::bundle::Bundle;
-use crate::wire::{Keys, NodeInfo, TAG_BYTES};
+use crate::wire::{Features, Keys, NodeInfo, TAG_BYTES};
 
 /// Largest answer in bytes: a complete configuration with space to grow.
 const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
@@ -108,10 +108,13 @@
     let exchange = async {
         let mut stream =
             with_silence_timeout(async { Ok(TcpStream::connect(addr).await?) }).await?;
-        write(&mut stream, keys, &encode(&asker)?).await?;
-        let (answer, bytes) = read(&mut stream, keys, MAX_MESSAGE_BYTES).await?;
-        match answer {
-            FetchAnswer::Bundle(bundle) => Ok(Fetched { bundle, bytes }),
+        write(&mut stream, keys, &encode(&asker, &[asker])?).await?;
+        let answer = read(&mut stream, keys, MAX_MESSAGE_BYTES).await?;
+        match answer.message {
+            FetchAnswer::Bundle(mut bundle) => {
+                Features::apply(&mut bundle.members, &answer.features);
+                Ok(Fetched { bundle, bytes: answer.bytes })
+            }
             FetchAnswer::Busy => Err(FetchError::Busy),
         }
     };
@@ -156,10 +159,14 @@
     backlog: &Arc<Backlog>,
     bundle: impl Fn(NodeInfo) -> Fut,
 ) -> Result<(ServedOutcome, usize), FetchError> {
-    let (asker, _) = read::<NodeInfo>(&mut stream, keys, MAX_REQUEST_BYTES).await?;
-    let body = encode(&FetchAnswer::Bundle(bundle(asker).await))?;
+    let request = read::<NodeInfo>(&mut stream, keys, MAX_REQUEST_BYTES).await?;
+    let mut asker = request.message;
+    Features::apply(std::slice::from_mut(&mut asker), &request.features);
+    let bundle = bundle(asker).await;
+    let members = bundle.members.clone();
+    let body = encode(&FetchAnswer::Bundle(bundle), &members)?;
     let Some(_admitted) = backlog.admit(body.len()) else {
-        write(&mut stream, keys, &encode(&FetchAnswer::Busy)?).await?;
+        write(&mut stream, keys, &encode(&FetchAnswer::Busy, &[])?).await?;
         return Ok((ServedOutcome::Busy, 0));
     };
     write(&mut stream, keys, &body).await?;
@@ -169,8 +176,12 @@
     Ok((ServedOutcome::Complete, body.len()))
 }
 
-fn encode(message: &impl Serialize) -> Result<Vec<u8>, FetchError> {
-    postcard::to_stdvec(message).map_err(|_| FetchError::Untrusted)
+/// Encodes a message. The features of the nodes in it follow behind it, as in frames, because
+/// builds that know no features ignore what follows a message.
+fn encode(message: &impl Serialize, nodes: &[NodeInfo]) -> Result<Vec<u8>, FetchError> {
+    let mut body = postcard::to_stdvec(message).map_err(|_| FetchError::Untrusted)?;
+    body.extend(Features::of(nodes));
+    Ok(body)
 }
 
 async fn write(stream: &mut TcpStream, keys: &Keys, body: &[u8]) -> Result<(), FetchError> {
@@ -180,12 +191,21 @@
     Ok(())
 }
 
-/// Reads a message; returns it with its length.
+/// A received message.
+struct Received<T> {
+    message: T,
+    /// The bytes behind the message: the features of the nodes in it.
+    features: Vec<u8>,
+    /// Length in bytes.
+    bytes: usize,
+}
+
+/// Reads a message.
 async fn read<T: DeserializeOwned>(
     stream: &mut TcpStream,
     keys: &Keys,
     max: usize,
-) -> Result<(T, usize), FetchError> {
+) -> Result<Received<T>, FetchError> {
     let n = with_silence_timeout(async { Ok(stream.read_u32().await?) }).await? as usize;
     if n <= TAG_BYTES || n > max {
         return Err(FetchError::Untrusted);
@@ -197,8 +217,9 @@
     if buf.len() != n || !keys.verify(&buf[..TAG_BYTES], &buf[TAG_BYTES..]) {
         return Err(FetchError::Untrusted);
     }
-    let message = postcard::from_bytes(&buf[TAG_BYTES..]).map_err(|_| FetchError::Untrusted)?;
-    Ok((message, n))
+    let (message, features) =
+        postcard::take_from_bytes(&buf[TAG_BYTES..]).map_err(|_| FetchError::Untrusted)?;
+    Ok(Received { message, features: features.to_vec(), bytes: n })
 }
 
 async fn with_silence_timeout<T>(
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -29,6 +29,7 @@
 pub use members::{Member, Members, node_id};
 pub use permits::{
     Directory, PermitAction, PermitClient, PermitOutcome, PermitRequest, Place, ReachabilityChange,
+    RedirectCounts,
 };
 pub use reader_election::{Rank, ReaderElection, Reads};
 pub use replica::{Replica, Versions};
--- a/crates/fleet/src/permits.rs
+++ b/crates/fleet/src/permits.rs
@@ -3,10 +3,14 @@
 //!
 //! For each service, rendezvous hashing names one dispatching node. A node that does not answer is
 //! passed over for a while, and its successor is asked.
+//!
+//! A service may be dispatched by failure domain: each of its failure domains then has a dispatching
+//! node of its own, and a request asks the one of its failure domain first. That node may answer that
+//! the request is served sooner in another failure domain, which is then asked once.
 
 use std::time::Duration;
 
-use policy::{Ask, Grant, NodeId, PermitId, Reply, Time};
+use policy::{Ask, FarReason, Grant, NodeId, PermitId, Reply, Time};
 use rustc_hash::FxHashMap;
 
 use crate::wire::PermitMessage;
@@ -33,8 +37,9 @@
 pub enum Place {
     /// Local dispatcher of this node, which picks for this node alone.
     Direct,
-    /// Dispatcher of this node that serves the whole fleet.
-    Own,
+    /// Dispatcher of this node that serves the whole fleet, for the endpoints of one failure domain
+    /// or, if none is given, for all endpoints of the service.
+    Own(Option<u64>),
     /// Dispatcher of another node.
     Peer(NodeId),
 }
@@ -46,6 +51,9 @@
     pub ask: Ask,
     /// Hash of the service's name.
     pub service: u64,
+    /// Hash of the failure domain whose dispatching node is asked first; `None` if one node
+    /// dispatches all endpoints of the service.
+    pub failure_domain: Option<u64>,
     /// Time after which the request is refused.
     pub deadline: Time,
 }
@@ -53,8 +61,17 @@
 /// An action that the caller of the client has to carry out.
 #[derive(Clone, Debug)]
 pub enum PermitAction {
-    /// Ask a dispatcher of this node and pass its answer to `reply`.
-    AskHere(Place, u64, Ask),
+    /// Ask a dispatcher of this node for a slot of a service and pass its answer to `reply`.
+    AskHere {
+        /// The dispatcher.
+        place: Place,
+        /// Hash of the service's name.
+        service: u64,
+        /// Whether the dispatcher may answer that another failure domain serves the request sooner.
+        may_redirect: bool,
+        /// The ask.
+        ask: Ask,
+    },
     /// Send a message.
     Send(NodeId, PermitMessage),
     /// Complete a permit request.
@@ -80,8 +97,28 @@
     is_queued: bool,
     /// Asks at this place since its last answer.
     unanswered_asks: u32,
-    /// Number of places asked without success.
+    /// Number of places asked without success, in the failure domain that is asked now.
     failed_places: u32,
+    /// Failure domain that is asked now; `None` if one node dispatches all endpoints.
+    failure_domain: Option<u64>,
+    redirect: Redirect,
+}
+
+/// Progress of a request that leaves its failure domain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Redirect {
+    /// The dispatching node of its own failure domain is asked.
+    Possible,
+    /// That of another failure domain is asked.
+    Asked,
+    /// No node answered for the other failure domain, and its own is asked again.
+    Returned,
+}
+
+impl Redirect {
+    fn is_possible(self) -> bool {
+        self == Self::Possible
+    }
 }
 
 /// A change in the reachability of a dispatching node.
@@ -95,8 +132,9 @@
 
 /// Source of the dispatching nodes.
 pub trait Directory {
-    /// The nodes that can dispatch a service, best first.
-    fn candidates(&self, service: u64) -> Vec<NodeId>;
+    /// The nodes that can dispatch a service, best first: its endpoints in one failure domain or, if
+    /// none is given, all of its endpoints.
+    fn candidates(&self, service: u64, failure_domain: Option<u64>) -> Vec<NodeId>;
 }
 
 /// Asking side of one node.
@@ -108,10 +146,11 @@
     pending: FxHashMap<PermitId, Pending>,
     /// End and length of the time during which a node is passed over.
     passed_over: FxHashMap<NodeId, (Time, Duration)>,
-    /// For each service, the place that holds this node's share of the fixed repeat budget, and
-    /// when that place was last asked. When every ask carried the share and frames were lost, each
-    /// dispatching node asked within the window spent it.
-    budget_places: FxHashMap<u64, (Place, Time)>,
+    /// For each service, the dispatcher that holds this node's share of the fixed repeat budget, and
+    /// when that dispatcher was last asked. When every ask carried the share and frames were lost,
+    /// each dispatching node asked within the window spent it. One node may have several dispatchers
+    /// of a service, so the failure domain is part of the key.
+    budget_places: FxHashMap<u64, (BudgetHolder, Time)>,
     /// Recently granted requests, and the place that granted them.
     granted: FxHashMap<PermitId, (Place, Time)>,
     next_forget: Time,
@@ -123,6 +162,40 @@
     pub timeouts: u64,
     /// Number of slots picked locally because no node answered.
     pub direct: u64,
+    /// Numbers of requests that asked in another failure domain, by the reason.
+    pub redirects: RedirectCounts,
+}
+
+/// A dispatcher as the holder of a share of the repeat budget.
+type BudgetHolder = (Place, Option<u64>);
+
+/// Numbers of requests that asked in another failure domain.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RedirectCounts {
+    by_reason: [u64; FAR_REASONS.len()],
+    /// Redirected requests that returned because no node answered in the other failure domain.
+    pub returned: u64,
+}
+
+const FAR_REASONS: [FarReason; 4] =
+    [FarReason::NoEndpoint, FarReason::Overflow, FarReason::Health, FarReason::Floor];
+
+impl RedirectCounts {
+    fn count(&mut self, reason: FarReason) {
+        for (known, count) in FAR_REASONS.iter().zip(&mut self.by_reason) {
+            *count += u64::from(*known == reason);
+        }
+    }
+
+    /// Counts by reason.
+    pub fn by_reason(&self) -> impl Iterator<Item = (FarReason, u64)> {
+        FAR_REASONS.into_iter().zip(self.by_reason)
+    }
+
+    /// Requests redirected for any reason.
+    pub fn total(&self) -> u64 {
+        self.by_reason.iter().sum()
+    }
 }
 
 impl PermitClient {
@@ -140,6 +213,7 @@
             reachability_changes: Vec::new(),
             timeouts: 0,
             direct: 0,
+            redirects: RedirectCounts::default(),
         }
     }
 
@@ -156,6 +230,7 @@
         directory: &impl Directory,
     ) -> PermitAction {
         let id = request.ask.id;
+        let failure_domain = request.failure_domain;
         let pending = Pending {
             request,
             place: Place::Direct,
@@ -163,6 +238,8 @@
             is_queued: false,
             unanswered_asks: 0,
             failed_places: 0,
+            failure_domain,
+            redirect: Redirect::Possible,
         };
         self.pending.insert(id, pending);
         self.ask(now, id, directory)
@@ -200,6 +277,20 @@
                 }
                 Some(self.ask(now, id, directory))
             }
+            Reply::Elsewhere { failure_domain, reason }
+                if pending.redirect.is_possible() && pending.failure_domain.is_some() =>
+            {
+                pending.redirect = Redirect::Asked;
+                pending.failure_domain = Some(failure_domain);
+                pending.failed_places = 0;
+                pending.unanswered_asks = 0;
+                pending.is_queued = false;
+                self.redirects.count(reason);
+                Some(self.ask(now, id, directory))
+            }
+            // A late copy of the answer that redirected the request: an ask that must not be
+            // redirected gets no such answer.
+            Reply::Elsewhere { .. } if place != Place::Direct => None,
             Reply::Full | Reply::Elsewhere { .. } => {
                 self.pending.remove(&id);
                 Some(PermitAction::Settle(id, PermitOutcome::Refused(PASS_OVER_TIME)))
@@ -270,7 +361,7 @@
                 self.timeouts += 1;
                 self.pass_over(now, node);
             }
-            Place::Own | Place::Direct => pending.failed_places += 1,
+            Place::Own(_) | Place::Direct => pending.failed_places += 1,
         }
         let ask = self.ask(now, id, directory);
         let is_elsewhere = self.pending.get(&id).is_some_and(|it| it.place != place);
@@ -291,12 +382,24 @@
     /// Asks the current dispatcher of the service.
     fn ask(&mut self, now: Time, id: PermitId, directory: &impl Directory) -> PermitAction {
         let pending = self.pending.get_mut(&id).expect("only pending requests are asked for");
-        let place = match pending.failed_places < MAX_SILENT_NODES {
-            true => {
-                choose_place(self.me, &self.passed_over, now, pending.request.service, directory)
-            }
+        let service = pending.request.service;
+        let (me, passed_over) = (self.me, &self.passed_over);
+        let choose = |failure_domain| {
+            choose_place(me, passed_over, now, (service, failure_domain), directory)
+        };
+        let choose_for = |it: &Pending| match it.failed_places < MAX_SILENT_NODES {
+            true => choose(it.failure_domain),
             false => Place::Direct,
         };
+        let mut place = choose_for(pending);
+        // While another failure domain cannot be reached, its own still serves the request.
+        if place == Place::Direct && pending.redirect == Redirect::Asked {
+            pending.redirect = Redirect::Returned;
+            pending.failure_domain = pending.request.failure_domain;
+            pending.failed_places = 0;
+            self.redirects.returned += 1;
+            place = choose_for(pending);
+        }
         if place != pending.place {
             pending.unanswered_asks = 0;
         }
@@ -308,24 +411,43 @@
         pending.place = place;
         pending.asked_at = now;
         pending.unanswered_asks += 1;
+        let (failure_domain, redirect) = (pending.failure_domain, pending.redirect);
         let request = &mut pending.request;
         let service = request.service;
         let ask = Ask { left: request.deadline.since(now), ..request.ask.clone() };
         request.ask.send = ask.send.again();
-        let ask = Ask { brings_share: self.carries_budget_share(now, service, place), ..ask };
-        match place {
-            Place::Peer(node) => PermitAction::Send(node, PermitMessage::Ask { service, ask }),
-            Place::Own => PermitAction::AskHere(place, service, ask),
-            Place::Direct => {
+        // The share of the repeat budget stays with the dispatcher of the own failure domain.
+        let brings_share = redirect != Redirect::Asked
+            && self.carries_budget_share(now, service, (place, failure_domain));
+        let ask = Ask { brings_share, ..ask };
+        let may_redirect = failure_domain.is_some() && redirect.is_possible();
+        match (place, failure_domain) {
+            (Place::Peer(node), Some(failure_domain)) => {
+                let message =
+                    PermitMessage::DomainAsk { service, failure_domain, may_redirect, ask };
+                PermitAction::Send(node, message)
+            }
+            (Place::Peer(node), None) => {
+                PermitAction::Send(node, PermitMessage::Ask { service, ask })
+            }
+            (Place::Own(_), _) => PermitAction::AskHere { place, service, may_redirect, ask },
+            (Place::Direct, _) => {
                 self.direct += 1;
-                PermitAction::AskHere(place, service, ask)
+                PermitAction::AskHere { place, service, may_redirect: false, ask }
             }
         }
     }
 
-    /// The place that is currently asked for the slots of a service.
-    pub fn place(&self, now: Time, service: u64, directory: &impl Directory) -> Place {
-        choose_place(self.me, &self.passed_over, now, service, directory)
+    /// The place that is currently asked for the slots of a service, in one failure domain if one is
+    /// given.
+    pub fn place(
+        &self,
+        now: Time,
+        service: u64,
+        failure_domain: Option<u64>,
+        directory: &impl Directory,
+    ) -> Place {
+        choose_place(self.me, &self.passed_over, now, (service, failure_domain), directory)
     }
 
     /// Whether a node is passed over now.
@@ -338,14 +460,14 @@
         self.window = window;
     }
 
-    /// Whether an ask at `place` carries this node's share of the budget. The share moves to
-    /// another place only after its former place was not asked for a whole window.
-    fn carries_budget_share(&mut self, now: Time, service: u64, place: Place) -> bool {
+    /// Whether an ask at `holder` carries this node's share of the budget. The share moves to
+    /// another dispatcher only after its former one was not asked for a whole window.
+    fn carries_budget_share(&mut self, now: Time, service: u64, holder: BudgetHolder) -> bool {
         let known = self.budget_places.get(&service);
         let is_elsewhere =
-            known.is_some_and(|(it, at)| *it != place && now.since(*at) < self.window);
+            known.is_some_and(|(it, at)| *it != holder && now.since(*at) < self.window);
         if !is_elsewhere {
-            self.budget_places.insert(service, (place, now));
+            self.budget_places.insert(service, (holder, now));
         }
         !is_elsewhere
     }
@@ -375,23 +497,23 @@
             (true, Place::Peer(_)) => QUEUED_ASK_INTERVAL,
             (false, Place::Peer(_)) => timeout,
             // A local queue replies without being asked again.
-            (_, Place::Direct | Place::Own) => return now >= self.request.deadline,
+            (_, Place::Direct | Place::Own(_)) => return now >= self.request.deadline,
         };
         now >= self.request.deadline || now.since(self.asked_at) >= limit
     }
 }
 
-/// The best candidate for a service that is not passed over.
+/// The best candidate that is not passed over, for a service and, if given, a failure domain.
 fn choose_place(
     me: NodeId,
     passed_over: &FxHashMap<NodeId, (Time, Duration)>,
     now: Time,
-    service: u64,
+    (service, failure_domain): (u64, Option<u64>),
     directory: &impl Directory,
 ) -> Place {
     let is_passed_over = |it: &NodeId| passed_over.get(it).is_some_and(|(until, _)| now < *until);
-    match directory.candidates(service).into_iter().find(|it| !is_passed_over(it)) {
-        Some(node) if node == me => Place::Own,
+    match directory.candidates(service, failure_domain).into_iter().find(|it| !is_passed_over(it)) {
+        Some(node) if node == me => Place::Own(failure_domain),
         Some(node) => Place::Peer(node),
         None => Place::Direct,
     }
@@ -404,6 +526,6 @@
         Place::Peer(node) => {
             Some(PermitAction::Send(node, PermitMessage::Release { id, outcome: None }))
         }
-        Place::Own | Place::Direct => None,
+        Place::Own(_) | Place::Direct => None,
     }
 }
--- a/crates/fleet/src/tests.rs
+++ b/crates/fleet/src/tests.rs
@@ -2,6 +2,7 @@
 
 mod allowances;
 mod delivery;
+mod domain_permits;
 mod permits;
 mod reader_election;
 mod replica;
--- a/crates/fleet/src/tests/permits.rs
+++ b/crates/fleet/src/tests/permits.rs
@@ -8,19 +8,19 @@
 };
 use crate::wire::PermitMessage;
 
-const ME: NodeId = NodeId(1);
-const TIMEOUT: Duration = Duration::from_millis(10);
+pub(super) const ME: NodeId = NodeId(1);
+pub(super) const TIMEOUT: Duration = Duration::from_millis(10);
 
 /// The nodes that dispatch, best first.
 struct Table(Vec<NodeId>);
 
 impl Directory for Table {
-    fn candidates(&self, _service: u64) -> Vec<NodeId> {
+    fn candidates(&self, _service: u64, _failure_domain: Option<u64>) -> Vec<NodeId> {
         self.0.clone()
     }
 }
 
-fn permit_request() -> PermitRequest {
+pub(super) fn permit_request() -> PermitRequest {
     let ask = Ask {
         id: PermitId { node: ME, seq: 1 },
         reporter: Reporter { node: ME, failure_domain: 0 },
@@ -42,10 +42,15 @@
         objective: Duration::from_secs(1),
         wait: true,
     };
-    PermitRequest { ask, service: 9, deadline: Time(0) + Duration::from_secs(1) }
+    PermitRequest {
+        ask,
+        service: 9,
+        failure_domain: None,
+        deadline: Time(0) + Duration::from_secs(1),
+    }
 }
 
-fn grant() -> Grant {
+pub(super) fn grant() -> Grant {
     Grant {
         endpoint: "i-1".into(),
         started_ms: 0,
@@ -61,11 +66,15 @@
 }
 
 /// Describes an action in a few words, such as `ask 2` or `direct`.
-fn describe(action: &PermitAction) -> String {
+pub(super) fn describe(action: &PermitAction) -> String {
     match action {
-        PermitAction::AskHere(Place::Direct, ..) => "direct".into(),
-        PermitAction::AskHere(place, ..) => format!("here {place:?}"),
+        PermitAction::AskHere { place: Place::Direct, .. } => "direct".into(),
+        PermitAction::AskHere { place, .. } => format!("here {place:?}"),
         PermitAction::Send(node, PermitMessage::Ask { .. }) => format!("ask {}", node.0),
+        PermitAction::Send(node, PermitMessage::DomainAsk { failure_domain, may_redirect, .. }) => {
+            let suffix = if *may_redirect { ", may redirect" } else { "" };
+            format!("ask {} in {failure_domain}{suffix}", node.0)
+        }
         PermitAction::Send(node, PermitMessage::Release { .. }) => format!("release {}", node.0),
         PermitAction::Send(..) => "other".into(),
         PermitAction::Settle(_, PermitOutcome::Granted(_, place)) => {
@@ -135,7 +144,7 @@
 
 #[test]
 fn this_node_may_be_the_one_that_dispatches() {
-    assert_eq!(start(&Table(vec![ME])).1, "here Own");
+    assert_eq!(start(&Table(vec![ME])).1, "here Own(None)");
 }
 
 #[test]
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use policy::{
-    Ask, Kind, NodeId, Notice, Observation, PermitId, Rejection, Reply, RequestKey, RunEnd,
+    Ask, DomainLoad, Kind, NodeId, Notice, Observation, PermitId, Rejection, Reply, RequestKey,
+    RunEnd,
 };
 use resources::{Name, Position, RegistryChange};
 use serde::{Deserialize, Serialize};
@@ -114,6 +115,18 @@
         Self(self.0 | other.0)
     }
 
+    /// The encoding of the features of `nodes`, in their order.
+    pub(crate) fn of(nodes: &[NodeInfo]) -> impl Iterator<Item = u8> {
+        nodes.iter().map(|it| it.features.0)
+    }
+
+    /// Sets the features of `nodes` from their encoding; nodes without one keep theirs.
+    pub(crate) fn apply(nodes: &mut [NodeInfo], encoded: &[u8]) {
+        for (node, features) in nodes.iter_mut().zip(encoded) {
+            node.features = Self(*features);
+        }
+    }
+
     /// Whether all of these optional parts are supported.
     pub fn contains(self, other: Self) -> bool {
         self.0 & other.0 == other.0
@@ -282,14 +295,40 @@
         /// Number of requests that were refused before any service was asked.
         refused: u32,
     },
+    /// Asks for a slot of a service that is dispatched by failure domain. Only for nodes with
+    /// [`Features::DOMAIN_DISPATCH`].
+    DomainAsk {
+        /// Hash of the service's name.
+        service: u64,
+        /// Hash of the failure domain whose endpoints are asked for.
+        failure_domain: u64,
+        /// Whether the answer may be [`Reply::Elsewhere`].
+        may_redirect: bool,
+        /// The ask.
+        ask: Ask,
+    },
+    /// Load of a service in failure domains for which the sender grants slots; sent once. Only for
+    /// nodes with [`Features::DOMAIN_DISPATCH`].
+    DomainLoads {
+        /// Hash of the service's name.
+        service: u64,
+        /// Load by failure domain.
+        loads: Vec<DomainLoad>,
+    },
 }
 
 impl PermitMessage {
     /// Whether the message needs reliable delivery, which passes it on exactly once in spite of
     /// lost datagrams. An ask is repeated by its sender until an answer arrives, and every repeated
-    /// ask is answered again.
+    /// ask is answered again. Loads are sent ten times a second, and a late one is outdated.
     pub fn is_reliable(&self) -> bool {
-        !matches!(self, Self::Ask { .. } | Self::Answer { .. })
+        !matches!(
+            self,
+            Self::Ask { .. }
+                | Self::DomainAsk { .. }
+                | Self::Answer { .. }
+                | Self::DomainLoads { .. }
+        )
     }
 
     /// Encoded length in a frame, in bytes.
@@ -391,7 +430,7 @@
     /// Encodes and signs the frame; returns `None` if it is too long for a datagram.
     pub fn encode(&self, keys: &Keys) -> Option<Vec<u8>> {
         let mut body = postcard::to_stdvec(self).ok()?;
-        body.extend(self.message.nodes().iter().map(|it| it.features.0));
+        body.extend(Features::of(self.message.nodes()));
         if HEADER_BYTES + body.len() > MAX_FRAME_BYTES {
             return None;
         }
@@ -416,9 +455,7 @@
         }
         let (mut frame, features): (Self, _) =
             postcard::take_from_bytes(body).map_err(|_| WireError::Malformed)?;
-        for (node, features) in frame.message.nodes_mut().iter_mut().zip(features) {
-            node.features = Features(*features);
-        }
+        Features::apply(frame.message.nodes_mut(), features);
         Ok(frame)
     }
 }
--- a/crates/fleet/tests/fetch.rs
+++ b/crates/fleet/tests/fetch.rs
@@ -34,7 +34,8 @@
     Bundle {
         document: Some(EncodedDocument::new(&document)),
         registry: None,
-        members: vec![asker()],
+        // A node that starts must know at once whether all nodes support an optional part.
+        members: vec![NodeInfo { features: Features::DOMAIN_DISPATCH, ..asker() }],
     }
 }
 
--- a/crates/fleet/tests/virtual_fleet/mod.rs
+++ b/crates/fleet/tests/virtual_fleet/mod.rs
@@ -143,7 +143,7 @@
 struct AllNodes(Vec<NodeId>);
 
 impl Directory for AllNodes {
-    fn candidates(&self, service: u64) -> Vec<NodeId> {
+    fn candidates(&self, service: u64, _failure_domain: Option<u64>) -> Vec<NodeId> {
         rank(service, self.0.iter().copied())
     }
 }
@@ -252,7 +252,7 @@
 impl Node {
     /// The local dispatcher that grants slots at `place`.
     fn dispatcher(&mut self, place: Place) -> &mut Dispatcher {
-        if place == Place::Own { &mut self.own } else { &mut self.direct }
+        if matches!(place, Place::Own(_)) { &mut self.own } else { &mut self.direct }
     }
 }
 
@@ -402,7 +402,7 @@
                 Place::Peer(node) => {
                     self.send(i, node.0 as usize, PermitMessage::Renew { ids: vec![id] });
                 }
-                Place::Own => self.nodes[i].own.renew(now, id),
+                Place::Own(_) => self.nodes[i].own.renew(now, id),
                 Place::Direct => self.nodes[i].direct.renew(now, id),
             }
         }
@@ -462,7 +462,7 @@
 
     /// Whether frames between two nodes are lost because one of them is cut off.
     fn is_cut(&self, from: usize, to: usize) -> bool {
-        let first = self.directory.candidates(SERVICE)[0].0 as usize;
+        let first = self.directory.candidates(SERVICE, None)[0].0 as usize;
         self.scenario.cut_off_at.is_some_and(|at| self.now >= at) && (from == first || to == first)
     }
 
@@ -492,8 +492,12 @@
             objective: Duration::from_secs(1),
             wait: true,
         };
-        let request =
-            PermitRequest { ask, service: SERVICE, deadline: self.now() + REQUEST_TIMEOUT };
+        let request = PermitRequest {
+            ask,
+            service: SERVICE,
+            failure_domain: None,
+            deadline: self.now() + REQUEST_TIMEOUT,
+        };
         let now = self.now();
         let action = self.nodes[i].client.request(now, request, &self.directory);
         self.act(i, action);
@@ -502,7 +506,7 @@
     fn act(&mut self, i: usize, action: PermitAction) {
         match action {
             PermitAction::Send(to, message) => self.send(i, to.0 as usize, message),
-            PermitAction::AskHere(place, _, ask) => {
+            PermitAction::AskHere { place, ask, .. } => {
                 let (now, id) = (self.now(), ask.id);
                 let reply = self.nodes[i].dispatcher(place).ask(now, ask, &mut self.rng);
                 self.reply(i, place, id, reply);
@@ -592,7 +596,7 @@
 
     fn answer(&mut self, from: usize, id: PermitId, reply: Reply) {
         match id.node.0 as usize {
-            to if to == from => self.reply(to, Place::Own, id, reply),
+            to if to == from => self.reply(to, Place::Own(None), id, reply),
             to => self.send_reliably(from, to, PermitMessage::Answer { id, reply }),
         }
     }
@@ -641,7 +645,7 @@
                 let message = PermitMessage::Release { id, outcome: None };
                 self.send(i, node.0 as usize, message);
             }
-            Place::Own | Place::Direct => {
+            Place::Own(_) | Place::Direct => {
                 let settled = self.nodes[i].dispatcher(place).cancel(now, id, &mut self.rng);
                 settled.into_iter().for_each(|it| self.answer(i, it.id, it.reply));
             }
@@ -701,7 +705,7 @@
             Place::Peer(node) => {
                 self.send(i, node.0 as usize, PermitMessage::AnswerBegan { id, elapsed });
             }
-            Place::Own | Place::Direct => {
+            Place::Own(_) | Place::Direct => {
                 let now = self.now();
                 let settled =
                     self.nodes[i].dispatcher(place).answer_began(now, id, elapsed, &mut self.rng);
@@ -726,7 +730,7 @@
                 let outcome = Some((kind, took));
                 self.send(i, node.0 as usize, PermitMessage::Release { id, outcome });
             }
-            Place::Own | Place::Direct => {
+            Place::Own(_) | Place::Direct => {
                 let settled =
                     self.nodes[i].dispatcher(place).release(now, id, kind, took, &mut self.rng);
                 settled.into_iter().for_each(|it| self.answer(i, it.id, it.reply));
