Dappleway: tests of dispatch by failure domain

Cause: activation, the order of the granting nodes, the first failure domain of a request and the receipt of loads had no tests. Conclusion: none beyond the tests.

--- a/crates/dappleway/src/control/tests.rs
+++ b/crates/dappleway/src/control/tests.rs
@@ -1,3 +1,5 @@
+mod domain_dispatch;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -5,7 +7,7 @@
 
 use caller::SharedSnapshot;
 use fleet::{
-    Capacity, Exchange, Features, Frame, Gossip, Identity, Key, Keys, Message, NodeInfo,
+    Capacity, Directory, Exchange, Features, Frame, Gossip, Identity, Key, Keys, Message, NodeInfo,
     PermitClient, Phase, Transport,
 };
 use policy::{BudgetLimits, NodeId, Notice, Precedence, RateLimit, Time};
@@ -17,7 +19,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::yield_now;
 
-use super::{Control, ControlMetrics, ControlParams, Outputs};
+use super::{Control, ControlMetrics, ControlParams, Outputs, ServingNodes};
 use crate::event::Event;
 use crate::reader::ReadPlan;
 use crate::services::name_hash;
@@ -66,6 +68,10 @@
 }
 
 async fn control(urgent: mpsc::UnboundedSender<Event>) -> Control {
+    control_with(urgent, Features::NONE).await
+}
+
+async fn control_with(urgent: mpsc::UnboundedSender<Event>, features: Features) -> Control {
     let keys = Keys { current: Key::new(b"k"), also_accepted: None };
     let transport = Transport::bind(([127, 0, 0, 1], 0).into(), keys.clone()).await.unwrap();
     let addr: SocketAddr = transport.addr().unwrap();
@@ -74,7 +80,7 @@
         failure_domain: 1,
         incarnation: 1,
         capacity: Default::default(),
-        features: Features::NONE,
+        features,
     };
     let exchange = Exchange::new(Time(0), me, &[], &mut StdRng::seed_from_u64(1));
     let client =
