Fleet: acknowledgements to one peer are joined, messages due together share a frame

Cause: each reliable message took a frame and its acknowledgement another one, also when several were due to the same peer. Change: Delivery collects messages, which the control loop sends at the end of each step (an answer to a waiting request at once); acknowledgements are joined for up to 20 ms, those of repeated messages are sent at once. A message counts as slowly acknowledged from 60 ms on, for 40 ms before.

--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -305,18 +305,22 @@
             self.detect_pause(now);
             for event in batch.drain(..) {
                 if matches!(event, Event::Stop) {
+                    // The last releases of this node.
+                    self.send_due(now);
                     return;
                 }
                 self.handle_event(now, event);
                 self.deliver_replies(now);
             }
+            // Datagrams take long to handle on a node that grants slots, and releases free slots at other nodes.
+            self.send_due(now);
             self.receive_frames(now);
             self.outputs.shared.set_fresh(self.exchange.reader_election().is_fresh(now));
-            self.resend_unacknowledged(now);
             if now.since(self.last_tick) >= self.tick_interval() {
                 self.tick(now);
             }
             self.deliver_replies(now);
+            self.send_due(now);
             // Platform reads, fetches and the operator API run on this thread too.
             yield_now().await;
         }
--- a/crates/dappleway/src/control/dispatch_log.rs
+++ b/crates/dappleway/src/control/dispatch_log.rs
@@ -72,9 +72,9 @@
     }
 }
 
-/// Acknowledgement time above which a message counts as slow. Such a message was lost and resent, or was delayed
-/// by other traffic on the link.
-const SLOW_ACK: Duration = Duration::from_millis(40);
+/// Acknowledgement time above which a message counts as slow: acknowledgements are joined for up to 20 ms. Such a
+/// message was lost and resent, or was delayed by other traffic on the link.
+const SLOW_ACK: Duration = Duration::from_millis(60);
 
 impl Control {
     /// Records the time until a peer acknowledged a message.
--- a/crates/dappleway/src/control/exchange.rs
+++ b/crates/dappleway/src/control/exchange.rs
@@ -83,18 +83,20 @@
         }
     }
 
-    /// Handles a batch of permit messages. The acknowledgement is sent first, because handling the messages may
-    /// take long.
+    /// Handles a batch of permit messages. The acknowledgement is sent later, joined with others.
     fn receive_batch(&mut self, now: Time, from: (NodeId, SocketAddr), batch: Batch) {
-        let (messages, ack) = self.delivery.receive(now, from.0, batch);
-        self.transport.send(from.1, &self.exchange.frame(Message::Ack(ack)));
-        for it in messages {
+        self.asker_addrs.insert(from.0, from.1);
+        for it in self.delivery.receive(now, from.0, batch) {
             self.handle_permit_message(now, from, it);
         }
     }
 
-    /// Resends batches that were not acknowledged in time.
-    pub(super) fn resend_unacknowledged(&mut self, now: Time) {
+    /// Sends the messages and acknowledgements that are due: new messages, joined by peer, and messages that were not
+    /// acknowledged in time.
+    pub(super) fn send_due(&mut self, now: Time) {
+        for (node, ack) in self.delivery.take_acks(now) {
+            self.send_frame(node, Message::Ack(ack));
+        }
         for (node, batch) in self.delivery.tick(now) {
             self.send_frame(node, Message::Reliable(batch));
         }
@@ -108,11 +110,18 @@
         }
     }
 
-    /// Sends a permit message and resends it until it is acknowledged.
+    /// Sends a permit message, joined with others that are due to the same peer at the end of this iteration of the
+    /// control loop, and resends it until it is acknowledged.
     pub(super) fn send_reliably(&mut self, now: Time, node: NodeId, message: PermitMessage) {
-        match self.delivery.send(now, node, message) {
-            Ok(batch) => self.send_frame(node, Message::Reliable(batch)),
-            Err(e) => warn!(self.log, "message to a peer dropped"; "error" => %e),
+        if let Err(e) = self.delivery.send(now, node, message) {
+            warn!(self.log, "message to a peer dropped"; "error" => %e);
+        }
+    }
+
+    /// Sends the messages that are due to a peer now: a request there waits for one of them.
+    pub(super) fn flush_to(&mut self, now: Time, node: NodeId) {
+        for batch in self.delivery.flush(now, node) {
+            self.send_frame(node, Message::Reliable(batch));
         }
     }
 
--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -452,5 +452,6 @@
         }
         // The asking node has no reason to ask again soon. If the answer were lost, the slot would stay unused.
         self.send_reliably(now, it.id.node, PermitMessage::Answer { id: it.id, reply: it.reply });
+        self.flush_to(now, it.id.node);
     }
 }
