Silence that only one node sees does not take an endpoint from the others

Change: silence is split by the node that sent the requests. If one node alone accounts for it, an endpoint that is due for a probe gets one request at a time from other nodes. A last send that stalls counts as not served at once; its answer revises that.

--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -101,6 +101,8 @@
     is_last_send: bool,
     /// The request was sent to an endpoint before.
     is_further: bool,
+    /// Counted as not served because it stalled; an answer revises that.
+    is_counted_unserved: bool,
     reported: Reported,
     /// Whether the endpoint had room for this send only because answers in transit hold no slot.
     overlap_kind: OverlapKind,
@@ -558,6 +560,7 @@
             expires: now + PERMIT_LIFETIME,
             is_last_send: ask.is_last,
             is_further: ask.send == SendKind::Further,
+            is_counted_unserved: false,
             reported: Reported::Nothing,
             overlap_kind: self.overlap_kind(now, endpoint),
         };
--- a/crates/policy/src/dispatcher/candidate.rs
+++ b/crates/policy/src/dispatcher/candidate.rs
@@ -5,7 +5,7 @@
 
 use super::Dispatcher;
 use super::idle::{IdleCandidate, probe_after};
-use super::load::EndpointLoad;
+use super::load::{EndpointLoad, Silence};
 use super::working_set::Spread;
 use crate::belief::{
     Belief, IDLE_AFTER_FAILURE, Pressure, RETRY_FAILED_AFTER, SILENCE_RATIO, STARVED_AFTER, Use,
@@ -47,8 +47,8 @@
     /// Slots that the state allows.
     pub(super) slots: u32,
     pub(super) belief: Belief,
-    /// Likelihood ratio of the silence of its open requests, unhealthy against healthy.
-    pub(super) silence_ratio: f64,
+    /// The silence of its open requests.
+    pub(super) silence: Silence,
     /// Probability that the endpoint is unhealthy, given its outcomes and the silence of its open
     /// requests.
     pub(super) p_unhealthy: f64,
@@ -121,8 +121,16 @@
         self.idle > STARVED_AFTER && self.is_due(ask, distance)
     }
 
+    /// Whether this request tests an endpoint that only another node hears nothing from. Without such
+    /// a test the endpoint would get no work from any node until that node's request ends.
+    pub(super) fn is_silence_test(&self, ask: &Ask, distance: Distance) -> bool {
+        self.silence.is_unconfirmed()
+            && self.silence.node != Some(ask.reporter.node)
+            && self.is_due(ask, distance)
+    }
+
     pub(super) fn usage(&self) -> Use {
-        if self.silence_ratio > SILENCE_RATIO {
+        if self.silence.ratio > SILENCE_RATIO {
             return Use::Last;
         }
         self.belief.usage_at(self.p_unhealthy, self.now, self.pressure)
@@ -137,7 +145,7 @@
         let usage = self.belief.usage_at(self.p_unhealthy, self.now, Pressure::None);
         matches!(usage, Use::Last | Use::Cautiously)
             && self.belief.failed_before(self.now, RETRY_FAILED_AFTER)
-            && self.silence_ratio <= SILENCE_RATIO
+            && self.silence.ratio <= SILENCE_RATIO
     }
 }
 
@@ -164,7 +172,7 @@
     }
 
     /// Refreshes the inputs that all choices at this moment share.
-    pub(super) fn refresh_inputs(&mut self, now: Time) {
+    pub(crate) fn refresh_inputs(&mut self, now: Time) {
         self.is_budget_short = self.budget.is_short(now);
         self.pressure = self.unserved.pressure(now);
         self.update_spread(now);
@@ -200,7 +208,7 @@
 
     fn candidate(&self, now: Time, i: usize) -> Candidate {
         let (load, status) = (&self.loads[i], &self.endpoints()[i]);
-        let silence_ratio = load.silence_ratio(now, &self.detector.baseline, &self.likelihoods);
+        let silence = load.silence(now, &self.detector.baseline, &self.likelihoods);
         Candidate {
             i,
             now,
@@ -213,14 +221,14 @@
             is_evacuated: status.is_evacuated,
             slots: status.usable_slots(now),
             belief: load.belief,
-            silence_ratio,
+            silence,
             probe_due: Distance::ALL.map(|it| self.probe_due(now, load, it)),
             idle: load.idle_or_age(now),
             rate_limited_slots: load.advertised.pacer.slots(now, self.mean_hold),
             may_send: load.advertised.pacer.allows(now, self.sharers(load)),
             p_unhealthy: load.belief.p_unhealthy_given(
                 now,
-                silence_ratio,
+                silence.ratio,
                 self.likelihoods.p_unhealthy(),
             ),
         }
--- a/crates/policy/src/dispatcher/capacity.rs
+++ b/crates/policy/src/dispatcher/capacity.rs
@@ -60,8 +60,11 @@
     /// Slots for a request, free or not.
     pub(super) fn slots_for(&self, ask: &Ask, tier: Tier, distance: Distance) -> u32 {
         let usable = if tier == Tier::Trial { 1 } else { self.usable_slots() };
-        match self.may_use_all_slots(ask, distance) {
-            true => self.slots,
+        if self.may_use_all_slots(ask, distance) {
+            return self.slots;
+        }
+        match self.is_silence_test(ask, distance) {
+            true => usable.min(self.silence.requests + 1),
             false => usable,
         }
     }
--- a/crates/policy/src/dispatcher/evidence.rs
+++ b/crates/policy/src/dispatcher/evidence.rs
@@ -44,6 +44,12 @@
         match permit.reported {
             Reported::Nothing => {
                 permit.reported = Reported::Stalled;
+                if permit.is_last_send {
+                    // Counted at its deadline, seconds later, the request would raise the pressure
+                    // after the window in which the floor is evaluated.
+                    permit.is_counted_unserved = true;
+                    self.unserved.note(now, Completion::Unserved);
+                }
                 let it = permit.observation(Kind::Stalled, elapsed);
                 self.detector.observe(now, it);
             }
@@ -170,15 +176,18 @@
         match kind {
             Kind::Answered => {
                 self.counts.answered += 1;
-                self.unserved.note(now, Completion::Served);
+                match permit.is_counted_unserved {
+                    true => self.unserved.revise_to_served(now),
+                    false => self.unserved.note(now, Completion::Served),
+                }
             }
             Kind::Failed | Kind::Crashed if permit.is_last_send => {
                 self.counts.failed += 1;
-                self.unserved.note(now, Completion::Unserved);
+                self.note_end_unserved(now, &permit);
             }
             Kind::TimedOut => {
                 self.counts.timed_out += 1;
-                self.unserved.note(now, Completion::Unserved);
+                self.note_end_unserved(now, &permit);
             }
             Kind::Shed if permit.is_last_send && permit.is_further => {
                 self.counts.shed_last += 1;
@@ -196,6 +205,13 @@
         }
     }
 
+    /// Counts a request that ended without being served, unless its stall was counted.
+    fn note_end_unserved(&mut self, now: Time, permit: &Permit) {
+        if !permit.is_counted_unserved {
+            self.unserved.note(now, Completion::Unserved);
+        }
+    }
+
     pub(super) fn refresh_likelihoods(&mut self, now: Time) {
         if now.since(self.likelihoods_refreshed) < LIKELIHOOD_REFRESH {
             return;
--- a/crates/policy/src/dispatcher/load.rs
+++ b/crates/policy/src/dispatcher/load.rs
@@ -5,10 +5,10 @@
 
 use super::advertised::Advertised;
 use crate::baseline::Baseline;
-use crate::belief::Belief;
+use crate::belief::{Belief, SILENCE_RATIO};
 use crate::likelihoods::Likelihoods;
 use crate::permit::{Ask, PermitId};
-use crate::rendezvous::stable_hash;
+use crate::rendezvous::{NodeId, stable_hash};
 use crate::suspects::RequestKey;
 use crate::time::Time;
 use crate::topology::Distance;
@@ -52,6 +52,8 @@
     since: Time,
     route: u32,
     request: RequestKey,
+    /// The node that sent it.
+    node: NodeId,
     progress: Progress,
 }
 
@@ -73,6 +75,34 @@
     Held,
 }
 
+/// Likelihood ratios, unhealthy against healthy, of an endpoint not having answered its open
+/// requests by now.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Silence {
+    /// Of all open requests.
+    pub(super) ratio: f64,
+    /// Without the node whose requests are the most silent.
+    pub(super) confirmed: f64,
+    /// That node; `None` if no request is open.
+    pub(super) node: Option<NodeId>,
+    /// Number of open requests of that node.
+    pub(super) requests: u32,
+}
+
+impl Default for Silence {
+    fn default() -> Self {
+        Self { ratio: 1.0, confirmed: 1.0, node: None, requests: 0 }
+    }
+}
+
+impl Silence {
+    /// Whether only one node hears nothing. Its path to the endpoint, or the way of one answer, may
+    /// be broken while the endpoint is healthy.
+    pub(super) fn is_unconfirmed(&self) -> bool {
+        self.ratio > SILENCE_RATIO && self.confirmed <= SILENCE_RATIO
+    }
+}
+
 impl OpenSend {
     fn holds_slot(&self) -> bool {
         self.progress != Progress::InTransit(Slot::Free)
@@ -159,8 +189,9 @@
     pub(super) fn begin_request(&mut self, now: Time, ask: &Ask) {
         self.last_used = Some(now);
         self.is_recently_joined = false;
-        let Ask { id, route, request, .. } = *ask;
-        self.open.push(OpenSend { id, since: now, route, request, progress: Progress::Working });
+        let Ask { id, route, request, reporter, .. } = *ask;
+        let progress = Progress::Working;
+        self.open.push(OpenSend { id, since: now, route, request, node: reporter.node, progress });
     }
 
     /// Removes a request; returns whether it still held its slot.
@@ -181,18 +212,26 @@
         open.into_iter().for_each(|it| it.progress = Progress::InTransit(slot));
     }
 
-    /// Likelihood ratio, unhealthy against healthy, of having answered none of its open requests by
-    /// now.
-    pub(super) fn silence_ratio(
+    /// The silence of its open requests.
+    pub(super) fn silence(
         &self,
         now: Time,
         baseline: &Baseline,
         likelihoods: &Likelihoods,
-    ) -> f64 {
+    ) -> Silence {
         let waiting = self.open.iter().filter(|it| it.progress == Progress::Working);
-        let ratio = |it: &OpenSend| {
-            likelihoods.silence_ratio(baseline.still_open(it.route, now.since(it.since)))
-        };
-        waiting.map(ratio).product()
+        let mut by_node: Vec<(NodeId, f64, u32)> = Vec::new();
+        for it in waiting {
+            let still_open = baseline.still_open(it.route, now.since(it.since));
+            let ratio = likelihoods.silence_ratio(still_open);
+            match by_node.iter_mut().find(|(node, ..)| *node == it.node) {
+                Some((_, product, n)) => (*product, *n) = (*product * ratio, *n + 1),
+                None => by_node.push((it.node, ratio, 1)),
+            }
+        }
+        let ratio = by_node.iter().map(|(_, ratio, _)| ratio).product();
+        let most = by_node.iter().max_by(|(_, a, _), (_, b, _)| a.total_cmp(b));
+        let Some((node, of_node, requests)) = most.copied() else { return Silence::default() };
+        Silence { ratio, confirmed: ratio / of_node, node: Some(node), requests }
     }
 }
--- a/crates/policy/src/dispatcher/placement.rs
+++ b/crates/policy/src/dispatcher/placement.rs
@@ -175,7 +175,11 @@
         }
         // A trial exists to find out whether the failures have ended, so it ignores the estimate.
         let is_on_trial = matches!(candidate.state, State::Trial { .. });
-        let usage = if is_on_trial { Use::Freely } else { candidate.usage() };
+        let usage = match candidate.is_silence_test(ask, distance) {
+            _ if is_on_trial => Use::Freely,
+            true => Use::Singly,
+            false => candidate.usage(),
+        };
         let is_suspect = candidate.state == State::Suspect
             && now.since(candidate.state_since) < RETRY_FAILED_AFTER;
         let is_out_of_use = candidate.is_missing
--- a/crates/policy/src/tests/silence.rs
+++ b/crates/policy/src/tests/silence.rs
@@ -7,7 +7,7 @@
 use rand::rngs::StdRng;
 use resources::Bias;
 
-use super::fixture::{BUDGET, SECOND, TERMS, ask, seen, service};
+use super::fixture::{BUDGET, SECOND, TERMS, ask, reporter, seen, service};
 use crate::{Ask, Dispatcher, Kind, PermitId, Reply, Time};
 
 /// Guards against hanging endpoints that stay in use: a request without an answer until its
@@ -171,3 +171,80 @@
     // within two more.
     assert!(longest < SECOND * 4, "without work for {longest:?}");
 }
+
+/// Guards against one broken path that takes an endpoint from all nodes. A request of one node was
+/// open for 5 s; until it ended, the healthy endpoint got no work from any node, and 5 of 8 healthy
+/// endpoints of a service whose requests must not be repeated were idle while 70 of 514 requests
+/// were not served.
+#[test]
+fn an_endpoint_that_only_one_node_hears_nothing_from_gets_work_from_others() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = service(&[8], 6, Bias::Speed);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
+    let cut = service.endpoints[0].addr;
+    let mut silent = Vec::new();
+    let mut granted_at = Vec::new();
+    for seq in 0..600 {
+        let now = Time(0) + Duration::from_millis(10 * seq);
+        dispatcher.tick(now, &mut rng);
+        for (id, sent) in &silent {
+            dispatcher.renew(now, *id);
+            dispatcher.stalled(now, *id, now.since(*sent));
+        }
+        let ask = Ask { repeatable: false, is_last: true, ..ask(seq, false) };
+        let (id, node) = (ask.id, ask.reporter.node);
+        let Reply::Granted(grant) = dispatcher.ask(now, ask, &mut rng) else { continue };
+        if grant.addr == cut {
+            granted_at.push(now);
+        }
+        if grant.addr == cut && node == reporter(0).node {
+            silent.push((id, now));
+            continue;
+        }
+        let (kind, took) = match seq % 8 {
+            0 if grant.addr != cut => (Kind::Failed, SECOND / 100),
+            _ => (Kind::Answered, SECOND / 50),
+        };
+        dispatcher.release(now, id, kind, took, &mut rng);
+    }
+    assert!(!silent.is_empty(), "no request took the broken path");
+    let gaps = granted_at.windows(2).map(|it| it[1].since(it[0]));
+    let longest =
+        gaps.chain([(Time(0) + SECOND * 6).since(*granted_at.last().unwrap())]).max().unwrap();
+    assert!(longest < SECOND * 2, "without work for {longest:?}");
+}
+
+/// Guards against pressure that rises only when silent requests reach their deadlines, seconds after
+/// the window in which the floor counts them as not served.
+#[test]
+fn a_stalled_request_counts_as_unserved_until_it_is_answered() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = service(&[8], 6, Bias::Speed);
+    let mut dispatcher = Dispatcher::new(Time(0), &service, &[TERMS], BUDGET);
+    let mut asks = |dispatcher: &mut Dispatcher, now| {
+        let ids: Vec<PermitId> = (0..20)
+            .map(|seq| {
+                let ask = Ask { is_last: true, ..ask(seq, false) };
+                let id = ask.id;
+                assert!(matches!(dispatcher.ask(now, ask, &mut rng), Reply::Granted(_)));
+                id
+            })
+            .collect();
+        ids
+    };
+    let ids = asks(&mut dispatcher, Time(0));
+    let later = Time(0) + SECOND;
+    for id in &ids[..17] {
+        dispatcher.release(later, *id, Kind::Answered, SECOND / 50, &mut StdRng::seed_from_u64(1));
+    }
+    for id in &ids[17..] {
+        dispatcher.stalled(later, *id, SECOND);
+    }
+    dispatcher.refresh_inputs(later);
+    assert!(dispatcher.is_under_pressure(), "three of twenty are silent");
+    for id in &ids[17..] {
+        dispatcher.release(later, *id, Kind::Answered, SECOND, &mut StdRng::seed_from_u64(1));
+    }
+    dispatcher.refresh_inputs(later);
+    assert!(!dispatcher.is_under_pressure(), "all are answered");
+}
--- a/crates/policy/src/unserved.rs
+++ b/crates/policy/src/unserved.rs
@@ -67,6 +67,11 @@
         self.add(now, served, unserved);
     }
 
+    /// Records that a request counted as not served was served after all.
+    pub(crate) fn revise_to_served(&mut self, now: Time) {
+        self.add(now, 1.0, -1.0);
+    }
+
     /// Records requests sent to other services. They count as served until reported otherwise.
     pub(crate) fn note_elsewhere(&mut self, now: Time, requests: f64) {
         self.add(now, requests, 0.0);
@@ -103,7 +108,7 @@
     fn add(&mut self, now: Time, served: f64, unserved: f64) {
         let keep = (-now.since(self.at).as_secs_f64() / self.time_constant.as_secs_f64()).exp();
         self.served = (self.served * keep + served).max(0.0);
-        self.unserved = self.unserved * keep + unserved;
+        self.unserved = (self.unserved * keep + unserved).max(0.0);
         self.at = now;
     }
 
