Dappleway: logs, metrics and the fleet report tell of dispatch by failure domain

Cause: nothing told whether a service has a granting node in each failure domain, what their loads are, or what passes between failure domains. Change: per service the mode, demand and capacity by failure domain in `dappleway fleet`, in the line 'slots handed out' and in metrics with a label by failure domain; redirects by reason; frames and bytes sent to other failure domains.

--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -25,7 +25,10 @@
 
 use caller::{Refused, SharedSnapshot};
 use clock::Moment;
-use fleet::{Delivery, Directory, Exchange, Features, Keys, PermitClient, Phase, Place, Transport};
+use fleet::{
+    Delivery, Directory, Exchange, Features, Keys, PermitClient, Phase, Place, RedirectCounts,
+    Transport,
+};
 use operator::Published as InForce;
 use policy::{
     BudgetLimits, Grant, NodeId, PermitId, QueuedReply, Reporter, RequestKey, Time, Topology, rank,
@@ -42,6 +45,7 @@
 
 use self::allowances::Allowances;
 use self::domain_dispatch::DomainDispatch;
+use self::exchange::FarTraffic;
 use crate::event::Event;
 use crate::reader::ReadPlan;
 use crate::services::{Scope, Services, name_hash, route_hash};
@@ -136,6 +140,10 @@
     /// When the current configuration came into force.
     in_force_since: Time,
     metrics: ControlMetrics,
+    /// Frames sent to nodes of other failure domains.
+    far_traffic: FarTraffic,
+    /// Numbers of redirected requests at the last log line about them.
+    logged_redirects: RedirectCounts,
     /// Acknowledgement times of messages to peers since the last log line about them.
     ack_times: Vec<Duration>,
     /// Number of peers in the last log line about them.
@@ -268,6 +276,8 @@
             platform_calls: 0,
             in_force_since: now,
             metrics: params.metrics,
+            far_traffic: FarTraffic::default(),
+            logged_redirects: RedirectCounts::default(),
             ack_times: Vec::new(),
             logged_peers: 0,
             logged_era: 0,
--- a/crates/dappleway/src/control/dispatch_log.rs
+++ b/crates/dappleway/src/control/dispatch_log.rs
@@ -3,12 +3,15 @@
 
 use std::time::Duration;
 
-use policy::{DispatchCounts, Dispatcher, IdleEndpoint, Notice, Occupancy, RateLimit, Time};
+use policy::{
+    DispatchCounts, Dispatcher, DomainLoad, IdleEndpoint, Notice, Occupancy, RateLimit, Time,
+};
+use resources::Name;
 use serde_json::json;
 use slog::info;
 
 use super::Control;
-use crate::services::{EndpointNotice, Scope};
+use crate::services::{EndpointNotice, Scope, ServiceState};
 
 /// Maximum number of idle endpoints in one line.
 const MAX_IDLE_LOGGED: usize = 24;
@@ -21,6 +24,8 @@
     occupancy: Occupancy,
     queued: usize,
     pressure: &'static str,
+    /// Load in the failure domains of the dispatcher's endpoints.
+    loads: Vec<DomainLoad>,
     /// Descriptions of the idle endpoints.
     idle: Vec<String>,
 }
@@ -40,6 +45,7 @@
                     occupancy: it.occupancy(now),
                     queued: it.queued(),
                     pressure: it.pressure_name(),
+                    loads: it.domain_loads(now),
                     idle,
                 });
             }
@@ -48,8 +54,19 @@
             let Some(state) = self.services.get(it.service) else { continue };
             let (name, is_fleet) = (state.service.name.as_str(), it.scope.is_fleet());
             let DispatchLine { counts, occupancy, idle, .. } = it;
+            let domain = match it.scope {
+                Scope::Fleet(Some(hash)) => state.domains().name(hash).map(Name::as_str),
+                _ => None,
+            };
+            let loads = describe_loads(state, &it.loads);
+            let remote: Vec<DomainLoad> = match domain {
+                Some(_) => state.remote_loads(now).copied().collect(),
+                None => Vec::new(),
+            };
             self.metrics.count_permits(&counts);
             info!(self.log, "slots handed out"; "service" => name, "dispatched_here" => is_fleet,
+                "failure_domain" => domain, "loads" => loads,
+                "remote_loads" => describe_loads(state, &remote),
                 "first_sends" => counts.first, "repeats" => counts.repeats,
                 "repeats_refused" => counts.repeats_refused, "answered" => counts.answered,
                 "failed" => counts.failed, "timed_out" => counts.timed_out,
@@ -112,6 +129,24 @@
     }
 }
 
+/// Describes loads as JSON arrays: failure domain, usable slots, slots in use, queued, served and unserved requests.
+fn describe_loads(service: &ServiceState, loads: &[DomainLoad]) -> String {
+    let describe = |it: &DomainLoad| {
+        let name = service.domains().name(it.failure_domain).map(Name::as_str);
+        let rounded = |it: f32| (f64::from(it) * 10.0).round() / 10.0;
+        json!([
+            name,
+            rounded(it.usable),
+            it.in_use,
+            it.queued,
+            rounded(it.served),
+            rounded(it.unserved)
+        ])
+        .to_string()
+    };
+    loads.iter().map(describe).collect::<Vec<_>>().join(" ")
+}
+
 fn describe_idle(now: Time, it: &Dispatcher) -> Vec<String> {
     it.idle_endpoints(now).take(MAX_IDLE_LOGGED).map(|it| describe_endpoint(&it)).collect()
 }
--- a/crates/dappleway/src/control/domain_dispatch.rs
+++ b/crates/dappleway/src/control/domain_dispatch.rs
@@ -1,8 +1,6 @@
 //! Dispatch by failure domain: when it is in force, which failure domain a request asks first, and the exchange of
 //! loads between the nodes that grant slots in different failure domains.
 
-use std::time::Duration;
-
 use fleet::{Features, PermitMessage, Phase, Place};
 use policy::{DomainFilter, DomainLoad, NodeId, Reporter, Time, rank};
 use rustc_hash::FxHashMap;
@@ -11,10 +9,6 @@
 use super::{Control, ServingNodes};
 use crate::services::{ServiceState, name_hash};
 
-/// Loads received from other nodes are used up to this age, ten times the interval at which they are sent, so that a
-/// few lost datagrams do not matter.
-pub(super) const MAX_LOAD_AGE: Duration = Duration::from_secs(1);
-
 /// State of dispatch by failure domain on the control thread.
 #[derive(Debug, Default)]
 pub(super) struct DomainDispatch {
@@ -120,7 +114,7 @@
             domains.hashes().map(|it| (it, self.client.place(now, service, Some(it), &directory)));
         let places: Vec<(u64, Place)> = places.collect();
         let is_granted_here = |domain: u64| places.contains(&(domain, Place::Own(Some(domain))));
-        let mut is_in_use = state.remote_loads(now, MAX_LOAD_AGE).any(has_requests);
+        let mut is_in_use = state.remote_loads(now).any(has_requests);
         let mut loads: Vec<DomainLoad> = Vec::new();
         for (domain, it) in own {
             is_in_use |= it.is_dispatching(now) || it.queued() > 0;
@@ -171,6 +165,24 @@
     }
 }
 
+impl Control {
+    /// Logs the requests of this node that were redirected since the last call.
+    pub(super) fn log_redirects(&mut self) {
+        let redirects = self.client.redirects;
+        let before = std::mem::replace(&mut self.logged_redirects, redirects);
+        if redirects == before {
+            return;
+        }
+        let pairs = redirects.by_reason().zip(before.by_reason());
+        let new = pairs.map(|((reason, now), (_, before))| (reason.name(), now - before));
+        let new = new.filter(|(_, count)| *count > 0);
+        let reasons: Vec<String> = new.map(|(name, count)| format!("{name}: {count}")).collect();
+        info!(self.log, "requests sent to another failure domain";
+            "redirected" => redirects.total() - before.total(), "reasons" => reasons.join(", "),
+            "returned" => redirects.returned - before.returned);
+    }
+}
+
 /// Whether requests use or wait for slots. An idle failure domain does not count: nodes that answer loads with loads
 /// would never stop.
 fn has_requests(it: &DomainLoad) -> bool {
--- a/crates/dappleway/src/control/exchange.rs
+++ b/crates/dappleway/src/control/exchange.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use fleet::{Batch, Effect, Frame, Message, PermitMessage, Verdict};
+use fleet::{Batch, Effect, Frame, Message, PermitMessage, Verdict, node_id};
 use policy::{NodeId, Time};
 use slog::warn;
 
@@ -11,6 +11,22 @@
 use crate::reader::fetch_from_peer;
 use crate::settings::Mode;
 
+/// Frames sent to nodes of other failure domains. Traffic between failure domains costs money.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct FarTraffic {
+    /// Frames and bytes about slots and allowances, whose number depends on the number of requests.
+    pub(super) slots: FarCount,
+    /// All other frames and bytes.
+    pub(super) control: FarCount,
+}
+
+/// Numbers of frames and bytes.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct FarCount {
+    pub(super) frames: u64,
+    pub(super) bytes: u64,
+}
+
 impl Control {
     pub(super) fn receive_frames(&mut self, now: Time) {
         for _ in 0..MAX_BATCH {
@@ -60,6 +76,7 @@
                 Effect::Send(to, message) => {
                     let is_round = matches!(message, Message::Gossip(_));
                     let bytes = self.transport.send(to, &self.exchange.frame(message));
+                    self.count_far(node_id(to), bytes, false);
                     if is_round {
                         self.exchange.spend(bytes);
                     }
@@ -128,6 +145,22 @@
     pub(super) fn send_frame(&mut self, node: NodeId, message: Message) {
         let member = self.exchange.members().get(node).map(|it| it.info.addr);
         let Some(addr) = member.or_else(|| self.asker_addrs.get(&node).copied()) else { return };
-        self.transport.send(addr, &self.exchange.frame(message));
+        let is_about_requests = message.is_about_requests();
+        let bytes = self.transport.send(addr, &self.exchange.frame(message));
+        self.count_far(node, bytes, is_about_requests);
+    }
+
+    /// Counts a frame that was sent, if its receiver is known to be in another failure domain.
+    fn count_far(&mut self, to: NodeId, bytes: usize, is_about_requests: bool) {
+        let member = self.exchange.members().get(to);
+        let is_far = member.is_some_and(|it| it.info.failure_domain != self.me.failure_domain);
+        if is_far && bytes > 0 {
+            let count = match is_about_requests {
+                true => &mut self.far_traffic.slots,
+                false => &mut self.far_traffic.control,
+            };
+            count.frames += 1;
+            count.bytes += bytes as u64;
+        }
     }
 }
--- a/crates/dappleway/src/control/metrics.rs
+++ b/crates/dappleway/src/control/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the control thread: endpoints, repeats, the platform and the configuration in force. The number of
-//! label values is fixed and does not grow with services, endpoints or nodes.
+//! label values does not grow with services, endpoints or nodes, only with failure domains.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use fleet::ServedFetch;
@@ -12,6 +13,7 @@
 use rustc_hash::FxHashMap;
 
 use super::Control;
+use super::exchange::FarTraffic;
 
 /// Metrics of the control thread.
 pub struct ControlMetrics {
@@ -36,6 +38,11 @@
     acknowledged: Histogram,
     admissions: IntCounterVec,
     fetches: FetchesServed,
+    by_domain: IntGauge,
+    domain_slots: GaugeVec,
+    redirects: IntCounterVec,
+    far_frames: IntCounterVec,
+    far_bytes: IntCounterVec,
 }
 
 /// Metrics of the fetches that this node served to peers.
@@ -180,6 +187,38 @@
                 &["outcome"],
             )?,
             fetches: FetchesServed::new()?,
+            by_domain: gauge(
+                "dappleway_services_by_failure_domain",
+                "Services of which each failure domain has a dispatching node of its own.",
+            )?,
+            domain_slots: GaugeVec::new(
+                Opts::new(
+                    "dappleway_domain_slots",
+                    "Slots usable and in use and requests queued by failure domain, summed over the services dispatched by failure domain, as far as this node knows their loads.",
+                ),
+                &["failure_domain", "part"],
+            )?,
+            redirects: IntCounterVec::new(
+                Opts::new(
+                    "dappleway_redirects_total",
+                    "Requests of this node that asked for a slot in another failure domain, by reason; returned: no node answered there.",
+                ),
+                &["reason"],
+            )?,
+            far_frames: IntCounterVec::new(
+                Opts::new(
+                    "dappleway_far_frames_total",
+                    "Frames sent to nodes of other failure domains: about slots and allowances, or control.",
+                ),
+                &["kind"],
+            )?,
+            far_bytes: IntCounterVec::new(
+                Opts::new(
+                    "dappleway_far_bytes_total",
+                    "Bytes of frames sent to nodes of other failure domains: about slots and allowances, or control.",
+                ),
+                &["kind"],
+            )?,
         };
         registry.register(Box::new(it.endpoints.clone()))?;
         registry.register(Box::new(it.repeats.clone()))?;
@@ -194,6 +233,10 @@
         registry.register(Box::new(it.admissions.clone()))?;
         registry.register(Box::new(it.fetches.count.clone()))?;
         registry.register(Box::new(it.fetches.bytes.clone()))?;
+        registry.register(Box::new(it.domain_slots.clone()))?;
+        registry.register(Box::new(it.redirects.clone()))?;
+        registry.register(Box::new(it.far_frames.clone()))?;
+        registry.register(Box::new(it.far_bytes.clone()))?;
         Ok(it)
     }
 
@@ -278,5 +321,37 @@
         it.platform_age
             .set(self.exchange.reader_election().time_since_confirmation(now).as_secs_f64());
         it.nodes.set(self.exchange.members().len() as i64 + 1);
+        self.update_domain_metrics(now);
+    }
+
+    fn update_domain_metrics(&self, now: Time) {
+        let it = &self.metrics;
+        it.by_domain.set(self.services.dispatched_by_domain().count() as i64);
+        let mut sums: BTreeMap<&str, [f64; 3]> = BTreeMap::new();
+        for service in self.services.iter().filter(|it| it.dispatch_domains().is_some()) {
+            for load in service.known_loads(now) {
+                let Some(name) = service.domains().name(load.failure_domain) else { continue };
+                let sum = sums.entry(name.as_str()).or_default();
+                sum[0] += f64::from(load.usable);
+                sum[1] += f64::from(load.in_use);
+                sum[2] += f64::from(load.queued);
+            }
+        }
+        // Failure domains whose loads are not known any more have no value.
+        it.domain_slots.reset();
+        for (name, [usable, in_use, queued]) in sums {
+            for (part, value) in [("usable", usable), ("in_use", in_use), ("queued", queued)] {
+                it.domain_slots.with_label_values(&[name, part]).set(value);
+            }
+        }
+        for (reason, count) in self.client.redirects.by_reason() {
+            raise_to(&it.redirects.with_label_values(&[reason.name()]), count);
+        }
+        raise_to(&it.redirects.with_label_values(&["returned"]), self.client.redirects.returned);
+        let FarTraffic { slots, control } = self.far_traffic;
+        for (kind, count) in [("slots", slots), ("control", control)] {
+            raise_to(&it.far_frames.with_label_values(&[kind]), count.frames);
+            raise_to(&it.far_bytes.with_label_values(&[kind]), count.bytes);
+        }
     }
 }
--- a/crates/dappleway/src/control/report.rs
+++ b/crates/dappleway/src/control/report.rs
@@ -1,8 +1,9 @@
 //! The fleet report that the operator API serves.
 
 use fleet::{Directory, Phase, Reads};
-use operator::{EndpointReport, MemberReport, Report, ServiceReport};
-use policy::{Dispatcher, NodeId, RateLimit, Time};
+use operator::{DomainReport, EndpointReport, LoadReport, MemberReport, Report, ServiceReport};
+use policy::{Dispatcher, DomainLoad, NodeId, RateLimit, Time};
+use resources::Name;
 
 use super::{Control, ServingNodes};
 use crate::services::{ServiceState, name_hash};
@@ -38,6 +39,16 @@
             frames_dropped: counts.dropped,
             rounds_delayed: self.exchange.delayed,
             direct_slots: self.client.direct,
+            redirects: self
+                .client
+                .redirects
+                .by_reason()
+                .map(|(reason, count)| (reason.name().to_owned(), count))
+                .collect(),
+            far_slot_frames: self.far_traffic.slots.frames,
+            far_slot_bytes: self.far_traffic.slots.bytes,
+            far_control_frames: self.far_traffic.control.frames,
+            far_control_bytes: self.far_traffic.control.bytes,
         }
     }
 
@@ -85,14 +96,37 @@
             healthy: it.direct.rotation().recently_healthy(now),
             queued,
             dispatched_by: self.dispatched_by(now, &it.service.name),
+            by_failure_domain: it.dispatch_domains().is_some(),
+            failure_domains: self.domain_reports(now, it),
             excused,
             endpoints: it
                 .endpoint_views(now)
-                .map(|(dispatcher, i)| endpoint_report(now, dispatcher, i, !it.fleet.is_empty()))
+                .map(|(dispatcher, i)| {
+                    let dispatched_here = !std::ptr::eq(dispatcher, &it.direct);
+                    endpoint_report(now, dispatcher, i, dispatched_here)
+                })
                 .collect(),
         }
     }
 
+    /// Demand and capacity of a service by failure domain, if it is dispatched by failure domain.
+    fn domain_reports(&self, now: Time, it: &ServiceState) -> Vec<DomainReport> {
+        let Some(domains) = it.dispatch_domains() else { return Vec::new() };
+        let directory = ServingNodes::new(now, self.me, &self.topology, &self.exchange);
+        let service = name_hash(&it.service.name);
+        let loads = it.known_loads(now);
+        let report = |(hash, name, endpoints): (u64, &Name, usize)| {
+            let nodes = directory.candidates(service, Some(hash));
+            DomainReport {
+                name: name.to_string(),
+                endpoints,
+                dispatched_by: nodes.first().map(|it| self.addr_of(*it)),
+                load: loads.iter().find(|it| it.failure_domain == hash).map(load_report),
+            }
+        };
+        domains.iter().map(report).collect()
+    }
+
     /// Address of the node that this node asks for slots of a service.
     fn dispatched_by(&self, now: Time, service: &str) -> Option<String> {
         let directory = ServingNodes::new(now, self.me, &self.topology, &self.exchange);
@@ -110,6 +144,11 @@
     }
 }
 
+fn load_report(it: &DomainLoad) -> LoadReport {
+    let DomainLoad { usable, in_use, queued, served, unserved, .. } = *it;
+    LoadReport { usable, in_use, queued, served, unserved }
+}
+
 fn phase_name(phase: Phase) -> &'static str {
     match phase {
         Phase::Starting => "starting",
--- a/crates/dappleway/src/control/tests/domain_dispatch.rs
+++ b/crates/dappleway/src/control/tests/domain_dispatch.rs
@@ -234,7 +234,7 @@
     control.handle_permit_message(Time(1), from, message(f32::NAN));
     let known = |it: &Control| {
         let state = it.services.get(service).unwrap();
-        let loads = state.remote_loads(Time(1), Duration::from_secs(1));
+        let loads = state.remote_loads(Time(1));
         (state.fleet.len(), loads.map(|it| it.usable).collect::<Vec<_>>())
     };
     assert_eq!(known(&control), (2, vec![]), "a damaged number is not used");
@@ -242,7 +242,7 @@
     assert_eq!(known(&control), (2, vec![9.0]));
     let state = control.services.get(service).unwrap();
     let late = Time(1) + Duration::from_millis(1_001);
-    assert_eq!(state.remote_loads(late, Duration::from_secs(1)).count(), 0);
+    assert_eq!(state.remote_loads(late).count(), 0);
 }
 
 /// Guards against failures that the successor of a granting node does not learn of: the successor depends on the
--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -68,6 +68,7 @@
             self.log_behind(now);
             self.log_repeats(now);
             self.log_dispatch(now);
+            self.log_redirects();
             self.log_slow_acks();
             self.log_allowances();
             self.update_metrics(now);
--- a/crates/dappleway/src/query.rs
+++ b/crates/dappleway/src/query.rs
@@ -113,6 +113,7 @@
     }
     print_nodes(&report)?;
     print_services(&report)?;
+    print_failure_domains(&report)?;
     print_organisations(&report)?;
     print_endpoints(report.services.iter().flat_map(|it| it.endpoints.iter().map(move |e| (it, e))))
 }
@@ -149,7 +150,12 @@
         Some(ms) => format!("its last known failure was {ms} ms ago"),
         None => "no failure is known".to_owned(),
     };
-    let dispatcher = service.dispatched_by.as_deref().unwrap_or("nobody");
+    let of_domain = service.failure_domains.iter().find(|domain| domain.name == it.failure_domain);
+    let dispatcher = match of_domain {
+        Some(domain) => domain.dispatched_by.as_deref(),
+        None => service.dispatched_by.as_deref(),
+    };
+    let dispatcher = dispatcher.unwrap_or("nobody");
     let authority = match it.dispatched_here {
         true => "this node hands out its slots, so this state is authoritative".to_owned(),
         false => {
@@ -196,13 +202,65 @@
     let mut table =
         Table::new(&["\nSERVICE", "ENDPOINTS", "HEALTHY", "FLOOR", "QUEUED", "DISPATCHED BY"]);
     for it in &report.services {
-        let dispatcher = it.dispatched_by.as_deref().unwrap_or("-");
+        let dispatcher = match it.by_failure_domain {
+            true => "failure domains",
+            false => it.dispatched_by.as_deref().unwrap_or("-"),
+        };
         let endpoints = it.endpoints.len();
         table.row(&[&it.name, &endpoints, &it.healthy, &it.floor, &it.queued, &dispatcher])?;
     }
     table.print()
 }
 
+/// Prints demand and capacity of the services that are dispatched by failure domain.
+fn print_failure_domains(report: &Report) -> Result<(), QueryError> {
+    if report.services.iter().all(|it| it.failure_domains.is_empty()) {
+        return Ok(());
+    }
+    let mut table = Table::new(&[
+        "\nFAILURE DOMAIN",
+        "SERVICE",
+        "ENDPOINTS",
+        "USABLE",
+        "IN USE",
+        "QUEUED",
+        "SERVED",
+        "UNSERVED",
+        "DISPATCHED BY",
+    ]);
+    for service in &report.services {
+        for it in &service.failure_domains {
+            let dispatcher = it.dispatched_by.as_deref().unwrap_or("-");
+            let load = it.load.as_ref();
+            let cell = |value: Option<f32>| value.map_or("-".to_owned(), |it| format!("{it:.0}"));
+            table.row(&[
+                &it.name,
+                &service.name,
+                &it.endpoints,
+                &cell(load.map(|it| it.usable)),
+                &cell(load.map(|it| it.in_use as f32)),
+                &cell(load.map(|it| it.queued as f32)),
+                &cell(load.map(|it| it.served)),
+                &cell(load.map(|it| it.unserved)),
+                &dispatcher,
+            ])?;
+        }
+    }
+    table.print()?;
+    let redirects = report.redirects.iter().filter(|(_, count)| **count > 0);
+    let redirects: Vec<String> = redirects.map(|(name, n)| format!("{name} {n}")).collect();
+    let reasons = if redirects.is_empty() { "none".to_owned() } else { redirects.join(", ") };
+    writeln!(io::stdout(), "\nRedirected requests of this node: {reasons}.")?;
+    Ok(writeln!(
+        io::stdout(),
+        "Sent to other failure domains: {} frames and {} bytes about slots, {} and {} of control.",
+        report.far_slot_frames,
+        report.far_slot_bytes,
+        report.far_control_frames,
+        report.far_control_bytes,
+    )?)
+}
+
 fn print_organisations(report: &Report) -> Result<(), QueryError> {
     if report.organisations.is_empty() {
         return Ok(());
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -18,6 +18,10 @@
 
 pub use self::failure_domains::FailureDomains;
 
+/// Loads received from other nodes are used up to this age, ten times the interval at which they are sent, so that a
+/// few lost datagrams do not matter.
+const MAX_LOAD_AGE: Duration = Duration::from_secs(1);
+
 /// Hash of a name, as used in frames between nodes.
 pub fn name_hash(name: &str) -> u64 {
     stable_hash(name.as_bytes())
@@ -347,10 +351,25 @@
         }
     }
 
-    /// Loads received from other nodes that are not older than `max_age`.
-    pub fn remote_loads(&self, now: Time, max_age: Duration) -> impl Iterator<Item = &DomainLoad> {
-        let recent = self.remote_loads.values().filter(move |(_, at)| now.since(*at) <= max_age);
-        recent.map(|(it, _)| it)
+    /// Loads received from other nodes that are recent enough to be used.
+    pub fn remote_loads(&self, now: Time) -> impl Iterator<Item = &DomainLoad> {
+        let values = self.remote_loads.values();
+        values.filter(move |(_, at)| now.since(*at) <= MAX_LOAD_AGE).map(|(it, _)| it)
+    }
+
+    /// Load by failure domain as far as it is known: of the dispatchers of this node that grant slots, and of other
+    /// nodes.
+    pub fn known_loads(&self, now: Time) -> Vec<DomainLoad> {
+        let own =
+            self.fleet.iter().filter(|(domain, it)| domain.is_some() && it.is_dispatching(now));
+        let mut loads: Vec<DomainLoad> = own.flat_map(|(_, it)| it.domain_loads(now)).collect();
+        for it in self.remote_loads(now) {
+            if loads.iter().all(|known| known.failure_domain != it.failure_domain) {
+                loads.push(*it);
+            }
+        }
+        loads.sort_unstable_by_key(|it| it.failure_domain);
+        loads
     }
 
     /// The dispatcher whose view of an endpoint of this failure domain this node reports: a fleet dispatcher that
--- a/crates/dappleway/src/services/failure_domains.rs
+++ b/crates/dappleway/src/services/failure_domains.rs
@@ -50,6 +50,11 @@
         self.all.iter().find(|(hash, ..)| *hash == failure_domain).map(|(_, name, _)| name)
     }
 
+    /// Hash, name and number of endpoints of each failure domain, in ascending order of the hashes.
+    pub fn iter(&self) -> impl Iterator<Item = (u64, &Name, usize)> {
+        self.all.iter().map(|(hash, name, count)| (*hash, name, *count))
+    }
+
     /// Hashes of the failure domains, in ascending order.
     pub fn hashes(&self) -> impl Iterator<Item = u64> + Clone {
         self.all.iter().map(|(hash, ..)| *hash)
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -9,7 +9,10 @@
 
 pub use access::{Access, Denied, MIN_TOKEN_BYTES, Token};
 pub use client::{Client, ClientError};
-pub use report::{EndpointReport, MemberReport, OrganisationReport, Report, ServiceReport};
+pub use report::{
+    DomainReport, EndpointReport, LoadReport, MemberReport, OrganisationReport, Report,
+    ServiceReport,
+};
 pub use server::{
     ApiContext, Cut, Published, ResourceStatus, ResourceView, Resources, api_description, serve,
 };
--- a/crates/operator/src/report.rs
+++ b/crates/operator/src/report.rs
@@ -1,5 +1,7 @@
 //! A node's report about itself and its view of the fleet.
 
+use std::collections::BTreeMap;
+
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -51,6 +53,21 @@
     pub rounds_delayed: u64,
     /// Slots that this node chose by itself because no dispatching node answered.
     pub direct_slots: u64,
+    /// Requests of this node that were sent on to the dispatching node of another failure domain, by reason.
+    #[serde(default)]
+    pub redirects: BTreeMap<String, u64>,
+    /// Frames about slots and allowances sent to nodes of other failure domains since the start.
+    #[serde(default)]
+    pub far_slot_frames: u64,
+    /// Their bytes.
+    #[serde(default)]
+    pub far_slot_bytes: u64,
+    /// Other frames sent to nodes of other failure domains since the start.
+    #[serde(default)]
+    pub far_control_frames: u64,
+    /// Their bytes.
+    #[serde(default)]
+    pub far_control_bytes: u64,
 }
 
 /// Last received state of another node.
@@ -84,6 +101,12 @@
     /// Address of the node that hands out the service's slots, as this node sees it. That node's report about the
     /// endpoints is authoritative.
     pub dispatched_by: Option<String>,
+    /// Whether each failure domain has a dispatching node of its own; otherwise one node dispatches for all.
+    #[serde(default)]
+    pub by_failure_domain: bool,
+    /// Demand and capacity by failure domain, as far as this node knows them, if each has a dispatching node.
+    #[serde(default)]
+    pub failure_domains: Vec<DomainReport>,
     /// Numbers of failures attributed to the network path, to a shared cause and to the reporting node, none of which
     /// ejected an endpoint.
     pub excused: [u64; 3],
@@ -91,6 +114,34 @@
     pub endpoints: Vec<EndpointReport>,
 }
 
+/// Load of a service in one failure domain.
+#[derive(Clone, Debug, Default, Serialize, Deserialize, JsonSchema)]
+pub struct DomainReport {
+    /// Name of the failure domain.
+    pub name: String,
+    /// Number of endpoints.
+    pub endpoints: usize,
+    /// Address of the node that hands out the slots of these endpoints, as this node sees it.
+    pub dispatched_by: Option<String>,
+    /// Latest known load; absent if this node neither dispatches the service nor heard of its load in the last second.
+    pub load: Option<LoadReport>,
+}
+
+/// Demand and capacity of a service in one failure domain.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, JsonSchema)]
+pub struct LoadReport {
+    /// Slots that may be used now.
+    pub usable: f32,
+    /// Slots in use.
+    pub in_use: u32,
+    /// Requests that wait for a slot.
+    pub queued: u32,
+    /// Requests served in the last seconds; older ones count less.
+    pub served: f32,
+    /// Requests not served in the last seconds; older ones count less.
+    pub unserved: f32,
+}
+
 /// An organisation with a rate limit.
 #[derive(Clone, Debug, Default, Serialize, Deserialize, JsonSchema)]
 pub struct OrganisationReport {
