--- a/crates/dappleway/src/control/dispatch_log.rs
+++ b/crates/dappleway/src/control/dispatch_log.rs
@@ -45,7 +45,7 @@
                     occupancy: it.occupancy(now),
                     queued: it.queued(),
                     pressure: it.pressure_name(),
-                    loads: it.domain_loads(now),
+                    loads: if scope.is_fleet() { it.domain_loads(now) } else { Vec::new() },
                     idle,
                 });
             }
--- a/crates/dappleway/src/control/metrics.rs
+++ b/crates/dappleway/src/control/metrics.rs
@@ -14,6 +14,7 @@
 
 use super::Control;
 use super::exchange::FarTraffic;
+use crate::services::SendCounts;
 
 /// Metrics of the control thread.
 pub struct ControlMetrics {
@@ -40,6 +41,7 @@
     fetches: FetchesServed,
     by_domain: IntGauge,
     domain_slots: GaugeVec,
+    sends_by_distance: IntCounterVec,
     redirects: IntCounterVec,
     far_frames: IntCounterVec,
     far_bytes: IntCounterVec,
@@ -194,10 +196,17 @@
             domain_slots: GaugeVec::new(
                 Opts::new(
                     "dappleway_domain_slots",
-                    "Slots usable and in use and requests queued by failure domain, summed over the services dispatched by failure domain, as far as this node knows their loads.",
+                    "Slots usable and in use and requests queued by failure domain, summed over the services whose loads this node knows.",
                 ),
                 &["failure_domain", "part"],
             )?,
+            sends_by_distance: IntCounterVec::new(
+                Opts::new(
+                    "dappleway_sends_by_distance_total",
+                    "Slots granted to requests of this node, in its own failure domain (near) and in others (far).",
+                ),
+                &["distance"],
+            )?,
             redirects: IntCounterVec::new(
                 Opts::new(
                     "dappleway_redirects_total",
@@ -234,6 +243,7 @@
         registry.register(Box::new(it.fetches.count.clone()))?;
         registry.register(Box::new(it.fetches.bytes.clone()))?;
         registry.register(Box::new(it.domain_slots.clone()))?;
+        registry.register(Box::new(it.sends_by_distance.clone()))?;
         registry.register(Box::new(it.redirects.clone()))?;
         registry.register(Box::new(it.far_frames.clone()))?;
         registry.register(Box::new(it.far_bytes.clone()))?;
@@ -328,7 +338,10 @@
         let it = &self.metrics;
         it.by_domain.set(self.services.dispatched_by_domain().count() as i64);
         let mut sums: BTreeMap<&str, [f64; 3]> = BTreeMap::new();
-        for service in self.services.iter().filter(|it| it.dispatch_domains().is_some()) {
+        let mut sends = SendCounts::default();
+        for service in self.services.iter() {
+            sends.near += service.sends.near;
+            sends.far += service.sends.far;
             for load in service.known_loads(now) {
                 let Some(name) = service.domains().name(load.failure_domain) else { continue };
                 let sum = sums.entry(name.as_str()).or_default();
@@ -344,6 +357,8 @@
                 it.domain_slots.with_label_values(&[name, part]).set(value);
             }
         }
+        raise_to(&it.sends_by_distance.with_label_values(&["near"]), sends.near);
+        raise_to(&it.sends_by_distance.with_label_values(&["far"]), sends.far);
         for (reason, count) in self.client.redirects.by_reason() {
             raise_to(&it.redirects.with_label_values(&[reason.name()]), count);
         }
--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -201,6 +201,9 @@
         {
             state.direct.sent_elsewhere(now, &endpoint);
         }
+        if let Some(state) = self.services.get_mut(service) {
+            state.count_send(self.me.failure_domain, &endpoint);
+        }
         let (started_ms, is_watched) = (grant.started_ms, grant.is_watched);
         let open = OpenPermit {
             place,
--- a/crates/dappleway/src/control/report.rs
+++ b/crates/dappleway/src/control/report.rs
@@ -98,6 +98,8 @@
             dispatched_by: self.dispatched_by(now, &it.service.name),
             by_failure_domain: it.dispatch_domains().is_some(),
             failure_domains: self.domain_reports(now, it),
+            near_sends: it.sends.near,
+            far_sends: it.sends.far,
             excused,
             endpoints: it
                 .endpoint_views(now)
@@ -109,14 +111,17 @@
         }
     }
 
-    /// Demand and capacity of a service by failure domain, if it is dispatched by failure domain.
+    /// Demand and capacity of a service by failure domain, if it has endpoints in several of them.
     fn domain_reports(&self, now: Time, it: &ServiceState) -> Vec<DomainReport> {
-        let Some(domains) = it.dispatch_domains() else { return Vec::new() };
+        if it.domains().hashes().count() < 2 {
+            return Vec::new();
+        }
+        let is_by_domain = it.dispatch_domains().is_some();
         let directory = ServingNodes::new(now, self.me, &self.topology, &self.exchange);
         let service = name_hash(&it.service.name);
         let loads = it.known_loads(now);
         let report = |(hash, name, endpoints): (u64, &Name, usize)| {
-            let nodes = directory.candidates(service, Some(hash));
+            let nodes = directory.candidates(service, is_by_domain.then_some(hash));
             DomainReport {
                 name: name.to_string(),
                 endpoints,
@@ -124,7 +129,7 @@
                 load: loads.iter().find(|it| it.failure_domain == hash).map(load_report),
             }
         };
-        domains.iter().map(report).collect()
+        it.domains().iter().map(report).collect()
     }
 
     /// Address of the node that this node asks for slots of a service.
--- a/crates/dappleway/src/query.rs
+++ b/crates/dappleway/src/query.rs
@@ -212,7 +212,7 @@
     table.print()
 }
 
-/// Prints demand and capacity of the services that are dispatched by failure domain.
+/// Prints demand and capacity of the services with endpoints in several failure domains.
 fn print_failure_domains(report: &Report) -> Result<(), QueryError> {
     if report.services.iter().all(|it| it.failure_domains.is_empty()) {
         return Ok(());
@@ -247,6 +247,15 @@
         }
     }
     table.print()?;
+    for it in report.services.iter().filter(|it| it.near_sends + it.far_sends > 0) {
+        let (near, far) = (it.near_sends, it.far_sends);
+        let share = 100.0 * far as f64 / (near + far) as f64;
+        writeln!(
+            io::stdout(),
+            "\n{}: {near} near and {far} far sends of this node ({share:.0} % far).",
+            it.name
+        )?;
+    }
     let redirects = report.redirects.iter().filter(|(_, count)| **count > 0);
     let redirects: Vec<String> = redirects.map(|(name, n)| format!("{name} {n}")).collect();
     let reasons = if redirects.is_empty() { "none".to_owned() } else { redirects.join(", ") };
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -48,9 +48,20 @@
     is_domain_dispatch_allowed: bool,
     /// Latest loads received from the nodes that grant slots in other failure domains, by failure domain.
     remote_loads: FxHashMap<u64, (DomainLoad, Time)>,
+    /// Slots granted to requests of this node.
+    pub sends: SendCounts,
     routes: Vec<RouteTerms>,
 }
 
+/// Numbers of slots granted to requests of this node, by the distance of the endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SendCounts {
+    /// In the failure domain of this node.
+    pub near: u64,
+    /// In another failure domain.
+    pub far: u64,
+}
+
 /// All services in force.
 #[derive(Debug)]
 pub struct Services {
@@ -312,6 +323,7 @@
             domains: FailureDomains::of(&service),
             is_domain_dispatch_allowed: params.is_domain_dispatch_allowed,
             remote_loads: FxHashMap::default(),
+            sends: SendCounts::default(),
             service,
             routes: routes.to_vec(),
         }
@@ -357,15 +369,26 @@
         values.filter(move |(_, at)| now.since(*at) <= MAX_LOAD_AGE).map(|(it, _)| it)
     }
 
+    /// Counts a slot granted to a request of this node, whose failure domain is `own`.
+    pub fn count_send(&mut self, own: u64, endpoint: &str) {
+        let Some(position) = self.direct.rotation().position(endpoint) else { return };
+        match name_hash(&self.direct.endpoints()[position].failure_domain) == own {
+            true => self.sends.near += 1,
+            false => self.sends.far += 1,
+        }
+    }
+
     /// Load by failure domain as far as it is known: of the dispatchers of this node that grant slots, and of other
     /// nodes.
     pub fn known_loads(&self, now: Time) -> Vec<DomainLoad> {
-        let own =
-            self.fleet.iter().filter(|(domain, it)| domain.is_some() && it.is_dispatching(now));
-        let mut loads: Vec<DomainLoad> = own.flat_map(|(_, it)| it.domain_loads(now)).collect();
-        for it in self.remote_loads(now) {
+        let dispatching = self.fleet.iter().filter(|(_, it)| it.is_dispatching(now));
+        let (by_domain, for_all): (Vec<_>, Vec<_>) =
+            dispatching.partition(|(domain, _)| domain.is_some());
+        let own = by_domain.into_iter().chain(for_all).flat_map(|(_, it)| it.domain_loads(now));
+        let mut loads: Vec<DomainLoad> = Vec::new();
+        for it in own.chain(self.remote_loads(now).copied()) {
             if loads.iter().all(|known| known.failure_domain != it.failure_domain) {
-                loads.push(*it);
+                loads.push(it);
             }
         }
         loads.sort_unstable_by_key(|it| it.failure_domain);
--- a/crates/fleet/src/tests/wire.rs
+++ b/crates/fleet/src/tests/wire.rs
@@ -2,8 +2,8 @@
 use std::time::Duration;
 
 use policy::{
-    Ask, Grant, Kind, NodeId, ObservedLimit, PermitId, RateLimit, Rejection, Reply, Reporter,
-    RequestKey, SendKind, Tier,
+    Ask, DomainLoad, FarReason, Grant, Kind, NodeId, ObservedLimit, PermitId, RateLimit, Rejection,
+    Reply, Reporter, RequestKey, SendKind, Tier,
 };
 use proptest::prelude::*;
 use resources::{Endpoint, Position, Priority, Registration, RegistryChange, Standing};
@@ -26,6 +26,18 @@
     }
 }
 
+/// A load of the greatest encoded length.
+fn longest_load() -> DomainLoad {
+    DomainLoad {
+        failure_domain: u64::MAX,
+        usable: f32::MAX,
+        in_use: u32::MAX,
+        queued: u32::MAX,
+        served: f32::MAX,
+        unserved: f32::MAX,
+    }
+}
+
 /// A position of the greatest encoded length.
 const LAST: Position = Position { era: u32::MAX, revision: u64::MAX };
 
@@ -126,8 +138,16 @@
         objective: Duration::MAX,
         wait: true,
     };
+    let domain_ask = PermitMessage::DomainAsk {
+        service: u64::MAX,
+        failure_domain: u64::MAX,
+        may_redirect: true,
+        ask: ask.clone(),
+    };
     let ask = PermitMessage::Ask { service: u64::MAX, ask };
-    frame(Message::Permit(ask)).encode(&keys("k")).expect("the frame fits into a datagram");
+    for it in [ask, domain_ask] {
+        frame(Message::Permit(it)).encode(&keys("k")).expect("the frame fits into a datagram");
+    }
 }
 
 #[test]
@@ -152,6 +172,11 @@
             outcome: Some((Kind::Answered, Duration::from_micros(12_345))),
         }),
         Message::Permit(PermitMessage::Renew { ids: vec![id; 60] }),
+        Message::Permit(PermitMessage::Answer {
+            id,
+            reply: Reply::Elsewhere { failure_domain: u64::MAX, reason: FarReason::Floor },
+        }),
+        Message::Permit(PermitMessage::DomainLoads { service: 7, loads: vec![longest_load(); 3] }),
         Message::Permit(PermitMessage::AnswerBegan { id, elapsed: Duration::from_millis(12) }),
         Message::Reliable(Batch {
             stream: 7,
--- a/crates/operator/src/report.rs
+++ b/crates/operator/src/report.rs
@@ -104,9 +104,15 @@
     /// Whether each failure domain has a dispatching node of its own; otherwise one node dispatches for all.
     #[serde(default)]
     pub by_failure_domain: bool,
-    /// Demand and capacity by failure domain, as far as this node knows them, if each has a dispatching node.
+    /// Demand and capacity by failure domain, as far as this node knows them, if there are several.
     #[serde(default)]
     pub failure_domains: Vec<DomainReport>,
+    /// Slots that requests of this node were granted in its own failure domain.
+    #[serde(default)]
+    pub near_sends: u64,
+    /// Slots that requests of this node were granted in other failure domains.
+    #[serde(default)]
+    pub far_sends: u64,
     /// Numbers of failures attributed to the network path, to a shared cause and to the reporting node, none of which
     /// ejected an endpoint.
     pub excused: [u64; 3],
