--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -18,6 +18,10 @@
 
 pub use self::failure_domains::FailureDomains;
 
+/// Loads received from other nodes are used up to this age, ten times the interval at which they are sent, so that a
+/// few lost datagrams do not matter.
+const MAX_LOAD_AGE: Duration = Duration::from_secs(1);
+
 /// Hash of a name, as used in frames between nodes.
 pub fn name_hash(name: &str) -> u64 {
     stable_hash(name.as_bytes())
@@ -44,9 +48,20 @@
     is_domain_dispatch_allowed: bool,
     /// Latest loads received from the nodes that grant slots in other failure domains, by failure domain.
     remote_loads: FxHashMap<u64, (DomainLoad, Time)>,
+    /// Slots granted to requests of this node.
+    pub sends: SendCounts,
     routes: Vec<RouteTerms>,
 }
 
+/// Numbers of slots granted to requests of this node, by the distance of the endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SendCounts {
+    /// In the failure domain of this node.
+    pub near: u64,
+    /// In another failure domain.
+    pub far: u64,
+}
+
 /// All services in force.
 #[derive(Debug)]
 pub struct Services {
@@ -308,6 +323,7 @@
             domains: FailureDomains::of(&service),
             is_domain_dispatch_allowed: params.is_domain_dispatch_allowed,
             remote_loads: FxHashMap::default(),
+            sends: SendCounts::default(),
             service,
             routes: routes.to_vec(),
         }
@@ -347,10 +363,36 @@
         }
     }
 
-    /// Loads received from other nodes that are not older than `max_age`.
-    pub fn remote_loads(&self, now: Time, max_age: Duration) -> impl Iterator<Item = &DomainLoad> {
-        let recent = self.remote_loads.values().filter(move |(_, at)| now.since(*at) <= max_age);
-        recent.map(|(it, _)| it)
+    /// Loads received from other nodes that are recent enough to be used.
+    pub fn remote_loads(&self, now: Time) -> impl Iterator<Item = &DomainLoad> {
+        let values = self.remote_loads.values();
+        values.filter(move |(_, at)| now.since(*at) <= MAX_LOAD_AGE).map(|(it, _)| it)
+    }
+
+    /// Counts a slot granted to a request of this node, whose failure domain is `own`.
+    pub fn count_send(&mut self, own: u64, endpoint: &str) {
+        let Some(position) = self.direct.rotation().position(endpoint) else { return };
+        match name_hash(&self.direct.endpoints()[position].failure_domain) == own {
+            true => self.sends.near += 1,
+            false => self.sends.far += 1,
+        }
+    }
+
+    /// Load by failure domain as far as it is known: of the dispatchers of this node that grant slots, and of other
+    /// nodes.
+    pub fn known_loads(&self, now: Time) -> Vec<DomainLoad> {
+        let dispatching = self.fleet.iter().filter(|(_, it)| it.is_dispatching(now));
+        let (by_domain, for_all): (Vec<_>, Vec<_>) =
+            dispatching.partition(|(domain, _)| domain.is_some());
+        let own = by_domain.into_iter().chain(for_all).flat_map(|(_, it)| it.domain_loads(now));
+        let mut loads: Vec<DomainLoad> = Vec::new();
+        for it in own.chain(self.remote_loads(now).copied()) {
+            if loads.iter().all(|known| known.failure_domain != it.failure_domain) {
+                loads.push(it);
+            }
+        }
+        loads.sort_unstable_by_key(|it| it.failure_domain);
+        loads
     }
 
     /// The dispatcher whose view of an endpoint of this failure domain this node reports: a fleet dispatcher that
