Policy: doubtful endpoints give one slot more than their sends that outlived the failure time

Change: the dispatcher learns within which time failures arrive from unhealthy endpoints. A doubtful endpoint gives one slot more than its older sends; while requests wait, older sends also move an endpoint from last resort to doubtful, and repeatable requests try one after 100 ms. Age is no evidence where requests hang. Old answers count for 0.15 in the learned ends. Setting `dispatch.doubtful_slots`; `DispatchOptions` carries it to the dispatcher.

--- a/crates/policy/src/belief.rs
+++ b/crates/policy/src/belief.rs
@@ -23,10 +23,10 @@
 /// Bounds of the probability. At 0 or 1 no further evidence could change it.
 const P_BOUNDS: (f64, f64) = (0.002, 0.985);
 /// Below this probability an endpoint is used without restriction.
-const FREELY_BELOW: f64 = 0.12;
+pub(crate) const FREELY_BELOW: f64 = 0.12;
 /// Below this probability an endpoint takes one request at a time. One failure puts a busy endpoint
 /// slightly above this bound; the probability decays below it within two seconds.
-const SINGLY_BELOW: f64 = 0.34;
+pub(crate) const SINGLY_BELOW: f64 = 0.34;
 /// Below this probability an endpoint takes one request at a time, preferably a repeatable one.
 const CAUTIOUSLY_BELOW: f64 = 0.5;
 /// After a failure, the longest time without work before the endpoint may count as idle in the
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -13,9 +13,11 @@
 mod counts;
 mod crash_suspects;
 mod evidence;
+mod failure_time;
 mod idle;
 mod load;
 mod notices;
+mod options;
 mod overlap;
 mod placement;
 mod rate_limits;
@@ -44,6 +46,7 @@
 use crate::unserved::{Completion, UnservedShare};
 use advertised::LapsedEndpoints;
 use congestion::Congestion;
+use failure_time::FailureTime;
 use load::EndpointLoad;
 use overlap::{Overlap, OverlapKind};
 use placement::Placed;
@@ -51,6 +54,7 @@
 
 pub use counts::{DispatchCounts, IdleEndpoint, Occupancy};
 pub use evidence::EvidenceReport;
+pub use options::{DispatchOptions, DoubtfulSlots};
 
 /// A permit that is neither released nor renewed for this long expires.
 const PERMIT_LIFETIME: Duration = Duration::from_secs(3);
@@ -168,6 +172,9 @@
     /// Whether queued requests may have been rejected since the queue was last checked.
     has_new_rejections: bool,
     overlap: Overlap,
+    /// Age from which on open sends are evidence of health.
+    failure_time: FailureTime,
+    options: DispatchOptions,
     counts: DispatchCounts,
     /// Time of the last grant.
     last_grant: Option<Time>,
@@ -224,6 +231,8 @@
             suspects: Suspects::default(),
             has_new_rejections: false,
             overlap: Overlap::default(),
+            failure_time: FailureTime::default(),
+            options: DispatchOptions::default(),
             counts: DispatchCounts::default(),
             last_grant: None,
             pressure: Pressure::None,
@@ -448,6 +457,11 @@
         self.budget.set_limits(now, limits);
     }
 
+    /// Applies a change of the options.
+    pub fn set_options(&mut self, options: DispatchOptions) {
+        self.options = options;
+    }
+
     /// Applies a change of the number of nodes in the fleet, this one included.
     pub fn set_nodes(&mut self, nodes: usize) {
         self.nodes = nodes;
@@ -485,6 +499,7 @@
     /// After a pause of this process: forgets evidence, and ends what has expired in the meantime.
     pub fn wake(&mut self, now: Time, rng: &mut impl Rng) -> Vec<QueuedReply> {
         self.detector.discard_evidence();
+        self.failure_time.clear();
         self.tick(now, rng)
     }
 
--- a/crates/policy/src/dispatcher/candidate.rs
+++ b/crates/policy/src/dispatcher/candidate.rs
@@ -30,6 +30,13 @@
 /// of two more seconds.
 pub(super) const HEALTHY_AFTER: Duration = Duration::from_secs(4);
 
+/// Probability of being unhealthy below which an endpoint is tried soon after its last failure while
+/// requests wait. Two failures in a row exceed it for over a second.
+const TRIAL_BELOW: f64 = 0.85;
+/// Time since the last failure after which such an endpoint is tried. Failures that come at the same
+/// time, when an endpoint begins to fail, are reported within it.
+const WANTED_TRIAL_AFTER: Duration = Duration::from_millis(100);
+
 /// Snapshot of one endpoint for a choice.
 #[derive(Clone, Copy)]
 pub(super) struct Candidate {
@@ -52,6 +59,9 @@
     /// Probability that the endpoint is unhealthy, given its outcomes and the silence of its open
     /// requests.
     pub(super) p_unhealthy: f64,
+    /// Sends that hold a slot and have outlived the learned failure time; `None` if their age is no
+    /// evidence or is not to be used.
+    pub(super) outlived: Option<u32>,
     /// Whether the endpoint has been idle for so long that the next request should probe it, by the
     /// distance from which that request comes.
     pub(super) probe_due: [ProbeDue; Distance::ALL.len()],
@@ -59,6 +69,8 @@
     pub(super) idle: Duration,
     /// Slots that sends at its rate limit keep busy, if it has a limit.
     pub(super) rate_limited_slots: Option<f64>,
+    /// Whether requests wait for a slot.
+    pub(super) requests_wait: bool,
     /// Whether its rate limit allows a send now.
     pub(super) may_send: bool,
 }
@@ -135,8 +147,15 @@
             return false;
         }
         let usage = self.belief.usage_at(self.p_unhealthy, self.now, Pressure::None);
+        // One failure makes an endpoint a last resort if it has had few answers lately, and it is
+        // as likely healthy as not. A request that waits loses less by a failed send than by the
+        // wait.
+        let is_wanted = self.requests_wait
+            && self.outlived.is_some()
+            && self.p_unhealthy < TRIAL_BELOW
+            && self.belief.failed_before(self.now, WANTED_TRIAL_AFTER);
         matches!(usage, Use::Last | Use::Cautiously)
-            && self.belief.failed_before(self.now, RETRY_FAILED_AFTER)
+            && (is_wanted || self.belief.failed_before(self.now, RETRY_FAILED_AFTER))
             && self.silence_ratio <= SILENCE_RATIO
     }
 }
@@ -214,14 +233,16 @@
             slots: status.usable_slots(now),
             belief: load.belief,
             silence_ratio,
+            outlived: self.outlived_sends(now, load),
             probe_due: Distance::ALL.map(|it| self.probe_due(now, load, it)),
             idle: load.idle_or_age(now),
             rate_limited_slots: load.advertised.pacer.slots(now, self.mean_hold),
             may_send: load.advertised.pacer.allows(now, self.sharers(load)),
-            p_unhealthy: load.belief.p_unhealthy_given(
+            requests_wait: self.queue.len() > 0,
+            p_unhealthy: self.p_unhealthy_with_survivors(
                 now,
-                silence_ratio,
-                self.likelihoods.p_unhealthy(),
+                load,
+                load.belief.p_unhealthy_given(now, silence_ratio, self.likelihoods.p_unhealthy()),
             ),
         }
     }
--- a/crates/policy/src/dispatcher/capacity.rs
+++ b/crates/policy/src/dispatcher/capacity.rs
@@ -3,11 +3,17 @@
 //! The configured slots are an upper bound. An endpoint in doubt, on trial or under a rate limit gives
 //! fewer.
 
-use super::Dispatcher;
+use std::time::Duration;
+
 use super::candidate::{Candidate, Survey};
-use crate::belief::{Pressure, RETRY_FAILED_AFTER, Use};
+use super::failure_time::SURVIVAL_RATIO;
+use super::load::EndpointLoad;
+use super::{Dispatcher, DoubtfulSlots};
+use crate::belief::{FREELY_BELOW, Pressure, RETRY_FAILED_AFTER, Use};
+use crate::observation::Kind;
 use crate::permit::{Ask, Tier};
 use crate::rotation::State;
+use crate::time::Time;
 use crate::topology::Distance;
 
 impl Survey {
@@ -30,13 +36,15 @@
             && self.belief.failed_before(self.now, RETRY_FAILED_AFTER)
     }
 
-    /// Slots that may be used now: one until there is evidence that the endpoint is healthy again.
+    /// Slots that may be used now. An endpoint in doubt risks one send at a time: it gives one slot
+    /// more than the number of its sends that have outlived the failure time, or just one while age
+    /// is no evidence.
     pub(super) fn usable_slots(&self) -> u32 {
         if self.is_tried_while_ejected() {
             return 1;
         }
         match self.usage() {
-            Use::Singly | Use::Cautiously => self.slots.min(1),
+            Use::Singly | Use::Cautiously => self.slots.min(1 + self.outlived.unwrap_or(0)),
             Use::Freely | Use::Last => self.slots,
         }
     }
@@ -59,7 +67,15 @@
 
     /// Slots for a request, free or not.
     pub(super) fn slots_for(&self, ask: &Ask, tier: Tier, distance: Distance) -> u32 {
-        let usable = if tier == Tier::Trial { 1 } else { self.usable_slots() };
+        let usable = match tier {
+            Tier::Trial => self.slots.min(1 + self.outlived.unwrap_or(0)),
+            // While nothing waits, other slots are free or come free soon, and a request that may
+            // not be sent again loses more by a failure than by going there.
+            _ if ask.is_last && !self.requests_wait => {
+                Self { outlived: None, ..*self }.usable_slots()
+            }
+            _ => self.usable_slots(),
+        };
         match self.may_use_all_slots(ask, distance) {
             true => self.slots,
             false => usable,
@@ -68,6 +84,68 @@
 }
 
 impl Dispatcher {
+    /// Sends of an endpoint that have outlived the learned failure time.
+    pub(super) fn outlived_sends(&self, now: Time, load: &EndpointLoad) -> Option<u32> {
+        if self.options.doubtful_slots == DoubtfulSlots::One {
+            return None;
+        }
+        self.failure_time.get().map(|it| load.outlived(now, it, Duration::MAX))
+    }
+
+    /// The probability that an endpoint is unhealthy, lowered by its open sends that were begun
+    /// after its last failure and have outlived the failure time. An open send makes an endpoint
+    /// doubtful instead of a last resort, while requests wait; only answers clear it of doubt.
+    pub(super) fn p_unhealthy_with_survivors(
+        &self,
+        now: Time,
+        load: &EndpointLoad,
+        p_unhealthy: f64,
+    ) -> f64 {
+        let failure_time = self.failure_time.get();
+        let is_used = self.queue.len() > 0 && self.options.doubtful_slots == DoubtfulSlots::ByAge;
+        let Some(failure_time) = failure_time.filter(|_| is_used && p_unhealthy > FREELY_BELOW)
+        else {
+            return p_unhealthy;
+        };
+        let since_failure = load.belief.since_failure(now).unwrap_or(Duration::MAX);
+        let survivors = load.outlived(now, failure_time, since_failure);
+        let odds = p_unhealthy / (1.0 - p_unhealthy) * SURVIVAL_RATIO.powi(survivors as i32);
+        (odds / (1.0 + odds)).max(FREELY_BELOW)
+    }
+
+    /// Learns the age at which requests fail at unhealthy endpoints. `open_for` is the time since
+    /// the slot was granted here: it includes the transit of the grant and of the report.
+    pub(super) fn learn_failure_time(
+        &mut self,
+        now: Time,
+        endpoint: usize,
+        kind: Kind,
+        open_for: Duration,
+        p_before: f64,
+    ) {
+        let prior = self.likelihoods.p_unhealthy();
+        // A failure must not count because of itself: it may be a random one at a healthy endpoint,
+        // which happens at any age. An answer that clears the endpoint was not given by an
+        // unhealthy one.
+        let was_unhealthy = p_before > 0.5;
+        let is_unhealthy = self.loads[endpoint].belief.p_unhealthy(now, prior) > 0.5;
+        match kind {
+            Kind::Failed | Kind::Crashed if was_unhealthy => {
+                self.failure_time.note_failure(now, open_for);
+            }
+            Kind::Answered if is_unhealthy && self.began_after_failure(now, endpoint, open_for) => {
+                self.failure_time.note_survival(now);
+            }
+            Kind::TimedOut | Kind::LostToHedge if is_unhealthy => {
+                self.failure_time.note_survival(now);
+            }
+            // A stall is reported long before the request times out. Its endpoint may not count as
+            // unhealthy yet if it has just begun to hang.
+            Kind::Stalled => self.failure_time.note_survival(now),
+            _ => {}
+        }
+    }
+
     /// Whether some endpoint in the snapshot may take a request, leaving its health aside.
     pub(super) fn has_free_slot(&self, survey: &Survey) -> bool {
         survey.candidates.iter().any(|candidate| {
--- a/crates/policy/src/dispatcher/evidence.rs
+++ b/crates/policy/src/dispatcher/evidence.rs
@@ -18,6 +18,13 @@
 /// How often the learned likelihoods are refreshed.
 const LIKELIHOOD_REFRESH: Duration = Duration::from_millis(100);
 
+/// Weight of an answer to a request that began before the last failure of its endpoint, in the learned
+/// ends of requests at unhealthy endpoints. It says nothing about the time after that failure. At
+/// full weight, up to five such answers for each random failure made two thirds of these ends
+/// answers, and an answer nearly no evidence of health. Some weight remains because answers that
+/// clear an endpoint of doubt are not counted at all.
+const OLD_ANSWER_WEIGHT: f64 = 0.15;
+
 /// Health of an endpoint, for reports.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EvidenceReport {
@@ -46,6 +53,7 @@
                 permit.reported = Reported::Stalled;
                 let it = permit.observation(Kind::Stalled, elapsed);
                 self.detector.observe(now, it);
+                self.learn_failure_time(now, it.endpoint, Kind::Stalled, elapsed, 0.0);
             }
             // The age of a request no longer counts once its answer has begun, so that the health
             // estimate must count the stall, too.
@@ -187,6 +195,9 @@
             _ => {}
         }
         self.note_run_end(now, &permit, kind);
+        let open_for = now.since(permit.granted);
+        let prior = self.likelihoods.p_unhealthy();
+        let p_before = self.loads[permit.endpoint].belief.p_unhealthy(now, prior);
         let it = permit.observation(kind, elapsed);
         match permit.reported {
             Reported::Nothing => self.note_outcome(now, it),
@@ -194,6 +205,7 @@
             Reported::AnswerBegan | Reported::AnswerStalled if kind == Kind::Answered => {}
             Reported::AnswerBegan | Reported::AnswerStalled => self.note_outcome(now, it),
         }
+        self.learn_failure_time(now, it.endpoint, kind, open_for, p_before);
     }
 
     pub(super) fn refresh_likelihoods(&mut self, now: Time) {
@@ -227,7 +239,10 @@
             self.detector.rotation.note_event(it.endpoint, reason);
         }
         let p_unhealthy = self.loads[it.endpoint].belief.p_unhealthy(now, prior);
-        self.likelihoods.learn(it.kind, p_unhealthy);
+        let is_old_answer =
+            it.kind == Kind::Answered && !self.began_after_failure(now, it.endpoint, it.elapsed);
+        let weight = if is_old_answer { OLD_ANSWER_WEIGHT } else { 1.0 };
+        self.likelihoods.learn(it.kind, p_unhealthy, weight);
         match it.kind {
             Kind::TimedOut | Kind::LostToHedge | Kind::Abandoned => {
                 self.detector.baseline.add_unanswered(it.route, it.elapsed, 1.0 - p_unhealthy);
@@ -239,6 +254,16 @@
         }
     }
 
+    /// Whether a request that took `elapsed` until now began after the last failure of its endpoint.
+    pub(super) fn began_after_failure(
+        &self,
+        now: Time,
+        endpoint: usize,
+        elapsed: Duration,
+    ) -> bool {
+        self.loads[endpoint].belief.since_failure(now).is_none_or(|it| elapsed < it)
+    }
+
     /// Likelihood ratio of an outcome, unhealthy against healthy.
     fn likelihood_ratio(&self, it: &Observation) -> f64 {
         let baseline = &self.detector.baseline;
--- a/crates/policy/src/dispatcher/load.rs
+++ b/crates/policy/src/dispatcher/load.rs
@@ -150,6 +150,18 @@
         self.open.len() as u32 - self.in_use()
     }
 
+    /// Sends that have been open for longer than `failure_time` or whose answers have begun, among
+    /// those that hold a slot and were begun less than `within` ago.
+    pub(super) fn outlived(&self, now: Time, failure_time: Duration, within: Duration) -> u32 {
+        let outlived = |it: &&OpenSend| {
+            let age = now.since(it.since);
+            it.holds_slot()
+                && age < within
+                && (it.progress != Progress::Working || age > failure_time)
+        };
+        self.open.iter().filter(outlived).count() as u32
+    }
+
     /// Age of the oldest open request on it.
     pub(super) fn oldest_open(&self, now: Time) -> Option<Duration> {
         self.open.iter().map(|it| now.since(it.since)).max()
--- a/crates/policy/src/dispatcher/placement.rs
+++ b/crates/policy/src/dispatcher/placement.rs
@@ -6,7 +6,7 @@
 use super::Dispatcher;
 use super::candidate::{Candidate, Survey};
 use super::working_set::Spread;
-use crate::belief::{RETRY_FAILED_AFTER, Use};
+use crate::belief::{RETRY_FAILED_AFTER, SINGLY_BELOW, Use};
 use crate::permit::{Ask, SendKind, Tier};
 use crate::rotation::State;
 use crate::topology::Distance;
@@ -65,9 +65,16 @@
             _ if self.spread == Spread::WorkingSet => {
                 1 + (self.p_unhealthy * HEALTH_RANK_STEPS) as u32
             }
+            // Endpoints in doubt take several sends while requests wait, so one that is far more
+            // doubtful than its peers ranks behind them.
+            _ if self.requests_wait && self.is_far_more_doubtful() => 2,
             _ => 1,
         }
     }
+
+    fn is_far_more_doubtful(&self) -> bool {
+        self.outlived.is_some() && self.p_unhealthy >= SINGLY_BELOW
+    }
 }
 
 impl Dispatcher {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -33,7 +33,8 @@
 pub use baseline::RouteTerms;
 pub use budget::{BudgetLimits, RepeatsReport};
 pub use dispatcher::{
-    DispatchCounts, Dispatcher, EvidenceReport, IdleEndpoint, Occupancy, Precedence,
+    DispatchCounts, DispatchOptions, Dispatcher, DoubtfulSlots, EvidenceReport, IdleEndpoint,
+    Occupancy, Precedence,
 };
 pub use domain_load::{DomainLoad, FarReason};
 pub use notice::Notice;
--- a/crates/policy/src/likelihoods.rs
+++ b/crates/policy/src/likelihoods.rs
@@ -77,8 +77,9 @@
         (silent + (1.0 - silent) * still_open) / still_open
     }
 
-    /// Counts an outcome at an endpoint that is unhealthy with the probability `p_unhealthy`.
-    pub(crate) fn learn(&mut self, kind: Kind, p_unhealthy: f64) {
+    /// Counts an outcome, with the given weight, at an endpoint that is unhealthy with the
+    /// probability `p_unhealthy`.
+    pub(crate) fn learn(&mut self, kind: Kind, p_unhealthy: f64, weight: f64) {
         let end = match kind {
             Kind::Answered => End::Answered,
             Kind::Failed | Kind::Crashed => End::Failed,
@@ -86,7 +87,7 @@
             Kind::Unreachable | Kind::Shed | Kind::Abandoned | Kind::Stalled => return,
         };
         if p_unhealthy > 0.5 {
-            self.at_unhealthy[end as usize] += 1.0;
+            self.at_unhealthy[end as usize] += weight;
         }
     }
 
--- a/crates/policy/src/tests.rs
+++ b/crates/policy/src/tests.rs
@@ -2,6 +2,7 @@
 
 mod allowance;
 mod budget;
+mod capacity;
 mod choice;
 mod dispatcher;
 mod fixture;
--- a/crates/policy/src/tests/likelihoods.rs
+++ b/crates/policy/src/tests/likelihoods.rs
@@ -15,8 +15,8 @@
 fn likelihoods_after(kind: Kind) -> Likelihoods {
     let mut likelihoods = Likelihoods::default();
     for _ in 0..OUTCOMES {
-        likelihoods.learn(kind, 0.9);
-        likelihoods.learn(Kind::Answered, 0.02);
+        likelihoods.learn(kind, 0.9, 1.0);
+        likelihoods.learn(Kind::Answered, 0.02, 1.0);
     }
     likelihoods
 }
