--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -31,8 +31,8 @@
 };
 use operator::Published as InForce;
 use policy::{
-    BudgetLimits, Grant, NodeId, PermitId, QueuedReply, Reporter, RequestKey, Time, Topology, rank,
-    rank_strong_first,
+    BudgetLimits, DispatchOptions, Grant, NodeId, PermitId, QueuedReply, Reporter, RequestKey,
+    Time, Topology, rank, rank_strong_first,
 };
 use rand::RngExt;
 use rand::rngs::StdRng;
@@ -230,6 +230,8 @@
     pub failure_domain: String,
     /// Limits of the budget for repeats.
     pub budget: BudgetLimits,
+    /// Options of the dispatchers.
+    pub options: DispatchOptions,
     /// The region of each failure domain.
     pub topology: Topology,
     /// Metrics of the control thread.
@@ -262,7 +264,8 @@
             client: params.client,
             delivery: Delivery::new(params.rng.random()),
             allowances: Allowances::new(me, params.ask_timeout, params.rng.random()),
-            services: Services::new(params.budget, params.topology.clone(), failure_domain),
+            services: Services::new(params.budget, params.topology.clone(), failure_domain)
+                .with_options(params.options),
             domain_dispatch: DomainDispatch::default(),
             evacuated: Vec::new(),
             topology: params.topology,
@@ -374,6 +377,7 @@
             Event::Settings(it) => {
                 self.exchange.set_seeds(&it.fleet.seed_addrs());
                 self.services.set_budget(now, it.dispatch.budget());
+                self.services.set_options(it.dispatch.options());
                 self.client.set_window(it.dispatch.budget().window);
             }
             Event::Drain => {
--- a/crates/dappleway/src/settings/model.rs
+++ b/crates/dappleway/src/settings/model.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use fleet::{Capacity, Features};
-use policy::{BudgetLimits, Topology};
+use policy::{BudgetLimits, DispatchOptions, DoubtfulSlots, Topology};
 use resources::{Bias, Floor};
 use serde::{Deserialize, Serialize};
 
@@ -186,6 +186,9 @@
     /// one node dispatches for all at all nodes.
     #[serde(default)]
     pub by_failure_domain: ByFailureDomain,
+    /// How many slots an endpoint gives whose health is in doubt.
+    #[serde(default)]
+    pub doubtful_slots: DoubtfulSlots,
 }
 
 /// Use of dispatch by failure domain.
@@ -208,6 +211,7 @@
             repeat_extra: defaults::repeat_extra(),
             repeat_window_ms: defaults::repeat_window_ms(),
             by_failure_domain: ByFailureDomain::default(),
+            doubtful_slots: DoubtfulSlots::default(),
         }
     }
 }
@@ -227,6 +231,11 @@
             _ => Features::NONE,
         }
     }
+
+    /// Options of the dispatchers.
+    pub fn options(&self) -> DispatchOptions {
+        DispatchOptions::default().doubtful_slots(self.doubtful_slots)
+    }
 }
 
 /// The dispatch mode.
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -13,6 +13,7 @@
 mod counts;
 mod crash_suspects;
 mod evidence;
+mod failure_time;
 mod idle;
 mod load;
 mod notices;
@@ -46,6 +47,7 @@
 use crate::unserved::{Completion, UnservedShare};
 use advertised::LapsedEndpoints;
 use congestion::Congestion;
+use failure_time::FailureTime;
 use load::EndpointLoad;
 use overlap::{Overlap, OverlapKind};
 use placement::Placed;
@@ -172,6 +174,9 @@
     /// Whether queued requests may have been rejected since the queue was last checked.
     has_new_rejections: bool,
     overlap: Overlap,
+    /// Age from which on open sends are evidence of health.
+    failure_time: FailureTime,
+    options: DispatchOptions,
     counts: DispatchCounts,
     /// Time of the last grant.
     last_grant: Option<Time>,
@@ -201,7 +206,6 @@
     /// Whether the repeat budget is so low that a failed send may have no successor, as of the last
     /// choice.
     is_budget_short: bool,
-    options: DispatchOptions,
 }
 
 impl Dispatcher {
@@ -229,6 +233,8 @@
             suspects: Suspects::default(),
             has_new_rejections: false,
             overlap: Overlap::default(),
+            failure_time: FailureTime::default(),
+            options: DispatchOptions::default(),
             counts: DispatchCounts::default(),
             last_grant: None,
             pressure: Pressure::None,
@@ -244,7 +250,6 @@
             precedence: Precedence::First,
             nodes: 1,
             is_budget_short: false,
-            options: DispatchOptions::default(),
         };
         it.update_cold_limits(now);
         it.working_set.rebuild(now, &it.loads);
@@ -496,6 +501,7 @@
     /// After a pause of this process: forgets evidence, and ends what has expired in the meantime.
     pub fn wake(&mut self, now: Time, rng: &mut impl Rng) -> Vec<QueuedReply> {
         self.detector.discard_evidence();
+        self.failure_time.clear();
         self.tick(now, rng)
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,7 +39,7 @@
 pub use domain_load::{DomainLoad, FarReason};
 pub use notice::Notice;
 pub use observation::{Kind, Observation, Reporter};
-pub use options::DispatchOptions;
+pub use options::{DispatchOptions, DoubtfulSlots};
 pub use permit::{
     Ask, DomainFilter, Grant, HealthEstimate, PermitId, QueuedReply, Reply, SendKind, Tier,
 };
--- a/crates/policy/src/options.rs
+++ b/crates/policy/src/options.rs
@@ -1,14 +1,17 @@
 //! Settings of a dispatcher.
 
+use serde::{Deserialize, Serialize};
+
 /// Settings of a dispatcher, from the table `[dispatch]` of the configuration of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DispatchOptions {
     pub(crate) near_first: bool,
+    pub(crate) doubtful_slots: DoubtfulSlots,
 }
 
 impl Default for DispatchOptions {
     fn default() -> Self {
-        Self { near_first: true }
+        Self { near_first: true, doubtful_slots: DoubtfulSlots::default() }
     }
 }
 
@@ -19,4 +22,21 @@
     pub fn near_first(self, near_first: bool) -> Self {
         Self { near_first, ..self }
     }
+
+    /// Sets how many slots a doubtful endpoint gives.
+    #[must_use]
+    pub fn doubtful_slots(self, doubtful_slots: DoubtfulSlots) -> Self {
+        Self { doubtful_slots, ..self }
+    }
+}
+
+/// How many slots an endpoint gives whose health is in doubt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum DoubtfulSlots {
+    /// One more than the number of its sends that have outlived the learned failure time.
+    #[default]
+    ByAge,
+    /// One.
+    One,
 }
