Policy: requests stay in their failure domain while there is room near

Cause: half of all sends left their failure domain, because every good far endpoint was preferred to a wait of milliseconds or to a busier near endpoint. Change: a request takes a near slot, waits for one while the wait fits its objective, and leaves only if it does not fit or if a near endpoint is so much more likely to fail that it is worth a far send (one hundredth of the value of a request). What leaves goes to failure domains in proportion to their free slots, and only where no one waits or the wait is much shorter. `DispatchCounts` counts near sends, and far sends by reason.

--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -15,6 +15,7 @@
 mod evidence;
 mod idle;
 mod load;
+mod near_first;
 mod notices;
 mod overlap;
 mod placement;
@@ -51,7 +52,7 @@
 use placement::Placed;
 use working_set::{Rate, WorkingSet};
 
-pub use counts::{DispatchCounts, IdleEndpoint, Occupancy};
+pub use counts::{DispatchCounts, FarCounts, IdleEndpoint, Occupancy};
 pub use evidence::EvidenceReport;
 
 /// A permit that is neither released nor renewed for this long expires.
@@ -581,6 +582,7 @@
         self.rate.add(now);
         self.loads[endpoint].begin_request(now, ask);
         self.last_grant = Some(now);
+        self.counts.note_placement(&choice);
         self.permits.insert(ask.id, permit);
         grant
     }
--- a/crates/policy/src/dispatcher/candidate.rs
+++ b/crates/policy/src/dispatcher/candidate.rs
@@ -85,6 +85,8 @@
     pub(super) candidates: Vec<Candidate>,
     /// Number of queued requests, by priority.
     pub(super) waiting: Vec<(Priority, usize)>,
+    /// Number of queued requests, by failure domain of the asker and priority.
+    pub(super) waiting_near: Vec<((u64, Priority), usize)>,
 }
 
 impl Survey {
@@ -150,13 +152,19 @@
     /// Takes a snapshot of the given endpoints and of the queue.
     pub(super) fn survey_of(&self, now: Time, endpoints: impl Iterator<Item = usize>) -> Survey {
         let candidates = endpoints.map(|i| self.candidate(now, i)).collect();
-        Survey { now, candidates, waiting: self.queue.count_by_priority() }
+        Survey {
+            now,
+            candidates,
+            waiting: self.queue.count_by_priority(),
+            waiting_near: self.waiting_near(),
+        }
     }
 
     /// Updates the snapshot of one endpoint and of the queue after a queued request was granted a
     /// slot.
     pub(super) fn refresh_candidate(&self, survey: &mut Survey, i: usize) {
         survey.waiting = self.queue.count_by_priority();
+        survey.waiting_near = self.waiting_near();
         let now = survey.now;
         if let Some(it) = survey.candidates.iter_mut().find(|it| it.i == i) {
             *it = self.candidate(now, i);
--- a/crates/policy/src/dispatcher/counts.rs
+++ b/crates/policy/src/dispatcher/counts.rs
@@ -7,7 +7,9 @@
 
 use super::Dispatcher;
 use super::candidate::HEALTHY_AFTER;
+use super::placement::Placed;
 use crate::belief::Pressure;
+use crate::domain_load::FarReason;
 use crate::rate_limit::RateLimit;
 use crate::time::Time;
 
@@ -54,6 +56,40 @@
     pub to_limited: u32,
     /// Endpoints evaluated in choices for newly arrived requests.
     pub endpoints_evaluated: u64,
+    /// Sends granted in the failure domain of the asker.
+    pub near: u32,
+    /// Sends granted in another failure domain, by reason.
+    pub far: FarCounts,
+}
+
+/// Numbers of far sends or redirected requests, by reason.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FarCounts([u32; FarReason::ALL.len()]);
+
+impl FarCounts {
+    /// Number for one reason.
+    pub fn of(self, reason: FarReason) -> u32 {
+        self.0[reason as usize]
+    }
+
+    /// Number for all reasons together.
+    pub fn total(self) -> u32 {
+        self.0.iter().sum()
+    }
+
+    pub(super) fn add(&mut self, reason: FarReason) {
+        self.0[reason as usize] += 1;
+    }
+}
+
+impl DispatchCounts {
+    /// Counts a granted send by distance and reason.
+    pub(super) fn note_placement(&mut self, it: &Placed) {
+        match it.far_reason {
+            Some(reason) => self.far.add(reason),
+            None => self.near += 1,
+        }
+    }
 }
 
 /// Slots in use and state of the endpoints of a service at one moment.
--- a/crates/policy/src/dispatcher/placement.rs
+++ b/crates/policy/src/dispatcher/placement.rs
@@ -1,12 +1,15 @@
-//! Placement stage: chooses the endpoint for a request, first by tier, which follows from its health
-//! estimate, then by slots in use and distance.
+//! Placement stage: chooses the endpoint for a request. Inside a failure domain the order is by tier,
+//! which follows from the health estimate, then by slots in use. A first send stays in the failure
+//! domain of its asker while there is room for it (`near_first`).
 
 use std::time::Duration;
 
 use super::Dispatcher;
 use super::candidate::{Candidate, Survey};
+use super::near_first::{Best, Rank, ServiceChoices};
 use super::working_set::Spread;
 use crate::belief::{RETRY_FAILED_AFTER, Use};
+use crate::domain_load::FarReason;
 use crate::permit::{Ask, SendKind, Tier};
 use crate::rotation::State;
 use crate::topology::Distance;
@@ -46,6 +49,8 @@
     pub(super) tier: Tier,
     /// Distance of the endpoint from the asker.
     pub(super) distance: Distance,
+    /// Why the request leaves the failure domain of its asker; `None` if it stays.
+    pub(super) far_reason: Option<FarReason>,
 }
 
 impl Candidate {
@@ -88,8 +93,8 @@
             return None;
         }
         let region = self.topology.region_of(ask.reporter.failure_domain);
-        let mut best = None;
-        let mut good_slots = 0.0;
+        let is_near_first = self.is_near_first(ask);
+        let mut choices = ServiceChoices::new(is_near_first);
         for candidate in &survey.candidates {
             let load = &self.loads[candidate.i];
             let distance = load.distance(ask.reporter.failure_domain, region);
@@ -105,8 +110,10 @@
             }
             let Some(tier) = self.tier(candidate, ask, distance) else { continue };
             let usable = candidate.slots_for(ask, tier, distance);
+            let domain = choices.domain(load.failure_domain, distance);
             if tier < Tier::Near {
-                good_slots += candidate.within_rate_limit(usable);
+                domain.good_slots += candidate.within_rate_limit(usable);
+                domain.headroom += f64::from(usable.saturating_sub(load.in_use()));
             }
             if !candidate.may_send {
                 continue;
@@ -117,7 +124,8 @@
                 it if it < candidate.slots && tier < Tier::Last => Tier::Last,
                 _ => continue,
             };
-            let distance_cost = if candidate.is_starved(ask, distance) {
+            let is_starved = candidate.is_starved(ask, distance);
+            let distance_cost = if is_starved {
                 0
             } else {
                 distance_cost(distance, self.endpoints()[candidate.i].slots)
@@ -131,24 +139,29 @@
                 Spread::Even => Duration::MAX - idle,
                 Spread::WorkingSet => idle,
             };
-            // An endpoint with answers in transit shares its link among them.
-            let key = (
+            let rank = Rank {
                 tier,
-                candidate.health_rank(tier, ask, distance),
+                health: candidate.health_rank(tier, ask, distance),
                 cost,
-                load.in_transit(),
+                // An endpoint with answers in transit shares its link among them.
+                in_transit: load.in_transit(),
                 by_idle,
-                tie(),
+                tie: tie(),
+            };
+            let (endpoint, p_unhealthy) = (candidate.i, candidate.p_unhealthy);
+            choices.offer(
+                load.failure_domain,
+                Best { rank, endpoint, distance, p_unhealthy, is_starved },
             );
-            if best.is_none_or(|(other, _)| key < other) {
-                best = Some((key, (candidate.i, distance)));
-            }
         }
-        let ((tier, ..), (endpoint, distance)) = best?;
+        self.decide(survey, ask, &choices, tie)
+    }
+
+    /// Whether a request takes an endpoint that is likely to fail rather than wait for a good one.
+    pub(super) fn takes_worse(&self, survey: &Survey, ask: &Ask, good_slots: f64) -> bool {
         let exceeds_max_wait =
             || self.expected_wait(survey.ahead_of(ask.priority), good_slots) > self.max_wait(ask);
-        let take_worse = ask.wait && (good_slots == 0.0 || exceeds_max_wait());
-        (tier < Tier::Near || take_worse).then_some(Placed { endpoint, tier, distance })
+        ask.wait && (good_slots == 0.0 || exceeds_max_wait())
     }
 
     /// Longest time to wait for a good endpoint. A send that another one can follow loses little on
@@ -160,7 +173,7 @@
 
     /// Whether no other send will follow, by the rules of the route or because the repeat budget is
     /// nearly spent.
-    fn is_last_send(&self, ask: &Ask) -> bool {
+    pub(super) fn is_last_send(&self, ask: &Ask) -> bool {
         ask.is_last || self.is_budget_short
     }
 
--- a/crates/policy/src/domain_load.rs
+++ b/crates/policy/src/domain_load.rs
@@ -27,14 +27,17 @@
     NoEndpoint,
     /// Its own failure domain has no slot for it within the wait that its objective allows.
     Overflow,
-    /// It is a further send or the last one, and the endpoints of its own failure domain are more
-    /// likely to fail.
+    /// The endpoints of its own failure domain are so much more likely to fail that the send is
+    /// worth the traffic; mostly for further sends and the last one.
     Health,
     /// An endpoint elsewhere has been idle so long that it counts against the floor.
     Floor,
 }
 
 impl FarReason {
+    /// All reasons.
+    pub const ALL: [Self; 4] = [Self::NoEndpoint, Self::Overflow, Self::Health, Self::Floor];
+
     /// Name used in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 mod class;
 mod dispatcher;
 mod domain_load;
+mod domains;
 mod likelihoods;
 mod notice;
 mod observation;
@@ -34,7 +35,7 @@
 pub use baseline::RouteTerms;
 pub use budget::{BudgetLimits, RepeatsReport};
 pub use dispatcher::{
-    DispatchCounts, Dispatcher, EvidenceReport, IdleEndpoint, Occupancy, Precedence,
+    DispatchCounts, Dispatcher, EvidenceReport, FarCounts, IdleEndpoint, Occupancy, Precedence,
 };
 pub use domain_load::{DomainLoad, FarReason};
 pub use notice::Notice;
--- a/crates/policy/src/options.rs
+++ b/crates/policy/src/options.rs
@@ -16,7 +16,8 @@
     /// Whether a first send stays in the failure domain of its asker while there is room for it.
     /// Otherwise distance only adds a small cost to the choice of an endpoint.
     #[must_use]
-    pub fn near_first(self, near_first: bool) -> Self {
-        Self { near_first, ..self }
+    pub fn near_first(mut self, near_first: bool) -> Self {
+        self.near_first = near_first;
+        self
     }
 }
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -55,6 +55,11 @@
         self.waiting.iter().any(|it| is(&it.item))
     }
 
+    /// The waiting requests.
+    pub(crate) fn items(&self) -> impl Iterator<Item = &T> {
+        self.waiting.iter().map(|it| &it.item)
+    }
+
     /// Number of requests that would be served before one of this priority.
     pub(crate) fn ahead_of(&self, priority: Priority) -> usize {
         self.waiting.iter().filter(|it| it.priority <= priority).count()
--- a/crates/policy/src/tests.rs
+++ b/crates/policy/src/tests.rs
@@ -4,6 +4,8 @@
 mod budget;
 mod choice;
 mod dispatcher;
+mod domain_load;
+mod domains;
 mod fixture;
 mod floor;
 mod floor_model;
