--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -16,6 +16,7 @@
 mod failure_time;
 mod idle;
 mod load;
+mod near_first;
 mod notices;
 mod overlap;
 mod placement;
@@ -51,9 +52,10 @@
 use load::EndpointLoad;
 use overlap::{Overlap, OverlapKind};
 use placement::Placed;
+use remote::Redirection;
 use working_set::{Rate, WorkingSet};
 
-pub use counts::{DispatchCounts, IdleEndpoint, Occupancy};
+pub use counts::{DispatchCounts, FarCounts, IdleEndpoint, Occupancy};
 pub use evidence::EvidenceReport;
 
 /// A permit that is neither released nor renewed for this long expires.
@@ -206,6 +208,7 @@
     /// Whether the repeat budget is so low that a failed send may have no successor, as of the last
     /// choice.
     is_budget_short: bool,
+    redirection: Redirection,
 }
 
 impl Dispatcher {
@@ -250,6 +253,7 @@
             precedence: Precedence::First,
             nodes: 1,
             is_budget_short: false,
+            redirection: Redirection::default(),
         };
         it.update_cold_limits(now);
         it.working_set.rebuild(now, &it.loads);
@@ -330,6 +334,16 @@
 
     /// Answers a request for a slot.
     pub fn ask(&mut self, now: Time, ask: Ask, rng: &mut impl Rng) -> Reply {
+        self.ask_or_redirect(now, ask, false, rng)
+    }
+
+    fn ask_or_redirect(
+        &mut self,
+        now: Time,
+        ask: Ask,
+        may_redirect: bool,
+        rng: &mut impl Rng,
+    ) -> Reply {
         if let Some(permit) = self.permits.get(&ask.id) {
             return Reply::Granted(permit.grant.clone());
         }
@@ -372,6 +386,14 @@
         let survey = self.survey(now);
         self.counts.endpoints_evaluated += survey.len() as u64;
         let choice = self.choose(&survey, &ask, || rng.random());
+        let is_bad = choice.is_none_or(|it| Self::is_bad_choice(it.tier));
+        if may_redirect
+            && is_bad
+            && ask.wait
+            && let Some(reply) = self.redirect(now, &ask, &survey, rng)
+        {
+            return reply;
+        }
         if let Some(choice) = choice {
             if self.queue.len() == 0 {
                 self.congestion.note_free_slot(now, ask.objective);
@@ -495,6 +517,8 @@
         self.release_reserved_repeats(late.iter().map(|it| &it.item));
         let mut settled: Vec<_> = late.into_iter().map(|it| self.refusal(it.item.id)).collect();
         settled.extend(self.drain(now, rng));
+        self.redirection.tick(now);
+        settled.extend(self.redirect_queued(now, rng));
         settled
     }
 
@@ -590,6 +614,7 @@
         self.rate.add(now);
         self.loads[endpoint].begin_request(now, ask);
         self.last_grant = Some(now);
+        self.counts.note_placement(&choice);
         self.permits.insert(ask.id, permit);
         grant
     }
--- a/crates/policy/src/tests.rs
+++ b/crates/policy/src/tests.rs
@@ -5,6 +5,8 @@
 mod capacity;
 mod choice;
 mod dispatcher;
+mod domain_load;
+mod domains;
 mod fixture;
 mod floor;
 mod floor_model;
