--- a/crates/policy/src/domains.rs
+++ b/crates/policy/src/domains.rs
@@ -15,7 +15,7 @@
 const REPEAT_COST: f64 = 0.1;
 /// Share of the objective for which a request waits for a slot of its own failure domain while
 /// another one has free slots.
-const NEAR_WAIT_SHARE: f64 = 0.15;
+const NEAR_WAIT_SHARE: f64 = 0.35;
 /// Service times that must fit in the objective after such a wait, because they vary.
 const SERVICE_TIMES_LEFT: u32 = 2;
 /// A request that cannot wait near goes to a failure domain where requests wait, too, only if the
