Policy: each endpoint has a learned concurrency limit and an accepted share

Cause: a shed marked an endpoint as full for 100 ms and had no other effect. While most endpoints refused half of their requests, requests ended because the repeat budget was spent, beside endpoints that accepted.

Change: a limit per endpoint falls when it sheds one of several requests, or when requests at the limit only slow it down, and rises by half a slot a second (AIMD). The accepted share of its recent sends ranks endpoints before their health. A last send waits for an endpoint that accepts, within its permitted wait, or is refused at once where all accept less than a quarter. Probes of idle endpoints are exempt, so that the floor holds. Setting `dispatch.concurrency_limits`; log fields `refused_as_shed`, `limits_lowered`, `withheld`, `shedding`, and an event for each lowered limit.

--- a/crates/dappleway/src/control/dispatch_log.rs
+++ b/crates/dappleway/src/control/dispatch_log.rs
@@ -62,7 +62,9 @@
                 "in_use" => occupancy.in_use, "travelling" => occupancy.in_transit, "expected" => occupancy.expected,
                 "sound" => occupancy.healthy, "sound_idle" => occupancy.healthy_idle,
                 "limited" => occupancy.limited, "limit_per_s" => occupancy.limit_per_s,
-                "to_limited" => counts.to_limited, "leaving" => occupancy.leaving, "resting" => occupancy.with_backoffs, "strain" => it.pressure);
+                "to_limited" => counts.to_limited,
+                "refused_as_shed" => counts.refused_as_shed, "limits_lowered" => counts.limits_lowered,
+                "withheld" => occupancy.withheld, "shedding" => occupancy.shedding, "leaving" => occupancy.leaving, "resting" => occupancy.with_backoffs, "strain" => it.pressure);
             if !idle.is_empty() {
                 info!(self.log, "endpoints without work"; "service" => name,
                     "dispatched_here" => is_fleet, "endpoints" => state.service.endpoints.len(),
--- a/crates/dappleway/src/control/tests.rs
+++ b/crates/dappleway/src/control/tests.rs
@@ -8,7 +8,7 @@
     Capacity, Exchange, Features, Frame, Gossip, Identity, Key, Keys, Message, NodeInfo,
     PermitClient, Phase, Transport,
 };
-use policy::{BudgetLimits, NodeId, Notice, Precedence, RateLimit, Time};
+use policy::{BudgetLimits, DispatchOptions, NodeId, Notice, Precedence, RateLimit, Time};
 use prometheus::Registry;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -88,6 +88,7 @@
         mode: Mode::Permits,
         failure_domain: "a".into(),
         budget: BudgetLimits { ratio: 0.2, extra: 58.0, window: Duration::from_secs(10) },
+        options: DispatchOptions::default(),
         topology: Default::default(),
         metrics: ControlMetrics::register(&Registry::new()).unwrap(),
         outputs: Outputs {
--- a/crates/dappleway/src/reload.rs
+++ b/crates/dappleway/src/reload.rs
@@ -17,7 +17,7 @@
 /// Interval at which the file is checked for a change without a signal. The file is small, so the check is cheap.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Settings that take effect in a running process.
-const RELOADABLE: [&str; 7] = [
+const RELOADABLE: [&str; 8] = [
     "log.level",
     "fleet.seeds",
     "operator.token_file",
@@ -25,6 +25,7 @@
     "dispatch.repeat_extra",
     "dispatch.repeat_window_ms",
     "dispatch.doubtful_slots",
+    "dispatch.concurrency_limits",
 ];
 
 /// The task that reloads the settings file.
--- a/crates/dappleway/src/settings/model.rs
+++ b/crates/dappleway/src/settings/model.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use fleet::Capacity;
-use policy::{BudgetLimits, DispatchOptions, DoubtfulSlots, Topology};
+use policy::{BudgetLimits, ConcurrencyLimits, DispatchOptions, DoubtfulSlots, Topology};
 use resources::{Bias, Floor};
 use serde::{Deserialize, Serialize};
 
@@ -185,6 +185,9 @@
     /// How many slots an endpoint gives whose health is in doubt.
     #[serde(default)]
     pub doubtful_slots: DoubtfulSlots,
+    /// Whether concurrency limits of endpoints are learned.
+    #[serde(default)]
+    pub concurrency_limits: ConcurrencyLimits,
 }
 
 impl Default for Dispatch {
@@ -196,6 +199,7 @@
             repeat_extra: defaults::repeat_extra(),
             repeat_window_ms: defaults::repeat_window_ms(),
             doubtful_slots: DoubtfulSlots::default(),
+            concurrency_limits: ConcurrencyLimits::default(),
         }
     }
 }
@@ -209,7 +213,9 @@
 
     /// Options of the dispatchers.
     pub fn options(&self) -> DispatchOptions {
-        DispatchOptions::default().doubtful_slots(self.doubtful_slots)
+        DispatchOptions::default()
+            .doubtful_slots(self.doubtful_slots)
+            .concurrency_limits(self.concurrency_limits)
     }
 }
 
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -9,6 +9,7 @@
 mod advertised;
 mod candidate;
 mod capacity;
+mod concurrency;
 mod congestion;
 mod counts;
 mod crash_suspects;
@@ -54,7 +55,7 @@
 
 pub use counts::{DispatchCounts, IdleEndpoint, Occupancy};
 pub use evidence::EvidenceReport;
-pub use options::{DispatchOptions, DoubtfulSlots};
+pub use options::{ConcurrencyLimits, DispatchOptions, DoubtfulSlots};
 
 /// A permit that is neither released nor renewed for this long expires.
 const PERMIT_LIFETIME: Duration = Duration::from_secs(3);
@@ -106,6 +107,8 @@
     /// The request was sent to an endpoint before.
     is_further: bool,
     reported: Reported,
+    /// Requests in progress at the endpoint when the slot was granted, this one included.
+    concurrency: u32,
     /// Whether the endpoint had room for this send only because answers in transit hold no slot.
     overlap_kind: OverlapKind,
 }
@@ -379,6 +382,11 @@
         if !ask.wait {
             return Reply::Full;
         }
+        if self.is_likely_shed(&survey, &ask) {
+            self.counts.refused_as_shed += 1;
+            self.note_unserved(now, 1);
+            return Reply::Refused { retry_after: self.mean_hold.max(MIN_RETRY_AFTER) };
+        }
         if let Some(retry_after) = self.retry_after_if_closed(now, &ask) {
             self.counts.queue_refused += 1;
             self.note_unserved(now, 1);
@@ -420,10 +428,13 @@
         if kind == Kind::Shed {
             load.full_until = load.full_until.max(now + FULL_AFTER_SHED);
             self.note_shed(now, permit.overlap_kind);
+            self.note_shed_by(now, &permit);
         }
         if kind == Kind::Answered && !permit.reported.has_answer() {
             self.note_answer(now, &permit, elapsed);
+            self.note_answer_time(now, &permit, elapsed);
         }
+        self.note_accepted(now, &permit, kind);
         if kind == Kind::Answered && held_slot {
             self.note_hold(now.since(permit.granted));
         }
@@ -500,6 +511,7 @@
     pub fn wake(&mut self, now: Time, rng: &mut impl Rng) -> Vec<QueuedReply> {
         self.detector.discard_evidence();
         self.failure_time.clear();
+        self.loads.iter_mut().for_each(|it| it.concurrency = Default::default());
         self.tick(now, rng)
     }
 
@@ -574,6 +586,7 @@
             is_last_send: ask.is_last,
             is_further: ask.send == SendKind::Further,
             reported: Reported::Nothing,
+            concurrency: self.loads[endpoint].in_use() + 1,
             overlap_kind: self.overlap_kind(now, endpoint),
         };
         if ask.send == SendKind::Further {
--- a/crates/policy/src/dispatcher/candidate.rs
+++ b/crates/policy/src/dispatcher/candidate.rs
@@ -51,8 +51,12 @@
     pub(super) state_since: Time,
     pub(super) is_missing: bool,
     pub(super) is_evacuated: bool,
-    /// Slots that the state allows.
+    /// Slots that the state and the learned concurrency limit allow.
     pub(super) slots: u32,
+    /// Slots that the state allows.
+    pub(super) configured_slots: u32,
+    /// Share of its recent sends that it accepted.
+    pub(super) acceptance: f64,
     pub(super) belief: Belief,
     /// Likelihood ratio of the silence of its open requests, unhealthy against healthy.
     pub(super) silence_ratio: f64,
@@ -230,7 +234,9 @@
             state_since: status.since,
             is_missing: status.is_missing,
             is_evacuated: status.is_evacuated,
-            slots: status.usable_slots(now),
+            slots: load.concurrency.slots(now, status.usable_slots(now)),
+            configured_slots: status.usable_slots(now),
+            acceptance: load.concurrency.acceptance(now),
             belief: load.belief,
             silence_ratio,
             outlived: self.outlived_sends(now, load),
--- a/crates/policy/src/dispatcher/capacity.rs
+++ b/crates/policy/src/dispatcher/capacity.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::candidate::{Candidate, Survey};
+use super::concurrency::ACCEPTS_FROM;
 use super::failure_time::SURVIVAL_RATIO;
 use super::load::EndpointLoad;
 use super::{Dispatcher, DoubtfulSlots};
@@ -49,6 +50,11 @@
         }
     }
 
+    /// Whether the endpoint accepts nearly all sends.
+    pub(super) fn accepts(&self) -> bool {
+        self.acceptance >= ACCEPTS_FROM
+    }
+
     /// Limits a number of slots to those that the rate limit keeps busy.
     pub(super) fn within_rate_limit(&self, slots: u32) -> f64 {
         let slots = f64::from(slots);
@@ -77,7 +83,7 @@
             _ => self.usable_slots(),
         };
         match self.may_use_all_slots(ask, distance) {
-            true => self.slots,
+            true => self.configured_slots,
             false => usable,
         }
     }
@@ -149,7 +155,7 @@
     /// Whether some endpoint in the snapshot may take a request, leaving its health aside.
     pub(super) fn has_free_slot(&self, survey: &Survey) -> bool {
         survey.candidates.iter().any(|candidate| {
-            let slots = candidate.slots.max(candidate.usable_slots());
+            let slots = candidate.configured_slots.max(candidate.usable_slots());
             candidate.may_send && self.loads[candidate.i].in_use() < slots
         })
     }
--- a/crates/policy/src/dispatcher/counts.rs
+++ b/crates/policy/src/dispatcher/counts.rs
@@ -7,6 +7,7 @@
 
 use super::Dispatcher;
 use super::candidate::HEALTHY_AFTER;
+use super::concurrency::ACCEPTS_FROM;
 use crate::belief::Pressure;
 use crate::rate_limit::RateLimit;
 use crate::time::Time;
@@ -26,6 +27,10 @@
     pub repeats_refused: u32,
     /// Requests refused because the queue was too long.
     pub queue_refused: u32,
+    /// Requests refused because an endpoint would probably shed them, and the repeat budget is short.
+    pub refused_as_shed: u32,
+    /// Times that a learned concurrency limit fell.
+    pub limits_lowered: u32,
     /// Requests that waited for a slot until their deadline.
     pub expired_waiting: u32,
     /// Requests withdrawn while they waited.
@@ -74,6 +79,10 @@
     pub limited: u32,
     /// Sum of these rate limits, in requests a second.
     pub limit_per_s: f64,
+    /// Slots that learned concurrency limits withhold.
+    pub withheld: u32,
+    /// Endpoints that shed more than a quarter of their recent sends.
+    pub shedding: u32,
     /// Endpoints that have advertised that they are leaving.
     pub leaving: u32,
     /// Endpoints that have asked at least one node to back off.
@@ -135,6 +144,9 @@
         for (status, load) in self.endpoints().iter().zip(&self.loads) {
             it.in_use += load.in_use();
             it.in_transit += load.in_transit();
+            let configured = status.usable_slots(now);
+            it.withheld += configured - load.concurrency.slots(now, configured);
+            it.shedding += u32::from(load.concurrency.acceptance(now) < ACCEPTS_FROM);
             it.leaving += u32::from(load.advertised.is_leaving);
             it.with_backoffs += u32::from(load.advertised.backoffs.count(now) > 0);
             it.limited += u32::from(load.advertised.pacer.limit().is_some());
--- a/crates/policy/src/dispatcher/evidence.rs
+++ b/crates/policy/src/dispatcher/evidence.rs
@@ -7,7 +7,8 @@
 use rand::Rng;
 
 use super::load::Slot;
-use super::{ANSWERED_PERMIT_LIFETIME, Dispatcher, Permit, Reported};
+use super::overlap::OverlapKind;
+use super::{ANSWERED_PERMIT_LIFETIME, ConcurrencyLimits, Dispatcher, Permit, Reported};
 use crate::belief::{Pressure, Use};
 use crate::observation::{Kind, Observation};
 use crate::permit::{PermitId, QueuedReply};
@@ -91,6 +92,7 @@
             self.note_hold(now.since(permit.granted));
         }
         self.note_answer(now, &permit, elapsed);
+        self.note_answer_time(now, &permit, elapsed);
         self.note_outcome(now, it);
         self.drain(now, rng)
     }
@@ -254,6 +256,52 @@
         }
     }
 
+    /// Learns from a send that its endpoint shed.
+    pub(super) fn note_shed_by(&mut self, now: Time, permit: &Permit) {
+        if self.options.concurrency_limits == ConcurrencyLimits::Off {
+            return;
+        }
+        let configured = self.endpoints()[permit.endpoint].usable_slots(now);
+        let concurrency = &mut self.loads[permit.endpoint].concurrency;
+        // Answers in transit may hold slots, which `overlap` finds out by such sends.
+        let evidence = match permit.overlap_kind {
+            OverlapKind::Regular => Some(permit.concurrency),
+            OverlapKind::Overlapping => None,
+        };
+        if concurrency.note_shed(now, evidence, configured) {
+            self.counts.limits_lowered += 1;
+            let reason = "concurrency limit lowered: a request was shed below it";
+            self.detector.rotation.note_event(permit.endpoint, reason);
+        }
+    }
+
+    /// Learns from the end of a send that its endpoint accepted.
+    pub(super) fn note_accepted(&mut self, now: Time, permit: &Permit, kind: Kind) {
+        let is_accepted = !matches!(kind, Kind::Shed | Kind::Unreachable);
+        if self.options.concurrency_limits == ConcurrencyLimits::Off || !is_accepted {
+            return;
+        }
+        let concurrency = &mut self.loads[permit.endpoint].concurrency;
+        concurrency.note_accepted(now, permit.concurrency);
+    }
+
+    /// Learns from the time until an answer began how an endpoint slows down with the number of
+    /// requests in progress.
+    pub(super) fn note_answer_time(&mut self, now: Time, permit: &Permit, elapsed: Duration) {
+        if self.options.concurrency_limits == ConcurrencyLimits::Off {
+            return;
+        }
+        let objective = permit.objective.max(Duration::from_millis(1));
+        let took = elapsed.as_secs_f64() / objective.as_secs_f64();
+        let configured = self.endpoints()[permit.endpoint].usable_slots(now);
+        let concurrency = &mut self.loads[permit.endpoint].concurrency;
+        if concurrency.note_answer(now, permit.concurrency, configured, took) {
+            self.counts.limits_lowered += 1;
+            let reason = "concurrency limit lowered: further requests only slow it down";
+            self.detector.rotation.note_event(permit.endpoint, reason);
+        }
+    }
+
     /// Whether a request that took `elapsed` until now began after the last failure of its endpoint.
     pub(super) fn began_after_failure(
         &self,
--- a/crates/policy/src/dispatcher/load.rs
+++ b/crates/policy/src/dispatcher/load.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::advertised::Advertised;
+use super::concurrency::Concurrency;
 use crate::baseline::Baseline;
 use crate::belief::Belief;
 use crate::likelihoods::Likelihoods;
@@ -25,6 +26,8 @@
     /// Used only as a last resort until then, as reported by the peer that dispatches the service.
     pub(super) hinted_until: Time,
     pub(super) belief: Belief,
+    /// What it can run at the same time, and what it accepts.
+    pub(super) concurrency: Concurrency,
     /// What it has advertised in its answers.
     pub(super) advertised: Advertised,
     /// Remaining warm-up time when the registry last changed it.
@@ -87,6 +90,7 @@
             full_until: Time::default(),
             hinted_until: Time::default(),
             belief: Belief::default(),
+            concurrency: Concurrency::default(),
             advertised: Advertised::default(),
             registered_warm_up: Duration::ZERO,
             was_evacuated: false,
--- a/crates/policy/src/dispatcher/placement.rs
+++ b/crates/policy/src/dispatcher/placement.rs
@@ -22,6 +22,12 @@
 /// step rank equal.
 const HEALTH_RANK_STEPS: f64 = 50.0;
 
+/// Number of steps to which the shed share is rounded down. It is estimated from a few sends.
+const ACCEPTANCE_RANK_STEPS: f64 = 5.0;
+/// Accepted share below which the last send of a request is not made. Above it, a send that may be
+/// shed serves more callers than a refusal.
+const MIN_LAST_ACCEPTANCE: f64 = 0.25;
+
 /// Cost of an endpoint in another failure domain of the same region, in slots in use, for short
 /// answers. Traffic between failure domains is costly, but less so than a busy slot.
 const FAR_COST: u32 = 2;
@@ -72,6 +78,15 @@
         }
     }
 
+    /// Rank by the share of sends that the endpoint accepts; lower is better. A probe goes to an idle
+    /// endpoint whatever it accepted before.
+    fn acceptance_rank(&self, ask: &Ask, distance: Distance) -> u32 {
+        match self.accepts() || self.is_due(ask, distance) {
+            true => 0,
+            false => 1 + ((1.0 - self.acceptance) * ACCEPTANCE_RANK_STEPS) as u32,
+        }
+    }
+
     fn is_far_more_doubtful(&self) -> bool {
         self.outlived.is_some() && self.p_unhealthy >= SINGLY_BELOW
     }
@@ -97,6 +112,7 @@
         let region = self.topology.region_of(ask.reporter.failure_domain);
         let mut best = None;
         let mut good_slots = 0.0;
+        let mut accepting_slots = 0.0;
         for candidate in &survey.candidates {
             let load = &self.loads[candidate.i];
             let distance = load.distance(ask.reporter.failure_domain, region);
@@ -115,6 +131,9 @@
             if tier < Tier::Near {
                 good_slots += candidate.within_rate_limit(usable);
             }
+            if tier < Tier::Near && candidate.accepts() {
+                accepting_slots += candidate.within_rate_limit(usable);
+            }
             if !candidate.may_send {
                 continue;
             }
@@ -141,6 +160,7 @@
             // An endpoint with answers in transit shares its link among them.
             let key = (
                 tier,
+                candidate.acceptance_rank(ask, distance),
                 candidate.health_rank(tier, ask, distance),
                 cost,
                 load.in_transit(),
@@ -148,16 +168,36 @@
                 tie(),
             );
             if best.is_none_or(|(other, _)| key < other) {
-                best = Some((key, (candidate.i, distance)));
+                best = Some((key, (candidate.i, distance, candidate.acceptance)));
             }
         }
-        let ((tier, ..), (endpoint, distance)) = best?;
+        let ((tier, rank, ..), (endpoint, distance, acceptance)) = best?;
         let exceeds_max_wait =
             || self.expected_wait(survey.ahead_of(ask.priority), good_slots) > self.max_wait(ask);
         let take_worse = ask.wait && (good_slots == 0.0 || exceeds_max_wait());
+        if rank > 0 && ask.wait && self.is_last_send(ask) {
+            // A shed of the last send ends the request.
+            let wait = self.expected_wait(survey.ahead_of(ask.priority), accepting_slots);
+            let may_wait = accepting_slots > 0.0 && wait <= self.max_wait(ask);
+            if may_wait || acceptance < MIN_LAST_ACCEPTANCE {
+                return None;
+            }
+        }
         (tier < Tier::Near || take_worse).then_some(Placed { endpoint, tier, distance })
     }
 
+    /// Whether a request that got no slot is refused instead of waiting: all endpoints that may serve
+    /// it shed nearly everything, and no other send may follow.
+    pub(super) fn is_likely_shed(&self, survey: &Survey, ask: &Ask) -> bool {
+        let mut open = survey
+            .candidates
+            .iter()
+            .filter(|it| it.configured_slots > 0 && !ask.excludes(self.loads[it.i].failure_domain));
+        self.is_last_send(ask)
+            && survey.len() > 0
+            && open.all(|it| it.acceptance < MIN_LAST_ACCEPTANCE)
+    }
+
     /// Longest time to wait for a good endpoint. A send that another one can follow loses little on
     /// an endpoint that fails; for the last send the request fails.
     pub(super) fn max_wait(&self, ask: &Ask) -> Duration {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -33,8 +33,8 @@
 pub use baseline::RouteTerms;
 pub use budget::{BudgetLimits, RepeatsReport};
 pub use dispatcher::{
-    DispatchCounts, DispatchOptions, Dispatcher, DoubtfulSlots, EvidenceReport, IdleEndpoint,
-    Occupancy, Precedence,
+    ConcurrencyLimits, DispatchCounts, DispatchOptions, Dispatcher, DoubtfulSlots, EvidenceReport,
+    IdleEndpoint, Occupancy, Precedence,
 };
 pub use domain_load::{DomainLoad, FarReason};
 pub use notice::Notice;
--- a/crates/policy/src/tests.rs
+++ b/crates/policy/src/tests.rs
@@ -20,6 +20,7 @@
 mod rate_limit;
 mod rendezvous;
 mod retry;
+mod shedding;
 mod silence;
 mod suspects;
 mod verdicts;
--- a/crates/policy/src/tests/capacity.rs
+++ b/crates/policy/src/tests/capacity.rs
@@ -9,8 +9,8 @@
 
 use super::fixture::{SECOND, TERMS, ask, service};
 use crate::{
-    Ask, BudgetLimits, DispatchOptions, Dispatcher, DoubtfulSlots, Kind, PermitId, Reply,
-    RouteTerms, SendKind, Time,
+    Ask, BudgetLimits, ConcurrencyLimits, DispatchOptions, Dispatcher, DoubtfulSlots, Kind,
+    PermitId, Reply, RouteTerms, SendKind, Time,
 };
 
 const MS: u64 = 1_000;
@@ -193,15 +193,18 @@
     results
 }
 
+const fn options(doubtful_slots: DoubtfulSlots) -> DispatchOptions {
+    DispatchOptions { doubtful_slots, concurrency_limits: ConcurrencyLimits::Learned }
+}
+
 const BY_AGE: Load = Load {
     rate: 440.0,
     burst: 640.0,
     fault: Fault::FailAtOnce,
-    options: DispatchOptions { doubtful_slots: DoubtfulSlots::ByAge },
+    options: options(DoubtfulSlots::ByAge),
     seconds: 41,
 };
-const ONE: Load =
-    Load { options: DispatchOptions { doubtful_slots: DoubtfulSlots::One }, ..BY_AGE };
+const ONE: Load = Load { options: options(DoubtfulSlots::One), ..BY_AGE };
 
 /// Sums the results over a few seeds. The sums of lost sends vary by two in a hundred, and those of
 /// requests in time by one in a thousand, so tests allow twice that.
