Policy: endpoints rank by expected completion, and new ones start slowly

Cause: all endpoints of the same health ranked by slots in use alone, so that slow ones got as many requests as fast ones, and an endpoint that had just joined gave all slots after two seconds without an answer.

Change: the order within one tier, acceptance and health rank is the number of requests in progress times the endpoint's mean answer time relative to its service, plus the cost of distance. Within a factor of 1.5 an endpoint counts as average, so that the order of alike endpoints is unchanged. An endpoint that joins or restarts gives one slot more than its answers.

--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -22,6 +22,7 @@
 mod overlap;
 mod placement;
 mod rate_limits;
+mod speed;
 mod waiting;
 mod working_set;
 
@@ -51,6 +52,7 @@
 use load::EndpointLoad;
 use overlap::{Overlap, OverlapKind};
 use placement::Placed;
+use speed::AnswerTime;
 use working_set::{Rate, WorkingSet};
 
 pub use counts::{DispatchCounts, IdleEndpoint, Occupancy};
@@ -177,6 +179,8 @@
     overlap: Overlap,
     /// Age from which on open sends are evidence of health.
     failure_time: FailureTime,
+    /// Answer times of all endpoints.
+    answer_time: AnswerTime,
     options: DispatchOptions,
     counts: DispatchCounts,
     /// Time of the last grant.
@@ -235,6 +239,7 @@
             has_new_rejections: false,
             overlap: Overlap::default(),
             failure_time: FailureTime::default(),
+            answer_time: AnswerTime::default(),
             options: DispatchOptions::default(),
             counts: DispatchCounts::default(),
             last_grant: None,
--- a/crates/policy/src/dispatcher/candidate.rs
+++ b/crates/policy/src/dispatcher/candidate.rs
@@ -57,6 +57,8 @@
     pub(super) configured_slots: u32,
     /// Share of its recent sends that it accepted.
     pub(super) acceptance: f64,
+    /// How many times as long its answers take as the mean of the service.
+    pub(super) slowness: f64,
     pub(super) belief: Belief,
     /// Likelihood ratio of the silence of its open requests, unhealthy against healthy.
     pub(super) silence_ratio: f64,
@@ -234,9 +236,10 @@
             state_since: status.since,
             is_missing: status.is_missing,
             is_evacuated: status.is_evacuated,
-            slots: load.concurrency.slots(now, status.usable_slots(now)),
+            slots: self.slots_given(now, load, status.usable_slots(now)),
             configured_slots: status.usable_slots(now),
             acceptance: load.concurrency.acceptance(now),
+            slowness: load.answer_time.slowness(now, &self.answer_time),
             belief: load.belief,
             silence_ratio,
             outlived: self.outlived_sends(now, load),
--- a/crates/policy/src/dispatcher/capacity.rs
+++ b/crates/policy/src/dispatcher/capacity.rs
@@ -9,7 +9,7 @@
 use super::concurrency::ACCEPTS_FROM;
 use super::failure_time::SURVIVAL_RATIO;
 use super::load::EndpointLoad;
-use super::{Dispatcher, DoubtfulSlots};
+use super::{ConcurrencyLimits, Dispatcher, DoubtfulSlots};
 use crate::belief::{FREELY_BELOW, Pressure, RETRY_FAILED_AFTER, Use};
 use crate::observation::Kind;
 use crate::permit::{Ask, Tier};
@@ -90,6 +90,15 @@
 }
 
 impl Dispatcher {
+    /// Slots of those configured that the concurrency limit and slow start allow.
+    pub(super) fn slots_given(&self, now: Time, load: &EndpointLoad, configured: u32) -> u32 {
+        let slots = load.concurrency.slots(now, configured);
+        match self.options.concurrency_limits {
+            ConcurrencyLimits::Learned => load.slots_in_slow_start(now, slots),
+            ConcurrencyLimits::Off => slots,
+        }
+    }
+
     /// Sends of an endpoint that have outlived the learned failure time.
     pub(super) fn outlived_sends(&self, now: Time, load: &EndpointLoad) -> Option<u32> {
         if self.options.doubtful_slots == DoubtfulSlots::One {
--- a/crates/policy/src/dispatcher/evidence.rs
+++ b/crates/policy/src/dispatcher/evidence.rs
@@ -294,7 +294,12 @@
         let objective = permit.objective.max(Duration::from_millis(1));
         let took = elapsed.as_secs_f64() / objective.as_secs_f64();
         let configured = self.endpoints()[permit.endpoint].usable_slots(now);
-        let concurrency = &mut self.loads[permit.endpoint].concurrency;
+        let all_slots = self.endpoints()[permit.endpoint].slots;
+        self.answer_time.note_in_service(now, took);
+        let load = &mut self.loads[permit.endpoint];
+        load.answer_time.note_at_endpoint(now, took);
+        load.slow_start = load.slow_start.map(|it| it + 1).filter(|it| *it < all_slots);
+        let concurrency = &mut load.concurrency;
         if concurrency.note_answer(now, permit.concurrency, configured, took) {
             self.counts.limits_lowered += 1;
             let reason = "concurrency limit lowered: further requests only slow it down";
--- a/crates/policy/src/dispatcher/load.rs
+++ b/crates/policy/src/dispatcher/load.rs
@@ -5,6 +5,7 @@
 
 use super::advertised::Advertised;
 use super::concurrency::Concurrency;
+use super::speed::AnswerTime;
 use crate::baseline::Baseline;
 use crate::belief::Belief;
 use crate::likelihoods::Likelihoods;
@@ -14,6 +15,9 @@
 use crate::time::Time;
 use crate::topology::Distance;
 
+/// Slow start ends after this time, so that endpoints that get few requests are not held back.
+const SLOW_START_LIMIT: Duration = Duration::from_secs(10);
+
 /// State of one endpoint in a dispatcher.
 #[derive(Clone, Debug)]
 pub(super) struct EndpointLoad {
@@ -28,6 +32,10 @@
     pub(super) belief: Belief,
     /// What it can run at the same time, and what it accepts.
     pub(super) concurrency: Concurrency,
+    /// How long its answers take.
+    pub(super) answer_time: AnswerTime,
+    /// Answers since it joined or restarted while its service was in use, until it gives all slots.
+    pub(super) slow_start: Option<u32>,
     /// What it has advertised in its answers.
     pub(super) advertised: Advertised,
     /// Remaining warm-up time when the registry last changed it.
@@ -91,6 +99,8 @@
             hinted_until: Time::default(),
             belief: Belief::default(),
             concurrency: Concurrency::default(),
+            answer_time: AnswerTime::default(),
+            slow_start: None,
             advertised: Advertised::default(),
             registered_warm_up: Duration::ZERO,
             was_evacuated: false,
@@ -107,12 +117,12 @@
     /// spreads the first requests of endpoints that join together.
     pub(super) fn recently_joined(self, id: &str) -> Self {
         let introduction_offset = stable_hash(id.as_bytes()) as f64 / u64::MAX as f64;
-        Self { is_recently_joined: true, introduction_offset, ..self }
+        Self { is_recently_joined: true, introduction_offset, slow_start: Some(0), ..self }
     }
 
     /// Creates the state of a restarted endpoint, whose previous incarnation was known here.
     pub(super) fn restarted(now: Time, failure_domain: &str) -> Self {
-        Self { has_restarted: true, ..Self::new(now, failure_domain) }
+        Self { has_restarted: true, slow_start: Some(0), ..Self::new(now, failure_domain) }
     }
 
     /// Whether a request that took `elapsed` until now may have gone to the previous incarnation.
@@ -166,6 +176,16 @@
         self.open.iter().filter(outlived).count() as u32
     }
 
+    /// Slots of those given that slow start allows: one, and one more for each answer. The first
+    /// requests to a process that has just started run slowly or fail; time alone, by
+    /// which the rotation grows its slots, does not show that it answers.
+    pub(super) fn slots_in_slow_start(&self, now: Time, slots: u32) -> u32 {
+        match self.slow_start {
+            Some(answers) if self.age(now) < SLOW_START_LIMIT => slots.min(1 + answers),
+            _ => slots,
+        }
+    }
+
     /// Age of the oldest open request on it.
     pub(super) fn oldest_open(&self, now: Time) -> Option<Duration> {
         self.open.iter().map(|it| now.since(it.since)).max()
--- a/crates/policy/src/dispatcher/placement.rs
+++ b/crates/policy/src/dispatcher/placement.rs
@@ -1,5 +1,5 @@
 //! Placement stage: chooses the endpoint for a request, first by tier, which follows from its health
-//! estimate, then by slots in use and distance.
+//! estimate, then by expected completion and distance.
 
 use std::time::Duration;
 
@@ -43,6 +43,13 @@
     }
 }
 
+/// Cost of a send in thousandths of a slot in use: the expected completion beside the requests in
+/// progress. At an endpoint that takes twice as long, each of them counts as two.
+fn expected_cost(in_use: u32, slowness: f64, distance_cost: u32) -> u32 {
+    let completion = f64::from(in_use + 1) * slowness + f64::from(distance_cost);
+    (completion * 1e3) as u32
+}
+
 /// The endpoint chosen for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Placed {
@@ -148,7 +155,7 @@
             } else {
                 distance_cost(distance, self.endpoints()[candidate.i].slots)
             };
-            let cost = load.in_use() + distance_cost;
+            let cost = expected_cost(load.in_use(), candidate.slowness, distance_cost);
             // Ties go to the endpoint that has been idle longest. With a random choice and 1.2
             // sends per endpoint in two seconds, a quarter of the endpoints get nothing for two
             // seconds, then rank as slightly doubtful and fall behind the others.
--- a/crates/policy/src/tests/shedding.rs
+++ b/crates/policy/src/tests/shedding.rs
@@ -33,6 +33,8 @@
     Limit { endpoints: usize, running: usize },
     /// The first of them work four times as long on a request that runs beside two others.
     Slow { endpoints: usize },
+    /// The first of them work longer by this factor on every request.
+    Slower { endpoints: usize, factor: u32 },
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -112,7 +114,10 @@
                 Fault::Slow { endpoints } if is_fault && i < endpoints && running > 1 => {
                     (false, work * 4)
                 }
-                Fault::Slow { .. } => (false, work),
+                Fault::Slower { endpoints, factor } if is_fault && i < endpoints => {
+                    (false, work * factor)
+                }
+                Fault::Slow { .. } | Fault::Slower { .. } => (false, work),
             };
             let is_shed = is_shed && is_fault;
             results.shed += counts * u32::from(is_shed);
@@ -174,3 +179,38 @@
     let [off, learned] = compare(400.0, Fault::Shed { endpoints: 130, share: 0.55 });
     assert!(learned.0 > off.0 - 0.03, "{off:?} {learned:?}");
 }
+
+/// Guards against slow endpoints that get as many requests as the others for as long as they have
+/// free slots: their answers come after the objective.
+#[test]
+fn requests_go_to_faster_endpoints_first() {
+    let [off, learned] = compare(900.0, Fault::Slower { endpoints: 26, factor: 6 });
+    assert!(learned.0 > off.0 + 0.01, "{off:?} {learned:?}");
+}
+
+/// Guards against filling all slots of a process that has just started, whose first requests run
+/// slowly or fail.
+#[test]
+fn an_endpoint_that_has_just_joined_starts_with_one_request() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let terms = [RouteTerms { objective: OBJECTIVE, ..TERMS }];
+    let mut it = Dispatcher::new(Time(0), &service(&[1], 1, Bias::Balanced), &terms, REPEATS);
+    let mut granted = |it: &mut Dispatcher, ms: u64, seqs: std::ops::Range<u64>| {
+        let now = Time(ms * MS);
+        let replies: Vec<_> = seqs.map(|seq| it.ask(now, ask(seq, false), &mut rng)).collect();
+        replies.iter().filter(|it| matches!(it, Reply::Granted(_))).count()
+    };
+    assert_eq!(granted(&mut it, 0, 0..10), 3, "the service is in use");
+    it.reconfigure(Time(MS), &service(&[2], 1, Bias::Balanced), &terms);
+    assert_eq!(granted(&mut it, 2, 10..20), 1);
+    let mut rng = StdRng::seed_from_u64(1);
+    let took = Duration::from_millis(50);
+    it.release(Time(52 * MS), ask(10, false).id, Kind::Answered, took, &mut rng);
+    // After the two seconds in which its slots grow with time.
+    it.tick(Time(2_100 * MS), &mut rng);
+    assert_eq!(granted(&mut it, 2_100, 30..40), 2, "one more after an answer");
+    for seq in 30..32 {
+        it.release(Time(2_150 * MS), ask(seq, false).id, Kind::Answered, took, &mut rng);
+    }
+    assert_eq!(granted(&mut it, 2_200, 40..50), 3, "all of them after three answers");
+}
