--- a/crates/dappleway/src/control/tests.rs
+++ b/crates/dappleway/src/control/tests.rs
@@ -10,7 +10,7 @@
     Capacity, Directory, Exchange, Features, Frame, Gossip, Identity, Key, Keys, Message, NodeInfo,
     PermitClient, Phase, Transport,
 };
-use policy::{BudgetLimits, NodeId, Notice, Precedence, RateLimit, Time};
+use policy::{BudgetLimits, DispatchOptions, NodeId, Notice, Precedence, RateLimit, Time};
 use prometheus::Registry;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -94,7 +94,7 @@
         mode: Mode::Permits,
         failure_domain: "a".into(),
         budget: BudgetLimits { ratio: 0.2, extra: 58.0, window: Duration::from_secs(10) },
-        options: policy::DispatchOptions::default(),
+        options: DispatchOptions::default(),
         topology: Default::default(),
         metrics: ControlMetrics::register(&Registry::new()).unwrap(),
         outputs: Outputs {
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -9,6 +9,7 @@
 mod advertised;
 mod candidate;
 mod capacity;
+mod concurrency;
 mod congestion;
 mod counts;
 mod crash_suspects;
@@ -22,6 +23,7 @@
 mod placement;
 mod rate_limits;
 mod remote;
+mod speed;
 mod waiting;
 mod working_set;
 
@@ -53,6 +55,7 @@
 use overlap::{Overlap, OverlapKind};
 use placement::Placed;
 use remote::Redirection;
+use speed::AnswerTime;
 use working_set::{Rate, WorkingSet};
 
 pub use counts::{DispatchCounts, FarCounts, IdleEndpoint, Occupancy};
@@ -110,6 +113,8 @@
     /// Counted as not served because it stalled; an answer revises that.
     is_counted_unserved: bool,
     reported: Reported,
+    /// Requests in progress at the endpoint when the slot was granted, this one included.
+    concurrency: u32,
     /// Whether the endpoint had room for this send only because answers in transit hold no slot.
     overlap_kind: OverlapKind,
 }
@@ -178,6 +183,8 @@
     overlap: Overlap,
     /// Age from which on open sends are evidence of health.
     failure_time: FailureTime,
+    /// Answer times of all endpoints.
+    answer_time: AnswerTime,
     options: DispatchOptions,
     counts: DispatchCounts,
     /// Time of the last grant.
@@ -237,6 +244,7 @@
             has_new_rejections: false,
             overlap: Overlap::default(),
             failure_time: FailureTime::default(),
+            answer_time: AnswerTime::default(),
             options: DispatchOptions::default(),
             counts: DispatchCounts::default(),
             last_grant: None,
@@ -403,6 +411,11 @@
         if !ask.wait {
             return Reply::Full;
         }
+        if self.is_likely_shed(&survey, &ask) {
+            self.counts.refused_as_shed += 1;
+            self.note_unserved(now, 1);
+            return Reply::Refused { retry_after: self.mean_hold.max(MIN_RETRY_AFTER) };
+        }
         if let Some(retry_after) = self.retry_after_if_closed(now, &ask) {
             self.counts.queue_refused += 1;
             self.note_unserved(now, 1);
@@ -444,10 +457,13 @@
         if kind == Kind::Shed {
             load.full_until = load.full_until.max(now + FULL_AFTER_SHED);
             self.note_shed(now, permit.overlap_kind);
+            self.note_shed_by(now, &permit);
         }
         if kind == Kind::Answered && !permit.reported.has_answer() {
             self.note_answer(now, &permit, elapsed);
+            self.note_answer_time(now, &permit, elapsed);
         }
+        self.note_accepted(now, &permit, kind);
         if kind == Kind::Answered && held_slot {
             self.note_hold(now.since(permit.granted));
         }
@@ -526,6 +542,7 @@
     pub fn wake(&mut self, now: Time, rng: &mut impl Rng) -> Vec<QueuedReply> {
         self.detector.discard_evidence();
         self.failure_time.clear();
+        self.loads.iter_mut().for_each(|it| it.concurrency = Default::default());
         self.tick(now, rng)
     }
 
@@ -601,6 +618,7 @@
             is_further: ask.send == SendKind::Further,
             is_counted_unserved: false,
             reported: Reported::Nothing,
+            concurrency: self.loads[endpoint].in_use() + 1,
             overlap_kind: self.overlap_kind(now, endpoint),
         };
         if ask.send == SendKind::Further {
--- a/crates/policy/src/dispatcher/candidate.rs
+++ b/crates/policy/src/dispatcher/candidate.rs
@@ -51,8 +51,14 @@
     pub(super) state_since: Time,
     pub(super) is_missing: bool,
     pub(super) is_evacuated: bool,
-    /// Slots that the state allows.
+    /// Slots that the state and the learned concurrency limit allow.
     pub(super) slots: u32,
+    /// Slots that the state allows.
+    pub(super) configured_slots: u32,
+    /// Share of its recent sends that it accepted.
+    pub(super) acceptance: f64,
+    /// How many times as long its answers take as the mean of the service.
+    pub(super) slowness: f64,
     pub(super) belief: Belief,
     /// The silence of its open requests.
     pub(super) silence: Silence,
@@ -246,7 +252,10 @@
             state_since: status.since,
             is_missing: status.is_missing,
             is_evacuated: status.is_evacuated,
-            slots: status.usable_slots(now),
+            slots: self.slots_given(now, load, status.usable_slots(now)),
+            configured_slots: status.usable_slots(now),
+            acceptance: load.concurrency.acceptance(now),
+            slowness: load.answer_time.slowness(now, &self.answer_time),
             belief: load.belief,
             silence,
             outlived: self.outlived_sends(now, load),
--- a/crates/policy/src/dispatcher/capacity.rs
+++ b/crates/policy/src/dispatcher/capacity.rs
@@ -7,11 +7,12 @@
 
 use super::Dispatcher;
 use super::candidate::{Candidate, Survey};
+use super::concurrency::ACCEPTS_FROM;
 use super::failure_time::SURVIVAL_RATIO;
 use super::load::EndpointLoad;
 use crate::belief::{FREELY_BELOW, Pressure, RETRY_FAILED_AFTER, Use};
 use crate::observation::Kind;
-use crate::options::DoubtfulSlots;
+use crate::options::{ConcurrencyLimits, DoubtfulSlots};
 use crate::permit::{Ask, Tier};
 use crate::rotation::State;
 use crate::time::Time;
@@ -50,6 +51,11 @@
         }
     }
 
+    /// Whether the endpoint accepts nearly all sends.
+    pub(super) fn accepts(&self) -> bool {
+        self.acceptance >= ACCEPTS_FROM
+    }
+
     /// Limits a number of slots to those that the rate limit keeps busy.
     pub(super) fn within_rate_limit(&self, slots: u32) -> f64 {
         let slots = f64::from(slots);
@@ -78,7 +84,7 @@
             _ => self.usable_slots(),
         };
         if self.may_use_all_slots(ask, distance) {
-            return self.slots;
+            return self.configured_slots;
         }
         match self.is_silence_test(ask, distance) {
             true => usable.min(self.silence.requests + 1),
@@ -88,6 +94,15 @@
 }
 
 impl Dispatcher {
+    /// Slots of those configured that the concurrency limit and slow start allow.
+    pub(super) fn slots_given(&self, now: Time, load: &EndpointLoad, configured: u32) -> u32 {
+        let slots = load.concurrency.slots(now, configured);
+        match self.options.concurrency_limits {
+            ConcurrencyLimits::Learned => load.slots_in_slow_start(now, slots),
+            ConcurrencyLimits::Off => slots,
+        }
+    }
+
     /// Sends of an endpoint that have outlived the learned failure time.
     pub(super) fn outlived_sends(&self, now: Time, load: &EndpointLoad) -> Option<u32> {
         if self.options.doubtful_slots == DoubtfulSlots::One {
@@ -153,7 +168,7 @@
     /// Whether some endpoint in the snapshot may take a request, leaving its health aside.
     pub(super) fn has_free_slot(&self, survey: &Survey) -> bool {
         survey.candidates.iter().any(|candidate| {
-            let slots = candidate.slots.max(candidate.usable_slots());
+            let slots = candidate.configured_slots.max(candidate.usable_slots());
             candidate.may_send && self.loads[candidate.i].in_use() < slots
         })
     }
--- a/crates/policy/src/dispatcher/near_first.rs
+++ b/crates/policy/src/dispatcher/near_first.rs
@@ -19,6 +19,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
     pub(super) tier: Tier,
+    pub(super) acceptance: u32,
     pub(super) health: u32,
     pub(super) cost: u32,
     pub(super) in_transit: u32,
@@ -55,6 +56,8 @@
     is_near_first: bool,
     /// Failure domains with an endpoint that may serve the request.
     domains: Vec<DomainChoices>,
+    /// Slots among them of endpoints that accept what they are sent.
+    pub(super) accepting_slots: f64,
     /// The best free endpoint that counts against the floor, in other failure domains.
     starved_far: Option<Best>,
     /// The best free endpoint of all.
@@ -69,7 +72,13 @@
 
 impl ServiceChoices {
     pub(super) fn new(is_near_first: bool) -> Self {
-        Self { is_near_first, domains: Vec::new(), starved_far: None, best: None }
+        Self {
+            is_near_first,
+            domains: Vec::new(),
+            accepting_slots: 0.0,
+            starved_far: None,
+            best: None,
+        }
     }
 
     /// The entry of a failure domain. A service has few of them.
@@ -121,9 +130,9 @@
         Placed { endpoint, tier: rank.tier, distance, far_reason }
     }
 
-    /// Tier and health: how likely the endpoint serves the request, in steps.
-    fn quality(&self) -> (Tier, u32) {
-        (self.rank.tier, self.rank.health)
+    /// Tier, acceptance and health: how likely the endpoint serves the request, in steps.
+    fn quality(&self) -> (Tier, u32, u32) {
+        (self.rank.tier, self.rank.acceptance, self.rank.health)
     }
 }
 
--- a/crates/policy/src/dispatcher/placement.rs
+++ b/crates/policy/src/dispatcher/placement.rs
@@ -1,6 +1,6 @@
 //! Placement stage: chooses the endpoint for a request. Inside a failure domain the order is by tier,
-//! which follows from the health estimate, then by slots in use. A first send stays in the failure
-//! domain of its asker while there is room for it (`near_first`).
+//! which follows from the health estimate, then by expected completion. A first send stays in the
+//! failure domain of its asker while there is room for it (`near_first`).
 
 use std::time::Duration;
 
@@ -25,6 +25,12 @@
 /// step rank equal.
 const HEALTH_RANK_STEPS: f64 = 50.0;
 
+/// Number of steps to which the shed share is rounded down. It is estimated from a few sends.
+const ACCEPTANCE_RANK_STEPS: f64 = 5.0;
+/// Accepted share below which the last send of a request is not made. Above it, a send that may be
+/// shed serves more callers than a refusal.
+const MIN_LAST_ACCEPTANCE: f64 = 0.25;
+
 /// Cost of an endpoint in another failure domain of the same region, in slots in use, for short
 /// answers. Traffic between failure domains is costly, but less so than a busy slot.
 const FAR_COST: u32 = 2;
@@ -40,6 +46,13 @@
     }
 }
 
+/// Cost of a send in thousandths of a slot in use: the expected completion beside the requests in
+/// progress. At an endpoint that takes twice as long, each of them counts as two.
+fn expected_cost(in_use: u32, slowness: f64, distance_cost: u32) -> u32 {
+    let completion = f64::from(in_use + 1) * slowness + f64::from(distance_cost);
+    (completion * 1e3) as u32
+}
+
 /// The endpoint chosen for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Placed {
@@ -77,6 +90,15 @@
         }
     }
 
+    /// Rank by the share of sends that the endpoint accepts; lower is better. A probe goes to an idle
+    /// endpoint whatever it accepted before.
+    fn acceptance_rank(&self, ask: &Ask, distance: Distance) -> u32 {
+        match self.accepts() || self.is_due(ask, distance) {
+            true => 0,
+            false => 1 + ((1.0 - self.acceptance) * ACCEPTANCE_RANK_STEPS) as u32,
+        }
+    }
+
     fn is_far_more_doubtful(&self) -> bool {
         self.outlived.is_some() && self.p_unhealthy >= SINGLY_BELOW
     }
@@ -95,7 +117,8 @@
         mut tie: impl FnMut() -> u32,
     ) -> Option<Placed> {
         let choices = self.choices(survey, ask, &mut tie)?;
-        self.decide(survey, ask, &choices, tie)
+        let choice = self.decide(survey, ask, &choices, tie)?;
+        (!self.waits_for_acceptance(survey, ask, &choices, &choice)).then_some(choice)
     }
 
     /// What the endpoints offer to a request; `None` if it must not be sent now.
@@ -133,6 +156,9 @@
                 domain.good_slots += candidate.within_rate_limit(usable);
                 domain.headroom += f64::from(usable.saturating_sub(load.in_use()));
             }
+            if tier < Tier::Near && candidate.accepts() {
+                choices.accepting_slots += candidate.within_rate_limit(usable);
+            }
             if !candidate.may_send {
                 continue;
             }
@@ -148,7 +174,7 @@
             } else {
                 distance_cost(distance, self.endpoints()[candidate.i].slots)
             };
-            let cost = load.in_use() + distance_cost;
+            let cost = expected_cost(load.in_use(), candidate.slowness, distance_cost);
             // Ties go to the endpoint that has been idle longest. With a random choice and 1.2
             // sends per endpoint in two seconds, a quarter of the endpoints get nothing for two
             // seconds, then rank as slightly doubtful and fall behind the others.
@@ -159,6 +185,7 @@
             };
             let rank = Rank {
                 tier,
+                acceptance: candidate.acceptance_rank(ask, distance),
                 health: candidate.health_rank(tier, ask, distance),
                 cost,
                 // An endpoint with answers in transit shares its link among them.
@@ -175,6 +202,27 @@
         Some(choices)
     }
 
+    /// Whether the last send of a request waits for an endpoint that accepts instead of taking the
+    /// chosen one, which may shed it and so end the request.
+    fn waits_for_acceptance(
+        &self,
+        survey: &Survey,
+        ask: &Ask,
+        choices: &ServiceChoices,
+        choice: &Placed,
+    ) -> bool {
+        let chosen = survey.candidates.iter().find(|it| it.i == choice.endpoint);
+        let Some(chosen) = chosen.filter(|_| ask.wait && self.is_last_send(ask)) else {
+            return false;
+        };
+        if chosen.acceptance_rank(ask, choice.distance) == 0 {
+            return false;
+        }
+        let wait = self.expected_wait(survey.ahead_of(ask.priority), choices.accepting_slots);
+        let may_wait = choices.accepting_slots > 0.0 && wait <= self.max_wait(ask);
+        may_wait || chosen.acceptance < MIN_LAST_ACCEPTANCE
+    }
+
     /// Whether a request takes an endpoint that is likely to fail rather than wait for a good one.
     pub(super) fn takes_worse(&self, survey: &Survey, ask: &Ask, good_slots: f64) -> bool {
         let exceeds_max_wait =
@@ -182,6 +230,18 @@
         ask.wait && (good_slots == 0.0 || exceeds_max_wait())
     }
 
+    /// Whether a request that got no slot is refused instead of waiting: all endpoints that may serve
+    /// it shed nearly everything, and no other send may follow.
+    pub(super) fn is_likely_shed(&self, survey: &Survey, ask: &Ask) -> bool {
+        let mut open = survey
+            .candidates
+            .iter()
+            .filter(|it| it.configured_slots > 0 && !ask.excludes(self.loads[it.i].failure_domain));
+        self.is_last_send(ask)
+            && survey.len() > 0
+            && open.all(|it| it.acceptance < MIN_LAST_ACCEPTANCE)
+    }
+
     /// Longest time to wait for a good endpoint. A send that another one can follow loses little on
     /// an endpoint that fails; for the last send the request fails.
     pub(super) fn max_wait(&self, ask: &Ask) -> Duration {
--- a/crates/policy/src/options.rs
+++ b/crates/policy/src/options.rs
@@ -7,11 +7,16 @@
 pub struct DispatchOptions {
     pub(crate) near_first: bool,
     pub(crate) doubtful_slots: DoubtfulSlots,
+    pub(crate) concurrency_limits: ConcurrencyLimits,
 }
 
 impl Default for DispatchOptions {
     fn default() -> Self {
-        Self { near_first: true, doubtful_slots: DoubtfulSlots::default() }
+        Self {
+            near_first: true,
+            doubtful_slots: DoubtfulSlots::default(),
+            concurrency_limits: ConcurrencyLimits::default(),
+        }
     }
 }
 
@@ -29,6 +34,12 @@
     pub fn doubtful_slots(self, doubtful_slots: DoubtfulSlots) -> Self {
         Self { doubtful_slots, ..self }
     }
+
+    /// Sets whether concurrency limits are learned.
+    #[must_use]
+    pub fn concurrency_limits(self, concurrency_limits: ConcurrencyLimits) -> Self {
+        Self { concurrency_limits, ..self }
+    }
 }
 
 /// How many slots an endpoint gives whose health is in doubt.
@@ -41,3 +52,14 @@
     /// One.
     One,
 }
+
+/// Whether the concurrency limit of each endpoint and the share of sends that it accepts are learned.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ConcurrencyLimits {
+    /// They are learned, and limit the slots and the order of choice.
+    #[default]
+    Learned,
+    /// Every endpoint gives its configured slots, and counts as full for 100 ms after a shed.
+    Off,
+}
