Policy: tests of redirection and its failures

Cause: a dispatcher of one failure domain depends on loads that may be late, lost or damaged. Change: one test for each failure: loads missing, older than 1 s or damaged; a failure domain empty, evacuated, unhealthy as a whole, or back; a lost reply; a request that is already queued; pressure that only another failure domain sees; and a burst whose rest is shared by two failure domains.

--- a/crates/policy/src/tests.rs
+++ b/crates/policy/src/tests.rs
@@ -19,6 +19,7 @@
 mod places;
 mod queue;
 mod rate_limit;
+mod redirects;
 mod rendezvous;
 mod retry;
 mod silence;
