Policy: a test of dispatchers that know no loads of the others

Cause: with all loads lost, requests have to be served where they are. Change: the steady load with one dispatcher for each failure domain and no loads.

--- a/crates/policy/src/tests/domains.rs
+++ b/crates/policy/src/tests/domains.rs
@@ -103,6 +103,18 @@
     check(Load { factor: 1.6, ..LOAD }, BY_DOMAIN, 0.20);
 }
 
+/// Guards against requests that leave, or are lost, because nothing is known of the other failure
+/// domains.
+#[test]
+fn without_loads_of_the_others_requests_stay_and_are_served() {
+    let lost = Mode::ByDomain { knows_loads: false };
+    let [before, after] = compare(LOAD, [BEFORE, lost]);
+    let lines = format!("before: {}\n  after:  {}", before.line(), after.line());
+    eprintln!("{lines}");
+    assert_eq!(after.far, 0, "{lines}");
+    assert!(after.share(after.in_time) >= before.share(before.in_time) - 0.02, "{lines}");
+}
+
 fn dispatcher(service: &Service) -> (Dispatcher, StdRng) {
     (Dispatcher::new(Time(0), service, &[TERMS], BUDGET), StdRng::seed_from_u64(1))
 }
