Control: the setting near_first, and near and far sends in logs and metrics

Cause: operators need to see why requests leave their failure domain, and a way back to the previous decision. `slots handed out` and two metrics count near sends, far sends by reason and redirected requests.

--- a/crates/dappleway/src/control/dispatch_log.rs
+++ b/crates/dappleway/src/control/dispatch_log.rs
@@ -3,7 +3,9 @@
 
 use std::time::Duration;
 
-use policy::{DispatchCounts, Dispatcher, IdleEndpoint, Notice, Occupancy, RateLimit, Time};
+use policy::{
+    DispatchCounts, Dispatcher, FarReason, IdleEndpoint, Notice, Occupancy, RateLimit, Time,
+};
 use serde_json::json;
 use slog::info;
 
@@ -49,6 +51,7 @@
             let (name, is_fleet) = (state.service.name.as_str(), it.scope == Scope::Fleet);
             let DispatchLine { counts, occupancy, idle, .. } = it;
             self.metrics.count_permits(&counts);
+            self.metrics.count_placements(name, &counts);
             info!(self.log, "slots handed out"; "service" => name, "dispatched_here" => is_fleet,
                 "first_sends" => counts.first, "repeats" => counts.repeats,
                 "repeats_refused" => counts.repeats_refused, "answered" => counts.answered,
@@ -62,7 +65,13 @@
                 "in_use" => occupancy.in_use, "travelling" => occupancy.in_transit, "expected" => occupancy.expected,
                 "sound" => occupancy.healthy, "sound_idle" => occupancy.healthy_idle,
                 "limited" => occupancy.limited, "limit_per_s" => occupancy.limit_per_s,
-                "to_limited" => counts.to_limited, "leaving" => occupancy.leaving, "resting" => occupancy.with_backoffs, "strain" => it.pressure);
+                "to_limited" => counts.to_limited, "leaving" => occupancy.leaving, "resting" => occupancy.with_backoffs, "strain" => it.pressure,
+                "near" => counts.near, "far" => counts.far.total(),
+                "far_no_endpoint" => counts.far.of(FarReason::NoEndpoint),
+                "far_overflow" => counts.far.of(FarReason::Overflow),
+                "far_health" => counts.far.of(FarReason::Health),
+                "far_floor" => counts.far.of(FarReason::Floor),
+                "redirected" => counts.redirected.total());
             if !idle.is_empty() {
                 info!(self.log, "endpoints without work"; "service" => name,
                     "dispatched_here" => is_fleet, "endpoints" => state.service.endpoints.len(),
--- a/crates/dappleway/src/control/metrics.rs
+++ b/crates/dappleway/src/control/metrics.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use fleet::ServedFetch;
-use policy::{DispatchCounts, State, Time};
+use policy::{DispatchCounts, FarReason, State, Time};
 use prometheus::{
     Gauge, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
     Opts, Registry,
@@ -32,6 +32,10 @@
     first_sends: IntCounter,
     asks: IntCounterVec,
     permits: IntCounterVec,
+    /// Sends granted, by service and placement.
+    placements: IntCounterVec,
+    /// Redirected requests, by service and reason.
+    redirects: IntCounterVec,
     peer_messages: IntCounterVec,
     unacknowledged: IntGauge,
     acknowledged: Histogram,
@@ -155,6 +159,20 @@
                 ),
                 &["how"],
             )?,
+            placements: IntCounterVec::new(
+                Opts::new(
+                    "dappleway_placements_total",
+                    "Sends granted by this node, by service and placement: near, or far with the reason.",
+                ),
+                &["service", "placement"],
+            )?,
+            redirects: IntCounterVec::new(
+                Opts::new(
+                    "dappleway_redirects_total",
+                    "Requests that this node redirected to another failure domain, by service and reason.",
+                ),
+                &["service", "reason"],
+            )?,
             peer_messages: IntCounterVec::new(
                 Opts::new(
                     "dappleway_peer_messages_total",
@@ -190,6 +208,8 @@
         registry.register(Box::new(it.first_sends.clone()))?;
         registry.register(Box::new(it.asks.clone()))?;
         registry.register(Box::new(it.permits.clone()))?;
+        registry.register(Box::new(it.placements.clone()))?;
+        registry.register(Box::new(it.redirects.clone()))?;
         registry.register(Box::new(it.peer_messages.clone()))?;
         registry.register(Box::new(it.acknowledged.clone()))?;
         registry.register(Box::new(it.admissions.clone()))?;
@@ -205,6 +225,20 @@
         self.permits.with_label_values(&["expired"]).inc_by(counts.expired.into());
     }
 
+    /// Adds the counts of near and far sends and of redirected requests.
+    pub fn count_placements(&self, service: &str, counts: &DispatchCounts) {
+        let add = |counter: &IntCounterVec, label: &str, n: u32| {
+            if n > 0 {
+                counter.with_label_values(&[service, label]).inc_by(n.into());
+            }
+        };
+        add(&self.placements, "near", counts.near);
+        for reason in FarReason::ALL {
+            add(&self.placements, reason.name(), counts.far.of(reason));
+            add(&self.redirects, reason.name(), counts.redirected.of(reason));
+        }
+    }
+
     /// Counts a read of the platform that failed.
     pub fn count_platform_failure(&self) {
         self.platform_failures.inc();
--- a/crates/dappleway/src/settings/model.rs
+++ b/crates/dappleway/src/settings/model.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use fleet::Capacity;
-use policy::{BudgetLimits, Topology};
+use policy::{BudgetLimits, DispatchOptions, Topology};
 use resources::{Bias, Floor};
 use serde::{Deserialize, Serialize};
 
@@ -182,6 +182,9 @@
     /// Length of the window of `repeat_ratio` and `repeat_extra`.
     #[serde(default = "defaults::repeat_window_ms")]
     pub repeat_window_ms: u64,
+    /// Whether requests stay in their failure domain while there is room for them.
+    #[serde(default)]
+    pub near_first: NearFirst,
 }
 
 impl Default for Dispatch {
@@ -192,6 +195,7 @@
             repeat_ratio: defaults::repeat_ratio(),
             repeat_extra: defaults::repeat_extra(),
             repeat_window_ms: defaults::repeat_window_ms(),
+            near_first: NearFirst::default(),
         }
     }
 }
@@ -202,6 +206,22 @@
         let window = Duration::from_millis(self.repeat_window_ms);
         BudgetLimits { ratio: self.repeat_ratio, extra: self.repeat_extra, window }
     }
+
+    /// Settings of the dispatchers.
+    pub fn options(&self) -> DispatchOptions {
+        DispatchOptions::default().near_first(self.near_first == NearFirst::Auto)
+    }
+}
+
+/// Whether requests stay in their failure domain while there is room for them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum NearFirst {
+    /// Wherever a service has endpoints in several failure domains.
+    #[default]
+    Auto,
+    /// Nowhere: distance only adds a small cost to the choice of an endpoint.
+    Off,
 }
 
 /// The dispatch mode.
