--- a/crates/dappleway/src/control/dispatch_log.rs
+++ b/crates/dappleway/src/control/dispatch_log.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use policy::{
-    DispatchCounts, Dispatcher, DomainLoad, IdleEndpoint, Notice, Occupancy, RateLimit, Time,
+    DispatchCounts, Dispatcher, DomainLoad, FarReason, IdleEndpoint, Notice, Occupancy, RateLimit,
+    Time,
 };
 use resources::Name;
 use serde_json::json;
@@ -64,6 +65,7 @@
                 None => Vec::new(),
             };
             self.metrics.count_permits(&counts);
+            self.metrics.count_placements(name, &counts);
             info!(self.log, "slots handed out"; "service" => name, "dispatched_here" => is_fleet,
                 "failure_domain" => domain, "loads" => loads,
                 "remote_loads" => describe_loads(state, &remote),
@@ -81,7 +83,13 @@
                 "limited" => occupancy.limited, "limit_per_s" => occupancy.limit_per_s,
                 "to_limited" => counts.to_limited,
                 "refused_as_shed" => counts.refused_as_shed, "limits_lowered" => counts.limits_lowered,
-                "withheld" => occupancy.withheld, "shedding" => occupancy.shedding, "leaving" => occupancy.leaving, "resting" => occupancy.with_backoffs, "strain" => it.pressure);
+                "withheld" => occupancy.withheld, "shedding" => occupancy.shedding, "leaving" => occupancy.leaving, "resting" => occupancy.with_backoffs, "strain" => it.pressure,
+                "near" => counts.near, "far" => counts.far.total(),
+                "far_no_endpoint" => counts.far.of(FarReason::NoEndpoint),
+                "far_overflow" => counts.far.of(FarReason::Overflow),
+                "far_health" => counts.far.of(FarReason::Health),
+                "far_floor" => counts.far.of(FarReason::Floor),
+                "redirected" => counts.redirected.total());
             if !idle.is_empty() {
                 info!(self.log, "endpoints without work"; "service" => name,
                     "dispatched_here" => is_fleet, "endpoints" => state.service.endpoints.len(),
--- a/crates/dappleway/src/reload.rs
+++ b/crates/dappleway/src/reload.rs
@@ -17,7 +17,7 @@
 /// Interval at which the file is checked for a change without a signal. The file is small, so the check is cheap.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Settings that take effect in a running process.
-const RELOADABLE: [&str; 8] = [
+const RELOADABLE: [&str; 9] = [
     "log.level",
     "fleet.seeds",
     "operator.token_file",
@@ -26,6 +26,7 @@
     "dispatch.repeat_window_ms",
     "dispatch.doubtful_slots",
     "dispatch.concurrency_limits",
+    "dispatch.near_first",
 ];
 
 /// The task that reloads the settings file.
--- a/crates/dappleway/src/settings/model.rs
+++ b/crates/dappleway/src/settings/model.rs
@@ -192,6 +192,9 @@
     /// Whether concurrency limits of endpoints are learned.
     #[serde(default)]
     pub concurrency_limits: ConcurrencyLimits,
+    /// Whether requests stay in their failure domain while there is room for them.
+    #[serde(default)]
+    pub near_first: NearFirst,
 }
 
 /// Use of dispatch by failure domain.
@@ -216,6 +219,7 @@
             by_failure_domain: ByFailureDomain::default(),
             doubtful_slots: DoubtfulSlots::default(),
             concurrency_limits: ConcurrencyLimits::default(),
+            near_first: NearFirst::default(),
         }
     }
 }
@@ -241,9 +245,21 @@
         DispatchOptions::default()
             .doubtful_slots(self.doubtful_slots)
             .concurrency_limits(self.concurrency_limits)
+            .near_first(self.near_first == NearFirst::Auto)
     }
 }
 
+/// Whether requests stay in their failure domain while there is room for them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum NearFirst {
+    /// Wherever a service has endpoints in several failure domains.
+    #[default]
+    Auto,
+    /// Nowhere: distance only adds a small cost to the choice of an endpoint.
+    Off,
+}
+
 /// The dispatch mode.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/policy/src/tests.rs
+++ b/crates/policy/src/tests.rs
@@ -20,6 +20,7 @@
 mod places;
 mod queue;
 mod rate_limit;
+mod redirects;
 mod rendezvous;
 mod retry;
 mod shedding;
