Policy: spread when refused requests come back, and rank returns last

Cause: all refused requests got nearly the same Retry-After, and callers who came back at once competed with first attempts on equal terms.

Change: Retry-After is the expected wait, and for each further refusal of the same priority and organisation one request of its fair share later, up to 10 s. A request refused in the last 5 to 10 s (same RequestKey) ranks after first attempts of its priority and does not displace them. One that comes back before its time is charged to its organisation like a grant, and is refused without sorting the queue. Requests that have missed their objective are no longer the first to be evicted.

--- a/crates/dappleway/src/control/dispatch_log.rs
+++ b/crates/dappleway/src/control/dispatch_log.rs
@@ -58,6 +58,7 @@
                 "failed" => counts.failed, "timed_out" => counts.timed_out,
                 "shed_last" => counts.shed_last, "queue_refused" => counts.queue_refused,
                 "refused_why" => describe_refusals(&counts), "by_priority" => describe_priorities(&counts),
+                "early_returns" => counts.early_returns,
                 "waited_in_vain" => counts.expired_waiting, "withdrawn" => counts.withdrawn,
                 "rejected" => counts.rejected,
                 "unserved_elsewhere" => counts.unserved_elsewhere,
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -22,6 +22,7 @@
 mod overlap;
 mod placement;
 mod rate_limits;
+mod returns;
 mod waiting;
 mod work;
 mod working_set;
--- a/crates/policy/src/dispatcher/admission.rs
+++ b/crates/policy/src/dispatcher/admission.rs
@@ -14,7 +14,7 @@
 /// Maximum number of queued requests per slot.
 const QUEUE_PER_SLOT: f64 = 8.0;
 /// Lower bound for the number of slots in an estimate of the wait.
-const MIN_SLOTS: f64 = 0.05;
+pub(super) const MIN_SLOTS: f64 = 0.05;
 /// Maximum number of queued requests, whatever the number of slots, which bounds the cost of a pass
 /// over the queue.
 const MAX_QUEUE: usize = 512;
@@ -24,7 +24,7 @@
 const MAX_RANKED_QUEUE: usize = 1_024;
 /// Smallest share of the slots that is assumed to be left for a priority. With less, the wait of
 /// its requests exceeds their objective in any case.
-const MIN_SHARE_LEFT: f64 = 0.05;
+pub(super) const MIN_SHARE_LEFT: f64 = 0.05;
 /// Share of the objective after which the refusal of a waiting request is late: its caller would
 /// have been better off with a refusal at once.
 const HELD_SHARE: f64 = 0.1;
@@ -77,6 +77,7 @@
     /// Queues an ask if its rank and the time that it has left allow it. It may take the place of a
     /// request that ranks after it.
     fn enqueue_ranked(&mut self, now: Time, ask: Ask, slots: f64) -> Reply {
+        self.contended.slots = slots;
         let (id, priority) = (ask.id, ask.priority);
         let typical = self.contended.work.typical(ask.route);
         let arrival = Arrival {
@@ -85,6 +86,9 @@
             objective: ask.objective,
             left: ask.left,
         };
+        if let Some((why, wait)) = self.refuse_return(now, &ask, arrival, slots) {
+            return Reply::Refused { retry_after: self.refuse(now, &ask, why, wait) };
+        }
         self.push(now, ask);
         let ranks = self.rank_queue(now);
         let own = self.queue.iter().position(|it| it.item.id == id).expect("just pushed");
@@ -118,6 +122,36 @@
         }
     }
 
+    /// Whether a request that has come back is refused because those of its priority leave no room,
+    /// with its expected wait. It ranks after all of them, so that the queue need not be sorted:
+    /// callers that come back at once may ask many times as often as all others.
+    fn refuse_return(
+        &mut self,
+        now: Time,
+        ask: &Ask,
+        arrival: Arrival,
+        slots: f64,
+    ) -> Option<(Refusal, Duration)> {
+        self.contended.returns.find(now, ask.request)?;
+        let before = self.queue.iter().filter(|it| it.priority <= ask.priority);
+        let (mut count, mut work) = (0, self.work_of(ask));
+        for it in before {
+            count += 1;
+            work += self.work_of(&it.item);
+        }
+        let wait = self.wait_behind(now, work, ask.priority, slots);
+        let may_wait = self.congestion.admits(now, ask.priority, Arrival { wait, ..arrival });
+        if wait + self.contended.work.typical(ask.route) > ask.left {
+            Some((Refusal::CannotFinish, wait))
+        } else if !may_wait {
+            Some((Refusal::Congested, wait))
+        } else if count >= max_length(slots, MAX_RANKED_QUEUE) {
+            Some((Refusal::QueueFull, wait))
+        } else {
+            None
+        }
+    }
+
     fn push(&mut self, now: Time, ask: Ask) {
         if ask.send == SendKind::Further {
             self.budget.reserve();
@@ -128,7 +162,7 @@
             organisation: ask.organisation,
             weight: ask.weight,
             deadline: now + ask.left,
-            is_return: false,
+            is_return: self.contended.returns.find(now, ask.request).is_some(),
             item: ask,
         });
     }
@@ -139,16 +173,15 @@
 
     /// The position of the request that the one at `own` displaces: the last one of a lower
     /// priority, or else the last one of its own priority that would not be refused late. An
-    /// organisation that holds nothing displaces the last one in any case, and so does any request
-    /// if the last one has missed its objective already.
+    /// organisation that holds nothing displaces the last one in any case.
     fn victim(&self, now: Time, own: usize, ranks: &[Rank]) -> Option<usize> {
         let mut displaced = self.displaced(own, ranks);
         let last = displaced.next()?;
-        if ranks[last].priority > ranks[own].priority || ranks[last].is_return {
+        if ranks[last].priority > ranks[own].priority {
             return Some(last);
         }
         let young = std::iter::once(last).chain(displaced).find(|it| !self.is_held(now, *it));
-        young.or((ranks[own].share == 0.0 || ranks[last].is_late).then_some(last))
+        young.or((ranks[own].share == 0.0).then_some(last))
     }
 
     /// Like [`Self::victim`], for a queue that is not full: a request is evicted if the one at `own`
--- a/crates/policy/src/dispatcher/contention.rs
+++ b/crates/policy/src/dispatcher/contention.rs
@@ -3,8 +3,10 @@
 
 use std::time::Duration;
 
+use super::admission::{MIN_SHARE_LEFT, MIN_SLOTS};
 use super::demand::Demand;
-use super::holdings::RecentGrants;
+use super::holdings::{RecentGrants, fair_fraction};
+use super::returns::{Return, Returns};
 use super::work::Work;
 use super::{Dispatcher, MIN_RETRY_AFTER};
 use crate::options::{Contention, DispatchOptions};
@@ -50,6 +52,9 @@
     pub(super) work: Work,
     pub(super) demand: Demand,
     pub(super) recent_grants: RecentGrants,
+    pub(super) returns: Returns,
+    /// Slots that could be used when a request last asked to wait.
+    pub(super) slots: f64,
     /// Replies to requests that were evicted by an ask.
     pub(super) evicted: Vec<QueuedReply>,
     /// When the queue was last searched for requests that cannot finish.
@@ -73,48 +78,69 @@
         self.options.contention == Contention::Ranked
     }
 
-    /// Records that a request asks for a slot. One that asks again was counted before.
+    /// Records that a request asks for a slot. One that asks again was counted before. A request
+    /// that comes back earlier than it was told is charged to its organisation like a grant, so that
+    /// callers gain nothing by asking often.
     pub(super) fn note_demand(&mut self, now: Time, ask: &Ask) {
-        if ask.send != SendKind::FirstAgain {
-            let work = self.contended.work.mean(ask.route, self.mean_hold);
-            self.contended.demand.add(now, ask.priority, work);
+        let work = self.contended.work.mean(ask.route, self.mean_hold);
+        match self.contended.returns.find(now, ask.request) {
+            _ if ask.send == SendKind::FirstAgain => {}
+            None => self.contended.demand.add(now, ask.priority, work),
+            Some(Return::WhenTold) => {}
+            Some(Return::Early) => {
+                self.counts.early_returns += 1;
+                self.contended.recent_grants.charge(now, ask.organisation, work);
+            }
         }
     }
 
     /// Records a grant for the share of its organisation.
     pub(super) fn note_granted(&mut self, now: Time, ask: &Ask) {
         let work = self.contended.work.mean(ask.route, self.mean_hold);
-        self.contended.recent_grants.add(now, ask.organisation, work);
+        self.contended.recent_grants.add(now, (ask.organisation, ask.weight), work);
     }
 
     /// Sorts the queue by rank and returns the ranks.
     pub(super) fn rank_queue(&mut self, now: Time) -> Vec<Rank> {
         let holdings = self.holdings(now);
-        let work = &self.contended.work;
-        self.queue.sort_by_rank(&holdings, |it| {
-            now + work.typical(it.item.route) > it.asked() + it.item.objective
-        })
+        self.queue.sort_by_rank(&holdings)
     }
 
     /// Takes a request off the queue and refuses it.
     pub(super) fn refuse_waiting(&mut self, now: Time, i: usize, why: Refusal) -> QueuedReply {
         let it = self.queue.remove(i);
         self.release_reserved_repeats(std::iter::once(&it.item));
-        let retry_after = self.refuse(now, &it.item, why, self.mean_hold);
+        let retry_after = self.refuse(now, &it.item, why, Duration::ZERO);
         QueuedReply { id: it.item.id, reply: Reply::Refused { retry_after } }
     }
 
-    /// Counts a refusal and returns when the caller may try again.
+    /// Counts a refusal and returns when the caller may try again, given the time until there is
+    /// room for its priority.
     pub(super) fn refuse(
         &mut self,
         now: Time,
         ask: &Ask,
         why: Refusal,
-        wait: Duration,
+        room: Duration,
     ) -> Duration {
         self.counts.count_refusal(ask.priority, why);
         self.note_unserved(now, 1);
-        wait.max(MIN_RETRY_AFTER)
+        if !self.is_ranked() {
+            return room.max(MIN_RETRY_AFTER);
+        }
+        let pace = self.pace(now, ask);
+        let kind = (ask.priority, ask.organisation);
+        self.contended.returns.refuse(now, ask.request, kind, room, pace)
+    }
+
+    /// Time between two requests of an organisation that its share of the slots can serve.
+    fn pace(&self, now: Time, ask: &Ask) -> Duration {
+        let share = fair_fraction(&self.holdings(now), ask.organisation, ask.weight);
+        let slots = self.contended.slots;
+        let above = self.contended.demand.above(now, ask.priority);
+        let left = (slots - above).max(slots * MIN_SHARE_LEFT).max(MIN_SLOTS);
+        let work = self.contended.work.mean(ask.route, self.mean_hold);
+        Duration::from_secs_f64(work / (left * share))
     }
 }
 
--- a/crates/policy/src/dispatcher/counts.rs
+++ b/crates/policy/src/dispatcher/counts.rs
@@ -29,6 +29,8 @@
     pub queue_refused: u32,
     /// The same by reason, in the order of [`Refusal::ALL`].
     pub refusals: [u32; Refusal::ALL.len()],
+    /// Refused requests that came back earlier than they were told.
+    pub early_returns: u32,
     /// Queue entries, refusals and evictions by priority.
     pub by_priority: [PriorityCounts; PriorityCounts::GROUPS],
     /// Requests that waited for a slot until their deadline.
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -47,11 +47,6 @@
     /// Slots that the organisation would have, by weight, before this request. Zero for the first
     /// request of an organisation that holds nothing, which is next within its priority.
     pub(crate) share: f64,
-    /// Whether the request can no longer meet its objective. It is the first to be evicted from a
-    /// full queue, but keeps its place: behind all others, requests would be served last come,
-    /// first served, and fewer of them in time (39 % instead of 45 % under rate limits that leave
-    /// half of what is needed).
-    pub(crate) is_late: bool,
 }
 
 /// Ratio of two shares that count as different. The slots that equal organisations hold vary by
@@ -78,7 +73,7 @@
 }
 
 /// The weight of an organisation in a share: 1 if it is zero, and 1000 at most.
-fn bounded_weight(weight: u32) -> f64 {
+pub(crate) fn bounded_weight(weight: u32) -> f64 {
     f64::from(weight.clamp(1, MAX_WEIGHT))
 }
 
@@ -159,11 +154,7 @@
     /// Sorts the queue by rank and returns the ranks in that order. The order stays right while
     /// requests are granted from its front: an organisation then holds one slot more and has one
     /// request less before the next one.
-    pub(crate) fn sort_by_rank(
-        &mut self,
-        holdings: &Holdings,
-        is_late: impl Fn(&Waiting<T>) -> bool,
-    ) -> Vec<Rank> {
+    pub(crate) fn sort_by_rank(&mut self, holdings: &Holdings) -> Vec<Rank> {
         let mut ranked: Vec<(Rank, Waiting<T>)> = std::mem::take(&mut self.waiting)
             .into_iter()
             .map(|it| {
@@ -174,7 +165,6 @@
                     lately: 0.0,
                     deadline: it.deadline,
                     share: 0.0,
-                    is_late: is_late(&it),
                 };
                 (rank, it)
             })
