--- a/crates/dappleway/src/control/metrics.rs
+++ b/crates/dappleway/src/control/metrics.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fleet::ServedFetch;
-use policy::{DispatchCounts, FarReason, State, Time};
+use policy::{DispatchCounts, FarReason, Refusal, State, Time};
 use prometheus::{
     Gauge, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
     Opts, Registry,
@@ -38,6 +38,8 @@
     placements: IntCounterVec,
     /// Redirected requests, by service and reason.
     redirects_answered: IntCounterVec,
+    contention: IntCounterVec,
+    refusals: IntCounterVec,
     peer_messages: IntCounterVec,
     unacknowledged: IntGauge,
     acknowledged: Histogram,
@@ -181,6 +183,20 @@
                 ),
                 &["service", "reason"],
             )?,
+            contention: IntCounterVec::new(
+                Opts::new(
+                    "dappleway_contention_total",
+                    "Requests that found no slot at this node, by priority (3 for 3 and above): queued, refused, or evicted from the queue.",
+                ),
+                &["priority", "event"],
+            )?,
+            refusals: IntCounterVec::new(
+                Opts::new(
+                    "dappleway_slot_refusals_total",
+                    "Requests that this node refused a slot, by reason.",
+                ),
+                &["reason"],
+            )?,
             peer_messages: IntCounterVec::new(
                 Opts::new(
                     "dappleway_peer_messages_total",
@@ -257,6 +273,8 @@
         registry.register(Box::new(it.permits.clone()))?;
         registry.register(Box::new(it.placements.clone()))?;
         registry.register(Box::new(it.redirects_answered.clone()))?;
+        registry.register(Box::new(it.contention.clone()))?;
+        registry.register(Box::new(it.refusals.clone()))?;
         registry.register(Box::new(it.peer_messages.clone()))?;
         registry.register(Box::new(it.acknowledged.clone()))?;
         registry.register(Box::new(it.admissions.clone()))?;
@@ -275,6 +293,17 @@
         self.permits.with_label_values(&["released"]).inc_by(counts.released.into());
         self.permits.with_label_values(&["freed_early"]).inc_by(counts.freed_early.into());
         self.permits.with_label_values(&["expired"]).inc_by(counts.expired.into());
+        for (priority, it) in counts.by_priority.iter().enumerate() {
+            let priority = priority.to_string();
+            for (event, n) in
+                [("queued", it.queued), ("refused", it.refused), ("evicted", it.evicted)]
+            {
+                self.contention.with_label_values(&[&priority, event]).inc_by(n.into());
+            }
+        }
+        for (reason, n) in Refusal::ALL.into_iter().zip(counts.refusals) {
+            self.refusals.with_label_values(&[reason.name()]).inc_by(n.into());
+        }
     }
 
     /// Adds the counts of near and far sends and of redirected requests.
--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -143,6 +143,12 @@
             true => dispatcher.ask_redirecting(now, ask, &mut self.rng),
             false => dispatcher.ask(now, ask, &mut self.rng),
         };
+        let evicted = dispatcher.take_evicted();
+        let scope = match place {
+            Place::Own(failure_domain) => Scope::Fleet(failure_domain),
+            Place::Direct | Place::Peer(_) => Scope::Node,
+        };
+        self.pending_replies.extend(evicted.into_iter().map(|it| (scope, it)));
         self.handle_own_reply(now, place, id, reply);
     }
 
--- a/crates/dappleway/src/control/peer_slots.rs
+++ b/crates/dappleway/src/control/peer_slots.rs
@@ -96,8 +96,16 @@
         };
         // An asker passes over a node that does not know the endpoints, and asks the next one.
         let reply = match dispatcher {
-            Some(it) if may_redirect => it.ask_redirecting(now, ask, &mut self.rng),
-            Some(it) => it.ask(now, ask, &mut self.rng),
+            Some(it) => {
+                let reply = match may_redirect {
+                    true => it.ask_redirecting(now, ask, &mut self.rng),
+                    false => it.ask(now, ask, &mut self.rng),
+                };
+                let evicted = it.take_evicted().into_iter();
+                let scope = Scope::Fleet(failure_domain);
+                self.pending_replies.extend(evicted.map(|it| (scope, it)));
+                reply
+            }
             None => Reply::Full,
         };
         self.send_permit_message(now, from.0, PermitMessage::Answer { id, reply });
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -478,6 +478,7 @@
     /// Creates a dispatcher. Its precedence is `OneOfMany` until this node is known to be the first choice.
     fn new_dispatcher(&self, now: Time, service: &Service, routes: &[RouteTerms]) -> Dispatcher {
         let mut new = Dispatcher::new(now, service, routes, self.budget);
+        new.set_options(self.options);
         new.set_topology(self.topology.clone(), self.failure_domain);
         new.set_options(self.options);
         new.set_nodes(self.nodes);
--- a/crates/dappleway/src/settings/model.rs
+++ b/crates/dappleway/src/settings/model.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use fleet::{Capacity, Features};
-use policy::{BudgetLimits, ConcurrencyLimits, DispatchOptions, DoubtfulSlots, Topology};
+use policy::{
+    BudgetLimits, ConcurrencyLimits, Contention, DispatchOptions, DoubtfulSlots, Topology,
+};
 use resources::{Bias, Floor};
 use serde::{Deserialize, Serialize};
 
@@ -195,6 +197,9 @@
     /// Whether requests stay in their failure domain while there is room for them.
     #[serde(default)]
     pub near_first: NearFirst,
+    /// What decides on requests that compete for too few slots: their rank, or the length of the queue.
+    #[serde(default)]
+    pub contention: Contention,
 }
 
 /// Use of dispatch by failure domain.
@@ -220,6 +225,7 @@
             doubtful_slots: DoubtfulSlots::default(),
             concurrency_limits: ConcurrencyLimits::default(),
             near_first: NearFirst::default(),
+            contention: Contention::default(),
         }
     }
 }
@@ -246,6 +252,7 @@
             .doubtful_slots(self.doubtful_slots)
             .concurrency_limits(self.concurrency_limits)
             .near_first(self.near_first == NearFirst::Auto)
+            .contention(self.contention)
     }
 }
 
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -11,10 +11,13 @@
 mod capacity;
 mod concurrency;
 mod congestion;
+mod contention;
 mod counts;
 mod crash_suspects;
+mod demand;
 mod evidence;
 mod failure_time;
+mod holdings;
 mod idle;
 mod load;
 mod near_first;
@@ -23,8 +26,10 @@
 mod placement;
 mod rate_limits;
 mod remote;
+mod returns;
 mod speed;
 mod waiting;
+mod work;
 mod working_set;
 
 use std::time::Duration;
@@ -50,6 +55,7 @@
 use crate::unserved::{Completion, UnservedShare};
 use advertised::LapsedEndpoints;
 use congestion::Congestion;
+use contention::Contended;
 use failure_time::FailureTime;
 use load::EndpointLoad;
 use overlap::{Overlap, OverlapKind};
@@ -58,8 +64,10 @@
 use speed::AnswerTime;
 use working_set::{Rate, WorkingSet};
 
-pub use counts::{DispatchCounts, FarCounts, IdleEndpoint, Occupancy};
+pub use contention::Refusal;
+pub use counts::{DispatchCounts, FarCounts, IdleEndpoint, Occupancy, PriorityCounts};
 pub use evidence::EvidenceReport;
+pub(crate) use holdings::Holdings;
 
 /// A permit that is neither released nor renewed for this long expires.
 const PERMIT_LIFETIME: Duration = Duration::from_secs(3);
@@ -100,6 +108,7 @@
     endpoint: usize,
     route: u32,
     request: RequestKey,
+    organisation: u64,
     reporter: Reporter,
     /// Latency objective: an answer within this time is worth most to the caller.
     objective: Duration,
@@ -171,6 +180,8 @@
     /// Moving average of the time for which a slot is held.
     mean_hold: Duration,
     congestion: Congestion,
+    contended: Contended,
+    options: DispatchOptions,
     budget: Budget,
     /// Total of refused repeats at the last call of `newly_refused`.
     refusals_reported: u64,
@@ -185,7 +196,6 @@
     failure_time: FailureTime,
     /// Answer times of all endpoints.
     answer_time: AnswerTime,
-    options: DispatchOptions,
     counts: DispatchCounts,
     /// Time of the last grant.
     last_grant: Option<Time>,
@@ -237,6 +247,8 @@
             last_drain: Time::default(),
             mean_hold: INITIAL_MEAN_HOLD,
             congestion: Congestion::default(),
+            contended: Contended::default(),
+            options: DispatchOptions::default(),
             budget: Budget::new(now, budget),
             refusals_reported: 0,
             unserved: UnservedShare::default(),
@@ -245,7 +257,6 @@
             overlap: Overlap::default(),
             failure_time: FailureTime::default(),
             answer_time: AnswerTime::default(),
-            options: DispatchOptions::default(),
             counts: DispatchCounts::default(),
             last_grant: None,
             pressure: Pressure::None,
@@ -387,6 +398,7 @@
                 return Reply::Refused { retry_after: self.mean_hold.max(MIN_RETRY_AFTER) };
             }
         }
+        self.note_demand(now, &ask);
         self.refresh_inputs(now);
         if let Some(choice) = self.choose_from_candidates(now, &ask, rng) {
             return Reply::Granted(self.grant(now, &ask, choice));
@@ -417,8 +429,7 @@
             return Reply::Refused { retry_after: self.mean_hold.max(MIN_RETRY_AFTER) };
         }
         if let Some(retry_after) = self.retry_after_if_closed(now, &ask) {
-            self.counts.queue_refused += 1;
-            self.note_unserved(now, 1);
+            self.refuse(now, &ask, Refusal::Closed, retry_after);
             return Reply::Refused { retry_after };
         }
         let slots = survey.capacity();
@@ -465,7 +476,7 @@
         }
         self.note_accepted(now, &permit, kind);
         if kind == Kind::Answered && held_slot {
-            self.note_hold(now.since(permit.granted));
+            self.note_hold(permit.route, now.since(permit.granted));
         }
         self.learn(now, permit, kind, elapsed);
         self.drain(now, rng)
@@ -478,6 +489,7 @@
         self.counts.withdrawn += withdrawn.len() as u32;
         self.note_unserved(now, withdrawn.len());
         self.release_reserved_repeats(withdrawn.iter().map(|it| &it.item));
+        self.contended.evicted.retain(|it| it.id != id);
         self.ended.insert(id, now);
         let Some(permit) = self.permits.remove(&id) else { return Vec::new() };
         self.counts.released += 1;
@@ -492,11 +504,6 @@
         }
     }
 
-    /// Applies a change of the settings.
-    pub fn set_options(&mut self, options: DispatchOptions) {
-        self.options = options;
-    }
-
     /// Applies a change of the repeat budget.
     pub fn set_budget(&mut self, now: Time, limits: BudgetLimits) {
         self.budget.set_limits(now, limits);
@@ -513,7 +520,7 @@
     pub fn tick(&mut self, now: Time, rng: &mut impl Rng) -> Vec<QueuedReply> {
         let is_idle = self.permits.is_empty() && self.ended.is_empty() && self.queue.len() == 0;
         if is_idle && self.detector.is_idle() {
-            return Vec::new();
+            return self.take_evicted();
         }
         self.detector.tick(now);
         self.refresh_likelihoods(now);
@@ -609,6 +616,7 @@
             endpoint,
             route: ask.route,
             request: ask.request,
+            organisation: ask.organisation,
             reporter: ask.reporter,
             objective: ask.objective,
             grant: grant.clone(),
@@ -630,6 +638,7 @@
         self.loads[endpoint].advertised.pacer.sent(now, sharers);
         self.working_set.note_request(now, endpoint, &self.loads[endpoint]);
         self.rate.add(now);
+        self.note_granted(now, ask);
         self.loads[endpoint].begin_request(now, ask);
         self.last_grant = Some(now);
         self.counts.note_placement(&choice);
@@ -637,7 +646,8 @@
         grant
     }
 
-    fn note_hold(&mut self, held: Duration) {
+    fn note_hold(&mut self, route: u32, held: Duration) {
+        self.contended.work.add(route, held);
         let mean = self.mean_hold.as_secs_f64();
         let next = mean + HOLD_GAIN * (held.as_secs_f64() - mean);
         self.mean_hold = Duration::from_secs_f64(next);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -36,11 +36,12 @@
 pub use budget::{BudgetLimits, RepeatsReport};
 pub use dispatcher::{
     DispatchCounts, Dispatcher, EvidenceReport, FarCounts, IdleEndpoint, Occupancy, Precedence,
+    PriorityCounts, Refusal,
 };
 pub use domain_load::{DomainLoad, FarReason};
 pub use notice::Notice;
 pub use observation::{Kind, Observation, Reporter};
-pub use options::{ConcurrencyLimits, DispatchOptions, DoubtfulSlots};
+pub use options::{ConcurrencyLimits, Contention, DispatchOptions, DoubtfulSlots};
 pub use permit::{
     Ask, DomainFilter, Grant, HealthEstimate, PermitId, QueuedReply, Reply, SendKind, Tier,
 };
--- a/crates/policy/src/options.rs
+++ b/crates/policy/src/options.rs
@@ -8,6 +8,7 @@
     pub(crate) near_first: bool,
     pub(crate) doubtful_slots: DoubtfulSlots,
     pub(crate) concurrency_limits: ConcurrencyLimits,
+    pub(crate) contention: Contention,
 }
 
 impl Default for DispatchOptions {
@@ -16,6 +17,7 @@
             near_first: true,
             doubtful_slots: DoubtfulSlots::default(),
             concurrency_limits: ConcurrencyLimits::default(),
+            contention: Contention::default(),
         }
     }
 }
@@ -40,6 +42,12 @@
     pub fn concurrency_limits(self, concurrency_limits: ConcurrencyLimits) -> Self {
         Self { concurrency_limits, ..self }
     }
+
+    /// Sets what decides on requests that compete for too few slots.
+    #[must_use]
+    pub fn contention(self, contention: Contention) -> Self {
+        Self { contention, ..self }
+    }
 }
 
 /// How many slots an endpoint gives whose health is in doubt.
@@ -63,3 +71,15 @@
     /// Every endpoint gives its configured slots, and counts as full for 100 ms after a shed.
     Off,
 }
+
+/// What decides on requests that compete for too few slots.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Contention {
+    /// Requests are ranked by priority, by the share of their organisation and by the time left.
+    /// The rank decides who waits, who is evicted and who is granted a slot.
+    #[default]
+    Ranked,
+    /// The length of the queue and the expected wait decide who waits. Nothing is evicted.
+    Queue,
+}
--- a/crates/policy/src/tests.rs
+++ b/crates/policy/src/tests.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod capacity;
 mod choice;
+mod contention;
 mod dispatcher;
 mod domain_load;
 mod domains;
--- a/crates/policy/src/tests/capacity.rs
+++ b/crates/policy/src/tests/capacity.rs
@@ -9,8 +9,8 @@
 
 use super::fixture::{SECOND, TERMS, ask, service};
 use crate::{
-    Ask, BudgetLimits, ConcurrencyLimits, DispatchOptions, Dispatcher, DoubtfulSlots, Kind,
-    PermitId, Reply, RouteTerms, SendKind, Time,
+    Ask, BudgetLimits, ConcurrencyLimits, Contention, DispatchOptions, Dispatcher, DoubtfulSlots,
+    Kind, PermitId, Reply, RouteTerms, SendKind, Time,
 };
 
 const MS: u64 = 1_000;
@@ -204,8 +204,12 @@
 }
 
 const fn options(doubtful_slots: DoubtfulSlots) -> DispatchOptions {
-    let concurrency_limits = ConcurrencyLimits::Learned;
-    DispatchOptions { near_first: true, doubtful_slots, concurrency_limits }
+    DispatchOptions {
+        near_first: true,
+        doubtful_slots,
+        concurrency_limits: ConcurrencyLimits::Learned,
+        contention: Contention::Ranked,
+    }
 }
 
 const BY_AGE: Load = Load {
