Dappleway: a line for each change of the granting node of a failure domain

Cause: a change of the node that grants a failure domain's slots was visible in reports only, and loads of idle services cost a ranking of the nodes every 100 ms. Change: the node that becomes first candidate, or is it no longer, logs it once a second at most; whether a service is in use is checked before the nodes are ranked.

--- a/crates/dappleway/src/control/domain_dispatch.rs
+++ b/crates/dappleway/src/control/domain_dispatch.rs
@@ -1,19 +1,23 @@
 //! Dispatch by failure domain: when it is in force, which failure domain a request asks first, and the exchange of
 //! loads between the nodes that grant slots in different failure domains.
 
-use fleet::{Features, PermitMessage, Phase, Place};
-use policy::{DomainFilter, DomainLoad, NodeId, Reporter, Time, rank};
-use rustc_hash::FxHashMap;
+use fleet::{Directory, Features, PermitMessage, Phase, Place};
+use policy::{Dispatcher, DomainFilter, DomainLoad, NodeId, Reporter, Time, rank};
+use resources::Name;
+use rustc_hash::{FxHashMap, FxHashSet};
 use slog::info;
 
 use super::{Control, ServingNodes};
-use crate::services::{ServiceState, name_hash};
+use crate::services::{Scope, ServiceState, name_hash};
 
 /// State of dispatch by failure domain on the control thread.
 #[derive(Debug, Default)]
 pub(super) struct DomainDispatch {
     /// For each service, whether it was dispatched by failure domain at the last log line about it.
     logged: FxHashMap<u64, bool>,
+    /// For each service and failure domain with a dispatcher here, whether this node was the first candidate at the
+    /// last log line about it.
+    logged_granting: FxHashMap<(u64, u64), bool>,
 }
 
 impl Control {
@@ -105,8 +109,10 @@
         let Some(state) = self.services.get(service) else { return };
         let Some(domains) = state.dispatch_domains() else { return };
         let own = state.fleet.iter().filter_map(|(domain, it)| Some(((*domain)?, it)));
-        let mut own = own.peekable();
-        if own.peek().is_none() {
+        let is_used_here = |it: &Dispatcher| it.is_dispatching(now) || it.queued() > 0;
+        let is_in_use = state.remote_loads(now).any(has_requests)
+            || own.clone().any(|(_, it)| is_used_here(it));
+        if !is_in_use || own.clone().next().is_none() {
             return;
         }
         let directory = ServingNodes::new(now, self.me, &self.topology, &self.exchange);
@@ -114,15 +120,9 @@
             domains.hashes().map(|it| (it, self.client.place(now, service, Some(it), &directory)));
         let places: Vec<(u64, Place)> = places.collect();
         let is_granted_here = |domain: u64| places.contains(&(domain, Place::Own(Some(domain))));
-        let mut is_in_use = state.remote_loads(now).any(has_requests);
-        let mut loads: Vec<DomainLoad> = Vec::new();
-        for (domain, it) in own {
-            is_in_use |= it.is_dispatching(now) || it.queued() > 0;
-            if is_granted_here(domain) || it.is_dispatching(now) {
-                loads.extend(it.domain_loads(now));
-            }
-        }
-        if !is_in_use || loads.is_empty() {
+        let granting = own.filter(|(domain, it)| is_granted_here(*domain) || is_used_here(it));
+        let loads: Vec<DomainLoad> = granting.flat_map(|(_, it)| it.domain_loads(now)).collect();
+        if loads.is_empty() {
             return;
         }
         let mut peers: Vec<NodeId> = Vec::new();
@@ -166,6 +166,34 @@
 }
 
 impl Control {
+    /// Logs the failure domains of services for which this node has become the first candidate, or is it no longer.
+    pub(super) fn log_granting(&mut self, now: Time) {
+        let directory = ServingNodes::new(now, self.me, &self.topology, &self.exchange);
+        let by_domain: FxHashSet<u64> = self.services.dispatched_by_domain().collect();
+        let mut changes = Vec::new();
+        let logged = &mut self.domain_dispatch.logged_granting;
+        self.services.for_each(|service, scope, _| {
+            let Scope::Fleet(Some(domain)) = scope else { return };
+            let candidates = match by_domain.contains(&service) {
+                true => directory.candidates(service, Some(domain)),
+                false => Vec::new(),
+            };
+            let is_first = candidates.first() == Some(&self.me.node);
+            let before = logged.insert((service, domain), is_first);
+            if before.unwrap_or_default() != is_first {
+                changes.push((service, domain, is_first, candidates));
+            }
+        });
+        for (service, domain, is_first, candidates) in changes {
+            let Some(state) = self.services.get(service) else { continue };
+            let first = candidates.first().map(|it| self.addr_of(*it));
+            info!(self.log, "granting node of a failure domain changed";
+                "service" => state.service.name.as_str(),
+                "failure_domain" => state.domains().name(domain).map(Name::as_str),
+                "is_this_node" => is_first, "first" => first, "candidates" => candidates.len());
+        }
+    }
+
     /// Logs the requests of this node that were redirected since the last call.
     pub(super) fn log_redirects(&mut self) {
         let redirects = self.client.redirects;
--- a/crates/dappleway/src/control/timers.rs
+++ b/crates/dappleway/src/control/timers.rs
@@ -69,6 +69,7 @@
             self.log_repeats(now);
             self.log_dispatch(now);
             self.log_redirects();
+            self.log_granting(now);
             self.log_slow_acks();
             self.log_allowances();
             self.update_metrics(now);
