Fleet: a new message does not cost a pass over all peers

Cause: sending joined messages went over the unacknowledged messages of all peers in each step of the control loop that had one message to send. Change: peers with new messages are listed; the pass over all is made only when a message is due to be sent again or given up.

--- a/crates/fleet/src/delivery.rs
+++ b/crates/fleet/src/delivery.rs
@@ -50,7 +50,9 @@
     stream: u32,
     outboxes: FxHashMap<NodeId, Outbox>,
     inboxes: FxHashMap<NodeId, Inbox>,
-    /// Lower bound of the next time at which a message has to be sent or given up.
+    /// Peers with messages that were not sent yet.
+    new_for: Vec<NodeId>,
+    /// Lower bound of the next time at which a message has to be sent again or given up.
     due: Option<Time>,
     /// Acknowledgements that are not sent yet.
     acks: FxHashMap<NodeId, PendingAck>,
@@ -114,6 +116,7 @@
             stream,
             outboxes: FxHashMap::default(),
             inboxes: FxHashMap::default(),
+            new_for: Vec::new(),
             due: None,
             acks: FxHashMap::default(),
             complete_acks: Vec::new(),
@@ -153,15 +156,20 @@
             resend_interval: RESEND_AFTER,
             was_sent: false,
         });
-        self.due = Some(self.due.map_or(now, |it| it.min(now)));
+        if !self.new_for.contains(&to) {
+            self.new_for.push(to);
+        }
         Ok(())
     }
 
     /// Returns the batches to send to one peer now.
     pub fn flush(&mut self, now: Time, to: NodeId) -> Vec<Batch> {
+        self.new_for.retain(|it| *it != to);
         let Some(outbox) = self.outboxes.get_mut(&to) else { return Vec::new() };
         let (batches, resent) = outbox.take_due(now, self.stream);
         self.resent += resent;
+        let due = now + RESEND_AFTER;
+        self.due = Some(self.due.map_or(due, |it| it.min(due)));
         batches
     }
 
@@ -244,15 +252,21 @@
 
     /// The next time at which `tick` or `take_acks` has work to do.
     pub fn due(&self) -> Option<Time> {
-        [self.due, self.ack_due].into_iter().flatten().min()
+        match self.new_for.is_empty() {
+            true => [self.due, self.ack_due].into_iter().flatten().min(),
+            false => Some(Time(0)),
+        }
     }
 
     /// Returns the batches to send now.
     pub fn tick(&mut self, now: Time) -> Vec<(NodeId, Batch)> {
+        let mut batches = Vec::new();
+        for to in std::mem::take(&mut self.new_for) {
+            batches.extend(self.flush(now, to).into_iter().map(|it| (to, it)));
+        }
         if self.due.is_none_or(|it| now < it) {
-            return Vec::new();
+            return batches;
         }
-        let mut batches = Vec::new();
         for (to, outbox) in &mut self.outboxes {
             self.given_up += outbox.expire(now);
             let (due, resent) = outbox.take_due(now, self.stream);
