Dappleway: a test of redirected requests with real processes

Cause: with the stub of placement no request was redirected, so nothing ran the exchange of loads and the second ask together. Change: all callers are in a failure domain with slots for 60 requests a second and send 80; the other one has no request of its own. Conclusion: an idle failure domain makes its free slots known.

--- a/crates/dappleway/tests/failure_domains.rs
+++ b/crates/dappleway/tests/failure_domains.rs
@@ -6,7 +6,8 @@
 
 use serde_json::Value;
 use standin::bed::{Layout, TestBed};
-use standin::caller::{self, Summary};
+use standin::caller::{self, Plan, Summary};
+use standin::upstream::Profile;
 use tokio::sync::Mutex;
 
 /// One test bed at a time: more would compete for the CPU and appear unhealthy.
@@ -118,6 +119,26 @@
     }
 }
 
+/// All callers are in one failure domain, which has slots for 60 requests a second; the other one has as many, and no
+/// request of its own that would make it tell of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_find_no_room_in_their_failure_domain_are_served_in_another_one() {
+    let _alone = BED.lock().await;
+    let profile = Profile { slots: 1, service_us: 200_000, ..layout().profile };
+    let layout = Layout { profile, ..layout() };
+    let bed = TestBed::start(Path::new(env!("CARGO_BIN_EXE_dappleway")), &layout).await.unwrap();
+    bed.wait_reports(|it| is_by_domain(it) && knows_all_nodes(it)).await.unwrap();
+    let in_a = bed.nodes.iter().filter(|it| it.addrs.failure_domain == "a");
+    let targets = in_a.map(|it| it.addrs.traffic).collect();
+    let summary = caller::run(Plan { targets, ..bed.lookups(80.0, 4.0) }).await;
+    let mut redirects = 0;
+    for it in &bed.nodes {
+        redirects += it.report().await.unwrap()["redirects"]["overflow"].as_u64().unwrap();
+    }
+    assert!(redirects > 0, "{summary:?}");
+    assert_eq!(summary.answered, summary.sent, "{redirects} redirected, {summary:?}");
+}
+
 /// A node with the setting off announces nothing, as one of an earlier build.
 #[tokio::test(flavor = "multi_thread")]
 async fn one_node_grants_for_all_in_a_mixed_fleet() {
