Fleet: a slot of a failure domain that the request has left is not used

An answer does not say which failure domain it is for. A node that grants for two of them could grant a late copy of the first ask after it had redirected the request, and the asker used that slot although the node had withdrawn it. The slot in the other failure domain stayed in use, and the outcome counted for the wrong endpoint.

The asking side now compares the failure domain of the granted endpoint with the one that it asks, and ignores a slot of another one. The ask is repeated after its time-out, which makes the node withdraw that slot. A release is not sent, since it would end the slot in both failure domains.

The test `a_slot_of_the_failure_domain_that_was_left_is_not_used` failed before: the withdrawn slot was used.

--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -401,6 +401,8 @@
     me: Reporter,
     topology: &'a Topology,
     exchange: &'a Exchange,
+    /// The services whose endpoints are known; `None` where only nodes are ranked.
+    services: Option<&'a Services>,
 }
 
 impl Directory for ServingNodes<'_> {
@@ -425,6 +427,10 @@
         ranked.extend(rank(false));
         ranked
     }
+
+    fn failure_domain_of(&self, service: u64, endpoint: &str) -> Option<u64> {
+        self.services?.get(service)?.failure_domain_of(endpoint)
+    }
 }
 
 /// A node that may dispatch services and own allowances.
@@ -438,7 +444,11 @@
 
 impl<'a> ServingNodes<'a> {
     fn new(now: Time, me: Reporter, topology: &'a Topology, exchange: &'a Exchange) -> Self {
-        Self { now, me, topology, exchange }
+        Self { now, me, topology, exchange, services: None }
+    }
+
+    fn with_services(self, services: &'a Services) -> Self {
+        Self { services: Some(services), ..self }
     }
 
     /// The nodes that may dispatch services and own allowances.
--- a/crates/dappleway/src/control/domain_dispatch.rs
+++ b/crates/dappleway/src/control/domain_dispatch.rs
@@ -92,8 +92,7 @@
     pub(super) fn dispatch_domain_of(&self, service: u64, endpoint: &str) -> Option<u64> {
         let state = self.services.get(service)?;
         state.dispatch_domains()?;
-        let position = state.direct.rotation().position(endpoint)?;
-        Some(name_hash(&state.direct.endpoints()[position].failure_domain))
+        state.failure_domain_of(endpoint)
     }
 
     /// Sends the loads of the failure domains whose slots this node grants to the nodes that grant those of the other
--- a/crates/dappleway/src/control/peer_slots.rs
+++ b/crates/dappleway/src/control/peer_slots.rs
@@ -28,7 +28,8 @@
                 self.handle_domain_loads(now, service, &loads);
             }
             PermitMessage::Answer { id, reply } => {
-                let directory = ServingNodes::new(now, self.me, &self.topology, &self.exchange);
+                let directory = ServingNodes::new(now, self.me, &self.topology, &self.exchange)
+                    .with_services(&self.services);
                 let place = Place::Peer(from.0);
                 if let Some(action) = self.client.reply(now, place, id, reply, &directory) {
                     self.perform(now, action);
--- a/crates/dappleway/src/control/tests/domain_dispatch.rs
+++ b/crates/dappleway/src/control/tests/domain_dispatch.rs
@@ -254,3 +254,14 @@
     assert_eq!(control.dispatch_domain_of(service, "b-3"), Some(name_hash("b")));
     assert_eq!(control.dispatch_domain_of(service, "unknown"), None);
 }
+
+/// Guards against answers whose failure domain is never compared, because the asking side does not know the endpoints.
+#[tokio::test]
+async fn the_asking_side_knows_the_failure_domains_of_the_endpoints() {
+    let control = node_with(&[("a", 12), ("b", 12)]).await;
+    let now = control.now();
+    let directory = ServingNodes::new(now, control.me, &control.topology, &control.exchange)
+        .with_services(&control.services);
+    let of = |endpoint: &str| directory.failure_domain_of(name_hash("s"), endpoint);
+    assert_eq!((of("b-3"), of("unknown")), (Some(name_hash("b")), None));
+}
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -369,12 +369,18 @@
         values.filter(move |(_, at)| now.since(*at) <= MAX_LOAD_AGE).map(|(it, _)| it)
     }
 
+    /// Hash of the failure domain of an endpoint.
+    pub fn failure_domain_of(&self, endpoint: &str) -> Option<u64> {
+        let position = self.direct.rotation().position(endpoint)?;
+        Some(name_hash(&self.direct.endpoints()[position].failure_domain))
+    }
+
     /// Counts a slot granted to a request of this node, whose failure domain is `own`.
     pub fn count_send(&mut self, own: u64, endpoint: &str) {
-        let Some(position) = self.direct.rotation().position(endpoint) else { return };
-        match name_hash(&self.direct.endpoints()[position].failure_domain) == own {
-            true => self.sends.near += 1,
-            false => self.sends.far += 1,
+        match self.failure_domain_of(endpoint) {
+            Some(it) if it == own => self.sends.near += 1,
+            Some(_) => self.sends.far += 1,
+            None => {}
         }
     }
 
--- a/crates/fleet/src/permits.rs
+++ b/crates/fleet/src/permits.rs
@@ -135,6 +135,9 @@
     /// The nodes that can dispatch a service, best first: its endpoints in one failure domain or, if
     /// none is given, all of its endpoints.
     fn candidates(&self, service: u64, failure_domain: Option<u64>) -> Vec<NodeId>;
+
+    /// Hash of the failure domain of an endpoint, if it is known.
+    fn failure_domain_of(&self, service: u64, endpoint: &str) -> Option<u64>;
 }
 
 /// Asking side of one node.
@@ -263,6 +266,9 @@
             return self.release_unwanted(place, id, &reply);
         };
         match reply {
+            // The node also grants for the failure domain that the request has left. The ask is repeated
+            // after the time-out, which makes the node withdraw this slot.
+            Reply::Granted(ref it) if !pending.is_slot_wanted(it, directory) => None,
             Reply::Queued => {
                 pending.is_queued = true;
                 pending.unanswered_asks = 0;
@@ -492,6 +498,14 @@
 }
 
 impl Pending {
+    /// Whether a slot is in the failure domain that is asked now. One of an unknown endpoint is accepted:
+    /// this node may be behind in configuration.
+    fn is_slot_wanted(&self, grant: &Grant, directory: &impl Directory) -> bool {
+        let Some(asked) = self.failure_domain else { return true };
+        let known = directory.failure_domain_of(self.request.service, &grant.endpoint);
+        known.is_none_or(|it| it == asked)
+    }
+
     fn is_timed_out(&self, now: Time, timeout: Duration) -> bool {
         let limit = match (self.is_queued, self.place) {
             (true, Place::Peer(_)) => QUEUED_ASK_INTERVAL,
--- a/crates/fleet/src/tests/domain_permits.rs
+++ b/crates/fleet/src/tests/domain_permits.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use policy::{
-    Ask, BudgetLimits, Dispatcher, FarReason, NodeId, PermitId, Reply, Reporter, RequestKey,
+    Ask, BudgetLimits, Dispatcher, FarReason, Grant, NodeId, PermitId, Reply, Reporter, RequestKey,
     RouteTerms, SendKind, Time,
 };
 use proptest::prelude::*;
@@ -34,6 +34,14 @@
         };
         nodes.iter().copied().map(NodeId).collect()
     }
+
+    fn failure_domain_of(&self, _service: u64, endpoint: &str) -> Option<u64> {
+        match endpoint {
+            "home" => Some(HOME),
+            "other" => Some(OTHER),
+            _ => None,
+        }
+    }
 }
 
 fn two_domains() -> Domains {
@@ -117,6 +125,20 @@
     assert_eq!(granted, "granted by Peer(NodeId(2))");
 }
 
+/// Guards against the use of a slot that its node has withdrawn: a node of both failure domains grants a
+/// late copy of the first ask, and withdraws that slot when it is asked in the other failure domain.
+#[test]
+fn a_slot_of_the_failure_domain_that_was_left_is_not_used() {
+    let directory = Domains { home: vec![2], other: vec![2] };
+    let (mut client, _) = start(&directory);
+    assert_eq!(reply(&mut client, &directory, 2, elsewhere()), "ask 2 in 200");
+    let slot = |endpoint: &str| Reply::Granted(Grant { endpoint: endpoint.into(), ..grant() });
+    assert_eq!(reply(&mut client, &directory, 2, slot("home")), "nothing");
+    // The repeated ask makes the node withdraw the slot.
+    assert_eq!(ticks(&mut client, &directory, 0, 20), ["ask 2 in 200"]);
+    assert_eq!(reply(&mut client, &directory, 2, slot("other")), "granted by Peer(NodeId(2))");
+}
+
 /// The node that grants the slots of the own failure domain is lost, or is frozen, or its answers do
 /// not arrive.
 #[test]
--- a/crates/fleet/src/tests/permits.rs
+++ b/crates/fleet/src/tests/permits.rs
@@ -18,6 +18,10 @@
     fn candidates(&self, _service: u64, _failure_domain: Option<u64>) -> Vec<NodeId> {
         self.0.clone()
     }
+
+    fn failure_domain_of(&self, _service: u64, _endpoint: &str) -> Option<u64> {
+        None
+    }
 }
 
 pub(super) fn permit_request() -> PermitRequest {
--- a/crates/fleet/tests/virtual_fleet/mod.rs
+++ b/crates/fleet/tests/virtual_fleet/mod.rs
@@ -146,6 +146,10 @@
     fn candidates(&self, service: u64, _failure_domain: Option<u64>) -> Vec<NodeId> {
         rank(service, self.0.iter().copied())
     }
+
+    fn failure_domain_of(&self, _service: u64, _endpoint: &str) -> Option<u64> {
+        None
+    }
 }
 
 /// An event of the simulation.
