Dappleway: a failure domain unknown to this node is no reason to refuse

A node that ranked first for a failure domain in which it knew no endpoint refused its own requests there, while the same ask of another node was answered with `Full` and passed on.

Its own asks are now handled as `Full` too, as long as the service exists: a redirected request returns to its own failure domain, any other one picks locally.

The test `a_request_for_a_failure_domain_without_known_endpoints_is_passed_on` failed before with a refusal.

--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -135,6 +135,11 @@
             _ => self.services.get_mut(service).map(|it| &mut it.direct),
         };
         let Some(dispatcher) = dispatcher else {
+            if self.services.get(service).is_some() {
+                // This node knows no endpoint in the failure domain, as if it were behind in configuration.
+                self.handle_own_reply(now, place, id, Reply::Full);
+                return;
+            }
             // The service was removed after the slot was requested.
             self.perform(now, PermitAction::Settle(id, PermitOutcome::Refused(RENEWAL_INTERVAL)));
             return;
--- a/crates/dappleway/src/control/tests/domain_dispatch.rs
+++ b/crates/dappleway/src/control/tests/domain_dispatch.rs
@@ -1,11 +1,14 @@
 //! Dispatch by failure domain: when it is in force, and who grants.
 
-use fleet::{Features, PermitMessage, node_id};
+use std::sync::Arc;
+
+use fleet::{Features, PermitMessage, PermitRequest, Place, node_id};
 use policy::{
     Ask, DomainFilter, DomainLoad, PermitId, Reply, Reporter, RequestKey, SendKind, Topology,
 };
-use resources::Priority;
+use resources::{Priority, Route};
 
+use super::super::{RoutedRequest, Waiter};
 use super::*;
 
 /// Thousandths of a core of the nodes in these tests.
@@ -265,3 +268,26 @@
     let of = |endpoint: &str| directory.failure_domain_of(name_hash("s"), endpoint);
     assert_eq!((of("b-3"), of("unknown")), (Some(name_hash("b")), None));
 }
+
+/// Guards against the refusal of a request for a failure domain of which this node knows no endpoint, although it
+/// ranks first there.
+#[tokio::test]
+async fn a_request_for_a_failure_domain_without_known_endpoints_is_passed_on() {
+    let mut control = node_with(&[("a", 12), ("b", 12)]).await;
+    let (now, service) = (control.now(), name_hash("s"));
+    let ask = ask(1, control.me);
+    let (tx, mut rx) = oneshot::channel();
+    let route = serde_json::json!({"name": "r", "path": "/", "service": "s", "deadline_ms": 500,
+        "repeat": "anytime"});
+    let route: Route = serde_json::from_value(route).unwrap();
+    let request = RoutedRequest { route: Arc::new(route), key: ask.request };
+    control.waiting.insert(ask.id, Waiter { tx, service, request });
+    let deadline = now + Duration::from_secs(1);
+    let failure_domain = Some(name_hash("c"));
+    let request = PermitRequest { ask, service, failure_domain, deadline };
+    let directory = ServingNodes::new(now, control.me, &control.topology, &control.exchange);
+    let action = control.client.request(now, request, &directory);
+    control.perform(now, action);
+    let (_, place) = rx.try_recv().unwrap().expect("the request gets a slot");
+    assert_eq!(place, Place::Direct);
+}
