Fleet: a redirected request releases what copies of its ask took

If an ask was repeated before the answer `Elsewhere` arrived, a copy could take a slot or a place in the queue at the node that had redirected the request. Only a node that grants for both failure domains withdrew it.

After more than one ask, the asking side now releases the request at the old place, unless the new place is the same node or the request has returned there. A dispatcher no longer answers `Full` to a request that it redirected and that returns after such a release; late copies of the return still get `Full`. The release is sent with the next tick of the client.

`a_node_that_redirected_one_of_several_asks_releases_the_others` and `a_redirected_request_that_was_withdrawn_may_return_once` failed before.

--- a/crates/fleet/src/permits.rs
+++ b/crates/fleet/src/permits.rs
@@ -97,6 +97,8 @@
     is_queued: bool,
     /// Asks at this place since its last answer.
     unanswered_asks: u32,
+    /// All asks at this place for the failure domain that is asked now. A copy may arrive after the answer.
+    asks_here: u32,
     /// Number of places asked without success, in the failure domain that is asked now.
     failed_places: u32,
     /// Failure domain that is asked now; `None` if one node dispatches all endpoints.
@@ -157,6 +159,9 @@
     /// Recently granted requests, and the place that granted them.
     granted: FxHashMap<PermitId, (Place, Time)>,
     next_forget: Time,
+    /// Requests that were redirected after more than one ask, and the place that redirected them. A copy
+    /// of the ask may have taken a slot or a place in the queue there.
+    left_places: Vec<(Place, PermitId)>,
     /// Window of the repeat budget.
     window: Duration,
     /// Reachability changes since the last call of `take_reachability_changes`.
@@ -212,6 +217,7 @@
             budget_places: FxHashMap::default(),
             granted: FxHashMap::default(),
             next_forget: Time(0),
+            left_places: Vec::new(),
             window,
             reachability_changes: Vec::new(),
             timeouts: 0,
@@ -240,6 +246,7 @@
             asked_at: now,
             is_queued: false,
             unanswered_asks: 0,
+            asks_here: 0,
             failed_places: 0,
             failure_domain,
             redirect: Redirect::Possible,
@@ -291,8 +298,15 @@
                 pending.failed_places = 0;
                 pending.unanswered_asks = 0;
                 pending.is_queued = false;
+                let has_copies = std::mem::take(&mut pending.asks_here) > 1;
                 self.redirects.count(reason);
-                Some(self.ask(now, id, directory))
+                let ask = self.ask(now, id, directory);
+                // A node that is asked for both failure domains withdraws the copies itself.
+                let is_at_place = self.pending.get(&id).is_some_and(|it| it.place == place);
+                if has_copies && !is_at_place {
+                    self.left_places.push((place, id));
+                }
+                Some(ask)
             }
             // A late copy of the answer that redirected the request: an ask that must not be
             // redirected gets no such answer.
@@ -330,13 +344,27 @@
     /// Handles the asks that were not answered in time.
     pub fn tick(&mut self, now: Time, directory: &impl Directory) -> Vec<PermitAction> {
         self.forget_grants(now);
+        let left = self.release_left_places();
         let timed_out: Vec<PermitId> = self
             .pending
             .iter()
             .filter(|(_, it)| it.is_timed_out(now, self.timeout))
             .map(|(id, _)| *id)
             .collect();
-        timed_out.into_iter().flat_map(|id| self.handle_timeout(now, id, directory)).collect()
+        let asked = timed_out.into_iter().flat_map(|id| self.handle_timeout(now, id, directory));
+        left.into_iter().chain(asked).collect()
+    }
+
+    /// Releases what copies of an ask took at the places that redirected it, except where the request has
+    /// returned to.
+    fn release_left_places(&mut self) -> Vec<PermitAction> {
+        let left = std::mem::take(&mut self.left_places).into_iter();
+        let left = left.filter(|(place, id)| {
+            let pending = self.pending.get(id).map(|it| it.place);
+            let granted = self.granted.get(id).map(|(it, _)| *it);
+            pending.or(granted) != Some(*place)
+        });
+        left.filter_map(|(place, id)| release(place, id)).collect()
     }
 
     fn handle_timeout(
@@ -408,6 +436,7 @@
         }
         if place != pending.place {
             pending.unanswered_asks = 0;
+            pending.asks_here = 0;
         }
         self.ask_at(now, id, place)
     }
@@ -417,6 +446,7 @@
         pending.place = place;
         pending.asked_at = now;
         pending.unanswered_asks += 1;
+        pending.asks_here += 1;
         let (failure_domain, redirect) = (pending.failure_domain, pending.redirect);
         let request = &mut pending.request;
         let service = request.service;
--- a/crates/fleet/src/tests/domain_permits.rs
+++ b/crates/fleet/src/tests/domain_permits.rs
@@ -139,6 +139,23 @@
     assert_eq!(reply(&mut client, &directory, 2, slot("other")), "granted by Peer(NodeId(2))");
 }
 
+/// Guards against a slot or a place in a queue that a late copy of the first ask takes at the node that
+/// redirected the request.
+#[test]
+fn a_node_that_redirected_one_of_several_asks_releases_the_others() {
+    let directory = two_domains();
+    let (mut client, _) = start(&directory);
+    assert_eq!(ticks(&mut client, &directory, 0, 10), ["ask 2 in 100, may redirect"]);
+    assert_eq!(reply(&mut client, &directory, 2, elsewhere()), "ask 4 in 200");
+    assert_eq!(reply(&mut client, &directory, 4, Reply::Queued), "nothing");
+    assert_eq!(ticks(&mut client, &directory, 10, 20), ["release 2"]);
+    // A single ask has no copy that could arrive late.
+    let (mut client, _) = start(&directory);
+    assert_eq!(reply(&mut client, &directory, 2, elsewhere()), "ask 4 in 200");
+    assert_eq!(reply(&mut client, &directory, 4, Reply::Queued), "nothing");
+    assert!(ticks(&mut client, &directory, 0, 20).is_empty());
+}
+
 /// The node that grants the slots of the own failure domain is lost, or is frozen, or its answers do
 /// not arrive.
 #[test]
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -327,6 +327,7 @@
 
     /// Answers a request for a slot.
     pub fn ask(&mut self, now: Time, ask: Ask, rng: &mut impl Rng) -> Reply {
+        self.note_return(ask.id);
         self.ask_or_redirect(now, ask, false, rng)
     }
 
--- a/crates/policy/src/dispatcher/remote.rs
+++ b/crates/policy/src/dispatcher/remote.rs
@@ -9,7 +9,7 @@
 
 use rand::{Rng, RngExt};
 use resources::Priority;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use super::candidate::Survey;
 use super::near_first::ServiceChoices;
@@ -28,12 +28,21 @@
     queued: FxHashMap<PermitId, Time>,
     /// Recently redirected requests. Their asks may arrive again, because the reply was lost.
     redirected: FxHashMap<PermitId, (Time, u64, FarReason)>,
+    /// Those of them that have returned, because the other failure domain could not serve them.
+    returned: FxHashSet<PermitId>,
 }
 
 impl Redirection {
+    /// Whether an ask that must not be redirected is the first one of a request that has returned.
+    fn is_return(&mut self, id: PermitId) -> bool {
+        self.redirected.contains_key(&id) && self.returned.insert(id)
+    }
+
     /// Drops what has expired.
     pub(super) fn tick(&mut self, now: Time) {
         self.redirected.retain(|_, (at, ..)| now.since(*at) < ENDED_PERMIT_RETENTION);
+        let redirected = &self.redirected;
+        self.returned.retain(|id| redirected.contains_key(id));
     }
 }
 
@@ -91,6 +100,14 @@
         self.unserved.set_remote(now, served, unserved);
     }
 
+    /// Forgets that a redirected request was withdrawn here when it returns. The withdrawal removed what
+    /// copies of its first ask had taken, and the return is not such a copy.
+    pub(super) fn note_return(&mut self, id: PermitId) {
+        if self.redirection.is_return(id) {
+            self.ended.remove(&id);
+        }
+    }
+
     /// Answers a request for a slot like [`Self::ask`], or with [`Reply::Elsewhere`] if the request
     /// has to leave the failure domains of this dispatcher. If it is queued, the later reply may
     /// also be [`Reply::Elsewhere`]. The same ask gets the same redirection for a while, and the
--- a/crates/policy/src/tests/domains.rs
+++ b/crates/policy/src/tests/domains.rs
@@ -11,8 +11,8 @@
 use super::fixture::{BUDGET, SECOND, TERMS, ask, seen, service};
 use crate::domains::{OnFailure, is_worth_leaving, pick_by_headroom};
 use crate::{
-    Ask, DispatchCounts, DispatchOptions, Dispatcher, FarReason, Kind, NodeId, Reply, Reporter,
-    Time, stable_hash,
+    Ask, DispatchCounts, DispatchOptions, Dispatcher, DomainLoad, FarReason, Kind, NodeId, Reply,
+    Reporter, Time, stable_hash,
 };
 
 /// Half of the requests must not be repeated, as bookings.
@@ -211,3 +211,29 @@
     assert_eq!(picks([f64::NAN, -1.0, 5.0]), [0, 0, 1_000]);
     assert_eq!(picks([0.0; 3])[1..], [0, 0]);
 }
+
+/// Guards against a returned request that its failure domain refuses, because the late copies of its
+/// first ask were withdrawn there.
+#[test]
+fn a_redirected_request_that_was_withdrawn_may_return_once() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut it = Dispatcher::new(Time(0), &service(&[1], 1, Bias::Speed), &[TERMS], BUDGET);
+    let other =
+        DomainLoad { failure_domain: stable_hash(b"b"), usable: 10.0, ..DomainLoad::default() };
+    it.set_remote_loads(Time(0), &[other]);
+    let slots = (0..).take_while(|seq| {
+        matches!(it.ask(Time(0), ask(100 + seq, false), &mut rng), Reply::Granted(_))
+    });
+    let slots: Vec<u64> = slots.collect();
+    // No wait fits this objective, so the request leaves while another failure domain has room.
+    let leaving = || Ask { objective: Duration::ZERO, ..ask(1, true) };
+    let id = leaving().id;
+    let redirected = it.ask_redirecting(Time(1), leaving(), &mut rng);
+    assert!(matches!(redirected, Reply::Elsewhere { .. }), "{redirected:?}");
+    it.cancel(Time(2), id, &mut rng);
+    it.cancel(Time(3), ask(100 + slots[0], false).id, &mut rng);
+    let returned = it.ask(Time(4), leaving(), &mut rng);
+    assert!(matches!(returned, Reply::Granted(_)), "{returned:?}");
+    it.cancel(Time(5), id, &mut rng);
+    assert_eq!(it.ask(Time(6), leaving(), &mut rng), Reply::Full, "a late copy");
+}
