Dappleway: loads of one failure domain are added up over their senders

The loads that two nodes sent for one failure domain overwrote each other. A node that asked the successor for a few slots thus made the failure domain appear nearly empty, and others sent their requests there.

Received loads are now kept by failure domain and sender. Of those under 1 s old, slots in use, queued, served and unserved requests are added; usable slots are the largest number, since all senders count the same endpoints.

The test `loads_of_two_senders_for_one_failure_domain_are_added` failed before: of 12 slots in use, the load showed 1.

--- a/crates/dappleway/src/control/dispatch_log.rs
+++ b/crates/dappleway/src/control/dispatch_log.rs
@@ -60,7 +60,7 @@
             };
             let loads = describe_loads(state, &it.loads);
             let remote: Vec<DomainLoad> = match domain {
-                Some(_) => state.remote_loads(now).copied().collect(),
+                Some(_) => state.remote_loads(now),
                 None => Vec::new(),
             };
             self.metrics.count_permits(&counts);
--- a/crates/dappleway/src/control/domain_dispatch.rs
+++ b/crates/dappleway/src/control/domain_dispatch.rs
@@ -109,7 +109,7 @@
         let Some(domains) = state.dispatch_domains() else { return };
         let own = state.fleet.iter().filter_map(|(domain, it)| Some(((*domain)?, it)));
         let is_used_here = |it: &Dispatcher| it.is_dispatching(now) || it.queued() > 0;
-        let is_in_use = state.remote_loads(now).any(has_requests)
+        let is_in_use = state.remote_loads(now).iter().any(has_requests)
             || own.clone().any(|(_, it)| is_used_here(it));
         if !is_in_use || own.clone().next().is_none() {
             return;
@@ -145,7 +145,13 @@
 
     /// Applies loads that another node has sent. A node that grants slots of the service in another failure domain
     /// then sends its own, also while its own failure domain has no request.
-    pub(super) fn handle_domain_loads(&mut self, now: Time, service: u64, loads: &[DomainLoad]) {
+    pub(super) fn handle_domain_loads(
+        &mut self,
+        now: Time,
+        from: NodeId,
+        service: u64,
+        loads: &[DomainLoad],
+    ) {
         let Some(domains) = self.services.get(service).and_then(|it| it.dispatch_domains()) else {
             return;
         };
@@ -159,7 +165,7 @@
         }
         let valid: Vec<DomainLoad> = loads.iter().copied().filter(is_valid).collect();
         if let Some(state) = self.services.get_mut(service) {
-            state.set_remote_loads(now, &valid);
+            state.set_remote_loads(now, from, &valid);
         }
     }
 }
--- a/crates/dappleway/src/control/peer_slots.rs
+++ b/crates/dappleway/src/control/peer_slots.rs
@@ -25,7 +25,7 @@
                 self.handle_ask(now, from, (service, failure_domain), may_redirect, ask);
             }
             PermitMessage::DomainLoads { service, loads } => {
-                self.handle_domain_loads(now, service, &loads);
+                self.handle_domain_loads(now, from.0, service, &loads);
             }
             PermitMessage::Answer { id, reply } => {
                 let directory = ServingNodes::new(now, self.me, &self.topology, &self.exchange)
--- a/crates/dappleway/src/control/tests/domain_dispatch.rs
+++ b/crates/dappleway/src/control/tests/domain_dispatch.rs
@@ -238,14 +238,14 @@
     let known = |it: &Control| {
         let state = it.services.get(service).unwrap();
         let loads = state.remote_loads(Time(1));
-        (state.fleet.len(), loads.map(|it| it.usable).collect::<Vec<_>>())
+        (state.fleet.len(), loads.iter().map(|it| it.usable).collect::<Vec<_>>())
     };
     assert_eq!(known(&control), (2, vec![]), "a damaged number is not used");
     control.handle_permit_message(Time(1), from, message(9.0));
     assert_eq!(known(&control), (2, vec![9.0]));
     let state = control.services.get(service).unwrap();
     let late = Time(1) + Duration::from_millis(1_001);
-    assert_eq!(state.remote_loads(late).count(), 0);
+    assert_eq!(state.remote_loads(late).len(), 0);
 }
 
 /// Guards against failures that the successor of a granting node does not learn of: the successor depends on the
@@ -291,3 +291,27 @@
     let (_, place) = rx.try_recv().unwrap().expect("the request gets a slot");
     assert_eq!(place, Place::Direct);
 }
+
+/// Guards against a successor that grants a few slots and hides the load of the node that grants all others.
+#[tokio::test]
+async fn loads_of_two_senders_for_one_failure_domain_are_added() {
+    let mut control = node_with(&[("a", 12), ("b", 12)]).await;
+    let service = name_hash("s");
+    for (sender, usable, in_use) in [(7, 12.0, 11), (8, 10.0, 1)] {
+        let load = DomainLoad {
+            failure_domain: name_hash("b"),
+            usable,
+            in_use,
+            queued: 2,
+            served: 3.0,
+            unserved: 1.0,
+        };
+        let message = PermitMessage::DomainLoads { service, loads: vec![load] };
+        let from = (NodeId(sender), control.node_addr);
+        control.handle_permit_message(Time(1), from, message);
+    }
+    let loads = control.services.get(service).unwrap().remote_loads(Time(1));
+    let numbers: Vec<_> = loads.iter().map(|it| (it.usable, it.in_use, it.queued)).collect();
+    assert_eq!(numbers, [(12.0, 12, 4)]);
+    assert_eq!((loads[0].served, loads[0].unserved), (6.0, 2.0));
+}
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -46,8 +46,9 @@
     domains: FailureDomains,
     /// Whether the settings allow dispatch by failure domain and all nodes support it.
     is_domain_dispatch_allowed: bool,
-    /// Latest loads received from the nodes that grant slots in other failure domains, by failure domain.
-    remote_loads: FxHashMap<u64, (DomainLoad, Time)>,
+    /// Latest loads received from the nodes that grant slots in other failure domains, by failure domain and
+    /// sender. Two nodes may grant in one failure domain for a while, and each of them knows its own slots only.
+    remote_loads: FxHashMap<(u64, NodeId), (DomainLoad, Time)>,
     /// Slots granted to requests of this node.
     pub sends: SendCounts,
     routes: Vec<RouteTerms>,
@@ -353,20 +354,37 @@
         Some(&self.domains).filter(|it| self.is_domain_dispatch_allowed && it.qualify())
     }
 
-    /// Applies loads that other nodes have sent, to the dispatchers of this node.
-    pub fn set_remote_loads(&mut self, now: Time, loads: &[DomainLoad]) {
+    /// Applies loads that another node has sent, to the dispatchers of this node.
+    pub fn set_remote_loads(&mut self, now: Time, from: NodeId, loads: &[DomainLoad]) {
+        self.remote_loads.retain(|_, (_, at)| now.since(*at) <= MAX_LOAD_AGE);
         for it in loads.iter().filter(|it| self.domains.contains(it.failure_domain)) {
-            self.remote_loads.insert(it.failure_domain, (*it, now));
+            self.remote_loads.insert((it.failure_domain, from), (*it, now));
         }
+        let mut known = self.remote_loads(now);
+        known.retain(|known| loads.iter().any(|it| it.failure_domain == known.failure_domain));
         for (_, it) in self.fleet.iter_mut().filter(|(domain, _)| domain.is_some()) {
-            it.set_remote_loads(now, loads);
+            it.set_remote_loads(now, &known);
         }
     }
 
-    /// Loads received from other nodes that are recent enough to be used.
-    pub fn remote_loads(&self, now: Time) -> impl Iterator<Item = &DomainLoad> {
-        let values = self.remote_loads.values();
-        values.filter(move |(_, at)| now.since(*at) <= MAX_LOAD_AGE).map(|(it, _)| it)
+    /// Loads received from other nodes that are recent enough to be used, one for each failure domain: the sums of
+    /// what its senders report, and the largest number of usable slots, because all senders count the same ones.
+    pub fn remote_loads(&self, now: Time) -> Vec<DomainLoad> {
+        let mut sums: Vec<DomainLoad> = Vec::new();
+        let recent = self.remote_loads.values().filter(|(_, at)| now.since(*at) <= MAX_LOAD_AGE);
+        for (it, _) in recent {
+            match sums.iter_mut().find(|sum| sum.failure_domain == it.failure_domain) {
+                Some(sum) => {
+                    sum.usable = sum.usable.max(it.usable);
+                    sum.in_use = sum.in_use.saturating_add(it.in_use);
+                    sum.queued = sum.queued.saturating_add(it.queued);
+                    sum.served += it.served;
+                    sum.unserved += it.unserved;
+                }
+                None => sums.push(*it),
+            }
+        }
+        sums
     }
 
     /// Hash of the failure domain of an endpoint.
@@ -392,7 +410,7 @@
             dispatching.partition(|(domain, _)| domain.is_some());
         let own = by_domain.into_iter().chain(for_all).flat_map(|(_, it)| it.domain_loads(now));
         let mut loads: Vec<DomainLoad> = Vec::new();
-        for it in own.chain(self.remote_loads(now).copied()) {
+        for it in own.chain(self.remote_loads(now)) {
             if loads.iter().all(|known| known.failure_domain != it.failure_domain) {
                 loads.push(it);
             }
