Dappleway: loads are sent while only long requests run

The load of a failure domain was sent only after a grant within the last second or while requests were queued. While long requests held all slots, the other failure domains knew nothing of it.

A dispatcher whose permits are held counts as in use too. Permits that are not renewed expire, so the exchange still stops.

The test `a_failure_domain_is_in_use_while_long_requests_run` failed before.

--- a/crates/dappleway/src/control/domain_dispatch.rs
+++ b/crates/dappleway/src/control/domain_dispatch.rs
@@ -108,7 +108,7 @@
         let Some(state) = self.services.get(service) else { return };
         let Some(domains) = state.dispatch_domains() else { return };
         let own = state.fleet.iter().filter_map(|(domain, it)| Some(((*domain)?, it)));
-        let is_used_here = |it: &Dispatcher| it.is_dispatching(now) || it.queued() > 0;
+        let is_used_here = |it: &Dispatcher| is_used(now, it);
         let is_in_use = state.remote_loads(now).iter().any(has_requests)
             || own.clone().any(|(_, it)| is_used_here(it));
         if !is_in_use || own.clone().next().is_none() {
@@ -222,6 +222,12 @@
     it.in_use > 0 || it.queued > 0
 }
 
+/// Whether a dispatcher grants slots, holds some that are in use, or has a queue. Long requests hold slots while
+/// nothing is granted.
+pub(super) fn is_used(now: Time, it: &Dispatcher) -> bool {
+    it.is_dispatching(now) || it.holds_permits() || it.queued() > 0
+}
+
 /// Whether all numbers are finite and not negative.
 fn is_valid(it: &DomainLoad) -> bool {
     [it.usable, it.served, it.unserved].iter().all(|it| it.is_finite() && *it >= 0.0)
--- a/crates/dappleway/src/control/tests/domain_dispatch.rs
+++ b/crates/dappleway/src/control/tests/domain_dispatch.rs
@@ -4,10 +4,11 @@
 
 use fleet::{Features, PermitMessage, PermitRequest, Place, node_id};
 use policy::{
-    Ask, DomainFilter, DomainLoad, PermitId, Reply, Reporter, RequestKey, SendKind, Topology,
+    Ask, DomainFilter, DomainLoad, Kind, PermitId, Reply, Reporter, RequestKey, SendKind, Topology,
 };
 use resources::{Priority, Route};
 
+use super::super::domain_dispatch::is_used;
 use super::super::{RoutedRequest, Waiter};
 use super::*;
 
@@ -315,3 +316,22 @@
     assert_eq!(numbers, [(12.0, 12, 4)]);
     assert_eq!((loads[0].served, loads[0].unserved), (6.0, 2.0));
 }
+
+/// Guards against a failure domain full of long requests whose load is not sent, so that others send requests there.
+#[tokio::test]
+async fn a_failure_domain_is_in_use_while_long_requests_run() {
+    let mut control = node_with(&[("a", 12), ("b", 12)]).await;
+    let (service, b) = (name_hash("s"), Some(name_hash("b")));
+    let from = Reporter { node: NodeId(7), failure_domain: name_hash("b") };
+    let mut rng = StdRng::seed_from_u64(1);
+    let it = control.services.fleet_dispatcher(Time(0), service, b).unwrap();
+    assert!(!is_used(Time(0), it), "nothing was granted");
+    let long = ask(1, from);
+    let id = long.id;
+    assert!(matches!(it.ask(Time(0), long, &mut rng), Reply::Granted(_)));
+    let later = Time(0) + Duration::from_secs(5);
+    it.renew(later, id);
+    assert!(is_used(later, it), "the request still runs");
+    it.release(later, id, Kind::Answered, Duration::from_secs(5), &mut rng);
+    assert!(!is_used(later, it), "the request has ended");
+}
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -543,6 +543,11 @@
         self.last_grant.is_some_and(|it| now.since(it) < DISPATCHING_WINDOW)
     }
 
+    /// Whether requests hold slots that this dispatcher granted, however long ago.
+    pub fn holds_permits(&self) -> bool {
+        !self.permits.is_empty()
+    }
+
     /// State of the repeat budget.
     pub fn repeats(&mut self, now: Time) -> RepeatsReport {
         self.budget.report(now)
