Dappleway: nodes are ranked at most once a second because of loads

Each received load ranked all serving nodes for each failure domain of the service, ten times a second for each granting node and service.

The ranking, which only starts the dispatchers that this node lacks, runs at most once a second for each service. Within a ranking, the region of each node is looked up once.

The test `nodes_are_ranked_at_most_once_a_second_because_of_loads` failed without the interval.

--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -482,13 +482,15 @@
         failure_domain: u64,
         serving: &[ServingNode],
     ) -> Vec<NodeId> {
-        let is_in_region =
-            |it: &ServingNode| self.topology.is_same_region(failure_domain, it.failure_domain);
-        let in_region = serving.iter().filter(|it| is_in_region(it));
-        let most = in_region.map(|it| it.millicores).max().unwrap_or_default();
-        let group = |it: &ServingNode| {
+        let with_region = serving
+            .iter()
+            .map(|it| (it, self.topology.is_same_region(failure_domain, it.failure_domain)));
+        let with_region: Vec<(&ServingNode, bool)> = with_region.collect();
+        let in_region = with_region.iter().filter(|(_, is_in_region)| *is_in_region);
+        let most = in_region.map(|(it, _)| it.millicores).max().unwrap_or_default();
+        let group = |it: &ServingNode, is_in_region: bool| {
             let is_strong = it.millicores * 2 > most;
-            match (is_in_region(it), it.failure_domain == failure_domain) {
+            match (is_in_region, it.failure_domain == failure_domain) {
                 (true, true) if is_strong => 0,
                 (true, false) if is_strong => 1,
                 (true, true) => 2,
@@ -496,8 +498,9 @@
             }
         };
         let mut groups: [Vec<NodeId>; 4] = Default::default();
-        for it in serving.iter().filter(|it| it.features.contains(Features::DOMAIN_DISPATCH)) {
-            groups[group(it)].push(it.node);
+        let supports = |it: &ServingNode| it.features.contains(Features::DOMAIN_DISPATCH);
+        for (it, is_in_region) in with_region.into_iter().filter(|(it, _)| supports(it)) {
+            groups[group(it, is_in_region)].push(it.node);
         }
         // A node that stands in for several failure domains would be the same one for each of them if the key were
         // the service alone.
--- a/crates/dappleway/src/control/domain_dispatch.rs
+++ b/crates/dappleway/src/control/domain_dispatch.rs
@@ -1,6 +1,8 @@
 //! Dispatch by failure domain: when it is in force, which failure domain a request asks first, and the exchange of
 //! loads between the nodes that grant slots in different failure domains.
 
+use std::time::Duration;
+
 use fleet::{Directory, Features, PermitMessage, Phase, Place};
 use policy::{Dispatcher, DomainFilter, DomainLoad, NodeId, Reporter, Time, rank};
 use resources::Name;
@@ -18,8 +20,14 @@
     /// For each service and failure domain with a dispatcher here, whether this node was the first candidate at the
     /// last log line about it.
     logged_granting: FxHashMap<(u64, u64), bool>,
+    /// For each service, when the nodes were last ranked because of a received load.
+    ranked: FxHashMap<u64, Time>,
 }
 
+/// Interval at which the nodes are ranked because of received loads. Loads arrive ten times a second from each
+/// granting node, and a ranking goes over all serving nodes for each failure domain.
+const RANKING_INTERVAL: Duration = Duration::from_secs(1);
+
 impl Control {
     /// Updates whether services are dispatched by failure domain: only while this node and every other known node
     /// that serves support it. Others would ask one node for the slots of all failure domains.
@@ -28,6 +36,7 @@
         self.services.allow_domain_dispatch(lacking == 0);
         let Self { services, domain_dispatch, log, .. } = self;
         domain_dispatch.logged.retain(|hash, _| services.get(*hash).is_some());
+        domain_dispatch.ranked.retain(|hash, _| services.get(*hash).is_some());
         for it in services.iter() {
             let is_by_domain = it.dispatch_domains().is_some();
             let hash = name_hash(&it.service.name);
@@ -152,6 +161,22 @@
         service: u64,
         loads: &[DomainLoad],
     ) {
+        if self.services.get(service).is_none_or(|it| it.dispatch_domains().is_none()) {
+            return;
+        }
+        let ranked = self.domain_dispatch.ranked.get(&service);
+        if ranked.is_none_or(|at| now.since(*at) >= RANKING_INTERVAL) {
+            self.domain_dispatch.ranked.insert(service, now);
+            self.start_granted_domains(now, service);
+        }
+        let valid: Vec<DomainLoad> = loads.iter().copied().filter(is_valid).collect();
+        if let Some(state) = self.services.get_mut(service) {
+            state.set_remote_loads(now, from, &valid);
+        }
+    }
+
+    /// Creates the dispatchers of the failure domains whose slots this node grants.
+    fn start_granted_domains(&mut self, now: Time, service: u64) {
         let Some(domains) = self.services.get(service).and_then(|it| it.dispatch_domains()) else {
             return;
         };
@@ -163,10 +188,6 @@
         for domain in granted_here {
             self.services.fleet_dispatcher(now, service, Some(domain));
         }
-        let valid: Vec<DomainLoad> = loads.iter().copied().filter(is_valid).collect();
-        if let Some(state) = self.services.get_mut(service) {
-            state.set_remote_loads(now, from, &valid);
-        }
     }
 }
 
--- a/crates/dappleway/src/control/tests/domain_dispatch.rs
+++ b/crates/dappleway/src/control/tests/domain_dispatch.rs
@@ -335,3 +335,22 @@
     it.release(later, id, Kind::Answered, Duration::from_secs(5), &mut rng);
     assert!(!is_used(later, it), "the request has ended");
 }
+
+/// Guards against a ranking of all nodes for each received load, which is too much work with hundreds of nodes.
+#[tokio::test]
+async fn nodes_are_ranked_at_most_once_a_second_because_of_loads() {
+    let mut control = node_with(&[("a", 12), ("b", 12)]).await;
+    let service = name_hash("s");
+    let from = (NodeId(7), control.node_addr);
+    // A ranking starts the dispatchers that this node lacks.
+    let mut is_ranked_after = |ms: u64| {
+        control.services.get_mut(service).unwrap().fleet.clear();
+        let message = PermitMessage::DomainLoads { service, loads: Vec::new() };
+        control.handle_permit_message(Time(1) + Duration::from_millis(ms), from, message);
+        !control.services.get(service).unwrap().fleet.is_empty()
+    };
+    assert_eq!(
+        [0, 100, 900, 1_000, 1_100].map(&mut is_ranked_after),
+        [true, false, false, true, false]
+    );
+}
