Dappleway: a service leaves dispatch by failure domain after 5 s

Endpoints that were missing for a moment turned dispatch by failure domain off and on again, and each change moved the slots to other granting nodes.

A service that qualified stays dispatched by failure domain until it has not qualified for 5 s. A node that lacks the feature still ends the mode at once, and for a node that has just started the service did not qualify before.

The test `the_mode_ends_after_the_service_has_not_qualified_for_five_seconds` failed without the delay.

--- a/crates/dappleway/src/control/tests/domain_dispatch.rs
+++ b/crates/dappleway/src/control/tests/domain_dispatch.rs
@@ -354,3 +354,23 @@
         [true, false, false, true, false]
     );
 }
+
+/// Guards against granting nodes that change twice because some endpoints are missing for a moment.
+#[tokio::test]
+async fn the_mode_ends_after_the_service_has_not_qualified_for_five_seconds() {
+    let mut control = node_with(&[("a", 12), ("b", 12)]).await;
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut is_by_domain_with = |ms: u64, in_b: usize| {
+        let now = Time(0) + Duration::from_millis(ms);
+        control.services.reconfigure(now, &config(&[("a", 12), ("b", in_b)]));
+        control.services.tick(now, &mut rng);
+        is_by_domain(&control)
+    };
+    assert!(is_by_domain_with(1_000, 11));
+    assert!(is_by_domain_with(5_900, 11));
+    assert!(is_by_domain_with(5_950, 12), "it qualifies again");
+    assert!(is_by_domain_with(6_000, 11));
+    assert!(is_by_domain_with(10_900, 11));
+    assert!(!is_by_domain_with(11_000, 11));
+    assert!(is_by_domain_with(11_100, 12), "it qualifies at once");
+}
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -22,6 +22,10 @@
 /// few lost datagrams do not matter.
 const MAX_LOAD_AGE: Duration = Duration::from_secs(1);
 
+/// How long a service stays dispatched by failure domain after it has ceased to qualify. Endpoints that are missing
+/// for a moment would otherwise change the granting nodes twice, and each change loses what they know.
+const UNQUALIFIED_DELAY: Duration = Duration::from_secs(5);
+
 /// Hash of a name, as used in frames between nodes.
 pub fn name_hash(name: &str) -> u64 {
     stable_hash(name.as_bytes())
@@ -44,6 +48,11 @@
     pub fleet: FxHashMap<Option<u64>, Dispatcher>,
     /// The service's failure domains with their endpoints.
     domains: FailureDomains,
+    /// Whether the failure domains qualify, or did until less than [`UNQUALIFIED_DELAY`] ago. A service that never
+    /// did since this node started does not.
+    is_qualified: bool,
+    /// When they ceased to qualify, while the delay lasts.
+    unqualified_since: Option<Time>,
     /// Whether the settings allow dispatch by failure domain and all nodes support it.
     is_domain_dispatch_allowed: bool,
     /// Latest loads received from the nodes that grant slots in other failure domains, by failure domain and
@@ -215,6 +224,7 @@
 
     /// Advances every dispatcher to `now`.
     pub fn tick(&mut self, now: Time, rng: &mut impl Rng) -> TickOutput {
+        self.by_hash.values_mut().for_each(|it| it.update_qualification(now));
         self.collect_output(|it| it.tick(now, rng))
     }
 
@@ -318,10 +328,13 @@
         params: &DispatcherParams,
     ) -> Self {
         let direct = params.new_dispatcher(now, &service, routes);
+        let domains = FailureDomains::of(&service);
         Self {
             direct,
             fleet: FxHashMap::default(),
-            domains: FailureDomains::of(&service),
+            is_qualified: domains.qualify(),
+            unqualified_since: None,
+            domains,
             is_domain_dispatch_allowed: params.is_domain_dispatch_allowed,
             remote_loads: FxHashMap::default(),
             sends: SendCounts::default(),
@@ -340,7 +353,20 @@
             it.reconfigure(now, &endpoints, routes);
         }
         let domains = FailureDomains::of(&service);
-        Self { service, domains, routes: routes.to_vec(), ..self }
+        let mut new = Self { service, domains, routes: routes.to_vec(), ..self };
+        new.update_qualification(now);
+        new
+    }
+
+    fn update_qualification(&mut self, now: Time) {
+        if self.domains.qualify() {
+            (self.is_qualified, self.unqualified_since) = (true, None);
+        } else if self.is_qualified {
+            let since = *self.unqualified_since.get_or_insert(now);
+            self.is_qualified = now.since(since) < UNQUALIFIED_DELAY;
+        } else {
+            self.unqualified_since = None;
+        }
     }
 
     /// The failure domains of the endpoints.
@@ -351,7 +377,7 @@
     /// The failure domains of the endpoints if each of them has a dispatching node of its own; `None` if one node
     /// dispatches all endpoints.
     pub fn dispatch_domains(&self) -> Option<&FailureDomains> {
-        Some(&self.domains).filter(|it| self.is_domain_dispatch_allowed && it.qualify())
+        Some(&self.domains).filter(|_| self.is_domain_dispatch_allowed && self.is_qualified)
     }
 
     /// Applies loads that another node has sent, to the dispatchers of this node.
