Dappleway: a new dispatcher takes nothing from other failure domains

A new dispatcher took health estimates, likelihoods and crash suspects from all dispatchers in use, in the order of a hash map. Those of another failure domain replaced the likelihoods and suspects of the one for all endpoints.

Only the dispatcher for all endpoints is a source for one of a failure domain. For one of all endpoints, those of the failure domains are, in a fixed order, since each of them holds a part of the endpoints.

The test `a_new_dispatcher_takes_nothing_from_another_failure_domain` failed before.

--- a/crates/dappleway/src/control/tests/domain_dispatch.rs
+++ b/crates/dappleway/src/control/tests/domain_dispatch.rs
@@ -4,7 +4,8 @@
 
 use fleet::{Features, PermitMessage, PermitRequest, Place, node_id};
 use policy::{
-    Ask, DomainFilter, DomainLoad, Kind, PermitId, Reply, Reporter, RequestKey, SendKind, Topology,
+    Ask, DomainFilter, DomainLoad, Kind, PermitId, Rejection, Reply, Reporter, RequestKey,
+    SendKind, Topology,
 };
 use resources::{Priority, Route};
 
@@ -374,3 +375,23 @@
     assert!(!is_by_domain_with(11_000, 11));
     assert!(is_by_domain_with(11_100, 12), "it qualifies at once");
 }
+
+/// Guards against a new dispatcher that starts with the crash suspects of another failure domain's dispatcher, or
+/// loses those of the one for all endpoints to it.
+#[tokio::test]
+async fn a_new_dispatcher_takes_nothing_from_another_failure_domain() {
+    let mut control = node_with(&[("a", 12), ("b", 12), ("c", 12)]).await;
+    let service = name_hash("s");
+    let [a, b, c] = ["a", "b", "c"].map(|it| Some(name_hash(it)));
+    let mut rng = StdRng::seed_from_u64(1);
+    let from = Reporter { node: NodeId(7), failure_domain: name_hash("a") };
+    let rejection = |request| Rejection { request: RequestKey(request), valid_ms: 9_000 };
+    for (seq, domain) in [None, a, b].into_iter().enumerate() {
+        let it = control.services.fleet_dispatcher(Time(0), service, domain).unwrap();
+        it.reject(Time(0), rejection(100 + seq as u64));
+        assert!(matches!(it.ask(Time(0), ask(seq as u64, from), &mut rng), Reply::Granted(_)));
+    }
+    let new = control.services.fleet_dispatcher(Time(1), service, c).unwrap();
+    let rejects = [100, 101, 102].map(|it| new.rejected(Time(1), RequestKey(it)).is_some());
+    assert_eq!(rejects, [true, false, false]);
+}
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -468,6 +468,20 @@
         all.find_map(|it| it.rejected(now, request))
     }
 
+    /// The other fleet dispatchers that grant slots of the same endpoints. One of another failure domain knows nothing
+    /// of these, and its likelihoods and suspects are those of other endpoints. The order is that of the failure
+    /// domains, because the likelihoods of the last one are taken.
+    fn health_sources(&self, now: Time, failure_domain: Option<u64>) -> Vec<&Dispatcher> {
+        let shares_endpoints =
+            |it: Option<u64>| it != failure_domain && (it.is_none() || failure_domain.is_none());
+        let sources = self.fleet.iter();
+        let sources =
+            sources.filter(|(it, from)| shares_endpoints(**it) && from.is_dispatching(now));
+        let mut sources: Vec<_> = sources.collect();
+        sources.sort_unstable_by_key(|(domain, _)| **domain);
+        sources.into_iter().map(|(_, it)| it).collect()
+    }
+
     /// Returns the fleet dispatcher of a failure domain, or of all endpoints, and creates it on the first call. A
     /// new one starts with the beliefs of a fleet dispatcher that grants slots of the same endpoints, or else of
     /// the direct dispatcher. Returns `None` if the service has no endpoint in the failure domain.
@@ -484,9 +498,8 @@
             let endpoints = failure_domains::endpoints_in(&self.service, failure_domain);
             let mut new = params.new_dispatcher(now, &endpoints, &self.routes);
             new = new.with_health_of(now, &self.direct);
-            for it in self.fleet.values().filter(|it| it.is_dispatching(now)) {
-                new = new.with_health_of(now, it);
-            }
+            let sources = self.health_sources(now, failure_domain);
+            new = sources.into_iter().fold(new, |new, it| new.with_health_of(now, it));
             self.fleet.insert(failure_domain, new);
         }
         self.fleet.get_mut(&failure_domain)
