Dappleway: a dispatcher that comes back into use takes the current health

A dispatcher was seeded only when it was created. When the mode changed back, it granted slots by what it had known before another one took over.

When a dispatcher that grants nothing, holds no permits and has no queue is needed again, it takes the health estimates of the dispatchers that grant slots of its endpoints at that time.

`a_dispatcher_that_comes_back_knows_what_the_one_in_use_has_learned` failed before.

--- a/crates/dappleway/src/control/domain_dispatch.rs
+++ b/crates/dappleway/src/control/domain_dispatch.rs
@@ -246,7 +246,7 @@
 /// Whether a dispatcher grants slots, holds some that are in use, or has a queue. Long requests hold slots while
 /// nothing is granted.
 pub(super) fn is_used(now: Time, it: &Dispatcher) -> bool {
-    it.is_dispatching(now) || it.holds_permits() || it.queued() > 0
+    !it.is_unused(now)
 }
 
 /// Whether all numbers are finite and not negative.
--- a/crates/dappleway/src/control/tests/domain_dispatch.rs
+++ b/crates/dappleway/src/control/tests/domain_dispatch.rs
@@ -395,3 +395,19 @@
     let rejects = [100, 101, 102].map(|it| new.rejected(Time(1), RequestKey(it)).is_some());
     assert_eq!(rejects, [true, false, false]);
 }
+
+/// Guards against a dispatcher that comes back into use with what it knew before another one granted its slots.
+#[tokio::test]
+async fn a_dispatcher_that_comes_back_knows_what_the_one_in_use_has_learned() {
+    let mut control = node_with(&[("a", 12), ("b", 12)]).await;
+    let (service, b) = (name_hash("s"), Some(name_hash("b")));
+    let mut rng = StdRng::seed_from_u64(1);
+    let from = Reporter { node: NodeId(7), failure_domain: name_hash("b") };
+    control.services.fleet_dispatcher(Time(0), service, b).unwrap();
+    let now = Time(0) + Duration::from_secs(5);
+    let in_use = control.services.fleet_dispatcher(now, service, None).unwrap();
+    in_use.reject(now, Rejection { request: RequestKey(100), valid_ms: 9_000 });
+    assert!(matches!(in_use.ask(now, ask(1, from), &mut rng), Reply::Granted(_)));
+    let back = control.services.fleet_dispatcher(now, service, b).unwrap();
+    assert!(back.rejected(now, RequestKey(100)).is_some());
+}
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -482,6 +482,15 @@
         sources.into_iter().map(|(_, it)| it).collect()
     }
 
+    /// Updates the health estimates of a dispatcher that comes back into use from the dispatchers that granted slots of
+    /// its endpoints meanwhile.
+    fn refresh_health(&mut self, now: Time, failure_domain: Option<u64>) {
+        let Some(stale) = self.fleet.remove(&failure_domain) else { return };
+        let sources = self.health_sources(now, failure_domain);
+        let fresh = sources.into_iter().fold(stale, |it, from| it.with_health_of(now, from));
+        self.fleet.insert(failure_domain, fresh);
+    }
+
     /// Returns the fleet dispatcher of a failure domain, or of all endpoints, and creates it on the first call. A
     /// new one starts with the beliefs of a fleet dispatcher that grants slots of the same endpoints, or else of
     /// the direct dispatcher. Returns `None` if the service has no endpoint in the failure domain.
@@ -501,6 +510,8 @@
             let sources = self.health_sources(now, failure_domain);
             new = sources.into_iter().fold(new, |new, it| new.with_health_of(now, it));
             self.fleet.insert(failure_domain, new);
+        } else if self.fleet.get(&failure_domain).is_some_and(|it| it.is_unused(now)) {
+            self.refresh_health(now, failure_domain);
         }
         self.fleet.get_mut(&failure_domain)
     }
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -548,6 +548,11 @@
         !self.permits.is_empty()
     }
 
+    /// Whether this dispatcher neither grants slots, nor holds some that are in use, nor has a queue.
+    pub fn is_unused(&self, now: Time) -> bool {
+        !self.is_dispatching(now) && !self.holds_permits() && self.queued() == 0
+    }
+
     /// State of the repeat budget.
     pub fn repeats(&mut self, now: Time) -> RepeatsReport {
         self.budget.report(now)
