Fleet: a refused further send returns to its own failure domain

The refusal of a redirected further send was final, although only the repeat budget of the other failure domain may have been spent.

Such a send now asks in its own failure domain once more, which must not redirect it again. A refusal of a first send is final as before.

The test `a_redirected_further_send_returns_when_it_is_refused` failed before.

--- a/crates/fleet/src/permits.rs
+++ b/crates/fleet/src/permits.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use policy::{Ask, FarReason, Grant, NodeId, PermitId, Reply, Time};
+use policy::{Ask, FarReason, Grant, NodeId, PermitId, Reply, SendKind, Time};
 use rustc_hash::FxHashMap;
 
 use crate::wire::PermitMessage;
@@ -113,7 +113,7 @@
     Possible,
     /// That of another failure domain is asked.
     Asked,
-    /// No node answered for the other failure domain, and its own is asked again.
+    /// No node answered for the other failure domain, or it refused a further send, and its own is asked again.
     Returned,
 }
 
@@ -181,7 +181,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RedirectCounts {
     by_reason: [u64; FAR_REASONS.len()],
-    /// Redirected requests that returned because no node answered in the other failure domain.
+    /// Redirected requests that returned because no node answered in the other failure domain, or because it
+    /// refused a further send.
     pub returned: u64,
 }
 
@@ -320,6 +321,15 @@
                 self.granted.insert(id, (place, now));
                 Some(PermitAction::Settle(id, PermitOutcome::Granted(grant, place)))
             }
+            // The repeat budget of its own failure domain may allow a further send.
+            Reply::Refused { .. }
+                if pending.redirect == Redirect::Asked
+                    && pending.request.ask.send == SendKind::Further =>
+            {
+                pending.return_home();
+                self.redirects.returned += 1;
+                Some(self.ask(now, id, directory))
+            }
             Reply::Refused { retry_after } => {
                 self.pending.remove(&id);
                 Some(PermitAction::Settle(id, PermitOutcome::Refused(retry_after)))
@@ -428,9 +438,7 @@
         let mut place = choose_for(pending);
         // While another failure domain cannot be reached, its own still serves the request.
         if place == Place::Direct && pending.redirect == Redirect::Asked {
-            pending.redirect = Redirect::Returned;
-            pending.failure_domain = pending.request.failure_domain;
-            pending.failed_places = 0;
+            pending.return_home();
             self.redirects.returned += 1;
             place = choose_for(pending);
         }
@@ -528,6 +536,16 @@
 }
 
 impl Pending {
+    /// Leaves the other failure domain for the own one.
+    fn return_home(&mut self) {
+        self.redirect = Redirect::Returned;
+        self.failure_domain = self.request.failure_domain;
+        self.failed_places = 0;
+        self.unanswered_asks = 0;
+        self.asks_here = 0;
+        self.is_queued = false;
+    }
+
     /// Whether a slot is in the failure domain that is asked now. One of an unknown endpoint is accepted:
     /// this node may be behind in configuration.
     fn is_slot_wanted(&self, grant: &Grant, directory: &impl Directory) -> bool {
--- a/crates/fleet/src/tests/domain_permits.rs
+++ b/crates/fleet/src/tests/domain_permits.rs
@@ -231,6 +231,25 @@
     assert_eq!(reply(&mut client, &directory, 4, Reply::Full), "refused");
 }
 
+/// Guards against a further send that is lost because the repeat budget of another failure domain is
+/// spent, while that of its own is not.
+#[test]
+fn a_redirected_further_send_returns_when_it_is_refused() {
+    let directory = two_domains();
+    let refused = || Reply::Refused { retry_after: Duration::from_secs(1) };
+    let mut client = PermitClient::new(ME, TIMEOUT, Duration::from_secs(10));
+    let mut further = domain_request();
+    further.ask.send = SendKind::Further;
+    client.request(Time(0), further, &directory);
+    assert_eq!(reply(&mut client, &directory, 2, elsewhere()), "ask 4 in 200");
+    assert_eq!(reply(&mut client, &directory, 4, refused()), "ask 2 in 100");
+    assert_eq!(reply(&mut client, &directory, 2, refused()), "refused");
+    // The refusal of a first send has nothing to do with the budget.
+    let (mut client, _) = start(&directory);
+    assert_eq!(reply(&mut client, &directory, 2, elsewhere()), "ask 4 in 200");
+    assert_eq!(reply(&mut client, &directory, 4, refused()), "refused");
+}
+
 const WINDOW: Duration = Duration::from_secs(10);
 const LIMITS: BudgetLimits = BudgetLimits { ratio: 0.2, extra: 58.0, window: WINDOW };
 const ASKERS: u64 = 12;
