--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -405,6 +405,8 @@
     me: Reporter,
     topology: &'a Topology,
     exchange: &'a Exchange,
+    /// The services whose endpoints are known; `None` where only nodes are ranked.
+    services: Option<&'a Services>,
 }
 
 impl Directory for ServingNodes<'_> {
@@ -429,6 +431,10 @@
         ranked.extend(rank(false));
         ranked
     }
+
+    fn failure_domain_of(&self, service: u64, endpoint: &str) -> Option<u64> {
+        self.services?.get(service)?.failure_domain_of(endpoint)
+    }
 }
 
 /// A node that may dispatch services and own allowances.
@@ -442,7 +448,11 @@
 
 impl<'a> ServingNodes<'a> {
     fn new(now: Time, me: Reporter, topology: &'a Topology, exchange: &'a Exchange) -> Self {
-        Self { now, me, topology, exchange }
+        Self { now, me, topology, exchange, services: None }
+    }
+
+    fn with_services(self, services: &'a Services) -> Self {
+        Self { services: Some(services), ..self }
     }
 
     /// The nodes that may dispatch services and own allowances.
@@ -476,13 +486,15 @@
         failure_domain: u64,
         serving: &[ServingNode],
     ) -> Vec<NodeId> {
-        let is_in_region =
-            |it: &ServingNode| self.topology.is_same_region(failure_domain, it.failure_domain);
-        let in_region = serving.iter().filter(|it| is_in_region(it));
-        let most = in_region.map(|it| it.millicores).max().unwrap_or_default();
-        let group = |it: &ServingNode| {
+        let with_region = serving
+            .iter()
+            .map(|it| (it, self.topology.is_same_region(failure_domain, it.failure_domain)));
+        let with_region: Vec<(&ServingNode, bool)> = with_region.collect();
+        let in_region = with_region.iter().filter(|(_, is_in_region)| *is_in_region);
+        let most = in_region.map(|(it, _)| it.millicores).max().unwrap_or_default();
+        let group = |it: &ServingNode, is_in_region: bool| {
             let is_strong = it.millicores * 2 > most;
-            match (is_in_region(it), it.failure_domain == failure_domain) {
+            match (is_in_region, it.failure_domain == failure_domain) {
                 (true, true) if is_strong => 0,
                 (true, false) if is_strong => 1,
                 (true, true) => 2,
@@ -490,8 +502,9 @@
             }
         };
         let mut groups: [Vec<NodeId>; 4] = Default::default();
-        for it in serving.iter().filter(|it| it.features.contains(Features::DOMAIN_DISPATCH)) {
-            groups[group(it)].push(it.node);
+        let supports = |it: &ServingNode| it.features.contains(Features::DOMAIN_DISPATCH);
+        for (it, is_in_region) in with_region.into_iter().filter(|(it, _)| supports(it)) {
+            groups[group(it, is_in_region)].push(it.node);
         }
         // A node that stands in for several failure domains would be the same one for each of them if the key were
         // the service alone.
--- a/crates/dappleway/src/control/domain_dispatch.rs
+++ b/crates/dappleway/src/control/domain_dispatch.rs
@@ -1,21 +1,33 @@
 //! Dispatch by failure domain: when it is in force, which failure domain a request asks first, and the exchange of
 //! loads between the nodes that grant slots in different failure domains.
 
-use fleet::{Features, PermitMessage, Phase, Place};
-use policy::{DomainFilter, DomainLoad, NodeId, Reporter, Time, rank};
-use rustc_hash::FxHashMap;
+use std::time::Duration;
+
+use fleet::{Directory, Features, PermitMessage, Phase, Place};
+use policy::{Dispatcher, DomainFilter, DomainLoad, NodeId, Reporter, Time, rank};
+use resources::Name;
+use rustc_hash::{FxHashMap, FxHashSet};
 use slog::info;
 
 use super::{Control, ServingNodes};
-use crate::services::{ServiceState, name_hash};
+use crate::services::{Scope, ServiceState, name_hash};
 
 /// State of dispatch by failure domain on the control thread.
 #[derive(Debug, Default)]
 pub(super) struct DomainDispatch {
     /// For each service, whether it was dispatched by failure domain at the last log line about it.
     logged: FxHashMap<u64, bool>,
+    /// For each service and failure domain with a dispatcher here, whether this node was the first candidate at the
+    /// last log line about it.
+    logged_granting: FxHashMap<(u64, u64), bool>,
+    /// For each service, when the nodes were last ranked because of a received load.
+    ranked: FxHashMap<u64, Time>,
 }
 
+/// Interval at which the nodes are ranked because of received loads. Loads arrive ten times a second from each
+/// granting node, and a ranking goes over all serving nodes for each failure domain.
+const RANKING_INTERVAL: Duration = Duration::from_secs(1);
+
 impl Control {
     /// Updates whether services are dispatched by failure domain: only while this node and every other known node
     /// that serves support it. Others would ask one node for the slots of all failure domains.
@@ -24,6 +36,7 @@
         self.services.allow_domain_dispatch(lacking == 0);
         let Self { services, domain_dispatch, log, .. } = self;
         domain_dispatch.logged.retain(|hash, _| services.get(*hash).is_some());
+        domain_dispatch.ranked.retain(|hash, _| services.get(*hash).is_some());
         for it in services.iter() {
             let is_by_domain = it.dispatch_domains().is_some();
             let hash = name_hash(&it.service.name);
@@ -88,8 +101,7 @@
     pub(super) fn dispatch_domain_of(&self, service: u64, endpoint: &str) -> Option<u64> {
         let state = self.services.get(service)?;
         state.dispatch_domains()?;
-        let position = state.direct.rotation().position(endpoint)?;
-        Some(name_hash(&state.direct.endpoints()[position].failure_domain))
+        state.failure_domain_of(endpoint)
     }
 
     /// Sends the loads of the failure domains whose slots this node grants to the nodes that grant those of the other
@@ -105,8 +117,10 @@
         let Some(state) = self.services.get(service) else { return };
         let Some(domains) = state.dispatch_domains() else { return };
         let own = state.fleet.iter().filter_map(|(domain, it)| Some(((*domain)?, it)));
-        let mut own = own.peekable();
-        if own.peek().is_none() {
+        let is_used_here = |it: &Dispatcher| is_used(now, it);
+        let is_in_use = state.remote_loads(now).iter().any(has_requests)
+            || own.clone().any(|(_, it)| is_used_here(it));
+        if !is_in_use || own.clone().next().is_none() {
             return;
         }
         let directory = ServingNodes::new(now, self.me, &self.topology, &self.exchange);
@@ -114,15 +128,9 @@
             domains.hashes().map(|it| (it, self.client.place(now, service, Some(it), &directory)));
         let places: Vec<(u64, Place)> = places.collect();
         let is_granted_here = |domain: u64| places.contains(&(domain, Place::Own(Some(domain))));
-        let mut is_in_use = state.remote_loads(now).any(has_requests);
-        let mut loads: Vec<DomainLoad> = Vec::new();
-        for (domain, it) in own {
-            is_in_use |= it.is_dispatching(now) || it.queued() > 0;
-            if is_granted_here(domain) || it.is_dispatching(now) {
-                loads.extend(it.domain_loads(now));
-            }
-        }
-        if !is_in_use || loads.is_empty() {
+        let granting = own.filter(|(domain, it)| is_granted_here(*domain) || is_used_here(it));
+        let loads: Vec<DomainLoad> = granting.flat_map(|(_, it)| it.domain_loads(now)).collect();
+        if loads.is_empty() {
             return;
         }
         let mut peers: Vec<NodeId> = Vec::new();
@@ -146,7 +154,29 @@
 
     /// Applies loads that another node has sent. A node that grants slots of the service in another failure domain
     /// then sends its own, also while its own failure domain has no request.
-    pub(super) fn handle_domain_loads(&mut self, now: Time, service: u64, loads: &[DomainLoad]) {
+    pub(super) fn handle_domain_loads(
+        &mut self,
+        now: Time,
+        from: NodeId,
+        service: u64,
+        loads: &[DomainLoad],
+    ) {
+        if self.services.get(service).is_none_or(|it| it.dispatch_domains().is_none()) {
+            return;
+        }
+        let ranked = self.domain_dispatch.ranked.get(&service);
+        if ranked.is_none_or(|at| now.since(*at) >= RANKING_INTERVAL) {
+            self.domain_dispatch.ranked.insert(service, now);
+            self.start_granted_domains(now, service);
+        }
+        let valid: Vec<DomainLoad> = loads.iter().copied().filter(is_valid).collect();
+        if let Some(state) = self.services.get_mut(service) {
+            state.set_remote_loads(now, from, &valid);
+        }
+    }
+
+    /// Creates the dispatchers of the failure domains whose slots this node grants.
+    fn start_granted_domains(&mut self, now: Time, service: u64) {
         let Some(domains) = self.services.get(service).and_then(|it| it.dispatch_domains()) else {
             return;
         };
@@ -158,14 +188,38 @@
         for domain in granted_here {
             self.services.fleet_dispatcher(now, service, Some(domain));
         }
-        let valid: Vec<DomainLoad> = loads.iter().copied().filter(is_valid).collect();
-        if let Some(state) = self.services.get_mut(service) {
-            state.set_remote_loads(now, &valid);
-        }
     }
 }
 
 impl Control {
+    /// Logs the failure domains of services for which this node has become the first candidate, or is it no longer.
+    pub(super) fn log_granting(&mut self, now: Time) {
+        let directory = ServingNodes::new(now, self.me, &self.topology, &self.exchange);
+        let by_domain: FxHashSet<u64> = self.services.dispatched_by_domain().collect();
+        let mut changes = Vec::new();
+        let logged = &mut self.domain_dispatch.logged_granting;
+        self.services.for_each(|service, scope, _| {
+            let Scope::Fleet(Some(domain)) = scope else { return };
+            let candidates = match by_domain.contains(&service) {
+                true => directory.candidates(service, Some(domain)),
+                false => Vec::new(),
+            };
+            let is_first = candidates.first() == Some(&self.me.node);
+            let before = logged.insert((service, domain), is_first);
+            if before.unwrap_or_default() != is_first {
+                changes.push((service, domain, is_first, candidates));
+            }
+        });
+        for (service, domain, is_first, candidates) in changes {
+            let Some(state) = self.services.get(service) else { continue };
+            let first = candidates.first().map(|it| self.addr_of(*it));
+            info!(self.log, "granting node of a failure domain changed";
+                "service" => state.service.name.as_str(),
+                "failure_domain" => state.domains().name(domain).map(Name::as_str),
+                "is_this_node" => is_first, "first" => first, "candidates" => candidates.len());
+        }
+    }
+
     /// Logs the requests of this node that were redirected since the last call.
     pub(super) fn log_redirects(&mut self) {
         let redirects = self.client.redirects;
@@ -189,6 +243,12 @@
     it.in_use > 0 || it.queued > 0
 }
 
+/// Whether a dispatcher grants slots, holds some that are in use, or has a queue. Long requests hold slots while
+/// nothing is granted.
+pub(super) fn is_used(now: Time, it: &Dispatcher) -> bool {
+    !it.is_unused(now)
+}
+
 /// Whether all numbers are finite and not negative.
 fn is_valid(it: &DomainLoad) -> bool {
     [it.usable, it.served, it.unserved].iter().all(|it| it.is_finite() && *it >= 0.0)
--- a/crates/dappleway/src/control/peer_slots.rs
+++ b/crates/dappleway/src/control/peer_slots.rs
@@ -25,10 +25,11 @@
                 self.handle_ask(now, from, (service, failure_domain), may_redirect, ask);
             }
             PermitMessage::DomainLoads { service, loads } => {
-                self.handle_domain_loads(now, service, &loads);
+                self.handle_domain_loads(now, from.0, service, &loads);
             }
             PermitMessage::Answer { id, reply } => {
-                let directory = ServingNodes::new(now, self.me, &self.topology, &self.exchange);
+                let directory = ServingNodes::new(now, self.me, &self.topology, &self.exchange)
+                    .with_services(&self.services);
                 let place = Place::Peer(from.0);
                 if let Some(action) = self.client.reply(now, place, id, reply, &directory) {
                     self.perform(now, action);
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -23,6 +23,10 @@
 /// few lost datagrams do not matter.
 const MAX_LOAD_AGE: Duration = Duration::from_secs(1);
 
+/// How long a service stays dispatched by failure domain after it has ceased to qualify. Endpoints that are missing
+/// for a moment would otherwise change the granting nodes twice, and each change loses what they know.
+const UNQUALIFIED_DELAY: Duration = Duration::from_secs(5);
+
 /// Hash of a name, as used in frames between nodes.
 pub fn name_hash(name: &str) -> u64 {
     stable_hash(name.as_bytes())
@@ -45,10 +49,16 @@
     pub fleet: FxHashMap<Option<u64>, Dispatcher>,
     /// The service's failure domains with their endpoints.
     domains: FailureDomains,
+    /// Whether the failure domains qualify, or did until less than [`UNQUALIFIED_DELAY`] ago. A service that never
+    /// did since this node started does not.
+    is_qualified: bool,
+    /// When they ceased to qualify, while the delay lasts.
+    unqualified_since: Option<Time>,
     /// Whether the settings allow dispatch by failure domain and all nodes support it.
     is_domain_dispatch_allowed: bool,
-    /// Latest loads received from the nodes that grant slots in other failure domains, by failure domain.
-    remote_loads: FxHashMap<u64, (DomainLoad, Time)>,
+    /// Latest loads received from the nodes that grant slots in other failure domains, by failure domain and
+    /// sender. Two nodes may grant in one failure domain for a while, and each of them knows its own slots only.
+    remote_loads: FxHashMap<(u64, NodeId), (DomainLoad, Time)>,
     /// Slots granted to requests of this node.
     pub sends: SendCounts,
     routes: Vec<RouteTerms>,
@@ -228,6 +238,7 @@
 
     /// Advances every dispatcher to `now`.
     pub fn tick(&mut self, now: Time, rng: &mut impl Rng) -> TickOutput {
+        self.by_hash.values_mut().for_each(|it| it.update_qualification(now));
         self.collect_output(|it| it.tick(now, rng))
     }
 
@@ -331,10 +342,13 @@
         params: &DispatcherParams,
     ) -> Self {
         let direct = params.new_dispatcher(now, &service, routes);
+        let domains = FailureDomains::of(&service);
         Self {
             direct,
             fleet: FxHashMap::default(),
-            domains: FailureDomains::of(&service),
+            is_qualified: domains.qualify(),
+            unqualified_since: None,
+            domains,
             is_domain_dispatch_allowed: params.is_domain_dispatch_allowed,
             remote_loads: FxHashMap::default(),
             sends: SendCounts::default(),
@@ -353,7 +367,20 @@
             it.reconfigure(now, &endpoints, routes);
         }
         let domains = FailureDomains::of(&service);
-        Self { service, domains, routes: routes.to_vec(), ..self }
+        let mut new = Self { service, domains, routes: routes.to_vec(), ..self };
+        new.update_qualification(now);
+        new
+    }
+
+    fn update_qualification(&mut self, now: Time) {
+        if self.domains.qualify() {
+            (self.is_qualified, self.unqualified_since) = (true, None);
+        } else if self.is_qualified {
+            let since = *self.unqualified_since.get_or_insert(now);
+            self.is_qualified = now.since(since) < UNQUALIFIED_DELAY;
+        } else {
+            self.unqualified_since = None;
+        }
     }
 
     /// The failure domains of the endpoints.
@@ -364,31 +391,54 @@
     /// The failure domains of the endpoints if each of them has a dispatching node of its own; `None` if one node
     /// dispatches all endpoints.
     pub fn dispatch_domains(&self) -> Option<&FailureDomains> {
-        Some(&self.domains).filter(|it| self.is_domain_dispatch_allowed && it.qualify())
+        Some(&self.domains).filter(|_| self.is_domain_dispatch_allowed && self.is_qualified)
     }
 
-    /// Applies loads that other nodes have sent, to the dispatchers of this node.
-    pub fn set_remote_loads(&mut self, now: Time, loads: &[DomainLoad]) {
+    /// Applies loads that another node has sent, to the dispatchers of this node.
+    pub fn set_remote_loads(&mut self, now: Time, from: NodeId, loads: &[DomainLoad]) {
+        self.remote_loads.retain(|_, (_, at)| now.since(*at) <= MAX_LOAD_AGE);
         for it in loads.iter().filter(|it| self.domains.contains(it.failure_domain)) {
-            self.remote_loads.insert(it.failure_domain, (*it, now));
+            self.remote_loads.insert((it.failure_domain, from), (*it, now));
         }
+        let mut known = self.remote_loads(now);
+        known.retain(|known| loads.iter().any(|it| it.failure_domain == known.failure_domain));
         for (_, it) in self.fleet.iter_mut().filter(|(domain, _)| domain.is_some()) {
-            it.set_remote_loads(now, loads);
+            it.set_remote_loads(now, &known);
         }
     }
 
-    /// Loads received from other nodes that are recent enough to be used.
-    pub fn remote_loads(&self, now: Time) -> impl Iterator<Item = &DomainLoad> {
-        let values = self.remote_loads.values();
-        values.filter(move |(_, at)| now.since(*at) <= MAX_LOAD_AGE).map(|(it, _)| it)
+    /// Loads received from other nodes that are recent enough to be used, one for each failure domain: the sums of
+    /// what its senders report, and the largest number of usable slots, because all senders count the same ones.
+    pub fn remote_loads(&self, now: Time) -> Vec<DomainLoad> {
+        let mut sums: Vec<DomainLoad> = Vec::new();
+        let recent = self.remote_loads.values().filter(|(_, at)| now.since(*at) <= MAX_LOAD_AGE);
+        for (it, _) in recent {
+            match sums.iter_mut().find(|sum| sum.failure_domain == it.failure_domain) {
+                Some(sum) => {
+                    sum.usable = sum.usable.max(it.usable);
+                    sum.in_use = sum.in_use.saturating_add(it.in_use);
+                    sum.queued = sum.queued.saturating_add(it.queued);
+                    sum.served += it.served;
+                    sum.unserved += it.unserved;
+                }
+                None => sums.push(*it),
+            }
+        }
+        sums
+    }
+
+    /// Hash of the failure domain of an endpoint.
+    pub fn failure_domain_of(&self, endpoint: &str) -> Option<u64> {
+        let position = self.direct.rotation().position(endpoint)?;
+        Some(name_hash(&self.direct.endpoints()[position].failure_domain))
     }
 
     /// Counts a slot granted to a request of this node, whose failure domain is `own`.
     pub fn count_send(&mut self, own: u64, endpoint: &str) {
-        let Some(position) = self.direct.rotation().position(endpoint) else { return };
-        match name_hash(&self.direct.endpoints()[position].failure_domain) == own {
-            true => self.sends.near += 1,
-            false => self.sends.far += 1,
+        match self.failure_domain_of(endpoint) {
+            Some(it) if it == own => self.sends.near += 1,
+            Some(_) => self.sends.far += 1,
+            None => {}
         }
     }
 
@@ -400,7 +450,7 @@
             dispatching.partition(|(domain, _)| domain.is_some());
         let own = by_domain.into_iter().chain(for_all).flat_map(|(_, it)| it.domain_loads(now));
         let mut loads: Vec<DomainLoad> = Vec::new();
-        for it in own.chain(self.remote_loads(now).copied()) {
+        for it in own.chain(self.remote_loads(now)) {
             if loads.iter().all(|known| known.failure_domain != it.failure_domain) {
                 loads.push(it);
             }
@@ -432,6 +482,29 @@
         all.find_map(|it| it.rejected(now, request))
     }
 
+    /// The other fleet dispatchers that grant slots of the same endpoints. One of another failure domain knows nothing
+    /// of these, and its likelihoods and suspects are those of other endpoints. The order is that of the failure
+    /// domains, because the likelihoods of the last one are taken.
+    fn health_sources(&self, now: Time, failure_domain: Option<u64>) -> Vec<&Dispatcher> {
+        let shares_endpoints =
+            |it: Option<u64>| it != failure_domain && (it.is_none() || failure_domain.is_none());
+        let sources = self.fleet.iter();
+        let sources =
+            sources.filter(|(it, from)| shares_endpoints(**it) && from.is_dispatching(now));
+        let mut sources: Vec<_> = sources.collect();
+        sources.sort_unstable_by_key(|(domain, _)| **domain);
+        sources.into_iter().map(|(_, it)| it).collect()
+    }
+
+    /// Updates the health estimates of a dispatcher that comes back into use from the dispatchers that granted slots of
+    /// its endpoints meanwhile.
+    fn refresh_health(&mut self, now: Time, failure_domain: Option<u64>) {
+        let Some(stale) = self.fleet.remove(&failure_domain) else { return };
+        let sources = self.health_sources(now, failure_domain);
+        let fresh = sources.into_iter().fold(stale, |it, from| it.with_health_of(now, from));
+        self.fleet.insert(failure_domain, fresh);
+    }
+
     /// Returns the fleet dispatcher of a failure domain, or of all endpoints, and creates it on the first call. A
     /// new one starts with the beliefs of a fleet dispatcher that grants slots of the same endpoints, or else of
     /// the direct dispatcher. Returns `None` if the service has no endpoint in the failure domain.
@@ -448,10 +521,11 @@
             let endpoints = failure_domains::endpoints_in(&self.service, failure_domain);
             let mut new = params.new_dispatcher(now, &endpoints, &self.routes);
             new = new.with_health_of(now, &self.direct);
-            for it in self.fleet.values().filter(|it| it.is_dispatching(now)) {
-                new = new.with_health_of(now, it);
-            }
+            let sources = self.health_sources(now, failure_domain);
+            new = sources.into_iter().fold(new, |new, it| new.with_health_of(now, it));
             self.fleet.insert(failure_domain, new);
+        } else if self.fleet.get(&failure_domain).is_some_and(|it| it.is_unused(now)) {
+            self.refresh_health(now, failure_domain);
         }
         self.fleet.get_mut(&failure_domain)
     }
--- a/crates/fleet/src/permits.rs
+++ b/crates/fleet/src/permits.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use policy::{Ask, FarReason, Grant, NodeId, PermitId, Reply, Time};
+use policy::{Ask, FarReason, Grant, NodeId, PermitId, Reply, SendKind, Time};
 use rustc_hash::FxHashMap;
 
 use crate::wire::PermitMessage;
@@ -97,6 +97,8 @@
     is_queued: bool,
     /// Asks at this place since its last answer.
     unanswered_asks: u32,
+    /// All asks at this place for the failure domain that is asked now. A copy may arrive after the answer.
+    asks_here: u32,
     /// Number of places asked without success, in the failure domain that is asked now.
     failed_places: u32,
     /// Failure domain that is asked now; `None` if one node dispatches all endpoints.
@@ -111,7 +113,7 @@
     Possible,
     /// That of another failure domain is asked.
     Asked,
-    /// No node answered for the other failure domain, and its own is asked again.
+    /// No node answered for the other failure domain, or it refused a further send, and its own is asked again.
     Returned,
 }
 
@@ -135,6 +137,9 @@
     /// The nodes that can dispatch a service, best first: its endpoints in one failure domain or, if
     /// none is given, all of its endpoints.
     fn candidates(&self, service: u64, failure_domain: Option<u64>) -> Vec<NodeId>;
+
+    /// Hash of the failure domain of an endpoint, if it is known.
+    fn failure_domain_of(&self, service: u64, endpoint: &str) -> Option<u64>;
 }
 
 /// Asking side of one node.
@@ -154,6 +159,9 @@
     /// Recently granted requests, and the place that granted them.
     granted: FxHashMap<PermitId, (Place, Time)>,
     next_forget: Time,
+    /// Requests that were redirected after more than one ask, and the place that redirected them. A copy
+    /// of the ask may have taken a slot or a place in the queue there.
+    left_places: Vec<(Place, PermitId)>,
     /// Window of the repeat budget.
     window: Duration,
     /// Reachability changes since the last call of `take_reachability_changes`.
@@ -173,7 +181,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RedirectCounts {
     by_reason: [u64; FAR_REASONS.len()],
-    /// Redirected requests that returned because no node answered in the other failure domain.
+    /// Redirected requests that returned because no node answered in the other failure domain, or because it
+    /// refused a further send.
     pub returned: u64,
 }
 
@@ -209,6 +218,7 @@
             budget_places: FxHashMap::default(),
             granted: FxHashMap::default(),
             next_forget: Time(0),
+            left_places: Vec::new(),
             window,
             reachability_changes: Vec::new(),
             timeouts: 0,
@@ -237,6 +247,7 @@
             asked_at: now,
             is_queued: false,
             unanswered_asks: 0,
+            asks_here: 0,
             failed_places: 0,
             failure_domain,
             redirect: Redirect::Possible,
@@ -263,6 +274,9 @@
             return self.release_unwanted(place, id, &reply);
         };
         match reply {
+            // The node also grants for the failure domain that the request has left. The ask is repeated
+            // after the time-out, which makes the node withdraw this slot.
+            Reply::Granted(ref it) if !pending.is_slot_wanted(it, directory) => None,
             Reply::Queued => {
                 pending.is_queued = true;
                 pending.unanswered_asks = 0;
@@ -285,8 +299,15 @@
                 pending.failed_places = 0;
                 pending.unanswered_asks = 0;
                 pending.is_queued = false;
+                let has_copies = std::mem::take(&mut pending.asks_here) > 1;
                 self.redirects.count(reason);
-                Some(self.ask(now, id, directory))
+                let ask = self.ask(now, id, directory);
+                // A node that is asked for both failure domains withdraws the copies itself.
+                let is_at_place = self.pending.get(&id).is_some_and(|it| it.place == place);
+                if has_copies && !is_at_place {
+                    self.left_places.push((place, id));
+                }
+                Some(ask)
             }
             // A late copy of the answer that redirected the request: an ask that must not be
             // redirected gets no such answer.
@@ -300,6 +321,15 @@
                 self.granted.insert(id, (place, now));
                 Some(PermitAction::Settle(id, PermitOutcome::Granted(grant, place)))
             }
+            // The repeat budget of its own failure domain may allow a further send.
+            Reply::Refused { .. }
+                if pending.redirect == Redirect::Asked
+                    && pending.request.ask.send == SendKind::Further =>
+            {
+                pending.return_home();
+                self.redirects.returned += 1;
+                Some(self.ask(now, id, directory))
+            }
             Reply::Refused { retry_after } => {
                 self.pending.remove(&id);
                 Some(PermitAction::Settle(id, PermitOutcome::Refused(retry_after)))
@@ -324,13 +354,27 @@
     /// Handles the asks that were not answered in time.
     pub fn tick(&mut self, now: Time, directory: &impl Directory) -> Vec<PermitAction> {
         self.forget_grants(now);
+        let left = self.release_left_places();
         let timed_out: Vec<PermitId> = self
             .pending
             .iter()
             .filter(|(_, it)| it.is_timed_out(now, self.timeout))
             .map(|(id, _)| *id)
             .collect();
-        timed_out.into_iter().flat_map(|id| self.handle_timeout(now, id, directory)).collect()
+        let asked = timed_out.into_iter().flat_map(|id| self.handle_timeout(now, id, directory));
+        left.into_iter().chain(asked).collect()
+    }
+
+    /// Releases what copies of an ask took at the places that redirected it, except where the request has
+    /// returned to.
+    fn release_left_places(&mut self) -> Vec<PermitAction> {
+        let left = std::mem::take(&mut self.left_places).into_iter();
+        let left = left.filter(|(place, id)| {
+            let pending = self.pending.get(id).map(|it| it.place);
+            let granted = self.granted.get(id).map(|(it, _)| *it);
+            pending.or(granted) != Some(*place)
+        });
+        left.filter_map(|(place, id)| release(place, id)).collect()
     }
 
     fn handle_timeout(
@@ -394,14 +438,13 @@
         let mut place = choose_for(pending);
         // While another failure domain cannot be reached, its own still serves the request.
         if place == Place::Direct && pending.redirect == Redirect::Asked {
-            pending.redirect = Redirect::Returned;
-            pending.failure_domain = pending.request.failure_domain;
-            pending.failed_places = 0;
+            pending.return_home();
             self.redirects.returned += 1;
             place = choose_for(pending);
         }
         if place != pending.place {
             pending.unanswered_asks = 0;
+            pending.asks_here = 0;
         }
         self.ask_at(now, id, place)
     }
@@ -411,6 +454,7 @@
         pending.place = place;
         pending.asked_at = now;
         pending.unanswered_asks += 1;
+        pending.asks_here += 1;
         let (failure_domain, redirect) = (pending.failure_domain, pending.redirect);
         let request = &mut pending.request;
         let service = request.service;
@@ -492,6 +536,24 @@
 }
 
 impl Pending {
+    /// Leaves the other failure domain for the own one.
+    fn return_home(&mut self) {
+        self.redirect = Redirect::Returned;
+        self.failure_domain = self.request.failure_domain;
+        self.failed_places = 0;
+        self.unanswered_asks = 0;
+        self.asks_here = 0;
+        self.is_queued = false;
+    }
+
+    /// Whether a slot is in the failure domain that is asked now. One of an unknown endpoint is accepted:
+    /// this node may be behind in configuration.
+    fn is_slot_wanted(&self, grant: &Grant, directory: &impl Directory) -> bool {
+        let Some(asked) = self.failure_domain else { return true };
+        let known = directory.failure_domain_of(self.request.service, &grant.endpoint);
+        known.is_none_or(|it| it == asked)
+    }
+
     fn is_timed_out(&self, now: Time, timeout: Duration) -> bool {
         let limit = match (self.is_queued, self.place) {
             (true, Place::Peer(_)) => QUEUED_ASK_INTERVAL,
--- a/crates/fleet/src/tests/domain_permits.rs
+++ b/crates/fleet/src/tests/domain_permits.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use policy::{
-    Ask, BudgetLimits, Dispatcher, FarReason, NodeId, PermitId, Reply, Reporter, RequestKey,
+    Ask, BudgetLimits, Dispatcher, FarReason, Grant, NodeId, PermitId, Reply, Reporter, RequestKey,
     RouteTerms, SendKind, Time,
 };
 use proptest::prelude::*;
@@ -34,6 +34,14 @@
         };
         nodes.iter().copied().map(NodeId).collect()
     }
+
+    fn failure_domain_of(&self, _service: u64, endpoint: &str) -> Option<u64> {
+        match endpoint {
+            "home" => Some(HOME),
+            "other" => Some(OTHER),
+            _ => None,
+        }
+    }
 }
 
 fn two_domains() -> Domains {
@@ -117,6 +125,37 @@
     assert_eq!(granted, "granted by Peer(NodeId(2))");
 }
 
+/// Guards against the use of a slot that its node has withdrawn: a node of both failure domains grants a
+/// late copy of the first ask, and withdraws that slot when it is asked in the other failure domain.
+#[test]
+fn a_slot_of_the_failure_domain_that_was_left_is_not_used() {
+    let directory = Domains { home: vec![2], other: vec![2] };
+    let (mut client, _) = start(&directory);
+    assert_eq!(reply(&mut client, &directory, 2, elsewhere()), "ask 2 in 200");
+    let slot = |endpoint: &str| Reply::Granted(Grant { endpoint: endpoint.into(), ..grant() });
+    assert_eq!(reply(&mut client, &directory, 2, slot("home")), "nothing");
+    // The repeated ask makes the node withdraw the slot.
+    assert_eq!(ticks(&mut client, &directory, 0, 20), ["ask 2 in 200"]);
+    assert_eq!(reply(&mut client, &directory, 2, slot("other")), "granted by Peer(NodeId(2))");
+}
+
+/// Guards against a slot or a place in a queue that a late copy of the first ask takes at the node that
+/// redirected the request.
+#[test]
+fn a_node_that_redirected_one_of_several_asks_releases_the_others() {
+    let directory = two_domains();
+    let (mut client, _) = start(&directory);
+    assert_eq!(ticks(&mut client, &directory, 0, 10), ["ask 2 in 100, may redirect"]);
+    assert_eq!(reply(&mut client, &directory, 2, elsewhere()), "ask 4 in 200");
+    assert_eq!(reply(&mut client, &directory, 4, Reply::Queued), "nothing");
+    assert_eq!(ticks(&mut client, &directory, 10, 20), ["release 2"]);
+    // A single ask has no copy that could arrive late.
+    let (mut client, _) = start(&directory);
+    assert_eq!(reply(&mut client, &directory, 2, elsewhere()), "ask 4 in 200");
+    assert_eq!(reply(&mut client, &directory, 4, Reply::Queued), "nothing");
+    assert!(ticks(&mut client, &directory, 0, 20).is_empty());
+}
+
 /// The node that grants the slots of the own failure domain is lost, or is frozen, or its answers do
 /// not arrive.
 #[test]
@@ -192,6 +231,25 @@
     assert_eq!(reply(&mut client, &directory, 4, Reply::Full), "refused");
 }
 
+/// Guards against a further send that is lost because the repeat budget of another failure domain is
+/// spent, while that of its own is not.
+#[test]
+fn a_redirected_further_send_returns_when_it_is_refused() {
+    let directory = two_domains();
+    let refused = || Reply::Refused { retry_after: Duration::from_secs(1) };
+    let mut client = PermitClient::new(ME, TIMEOUT, Duration::from_secs(10));
+    let mut further = domain_request();
+    further.ask.send = SendKind::Further;
+    client.request(Time(0), further, &directory);
+    assert_eq!(reply(&mut client, &directory, 2, elsewhere()), "ask 4 in 200");
+    assert_eq!(reply(&mut client, &directory, 4, refused()), "ask 2 in 100");
+    assert_eq!(reply(&mut client, &directory, 2, refused()), "refused");
+    // The refusal of a first send has nothing to do with the budget.
+    let (mut client, _) = start(&directory);
+    assert_eq!(reply(&mut client, &directory, 2, elsewhere()), "ask 4 in 200");
+    assert_eq!(reply(&mut client, &directory, 4, refused()), "refused");
+}
+
 const WINDOW: Duration = Duration::from_secs(10);
 const LIMITS: BudgetLimits = BudgetLimits { ratio: 0.2, extra: 58.0, window: WINDOW };
 const ASKERS: u64 = 12;
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -353,6 +353,7 @@
 
     /// Answers a request for a slot.
     pub fn ask(&mut self, now: Time, ask: Ask, rng: &mut impl Rng) -> Reply {
+        self.note_return(ask.id);
         self.ask_or_redirect(now, ask, false, rng)
     }
 
@@ -574,6 +575,16 @@
         self.last_grant.is_some_and(|it| now.since(it) < DISPATCHING_WINDOW)
     }
 
+    /// Whether requests hold slots that this dispatcher granted, however long ago.
+    pub fn holds_permits(&self) -> bool {
+        !self.permits.is_empty()
+    }
+
+    /// Whether this dispatcher neither grants slots, nor holds some that are in use, nor has a queue.
+    pub fn is_unused(&self, now: Time) -> bool {
+        !self.is_dispatching(now) && !self.holds_permits() && self.queued() == 0
+    }
+
     /// State of the repeat budget.
     pub fn repeats(&mut self, now: Time) -> RepeatsReport {
         self.budget.report(now)
