Policy: admission by queue and configured slots are the default

A limit that falls with every shed shrinks a service whose sheds do not depend on concurrency. Change: dispatch.contention defaults to queue, dispatch.concurrency_limits to off. Conclusion: both stay settings until their faults are mended.

--- a/crates/policy/src/options.rs
+++ b/crates/policy/src/options.rs
@@ -66,9 +66,9 @@
 #[serde(rename_all = "kebab-case")]
 pub enum ConcurrencyLimits {
     /// They are learned, and limit the slots and the order of choice.
-    #[default]
     Learned,
     /// Every endpoint gives its configured slots, and counts as full for 100 ms after a shed.
+    #[default]
     Off,
 }
 
@@ -78,8 +78,8 @@
 pub enum Contention {
     /// Requests are ranked by priority, by the share of their organisation and by the time left.
     /// The rank decides who waits, who is evicted and who is granted a slot.
-    #[default]
     Ranked,
     /// The length of the queue and the expected wait decide who waits. Nothing is evicted.
+    #[default]
     Queue,
 }
