Policy: a request leaves instead of being refused or evicted

Cause: redirection judged by the expected wait alone, and admission then refused by a longer estimate, the length of the queue or congestion, although another failure domain had free slots. Queued requests that may be redirected were evicted or given up in the same way. Change: before such a refusal is counted, the request is redirected as overflow if another failure domain has free slots, or a wait that fits the time left less the median hold time.

--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -433,7 +433,7 @@
             return Reply::Refused { retry_after };
         }
         let slots = survey.capacity();
-        self.enqueue(now, ask, slots)
+        self.enqueue(now, ask, slots, may_redirect, rng)
     }
 
     /// Chooses a good endpoint among a few candidates, if the service uses a working set.
--- a/crates/policy/src/dispatcher/admission.rs
+++ b/crates/policy/src/dispatcher/admission.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use rand::Rng;
+
 use super::Dispatcher;
 use super::congestion::{Arrival, TARGET_SHARE};
 use super::contention::Refusal;
@@ -47,18 +49,42 @@
 }
 
 impl Dispatcher {
-    /// Queues an ask or refuses it. `slots` is the number of slots that may be used now.
-    pub(super) fn enqueue(&mut self, now: Time, ask: Ask, slots: f64) -> Reply {
+    /// Queues an ask or refuses it. `slots` is the number of slots that may be used now. An ask
+    /// that may be redirected leaves instead of being refused if another failure domain has room.
+    pub(super) fn enqueue(
+        &mut self,
+        now: Time,
+        ask: Ask,
+        slots: f64,
+        may_redirect: bool,
+        rng: &mut impl Rng,
+    ) -> Reply {
         if self.is_ranked() {
-            return self.enqueue_ranked(now, ask, slots);
+            return self.enqueue_ranked(now, ask, slots, may_redirect, rng);
         }
         if let Admission::Refuse { why, wait } = self.admit(now, &ask, slots) {
-            return Reply::Refused { retry_after: self.refuse(now, &ask, why, wait) };
+            return self.redirect_or_refuse(now, &ask, (why, wait), may_redirect, rng);
         }
         self.push(now, ask);
         Reply::Queued
     }
 
+    /// Redirects a newcomer that may not wait here, or refuses it for a reason, with its expected
+    /// wait.
+    fn redirect_or_refuse(
+        &mut self,
+        now: Time,
+        ask: &Ask,
+        (why, wait): (Refusal, Duration),
+        may_redirect: bool,
+        rng: &mut impl Rng,
+    ) -> Reply {
+        if may_redirect && let Some(reply) = self.redirect_refused(now, ask, ask.left, rng) {
+            return reply;
+        }
+        Reply::Refused { retry_after: self.refuse(now, ask, why, wait) }
+    }
+
     /// Decides by the length of the queue and the expected wait whether a request may wait.
     fn admit(&mut self, now: Time, ask: &Ask, slots: f64) -> Admission {
         let wait = self.expected_wait(self.queue.ahead_of(ask.priority), slots);
@@ -76,7 +102,14 @@
 
     /// Queues an ask if its rank and the time that it has left allow it. It may take the place of a
     /// request that ranks after it.
-    fn enqueue_ranked(&mut self, now: Time, ask: Ask, slots: f64) -> Reply {
+    fn enqueue_ranked(
+        &mut self,
+        now: Time,
+        ask: Ask,
+        slots: f64,
+        may_redirect: bool,
+        rng: &mut impl Rng,
+    ) -> Reply {
         self.contended.slots = slots;
         let (id, priority) = (ask.id, ask.priority);
         let typical = self.contended.work.typical(ask.route);
@@ -86,8 +119,8 @@
             objective: ask.objective,
             left: ask.left,
         };
-        if let Some((why, wait)) = self.refuse_return(now, &ask, arrival, slots) {
-            return Reply::Refused { retry_after: self.refuse(now, &ask, why, wait) };
+        if let Some(refusal) = self.refuse_return(now, &ask, arrival, slots) {
+            return self.redirect_or_refuse(now, &ask, refusal, may_redirect, rng);
         }
         self.push(now, ask);
         let ranks = self.rank_queue(now);
@@ -108,7 +141,7 @@
         };
         match victim {
             Ok(Some(victim)) => {
-                let evicted = self.evict(now, victim);
+                let evicted = self.refuse_waiting(now, victim, Refusal::Evicted, rng);
                 self.contended.evicted.push(evicted);
                 Reply::Queued
             }
@@ -117,7 +150,7 @@
                 let ask = self.queue.remove(own).item;
                 self.release_reserved_repeats(std::iter::once(&ask));
                 self.counts.uncount_queued(ask.priority);
-                Reply::Refused { retry_after: self.refuse(now, &ask, why, arrival.wait) }
+                self.redirect_or_refuse(now, &ask, (why, arrival.wait), may_redirect, rng)
             }
         }
     }
@@ -167,10 +200,6 @@
         });
     }
 
-    fn evict(&mut self, now: Time, i: usize) -> QueuedReply {
-        self.refuse_waiting(now, i, Refusal::Evicted)
-    }
-
     /// The position of the request that the one at `own` displaces: the last one of a lower
     /// priority, or else the last one of its own priority that would not be refused late. An
     /// organisation that holds nothing displaces the last one in any case.
@@ -267,7 +296,12 @@
 
     /// Refuses the queued requests that cannot finish before their deadline. The queue is sorted by
     /// rank.
-    pub(super) fn refuse_hopeless(&mut self, now: Time, slots: f64) -> Vec<QueuedReply> {
+    pub(super) fn refuse_hopeless(
+        &mut self,
+        now: Time,
+        slots: f64,
+        rng: &mut impl Rng,
+    ) -> Vec<QueuedReply> {
         let slots = slots.max(MIN_SLOTS);
         let mut refused = Vec::new();
         let (mut i, mut ahead) = (0, 0.0);
@@ -275,7 +309,7 @@
             let wait = Duration::from_secs_f64(ahead / slots * CERTAIN_WAIT);
             let end = now + wait + self.contended.work.typical(it.item.route);
             if end > it.deadline {
-                refused.push(self.refuse_waiting(now, i, Refusal::CannotFinish));
+                refused.push(self.refuse_waiting(now, i, Refusal::CannotFinish, rng));
             } else {
                 ahead += self.work_of(&it.item);
                 i += 1;
--- a/crates/policy/src/dispatcher/contention.rs
+++ b/crates/policy/src/dispatcher/contention.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use rand::Rng;
+
 use super::admission::{MIN_SHARE_LEFT, MIN_SLOTS};
 use super::demand::Demand;
 use super::holdings::{RecentGrants, fair_fraction};
@@ -106,10 +108,20 @@
         self.queue.sort_by_rank(&holdings)
     }
 
-    /// Takes a request off the queue and refuses it.
-    pub(super) fn refuse_waiting(&mut self, now: Time, i: usize, why: Refusal) -> QueuedReply {
+    /// Takes a request off the queue and refuses it, or redirects it if it may leave and another
+    /// failure domain has room for it.
+    pub(super) fn refuse_waiting(
+        &mut self,
+        now: Time,
+        i: usize,
+        why: Refusal,
+        rng: &mut impl Rng,
+    ) -> QueuedReply {
         let it = self.queue.remove(i);
         self.release_reserved_repeats(std::iter::once(&it.item));
+        if let Some(reply) = self.redirect_refused_waiting(now, &it, rng) {
+            return QueuedReply { id: it.item.id, reply };
+        }
         let retry_after = self.refuse(now, &it.item, why, Duration::ZERO);
         QueuedReply { id: it.item.id, reply: Reply::Refused { retry_after } }
     }
--- a/crates/policy/src/dispatcher/remote.rs
+++ b/crates/policy/src/dispatcher/remote.rs
@@ -18,6 +18,7 @@
 use crate::domain_load::{DomainLoad, FarReason};
 use crate::domains::{Offer, RemoteDomains, may_spill, near_wait, pick_by_headroom};
 use crate::permit::{Ask, PermitId, QueuedReply, Reply, Tier};
+use crate::queue::Waiting;
 use crate::time::Time;
 
 /// State of a dispatcher whose requests may be redirected.
@@ -235,3 +236,32 @@
         tier >= Tier::Last
     }
 }
+
+/// Requests that are redirected instead of refused.
+impl Dispatcher {
+    /// Redirects a request that would be refused here, if another failure domain has free slots or
+    /// a wait within the time left. The estimate that refuses a request is longer than the one by
+    /// which [`Self::redirect`] lets it stay, because it counts arrivals of higher priorities.
+    pub(super) fn redirect_refused(
+        &mut self,
+        now: Time,
+        ask: &Ask,
+        left: Duration,
+        rng: &mut impl Rng,
+    ) -> Option<Reply> {
+        let longest_wait = left.checked_sub(self.contended.work.typical(ask.route))?;
+        let to = self.remote_target(now, ask, longest_wait, rng.random())?;
+        Some(self.note_redirect(now, ask.id, to, FarReason::Overflow))
+    }
+
+    /// Like [`Self::redirect_refused`], for a request that has been taken off the queue.
+    pub(super) fn redirect_refused_waiting(
+        &mut self,
+        now: Time,
+        it: &Waiting<Ask>,
+        rng: &mut impl Rng,
+    ) -> Option<Reply> {
+        self.redirection.queued.remove(&it.item.id)?;
+        self.redirect_refused(now, &it.item, it.deadline.since(now), rng)
+    }
+}
--- a/crates/policy/src/dispatcher/waiting.rs
+++ b/crates/policy/src/dispatcher/waiting.rs
@@ -39,7 +39,7 @@
         if self.is_ranked() && (is_check_due || self.has_free_slot(&survey)) {
             self.contended.last_check = now;
             self.rank_queue(now);
-            settled.extend(self.refuse_hopeless(now, survey.capacity()));
+            settled.extend(self.refuse_hopeless(now, survey.capacity(), rng));
         }
         while self.queue.len() > 0 {
             if !self.has_free_slot(&survey) {
--- a/crates/policy/src/tests/redirects.rs
+++ b/crates/policy/src/tests/redirects.rs
@@ -5,7 +5,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use resources::{Service, Standing};
+use resources::{Priority, Service, Standing};
 
 use super::domain_load::{Demand, Load, Mode, Play, service_in};
 use super::fixture::{BUDGET, SECOND, TERMS, ask, seen};
@@ -223,3 +223,33 @@
 const MAX_EXCHANGED: f64 = 0.15;
 /// With all requests going to one failure domain after the other, the share swings by one.
 const MAX_SWING: f64 = 0.4;
+
+/// Guards against refusals while slots of another failure domain are free.
+#[test]
+fn a_request_leaves_instead_of_being_refused_or_evicted() {
+    let service = service_in("a");
+    let (mut it, mut rng) = dispatcher(&service);
+    fill(&mut it, Time(0), &mut rng);
+    // The wait here fits the objective, so that nothing leaves before the queue is full.
+    let (objective, left) = (SECOND * 600, SECOND * 900);
+    let patient =
+        |seq, priority| Ask { priority: Priority(priority), objective, left, ..from_a(seq) };
+    let mut seq = 1_000;
+    while it.ask_redirecting(Time(0), patient(seq, 2), &mut rng) == Reply::Queued {
+        seq += 1;
+    }
+    report(&mut it, Time(0), &[load("b", 100.0, 10)]);
+    it.take_counts();
+    let overflow = Some((stable_hash(b"b"), FarReason::Overflow));
+    let newcomer = it.ask_redirecting(Time(0), patient(9_000, 2), &mut rng);
+    assert_eq!(target(&newcomer), overflow);
+    assert_eq!(it.ask_redirecting(Time(0), patient(9_001, 0), &mut rng), Reply::Queued);
+    let evicted = it.take_evicted();
+    assert_eq!(evicted.len(), 1);
+    assert_eq!(target(&evicted[0].reply), overflow);
+    // A request that may not be redirected is refused.
+    let refused = it.ask(Time(0), patient(9_002, 2), &mut rng);
+    assert!(matches!(refused, Reply::Refused { .. }), "{refused:?}");
+    let counts = it.take_counts();
+    assert_eq!((counts.redirected.total(), counts.refusals.iter().sum::<u32>()), (2, 1));
+}
