Policy: a request waits near for up to 0.15 of its objective

Change: the former share. Tests of ranked admission and of learned limits name their setting, since both are off by default, and the expectation of rate_limit.rs is the one from before ranked admission. The rule of leaving for health is tested with the losses that its inputs now are.

--- a/crates/policy/src/domains.rs
+++ b/crates/policy/src/domains.rs
@@ -14,9 +14,9 @@
 /// on the repeat budget and comes later.
 const REPEAT_COST: f64 = 0.1;
 /// Share of the objective for which a request waits for a slot of its own failure domain while
-/// another one has free slots. Twice the service time still fits after it in most objectives; with
-/// 0.15, twice as many bytes left the failure domains on days of overload.
-const NEAR_WAIT_SHARE: f64 = 0.35;
+/// another one has free slots. With 0.35, uneven waves of demand at 1.4 times the load were served in
+/// time 0.8 % less often, for a quarter fewer far bytes.
+const NEAR_WAIT_SHARE: f64 = 0.15;
 /// Service times that must fit in the objective after such a wait, because they vary.
 const SERVICE_TIMES_LEFT: u32 = 2;
 /// A request that cannot wait near goes to a failure domain where requests wait, too, only if the
--- a/crates/policy/src/tests/contention.rs
+++ b/crates/policy/src/tests/contention.rs
@@ -331,6 +331,7 @@
     fn new(holders: [u64; 3]) -> Self {
         let (rng, service) = (StdRng::seed_from_u64(1), service(&[1], 1, Bias::Speed));
         let mut full = Self { it: Dispatcher::new(Time(0), &service, &[TERMS], BUDGET), rng };
+        full.it.set_options(DispatchOptions::default().contention(Contention::Ranked));
         for (seq, organisation) in holders.into_iter().enumerate() {
             let reply = full.ask(0, Ask { organisation, ..ask(seq as u64, true) });
             assert!(matches!(reply, Reply::Granted(_)), "{reply:?}");
--- a/crates/policy/src/tests/domains.rs
+++ b/crates/policy/src/tests/domains.rs
@@ -201,8 +201,8 @@
     // Nobody is near.
     assert_eq!(placed(from("z", 5)).1, [1, 0, 0, 0]);
     // A send that another one can follow loses a tenth of what the last one loses.
-    assert!(is_worth_leaving(0.1, 0.0, OnFailure::Lost));
-    assert!(!is_worth_leaving(0.1, 0.0, OnFailure::Repeated));
+    assert!(is_worth_leaving(0.09, 0.0, OnFailure::Lost));
+    assert!(!is_worth_leaving(0.09, 0.0, OnFailure::Repeated));
     assert!(!is_worth_leaving(0.009, 0.0, OnFailure::Lost));
 }
 
--- a/crates/policy/src/tests/rate_limit.rs
+++ b/crates/policy/src/tests/rate_limit.rs
@@ -137,7 +137,7 @@
         refused 2 s
         refused 2 s
         refused 2 s
-        refused 4 s"#]]
+        refused 2 s"#]]
     .assert_eq(&text.join("\n"));
 }
 
--- a/crates/policy/src/tests/redirects.rs
+++ b/crates/policy/src/tests/redirects.rs
@@ -11,7 +11,8 @@
 use super::fixture::{BUDGET, SECOND, TERMS, ask, seen};
 use crate::domains::RemoteDomains;
 use crate::{
-    Ask, Dispatcher, DomainLoad, FarReason, Kind, NodeId, Reply, Reporter, Time, stable_hash,
+    Ask, Contention, DispatchOptions, Dispatcher, DomainLoad, FarReason, Kind, NodeId, Reply,
+    Reporter, Time, stable_hash,
 };
 
 const A: &[u8] = b"a";
@@ -229,6 +230,7 @@
 fn a_request_leaves_instead_of_being_refused_or_evicted() {
     let service = service_in("a");
     let (mut it, mut rng) = dispatcher(&service);
+    it.set_options(DispatchOptions::default().contention(Contention::Ranked));
     fill(&mut it, Time(0), &mut rng);
     // The wait here fits the objective, so that nothing leaves before the queue is full.
     let (objective, left) = (SECOND * 600, SECOND * 900);
--- a/crates/policy/src/tests/shedding.rs
+++ b/crates/policy/src/tests/shedding.rs
@@ -195,6 +195,7 @@
     let mut rng = StdRng::seed_from_u64(1);
     let terms = [RouteTerms { objective: OBJECTIVE, ..TERMS }];
     let mut it = Dispatcher::new(Time(0), &service(&[1], 1, Bias::Balanced), &terms, REPEATS);
+    it.set_options(DispatchOptions::default().concurrency_limits(ConcurrencyLimits::Learned));
     let mut granted = |it: &mut Dispatcher, ms: u64, seqs: std::ops::Range<u64>| {
         let now = Time(ms * MS);
         let replies: Vec<_> = seqs.map(|seq| it.ask(now, ask(seq, false), &mut rng)).collect();
