Upstream: attempts to connect are counted by outcome, and a failed send says why

Cause: the incident's hypotheses differ in how sends fail: on new connections or kept ones, by silence, refusal or reset. The log says `unreached` for all of them, and no figure says whether any connection of a node succeeds. Change: `Connector` opens connections and counts them in `dappleway_endpoint_connections_total` by outcome; `send` lines carry `error`. No decision changes. Conclusion: a node on which every attempt times out is now visible as such.

--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -89,7 +89,12 @@
     let addr = active_slot.addr();
     let endpoint = active_slot.grant().endpoint.clone();
     let send = cx.pool.send(addr, req, reuse);
-    let result = match active_slot.run_until(send, request.give_up_at).await {
+    let sent = active_slot.run_until(send, request.give_up_at).await;
+    let error = match &sent {
+        Some(Err(error)) => error.failure.to_string(),
+        _ => String::new(),
+    };
+    let result = match sent {
         None => {
             active_slot.end(Kind::TimedOut);
             SendResult::TimedOut
@@ -115,6 +120,7 @@
         tier,
         health,
         outcome: result.name(),
+        error,
         elapsed: started.elapsed(),
     };
     trace::send(&cx.log, &cx.names, request, &record);
--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -12,7 +12,7 @@
 use slog::{Logger, debug, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use upstream::Pool;
+use upstream::{Connector, Pool};
 
 use crate::body_memory::BodyMemory;
 use crate::cx::Cx;
@@ -29,8 +29,6 @@
     pub read_timeout: Duration,
     /// Maximum number of requests in flight. Further ones are refused at once.
     pub max_in_flight: usize,
-    /// Time limit for a new connection to an upstream.
-    pub connect_timeout: Duration,
     /// Memory budget in bytes for long request bodies that are kept for a repeat. Bodies that do
     /// not fit are streamed.
     pub held_body_bytes: usize,
@@ -42,12 +40,13 @@
             max_body_bytes: 64 * 1024 * 1024,
             read_timeout: Duration::from_secs(10),
             max_in_flight: 4_096,
-            connect_timeout: Duration::from_millis(250),
             held_body_bytes: 32 * 1024 * 1024,
         }
     }
 }
 
+/// Time limit for a new connection to an endpoint if no connector is set.
+const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Delay after a failed accept, as when file descriptors run out.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// Smallest connection buffer size that hyper accepts.
@@ -64,10 +63,11 @@
     /// A listener that serves the configuration in `shared` with slots from `dispatch`.
     pub fn new(shared: SharedSnapshot, dispatch: D, names: HeaderNames, metrics: Metrics) -> Self {
         let limits = Limits::default();
+        let connector = Connector::new(DEFAULT_CONNECT_TIMEOUT);
         let cx = Cx {
             shared,
             dispatch,
-            pool: Pool::new(limits.connect_timeout),
+            pool: Pool::new(connector.counting(metrics.connections.clone())),
             unreachable: UnreachableEndpoints::default(),
             body_memory: BodyMemory::new(limits.held_body_bytes, metrics.held_body_bytes.clone()),
             names,
@@ -93,13 +93,18 @@
 
     /// Sets the limits.
     pub fn limits(mut self, limits: Limits) -> Self {
-        self.cx.pool = Pool::new(limits.connect_timeout);
         self.cx.body_memory =
             BodyMemory::new(limits.held_body_bytes, self.cx.metrics.held_body_bytes.clone());
         self.cx.limits = limits;
         self
     }
 
+    /// Sets how connections to endpoints are opened.
+    pub fn connector(mut self, connector: Connector) -> Self {
+        self.cx.pool = Pool::new(connector.counting(self.cx.metrics.connections.clone()));
+        self
+    }
+
     /// Binds the address.
     pub async fn bind(self, addr: SocketAddr) -> std::io::Result<Listener<D>> {
         Ok(Listener { tcp: TcpListener::bind(addr).await?, cx: Arc::new(self.cx) })
--- a/crates/caller/src/metrics.rs
+++ b/crates/caller/src/metrics.rs
@@ -16,6 +16,8 @@
     pub denied: IntCounterVec,
     /// Sends to endpoints by outcome.
     pub sends: IntCounterVec,
+    /// Attempts to open a connection to an endpoint, by outcome.
+    pub connections: IntCounterVec,
     /// First sends of a request that an endpoint refused before running it.
     pub first_shed: IntCounter,
     /// Hedged sends.
@@ -62,6 +64,10 @@
                 &["why"],
             )?,
             sends: by_outcome("dappleway_sends_total", "Sends to endpoints by outcome.")?,
+            connections: by_outcome(
+                "dappleway_endpoint_connections_total",
+                "Attempts to open a connection to an endpoint by outcome.",
+            )?,
             first_shed: counter(
                 "dappleway_first_sends_shed_total",
                 "First sends that an endpoint refused before running them.",
@@ -80,6 +86,7 @@
         registry.register(Box::new(metrics.given_up.clone()))?;
         registry.register(Box::new(metrics.denied.clone()))?;
         registry.register(Box::new(metrics.sends.clone()))?;
+        registry.register(Box::new(metrics.connections.clone()))?;
         registry.register(Box::new(metrics.first_shed.clone()))?;
         registry.register(Box::new(metrics.hedges.clone()))?;
         registry.register(Box::new(metrics.resumes.clone()))?;
--- a/crates/caller/src/trace.rs
+++ b/crates/caller/src/trace.rs
@@ -62,6 +62,8 @@
     pub(crate) tier: Tier,
     pub(crate) health: HealthEstimate,
     pub(crate) outcome: &'static str,
+    /// Why the send got no answer; empty if it got one or its time was over.
+    pub(crate) error: String,
     pub(crate) elapsed: Duration,
 }
 
@@ -78,7 +80,7 @@
             $level!(log, "send";
                 "request_id" => request.request_id(names), "endpoint" => it.endpoint,
                 "content" => %Hex64(request.key.0), "outcome" => it.outcome,
-                "slot_by" => it.slot_by, "choice" => it.tier.name(),
+                "error" => &it.error, "slot_by" => it.slot_by, "choice" => it.tier.name(),
                 "sick" => f64::from(it.health.unhealthy_permille) / 1e3,
                 "evidence_ms" => it.health.evidence_ms, "ms" => it.elapsed.as_millis() as u64,
                 "left_ms" => request.left().as_millis() as u64, "span" => %Hex64(it.span.id),
--- a/crates/dappleway/src/node.rs
+++ b/crates/dappleway/src/node.rs
@@ -290,13 +290,13 @@
             max_body_bytes: traffic.max_body_bytes,
             max_in_flight: traffic.max_in_flight,
             read_timeout: Duration::from_millis(traffic.read_timeout_ms),
-            connect_timeout: Duration::from_millis(traffic.connect_timeout_ms),
             held_body_bytes: self.settings.node.held_body_bytes(),
         };
         let (draining, is_draining) = watch::channel(false);
         let listener = ListenerBuilder::new(self.shared, dispatch, header_names(), self.metrics)
             .log(self.log.clone())
             .limits(limits)
+            .connector(traffic.connector())
             .draining(is_draining)
             .bind(traffic.listen)
             .await
--- a/crates/dappleway/src/settings/model.rs
+++ b/crates/dappleway/src/settings/model.rs
@@ -11,6 +11,7 @@
 };
 use resources::{Bias, Floor};
 use serde::{Deserialize, Serialize};
+use upstream::Connector;
 
 use super::defaults;
 
@@ -107,6 +108,17 @@
     /// Timeout for connecting to an upstream.
     #[serde(default = "defaults::connect_timeout_ms")]
     pub connect_timeout_ms: u64,
+    /// Addresses under which this VM reaches endpoints, by registered address, where a network translates them.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub endpoint_addrs: BTreeMap<SocketAddr, SocketAddr>,
+}
+
+impl Traffic {
+    /// Opens connections to endpoints.
+    pub fn connector(&self) -> Connector {
+        let translations = self.endpoint_addrs.iter().map(|(from, to)| (*from, *to)).collect();
+        Connector::new(Duration::from_millis(self.connect_timeout_ms)).translating(translations)
+    }
 }
 
 /// The operator API.
@@ -364,6 +376,7 @@
                 max_in_flight: defaults::max_in_flight(),
                 read_timeout_ms: defaults::read_timeout_ms(),
                 connect_timeout_ms: defaults::connect_timeout_ms(),
+                endpoint_addrs: BTreeMap::new(),
             },
             operator: Operator {
                 listen: local(7480),
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -5,9 +5,11 @@
 //! that may have been written.
 
 mod answer;
+mod connector;
 mod pool;
 
 pub use answer::AnswerBody;
+pub use connector::Connector;
 pub use pool::{Failure, Pool, Reuse, SendError};
 
 #[cfg(test)]
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -15,9 +15,8 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use rustc_hash::FxHashMap;
-use tokio::net::TcpStream;
 
-use crate::AnswerBody;
+use crate::{AnswerBody, Connector};
 
 /// Maximum number of idle connections per endpoint.
 const MAX_IDLE: usize = 32;
@@ -87,7 +86,7 @@
 /// The state shared by all clones of a pool.
 pub(crate) struct Inner<B> {
     idle: Mutex<FxHashMap<SocketAddr, Vec<Idle<B>>>>,
-    connect_timeout: Duration,
+    connector: Connector,
 }
 
 /// An idle connection and the time until which it may be used.
@@ -107,10 +106,10 @@
     B: Body<Data = Bytes> + Send + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    /// An empty pool. Opening a connection fails after `connect_timeout`.
-    pub fn new(connect_timeout: Duration) -> Self {
+    /// An empty pool.
+    pub fn new(connector: Connector) -> Self {
         let idle = Mutex::new(FxHashMap::default());
-        Self { inner: Arc::new(Inner { idle, connect_timeout }) }
+        Self { inner: Arc::new(Inner { idle, connector }) }
     }
 
     /// Sends a request and waits for the head of its answer. Dropping the future closes the
@@ -139,8 +138,8 @@
     /// Meant to be called right after a connection broke, because a reset alone may also come from
     /// a running process.
     pub async fn refuses_connections(&self, addr: SocketAddr) -> bool {
-        let probe = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(addr)).await;
-        matches!(probe, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+        let probe = self.inner.connector.connect_within(addr, PROBE_TIMEOUT).await;
+        probe.is_err_and(|it| it.kind() == ErrorKind::ConnectionRefused)
     }
 
     /// Sends a request on a given connection.
@@ -182,9 +181,7 @@
 
     /// Opens a connection.
     async fn connect(&self, addr: SocketAddr) -> std::io::Result<SendRequest<B>> {
-        let connect = TcpStream::connect(addr);
-        let stream = tokio::time::timeout(self.inner.connect_timeout, connect).await??;
-        stream.set_nodelay(true)?;
+        let stream = self.inner.connector.connect(addr).await?;
         let (tx, conn) =
             http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
         tokio::spawn(conn);
--- a/crates/upstream/src/tests.rs
+++ b/crates/upstream/src/tests.rs
@@ -7,7 +7,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
-use crate::{Pool, Reuse};
+use crate::{Connector, Pool, Reuse};
 
 /// What a scripted server does with one connection after it has read a request.
 #[derive(Clone, Copy)]
@@ -36,7 +36,7 @@
 }
 
 fn pool() -> Pool<Full<Bytes>> {
-    Pool::new(Duration::from_secs(1))
+    Pool::new(Connector::new(Duration::from_secs(1)))
 }
 
 fn post() -> Request<Full<Bytes>> {
--- a/crates/upstream/tests/suspended.rs
+++ b/crates/upstream/tests/suspended.rs
@@ -8,7 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::yield_now;
-use upstream::{Pool, Reuse};
+use upstream::{Connector, Pool, Reuse};
 
 /// Number of yields, more than the tasks of the pool need to finish.
 const YIELDS: usize = 100;
@@ -17,7 +17,7 @@
 async fn a_connection_that_was_idle_during_a_suspension_is_not_used_again() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
-    let pool: Pool<Full<Bytes>> = Pool::new(Duration::from_secs(1));
+    let pool: Pool<Full<Bytes>> = Pool::new(Connector::new(Duration::from_secs(1)));
     let exchange = async {
         let req = Request::get("/").header("host", "h").body(Full::default()).unwrap();
         let res = pool.send(addr, req, Reuse::Allowed).await.unwrap();
