Tests: nodes whose network paths to the endpoints fail, with real processes

Cause: the soak puts links between nodes and the store only, so no run of ours cut a node off from the endpoints. Change: `standin::endpoint_link` is a proxy between one node and one endpoint: it hangs, resets, refuses new connections while open ones live on, or passes one direction only.

--- a/crates/dappleway/src/settings/model.rs
+++ b/crates/dappleway/src/settings/model.rs
@@ -376,7 +376,7 @@
                 max_in_flight: defaults::max_in_flight(),
                 read_timeout_ms: defaults::read_timeout_ms(),
                 connect_timeout_ms: defaults::connect_timeout_ms(),
-                endpoint_addrs: BTreeMap::new(),
+                endpoint_addrs: [(local(7500), local(7501))].into(),
             },
             operator: Operator {
                 listen: local(7480),
--- a/crates/standin/src/bed.rs
+++ b/crates/standin/src/bed.rs
@@ -7,6 +7,7 @@
 use resources::{Endpoint, Resource, Standing};
 
 use crate::caller::Plan;
+use crate::endpoint_link::{EndpointLink, PathFault};
 use crate::node::{self, Node, Options};
 use crate::platform::Platform;
 use crate::server;
@@ -29,6 +30,8 @@
     platform_addr: std::net::SocketAddr,
     /// The resources that were published at the start.
     pub resources: Vec<Resource>,
+    /// Links of each node to the endpoints, if there are any.
+    pub links: Vec<Vec<EndpointLink>>,
     _dir: tempfile::TempDir,
 }
 
@@ -51,6 +54,17 @@
     pub floor: &'static str,
     /// Deadline of all routes in milliseconds.
     pub deadline_ms: u32,
+    /// How nodes reach endpoints.
+    pub paths: Paths,
+}
+
+/// How nodes reach endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Paths {
+    /// Directly.
+    Direct,
+    /// Over a link of each node to each endpoint, on which faults can be set.
+    Links,
 }
 
 impl Layout {
@@ -67,6 +81,7 @@
             bias: "speed",
             floor: "60%",
             deadline_ms: 1_000,
+            paths: Paths::Direct,
         }
     }
 
@@ -139,8 +154,15 @@
         options.floor = layout.floor.into();
         options.bias = layout.bias.into();
         options.seeds = addrs.iter().take(SEEDS).map(|it| it.fleet).collect();
-        let mut nodes = Vec::new();
+        let (mut nodes, mut links) = (Vec::new(), Vec::new());
         for it in &addrs {
+            let own_links = match layout.paths {
+                Paths::Direct => Vec::new(),
+                Paths::Links => start_links(&endpoints).await?,
+            };
+            options.endpoint_addrs =
+                endpoints.iter().zip(&own_links).map(|(it, link)| (it.addr, link.addr)).collect();
+            links.push(own_links);
             nodes.push(Node::start(dir.path(), it, &options)?);
         }
         for it in &nodes {
@@ -152,10 +174,16 @@
             platform,
             platform_addr: standin_addrs[0],
             resources,
+            links,
             _dir: dir,
         })
     }
 
+    /// Sets a fault on all links of a node to endpoints.
+    pub fn set_paths(&self, node: usize, fault: PathFault) {
+        self.links[node].iter().for_each(|it| it.set(fault));
+    }
+
     /// Waits until all nodes have this version of the configuration in force.
     pub async fn wait_in_force(&self, version: u64) -> anyhow::Result<()> {
         self.wait_reports(|it| it["in_force"] == version).await
@@ -228,6 +256,14 @@
     }
 }
 
+async fn start_links(endpoints: &[Endpoint]) -> anyhow::Result<Vec<EndpointLink>> {
+    let mut links = Vec::new();
+    for (endpoint, addr) in endpoints.iter().zip(node::free_addrs(endpoints.len())?) {
+        links.push(EndpointLink::start(addr, endpoint.addr).await?);
+    }
+    Ok(links)
+}
+
 /// Clock ticks per second in which Linux reports CPU time.
 const CLOCK_TICKS_PER_SECOND: f64 = 100.0;
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod bed;
 pub mod caller;
 pub mod client;
+pub mod endpoint_link;
 pub mod net;
 pub mod node;
 pub mod platform;
--- a/crates/standin/src/node.rs
+++ b/crates/standin/src/node.rs
@@ -54,6 +54,8 @@
     pub floor: String,
     /// Bias of the services, which the platform does not provide.
     pub bias: String,
+    /// Pairs of an endpoint's registered address and the address at which the node reaches it.
+    pub endpoint_addrs: Vec<(SocketAddr, SocketAddr)>,
 }
 
 impl Options {
@@ -68,6 +70,7 @@
             seeds: Vec::new(),
             floor: "60%".into(),
             bias: "balanced".into(),
+            endpoint_addrs: Vec::new(),
         }
     }
 }
@@ -265,12 +268,15 @@
 
 fn settings_text(addrs: &NodeAddrs, options: &Options, key: &Path) -> String {
     let seeds: Vec<String> = options.seeds.iter().map(|it| format!("\"{it}\"")).collect();
+    let endpoint_addrs: Vec<String> =
+        options.endpoint_addrs.iter().map(|(from, to)| format!("\"{from}\" = \"{to}\"")).collect();
     format!(
         r#"[node]
 addr = "{fleet}"
 failure_domain = "{domain}"
 [traffic]
 listen = "{traffic}"
+endpoint_addrs = {{ {endpoint_addrs} }}
 [operator]
 listen = "{operator}"
 fault_injection = true
@@ -296,6 +302,7 @@
         floor = options.floor,
         bias = options.bias,
         seeds = seeds.join(", "),
+        endpoint_addrs = endpoint_addrs.join(", "),
         key = key.display(),
         mode = options.mode,
         lag = options.lag_ms,
