--- a/crates/caller/src/active_slot.rs
+++ b/crates/caller/src/active_slot.rs
@@ -52,6 +52,27 @@
     Stalled,
 }
 
+/// Result of waiting for an endpoint.
+pub(crate) enum Waited<T> {
+    /// The awaited event.
+    Done(T),
+    /// The deadline has passed.
+    TimedOut,
+    /// This node's path to the endpoint is lost, so that nothing more will arrive.
+    PathLost,
+}
+
+/// Tells a lost path of this node from an endpoint that is silent.
+pub(crate) trait PathCheck {
+    /// Whether this node's own path to the endpoint is lost, rather than the endpoint: this node cannot
+    /// connect to it, and another node can.
+    fn is_own_path_lost(&self) -> impl Future<Output = bool> + Send;
+
+    /// Whether the send is given up on a lost path, because the request may be sent again. Otherwise
+    /// the answer is awaited: it may arrive when the path comes back.
+    fn is_given_up_on_loss(&self) -> bool;
+}
+
 /// Shared by a send and its hedge: set when the hedge was answered first.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct HedgeRace(Arc<AtomicBool>);
@@ -132,8 +153,24 @@
         self.last_activity = Moment::now();
     }
 
+    /// Releases the slot without an outcome: what happened says nothing about the endpoint.
+    pub(crate) fn discard(&mut self) {
+        self.slot = None;
+    }
+
+    /// Reports that the endpoint has stopped sending, unless this node's own path is lost. Returns
+    /// whether the send is to be given up.
+    pub(crate) async fn report_silence(&mut self, path: &impl PathCheck) -> bool {
+        let is_lost = path.is_own_path_lost().await;
+        match is_lost {
+            true => self.discard(),
+            false => self.report_stall(),
+        }
+        is_lost && path.is_given_up_on_loss()
+    }
+
     /// Reports that the endpoint has stopped sending.
-    pub(crate) fn report_stall(&mut self) {
+    fn report_stall(&mut self) {
         self.is_stall_reported = true;
         let elapsed = self.last_activity.elapsed();
         if let Some(slot) = &mut self.slot {
@@ -160,13 +197,14 @@
         }
     }
 
-    /// Reads the body of an answer until it is complete or too long to buffer; returns `None` at
-    /// the deadline. Meanwhile reports that the answer has begun and whether it has stalled.
+    /// Reads the body of an answer until it is complete or too long to buffer. Meanwhile reports that
+    /// the answer has begun and whether it has stalled.
     pub(crate) async fn receive<B>(
         &mut self,
         body: B,
         deadline: Moment,
-    ) -> Option<Result<AnswerStart<B>, B::Error>>
+        path: &impl PathCheck,
+    ) -> Waited<Result<AnswerStart<B>, B::Error>>
     where
         B: Body<Data = Bytes> + Unpin,
     {
@@ -175,14 +213,17 @@
             let next_report = self.next_report();
             let until = next_report.map_or(deadline, |(at, _)| at.min(deadline));
             match timeout_at(until, reader.read_frame()).await {
-                Some(Ok(Some(start))) => return Some(Ok(start)),
+                Some(Ok(Some(start))) => return Waited::Done(Ok(start)),
                 Some(Ok(None)) => self.record_activity(),
-                Some(Err(error)) => return Some(Err(error)),
-                None if deadline.left().is_zero() => return None,
+                Some(Err(error)) => return Waited::Done(Err(error)),
+                None if deadline.left().is_zero() => return Waited::TimedOut,
                 None => match next_report {
                     Some((_, ProgressReport::Started)) => self.report_start(),
                     Some((at, ProgressReport::Stalled)) if at.elapsed() < PAUSE_THRESHOLD => {
-                        self.report_stall()
+                        let is_given_up = self.report_silence(path).await;
+                        if is_given_up {
+                            return Waited::PathLost;
+                        }
                     }
                     Some((_, ProgressReport::Stalled)) => self.was_paused = true,
                     None => {}
@@ -197,33 +238,42 @@
             Some(after) if !self.is_start_reported => {
                 Some((self.started + after + REPORT_START_AFTER, ProgressReport::Started))
             }
-            _ if self.is_stall_reported || self.was_paused => None,
+            _ if self.is_stall_reported || self.was_paused || self.slot.is_none() => None,
             _ => Some((self.last_activity + STALL_AFTER, ProgressReport::Stalled)),
         }
     }
 
-    /// Runs `fut` until the deadline and reports a stall meanwhile. Returns `None` at the deadline.
+    /// Runs `fut` until the deadline and reports a stall meanwhile.
     pub(crate) async fn run_until<F: Future>(
         &mut self,
         fut: F,
         deadline: Moment,
-    ) -> Option<F::Output> {
+        path: &impl PathCheck,
+    ) -> Waited<F::Output> {
         let mut fut = pin!(fut);
         let stall_at = (self.started + self.grant.stall_after).min(deadline);
         tokio::select! {
             biased;
-            out = &mut fut => return Some(out),
+            out = &mut fut => return Waited::Done(out),
             () = sleep_until(stall_at) => {}
         }
         if stall_at.elapsed() < PAUSE_THRESHOLD {
-            self.report_stall();
+            tokio::select! {
+                biased;
+                out = &mut fut => return Waited::Done(out),
+                is_given_up = self.report_silence(path) => {
+                    if is_given_up {
+                        return Waited::PathLost;
+                    }
+                }
+            }
         } else if stall_at > self.started {
             self.was_paused = true;
         }
         tokio::select! {
             biased;
-            out = &mut fut => Some(out),
-            () = sleep_until(deadline) => None,
+            out = &mut fut => Waited::Done(out),
+            () = sleep_until(deadline) => Waited::TimedOut,
         }
     }
 }
--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -1,6 +1,5 @@
 //! A single send on one slot, and the classification of its answer.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,15 +9,16 @@
 use policy::Kind;
 use resources::Repeat;
 use tokio::time::Instant;
-use upstream::{AnswerBody, Failure, Reuse};
+use upstream::{AnswerBody, Reuse};
 
-use crate::active_slot::{ActiveSlot, HedgeRace};
+use crate::active_slot::{ActiveSlot, HedgeRace, Waited};
 use crate::body::{AnswerStart, RequestBody, ResponseBody};
 use crate::cx::Cx;
 use crate::headers;
 use crate::relay::Relay;
 use crate::routed_request::RoutedRequest;
-use crate::{Dispatch, notice, trace};
+use crate::way::{SendFailure, Way};
+use crate::{Dispatch, NoDetour, Slot, notice, trace};
 
 /// Tolerance for endpoints that answer 504 shortly before the deadline. The remaining time is sent
 /// to them in whole milliseconds, and their clocks differ slightly from the local one.
@@ -40,6 +40,8 @@
     Crashed,
     /// No answer within the deadline. The request may have run.
     TimedOut,
+    /// The node's path to the endpoint was lost. The request may have run.
+    PathLost,
 }
 
 impl SendResult {
@@ -54,6 +56,7 @@
             Self::Unknown => "unknown",
             Self::Crashed => "crashed",
             Self::TimedOut => "timed-out",
+            Self::PathLost => "path-lost",
         }
     }
 }
@@ -86,36 +89,31 @@
         Repeat::Anytime => Reuse::Allowed,
         Repeat::IfNotRun | Repeat::Never => Reuse::Never,
     };
-    let addr = active_slot.addr();
-    let endpoint = active_slot.grant().endpoint.clone();
-    let send = cx.pool.send(addr, req, reuse);
-    let sent = active_slot.run_until(send, request.give_up_at).await;
+    let way = Way::new(cx, request, active_slot.grant().clone());
+    let sent = active_slot.run_until(way.send(req, reuse), request.give_up_at, &way).await;
+    let (endpoint, through_node) = (way.grant().endpoint.clone(), way.leads_through_node());
     let error = match &sent {
-        Some(Err(error)) => error.failure.to_string(),
+        Waited::Done(Err(error)) => error.to_string(),
         _ => String::new(),
     };
     let result = match sent {
-        None => {
+        Waited::TimedOut => {
             active_slot.end(Kind::TimedOut);
             SendResult::TimedOut
         }
-        Some(Err(error)) if error.failure.is_not_run() => {
-            if matches!(error.failure, Failure::Connect(_)) {
-                cx.unreachable.record_failure(addr);
-            }
-            active_slot.end(Kind::Unreachable);
-            SendResult::Unreached(error.req.map(Request::into_body))
-        }
-        Some(Err(_)) => end_broken(cx, active_slot).await,
-        Some(Ok(res)) => {
-            cx.unreachable.record_answer(addr);
-            handle_answer(cx, request, active_slot, res, is_first).await
+        Waited::PathLost => SendResult::PathLost,
+        Waited::Done(Err(SendFailure::Broken(_))) => end_broken(active_slot, &way).await,
+        Waited::Done(Err(failure)) => end_unreached(cx, active_slot, &way, failure),
+        Waited::Done(Ok(res)) => {
+            cx.unreachable.record_answer(way.grant().addr);
+            handle_answer(cx, request, active_slot, res, is_first, way).await
         }
     };
     cx.metrics.sends.with_label_values(&[result.name()]).inc();
     let record = trace::SendRecord {
         span: &span,
         endpoint: &endpoint,
+        through_node,
         slot_by,
         tier,
         health,
@@ -138,18 +136,45 @@
     }
 }
 
+/// Ends a send of which nothing reached the endpoint.
+fn end_unreached<D: Dispatch>(
+    cx: &Cx<D>,
+    active_slot: ActiveSlot<D::Slot>,
+    way: &Way<D>,
+    failure: SendFailure,
+) -> SendResult {
+    let kind = way.classify_unwritten(&failure);
+    let unsent = match failure {
+        SendFailure::NotReached(why, unsent) => {
+            if kind.is_some() || why == NoDetour::Closed {
+                cx.unreachable.record_failure(active_slot.addr());
+            }
+            Some(unsent)
+        }
+        SendFailure::Ended(unsent) => Some(unsent),
+        SendFailure::NotWritten(_, unsent) => unsent,
+        SendFailure::Broken(_) => None,
+    };
+    end_with(active_slot, kind);
+    SendResult::Unreached(unsent.map(Request::into_body))
+}
+
 /// Ends a send whose connection broke before the answer was complete.
-async fn end_broken<D: Dispatch>(cx: &Cx<D>, active_slot: ActiveSlot<D::Slot>) -> SendResult {
-    let kind = classify_break(cx, active_slot.addr()).await;
-    active_slot.end(kind);
-    if kind == Kind::Crashed { SendResult::Crashed } else { SendResult::Unknown }
+async fn end_broken<D: Dispatch>(active_slot: ActiveSlot<D::Slot>, way: &Way<D>) -> SendResult {
+    let kind = way.classify_break().await;
+    end_with(active_slot, kind);
+    match kind {
+        Some(Kind::Crashed) => SendResult::Crashed,
+        _ => SendResult::Unknown,
+    }
 }
 
-/// Determines whether a connection broke because the endpoint's process has ended. The check runs
-/// immediately, because the process may be restarted soon, and because a repeat that is sent before
-/// the crash is known could crash the next endpoint.
-pub(crate) async fn classify_break<D: Dispatch>(cx: &Cx<D>, addr: SocketAddr) -> Kind {
-    if cx.pool.refuses_connections(addr).await { Kind::Crashed } else { Kind::Failed }
+/// Ends a send; without an outcome it is no evidence about the endpoint.
+fn end_with<S: Slot>(mut active_slot: ActiveSlot<S>, kind: Option<Kind>) {
+    match kind {
+        Some(kind) => active_slot.end(kind),
+        None => active_slot.discard(),
+    }
 }
 
 /// Checks the head of an answer, reads the body as far as it is buffered and reports the outcome.
@@ -159,6 +184,7 @@
     mut active_slot: ActiveSlot<D::Slot>,
     res: Response<AnswerBody<RequestBody>>,
     is_first: bool,
+    way: Way<D>,
 ) -> SendResult {
     // If the answer carries a request ID, the ID must match: the endpoint may have mixed up the
     // answers of two requests.
@@ -191,13 +217,15 @@
     if !is_failure {
         active_slot.record_head();
     }
-    let start = match active_slot.receive(body, request.give_up_at).await {
-        None => {
+    let received = active_slot.receive(body, request.give_up_at, &way).await;
+    let start = match received {
+        Waited::TimedOut => {
             active_slot.end(Kind::TimedOut);
             return SendResult::TimedOut;
         }
-        Some(Err(_)) => return end_broken(cx, active_slot).await,
-        Some(Ok(start)) => start,
+        Waited::PathLost => return SendResult::PathLost,
+        Waited::Done(Err(_)) => return end_broken(active_slot, &way).await,
+        Waited::Done(Ok(start)) => start,
     };
     let out = match start {
         AnswerStart::Complete(buf) => {
@@ -205,7 +233,7 @@
             ResponseBody::Complete(Full::new(buf))
         }
         AnswerStart::Partial(start, body) => {
-            Relay::start(cx.clone(), request.clone(), active_slot, &parts, start, body)
+            Relay::start(cx.clone(), request.clone(), active_slot, &parts, start, body, way)
         }
     };
     let res = Response::from_parts(parts, out);
--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -87,6 +87,7 @@
 }
 
 /// Body of a request on its way to an upstream.
+#[derive(Debug)]
 pub(crate) enum RequestBody {
     /// A complete body. Clones share the buffer.
     Complete(Full<Bytes>),
@@ -95,6 +96,7 @@
 }
 
 /// A request body that is too long to keep: the start that was already read, and the rest.
+#[derive(Debug)]
 pub(crate) struct StreamedBody {
     start: Bytes,
     rest: Incoming,
--- a/crates/caller/src/dispatch.rs
+++ b/crates/caller/src/dispatch.rs
@@ -6,6 +6,7 @@
 
 use policy::{Grant, Kind, Notice, RequestKey, SendKind};
 use resources::{Name, Priority, Route};
+use tokio::io::{AsyncRead, AsyncWrite};
 
 /// A request for a slot.
 #[derive(Clone, Debug)]
@@ -85,6 +86,35 @@
     Unknown,
 }
 
+/// Why no connection to an endpoint leads through another node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NoDetour {
+    /// No other node that reaches endpoints can be asked.
+    #[error("no other node takes the connection")]
+    NoNode,
+    /// The endpoint refuses connections of a node that reaches other endpoints.
+    #[error("the endpoint refuses connections of other nodes, too")]
+    Refused,
+    /// The endpoint does not answer a node that reaches other endpoints.
+    #[error("the endpoint does not answer other nodes either")]
+    Silent,
+    /// Another node knows that the endpoint takes no more requests.
+    #[error("the endpoint takes no more requests")]
+    Closed,
+}
+
+impl NoDetour {
+    /// Name used in metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::NoNode => "no-node",
+            Self::Refused => "refused",
+            Self::Silent => "silent",
+            Self::Closed => "closed",
+        }
+    }
+}
+
 /// A slot on one endpoint. Dropping it releases the slot without reporting an outcome.
 pub trait Slot: Send + 'static {
     /// The grant behind the slot.
@@ -105,6 +135,15 @@
 pub trait Dispatch: Clone + Send + Sync + 'static {
     /// The type of the slots.
     type Slot: Slot;
+    /// A connection to an endpoint that leads through another node.
+    type Detour: AsyncRead + AsyncWrite + Unpin + Send + 'static;
+
+    /// Opens a connection to the endpoint of a grant through another node that reaches it.
+    fn open_detour(
+        &self,
+        service: &Name,
+        grant: &Grant,
+    ) -> impl Future<Output = Result<Self::Detour, NoDetour>> + Send;
 
     /// Reports that `service` did not serve a request of `route`, which is split between several
     /// services.
--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -63,11 +63,10 @@
     /// A listener that serves the configuration in `shared` with slots from `dispatch`.
     pub fn new(shared: SharedSnapshot, dispatch: D, names: HeaderNames, metrics: Metrics) -> Self {
         let limits = Limits::default();
-        let connector = Connector::new(DEFAULT_CONNECT_TIMEOUT);
         let cx = Cx {
             shared,
             dispatch,
-            pool: Pool::new(connector.counting(metrics.connections.clone())),
+            pool: Pool::new(Connector::new(DEFAULT_CONNECT_TIMEOUT)),
             unreachable: UnreachableEndpoints::default(),
             body_memory: BodyMemory::new(limits.held_body_bytes, metrics.held_body_bytes.clone()),
             names,
@@ -101,7 +100,7 @@
 
     /// Sets how connections to endpoints are opened.
     pub fn connector(mut self, connector: Connector) -> Self {
-        self.cx.pool = Pool::new(connector.counting(self.cx.metrics.connections.clone()));
+        self.cx.pool = Pool::new(connector);
         self
     }
 
@@ -127,6 +126,7 @@
     /// flight.
     pub async fn serve(self, mut stop: watch::Receiver<bool>) {
         let graceful = GracefulShutdown::new();
+        let check_paths = tokio::spawn(self.cx.pool.connector().clone().check_paths());
         loop {
             let accepted = tokio::select! {
                 it = self.tcp.accept() => it,
@@ -143,6 +143,7 @@
         }
         drop(self.tcp);
         graceful.shutdown().await;
+        check_paths.abort();
     }
 
     /// Spawns a task that serves one connection.
--- a/crates/caller/src/metrics.rs
+++ b/crates/caller/src/metrics.rs
@@ -18,6 +18,8 @@
     pub sends: IntCounterVec,
     /// Attempts to open a connection to an endpoint, by outcome.
     pub connections: IntCounterVec,
+    /// Connections to endpoints through another node that were asked for, by outcome.
+    pub detours: IntCounterVec,
     /// First sends of a request that an endpoint refused before running it.
     pub first_shed: IntCounter,
     /// Hedged sends.
@@ -68,6 +70,10 @@
                 "dappleway_endpoint_connections_total",
                 "Attempts to open a connection to an endpoint by outcome.",
             )?,
+            detours: by_outcome(
+                "dappleway_detours_total",
+                "Connections to endpoints through another node that were asked for, by outcome.",
+            )?,
             first_shed: counter(
                 "dappleway_first_sends_shed_total",
                 "First sends that an endpoint refused before running them.",
@@ -87,6 +93,7 @@
         registry.register(Box::new(metrics.denied.clone()))?;
         registry.register(Box::new(metrics.sends.clone()))?;
         registry.register(Box::new(metrics.connections.clone()))?;
+        registry.register(Box::new(metrics.detours.clone()))?;
         registry.register(Box::new(metrics.first_shed.clone()))?;
         registry.register(Box::new(metrics.hedges.clone()))?;
         registry.register(Box::new(metrics.resumes.clone()))?;
--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -18,11 +18,11 @@
 use upstream::{AnswerBody, Reuse};
 
 use crate::active_slot::{ActiveSlot, STALL_AFTER};
-use crate::attempt::classify_break;
 use crate::body::{RelayItem, RequestBody, ResponseBody};
 use crate::cx::Cx;
 use crate::routed_request::RoutedRequest;
 use crate::sending::acquire_skipping_closed;
+use crate::way::{SendFailure, Way};
 use crate::{Dispatch, notice, trace};
 
 /// A stalled body that cannot be resumed elsewhere is aborted after this additional time.
@@ -39,6 +39,7 @@
     cx: Arc<Cx<D>>,
     request: Arc<RoutedRequest>,
     active_slot: ActiveSlot<D::Slot>,
+    way: Way<D>,
     body: AnswerBody<RequestBody>,
     tx: mpsc::Sender<RelayItem>,
     /// Number of bytes passed on to the caller.
@@ -76,11 +77,14 @@
         parts: &response::Parts,
         start: Bytes,
         body: AnswerBody<RequestBody>,
+        way: Way<D>,
     ) -> ResponseBody {
         active_slot.report_start();
         let (tx, rx) = mpsc::channel(RELAY_CAPACITY);
         let resume = Resume::from_answer(&request.method, parts);
-        tokio::spawn(Self { cx, request, active_slot, body, tx, forwarded: 0, resume }.run(start));
+        tokio::spawn(
+            Self { cx, request, active_slot, way, body, tx, forwarded: 0, resume }.run(start),
+        );
         ResponseBody::Streamed(rx)
     }
 
@@ -110,8 +114,10 @@
                     if matches!(step, Step::Broken) {
                         // Reported before the resume, so that dispatch takes the failure into
                         // account when it chooses the next endpoint.
-                        let kind = classify_break(&self.cx, self.active_slot.addr()).await;
-                        self.active_slot.release(kind);
+                        match self.way.classify_break().await {
+                            Some(kind) => self.active_slot.release(kind),
+                            None => self.active_slot.discard(),
+                        }
                     }
                     match self.resume().await {
                         true => continue,
@@ -141,7 +147,7 @@
             // If the timer fires very late, this process was paused; the endpoint is not at fault.
             Err(_) if read_started.elapsed() > STALL_AFTER * 2 => return Step::Stalled,
             Err(_) => {
-                self.active_slot.report_stall();
+                self.active_slot.report_silence(&self.way).await;
                 if self.resume.is_some() {
                     return Step::Stalled;
                 }
@@ -212,16 +218,14 @@
             body,
         );
         resume.set_range_headers(req.headers_mut(), self.forwarded);
-        let send = self.cx.pool.send(active_slot.addr(), req, Reuse::Allowed);
-        let res = match timeout(STALL_AFTER, send).await.ok()? {
+        let way = Way::new(&self.cx, &self.request, active_slot.grant().clone());
+        let res = match timeout(STALL_AFTER, way.send(req, Reuse::Allowed)).await.ok()? {
             Ok(res) => res,
-            Err(error) => {
-                if !error.failure.is_not_run() {
-                    let kind = classify_break(&self.cx, active_slot.addr()).await;
-                    active_slot.end(kind);
-                }
+            Err(SendFailure::Broken(_)) => {
+                active_slot.end(way.classify_break().await?);
                 return None;
             }
+            Err(_) => return None,
         };
         notice::report_notices(&self.cx, &mut active_slot, &res);
         if !resume.matches(&res, self.forwarded) {
@@ -230,6 +234,7 @@
         active_slot.record_head();
         active_slot.report_start();
         self.body = res.into_body();
+        self.way = way;
         let old = std::mem::replace(&mut self.active_slot, active_slot);
         old.end(Kind::Failed);
         Some(())
--- a/crates/caller/src/routed_request.rs
+++ b/crates/caller/src/routed_request.rs
@@ -188,14 +188,18 @@
         *req.method_mut() = self.method.clone();
         *req.uri_mut() = self.uri.clone();
         *req.headers_mut() = self.headers.clone();
-        let left = self.left().as_millis() as u64;
-        req.headers_mut().insert(names.deadline.clone(), left.into());
+        self.set_deadline(names, req.headers_mut());
         req.headers_mut().insert(headers::TRACEPARENT, span.header());
         if let Ok(id) = HeaderValue::from_str(endpoint) {
             req.headers_mut().insert(names.target_endpoint.clone(), id);
         }
         req
     }
+
+    /// Sets the time left until the deadline.
+    pub(crate) fn set_deadline(&self, names: &HeaderNames, headers: &mut HeaderMap) {
+        headers.insert(names.deadline.clone(), (self.left().as_millis() as u64).into());
+    }
 }
 
 /// The caller's headers without the hop-by-hop ones. Generates a request ID if there is none.
--- a/crates/caller/src/sending.rs
+++ b/crates/caller/src/sending.rs
@@ -100,7 +100,9 @@
                 (Outcome::NotRun, false)
             }
             SendResult::NotRun => (Outcome::NotRun, false),
-            SendResult::Unknown | SendResult::Crashed => (Outcome::Unknown, false),
+            SendResult::Unknown | SendResult::Crashed | SendResult::PathLost => {
+                (Outcome::Unknown, false)
+            }
             SendResult::TimedOut => (Outcome::Unknown, true),
         };
         let next = progress.next(request, outcome);
--- a/crates/caller/src/trace.rs
+++ b/crates/caller/src/trace.rs
@@ -58,6 +58,8 @@
 pub(crate) struct SendRecord<'a> {
     pub(crate) span: &'a Span,
     pub(crate) endpoint: &'a str,
+    /// Whether the send went through another node.
+    pub(crate) through_node: bool,
     pub(crate) slot_by: &'static str,
     pub(crate) tier: Tier,
     pub(crate) health: HealthEstimate,
@@ -80,7 +82,8 @@
             $level!(log, "send";
                 "request_id" => request.request_id(names), "endpoint" => it.endpoint,
                 "content" => %Hex64(request.key.0), "outcome" => it.outcome,
-                "error" => &it.error, "slot_by" => it.slot_by, "choice" => it.tier.name(),
+                "error" => &it.error,
+                "through_node" => it.through_node, "slot_by" => it.slot_by, "choice" => it.tier.name(),
                 "sick" => f64::from(it.health.unhealthy_permille) / 1e3,
                 "evidence_ms" => it.health.evidence_ms, "ms" => it.elapsed.as_millis() as u64,
                 "left_ms" => request.left().as_millis() as u64, "span" => %Hex64(it.span.id),
--- /dev/null
+++ b/crates/caller/src/way.rs
@@ -0,0 +1,175 @@
+//! The ways to an endpoint: a connection of this node, or one that leads through another node if this
+//! node's own path has failed. What another node sees also tells a failed path from a failed endpoint.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use http::{Request, Response};
+use policy::{Grant, Kind};
+use resources::Repeat;
+use upstream::{AnswerBody, Failure, PathState, Probe, Reuse, SendError};
+
+use crate::active_slot::PathCheck;
+use crate::body::RequestBody;
+use crate::cx::Cx;
+use crate::routed_request::RoutedRequest;
+use crate::{Dispatch, NoDetour};
+
+/// The way of one send to the endpoint of its grant.
+pub(crate) struct Way<D> {
+    cx: Arc<Cx<D>>,
+    request: Arc<RoutedRequest>,
+    grant: Grant,
+    leads_through_node: AtomicBool,
+}
+
+/// Why a send got no answer.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum SendFailure {
+    /// Nothing was written on a connection that was open.
+    #[error("{0}")]
+    NotWritten(Failure, Option<Request<RequestBody>>),
+    /// The request may have run.
+    #[error("{0}")]
+    Broken(Failure),
+    /// The endpoint was reached by no way.
+    #[error("not reached from this node; {0}")]
+    NotReached(NoDetour, Request<RequestBody>),
+    /// The time of the request, or the authorization of its caller, ended while a connection was opened.
+    #[error("the request ended before a connection was open")]
+    Ended(Request<RequestBody>),
+}
+
+impl From<SendError<RequestBody>> for SendFailure {
+    fn from(it: SendError<RequestBody>) -> Self {
+        match it.failure.is_not_run() {
+            true => Self::NotWritten(it.failure, it.req),
+            false => Self::Broken(it.failure),
+        }
+    }
+}
+
+impl<D: Dispatch> Way<D> {
+    /// The way of a send that has not begun.
+    pub(crate) fn new(cx: &Arc<Cx<D>>, request: &Arc<RoutedRequest>, grant: Grant) -> Self {
+        let leads_through_node = AtomicBool::new(false);
+        Self { cx: cx.clone(), request: request.clone(), grant, leads_through_node }
+    }
+
+    pub(crate) fn grant(&self) -> &Grant {
+        &self.grant
+    }
+
+    /// Whether the send went through another node.
+    pub(crate) fn leads_through_node(&self) -> bool {
+        self.leads_through_node.load(Ordering::Relaxed)
+    }
+
+    /// Sends a request and waits for the head of its answer. Dropping the future cancels the request.
+    pub(crate) async fn send(
+        &self,
+        mut req: Request<RequestBody>,
+        reuse: Reuse,
+    ) -> Result<Response<AnswerBody<RequestBody>>, SendFailure> {
+        let (pool, addr) = (&self.cx.pool, self.grant.addr);
+        let path = pool.connector().path_to(addr);
+        if path == PathState::Usable {
+            match self.send_directly(req, reuse).await {
+                Err(SendFailure::NotReached(_, unsent)) => req = unsent,
+                result => return result,
+            }
+        }
+        let detour = self.open_detour().await;
+        if self.request.left().is_zero() || !self.request.is_still_authorized(&self.cx) {
+            return Err(SendFailure::Ended(req));
+        }
+        // The time that the endpoint is given must not include the attempts to connect.
+        self.request.set_deadline(&self.cx.names, req.headers_mut());
+        let is_hopeless = path == PathState::Failed && pool.connector().is_cut_off();
+        match detour {
+            Ok(stream) => {
+                self.leads_through_node.store(true, Ordering::Relaxed);
+                Ok(pool.send_on(stream, addr, req).await?)
+            }
+            Err(NoDetour::NoNode) if path != PathState::Usable && !is_hopeless => {
+                self.send_directly(req, reuse).await
+            }
+            Err(why) => Err(SendFailure::NotReached(why, req)),
+        }
+    }
+
+    async fn send_directly(
+        &self,
+        req: Request<RequestBody>,
+        reuse: Reuse,
+    ) -> Result<Response<AnswerBody<RequestBody>>, SendFailure> {
+        self.cx.pool.send(self.grant.addr, req, reuse).await.map_err(|it| match it {
+            SendError { failure: Failure::Connect(_), req: Some(unsent) } => {
+                SendFailure::NotReached(NoDetour::NoNode, unsent)
+            }
+            it => it.into(),
+        })
+    }
+
+    /// What a connection that broke before the answer was complete says about its endpoint; `None` if
+    /// the way to it may have failed instead. The check runs immediately, because the endpoint's
+    /// process may be restarted soon, and because a repeat that is sent before a crash is known could
+    /// crash the next endpoint.
+    pub(crate) async fn classify_break(&self) -> Option<Kind> {
+        let probe = self.cx.pool.probe(self.grant.addr).await;
+        let seen_here = match probe {
+            Probe::Accepts => return (!self.leads_through_node()).then_some(Kind::Failed),
+            Probe::Refuses => Kind::Crashed,
+            Probe::Silent => Kind::Failed,
+        };
+        match self.open_detour().await {
+            Ok(_) => None,
+            Err(NoDetour::NoNode) => (!self.is_cut_off()).then_some(seen_here),
+            Err(NoDetour::Refused) => Some(Kind::Crashed),
+            Err(NoDetour::Silent) => Some(Kind::Failed),
+            Err(NoDetour::Closed) => Some(seen_here),
+        }
+    }
+
+    /// What a send of which nothing was written says about its endpoint.
+    pub(crate) fn classify_unwritten(&self, failure: &SendFailure) -> Option<Kind> {
+        let is_evidence = match failure {
+            SendFailure::NotReached(NoDetour::NoNode, _) => !self.is_cut_off(),
+            SendFailure::NotReached(NoDetour::Refused | NoDetour::Silent, _) => true,
+            SendFailure::NotWritten(..) => !self.leads_through_node(),
+            SendFailure::NotReached(NoDetour::Closed, _)
+            | SendFailure::Ended(_)
+            | SendFailure::Broken(_) => false,
+        };
+        is_evidence.then_some(Kind::Unreachable)
+    }
+
+    async fn open_detour(&self) -> Result<D::Detour, NoDetour> {
+        let detour = self.cx.dispatch.open_detour(&self.request.service, &self.grant).await;
+        let outcome = detour.as_ref().map_or_else(|it| it.name(), |_| "opened");
+        self.cx.metrics.detours.with_label_values(&[outcome]).inc();
+        detour
+    }
+
+    fn is_cut_off(&self) -> bool {
+        self.cx.pool.connector().is_cut_off()
+    }
+}
+
+impl<D: Dispatch> PathCheck for Way<D> {
+    async fn is_own_path_lost(&self) -> bool {
+        let connector = self.cx.pool.connector();
+        if self.leads_through_node() || connector.connect(self.grant.addr).await.is_ok() {
+            return false;
+        }
+        match self.open_detour().await {
+            Ok(_) => true,
+            Err(NoDetour::NoNode) => self.is_cut_off(),
+            Err(_) => false,
+        }
+    }
+
+    fn is_given_up_on_loss(&self) -> bool {
+        self.request.route.repeat == Repeat::Anytime
+    }
+}
--- a/crates/caller/tests/in_transit.rs
+++ b/crates/caller/tests/in_transit.rs
@@ -5,11 +5,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use caller::{Admission, Dispatch, Refused, Slot, SlotRequest};
+use caller::{Admission, Dispatch, NoDetour, Refused, Slot, SlotRequest};
 use expect_test::{Expect, expect};
 use policy::{Grant, Kind, Notice};
 use resources::{Name, Route};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
@@ -56,6 +56,11 @@
 
 impl Dispatch for Recorder {
     type Slot = Self;
+    type Detour = DuplexStream;
+
+    async fn open_detour(&self, _service: &Name, _grant: &Grant) -> Result<DuplexStream, NoDetour> {
+        Err(NoDetour::NoNode)
+    }
 
     fn record_unserved(&self, _: &Arc<Route>, _: &Name) {}
 
--- a/crates/caller/tests/suspended.rs
+++ b/crates/caller/tests/suspended.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use caller::{Admission, Dispatch, Refused, Slot, SlotRequest};
+use caller::{Admission, Dispatch, NoDetour, Refused, Slot, SlotRequest};
 use policy::{Grant, Kind, Notice};
 use resources::{Name, Route};
+use tokio::io::DuplexStream;
 use tokio::net::TcpListener;
 
 /// Grants a slot after a simulated suspension of the VM that is longer than any deadline.
@@ -36,6 +37,11 @@
 
 impl Dispatch for SuspendingDispatch {
     type Slot = GrantedSlot;
+    type Detour = DuplexStream;
+
+    async fn open_detour(&self, _service: &Name, _grant: &Grant) -> Result<DuplexStream, NoDetour> {
+        Err(NoDetour::NoNode)
+    }
 
     fn record_unserved(&self, _: &Arc<Route>, _: &Name) {}
 
--- a/crates/dappleway/src/baselines.rs
+++ b/crates/dappleway/src/baselines.rs
@@ -4,10 +4,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use caller::{Admission, Dispatch, Refused, Slot, SlotRequest};
+use caller::{Admission, Dispatch, NoDetour, Refused, Slot, SlotRequest};
 use policy::{Grant, Kind, Notice, Tier};
 use resources::{Endpoint, Name, Service};
 use rustc_hash::FxHashMap;
+use tokio::io::DuplexStream;
 use tokio::sync::watch;
 
 /// Number of consecutive failures after which an endpoint is ejected.
@@ -53,6 +54,12 @@
 
 impl Dispatch for RoundRobin {
     type Slot = RoundRobinSlot;
+    type Detour = DuplexStream;
+
+    /// Finds none: the baselines know no other nodes.
+    async fn open_detour(&self, _service: &Name, _grant: &Grant) -> Result<DuplexStream, NoDetour> {
+        Err(NoDetour::NoNode)
+    }
 
     /// Does nothing: an endpoint is ejected for its own failures only.
     fn record_unserved(&self, _route: &Arc<resources::Route>, _service: &Name) {}
--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -3,6 +3,7 @@
 
 mod allowances;
 mod crash_reports;
+mod detours;
 mod dispatch_log;
 mod domain_dispatch;
 mod exchange;
@@ -44,6 +45,7 @@
 use tokio::time::sleep_until;
 
 use self::allowances::Allowances;
+use self::detours::Detours;
 use self::domain_dispatch::DomainDispatch;
 use self::exchange::FarTraffic;
 use crate::event::Event;
@@ -119,6 +121,7 @@
     allowances: Allowances,
     services: Services,
     domain_dispatch: DomainDispatch,
+    detours: Detours,
     /// Hashes of the evacuated failure domains.
     evacuated: Vec<u64>,
     topology: Topology,
@@ -267,6 +270,7 @@
             services: Services::new(params.budget, params.topology.clone(), failure_domain)
                 .with_options(params.options),
             domain_dispatch: DomainDispatch::default(),
+            detours: Detours::default(),
             evacuated: Vec::new(),
             topology: params.topology,
             waiting: FxHashMap::default(),
@@ -374,6 +378,11 @@
                 let _ = tx.send(bundle);
                 self.apply_effects(now, effects);
             }
+            Event::Tunnel(target, tx) => {
+                // The peer may have given up.
+                let _ = tx.send(self.tunnel_target(now, &target));
+            }
+            Event::CutOff(it) => self.set_cut_off(now, it),
             Event::Settings(it) => {
                 self.exchange.set_seeds(&it.fleet.seed_addrs());
                 self.services.set_budget(now, it.dispatch.budget());
--- /dev/null
+++ b/crates/dappleway/src/control/detours.rs
@@ -0,0 +1,106 @@
+//! Connections to endpoints that lead through another node: which nodes this node asks, and which
+//! endpoints it connects others to.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fleet::{Features, Phase, TunnelRefusal, TunnelTarget};
+use policy::{DetourEnds, DetourNode, NodeId, Time, choose_detours};
+use resources::Standing;
+use rustc_hash::FxHashMap;
+use slog::{info, warn};
+
+use super::Control;
+
+/// How long a node that opened no tunnel is not asked again.
+const PASS_OVER_TIME: Duration = Duration::from_secs(2);
+
+/// State of this node's detours.
+#[derive(Debug, Default)]
+pub(super) struct Detours {
+    /// Nodes that opened no tunnel, and when.
+    failed: FxHashMap<NodeId, Time>,
+    /// Since when this node reaches no endpoint.
+    cut_off_since: Option<Time>,
+}
+
+impl Control {
+    /// The nodes to ask for a connection to an endpoint, best first.
+    pub(super) fn choose_detours(
+        &mut self,
+        now: Time,
+        service: u64,
+        endpoint: &str,
+    ) -> Vec<(NodeId, SocketAddr)> {
+        let failed = &mut self.detours.failed;
+        failed.retain(|_, at| now.since(*at) < PASS_OVER_TIME);
+        let members = self.exchange.members();
+        let takes_tunnels = |features: Features| {
+            features.contains(Features::TUNNELS) && !features.contains(Features::CUT_OFF)
+        };
+        let nodes = members
+            .serving(now, fleet::ROUND)
+            .filter(|(node, it)| takes_tunnels(it.info.features) && !failed.contains_key(node));
+        let nodes =
+            nodes.map(|(node, it)| DetourNode { node, failure_domain: it.info.failure_domain });
+        let to = self.services.get(service).and_then(|it| it.failure_domain_of(endpoint));
+        let ends = DetourEnds { from: self.me.failure_domain, to };
+        let chosen = choose_detours(ends, &self.topology, nodes, &mut self.rng);
+        let addr = |node| members.get(node).map(|it| (node, it.info.addr));
+        chosen.into_iter().filter_map(addr).collect()
+    }
+
+    /// Records that a node opened no tunnel, for a reason that is not about the endpoint.
+    pub(super) fn handle_detour_failure(&mut self, now: Time, node: NodeId) {
+        self.detours.failed.insert(node, now);
+    }
+
+    /// The address of an endpoint that a peer asks for a connection to.
+    pub(super) fn tunnel_target(
+        &self,
+        now: Time,
+        target: &TunnelTarget,
+    ) -> Result<SocketAddr, TunnelRefusal> {
+        if self.draining || self.exchange.phase() == Phase::Starting {
+            return Err(TunnelRefusal::Busy);
+        }
+        let state = self.services.get(target.service).ok_or(TunnelRefusal::Unknown)?;
+        let endpoints = state.service.endpoints.iter();
+        let found = endpoints.into_iter().find(|it| it.id == target.endpoint);
+        let endpoint = found.ok_or(TunnelRefusal::Unknown)?;
+        let TunnelTarget { endpoint: id, started_ms, .. } = target;
+        let takes_requests = endpoint.standing <= Standing::Missing
+            && !state.direct.is_closed(now, self.me.node, id, *started_ms);
+        match (endpoint.started_ms == *started_ms, takes_requests) {
+            (false, _) => Err(TunnelRefusal::Unknown),
+            (true, false) => Err(TunnelRefusal::Closed),
+            (true, true) => Ok(endpoint.addr),
+        }
+    }
+
+    /// Announces to the other nodes whether this node reaches endpoints.
+    pub(super) fn set_cut_off(&mut self, now: Time, is_cut_off: bool) {
+        let features = self.exchange.info().features;
+        let (features, since) = match is_cut_off {
+            true => (features.with(Features::CUT_OFF), Some(now)),
+            false => (features.without(Features::CUT_OFF), None),
+        };
+        match (self.detours.cut_off_since, since) {
+            (None, Some(_)) => {
+                warn!(self.log, "no endpoint can be reached: requests are sent through other nodes")
+            }
+            (Some(before), None) => info!(self.log, "endpoints can be reached again";
+                "ms" => now.since(before).as_millis() as u64),
+            _ => return,
+        }
+        self.detours.cut_off_since = since;
+        self.metrics.set_cut_off(is_cut_off);
+        let effects = self.exchange.set_features(features);
+        self.apply_effects(now, effects);
+    }
+
+    /// Whether this node reaches no endpoint itself.
+    pub(super) fn is_cut_off(&self) -> bool {
+        self.detours.cut_off_since.is_some()
+    }
+}
--- a/crates/dappleway/src/control/metrics.rs
+++ b/crates/dappleway/src/control/metrics.rs
@@ -46,6 +46,7 @@
     admissions: IntCounterVec,
     fetches: FetchesServed,
     by_domain: IntGauge,
+    cut_off: IntGauge,
     domain_slots: GaugeVec,
     sends_by_distance: IntCounterVec,
     redirects: IntCounterVec,
@@ -83,6 +84,11 @@
 }
 
 impl ControlMetrics {
+    /// Sets whether this node reaches no endpoint itself.
+    pub(super) fn set_cut_off(&self, is_cut_off: bool) {
+        self.cut_off.set(is_cut_off.into());
+    }
+
     /// Creates the metrics and registers them.
     pub fn register(registry: &Registry) -> prometheus::Result<Self> {
         let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
@@ -223,6 +229,10 @@
                 &["outcome"],
             )?,
             fetches: FetchesServed::new()?,
+            cut_off: gauge(
+                "dappleway_cut_off",
+                "1 while this node reaches no endpoint itself.",
+            )?,
             by_domain: gauge(
                 "dappleway_services_by_failure_domain",
                 "Services of which each failure domain has a dispatching node of its own.",
--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -25,6 +25,11 @@
         match command {
             Command::Acquire(id, slot_request, tx) => self.acquire(now, id, &slot_request, tx),
             Command::Admit(organisation, tx) => self.admit(now, organisation, tx),
+            Command::ChooseDetours(service, endpoint, tx) => {
+                // The request may have been cancelled meanwhile.
+                let _ = tx.send(self.choose_detours(now, service, &endpoint));
+            }
+            Command::DetourFailed(node) => self.handle_detour_failure(now, node),
             Command::Withdraw(id) => self.withdraw(now, id),
             Command::Stalled(id, elapsed) => self.handle_stall(now, id, elapsed),
             Command::AnswerBegan(id, elapsed) => self.handle_answer_began(now, id, elapsed),
--- a/crates/dappleway/src/control/report.rs
+++ b/crates/dappleway/src/control/report.rs
@@ -19,6 +19,7 @@
             failure_domain: self.failure_domain.clone(),
             phase: phase_name(self.exchange.phase()).to_owned(),
             not_ready: self.not_ready(),
+            is_cut_off: self.is_cut_off(),
             in_force: versions.config,
             registry_era: versions.registry.era,
             registry_revision: versions.registry.revision,
--- a/crates/dappleway/src/event.rs
+++ b/crates/dappleway/src/event.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use caller::{Admission, Refused, SlotRequest};
-use fleet::{Bundle, FetchFailure, NodeInfo, Place};
+use fleet::{Bundle, FetchFailure, NodeInfo, Place, TunnelRefusal, TunnelTarget};
 use operator::Report;
-use policy::{Grant, Kind, Notice, PermitId};
+use policy::{Grant, Kind, NodeId, Notice, PermitId};
 use resources::{Document, Name, Published, Route};
 use tokio::sync::oneshot;
 
@@ -31,6 +31,10 @@
     FetchFailed(FetchFailure),
     /// A peer fetches the updates that it is missing.
     Bundle(NodeInfo, oneshot::Sender<Bundle>),
+    /// A peer asks for a connection to an endpoint.
+    Tunnel(TunnelTarget, oneshot::Sender<Result<SocketAddr, TunnelRefusal>>),
+    /// This node has stopped reaching any endpoint, or reaches endpoints again.
+    CutOff(bool),
     /// The settings file has changed.
     Settings(Box<Settings>),
     /// A planned stop begins.
@@ -50,6 +54,10 @@
     Acquire(PermitId, SlotRequest, oneshot::Sender<Result<(Grant, Place), Refused>>),
     /// Ask whether an organisation, given by the hash of its name, may make one more request.
     Admit(u64, oneshot::Sender<Admission>),
+    /// Choose the nodes to ask for a connection to an endpoint of a service, given by the hash of its name.
+    ChooseDetours(u64, Name, oneshot::Sender<Vec<(NodeId, SocketAddr)>>),
+    /// A node opened no connection for a reason that is not about the endpoint.
+    DetourFailed(NodeId),
     /// Withdraw the request for a slot.
     Withdraw(PermitId),
     /// A request has stalled, this long after it was sent.
--- a/crates/dappleway/src/handle.rs
+++ b/crates/dappleway/src/handle.rs
@@ -4,13 +4,14 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use caller::{Admission, Dispatch, Refused, Slot, SlotRequest};
-use fleet::Place;
+use caller::{Admission, Dispatch, NoDetour, Refused, Slot, SlotRequest};
+use fleet::{Keys, Place, TunnelError, TunnelRefusal, TunnelStream, TunnelTarget, open_tunnel};
 use policy::{Grant, Kind, NodeId, Notice, PermitId};
 use resources::{Name, Route};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::event::{Command, Event};
+use crate::services::name_hash;
 
 /// Requests slots and allowances from the control thread.
 #[derive(Clone)]
@@ -18,13 +19,29 @@
     node: NodeId,
     next_seq: Arc<AtomicU64>,
     events: mpsc::UnboundedSender<Event>,
+    tunnels: Arc<TunnelParams>,
+}
+
+/// How tunnels are asked for.
+#[derive(Debug)]
+pub struct TunnelParams {
+    /// Keys that authenticate the nodes.
+    pub keys: Keys,
+    /// Time limit for one peer to open a tunnel.
+    pub timeout: Duration,
 }
 
 impl ControlHandle {
     /// Creates a handle to the control thread of `node`. Permits are numbered from `first_seq`, which must differ
     /// between incarnations of the node.
-    pub fn new(node: NodeId, first_seq: u64, events: mpsc::UnboundedSender<Event>) -> Self {
-        Self { node, next_seq: Arc::new(AtomicU64::new(first_seq)), events }
+    pub fn new(
+        node: NodeId,
+        first_seq: u64,
+        events: mpsc::UnboundedSender<Event>,
+        tunnels: TunnelParams,
+    ) -> Self {
+        let next_seq = Arc::new(AtomicU64::new(first_seq));
+        Self { node, next_seq, events, tunnels: Arc::new(tunnels) }
     }
 
     fn send(&self, command: Command) {
@@ -35,6 +52,29 @@
 
 impl Dispatch for ControlHandle {
     type Slot = ControlSlot;
+    type Detour = TunnelStream;
+
+    async fn open_detour(&self, service: &Name, grant: &Grant) -> Result<TunnelStream, NoDetour> {
+        let (tx, rx) = oneshot::channel();
+        let service = name_hash(service);
+        self.send(Command::ChooseDetours(service, grant.endpoint.clone(), tx));
+        let endpoint = grant.endpoint.clone();
+        let target = TunnelTarget { service, endpoint, started_ms: grant.started_ms };
+        let TunnelParams { keys, timeout } = &*self.tunnels;
+        // No node is asked if the control thread has ended.
+        for (node, addr) in rx.await.unwrap_or_default() {
+            match open_tunnel(addr, keys, &target, *timeout).await {
+                Ok(stream) => return Ok(stream),
+                Err(TunnelError::Refused(TunnelRefusal::Closed)) => return Err(NoDetour::Closed),
+                Err(TunnelError::Refused(TunnelRefusal::Refused)) => return Err(NoDetour::Refused),
+                Err(TunnelError::Refused(TunnelRefusal::Silent)) => return Err(NoDetour::Silent),
+                // A peer that does not know the endpoint yet may know others.
+                Err(TunnelError::Refused(TunnelRefusal::Unknown)) => {}
+                Err(_) => self.send(Command::DetourFailed(node)),
+            }
+        }
+        Err(NoDetour::NoNode)
+    }
 
     fn record_unserved(&self, route: &Arc<Route>, service: &Name) {
         self.send(Command::Unserved(route.clone(), service.clone()));
--- a/crates/dappleway/src/main.rs
+++ b/crates/dappleway/src/main.rs
@@ -6,6 +6,7 @@
 mod control;
 mod event;
 mod explain;
+mod gateway;
 mod handle;
 mod logging;
 mod node;
--- a/crates/dappleway/src/node.rs
+++ b/crates/dappleway/src/node.rs
@@ -8,8 +8,8 @@
 use caller::{Dispatch, Limits, ListenerBuilder, Metrics, SharedSnapshot};
 use clock::Moment;
 use fleet::{
-    Backlog, Bundle, Exchange, Identity, Keys, NodeInfo, PermitClient, ServedFetch, Transport,
-    serve_fetches,
+    Backlog, Bundle, Exchange, Features, Identity, Keys, NodeInfo, PermitClient, ServedFetch,
+    Transport, Tunnels, serve_peers,
 };
 use operator::{Access, ApiContext, Cut, Token};
 use platform::{ServiceDefaults, Store, header_names};
@@ -22,11 +22,13 @@
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
+use upstream::Connector;
 
 use crate::baselines::RoundRobin;
 use crate::control::{Control, ControlMetrics, ControlParams, Outputs};
 use crate::event::Event;
-use crate::handle::ControlHandle;
+use crate::gateway::EndpointGateway;
+use crate::handle::{ControlHandle, TunnelParams};
 use crate::logging::{self, Logging};
 use crate::reader::{ReadPlan, read_platform};
 use crate::reload::Reload;
@@ -52,14 +54,23 @@
     let (events, received) = mpsc::unbounded_channel();
     let (services_tx, services) = watch::channel(Services::default());
     let (token, access) = watch::channel(token);
-    let handles =
-        SharedHandles { shared: shared.clone(), services: services_tx, registry, token: access };
-    let control = start_control(&settings, keys, handles, (&events, received), &log)?;
     let traffic = Builder::new_multi_thread()
         .worker_threads(settings.traffic.threads)
         .thread_name("traffic")
         .enable_all()
         .build()?;
+    let connector = settings.traffic.connector().counting(metrics.connections.clone());
+    let gateway = EndpointGateway::new(events.clone(), connector.clone());
+    let tunnels = Tunnels::new(gateway, keys.clone(), traffic.handle().clone());
+    let handles = SharedHandles {
+        shared: shared.clone(),
+        services: services_tx,
+        registry,
+        token: access,
+        tunnels: tunnels.clone(),
+    };
+    let control = start_control(&settings, keys.clone(), handles, (&events, received), &log)?;
+    traffic.spawn(report_cut_off(connector.watch_cut_off(), events.clone()));
     traffic.spawn(logging::report_left_out(budget, log.clone()));
     traffic.spawn(
         Reload {
@@ -74,6 +85,9 @@
     );
     let server = TrafficServer {
         settings: &settings,
+        keys,
+        connector,
+        tunnels,
         shared,
         services,
         metrics,
@@ -103,6 +117,7 @@
     services: watch::Sender<Services>,
     registry: Registry,
     token: watch::Receiver<Option<Token>>,
+    tunnels: Tunnels<EndpointGateway>,
 }
 
 type Events = (mpsc::UnboundedSender<Event>, mpsc::UnboundedReceiver<Event>);
@@ -156,7 +171,7 @@
     log: &Logger,
 ) -> anyhow::Result<Control> {
     let EventSenders { all: events, urgent } = events;
-    let SharedHandles { shared, services, registry, token } = handles;
+    let SharedHandles { shared, services, registry, token, tunnels } = handles;
     let addr = settings.node.addr;
     let mut rng = StdRng::from_rng(&mut rand::rng());
     let identity = Identity {
@@ -164,7 +179,7 @@
         failure_domain: name_hash(&settings.node.failure_domain),
         capacity: settings.node.capacity(),
         incarnation: SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as u64,
-        features: settings.dispatch.features(),
+        features: settings.dispatch.features().with(Features::TUNNELS),
     };
     let clock = Moment::now();
     let seeds = settings.fleet.seed_addrs();
@@ -185,7 +200,7 @@
     };
     let bundle = move |asker| bundle(bundles.clone(), asker);
     let backlog = Backlog::for_link(settings.node.link_mbps);
-    tokio::spawn(serve_fetches(fetches, keys.clone(), backlog, bundle, on_served));
+    tokio::spawn(serve_peers(fetches, keys.clone(), backlog, bundle, on_served, tunnels));
     let (published_tx, published) = watch::channel(Default::default());
     let (not_ready_tx, not_ready) = watch::channel(Some("the node is starting".to_owned()));
     let (read_plan_tx, read_plan) = watch::channel(ReadPlan::NOTHING);
@@ -239,6 +254,15 @@
     rx.await.unwrap_or_default()
 }
 
+/// Passes changes of whether this node reaches endpoints on to the control thread.
+async fn report_cut_off(mut cut_off: watch::Receiver<bool>, events: mpsc::UnboundedSender<Event>) {
+    while cut_off.changed().await.is_ok() {
+        let is_cut_off = *cut_off.borrow_and_update();
+        // The control thread may have ended already.
+        let _ = events.send(Event::CutOff(is_cut_off));
+    }
+}
+
 /// Creates a channel whose messages are forwarded to the control thread as events.
 fn forward<T: Send + 'static>(
     events: mpsc::UnboundedSender<Event>,
@@ -257,6 +281,9 @@
 /// The listener for callers with what it needs to serve.
 struct TrafficServer<'a> {
     settings: &'a Settings,
+    keys: Keys,
+    connector: Connector,
+    tunnels: Tunnels<EndpointGateway>,
     shared: SharedSnapshot,
     services: watch::Receiver<Services>,
     metrics: Metrics,
@@ -270,7 +297,9 @@
         match mode {
             Mode::Permits | Mode::Direct | Mode::Local => {
                 let first_seq = rand::rng().random::<u64>() >> 1;
-                let handle = ControlHandle::new(node, first_seq, self.events.clone());
+                let timeout = self.connector.timeout() * 2;
+                let tunnels = TunnelParams { keys: self.keys.clone(), timeout };
+                let handle = ControlHandle::new(node, first_seq, self.events.clone(), tunnels);
                 runtime.block_on(self.listen(handle))
             }
             Mode::RoundRobin => {
@@ -296,7 +325,7 @@
         let listener = ListenerBuilder::new(self.shared, dispatch, header_names(), self.metrics)
             .log(self.log.clone())
             .limits(limits)
-            .connector(traffic.connector())
+            .connector(self.connector)
             .draining(is_draining)
             .bind(traffic.listen)
             .await
@@ -305,7 +334,11 @@
             "operator" => %self.settings.operator.listen);
         let mut signals = StopSignals::new()?;
         let (stop, stopped) = watch::channel(false);
-        let serving = tokio::spawn(listener.serve(stopped));
+        let tunnels = self.tunnels;
+        let serving = tokio::spawn(async move {
+            listener.serve(stopped).await;
+            tunnels.ended().await;
+        });
         signals.next().await;
         info!(self.log, "planned stop: this node is not ready, waiting for the balancer to remove it";
             "lag_ms" => self.settings.drain.lag_ms);
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -225,6 +225,21 @@
             return Vec::new();
         }
         self.phase = phase;
+        self.announce()
+    }
+
+    /// Changes the features and notifies all peers at once, because they choose the nodes for tunnels
+    /// by them.
+    pub fn set_features(&mut self, features: Features) -> Vec<Effect> {
+        if features == self.me.features {
+            return Vec::new();
+        }
+        self.me.features = features;
+        self.announce()
+    }
+
+    /// Sends the state of this node to all peers.
+    fn announce(&mut self) -> Vec<Effect> {
         self.version += 1;
         let gossip = Gossip { nodes: vec![self.info()], ..Gossip::default() };
         let send = |addr| Effect::Send(addr, Message::Gossip(gossip.clone()));
--- a/crates/fleet/src/fetch.rs
+++ b/crates/fleet/src/fetch.rs
@@ -1,5 +1,5 @@
 //! TCP transport: fetches from a peer what it knows of the platform, the configuration and the
-//! endpoints. Messages are signed like datagrams, so that nodes without the key learn nothing.
+//! endpoints. Connections for tunnels arrive at the same address. Messages are signed like datagrams, so that nodes without the key learn nothing.
 
 use std::io;
 use std::net::SocketAddr;
@@ -15,6 +15,7 @@
 
 use crate::backlog::Backlog;
 use crate::bundle::Bundle;
+use crate::tunnel::{self, Gateway, Tunnels};
 use crate::wire::{Features, Keys, NodeInfo, TAG_BYTES};
 
 /// Largest answer in bytes: a complete configuration with space to grow.
@@ -121,14 +122,16 @@
     timeout(FETCH_TIMEOUT, exchange).await.map_err(|_| FetchError::Timeout)?
 }
 
-/// Serves fetches until its task is dropped, as many as `backlog` admits. `bundle` returns what is
-/// known beyond the copy of the asking node; `served` is called with every fetch that has ended.
-pub async fn serve_fetches<Fut>(
+/// Serves fetches until its task is dropped, as many as `backlog` admits, and passes connections for
+/// tunnels on to `tunnels`. `bundle` returns what is known beyond the copy of the asking node; `served`
+/// is called with every fetch that has ended.
+pub async fn serve_peers<Fut, G: Gateway>(
     listener: TcpListener,
     keys: Keys,
     backlog: Arc<Backlog>,
     bundle: impl Fn(NodeInfo) -> Fut + Clone + Send + Sync + 'static,
     served: impl Fn(ServedFetch) + Clone + Send + Sync + 'static,
+    tunnels: Tunnels<G>,
 ) where
     Fut: Future<Output = Bundle> + Send,
 {
@@ -137,11 +140,17 @@
         let Ok(permit) = permits.clone().acquire_owned().await else { return };
         let Ok((stream, peer)) = listener.accept().await else { continue };
         let (keys, backlog) = (keys.clone(), backlog.clone());
-        let (bundle, served) = (bundle.clone(), served.clone());
+        let (bundle, served, tunnels) = (bundle.clone(), served.clone(), tunnels.clone());
         tokio::spawn(async move {
             let start = Instant::now();
+            let mut stream = stream;
+            let length = match read_length(&mut stream).await {
+                Ok(tunnel::PREFACE) => return tunnels.spawn(stream),
+                it => it,
+            };
+            let serve = async { serve(stream, length?, &keys, &backlog, bundle).await };
             // The asking node notices a failed fetch and asks another peer.
-            let result = timeout(FETCH_TIMEOUT, serve(stream, &keys, &backlog, bundle)).await;
+            let result = timeout(FETCH_TIMEOUT, serve).await;
             let (outcome, bytes) = match result {
                 Ok(Ok(it)) => it,
                 _ => (ServedOutcome::Broken, 0),
@@ -155,11 +164,12 @@
 
 async fn serve<Fut: Future<Output = Bundle>>(
     mut stream: TcpStream,
+    length: u32,
     keys: &Keys,
     backlog: &Arc<Backlog>,
     bundle: impl Fn(NodeInfo) -> Fut,
 ) -> Result<(ServedOutcome, usize), FetchError> {
-    let request = read::<NodeInfo>(&mut stream, keys, MAX_REQUEST_BYTES).await?;
+    let request = read_rest::<NodeInfo>(&mut stream, length, keys, MAX_REQUEST_BYTES).await?;
     let mut asker = request.message;
     Features::apply(std::slice::from_mut(&mut asker), &request.features);
     let bundle = bundle(asker).await;
@@ -206,7 +216,22 @@
     keys: &Keys,
     max: usize,
 ) -> Result<Received<T>, FetchError> {
-    let n = with_silence_timeout(async { Ok(stream.read_u32().await?) }).await? as usize;
+    let length = read_length(stream).await?;
+    read_rest(stream, length, keys, max).await
+}
+
+async fn read_length(stream: &mut TcpStream) -> Result<u32, FetchError> {
+    with_silence_timeout(async { Ok(stream.read_u32().await?) }).await
+}
+
+/// Reads a message whose length was read.
+async fn read_rest<T: DeserializeOwned>(
+    stream: &mut TcpStream,
+    length: u32,
+    keys: &Keys,
+    max: usize,
+) -> Result<Received<T>, FetchError> {
+    let n = length as usize;
     if n <= TAG_BYTES || n > max {
         return Err(FetchError::Untrusted);
     }
@@ -222,6 +247,24 @@
     Ok(Received { message, features: features.to_vec(), bytes: n })
 }
 
+/// Writes a message that carries no node states.
+pub(crate) async fn write_message(
+    stream: &mut TcpStream,
+    keys: &Keys,
+    message: &impl Serialize,
+) -> Result<(), FetchError> {
+    write(stream, keys, &encode(message, &[])?).await
+}
+
+/// Reads such a message.
+pub(crate) async fn read_message<T: DeserializeOwned>(
+    stream: &mut TcpStream,
+    keys: &Keys,
+    max: usize,
+) -> Result<T, FetchError> {
+    Ok(read(stream, keys, max).await?.message)
+}
+
 async fn with_silence_timeout<T>(
     operation: impl Future<Output = Result<T, FetchError>>,
 ) -> Result<T, FetchError> {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 mod reader_election;
 mod replica;
 mod transport;
+mod tunnel;
 mod wire;
 
 pub use allowances::{
@@ -25,7 +26,7 @@
 pub use bundle::{Bundle, EncodedDocument, RegistryCopy};
 pub use delivery::{Delivery, MessageTooLong};
 pub use exchange::{Effect, Exchange, FetchFailure, Identity, ROUND};
-pub use fetch::{FetchError, Fetched, ServedFetch, ServedOutcome, fetch, serve_fetches};
+pub use fetch::{FetchError, Fetched, ServedFetch, ServedOutcome, fetch, serve_peers};
 pub use members::{Member, Members, node_id};
 pub use permits::{
     Directory, PermitAction, PermitClient, PermitOutcome, PermitRequest, Place, ReachabilityChange,
@@ -34,6 +35,9 @@
 pub use reader_election::{Rank, ReaderElection, Reads};
 pub use replica::{Replica, Versions};
 pub use transport::{Counts, Transport};
+pub use tunnel::{
+    Gateway, TunnelError, TunnelRefusal, TunnelStream, TunnelTarget, Tunnels, open_tunnel,
+};
 pub use wire::{
     Ack, Batch, Capacity, Features, Frame, Gossip, Key, Keys, LastAnswer, MAX_FRAME_BYTES, Message,
     NodeInfo, PermitMessage, Phase, PlatformUpdate, Verdict, WireError,
--- a/crates/fleet/src/tests.rs
+++ b/crates/fleet/src/tests.rs
@@ -1,4 +1,4 @@
-//! Tests of the state machines, without sockets.
+//! Tests of the state machines, without sockets, and of the asking side of a tunnel.
 
 mod allowances;
 mod delivery;
@@ -7,4 +7,5 @@
 mod reader_election;
 mod replica;
 mod replica_model;
+mod tunnel;
 mod wire;
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -107,6 +107,11 @@
     pub const NONE: Self = Self(0);
     /// Slots of a service are granted by one node in each failure domain.
     pub const DOMAIN_DISPATCH: Self = Self(1);
+    /// Connections to endpoints lead through the node if it is asked.
+    pub const TUNNELS: Self = Self(2);
+    /// Not a part of the protocol but the state of the node: it reaches no endpoint now, so that no
+    /// tunnel should lead through it.
+    pub const CUT_OFF: Self = Self(4);
 
     /// The encoding of the features of `nodes`, in their order.
     pub(crate) fn of(nodes: &[NodeInfo]) -> impl Iterator<Item = u8> {
@@ -120,6 +125,16 @@
         }
     }
 
+    /// These features and the others.
+    pub fn with(self, other: Self) -> Self {
+        Self(self.0 | other.0)
+    }
+
+    /// These features without the others.
+    pub fn without(self, other: Self) -> Self {
+        Self(self.0 & !other.0)
+    }
+
     /// Whether all of these optional parts are supported.
     pub fn contains(self, other: Self) -> bool {
         self.0 & other.0 == other.0
--- a/crates/fleet/tests/fetch.rs
+++ b/crates/fleet/tests/fetch.rs
@@ -4,11 +4,12 @@
 use std::sync::Arc;
 
 use fleet::{
-    Backlog, Bundle, Capacity, EncodedDocument, Features, FetchError, Key, Keys, NodeInfo, Phase,
-    ServedOutcome, Versions, fetch, serve_fetches,
+    Backlog, Bundle, Capacity, EncodedDocument, Features, FetchError, Gateway, Key, Keys, NodeInfo,
+    Phase, ServedOutcome, TunnelRefusal, TunnelTarget, Tunnels, Versions, fetch, serve_peers,
 };
 use resources::Document;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 
 /// A node that has just started and has no copy.
@@ -39,13 +40,24 @@
     }
 }
 
+#[derive(Clone)]
+struct NoEndpoints;
+
+impl Gateway for NoEndpoints {
+    async fn connect(&self, _: TunnelTarget) -> Result<TcpStream, TunnelRefusal> {
+        Err(TunnelRefusal::Unknown)
+    }
+}
+
 /// A node that serves fetches, and a channel with the result of each fetch.
 async fn serving(backlog: Arc<Backlog>) -> (SocketAddr, mpsc::UnboundedReceiver<ServedOutcome>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
     let (tx, ended) = mpsc::unbounded_channel();
     let served = move |it: fleet::ServedFetch| tx.send(it.outcome).unwrap();
-    tokio::spawn(serve_fetches(listener, keys(), backlog, |_| async { bundle() }, served));
+    let tunnels = Tunnels::new(NoEndpoints, keys(), Handle::current());
+    let bundle = |_| async { bundle() };
+    tokio::spawn(serve_peers(listener, keys(), backlog, bundle, served, tunnels));
     (addr, ended)
 }
 
--- a/crates/operator/src/report.rs
+++ b/crates/operator/src/report.rs
@@ -16,6 +16,9 @@
     pub phase: String,
     /// Why the node is not ready; absent if it is ready.
     pub not_ready: Option<String>,
+    /// Whether the node reaches no endpoint itself and sends requests through other nodes.
+    #[serde(default)]
+    pub is_cut_off: bool,
     /// Version of the configuration in force at this node; 0 for none.
     pub in_force: u64,
     /// The latest era of the platform that this node knows. The platform begins a new era each time it is restored from
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 mod belief;
 mod budget;
 mod class;
+mod detour;
 mod dispatcher;
 mod domain_load;
 mod domains;
@@ -34,6 +35,7 @@
 pub use allowance::{BucketReport, Buckets, Decision, Delegation, OWNERS, owner_of, owners};
 pub use baseline::RouteTerms;
 pub use budget::{BudgetLimits, RepeatsReport};
+pub use detour::{DetourEnds, DetourNode, choose_detours};
 pub use dispatcher::{
     DispatchCounts, Dispatcher, EvidenceReport, FarCounts, IdleEndpoint, Occupancy, Precedence,
     PriorityCounts, Refusal,
--- a/crates/policy/src/tests.rs
+++ b/crates/policy/src/tests.rs
@@ -5,6 +5,7 @@
 mod capacity;
 mod choice;
 mod contention;
+mod detour;
 mod dispatcher;
 mod domain_load;
 mod domains;
--- a/crates/upstream/src/connector.rs
+++ b/crates/upstream/src/connector.rs
@@ -1,28 +1,49 @@
-//! Opens connections to endpoints.
+//! Opens connections to endpoints, and checks the paths on which that failed.
 
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use clock::Moment;
+use parking_lot::Mutex;
 use prometheus::IntCounterVec;
 use rustc_hash::FxHashMap;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::sync::{Notify, watch};
+use tokio::time::{sleep, timeout};
 
-/// Opens connections to endpoints and counts the outcomes.
+use crate::paths::{PathState, Paths};
+
+/// Pause after a check of a failed path that failed again.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Opens connections to endpoints, counts the outcomes and learns from them which paths have failed.
+/// Clones share what is learned.
 #[derive(Clone, Debug)]
 pub struct Connector {
     timeout: Duration,
     /// Addresses under which this VM reaches endpoints, by registered address.
     translations: Arc<FxHashMap<SocketAddr, SocketAddr>>,
     outcomes: Option<IntCounterVec>,
+    paths: Arc<Mutex<Paths>>,
+    /// Whether this VM is cut off from all endpoints.
+    cut_off: Arc<watch::Sender<bool>>,
+    /// Notified when a path has failed.
+    path_failed: Arc<Notify>,
 }
 
 impl Connector {
     /// A connector that gives up after `timeout`.
     pub fn new(timeout: Duration) -> Self {
-        Self { timeout, translations: Arc::default(), outcomes: None }
+        Self {
+            timeout,
+            translations: Arc::default(),
+            outcomes: None,
+            paths: Arc::default(),
+            cut_off: Arc::new(watch::Sender::new(false)),
+            path_failed: Arc::default(),
+        }
     }
 
     /// Connects to the translation of an endpoint's registered address, if there is one.
@@ -35,16 +56,29 @@
         Self { outcomes: Some(outcomes), ..self }
     }
 
+    /// Time limit for a new connection.
+    pub fn timeout(&self) -> Duration {
+        self.timeout
+    }
+
     /// Opens a connection to an endpoint, given by its registered address.
     pub async fn connect(&self, addr: SocketAddr) -> io::Result<TcpStream> {
         let result = self.connect_within(addr, self.timeout).await;
         if let Some(it) = &self.outcomes {
             it.with_label_values(&[outcome_name(&result)]).inc();
         }
+        match &result {
+            Ok(_) => self.update_paths(|it, now| it.record_connection(now, addr)),
+            Err(error) if is_about_path(error) => {
+                self.update_paths(|it, now| it.record_failure(now, addr));
+                self.path_failed.notify_one();
+            }
+            Err(_) => {}
+        }
         result
     }
 
-    /// Opens a connection within `limit`, without counting it.
+    /// Opens a connection within `limit`, without counting it or learning from it.
     pub(crate) async fn connect_within(
         &self,
         addr: SocketAddr,
@@ -55,6 +89,66 @@
         stream.set_nodelay(true)?;
         Ok(stream)
     }
+
+    /// The state of this VM's path to an endpoint, for a request that needs it.
+    pub fn path_to(&self, addr: SocketAddr) -> PathState {
+        self.paths.lock().state(Moment::now(), addr)
+    }
+
+    /// Whether this VM is cut off from all endpoints, as far as it can tell.
+    pub fn is_cut_off(&self) -> bool {
+        *self.cut_off.borrow()
+    }
+
+    /// The same, with its changes.
+    pub fn watch_cut_off(&self) -> watch::Receiver<bool> {
+        self.cut_off.subscribe()
+    }
+
+    /// Whether a connection to an endpoint has come up recently, so that an attempt that fails here
+    /// says something about its endpoint.
+    pub fn is_proven(&self) -> bool {
+        self.paths.lock().is_proven(Moment::now())
+    }
+
+    /// Checks failed paths in turn for as long as requests need them. Runs until it is dropped.
+    pub async fn check_paths(self) {
+        loop {
+            self.path_failed.notified().await;
+            let mut pause = CHECK_INTERVAL;
+            loop {
+                sleep(pause).await;
+                let Some(addr) = self.update_paths(Paths::next_check) else { break };
+                pause = match self.connect(addr).await {
+                    // The other paths have probably come back, too.
+                    Ok(_) => Duration::ZERO,
+                    Err(_) => CHECK_INTERVAL,
+                };
+            }
+        }
+    }
+
+    fn update_paths<T>(&self, f: impl FnOnce(&mut Paths, Moment) -> T) -> T {
+        let mut paths = self.paths.lock();
+        let out = f(&mut paths, Moment::now());
+        let is_cut_off = paths.is_cut_off();
+        self.cut_off.send_if_modified(|it| std::mem::replace(it, is_cut_off) != is_cut_off);
+        out
+    }
+}
+
+/// Whether a failed attempt was answered, or not answered, by the network or the endpoint; other
+/// errors are this process's own, such as a lack of file descriptors.
+fn is_about_path(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        ErrorKind::TimedOut
+            | ErrorKind::ConnectionRefused
+            | ErrorKind::ConnectionReset
+            | ErrorKind::ConnectionAborted
+            | ErrorKind::HostUnreachable
+            | ErrorKind::NetworkUnreachable
+    )
 }
 
 fn outcome_name(result: &io::Result<TcpStream>) -> &'static str {
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -6,11 +6,13 @@
 
 mod answer;
 mod connector;
+mod paths;
 mod pool;
 
 pub use answer::AnswerBody;
 pub use connector::Connector;
-pub use pool::{Failure, Pool, Reuse, SendError};
+pub use paths::PathState;
+pub use pool::{Failure, Pool, Probe, Reuse, SendError};
 
 #[cfg(test)]
 mod tests;
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use rustc_hash::FxHashMap;
+use tokio::io::{AsyncRead, AsyncWrite};
 
 use crate::{AnswerBody, Connector};
 
@@ -47,6 +48,17 @@
     Never,
 }
 
+/// What an address does with a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Probe {
+    /// It accepts the connection.
+    Accepts,
+    /// It refuses the connection.
+    Refuses,
+    /// It does not answer.
+    Silent,
+}
+
 /// Why a send got no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum Failure {
@@ -112,6 +124,28 @@
         Self { inner: Arc::new(Inner { idle, connector }) }
     }
 
+    /// Opens the connections of this pool.
+    pub fn connector(&self) -> &Connector {
+        &self.inner.connector
+    }
+
+    /// Sends a request on a connection that leads to an endpoint by another way, and waits for the
+    /// head of its answer. The connection is closed after the answer.
+    pub async fn send_on<S>(
+        &self,
+        stream: S,
+        addr: SocketAddr,
+        req: Request<B>,
+    ) -> Result<Response<AnswerBody<B>>, SendError<B>>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
+        match open_http(stream).await {
+            Ok(tx) => self.exchange(addr, tx, req, Reuse::Never).await,
+            Err(error) => Err(SendError { failure: Failure::Connect(error), req: Some(req) }),
+        }
+    }
+
     /// Sends a request and waits for the head of its answer. Dropping the future closes the
     /// connection, which tells the upstream to cancel the request.
     pub async fn send(
@@ -134,12 +168,15 @@
         }
     }
 
-    /// Whether the process behind an address has ended, that is, its port refuses connections.
-    /// Meant to be called right after a connection broke, because a reset alone may also come from
-    /// a running process.
-    pub async fn refuses_connections(&self, addr: SocketAddr) -> bool {
-        let probe = self.inner.connector.connect_within(addr, PROBE_TIMEOUT).await;
-        probe.is_err_and(|it| it.kind() == ErrorKind::ConnectionRefused)
+    /// Whether the process behind an address has ended, that is, its port refuses connections, as
+    /// far as this VM can tell. Meant to be called right after a connection broke, because a reset
+    /// alone may also come from a running process.
+    pub async fn probe(&self, addr: SocketAddr) -> Probe {
+        match self.inner.connector.connect_within(addr, PROBE_TIMEOUT).await {
+            Ok(_) => Probe::Accepts,
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => Probe::Refuses,
+            Err(_) => Probe::Silent,
+        }
     }
 
     /// Sends a request on a given connection.
@@ -181,14 +218,21 @@
 
     /// Opens a connection.
     async fn connect(&self, addr: SocketAddr) -> std::io::Result<SendRequest<B>> {
-        let stream = self.inner.connector.connect(addr).await?;
-        let (tx, conn) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
-        tokio::spawn(conn);
-        Ok(tx)
+        open_http(self.inner.connector.connect(addr).await?).await
     }
 }
 
+async fn open_http<S, B>(stream: S) -> std::io::Result<SendRequest<B>>
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let (tx, conn) = http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+    tokio::spawn(conn);
+    Ok(tx)
+}
+
 impl<B> Inner<B>
 where
     B: Body<Data = Bytes> + Send + Unpin + 'static,
--- /dev/null
+++ b/crates/upstream/src/tests/pool.rs
@@ -0,0 +1,128 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+use crate::{Connector, Pool, Reuse};
+
+/// What a scripted server does with one connection after it has read a request.
+#[derive(Clone, Copy)]
+enum Script {
+    Answer(&'static str),
+    CloseBeforeAnswer,
+}
+
+/// Accepts one connection per script, reads a request from it, and closes the connection after the
+/// script.
+async fn serve(scripts: &'static [Script]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        for script in scripts {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut buf = [0; 1024];
+            let n = stream.read(&mut buf).await.unwrap();
+            assert!(n > 0);
+            if let Script::Answer(text) = script {
+                stream.write_all(text.as_bytes()).await.unwrap();
+            }
+        }
+    });
+    addr
+}
+
+fn pool() -> Pool<Full<Bytes>> {
+    Pool::new(Connector::new(Duration::from_secs(1)))
+}
+
+fn post() -> Request<Full<Bytes>> {
+    Request::post("/x").header("host", "h").body(Full::new(Bytes::from("abc"))).unwrap()
+}
+
+#[tokio::test]
+async fn a_refused_connection_is_not_run_and_returns_the_request() {
+    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    let err = pool().send(closed, post(), Reuse::Allowed).await.err().unwrap();
+    assert!(err.failure.is_not_run());
+    assert!(err.req.is_some());
+}
+
+#[tokio::test]
+async fn a_connection_that_closes_after_the_request_is_unknown() {
+    let addr = serve(&[Script::CloseBeforeAnswer]).await;
+    let err = pool().send(addr, post(), Reuse::Allowed).await.err().unwrap();
+    assert!(!err.failure.is_not_run());
+    assert!(err.req.is_none());
+}
+
+#[tokio::test]
+async fn an_answer_cut_short_ends_in_an_error() {
+    for text in [
+        "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n",
+    ] {
+        let scripts: &'static [Script] = Box::leak(Box::new([Script::Answer(text)]));
+        let addr = serve(scripts).await;
+        let res = pool().send(addr, post(), Reuse::Allowed).await.ok().unwrap();
+        assert!(res.into_body().collect().await.is_err(), "{text}");
+    }
+}
+
+/// Reads the body of an answer without a length, whose end is the end of the connection.
+async fn unframed(ending: Ending) -> Result<Bytes, hyper::Error> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buf = [0; 1024];
+        assert!(stream.read(&mut buf).await.unwrap() > 0);
+        stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nabc").await.unwrap();
+        if ending == Ending::Reset {
+            // Gives the client time to read, because a reset discards unread data.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            stream.set_zero_linger().unwrap();
+        }
+    });
+    let res = pool().send(addr, post(), Reuse::Allowed).await.ok().unwrap();
+    Ok(res.into_body().collect().await?.to_bytes())
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Ending {
+    Clean,
+    Reset,
+}
+
+#[tokio::test]
+async fn an_answer_without_a_length_is_complete_only_if_its_connection_ends_cleanly() {
+    assert_eq!(&unframed(Ending::Clean).await.unwrap()[..], b"abc");
+    assert!(unframed(Ending::Reset).await.is_err());
+}
+
+#[tokio::test]
+async fn a_send_without_reuse_opens_a_new_connection() {
+    const COMPLETE: Script = Script::Answer("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+    // The server answers only one request per connection.
+    let addr = serve(&[COMPLETE, COMPLETE]).await;
+    let pool = pool();
+    for _ in 0..2 {
+        let res = pool.send(addr, post(), Reuse::Never).await.ok().unwrap();
+        assert_eq!(&res.into_body().collect().await.unwrap().to_bytes()[..], b"ok");
+    }
+}
+
+#[tokio::test]
+async fn a_connection_is_not_reused_after_an_answer_that_was_given_up() {
+    const TRUNCATED: Script = Script::Answer("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc");
+    const COMPLETE: Script = Script::Answer("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+    let addr = serve(&[TRUNCATED, COMPLETE]).await;
+    let pool = pool();
+    drop(pool.send(addr, post(), Reuse::Allowed).await.ok().unwrap());
+    let res = pool.send(addr, post(), Reuse::Allowed).await.ok().unwrap();
+    let body = res.into_body().collect().await.unwrap().to_bytes();
+    assert_eq!(&body[..], b"ok");
+}
