Caller: silence ends no later than the deadline, and none of a node that is cut off is evidence

Change: a timeout is answered at the deadline and judged afterwards; a dropped send of a node that is cut off has no outcome. Conclusion: callers do not wait for what is only of interest to dispatch.

--- a/crates/caller/src/active_slot.rs
+++ b/crates/caller/src/active_slot.rs
@@ -12,6 +12,8 @@
 use http_body::Body;
 use policy::{Grant, Kind, Notice};
 
+use tokio::sync::watch;
+
 use crate::Slot;
 use crate::body::{AnswerReader, AnswerStart};
 
@@ -43,6 +45,8 @@
     was_paused: bool,
     /// Whether a hedge of this send was answered first.
     race: HedgeRace,
+    /// Whether this node is cut off from all endpoints, so that silence is no evidence.
+    cut_off: watch::Receiver<bool>,
 }
 
 /// A report about an answer that is still incomplete.
@@ -63,7 +67,7 @@
 }
 
 /// Tells a lost path of this node from an endpoint that is silent.
-pub(crate) trait PathCheck {
+pub(crate) trait PathCheck: Send + Sync + 'static {
     /// Whether this node's own path to the endpoint is lost, rather than the endpoint: this node cannot
     /// connect to it, and another node can.
     fn is_own_path_lost(&self) -> impl Future<Output = bool> + Send;
@@ -91,12 +95,12 @@
 
 impl<S: Slot> ActiveSlot<S> {
     /// Starts the use of a slot for a send without a hedge.
-    pub(crate) fn new(slot: S) -> Self {
-        Self::with_race(slot, HedgeRace::default())
+    pub(crate) fn new(slot: S, cut_off: watch::Receiver<bool>) -> Self {
+        Self::with_race(slot, HedgeRace::default(), cut_off)
     }
 
     /// Starts the use of a slot for a send that may be hedged.
-    pub(crate) fn with_race(slot: S, race: HedgeRace) -> Self {
+    pub(crate) fn with_race(slot: S, race: HedgeRace, cut_off: watch::Receiver<bool>) -> Self {
         let grant = slot.grant().clone();
         let started = Moment::now();
         Self {
@@ -109,6 +113,7 @@
             is_stall_reported: false,
             was_paused: false,
             race,
+            cut_off,
         }
     }
 
@@ -169,6 +174,20 @@
         is_lost && path.is_given_up_on_loss()
     }
 
+    /// Ends a send without an answer at its deadline. What the silence says is still to be found out if
+    /// the deadline came first; the caller does not wait for that.
+    pub(crate) fn end_timed_out(mut self, path: impl PathCheck) {
+        if self.slot.is_none() || self.is_stall_reported || self.was_paused {
+            return self.end(Kind::TimedOut);
+        }
+        tokio::spawn(async move {
+            match path.is_own_path_lost().await {
+                true => self.discard(),
+                false => self.end(Kind::TimedOut),
+            }
+        });
+    }
+
     /// Reports that the endpoint has stopped sending.
     fn report_stall(&mut self) {
         self.is_stall_reported = true;
@@ -220,9 +239,10 @@
                 None => match next_report {
                     Some((_, ProgressReport::Started)) => self.report_start(),
                     Some((at, ProgressReport::Stalled)) if at.elapsed() < PAUSE_THRESHOLD => {
-                        let is_given_up = self.report_silence(path).await;
-                        if is_given_up {
-                            return Waited::PathLost;
+                        match timeout_at(deadline, self.report_silence(path)).await {
+                            Some(false) => {}
+                            Some(true) => return Waited::PathLost,
+                            None => return Waited::TimedOut,
                         }
                     }
                     Some((_, ProgressReport::Stalled)) => self.was_paused = true,
@@ -266,6 +286,7 @@
                         return Waited::PathLost;
                     }
                 }
+                () = sleep_until(deadline) => return Waited::TimedOut,
             }
         } else if stall_at > self.started {
             self.was_paused = true;
@@ -282,6 +303,7 @@
     fn drop(&mut self) {
         if let Some(slot) = self.slot.take()
             && !self.was_paused
+            && !*self.cut_off.borrow()
         {
             slot.end(self.race.kind_on_drop(), self.last_activity.elapsed());
         }
--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -79,7 +79,9 @@
 ) -> SendResult {
     let is_first = matches!(order, SendOrder::First(_));
     let mut active_slot = match order {
-        SendOrder::First(race) | SendOrder::Further(race) => ActiveSlot::with_race(slot, race),
+        SendOrder::First(race) | SendOrder::Further(race) => {
+            ActiveSlot::with_race(slot, race, cx.pool.connector().watch_cut_off())
+        }
     };
     let (slot_by, started) = (active_slot.granted_by(), Instant::now());
     let (tier, health) = (active_slot.grant().tier, active_slot.grant().health);
@@ -98,7 +100,7 @@
     };
     let result = match sent {
         Waited::TimedOut => {
-            active_slot.end(Kind::TimedOut);
+            active_slot.end_timed_out(way);
             SendResult::TimedOut
         }
         Waited::PathLost => SendResult::PathLost,
@@ -220,7 +222,7 @@
     let received = active_slot.receive(body, request.give_up_at, &way).await;
     let start = match received {
         Waited::TimedOut => {
-            active_slot.end(Kind::TimedOut);
+            active_slot.end_timed_out(way);
             return SendResult::TimedOut;
         }
         Waited::PathLost => return SendResult::PathLost,
--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -208,7 +208,7 @@
         if !self.request.is_still_authorized(&self.cx) {
             return None;
         }
-        let mut active_slot = ActiveSlot::new(slot);
+        let mut active_slot = ActiveSlot::new(slot, self.cx.pool.connector().watch_cut_off());
         let body = RequestBody::Complete(Full::default());
         let span = self.request.span.child();
         let mut req = self.request.upstream_request(
