Tests: all nodes cut off at once, and a planned stop of a node that tunnels lead through

Cause: each way in which the new path of a request can fail needs a test. Change: while no node reaches endpoints all requests are answered as not run, and service is back with the paths; a stopping node ends its tunnels' requests first.

--- a/crates/dappleway/tests/cut_off.rs
+++ b/crates/dappleway/tests/cut_off.rs
@@ -6,6 +6,7 @@
 use standin::bed::{Layout, Paths, TestBed};
 use standin::caller::{self, Plan, Summary};
 use standin::endpoint_link::PathFault;
+use standin::upstream::Profile;
 use tokio::sync::Mutex;
 
 /// One test bed at a time: more would compete for the CPU and appear unhealthy.
@@ -95,3 +96,43 @@
 async fn callers_are_served_by_nodes_that_hear_nothing_from_endpoints() {
     check(PathFault::OneWay).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn while_no_node_reaches_endpoints_nothing_runs_and_service_returns_with_the_paths() {
+    let _alone = BED.lock().await;
+    let bed = start().await;
+    send(&bed, Duration::from_secs(1), |_| true).await;
+    (0..bed.nodes.len()).for_each(|i| bed.set_paths(i, PathFault::Reset));
+    send(&bed, KNOWN_AFTER, |_| true).await;
+    let during = send(&bed, Duration::from_secs(2), |_| true).await;
+    for it in &during {
+        assert_eq!(it.not_run, it.sent, "while all are cut off: {it:?}");
+    }
+    (0..bed.nodes.len()).for_each(|i| bed.set_paths(i, PathFault::None));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for it in &send(&bed, Duration::from_secs(3), |_| true).await {
+        assert!(it.answered * 100 >= it.sent * 98, "after the cut: {it:?}");
+    }
+    check_runs(&bed, &during[1]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_ends_no_request_that_another_node_sends_through_the_stopping_one() {
+    let _alone = BED.lock().await;
+    let profile = Profile { service_us: 300_000, slots: 20, ..Layout::small().profile };
+    let layout = Layout { nodes: 2, profile, deadline_ms: 5_000, ..layout() };
+    let bin = Path::new(env!("CARGO_BIN_EXE_dappleway"));
+    let mut bed = TestBed::start(bin, &layout).await.unwrap();
+    bed.set_paths(0, PathFault::RefuseNew);
+    send(&bed, KNOWN_AFTER, |i| i == 0).await;
+    let stopping = bed.nodes.remove(1);
+    let stop = async {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        stopping.signal("TERM").unwrap();
+    };
+    let (sent, ()) = tokio::join!(send(&bed, Duration::from_secs(2), |_| true), stop);
+    for it in &sent {
+        assert!(it.answered * 3 >= it.sent, "through the other node: {it:?}");
+        assert_eq!(it.unknown + it.broken, 0, "ended by the stop: {it:?}");
+    }
+}
