A node proves that it reaches endpoints before its failure to reach one counts

Cause: found on reading the fix: a peer answered 'silent' or 'refused' only if it had opened a connection in the last 2 s, and without a peer to ask a failure counted unless three endpoints had failed. So a cut off node with few requests could still report failures, and a quiet fleet could not confirm real ones. Change: `Connector::reaches_others`: known from the last 2 s, or shown by a connection to the endpoint that was reached last. Peers and the asking node use the same rule. Result: unit tests of upstream and caller pass. Conclusion: evidence depends on what the reporter reaches now, not on how busy it is.

--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -105,7 +105,7 @@
         }
         Waited::PathLost => SendResult::PathLost,
         Waited::Done(Err(SendFailure::Broken(_))) => end_broken(active_slot, &way).await,
-        Waited::Done(Err(failure)) => end_unreached(cx, active_slot, &way, failure),
+        Waited::Done(Err(failure)) => end_unreached(cx, active_slot, &way, failure).await,
         Waited::Done(Ok(res)) => {
             cx.unreachable.record_answer(way.grant().addr);
             handle_answer(cx, request, active_slot, res, is_first, way).await
@@ -139,13 +139,13 @@
 }
 
 /// Ends a send of which nothing reached the endpoint.
-fn end_unreached<D: Dispatch>(
+async fn end_unreached<D: Dispatch>(
     cx: &Cx<D>,
     active_slot: ActiveSlot<D::Slot>,
     way: &Way<D>,
     failure: SendFailure,
 ) -> SendResult {
-    let kind = way.classify_unwritten(&failure);
+    let kind = way.classify_unwritten(&failure).await;
     let unsent = match failure {
         SendFailure::NotReached(why, unsent) => {
             if kind.is_some() || why == NoDetour::Closed {
--- a/crates/caller/src/way.rs
+++ b/crates/caller/src/way.rs
@@ -124,7 +124,7 @@
         };
         match self.open_detour().await {
             Ok(_) => None,
-            Err(NoDetour::NoNode) => (!self.is_cut_off()).then_some(seen_here),
+            Err(NoDetour::NoNode) => self.reaches_others().await.then_some(seen_here),
             Err(NoDetour::Refused) => Some(Kind::Crashed),
             Err(NoDetour::Silent) => Some(Kind::Failed),
             Err(NoDetour::Closed) => Some(seen_here),
@@ -132,9 +132,9 @@
     }
 
     /// What a send of which nothing was written says about its endpoint.
-    pub(crate) fn classify_unwritten(&self, failure: &SendFailure) -> Option<Kind> {
+    pub(crate) async fn classify_unwritten(&self, failure: &SendFailure) -> Option<Kind> {
         let is_evidence = match failure {
-            SendFailure::NotReached(NoDetour::NoNode, _) => !self.is_cut_off(),
+            SendFailure::NotReached(NoDetour::NoNode, _) => self.reaches_others().await,
             SendFailure::NotReached(NoDetour::Refused | NoDetour::Silent, _) => true,
             SendFailure::NotWritten(..) => !self.leads_through_node(),
             SendFailure::NotReached(NoDetour::Closed, _)
@@ -151,8 +151,9 @@
         detour
     }
 
-    fn is_cut_off(&self) -> bool {
-        self.cx.pool.connector().is_cut_off()
+    /// Whether this node's failure to reach the endpoint is evidence although no other node was asked.
+    async fn reaches_others(&self) -> bool {
+        self.cx.pool.connector().reaches_others(self.grant.addr).await
     }
 }
 
@@ -164,7 +165,7 @@
         }
         match self.open_detour().await {
             Ok(_) => true,
-            Err(NoDetour::NoNode) => self.is_cut_off(),
+            Err(NoDetour::NoNode) => !self.reaches_others().await,
             Err(_) => false,
         }
     }
--- a/crates/dappleway/src/gateway.rs
+++ b/crates/dappleway/src/gateway.rs
@@ -32,8 +32,12 @@
         // If the control thread has ended, `rx` fails.
         let _ = self.events.send(Event::Tunnel(target, tx));
         let addr = rx.await.unwrap_or(Err(TunnelRefusal::Busy))?;
-        self.connector.connect(addr).await.map_err(|error| match error.kind() {
-            _ if !self.connector.is_proven() => TunnelRefusal::NoPath,
+        let error = match self.connector.connect(addr).await {
+            Ok(stream) => return Ok(stream),
+            Err(error) => error,
+        };
+        Err(match error.kind() {
+            _ if !self.connector.reaches_others(addr).await => TunnelRefusal::NoPath,
             ErrorKind::ConnectionRefused => TunnelRefusal::Refused,
             _ => TunnelRefusal::Silent,
         })
--- a/crates/upstream/src/connector.rs
+++ b/crates/upstream/src/connector.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
-use crate::paths::{PathState, Paths};
+use crate::paths::{PathState, Paths, Proof};
 
 /// Pause after a check of a failed path that failed again.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -105,10 +105,15 @@
         self.cut_off.subscribe()
     }
 
-    /// Whether a connection to an endpoint has come up recently, so that an attempt that fails here
-    /// says something about its endpoint.
-    pub fn is_proven(&self) -> bool {
-        self.paths.lock().is_proven(Moment::now())
+    /// Whether this VM reaches endpoints other than the one at `addr`, so that a failure to connect
+    /// there says something about that endpoint. Connects to another one if that is not known.
+    pub async fn reaches_others(&self, addr: SocketAddr) -> bool {
+        let proof = self.paths.lock().proof_beside(Moment::now(), addr);
+        match proof {
+            Proof::Known => true,
+            Proof::Connect(other) => self.connect(other).await.is_ok(),
+            Proof::None => !self.is_cut_off(),
+        }
     }
 
     /// Checks failed paths in turn for as long as requests need them. Runs until it is dropped.
--- a/crates/upstream/src/paths.rs
+++ b/crates/upstream/src/paths.rs
@@ -34,8 +34,19 @@
 #[derive(Debug, Default)]
 pub(crate) struct Paths {
     failed: FxHashMap<SocketAddr, FailedPath>,
-    /// When a connection to any endpoint last came up.
-    connected_at: Option<Moment>,
+    /// The endpoint to which a connection last came up, and when.
+    connected: Option<(SocketAddr, Moment)>,
+}
+
+/// Whether this VM reaches endpoints other than a given one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Proof {
+    /// A connection to another endpoint came up recently.
+    Known,
+    /// A connection to this endpoint would prove it.
+    Connect(SocketAddr),
+    /// No other endpoint is known to have been reached.
+    None,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -50,7 +61,7 @@
     /// Records that a connection came up.
     pub(crate) fn record_connection(&mut self, now: Moment, addr: SocketAddr) {
         self.failed.remove(&addr);
-        self.connected_at = Some(now);
+        self.connected = Some((addr, now));
     }
 
     /// Records that no connection came up.
@@ -79,14 +90,18 @@
     pub(crate) fn is_cut_off(&self) -> bool {
         let failures = self.failed.values().filter_map(|it| it.failed_at);
         let since_connection =
-            failures.filter(|at| self.connected_at.is_none_or(|connected| *at > connected));
+            failures.filter(|at| self.connected.is_none_or(|(_, connected)| *at > connected));
         since_connection.count() >= MIN_FAILED_PATHS
     }
 
-    /// Whether a connection has come up recently, so that this VM's failures say something about
-    /// endpoints.
-    pub(crate) fn is_proven(&self, now: Moment) -> bool {
-        self.connected_at.is_some_and(|at| now.since(at) < PROVEN_FOR) && !self.is_cut_off()
+    /// What is known of whether this VM reaches endpoints other than `addr`.
+    pub(crate) fn proof_beside(&self, now: Moment, addr: SocketAddr) -> Proof {
+        match self.connected {
+            Some((other, _)) if other == addr => Proof::None,
+            Some((_, at)) if now.since(at) < PROVEN_FOR && !self.is_cut_off() => Proof::Known,
+            Some((other, _)) => Proof::Connect(other),
+            None => Proof::None,
+        }
     }
 
     /// Forgets the paths that are not needed any more, and returns the one to check next: a suspected
