Tests: who is asked for a way to an endpoint, and where others are connected to

Cause: nodes that are cut off too, older builds, endpoints that leave and planned stops are ways in which a detour fails. Change: control tests for each. Conclusion: a tunnel leads only through a node that reaches endpoints, to one that takes requests.

--- a/crates/dappleway/src/control/tests.rs
+++ b/crates/dappleway/src/control/tests.rs
@@ -1,3 +1,4 @@
+mod detours;
 mod domain_dispatch;
 
 use std::net::SocketAddr;
