Caller: the time to connect is not the silence of an endpoint, and a cut off node refuses at once

Cause: found on reading the fix: a stall was judged although the request was still on its way to a peer, so that it counted as lost and cost a repeat; a node that was known to be cut off made an attempt to connect for each request that no peer took, before it refused it. Change: a silence before the request is sent says nothing; what a node that is cut off fails to reach is no evidence without another attempt. Conclusion: what is known is not tried again at the callers' cost.

--- a/crates/caller/src/active_slot.rs
+++ b/crates/caller/src/active_slot.rs
@@ -11,7 +11,6 @@
 use clock::{Moment, sleep_until, timeout_at};
 use http_body::Body;
 use policy::{Grant, Kind, Notice};
-
 use tokio::sync::watch;
 
 use crate::Slot;
@@ -66,11 +65,21 @@
     PathLost,
 }
 
+/// What the silence of an endpoint is due to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Silence {
+    /// The endpoint: this node can connect to it, or no other node that reaches endpoints can either.
+    Endpoint,
+    /// This node's path to the endpoint: another node can connect to it.
+    OwnPath,
+    /// The request is not on its way yet.
+    NotSent,
+}
+
 /// Tells a lost path of this node from an endpoint that is silent.
 pub(crate) trait PathCheck: Send + Sync + 'static {
-    /// Whether this node's own path to the endpoint is lost, rather than the endpoint: this node cannot
-    /// connect to it, and another node can.
-    fn is_own_path_lost(&self) -> impl Future<Output = bool> + Send;
+    /// Finds out what the silence is due to.
+    fn explain_silence(&self) -> impl Future<Output = Silence> + Send;
 
     /// Whether the send is given up on a lost path, because the request may be sent again. Otherwise
     /// the answer is awaited: it may arrive when the path comes back.
@@ -166,12 +175,13 @@
     /// Reports that the endpoint has stopped sending, unless this node's own path is lost. Returns
     /// whether the send is to be given up.
     pub(crate) async fn report_silence(&mut self, path: &impl PathCheck) -> bool {
-        let is_lost = path.is_own_path_lost().await;
-        match is_lost {
-            true => self.discard(),
-            false => self.report_stall(),
+        let silence = path.explain_silence().await;
+        match silence {
+            Silence::Endpoint => self.report_stall(),
+            Silence::OwnPath => self.discard(),
+            Silence::NotSent => {}
         }
-        is_lost && path.is_given_up_on_loss()
+        silence == Silence::OwnPath && path.is_given_up_on_loss()
     }
 
     /// Ends a send without an answer at its deadline. What the silence says is still to be found out if
@@ -181,9 +191,9 @@
             return self.end(Kind::TimedOut);
         }
         tokio::spawn(async move {
-            match path.is_own_path_lost().await {
-                true => self.discard(),
-                false => self.end(Kind::TimedOut),
+            match path.explain_silence().await {
+                Silence::Endpoint => self.end(Kind::TimedOut),
+                Silence::OwnPath | Silence::NotSent => self.discard(),
             }
         });
     }
--- a/crates/caller/src/way.rs
+++ b/crates/caller/src/way.rs
@@ -9,7 +9,7 @@
 use resources::Repeat;
 use upstream::{AnswerBody, Failure, PathState, Probe, Reuse, SendError};
 
-use crate::active_slot::PathCheck;
+use crate::active_slot::{PathCheck, Silence};
 use crate::body::RequestBody;
 use crate::cx::Cx;
 use crate::routed_request::RoutedRequest;
@@ -20,6 +20,8 @@
     cx: Arc<Cx<D>>,
     request: Arc<RoutedRequest>,
     grant: Grant,
+    /// Whether no direct send is under way any more, or none was made.
+    is_detour: AtomicBool,
     leads_through_node: AtomicBool,
 }
 
@@ -52,8 +54,13 @@
 impl<D: Dispatch> Way<D> {
     /// The way of a send that has not begun.
     pub(crate) fn new(cx: &Arc<Cx<D>>, request: &Arc<RoutedRequest>, grant: Grant) -> Self {
-        let leads_through_node = AtomicBool::new(false);
-        Self { cx: cx.clone(), request: request.clone(), grant, leads_through_node }
+        Self {
+            cx: cx.clone(),
+            request: request.clone(),
+            grant,
+            is_detour: AtomicBool::new(false),
+            leads_through_node: AtomicBool::new(false),
+        }
     }
 
     pub(crate) fn grant(&self) -> &Grant {
@@ -79,6 +86,7 @@
                 result => return result,
             }
         }
+        self.is_detour.store(true, Ordering::Relaxed);
         let detour = self.open_detour().await;
         if self.request.left().is_zero() || !self.request.is_still_authorized(&self.cx) {
             return Err(SendFailure::Ended(req));
@@ -92,6 +100,7 @@
                 Ok(pool.send_on(stream, addr, req).await?)
             }
             Err(NoDetour::NoNode) if path != PathState::Usable && !is_hopeless => {
+                self.is_detour.store(false, Ordering::Relaxed);
                 self.send_directly(req, reuse).await
             }
             Err(why) => Err(SendFailure::NotReached(why, req)),
@@ -144,6 +153,22 @@
         is_evidence.then_some(Kind::Unreachable)
     }
 
+    /// Whether this node cannot connect to the endpoint and another node can.
+    async fn is_own_path_lost(&self) -> bool {
+        if self.cx.pool.connector().connect(self.grant.addr).await.is_ok() {
+            return false;
+        }
+        match self.open_detour().await {
+            Ok(_) => true,
+            Err(NoDetour::NoNode) => !self.reaches_others().await,
+            Err(_) => false,
+        }
+    }
+
+    fn is_detour(&self) -> bool {
+        self.is_detour.load(Ordering::Relaxed)
+    }
+
     async fn open_detour(&self) -> Result<D::Detour, NoDetour> {
         let detour = self.cx.dispatch.open_detour(&self.request.service, &self.grant).await;
         let outcome = detour.as_ref().map_or_else(|it| it.name(), |_| "opened");
@@ -158,15 +183,16 @@
 }
 
 impl<D: Dispatch> PathCheck for Way<D> {
-    async fn is_own_path_lost(&self) -> bool {
-        let connector = self.cx.pool.connector();
-        if self.leads_through_node() || connector.connect(self.grant.addr).await.is_ok() {
-            return false;
+    async fn explain_silence(&self) -> Silence {
+        if self.leads_through_node() {
+            return Silence::Endpoint;
         }
-        match self.open_detour().await {
-            Ok(_) => true,
-            Err(NoDetour::NoNode) => !self.reaches_others().await,
-            Err(_) => false,
+        let is_lost = !self.is_detour() && self.is_own_path_lost().await;
+        match is_lost {
+            // The direct attempt to connect may have failed meanwhile.
+            _ if self.is_detour() => Silence::NotSent,
+            true => Silence::OwnPath,
+            false => Silence::Endpoint,
         }
     }
 
--- a/crates/caller/tests/detours.rs
+++ b/crates/caller/tests/detours.rs
@@ -22,13 +22,21 @@
     sends: u32,
     /// Address at which another node reaches the endpoint.
     detour: Result<SocketAddr, NoDetour>,
+    /// How long the other node takes to connect the first time.
+    first_detour_takes: Arc<Mutex<Duration>>,
     reports: Arc<Mutex<Vec<String>>>,
 }
 
 impl Detouring {
     fn new(endpoint: SocketAddr, detour: Result<SocketAddr, NoDetour>) -> Self {
         let grant = Grant { stall_after: Duration::from_millis(100), ..common::grant(endpoint) };
-        Self { grant, sends: 1, detour, reports: Arc::default() }
+        Self {
+            grant,
+            sends: 1,
+            detour,
+            first_detour_takes: Arc::default(),
+            reports: Arc::default(),
+        }
     }
 
     fn record(&self, report: impl Into<String>) {
@@ -72,6 +80,8 @@
     type Detour = TcpStream;
 
     async fn open_detour(&self, _: &Name, _: &Grant) -> Result<TcpStream, NoDetour> {
+        let takes = std::mem::take(&mut *self.first_detour_takes.lock().unwrap());
+        tokio::time::sleep(takes).await;
         Ok(TcpStream::connect(self.detour?).await.unwrap())
     }
 
@@ -203,3 +213,10 @@
     });
     check(Detouring::new(closed().await, Ok(addr)), 502, &[]).await;
 }
+
+#[tokio::test]
+async fn a_connection_through_another_node_that_takes_long_is_no_silence() {
+    let dispatch = Detouring::new(closed().await, Ok(answering().await));
+    *dispatch.first_detour_takes.lock().unwrap() = dispatch.grant.stall_after * 3;
+    check(dispatch, 200, &["Answered"]).await;
+}
--- a/crates/upstream/src/connector.rs
+++ b/crates/upstream/src/connector.rs
@@ -112,7 +112,9 @@
         match proof {
             Proof::Known => true,
             Proof::Connect(other) => self.connect(other).await.is_ok(),
-            Proof::None => !self.is_cut_off(),
+            // With a single endpoint there is nothing to compare it with.
+            Proof::None => true,
+            Proof::Disproved => false,
         }
     }
 
--- a/crates/upstream/src/paths.rs
+++ b/crates/upstream/src/paths.rs
@@ -47,6 +47,8 @@
     Connect(SocketAddr),
     /// No other endpoint is known to have been reached.
     None,
+    /// This VM is cut off.
+    Disproved,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -97,8 +99,9 @@
     /// What is known of whether this VM reaches endpoints other than `addr`.
     pub(crate) fn proof_beside(&self, now: Moment, addr: SocketAddr) -> Proof {
         match self.connected {
+            _ if self.is_cut_off() => Proof::Disproved,
             Some((other, _)) if other == addr => Proof::None,
-            Some((_, at)) if now.since(at) < PROVEN_FOR && !self.is_cut_off() => Proof::Known,
+            Some((_, at)) if now.since(at) < PROVEN_FOR => Proof::Known,
             Some((other, _)) => Proof::Connect(other),
             None => Proof::None,
         }
--- a/crates/upstream/src/tests/paths.rs
+++ b/crates/upstream/src/tests/paths.rs
@@ -126,5 +126,5 @@
     assert_eq!(bed.proof_beside(1), Proof::Connect(endpoint(2)), "too long ago");
     bed.connect(2);
     bed.fail([1, 3, 4]);
-    assert_eq!(bed.proof_beside(1), Proof::Connect(endpoint(2)), "cut off");
+    assert_eq!(bed.proof_beside(1), Proof::Disproved, "cut off");
 }
