Dappleway: the log says why no way led through another node

Change: `no way through another node` with peer and error; the rest is wording. Result: control tests pass; no decision changes. Conclusion: none.

--- a/crates/dappleway/src/control/detours.rs
+++ b/crates/dappleway/src/control/detours.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use fleet::{Features, Phase, TunnelRefusal, TunnelTarget};
+use fleet::{Features, Phase, TunnelError, TunnelRefusal, TunnelTarget};
 use policy::{DetourEnds, DetourNode, NodeId, Time, choose_detours};
 use resources::Standing;
 use rustc_hash::FxHashMap;
@@ -51,8 +51,11 @@
     }
 
     /// Records that a node opened no tunnel, for a reason that is not about the endpoint.
-    pub(super) fn handle_detour_failure(&mut self, now: Time, node: NodeId) {
+    pub(super) fn handle_detour_failure(&mut self, now: Time, node: NodeId, error: &TunnelError) {
         self.detours.failed.insert(node, now);
+        let peer = self.exchange.members().get(node).map(|it| it.info.addr.to_string());
+        info!(self.log, "no way through another node"; "peer" => peer.unwrap_or_default(),
+            "error" => %error);
     }
 
     /// The address of an endpoint that a peer asks for a connection to.
@@ -65,11 +68,10 @@
             return Err(TunnelRefusal::Busy);
         }
         let state = self.services.get(target.service).ok_or(TunnelRefusal::Unknown)?;
-        let endpoints = state.service.endpoints.iter();
-        let found = endpoints.into_iter().find(|it| it.id == target.endpoint);
+        let found = state.service.endpoints.iter().find(|it| it.id == target.endpoint);
         let endpoint = found.ok_or(TunnelRefusal::Unknown)?;
         let TunnelTarget { endpoint: id, started_ms, .. } = target;
-        let takes_requests = endpoint.standing <= Standing::Missing
+        let takes_requests = matches!(endpoint.standing, Standing::Present | Standing::Missing)
             && !state.direct.is_closed(now, self.me.node, id, *started_ms);
         match (endpoint.started_ms == *started_ms, takes_requests) {
             (false, _) => Err(TunnelRefusal::Unknown),
--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -29,7 +29,7 @@
                 // The request may have been cancelled meanwhile.
                 let _ = tx.send(self.choose_detours(now, service, &endpoint));
             }
-            Command::DetourFailed(node) => self.handle_detour_failure(now, node),
+            Command::DetourFailed(node, error) => self.handle_detour_failure(now, node, &error),
             Command::Withdraw(id) => self.withdraw(now, id),
             Command::Stalled(id, elapsed) => self.handle_stall(now, id, elapsed),
             Command::AnswerBegan(id, elapsed) => self.handle_answer_began(now, id, elapsed),
--- a/crates/dappleway/src/control/tests/detours.rs
+++ b/crates/dappleway/src/control/tests/detours.rs
@@ -1,6 +1,6 @@
 //! Which nodes are asked for a way to an endpoint, and which endpoints others are connected to.
 
-use fleet::{TunnelRefusal, TunnelTarget, node_id};
+use fleet::{TunnelError, TunnelRefusal, TunnelTarget, node_id};
 
 use super::*;
 
@@ -48,7 +48,7 @@
     let mut control = node().await;
     let failing = discover(&mut control, 1, 1, Features::TUNNELS);
     let other = discover(&mut control, 1, 2, Features::TUNNELS);
-    control.handle_detour_failure(control.now(), failing);
+    control.handle_detour_failure(control.now(), failing, &TunnelError::Timeout);
     assert_eq!(asked(&mut control), [other]);
     clock::simulate_suspension(Duration::from_secs(3));
     assert_eq!(asked(&mut control).len(), 2, "it is asked again");
--- a/crates/dappleway/src/event.rs
+++ b/crates/dappleway/src/event.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use caller::{Admission, Refused, SlotRequest};
-use fleet::{Bundle, FetchFailure, NodeInfo, Place, TunnelRefusal, TunnelTarget};
+use fleet::{Bundle, FetchFailure, NodeInfo, Place, TunnelError, TunnelRefusal, TunnelTarget};
 use operator::Report;
 use policy::{Grant, Kind, NodeId, Notice, PermitId};
 use resources::{Document, Name, Published, Route};
@@ -57,7 +57,7 @@
     /// Choose the nodes to ask for a connection to an endpoint of a service, given by the hash of its name.
     ChooseDetours(u64, Name, oneshot::Sender<Vec<(NodeId, SocketAddr)>>),
     /// A node opened no connection for a reason that is not about the endpoint.
-    DetourFailed(NodeId),
+    DetourFailed(NodeId, TunnelError),
     /// Withdraw the request for a slot.
     Withdraw(PermitId),
     /// A request has stalled, this long after it was sent.
--- a/crates/dappleway/src/handle.rs
+++ b/crates/dappleway/src/handle.rs
@@ -70,7 +70,7 @@
                 Err(TunnelError::Refused(TunnelRefusal::Silent)) => return Err(NoDetour::Silent),
                 // A peer that does not know the endpoint yet may know others.
                 Err(TunnelError::Refused(TunnelRefusal::Unknown)) => {}
-                Err(_) => self.send(Command::DetourFailed(node)),
+                Err(error) => self.send(Command::DetourFailed(node, error)),
             }
         }
         Err(NoDetour::NoNode)
--- a/crates/fleet/src/fetch.rs
+++ b/crates/fleet/src/fetch.rs
@@ -1,5 +1,6 @@
 //! TCP transport: fetches from a peer what it knows of the platform, the configuration and the
-//! endpoints. Connections for tunnels arrive at the same address. Messages are signed like datagrams, so that nodes without the key learn nothing.
+//! endpoints. Connections for tunnels arrive at the same address. Messages are signed like datagrams,
+//! so that nodes without the key learn nothing.
 
 use std::io;
 use std::net::SocketAddr;
