Standin: each test process has a loopback address of its own

A port of a killed node, or of a link that refuses connections, looks free to another process. Change: free addresses are searched at 127.x.y.1, from the process id.

--- a/crates/standin/src/node.rs
+++ b/crates/standin/src/node.rs
@@ -1,6 +1,6 @@
 //! Runs nodes as processes on loopback for tests and measurements.
 
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{IpAddr, SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -91,9 +91,12 @@
 ///
 /// The ports lie below the ephemeral ports that the kernel assigns to outgoing connections. With ephemeral ports,
 /// connections of one test occupied addresses of another between the search and the start of its processes. Each call
-/// continues where the previous one ended, so that an address is not returned again soon.
+/// continues where the previous one ended, so that an address is not returned again soon. Each test process has a
+/// loopback address of its own, because the ports of killed nodes and of links that refuse connections look free to
+/// others.
 pub fn free_addrs(n: usize) -> anyhow::Result<Vec<SocketAddr>> {
     let mut free = Vec::new();
+    let ip = own_loopback_ip();
     for _ in 0..n + MAX_OCCUPIED_PORTS {
         if free.len() == n {
             return Ok(free);
@@ -101,7 +104,7 @@
         let step = NEXT_STEP.fetch_add(1, Ordering::Relaxed);
         let start = std::process::id() % PORT_COUNT * PORT_STRIDE;
         let port = FIRST_PORT + (start + step) % PORT_COUNT;
-        let addr = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        let addr = SocketAddr::new(ip, port as u16);
         if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
             free.push(addr);
         }
@@ -109,6 +112,13 @@
     bail!("not enough ports are free for both UDP and TCP; stop other test runs")
 }
 
+/// The loopback address of this test process.
+fn own_loopback_ip() -> IpAddr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    // 127.0.0.x is left to everything else.
+    IpAddr::from([127, 1 + high % 250, low, 1])
+}
+
 /// Finds addresses for `n` nodes, spread over the failure domains.
 pub fn node_addrs(n: usize, failure_domains: &[&str]) -> anyhow::Result<Vec<NodeAddrs>> {
     Ok(nodes_at(&free_addrs(3 * n)?, failure_domains))
