Detours: a request does not leave its regions on its way to an endpoint

Change: `DetourRequest` carries the regions of the request, and only nodes in them are asked. Conclusion: the way of a request obeys the same restriction as its endpoint.

--- a/crates/caller/src/dispatch.rs
+++ b/crates/caller/src/dispatch.rs
@@ -86,6 +86,17 @@
     Unknown,
 }
 
+/// A request for a connection to an endpoint through another node.
+#[derive(Clone, Debug)]
+pub struct DetourRequest {
+    /// The service of the endpoint.
+    pub service: Name,
+    /// The grant of the endpoint's slot.
+    pub grant: Grant,
+    /// The regions whose nodes may pass the request on; `None` for all.
+    pub regions: Option<Vec<Name>>,
+}
+
 /// Why no connection to an endpoint leads through another node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum NoDetour {
@@ -141,8 +152,7 @@
     /// Opens a connection to the endpoint of a grant through another node that reaches it.
     fn open_detour(
         &self,
-        service: &Name,
-        grant: &Grant,
+        request: DetourRequest,
     ) -> impl Future<Output = Result<Self::Detour, NoDetour>> + Send;
 
     /// Reports that `service` did not serve a request of `route`, which is split between several
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -28,7 +28,9 @@
 mod way;
 
 pub use answer::OUTCOME_HEADER;
-pub use dispatch::{Admission, Dispatch, NoDetour, RefusalReason, Refused, Slot, SlotRequest};
+pub use dispatch::{
+    Admission, DetourRequest, Dispatch, NoDetour, RefusalReason, Refused, Slot, SlotRequest,
+};
 pub use headers::HeaderNames;
 pub use listener::{Limits, Listener, ListenerBuilder};
 pub use metrics::Metrics;
--- a/crates/caller/src/routed_request.rs
+++ b/crates/caller/src/routed_request.rs
@@ -147,7 +147,7 @@
 
     /// The regions whose endpoints may serve the request: those that both the route and the
     /// organisation allow. `None` if neither restricts them.
-    fn regions(&self) -> Option<Vec<Name>> {
+    pub(crate) fn regions(&self) -> Option<Vec<Name>> {
         let (route, caller) = (&self.route.regions[..], self.caller.regions());
         match (route, caller) {
             ([], []) => None,
--- a/crates/caller/src/way.rs
+++ b/crates/caller/src/way.rs
@@ -13,7 +13,7 @@
 use crate::body::RequestBody;
 use crate::cx::Cx;
 use crate::routed_request::RoutedRequest;
-use crate::{Dispatch, NoDetour};
+use crate::{DetourRequest, Dispatch, NoDetour};
 
 /// The way of one send to the endpoint of its grant.
 pub(crate) struct Way<D> {
@@ -170,7 +170,12 @@
     }
 
     async fn open_detour(&self) -> Result<D::Detour, NoDetour> {
-        let detour = self.cx.dispatch.open_detour(&self.request.service, &self.grant).await;
+        let request = DetourRequest {
+            service: self.request.service.clone(),
+            grant: self.grant.clone(),
+            regions: self.request.regions(),
+        };
+        let detour = self.cx.dispatch.open_detour(request).await;
         let outcome = detour.as_ref().map_or_else(|it| it.name(), |_| "opened");
         self.cx.metrics.detours.with_label_values(&[outcome]).inc();
         detour
--- a/crates/caller/tests/detours.rs
+++ b/crates/caller/tests/detours.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use caller::{Admission, Dispatch, NoDetour, Refused, Slot, SlotRequest};
+use caller::{Admission, DetourRequest, Dispatch, NoDetour, Refused, Slot, SlotRequest};
 use policy::{Grant, Kind, Notice, SendKind};
 use resources::{Name, Route};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -79,7 +79,7 @@
     type Slot = Self;
     type Detour = TcpStream;
 
-    async fn open_detour(&self, _: &Name, _: &Grant) -> Result<TcpStream, NoDetour> {
+    async fn open_detour(&self, _: DetourRequest) -> Result<TcpStream, NoDetour> {
         let takes = std::mem::take(&mut *self.first_detour_takes.lock().unwrap());
         tokio::time::sleep(takes).await;
         Ok(TcpStream::connect(self.detour?).await.unwrap())
--- a/crates/caller/tests/in_transit.rs
+++ b/crates/caller/tests/in_transit.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use caller::{Admission, Dispatch, NoDetour, Refused, Slot, SlotRequest};
+use caller::{Admission, DetourRequest, Dispatch, NoDetour, Refused, Slot, SlotRequest};
 use expect_test::{Expect, expect};
 use policy::{Grant, Kind, Notice};
 use resources::{Name, Route};
@@ -58,7 +58,7 @@
     type Slot = Self;
     type Detour = DuplexStream;
 
-    async fn open_detour(&self, _service: &Name, _grant: &Grant) -> Result<DuplexStream, NoDetour> {
+    async fn open_detour(&self, _: DetourRequest) -> Result<DuplexStream, NoDetour> {
         Err(NoDetour::NoNode)
     }
 
--- a/crates/caller/tests/suspended.rs
+++ b/crates/caller/tests/suspended.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use caller::{Admission, Dispatch, NoDetour, Refused, Slot, SlotRequest};
+use caller::{Admission, DetourRequest, Dispatch, NoDetour, Refused, Slot, SlotRequest};
 use policy::{Grant, Kind, Notice};
 use resources::{Name, Route};
 use tokio::io::DuplexStream;
@@ -39,7 +39,7 @@
     type Slot = GrantedSlot;
     type Detour = DuplexStream;
 
-    async fn open_detour(&self, _service: &Name, _grant: &Grant) -> Result<DuplexStream, NoDetour> {
+    async fn open_detour(&self, _: DetourRequest) -> Result<DuplexStream, NoDetour> {
         Err(NoDetour::NoNode)
     }
 
--- a/crates/dappleway/src/baselines.rs
+++ b/crates/dappleway/src/baselines.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use caller::{Admission, Dispatch, NoDetour, Refused, Slot, SlotRequest};
+use caller::{Admission, DetourRequest, Dispatch, NoDetour, Refused, Slot, SlotRequest};
 use policy::{Grant, Kind, Notice, Tier};
 use resources::{Endpoint, Name, Service};
 use rustc_hash::FxHashMap;
@@ -57,7 +57,7 @@
     type Detour = DuplexStream;
 
     /// Finds none: the baselines know no other nodes.
-    async fn open_detour(&self, _service: &Name, _grant: &Grant) -> Result<DuplexStream, NoDetour> {
+    async fn open_detour(&self, _: DetourRequest) -> Result<DuplexStream, NoDetour> {
         Err(NoDetour::NoNode)
     }
 
--- a/crates/dappleway/src/control/detours.rs
+++ b/crates/dappleway/src/control/detours.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use caller::DetourRequest;
 use fleet::{Features, Phase, TunnelError, TunnelRefusal, TunnelTarget};
 use policy::{DetourEnds, DetourNode, NodeId, Time, choose_detours};
 use resources::Standing;
@@ -11,6 +12,7 @@
 use slog::{info, warn};
 
 use super::Control;
+use crate::services::name_hash;
 
 /// How long a node that opened no tunnel is not asked again.
 const PASS_OVER_TIME: Duration = Duration::from_secs(2);
@@ -25,13 +27,14 @@
 }
 
 impl Control {
-    /// The nodes to ask for a connection to an endpoint, best first.
+    /// The nodes to ask for a connection to an endpoint, best first. The request must not leave the regions
+    /// that it is restricted to, not even on its way.
     pub(super) fn choose_detours(
         &mut self,
         now: Time,
-        service: u64,
-        endpoint: &str,
+        request: &DetourRequest,
     ) -> Vec<(NodeId, SocketAddr)> {
+        let only = request.regions.as_ref().map(|it| self.topology.domains_in(it));
         let failed = &mut self.detours.failed;
         failed.retain(|_, at| now.since(*at) < PASS_OVER_TIME);
         let members = self.exchange.members();
@@ -43,7 +46,11 @@
             .filter(|(node, it)| takes_tunnels(it.info.features) && !failed.contains_key(node));
         let nodes =
             nodes.map(|(node, it)| DetourNode { node, failure_domain: it.info.failure_domain });
-        let to = self.services.get(service).and_then(|it| it.failure_domain_of(endpoint));
+        let may_pass =
+            |it: &DetourNode| only.as_ref().is_none_or(|only| only.contains(&it.failure_domain));
+        let nodes = nodes.filter(may_pass);
+        let state = self.services.get(name_hash(&request.service));
+        let to = state.and_then(|it| it.failure_domain_of(&request.grant.endpoint));
         let ends = DetourEnds { from: self.me.failure_domain, to };
         let chosen = choose_detours(ends, &self.topology, nodes, &mut self.rng);
         let addr = |node| members.get(node).map(|it| (node, it.info.addr));
--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -25,9 +25,9 @@
         match command {
             Command::Acquire(id, slot_request, tx) => self.acquire(now, id, &slot_request, tx),
             Command::Admit(organisation, tx) => self.admit(now, organisation, tx),
-            Command::ChooseDetours(service, endpoint, tx) => {
+            Command::ChooseDetours(request, tx) => {
                 // The request may have been cancelled meanwhile.
-                let _ = tx.send(self.choose_detours(now, service, &endpoint));
+                let _ = tx.send(self.choose_detours(now, &request));
             }
             Command::DetourFailed(node, error) => self.handle_detour_failure(now, node, &error),
             Command::Withdraw(id) => self.withdraw(now, id),
--- a/crates/dappleway/src/control/tests/detours.rs
+++ b/crates/dappleway/src/control/tests/detours.rs
@@ -1,7 +1,11 @@
 //! Which nodes are asked for a way to an endpoint, and which endpoints others are connected to.
 
+use caller::DetourRequest;
 use fleet::{TunnelError, TunnelRefusal, TunnelTarget, node_id};
 
+use policy::{Grant, Tier, Topology};
+use resources::Name;
+
 use super::*;
 
 const CONFIG: &str = r#"{"version": 1, "resources": [{"kind": "Service", "name": "s", "slots": 1, "connections": 9,
@@ -9,6 +13,21 @@
         {"id": "e", "addr": "127.0.0.1:9", "failure_domain": "a", "started_ms": 7},
         {"id": "leaving", "addr": "127.0.0.1:10", "failure_domain": "a", "standing": "leaving"}]}]}"#;
 
+fn grant() -> Grant {
+    Grant {
+        endpoint: "e".into(),
+        started_ms: 7,
+        addr: ([127, 0, 0, 1], 9).into(),
+        stall_after: Duration::from_secs(1),
+        hedge_after: Duration::from_secs(1),
+        trial: false,
+        tier: Tier::Good,
+        health: Default::default(),
+        is_watched: false,
+        is_rate_limited: false,
+    }
+}
+
 async fn node() -> Control {
     let (urgent, _received) = mpsc::unbounded_channel();
     let mut control = control_with(urgent, Features::TUNNELS).await;
@@ -20,8 +39,17 @@
 
 /// Receives gossip about another node that serves.
 fn discover(control: &mut Control, version: u32, number: u8, features: Features) -> NodeId {
+    receive(control, number, NodeInfo { version, features, ..control.exchange.info() })
+}
+
+fn discover_in(control: &mut Control, number: u8, failure_domain: &str) -> NodeId {
+    let failure_domain = name_hash(failure_domain);
+    receive(control, number, NodeInfo { failure_domain, version: 1, ..control.exchange.info() })
+}
+
+fn receive(control: &mut Control, number: u8, info: NodeInfo) -> NodeId {
     let addr: SocketAddr = ([127, 0, 1, number], 9).into();
-    let info = NodeInfo { addr, incarnation: 2, version, features, ..control.exchange.info() };
+    let info = NodeInfo { addr, incarnation: 2, ..info };
     let gossip = Gossip { nodes: vec![info], ..Gossip::default() };
     let frame = Frame { from: node_id(addr), message: Message::Gossip(gossip) };
     control.receive_frame(control.now(), addr, frame, 1);
@@ -29,7 +57,13 @@
 }
 
 fn asked(control: &mut Control) -> Vec<NodeId> {
-    let chosen = control.choose_detours(control.now(), name_hash("s"), "e");
+    asked_within(control, None)
+}
+
+/// The nodes that are asked for a request that is restricted to these regions.
+fn asked_within(control: &mut Control, regions: Option<Vec<Name>>) -> Vec<NodeId> {
+    let request = DetourRequest { service: "s".into(), grant: grant(), regions };
+    let chosen = control.choose_detours(control.now(), &request);
     chosen.into_iter().map(|(node, _)| node).collect()
 }
 
@@ -43,6 +77,16 @@
     assert_eq!(asked(&mut control), [back]);
 }
 
+#[tokio::test]
+async fn a_request_does_not_leave_its_regions_on_its_way() {
+    let mut control = node().await;
+    control.topology = Topology::new([("a", "north"), ("b", "south")].into_iter());
+    let south = discover_in(&mut control, 1, "b");
+    assert_eq!(asked_within(&mut control, Some(vec!["north".into()])), []);
+    assert_eq!(asked_within(&mut control, Some(vec!["south".into()])), [south]);
+    assert_eq!(asked(&mut control), [south]);
+}
+
 #[tokio::test]
 async fn a_node_that_opened_no_tunnel_is_passed_over() {
     let mut control = node().await;
--- a/crates/dappleway/src/event.rs
+++ b/crates/dappleway/src/event.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use caller::{Admission, Refused, SlotRequest};
+use caller::{Admission, DetourRequest, Refused, SlotRequest};
 use fleet::{Bundle, FetchFailure, NodeInfo, Place, TunnelError, TunnelRefusal, TunnelTarget};
 use operator::Report;
 use policy::{Grant, Kind, NodeId, Notice, PermitId};
@@ -54,8 +54,8 @@
     Acquire(PermitId, SlotRequest, oneshot::Sender<Result<(Grant, Place), Refused>>),
     /// Ask whether an organisation, given by the hash of its name, may make one more request.
     Admit(u64, oneshot::Sender<Admission>),
-    /// Choose the nodes to ask for a connection to an endpoint of a service, given by the hash of its name.
-    ChooseDetours(u64, Name, oneshot::Sender<Vec<(NodeId, SocketAddr)>>),
+    /// Choose the nodes to ask for a connection to an endpoint.
+    ChooseDetours(DetourRequest, oneshot::Sender<Vec<(NodeId, SocketAddr)>>),
     /// A node opened no connection for a reason that is not about the endpoint.
     DetourFailed(NodeId, TunnelError),
     /// Withdraw the request for a slot.
--- a/crates/dappleway/src/handle.rs
+++ b/crates/dappleway/src/handle.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use caller::{Admission, Dispatch, NoDetour, Refused, Slot, SlotRequest};
+use caller::{Admission, DetourRequest, Dispatch, NoDetour, Refused, Slot, SlotRequest};
 use fleet::{Keys, Place, TunnelError, TunnelRefusal, TunnelStream, TunnelTarget, open_tunnel};
 use policy::{Grant, Kind, NodeId, Notice, PermitId};
 use resources::{Name, Route};
@@ -54,12 +54,11 @@
     type Slot = ControlSlot;
     type Detour = TunnelStream;
 
-    async fn open_detour(&self, service: &Name, grant: &Grant) -> Result<TunnelStream, NoDetour> {
+    async fn open_detour(&self, request: DetourRequest) -> Result<TunnelStream, NoDetour> {
         let (tx, rx) = oneshot::channel();
-        let service = name_hash(service);
-        self.send(Command::ChooseDetours(service, grant.endpoint.clone(), tx));
-        let endpoint = grant.endpoint.clone();
-        let target = TunnelTarget { service, endpoint, started_ms: grant.started_ms };
+        let Grant { endpoint, started_ms, .. } = request.grant.clone();
+        let target = TunnelTarget { service: name_hash(&request.service), endpoint, started_ms };
+        self.send(Command::ChooseDetours(request, tx));
         let TunnelParams { keys, timeout } = &*self.tunnels;
         // No node is asked if the control thread has ended.
         for (node, addr) in rx.await.unwrap_or_default() {
