Standin: callers send the host name that routes match by default

With an address of its own for each test process, the stand-in callers sent that address as host, which no route matches, and got 404. Change: `client::HOST` in one place for callers, platform and soak.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -84,7 +84,7 @@
     let req = Request::builder()
         .method(method)
         .uri(format!("http://{addr}{path}"))
-        .header("host", "stand.in")
+        .header("host", standin::client::HOST)
         .header("x-request-id", id)
         .body(Full::new(body.into()))
         .expect("the parts are valid");
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -18,6 +18,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::client;
+
 /// Time after which a caller abandons a request. Deadlines of routes are shorter.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -102,6 +104,7 @@
         let req = Request::builder()
             .method(plan.method.as_str())
             .uri(format!("http://{target}{}", plan.path))
+            .header("host", client::HOST)
             .header("x-request-id", &id)
             .body(Full::new(Bytes::from(if plan.method == "GET" { "" } else { "work" })))
             .expect("the plan has a valid method and path");
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -43,9 +43,12 @@
     Ok(ReceivedAnswer { status: parts.status, headers: parts.headers, body })
 }
 
+/// Host name that routes of the stand-in platform match by default.
+pub const HOST: &str = "stand.in";
+
 /// Starts building a request to the host name that routes of the stand-in platform match by default.
 pub fn request(method: &str, path: &str) -> http::request::Builder {
-    Request::builder().method(method).uri(path).header("host", "stand.in")
+    Request::builder().method(method).uri(path).header("host", HOST)
 }
 
 /// Sends a request with a body.
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -17,6 +17,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
+use crate::client;
 use crate::server::{self, Answer, answer};
 
 /// Key of the configuration.
@@ -26,7 +27,7 @@
 /// Key prefix of endpoint registrations.
 const ENDPOINTS: &str = "servers/";
 /// Hosts of routes without a host: those that the stand-in callers send.
-const HOSTS: [&str; 2] = ["stand.in", "127.0.0.1"];
+const HOSTS: [&str; 2] = [client::HOST, "127.0.0.1"];
 /// Maximum number of items in a page.
 const PAGE: usize = 500;
 
