Detours: a node that has just joined is asked, too

The only node that reached endpoints had started 2 s before. Peers were chosen among the nodes that may grant slots, which leaves out those that joined in the last 6 s because they know nothing of the endpoints; a tunnel needs no such knowledge. Change: `Members::alive`; `serving` is that without the recently joined.

--- a/crates/dappleway/src/control/detours.rs
+++ b/crates/dappleway/src/control/detours.rs
@@ -42,7 +42,7 @@
             features.contains(Features::TUNNELS) && !features.contains(Features::CUT_OFF)
         };
         let nodes = members
-            .serving(now, fleet::ROUND)
+            .alive(now, fleet::ROUND)
             .filter(|(node, it)| takes_tunnels(it.info.features) && !failed.contains_key(node));
         let nodes =
             nodes.map(|(node, it)| DetourNode { node, failure_domain: it.info.failure_domain });
--- a/crates/dappleway/src/control/tests/detours.rs
+++ b/crates/dappleway/src/control/tests/detours.rs
@@ -87,6 +87,16 @@
     assert_eq!(asked(&mut control), [south]);
 }
 
+#[tokio::test]
+async fn a_node_that_has_just_joined_is_asked() {
+    let mut control = node().await;
+    let cut_off = Features::TUNNELS.with(Features::CUT_OFF);
+    discover(&mut control, 1, 1, cut_off);
+    let joined = NodeInfo { version: 1, phase: Phase::Fresh, ..control.exchange.info() };
+    let joined = receive(&mut control, 2, joined);
+    assert_eq!(asked(&mut control), [joined]);
+}
+
 #[tokio::test]
 async fn a_node_that_opened_no_tunnel_is_passed_over() {
     let mut control = node().await;
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -100,14 +100,21 @@
         &self,
         now: Time,
         round: Duration,
+    ) -> impl Iterator<Item = (NodeId, &Member)> + '_ {
+        self.alive(now, round).filter(move |(_, it)| now >= it.recently_joined_until)
+    }
+
+    /// The nodes that serve and were seen recently, also those that know nothing of the endpoints yet.
+    pub fn alive(
+        &self,
+        now: Time,
+        round: Duration,
     ) -> impl Iterator<Item = (NodeId, &Member)> + '_ {
         let rounds_between_updates = (self.by_id.len() / NODES_PER_FRAME) as u32;
         let quiet_limit = round * (rounds_between_updates * QUIET_INTERVALS).max(MIN_QUIET_ROUNDS);
         self.iter()
             .filter(move |(_, it)| matches!(it.info.phase, Phase::Fresh | Phase::Ready))
-            .filter(move |(_, it)| {
-                now >= it.recently_joined_until && now.since(it.last_seen) < quiet_limit
-            })
+            .filter(move |(_, it)| now.since(it.last_seen) < quiet_limit)
     }
 
     /// Drops nodes from which nothing was received for `age`.
