Caller: one way to settle a slot with an outcome or without one

Cause: reading the whole change: the choice between releasing a slot with an outcome and discarding it stood twice, and a third place, a download that is resumed and breaks on a lost path, dropped the slot instead of discarding it, so that a short silence was reported for it. Change: `ActiveSlot::settle` serves all three; `end_with` is gone. In that third place nothing is reported any more. No test shows the third place. Conclusion: a path that is lost says nothing of an endpoint, there as elsewhere.

--- a/crates/caller/src/active_slot.rs
+++ b/crates/caller/src/active_slot.rs
@@ -226,6 +226,14 @@
         }
     }
 
+    /// Releases the slot with the outcome, or without one if what happened says nothing about the endpoint.
+    pub(crate) fn settle(&mut self, kind: Option<Kind>) {
+        match kind {
+            Some(kind) => self.release(kind),
+            None => self.discard(),
+        }
+    }
+
     /// Reads the body of an answer until it is complete or too long to buffer. Meanwhile reports that
     /// the answer has begun and whether it has stalled.
     pub(crate) async fn receive<B>(
--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -18,7 +18,7 @@
 use crate::relay::Relay;
 use crate::routed_request::RoutedRequest;
 use crate::way::{SendFailure, Way};
-use crate::{Dispatch, NoDetour, Slot, notice, trace};
+use crate::{Dispatch, NoDetour, notice, trace};
 
 /// Tolerance for endpoints that answer 504 shortly before the deadline. The remaining time is sent
 /// to them in whole milliseconds, and their clocks differ slightly from the local one.
@@ -141,7 +141,7 @@
 /// Ends a send of which nothing reached the endpoint.
 async fn end_unreached<D: Dispatch>(
     cx: &Cx<D>,
-    active_slot: ActiveSlot<D::Slot>,
+    mut active_slot: ActiveSlot<D::Slot>,
     way: &Way<D>,
     failure: SendFailure,
 ) -> SendResult {
@@ -157,28 +157,20 @@
         SendFailure::NotWritten(_, unsent) => unsent,
         SendFailure::Broken(_) => None,
     };
-    end_with(active_slot, kind);
+    active_slot.settle(kind);
     SendResult::Unreached(unsent.map(Request::into_body))
 }
 
 /// Ends a send whose connection broke before the answer was complete.
-async fn end_broken<D: Dispatch>(active_slot: ActiveSlot<D::Slot>, way: &Way<D>) -> SendResult {
+async fn end_broken<D: Dispatch>(mut active_slot: ActiveSlot<D::Slot>, way: &Way<D>) -> SendResult {
     let kind = way.classify_break().await;
-    end_with(active_slot, kind);
+    active_slot.settle(kind);
     match kind {
         Some(Kind::Crashed) => SendResult::Crashed,
         _ => SendResult::Unknown,
     }
 }
 
-/// Ends a send; without an outcome it is no evidence about the endpoint.
-fn end_with<S: Slot>(mut active_slot: ActiveSlot<S>, kind: Option<Kind>) {
-    match kind {
-        Some(kind) => active_slot.end(kind),
-        None => active_slot.discard(),
-    }
-}
-
 /// Checks the head of an answer, reads the body as far as it is buffered and reports the outcome.
 async fn handle_answer<D: Dispatch>(
     cx: &Arc<Cx<D>>,
--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -114,10 +114,7 @@
                     if matches!(step, Step::Broken) {
                         // Reported before the resume, so that dispatch takes the failure into
                         // account when it chooses the next endpoint.
-                        match self.way.classify_break().await {
-                            Some(kind) => self.active_slot.release(kind),
-                            None => self.active_slot.discard(),
-                        }
+                        self.active_slot.settle(self.way.classify_break().await);
                     }
                     match self.resume().await {
                         true => continue,
@@ -222,7 +219,7 @@
         let res = match timeout(STALL_AFTER, way.send(req, Reuse::Allowed)).await.ok()? {
             Ok(res) => res,
             Err(SendFailure::Broken(_)) => {
-                active_slot.end(way.classify_break().await?);
+                active_slot.settle(way.classify_break().await);
                 return None;
             }
             Err(_) => return None,
