Standin: links to all endpoints are started in one place

Cause: reading the whole change: the test bed and the soak each had the same loop. Change: `EndpointLink::start_all`. Conclusion: no behaviour changes.

--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -82,7 +82,7 @@
         }
         let mut paths = Vec::new();
         for _ in 0..count {
-            paths.push(start_paths(&endpoints).await?);
+            paths.push(EndpointLink::start_all(&endpoints).await?);
         }
         let mut deployment = Self {
             nodes: Vec::new(),
@@ -355,14 +355,6 @@
     pub(crate) log_bytes: u64,
 }
 
-async fn start_paths(endpoints: &[Endpoint]) -> anyhow::Result<Vec<EndpointLink>> {
-    let mut paths = Vec::new();
-    for (endpoint, addr) in endpoints.iter().zip(node::free_addrs(endpoints.len())?) {
-        paths.push(EndpointLink::start(addr, endpoint.addr).await?);
-    }
-    Ok(paths)
-}
-
 fn endpoint(addr: SocketAddr, domain: &str) -> Endpoint {
     Endpoint {
         id: addr.to_string().into(),
--- a/crates/standin/src/bed.rs
+++ b/crates/standin/src/bed.rs
@@ -158,7 +158,7 @@
         for it in &addrs {
             let own_links = match layout.paths {
                 Paths::Direct => Vec::new(),
-                Paths::Links => start_links(&endpoints).await?,
+                Paths::Links => EndpointLink::start_all(&endpoints).await?,
             };
             options.endpoint_addrs =
                 endpoints.iter().zip(&own_links).map(|(it, link)| (it.addr, link.addr)).collect();
@@ -256,14 +256,6 @@
     }
 }
 
-async fn start_links(endpoints: &[Endpoint]) -> anyhow::Result<Vec<EndpointLink>> {
-    let mut links = Vec::new();
-    for (endpoint, addr) in endpoints.iter().zip(node::free_addrs(endpoints.len())?) {
-        links.push(EndpointLink::start(addr, endpoint.addr).await?);
-    }
-    Ok(links)
-}
-
 /// Clock ticks per second in which Linux reports CPU time.
 const CLOCK_TICKS_PER_SECOND: f64 = 100.0;
 
--- a/crates/standin/src/endpoint_link.rs
+++ b/crates/standin/src/endpoint_link.rs
@@ -3,12 +3,13 @@
 use std::io;
 use std::net::SocketAddr;
 
+use resources::Endpoint;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use crate::server;
+use crate::{node, server};
 
 /// Size of the forwarding buffers in bytes.
 const CHUNK: usize = 16 * 1024;
@@ -60,6 +61,15 @@
         Ok(Self { addr, fault })
     }
 
+    /// Starts a proxy at a free address for each of the endpoints.
+    pub async fn start_all(endpoints: &[Endpoint]) -> anyhow::Result<Vec<Self>> {
+        let mut links = Vec::new();
+        for (endpoint, addr) in endpoints.iter().zip(node::free_addrs(endpoints.len())?) {
+            links.push(Self::start(addr, endpoint.addr).await?);
+        }
+        Ok(links)
+    }
+
     /// Sets the current fault.
     pub fn set(&self, fault: PathFault) {
         self.fault.send_replace(fault);
