Review: a second SIGTERM cuts requests in flight

Cause: any signal after the first SIGTERM aborts the drain, also one that comes while the node still waits for the balancer. All connections are closed 2.5 s after the first signal, 3.5 s before the grace period is over.

Nothing is fixed.

--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -1,5 +1,6 @@
 //! The cases. Each returns whether its rule held.
 
+mod second_signal;
 mod stale_grant;
 mod wrong_bytes;
 
@@ -16,6 +17,7 @@
     let held = match case {
         "stale-grant" => stale_grant::run(&record, is_disrupted)?,
         "wrong-bytes" => wrong_bytes::run(&record, is_disrupted)?,
+        "second-signal" => second_signal::run(&record, is_disrupted)?,
         _ => return Err(io::Error::other(format!("there is no case `{case}`"))),
     };
     record.say(if held { "the rule held" } else { "the rule was broken" });
