--- a/review/rig/caller.rs
+++ b/review/rig/caller.rs
@@ -98,8 +98,6 @@
     pub callers: usize,
     /// Kinds of their requests, one caller after the other.
     pub kinds: &'a [Kind],
-    /// How long a caller rests before its n-th request.
-    pub rest: fn(u64) -> Duration,
 }
 
 /// All callers of a case.
@@ -112,15 +110,12 @@
 impl Callers {
     /// Starts callers, each of which sends one request after the other on a connection that it keeps.
     pub fn start(load: Load<'_>, balancer: &Arc<Balancer>, record: &Record) -> Self {
-        let Load { callers, kinds, rest } = load;
+        let Load { callers, kinds } = load;
         let stop = Arc::new(AtomicBool::new(false));
         let sent = Arc::new(Mutex::new(Vec::new()));
         let threads = (0..callers).map(|n| {
             let caller = Caller {
                 name: format!("c{n}"),
-                // Callers do not rest all at the same time.
-                first_rest: n as u64,
-                rest,
                 kind: kinds[n % kinds.len()],
                 balancer: balancer.clone(),
                 connection: None,
@@ -142,8 +137,6 @@
 
 struct Caller {
     name: String,
-    first_rest: u64,
-    rest: fn(u64) -> Duration,
     kind: Kind,
     balancer: Arc<Balancer>,
     /// The connection that is kept, with the number of its node.
@@ -153,16 +146,15 @@
 
 impl Caller {
     fn run(mut self, stop: &AtomicBool, sent: &Mutex<Vec<Sent>>) {
-        for n in 0u64.. {
+        for n in 0.. {
             if stop.load(Ordering::Relaxed) {
                 return;
             }
-            thread::sleep((self.rest)(self.first_rest + n));
             let id = format!("{}-{n:04}", self.name);
             let it = self.send(&id);
             let is_served = matches!(&it.outcome, Outcome::Answer(it) if it.status() == 200);
             self.record.line(format!(
-                "{} of {id} at node {}: {}",
+                "{} {id} at node {}: {}",
                 it.kind,
                 it.node + 1,
                 text_of(&it.outcome)
@@ -186,6 +178,7 @@
             return it;
         }
         let sent = Instant::now();
+        self.record.line(format!("{kind} {id} is sent to node {}", node + 1));
         let outcome = match read_message(&mut reader) {
             Ok(Some(answer)) => {
                 if !answer.closes() {
--- a/review/rig/cases/stale_grant.rs
+++ b/review/rig/cases/stale_grant.rs
@@ -35,7 +35,7 @@
         |i: usize| Endpoint::start(&format!("i-{i}"), SERVICE, zones[i], 3, work, record);
     let endpoints = (0..zones.len()).map(endpoint).collect::<io::Result<Vec<_>>>()?;
     let fleet = Fleet::start(&zones, endpoints, record)?;
-    let load = Load { callers: CALLERS, kinds: &[BOOKING], rest: |_| Duration::ZERO };
+    let load = Load { callers: CALLERS, kinds: &[BOOKING] };
     let callers = Callers::start(load, &fleet.balancer, record);
     thread::sleep(Duration::from_secs(4));
     let dispatcher = fleet.dispatcher()?;
--- a/review/rig/cases/stale_proof.rs
+++ b/review/rig/cases/stale_proof.rs
@@ -37,7 +37,7 @@
     }
     let added = start("added", SERVICE)?;
     let fleet = Fleet::start(&["quito-a"; 4], endpoints, record)?;
-    let load = Load { callers: CALLERS, kinds: &[LOOKUP], rest: |_| Duration::ZERO };
+    let load = Load { callers: CALLERS, kinds: &[LOOKUP] };
     let callers = Callers::start(load, &fleet.balancer, record);
     thread::sleep(Duration::from_secs(4));
     let (reader, watching_since) = await_fresh_watch(&fleet)?;
--- a/review/rig/cases/wrong_bytes.rs
+++ b/review/rig/cases/wrong_bytes.rs
@@ -36,11 +36,7 @@
         |i: usize| Endpoint::start(&format!("i-{i}"), SERVICE, zones[i % 3], 3, work, record);
     let endpoints = (0..6).map(endpoint).collect::<io::Result<Vec<_>>>()?;
     let fleet = Fleet::start(&zones, endpoints, record)?;
-    let load = Load {
-        callers: CALLERS,
-        kinds: &[BOOKING, BOOKING, LOOKUP, LOOKUP],
-        rest: |_| Duration::ZERO,
-    };
+    let load = Load { callers: CALLERS, kinds: &[BOOKING, BOOKING, LOOKUP, LOOKUP] };
     let callers = Callers::start(load, &fleet.balancer, record);
     thread::sleep(Duration::from_secs(2));
     if is_disrupted {
