Planned stop: log what is open, and each request that is cut

A stop logged its beginning and its end; a request that it cut left no line, so that the hypotheses of the incident could not be told apart.

Each request now knows how far it has come: its head was read, all of it was read, it was passed on, its answer has begun, its answer is handed over. One that ends before that during a stop is logged with its stage and the time since the signal, and counted in dappleway_requests_cut_total at any time. The lines of a stop name the requests in flight; those that arrive after the signal are counted in dappleway_requests_during_stop_total. The traffic threads are shut down before the log is flushed, so that requests dropped at the end are logged. No decision changes.

--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -15,6 +15,7 @@
 use crate::body::{AnswerStart, RequestBody, ResponseBody};
 use crate::cx::Cx;
 use crate::headers;
+use crate::in_flight::Stage;
 use crate::relay::Relay;
 use crate::routed_request::RoutedRequest;
 use crate::way::{SendFailure, Way};
@@ -92,6 +93,7 @@
         Repeat::IfNotRun | Repeat::Never => Reuse::Never,
     };
     let way = Way::new(cx, request, active_slot.grant().clone());
+    request.progress.reach(Stage::Sent);
     let sent = active_slot.run_until(way.send(req, reuse), request.give_up_at, &way).await;
     let (endpoint, through_node) = (way.grant().endpoint.clone(), way.leads_through_node());
     let error = match &sent {
--- a/crates/caller/src/cx.rs
+++ b/crates/caller/src/cx.rs
@@ -1,13 +1,12 @@
 //! State shared by all requests of a listener.
 
 use slog::Logger;
-use tokio::sync::watch;
 use upstream::Pool;
 
 use crate::body::RequestBody;
 use crate::body_memory::BodyMemory;
 use crate::unreachable::UnreachableEndpoints;
-use crate::{HeaderNames, Limits, Metrics, SharedSnapshot};
+use crate::{HeaderNames, Limits, Metrics, PlannedStop, SharedSnapshot};
 
 /// State shared by all requests of a listener.
 pub(crate) struct Cx<D> {
@@ -20,7 +19,7 @@
     pub(crate) names: HeaderNames,
     pub(crate) limits: Limits,
     pub(crate) metrics: Metrics,
-    /// Whether a planned stop has begun. Answers then ask callers to close the connection.
-    pub(crate) draining: watch::Receiver<bool>,
+    /// The planned stop. Once it has begun, answers ask callers to close the connection.
+    pub(crate) stop: PlannedStop,
     pub(crate) log: Logger,
 }
--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -11,7 +11,7 @@
 use crate::answer::{GiveUp, refuse};
 use crate::body::{BodyError, ReceivedBody, ResponseBody};
 use crate::cx::Cx;
-use crate::in_flight::{CountedBody, InFlightGuard};
+use crate::in_flight::{CountedBody, InFlight, Progress, Stage};
 use crate::request_key::request_key;
 use crate::routed_request::{RouteError, RoutedRequest};
 use crate::sending::send_until_done;
@@ -23,19 +23,23 @@
     cx: Arc<Cx<D>>,
     req: Request<Incoming>,
 ) -> Response<CountedBody> {
-    let guard = InFlightGuard::new(&cx.metrics);
-    let mut res = answer(&cx, req).await;
-    if *cx.draining.borrow() {
+    let in_flight = InFlight::new(&cx, req.headers().get(&cx.names.request_id).cloned());
+    let mut res = answer(&cx, req, &in_flight.progress).await;
+    if cx.stop.elapsed().is_some() {
         res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    res.map(|body| CountedBody::new(body, guard))
+    res.map(|body| CountedBody::new(body, in_flight))
 }
 
 /// Routes the request and returns its answer.
-async fn answer<D: Dispatch>(cx: &Arc<Cx<D>>, req: Request<Incoming>) -> Response<ResponseBody> {
+async fn answer<D: Dispatch>(
+    cx: &Arc<Cx<D>>,
+    req: Request<Incoming>,
+    progress: &Progress,
+) -> Response<ResponseBody> {
     let started = Instant::now();
     let id = req.headers().get(&cx.names.request_id).cloned();
-    let mut res = match RoutedRequest::new(cx, &req) {
+    let mut res = match RoutedRequest::new(cx, &req, progress) {
         _ if cx.metrics.in_flight.get() > cx.limits.max_in_flight as i64 => {
             give_up_unrouted(cx, id.as_ref(), GiveUp::too_many_in_flight())
         }
@@ -127,6 +131,7 @@
         timeout(cx.limits.read_timeout, ReceivedBody::read(body, limit, &cx.body_memory)).await;
     let refused = match read {
         Ok(Ok(mut body)) => {
+            request.progress.reach(Stage::Read);
             request.key =
                 request_key(&cx.names, &request.method, &request.uri, &request.headers, &body);
             return send_and_record(cx, &Arc::new(request), &mut body, started).await;
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -18,6 +18,7 @@
 mod listener;
 mod metrics;
 mod notice;
+mod planned_stop;
 mod relay;
 mod request_key;
 mod routed_request;
@@ -34,6 +35,7 @@
 pub use headers::HeaderNames;
 pub use listener::{Limits, Listener, ListenerBuilder};
 pub use metrics::Metrics;
+pub use planned_stop::PlannedStop;
 pub use snapshot::{SharedSnapshot, Snapshot};
 
 #[cfg(test)]
--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -18,7 +18,7 @@
 use crate::cx::Cx;
 use crate::exchange::serve;
 use crate::unreachable::UnreachableEndpoints;
-use crate::{Dispatch, HeaderNames, Metrics, SharedSnapshot};
+use crate::{Dispatch, HeaderNames, Metrics, PlannedStop, SharedSnapshot};
 
 /// Limits of a listener.
 #[derive(Clone, Copy, Debug)]
@@ -72,7 +72,7 @@
             names,
             limits,
             metrics,
-            draining: watch::channel(false).1,
+            stop: PlannedStop::default(),
             log: Logger::root(slog::Discard, slog::o!()),
         };
         Self { cx }
@@ -84,9 +84,9 @@
         self
     }
 
-    /// Once `draining` is true, answers ask callers to close the connection.
-    pub fn draining(mut self, draining: watch::Receiver<bool>) -> Self {
-        self.cx.draining = draining;
+    /// Sets the planned stop. Once it has begun, answers ask callers to close the connection.
+    pub fn planned_stop(mut self, stop: PlannedStop) -> Self {
+        self.cx.stop = stop;
         self
     }
 
--- a/crates/caller/src/metrics.rs
+++ b/crates/caller/src/metrics.rs
@@ -26,6 +26,10 @@
     pub hedges: IntCounter,
     /// Downloads resumed on another endpoint.
     pub resumes: IntCounter,
+    /// Requests that arrived after the signal of a planned stop.
+    pub arrived_late: IntCounter,
+    /// Requests that ended before their answer was complete, by how far they had come.
+    pub cut: IntCounterVec,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// Memory used by long request bodies that are kept for a repeat, in bytes.
@@ -80,6 +84,17 @@
             )?,
             hedges: counter("dappleway_hedges_total", "Hedged sends.")?,
             resumes: counter("dappleway_resumes_total", "Downloads resumed on another endpoint.")?,
+            arrived_late: counter(
+                "dappleway_requests_during_stop_total",
+                "Requests that arrived after the signal of a planned stop.",
+            )?,
+            cut: IntCounterVec::new(
+                Opts::new(
+                    "dappleway_requests_cut_total",
+                    "Requests that ended before their answer was complete, by how far they had come.",
+                ),
+                &["stage"],
+            )?,
             in_flight: IntGauge::new("dappleway_requests_in_flight", "Requests in flight.")?,
             held_body_bytes: IntGauge::new(
                 "dappleway_held_body_bytes",
@@ -97,6 +112,8 @@
         registry.register(Box::new(metrics.first_shed.clone()))?;
         registry.register(Box::new(metrics.hedges.clone()))?;
         registry.register(Box::new(metrics.resumes.clone()))?;
+        registry.register(Box::new(metrics.arrived_late.clone()))?;
+        registry.register(Box::new(metrics.cut.clone()))?;
         registry.register(Box::new(metrics.in_flight.clone()))?;
         registry.register(Box::new(metrics.held_body_bytes.clone()))?;
         registry.register(Box::new(metrics.latency.clone()))?;
--- a/crates/caller/src/routed_request.rs
+++ b/crates/caller/src/routed_request.rs
@@ -16,6 +16,7 @@
 use crate::cx::Cx;
 use crate::headers::{self, HeaderNames, Span};
 use crate::identity::{Caller, Denied};
+use crate::in_flight::Progress;
 use crate::{SlotRequest, Snapshot};
 
 /// How long to wait past the deadline for the endpoint's own timeout answer: a round trip plus
@@ -39,6 +40,7 @@
     pub(crate) deadline: Moment,
     /// When to stop waiting for an answer, a little after the deadline.
     pub(crate) give_up_at: Moment,
+    pub(crate) progress: Progress,
     /// Total time spent waiting for slots, in milliseconds.
     slot_ms: AtomicU64,
 }
@@ -62,7 +64,11 @@
 
 impl RoutedRequest {
     /// Finds the route of a request and identifies its caller.
-    pub(crate) fn new<D>(cx: &Cx<D>, req: &Request<Incoming>) -> Result<Self, RouteError> {
+    pub(crate) fn new<D>(
+        cx: &Cx<D>,
+        req: &Request<Incoming>,
+        progress: &Progress,
+    ) -> Result<Self, RouteError> {
         // Read before the configuration is loaded. In the other order an outdated configuration
         // could be combined with a freshness flag that was set for its successor.
         let is_fresh = cx.shared.is_fresh();
@@ -107,6 +113,7 @@
             span,
             deadline,
             give_up_at: deadline + FINAL_ANSWER_GRACE,
+            progress: progress.clone(),
             slot_ms: AtomicU64::new(0),
             snapshot,
         })
--- a/crates/caller/src/trace.rs
+++ b/crates/caller/src/trace.rs
@@ -11,6 +11,7 @@
 use crate::answer::GiveUp;
 use crate::cx::Cx;
 use crate::headers::{HeaderNames, InvalidNumber, Span};
+use crate::in_flight::Stage;
 use crate::routed_request::RoutedRequest;
 
 /// Logs a request that has ended, at warning level after a server error.
@@ -126,6 +127,19 @@
         "left_ms" => request.left().as_millis() as u64);
 }
 
+/// Logs a request that ended during a planned stop before its answer was complete.
+pub(crate) fn cut_in_stop(
+    log: &Logger,
+    id: Option<&HeaderValue>,
+    stage: Stage,
+    elapsed: Duration,
+    since_signal: Duration,
+) {
+    let id = id.and_then(|it| it.to_str().ok()).unwrap_or("(none)");
+    warn!(log, "request cut during the planned stop"; "request_id" => id, "stage" => stage.name(),
+        "ms" => elapsed.as_millis() as u64, "since_signal_ms" => since_signal.as_millis() as u64);
+}
+
 /// Formats an ID with 16 hexadecimal digits.
 struct Hex64(u64);
 
--- a/crates/dappleway/src/node.rs
+++ b/crates/dappleway/src/node.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, anyhow};
-use caller::{Dispatch, Limits, ListenerBuilder, Metrics, SharedSnapshot};
+use caller::{Dispatch, Limits, ListenerBuilder, Metrics, PlannedStop, SharedSnapshot};
 use clock::Moment;
 use fleet::{
     Backlog, Bundle, Exchange, Features, Identity, Keys, NodeInfo, PermitClient, ServedFetch,
@@ -35,6 +35,9 @@
 use crate::services::name_hash;
 use crate::settings::{Mode, Settings};
 
+/// Time limit for dropping what is left on the traffic threads when the process ends.
+const TRAFFIC_END_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Secrets, which are read from files of their own and never logged.
 pub struct Secrets {
     /// Keys that authenticate frames between nodes.
@@ -98,6 +101,8 @@
     // Sending fails only if the control thread has already ended.
     let _ = events.send(Event::Stop);
     let ended = control.thread.join().map_err(|_| anyhow!("the control thread has panicked"));
+    // Drops the requests that are still open, which logs them.
+    traffic.shutdown_timeout(TRAFFIC_END_TIMEOUT);
     logging::flush(guard);
     outcome.and(ended?)
 }
@@ -321,12 +326,13 @@
             read_timeout: Duration::from_millis(traffic.read_timeout_ms),
             held_body_bytes: self.settings.node.held_body_bytes(),
         };
-        let (draining, is_draining) = watch::channel(false);
+        let planned_stop = PlannedStop::default();
+        let in_flight = self.metrics.in_flight.clone();
         let listener = ListenerBuilder::new(self.shared, dispatch, header_names(), self.metrics)
             .log(self.log.clone())
             .limits(limits)
             .connector(self.connector)
-            .draining(is_draining)
+            .planned_stop(planned_stop.clone())
             .bind(traffic.listen)
             .await
             .with_context(|| format!("TCP {}: choose a free `traffic.listen`", traffic.listen))?;
@@ -341,20 +347,24 @@
         });
         signals.next().await;
         info!(self.log, "planned stop: this node is not ready, waiting for the balancer to remove it";
-            "lag_ms" => self.settings.drain.lag_ms);
+            "lag_ms" => self.settings.drain.lag_ms, "grace_ms" => self.settings.drain.grace_ms,
+            "in_flight" => in_flight.get());
         let _ = self.events.send(Event::Drain);
-        draining.send_replace(true);
+        planned_stop.begin();
         tokio::time::sleep(self.settings.lag()).await;
-        info!(self.log, "no new connections are accepted; waiting for requests in flight");
+        info!(self.log, "no new connections are accepted; waiting for requests in flight";
+            "in_flight" => in_flight.get());
         stop.send_replace(true);
         let grace = self.settings.grace().saturating_sub(self.settings.lag());
         tokio::select! {
             done = serving => done.context("the listener has panicked")?,
             () = signals.next() => {
-                warn!(self.log, "second stop signal: requests in flight are aborted");
+                warn!(self.log, "second stop signal: requests in flight are aborted";
+                    "in_flight" => in_flight.get());
             }
             () = tokio::time::sleep(grace) => {
-                warn!(self.log, "grace period of the planned stop is over: open connections are closed");
+                warn!(self.log, "grace period of the planned stop is over: open connections are closed";
+                    "in_flight" => in_flight.get());
             }
         }
         info!(self.log, "stopped");
