--- a/crates/standin/src/bed.rs
+++ b/crates/standin/src/bed.rs
@@ -56,6 +56,8 @@
     pub deadline_ms: u32,
     /// How nodes reach endpoints.
     pub paths: Paths,
+    /// The section `[drain]` of the nodes' settings.
+    pub drain: String,
 }
 
 /// How nodes reach endpoints.
@@ -82,6 +84,7 @@
             floor: "60%",
             deadline_ms: 1_000,
             paths: Paths::Direct,
+            drain: "lag_ms = 100".into(),
         }
     }
 
@@ -153,6 +156,7 @@
         options.mode = layout.mode.into();
         options.floor = layout.floor.into();
         options.bias = layout.bias.into();
+        options.drain = layout.drain.clone();
         options.seeds = addrs.iter().take(SEEDS).map(|it| it.fleet).collect();
         let (mut nodes, mut links) = (Vec::new(), Vec::new());
         for it in &addrs {
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -20,6 +20,8 @@
 
 /// Query parameter that makes every endpoint that starts to run the request crash.
 pub const CRASH_PARAMETER: &str = "crashing";
+/// Query parameter that sets the service time of a request, in milliseconds.
+pub const WORK_PARAMETER: &str = "work_ms";
 /// Time after which a crashed endpoint accepts connections again.
 const RESTART_DELAY: Duration = Duration::from_secs(1);
 /// Maximum number of connections that wait to be accepted after a crash.
@@ -300,10 +302,12 @@
             return self.crash().await;
         }
         let download = server::query::<usize>(&req, "bytes");
+        let work = server::query(&req, WORK_PARAMETER).map(Duration::from_millis);
         let (parts, body) = req.into_parts();
         let body = body.collect().await.map_err(std::io::Error::other)?.to_bytes();
         let factor = if fault == Fault::Slow { self.state.lock().factor } else { 1.0 };
-        tokio::time::sleep(self.service_time().mul_f64(factor)).await;
+        let service_time = work.unwrap_or_else(|| self.service_time());
+        tokio::time::sleep(service_time.mul_f64(factor)).await;
         self.record_run(&id, is_repeatable);
         match fault {
             Fault::Late => tokio::time::sleep(Duration::from_secs(2)).await,
