Planned stop: one owner says what is taken and when answers are due

Callers of a stopping node got no answer to requests that it had read whole: it passed on whatever arrived until its end, and at the end dropped what was open, also what it had never passed on.

Cause: nobody owned the stop. The signal set a flag that made answers close their connection; the end was a timer in the binary; nothing on the way of a request knew of either. Class: a time limit that the requests inside it do not know.

Change: policy::StopTimes holds the times of a stop, caller::PlannedStop the moment it began. A request that usually ends in time is still taken: until the balancer has removed the node, a refused caller would only come back to it.

--- a/crates/caller/src/answer.rs
+++ b/crates/caller/src/answer.rs
@@ -98,6 +98,18 @@
         Self::not_run_because("route-suspended", reason, RETRY_AFTER_START)
     }
 
+    /// This node is being stopped, and the request would not be answered in time.
+    pub(crate) fn stopping(retry_after: Duration) -> Self {
+        let reason = "this node is being stopped, and another one takes the request";
+        Self::not_run_because("stopping", reason, retry_after)
+    }
+
+    /// This node is being stopped, and the endpoint has not answered in time.
+    pub(crate) fn unknown_at_stop() -> Self {
+        let reason = "this node is being stopped, and it may have run: check before you repeat it";
+        Self { cause: "unknown-at-stop", reason, ..Self::unknown(RETRY_ELSEWHERE) }
+    }
+
     /// The request may have run.
     pub(crate) fn unknown(retry_after: Duration) -> Self {
         let reason = "it may have run: check before you repeat it";
--- a/crates/caller/src/dispatch.rs
+++ b/crates/caller/src/dispatch.rs
@@ -56,6 +56,8 @@
     /// While the request was pending, the endpoint of the granted slot notified this node that it
     /// accepts no requests. Another endpoint may accept them.
     Closed,
+    /// This node is being stopped, and the answer would come too late.
+    Stopping,
 }
 
 impl Refused {
@@ -65,6 +67,11 @@
         Self { retry_after: Duration::ZERO, reason: RefusalReason::Closed }
     }
 
+    /// A refusal because this node is being stopped.
+    pub fn stopping(retry_after: Duration) -> Self {
+        Self { retry_after, reason: RefusalReason::Stopping }
+    }
+
     /// A refusal because no slot becomes free in time.
     pub fn no_capacity(retry_after: Duration) -> Self {
         Self { retry_after, reason: RefusalReason::NoCapacity }
--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -23,8 +23,18 @@
     cx: Arc<Cx<D>>,
     req: Request<Incoming>,
 ) -> Response<CountedBody> {
-    let in_flight = InFlight::new(&cx, req.headers().get(&cx.names.request_id).cloned());
-    let mut res = answer(&cx, req, &in_flight.progress).await;
+    let id = req.headers().get(&cx.names.request_id).cloned();
+    let in_flight = InFlight::new(&cx, id.clone());
+    let mut res = tokio::select! {
+        biased;
+        res = answer(&cx, req, &in_flight.progress) => res,
+        () = cx.stop.wait_until(cx.stop.times().answers) => {
+            answer_at_stop(&cx, id.as_ref(), in_flight.progress.stage())
+        }
+    };
+    if let Some(id) = id {
+        res.headers_mut().insert(cx.names.request_id.clone(), id);
+    }
     if cx.stop.elapsed().is_some() {
         res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -39,7 +49,7 @@
 ) -> Response<ResponseBody> {
     let started = Instant::now();
     let id = req.headers().get(&cx.names.request_id).cloned();
-    let mut res = match RoutedRequest::new(cx, &req, progress) {
+    match RoutedRequest::new(cx, &req, progress) {
         _ if cx.metrics.in_flight.get() > cx.limits.max_in_flight as i64 => {
             give_up_unrouted(cx, id.as_ref(), GiveUp::too_many_in_flight())
         }
@@ -81,11 +91,20 @@
             );
             refuse(StatusCode::NOT_FOUND, "no route: check host, path and method\n")
         }
-    };
-    if let Some(id) = id {
-        res.headers_mut().insert(cx.names.request_id.clone(), id);
     }
-    res
+}
+
+/// The answer to a request that has none when answers are due in a planned stop.
+fn answer_at_stop<D: Dispatch>(
+    cx: &Arc<Cx<D>>,
+    id: Option<&HeaderValue>,
+    stage: Stage,
+) -> Response<ResponseBody> {
+    let give_up = match stage < Stage::Sent {
+        true => GiveUp::stopping(cx.stop.retry_after()),
+        false => GiveUp::unknown_at_stop(),
+    };
+    give_up_unrouted(cx, id, give_up)
 }
 
 /// The version of the configuration in force, to log with requests that are not routed.
@@ -93,7 +112,7 @@
     cx.shared.load().config.version
 }
 
-/// Gives up a request that is not routed.
+/// Gives up a request that is not routed, or whose route no longer matters.
 fn give_up_unrouted<D: Dispatch>(
     cx: &Arc<Cx<D>>,
     id: Option<&HeaderValue>,
--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,7 +12,6 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use slog::{Logger, debug, warn};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 use upstream::{Connector, Pool};
 
 use crate::body_memory::BodyMemory;
@@ -122,15 +122,17 @@
         self.tcp.local_addr()
     }
 
-    /// Serves until `stop` is true, then stops accepting connections and waits for the requests in
-    /// flight.
-    pub async fn serve(self, mut stop: watch::Receiver<bool>) {
+    /// Serves until the planned stop has lasted for its lag, then stops accepting connections and waits
+    /// for the requests in flight.
+    pub async fn serve(self) {
         let graceful = GracefulShutdown::new();
         let check_paths = tokio::spawn(self.cx.pool.connector().clone().check_paths());
+        let stop = self.cx.stop.clone();
+        let mut lag_is_over = pin!(stop.wait_until(stop.times().lag));
         loop {
             let accepted = tokio::select! {
                 it = self.tcp.accept() => it,
-                _ = stop.wait_for(|it| *it) => break,
+                () = &mut lag_is_over => break,
             };
             match accepted {
                 Ok((stream, _)) => self.spawn(stream, &graceful),
--- a/crates/caller/src/routed_request.rs
+++ b/crates/caller/src/routed_request.rs
@@ -9,7 +9,7 @@
 use http::header::{self, HeaderValue};
 use http::{HeaderMap, Method, Request, Uri};
 use hyper::body::Incoming;
-use policy::{RequestKey, SendKind};
+use policy::{RequestKey, SendKind, SendTime};
 use resources::{Name, Repeat, Route};
 
 use crate::body::RequestBody;
@@ -17,7 +17,7 @@
 use crate::headers::{self, HeaderNames, Span};
 use crate::identity::{Caller, Denied};
 use crate::in_flight::Progress;
-use crate::{SlotRequest, Snapshot};
+use crate::{PlannedStop, SlotRequest, Snapshot};
 
 /// How long to wait past the deadline for the endpoint's own timeout answer: a round trip plus
 /// scheduling delay. Endpoints receive the deadline, and answer when they stop at it.
@@ -41,6 +41,7 @@
     /// When to stop waiting for an answer, a little after the deadline.
     pub(crate) give_up_at: Moment,
     pub(crate) progress: Progress,
+    stop: PlannedStop,
     /// Total time spent waiting for slots, in milliseconds.
     slot_ms: AtomicU64,
 }
@@ -114,6 +115,7 @@
             deadline,
             give_up_at: deadline + FINAL_ANSWER_GRACE,
             progress: progress.clone(),
+            stop: cx.stop.clone(),
             slot_ms: AtomicU64::new(0),
             snapshot,
         })
@@ -141,9 +143,16 @@
             || self.caller.is_still_valid(&current.config.organisations)
     }
 
-    /// Time left until the deadline.
+    /// Time left until the deadline, or until answers are due in a planned stop.
     pub(crate) fn left(&self) -> Duration {
-        self.deadline.left()
+        let left = self.deadline.left();
+        self.stop.left().map_or(left, |it| it.min(left))
+    }
+
+    /// The time that the request may need if it is passed on now, where healthy endpoints answer nearly all
+    /// requests within `usual`.
+    pub(crate) fn send_time(&self, usual: Duration) -> SendTime {
+        SendTime { left: self.deadline.left(), usual }
     }
 
     /// Whether the next send is the last one that the route allows, after `sends_before` earlier
--- a/crates/caller/src/sending.rs
+++ b/crates/caller/src/sending.rs
@@ -78,6 +78,9 @@
                 }
             };
         }
+        if !cx.stop.may_send(request.send_time(slot.grant().stall_after)) {
+            return final_result(error_answer, Refused::stopping(cx.stop.retry_after()), &progress);
+        }
         // A streamed body can be sent only once. The deadline is checked again because the process
         // may have been suspended during the wait for a slot, and nothing is sent after the
         // deadline.
@@ -162,18 +165,26 @@
                 GiveUp::overloaded(refused.retry_after)
             }
             RefusalReason::CrashesEndpoints => GiveUp::crashes_endpoints(refused.retry_after),
+            RefusalReason::Stopping => GiveUp::stopping(refused.retry_after),
         }),
     }
 }
 
-/// Waits for a slot until the deadline and records the wait.
+/// Waits for a slot until the deadline, or until the request cannot be answered before the end of a planned
+/// stop, and records the wait.
 async fn acquire<D: Dispatch>(
     cx: &Arc<Cx<D>>,
     request: &RoutedRequest,
     slot_request: SlotRequest,
 ) -> Result<D::Slot, Refused> {
     let started = Instant::now();
-    let slot = clock::timeout_at(request.deadline, acquire_skipping_closed(cx, slot_request)).await;
+    let acquire = clock::timeout_at(request.deadline, acquire_skipping_closed(cx, slot_request));
+    let slot = tokio::select! {
+        it = acquire => it,
+        () = cx.stop.too_late_to_send(request.send_time(request.route.objective())) => {
+            Some(Err(Refused::stopping(cx.stop.retry_after())))
+        }
+    };
     request.record_slot_wait(started.elapsed());
     cx.metrics.slot_wait.observe(started.elapsed().as_secs_f64());
     slot.unwrap_or(Err(Refused::no_capacity(RETRY_AFTER_FAILURE)))
@@ -282,12 +293,16 @@
         };
         match acquire(cx, request, slot_request).await {
             Ok(slot) => break slot,
-            Err(Refused { reason: RefusalReason::CrashesEndpoints, .. }) => return None,
+            Err(Refused {
+                reason: RefusalReason::CrashesEndpoints | RefusalReason::Stopping,
+                ..
+            }) => return None,
             Err(_) if request.left() <= HEDGE_RETRY_DELAY => return None,
             Err(_) => sleep(HEDGE_RETRY_DELAY).await,
         }
     };
-    if !request.is_still_authorized(cx) {
+    let is_too_late = !cx.stop.may_send(request.send_time(slot.grant().stall_after));
+    if is_too_late || !request.is_still_authorized(cx) {
         return None;
     }
     hedge_sent.store(true, Ordering::Relaxed);
--- a/crates/caller/tests/common/mod.rs
+++ b/crates/caller/tests/common/mod.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::watch;
 
 const CONFIG: &str = r#"{"version": 1, "resources": [
     {"kind": "Service", "name": "s", "slots": 1, "connections": 9, "floor": "50%", "bias": "speed"},
@@ -52,8 +51,7 @@
     let builder = ListenerBuilder::new(shared, dispatch, names, metrics);
     let listener = builder.bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
     let mut stream = TcpStream::connect(listener.addr().unwrap()).await.unwrap();
-    let (_stop, stopped) = watch::channel(false);
-    tokio::spawn(listener.serve(stopped));
+    tokio::spawn(listener.serve());
     stream.write_all(b"GET / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n").await.unwrap();
     let mut answer = String::new();
     // A truncated answer is returned as far as it was received.
--- a/crates/dappleway/src/node.rs
+++ b/crates/dappleway/src/node.rs
@@ -13,6 +13,7 @@
 };
 use operator::{Access, ApiContext, Cut, Token};
 use platform::{ServiceDefaults, Store, header_names};
+use policy::StopTimes;
 use prometheus::Registry;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -326,7 +327,7 @@
             read_timeout: Duration::from_millis(traffic.read_timeout_ms),
             held_body_bytes: self.settings.node.held_body_bytes(),
         };
-        let planned_stop = PlannedStop::default();
+        let planned_stop = PlannedStop::new(self.settings.stop_times());
         let in_flight = self.metrics.in_flight.clone();
         let listener = ListenerBuilder::new(self.shared, dispatch, header_names(), self.metrics)
             .log(self.log.clone())
@@ -339,31 +340,35 @@
         info!(self.log, "listening"; "traffic" => %listener.addr()?,
             "operator" => %self.settings.operator.listen);
         let mut signals = StopSignals::new()?;
-        let (stop, stopped) = watch::channel(false);
         let tunnels = self.tunnels;
         let serving = tokio::spawn(async move {
-            listener.serve(stopped).await;
+            listener.serve().await;
             tunnels.ended().await;
         });
         signals.next().await;
-        info!(self.log, "planned stop: this node is not ready, waiting for the balancer to remove it";
-            "lag_ms" => self.settings.drain.lag_ms, "grace_ms" => self.settings.drain.grace_ms,
-            "in_flight" => in_flight.get());
-        let _ = self.events.send(Event::Drain);
         planned_stop.begin();
-        tokio::time::sleep(self.settings.lag()).await;
-        info!(self.log, "no new connections are accepted; waiting for requests in flight";
-            "in_flight" => in_flight.get());
-        stop.send_replace(true);
-        let grace = self.settings.grace().saturating_sub(self.settings.lag());
+        let _ = self.events.send(Event::Drain);
+        let StopTimes { lag, answers, end } = planned_stop.times();
+        info!(self.log, "planned stop: this node is not ready, waiting for the balancer to remove it";
+            "lag_ms" => lag.as_millis() as u64, "answers_due_ms" => answers.as_millis() as u64,
+            "end_ms" => end.as_millis() as u64, "in_flight" => in_flight.get());
+        let log_phases = async {
+            planned_stop.wait_until(lag).await;
+            info!(self.log, "no new connections are accepted; waiting for requests in flight";
+                "in_flight" => in_flight.get());
+            planned_stop.wait_until(answers).await;
+            warn!(self.log, "requests without an answer are given up"; "in_flight" => in_flight.get());
+            std::future::pending::<()>().await;
+        };
         tokio::select! {
             done = serving => done.context("the listener has panicked")?,
-            () = signals.next() => {
-                warn!(self.log, "second stop signal: requests in flight are aborted";
+            () = planned_stop.wait_until(end) => {
+                warn!(self.log, "the time of the planned stop is over: open connections are closed";
                     "in_flight" => in_flight.get());
             }
-            () = tokio::time::sleep(grace) => {
-                warn!(self.log, "grace period of the planned stop is over: open connections are closed";
+            () = log_phases => {}
+            () = signals.next() => {
+                warn!(self.log, "second stop signal: requests in flight are aborted";
                     "in_flight" => in_flight.get());
             }
         }
--- a/crates/dappleway/src/settings/model.rs
+++ b/crates/dappleway/src/settings/model.rs
@@ -7,7 +7,8 @@
 
 use fleet::{Capacity, Features};
 use policy::{
-    BudgetLimits, ConcurrencyLimits, Contention, DispatchOptions, DoubtfulSlots, Topology,
+    BudgetLimits, ConcurrencyLimits, Contention, DispatchOptions, DoubtfulSlots, StopTimes,
+    Topology,
 };
 use resources::{Bias, Floor};
 use serde::{Deserialize, Serialize};
@@ -400,13 +401,10 @@
         }
     }
 
-    /// Time that the balancer needs to notice that this node is not ready.
-    pub fn lag(&self) -> Duration {
-        Duration::from_millis(self.drain.lag_ms)
-    }
-
-    /// Time from the signal of a planned stop after which the process ends even if requests are in flight.
-    pub fn grace(&self) -> Duration {
-        Duration::from_millis(self.drain.grace_ms)
+    /// The times of a planned stop.
+    pub fn stop_times(&self) -> StopTimes {
+        let Drain { lag_ms, grace_ms } = self.drain;
+        let end = Duration::from_millis(grace_ms);
+        StopTimes::new(Duration::from_millis(lag_ms), end)
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 mod options;
 mod outlier;
 mod permit;
+mod planned_stop;
 mod queue;
 mod rate_limit;
 mod rendezvous;
@@ -47,6 +48,7 @@
 pub use permit::{
     Ask, DomainFilter, Grant, HealthEstimate, PermitId, QueuedReply, Reply, SendKind, Tier,
 };
+pub use planned_stop::{SendTime, StopTimes};
 pub use rate_limit::{ObservedLimit, RateLimit};
 pub use rendezvous::{NodeId, rank, rank_strong_first, stable_hash};
 pub use retry::{Attempt, Next, Outcome, next_step};
--- a/crates/policy/src/tests.rs
+++ b/crates/policy/src/tests.rs
@@ -20,6 +20,7 @@
 mod notices;
 mod overload;
 mod places;
+mod planned_stop;
 mod queue;
 mod rate_limit;
 mod redirects;
