Planned stop: further signals change nothing about it

Callers of a node that got SIGTERM twice lost all requests in flight: the second signal ended the process, at once or when the lag was over if it came before.

Cause: the second signal was read as an operator who wants the process gone. Service managers and wrappers signal in series, and SIGKILL says that already.

--- a/crates/dappleway/src/node.rs
+++ b/crates/dappleway/src/node.rs
@@ -360,6 +360,14 @@
             warn!(self.log, "requests without an answer are given up"; "in_flight" => in_flight.get());
             std::future::pending::<()>().await;
         };
+        // A stop in series with another one must not take time from the requests of the first.
+        let ignore_signals = async {
+            loop {
+                signals.next().await;
+                info!(self.log, "another stop signal: the planned stop goes on as announced";
+                    "in_flight" => in_flight.get());
+            }
+        };
         tokio::select! {
             done = serving => done.context("the listener has panicked")?,
             () = planned_stop.wait_until(end) => {
@@ -367,10 +375,7 @@
                     "in_flight" => in_flight.get());
             }
             () = log_phases => {}
-            () = signals.next() => {
-                warn!(self.log, "second stop signal: requests in flight are aborted";
-                    "in_flight" => in_flight.get());
-            }
+            () = ignore_signals => {}
         }
         info!(self.log, "stopped");
         Ok(())
