Planned stop: it lasts as long as the platform leaves

Callers of a stopping node lost bookings on which endpoints worked for longer than 5.8 s, although the platform kills a process after 10 s at some deployments.

Cause: deploy/node.toml set the end of a stop to 5,800 ms everywhere, fitted to deployments whose grace period is 6 s.

Change: drain.kill_after_s takes the time after which the platform kills, in seconds and fractions, from the platform's own bounds; the process ends 0.2 s before. A deployment without that bound keeps grace_ms.

--- a/crates/dappleway/src/settings/check.rs
+++ b/crates/dappleway/src/settings/check.rs
@@ -84,7 +84,17 @@
         );
         require(self.log.lines_per_s > 0, "log.lines_per_s", "write 1 or more");
         let drain = &self.drain;
-        require(drain.grace_ms > drain.lag_ms, "drain.grace_ms", "write more than `drain.lag_ms`");
+        require(
+            drain.kill_after_s.is_some() || drain.grace_ms > drain.lag_ms,
+            "drain.grace_ms",
+            "write more than `drain.lag_ms`",
+        );
+        let is_usable = |it: f64| (0.5..=86_400.0).contains(&it);
+        require(
+            drain.kill_after_s.is_none_or(is_usable),
+            "drain.kill_after_s",
+            "write 0.5 to 86400.0",
+        );
         require(self.dispatch.ask_timeout_ms > 0, "dispatch.ask_timeout_ms", "write 1 or more");
         let (ratio, extra) = (self.dispatch.repeat_ratio, self.dispatch.repeat_extra);
         require((0.0..=1.0).contains(&ratio), "dispatch.repeat_ratio", "write 0.0 to 1.0");
--- a/crates/dappleway/src/settings/model.rs
+++ b/crates/dappleway/src/settings/model.rs
@@ -16,6 +16,9 @@
 
 use super::defaults;
 
+/// Time by which a stopping process ends before it would be killed.
+const KILL_MARGIN: Duration = Duration::from_millis(200);
+
 /// All settings of a process.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -308,11 +311,15 @@
     /// Time from the signal after which the process ends even if requests are in flight.
     #[serde(default = "defaults::grace_ms")]
     pub grace_ms: u64,
+    /// Time from the signal, in seconds, after which the process is killed if it still runs. If set, the process
+    /// ends just before, and `grace_ms` does not apply.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub kill_after_s: Option<f64>,
 }
 
 impl Default for Drain {
     fn default() -> Self {
-        Self { lag_ms: defaults::lag_ms(), grace_ms: defaults::grace_ms() }
+        Self { lag_ms: defaults::lag_ms(), grace_ms: defaults::grace_ms(), kill_after_s: None }
     }
 }
 
@@ -396,15 +403,18 @@
                 seed_port: Some(7401),
             },
             dispatch: Dispatch::default(),
-            drain: Drain::default(),
+            drain: Drain { kill_after_s: Some(120.2), ..Drain::default() },
             log: Log::default(),
         }
     }
 
     /// The times of a planned stop.
     pub fn stop_times(&self) -> StopTimes {
-        let Drain { lag_ms, grace_ms } = self.drain;
-        let end = Duration::from_millis(grace_ms);
+        let Drain { lag_ms, grace_ms, kill_after_s } = self.drain;
+        let end = match kill_after_s {
+            Some(it) => Duration::from_secs_f64(it).saturating_sub(KILL_MARGIN),
+            None => Duration::from_millis(grace_ms),
+        };
         StopTimes::new(Duration::from_millis(lag_ms), end)
     }
 }
