--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,14 +12,13 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use slog::{Logger, debug, warn};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 use upstream::{Connector, Pool};
 
 use crate::body_memory::BodyMemory;
 use crate::cx::Cx;
 use crate::exchange::serve;
 use crate::unreachable::UnreachableEndpoints;
-use crate::{Dispatch, HeaderNames, Metrics, SharedSnapshot};
+use crate::{Dispatch, HeaderNames, Metrics, PlannedStop, SharedSnapshot};
 
 /// Limits of a listener.
 #[derive(Clone, Copy, Debug)]
@@ -72,7 +72,7 @@
             names,
             limits,
             metrics,
-            draining: watch::channel(false).1,
+            stop: PlannedStop::default(),
             log: Logger::root(slog::Discard, slog::o!()),
         };
         Self { cx }
@@ -84,9 +84,9 @@
         self
     }
 
-    /// Once `draining` is true, answers ask callers to close the connection.
-    pub fn draining(mut self, draining: watch::Receiver<bool>) -> Self {
-        self.cx.draining = draining;
+    /// Sets the planned stop. Once it has begun, answers ask callers to close the connection.
+    pub fn planned_stop(mut self, stop: PlannedStop) -> Self {
+        self.cx.stop = stop;
         self
     }
 
@@ -122,15 +122,17 @@
         self.tcp.local_addr()
     }
 
-    /// Serves until `stop` is true, then stops accepting connections and waits for the requests in
-    /// flight.
-    pub async fn serve(self, mut stop: watch::Receiver<bool>) {
+    /// Serves until the planned stop has lasted for its lag, then stops accepting connections and waits
+    /// for the requests in flight.
+    pub async fn serve(self) {
         let graceful = GracefulShutdown::new();
         let check_paths = tokio::spawn(self.cx.pool.connector().clone().check_paths());
+        let stop = self.cx.stop.clone();
+        let mut lag_is_over = pin!(stop.wait_until(stop.times().lag));
         loop {
             let accepted = tokio::select! {
                 it = self.tcp.accept() => it,
-                _ = stop.wait_for(|it| *it) => break,
+                () = &mut lag_is_over => break,
             };
             match accepted {
                 Ok((stream, _)) => self.spawn(stream, &graceful),
--- a/crates/dappleway/src/node.rs
+++ b/crates/dappleway/src/node.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, anyhow};
-use caller::{Dispatch, Limits, ListenerBuilder, Metrics, SharedSnapshot};
+use caller::{Dispatch, Limits, ListenerBuilder, Metrics, PlannedStop, SharedSnapshot};
 use clock::Moment;
 use fleet::{
     Backlog, Bundle, Exchange, Features, Identity, Keys, NodeInfo, PermitClient, ServedFetch,
@@ -13,6 +13,7 @@
 };
 use operator::{Access, ApiContext, Cut, Token};
 use platform::{ServiceDefaults, Store, header_names};
+use policy::StopTimes;
 use prometheus::Registry;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -35,6 +36,9 @@
 use crate::services::name_hash;
 use crate::settings::{Mode, Settings};
 
+/// Time limit for dropping what is left on the traffic threads when the process ends.
+const TRAFFIC_END_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Secrets, which are read from files of their own and never logged.
 pub struct Secrets {
     /// Keys that authenticate frames between nodes.
@@ -98,6 +102,8 @@
     // Sending fails only if the control thread has already ended.
     let _ = events.send(Event::Stop);
     let ended = control.thread.join().map_err(|_| anyhow!("the control thread has panicked"));
+    // Drops the requests that are still open, which logs them.
+    traffic.shutdown_timeout(TRAFFIC_END_TIMEOUT);
     logging::flush(guard);
     outcome.and(ended?)
 }
@@ -321,41 +327,55 @@
             read_timeout: Duration::from_millis(traffic.read_timeout_ms),
             held_body_bytes: self.settings.node.held_body_bytes(),
         };
-        let (draining, is_draining) = watch::channel(false);
+        let planned_stop = PlannedStop::new(self.settings.stop_times());
+        let in_flight = self.metrics.in_flight.clone();
         let listener = ListenerBuilder::new(self.shared, dispatch, header_names(), self.metrics)
             .log(self.log.clone())
             .limits(limits)
             .connector(self.connector)
-            .draining(is_draining)
+            .planned_stop(planned_stop.clone())
             .bind(traffic.listen)
             .await
             .with_context(|| format!("TCP {}: choose a free `traffic.listen`", traffic.listen))?;
         info!(self.log, "listening"; "traffic" => %listener.addr()?,
             "operator" => %self.settings.operator.listen);
         let mut signals = StopSignals::new()?;
-        let (stop, stopped) = watch::channel(false);
         let tunnels = self.tunnels;
         let serving = tokio::spawn(async move {
-            listener.serve(stopped).await;
+            listener.serve().await;
             tunnels.ended().await;
         });
         signals.next().await;
-        info!(self.log, "planned stop: this node is not ready, waiting for the balancer to remove it";
-            "lag_ms" => self.settings.drain.lag_ms);
+        planned_stop.begin();
         let _ = self.events.send(Event::Drain);
-        draining.send_replace(true);
-        tokio::time::sleep(self.settings.lag()).await;
-        info!(self.log, "no new connections are accepted; waiting for requests in flight");
-        stop.send_replace(true);
-        let grace = self.settings.grace().saturating_sub(self.settings.lag());
+        let StopTimes { lag, answers, end } = planned_stop.times();
+        info!(self.log, "planned stop: this node is not ready, waiting for the balancer to remove it";
+            "lag_ms" => lag.as_millis() as u64, "answers_due_ms" => answers.as_millis() as u64,
+            "end_ms" => end.as_millis() as u64, "in_flight" => in_flight.get());
+        let log_phases = async {
+            planned_stop.wait_until(lag).await;
+            info!(self.log, "no new connections are accepted; waiting for requests in flight";
+                "in_flight" => in_flight.get());
+            planned_stop.wait_until(answers).await;
+            warn!(self.log, "requests without an answer are given up"; "in_flight" => in_flight.get());
+            std::future::pending::<()>().await;
+        };
+        // A stop in series with another one must not take time from the requests of the first.
+        let ignore_signals = async {
+            loop {
+                signals.next().await;
+                info!(self.log, "another stop signal: the planned stop goes on as announced";
+                    "in_flight" => in_flight.get());
+            }
+        };
         tokio::select! {
             done = serving => done.context("the listener has panicked")?,
-            () = signals.next() => {
-                warn!(self.log, "second stop signal: requests in flight are aborted");
-            }
-            () = tokio::time::sleep(grace) => {
-                warn!(self.log, "grace period of the planned stop is over: open connections are closed");
+            () = planned_stop.wait_until(end) => {
+                warn!(self.log, "the time of the planned stop is over: open connections are closed";
+                    "in_flight" => in_flight.get());
             }
+            () = log_phases => {}
+            () = ignore_signals => {}
         }
         info!(self.log, "stopped");
         Ok(())
--- a/crates/dappleway/src/settings/model.rs
+++ b/crates/dappleway/src/settings/model.rs
@@ -7,7 +7,8 @@
 
 use fleet::{Capacity, Features};
 use policy::{
-    BudgetLimits, ConcurrencyLimits, Contention, DispatchOptions, DoubtfulSlots, Topology,
+    BudgetLimits, ConcurrencyLimits, Contention, DispatchOptions, DoubtfulSlots, StopTimes,
+    Topology,
 };
 use resources::{Bias, Floor};
 use serde::{Deserialize, Serialize};
@@ -15,6 +16,9 @@
 
 use super::defaults;
 
+/// Time by which a stopping process ends before it would be killed.
+const KILL_MARGIN: Duration = Duration::from_millis(200);
+
 /// All settings of a process.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -307,11 +311,15 @@
     /// Time from the signal after which the process ends even if requests are in flight.
     #[serde(default = "defaults::grace_ms")]
     pub grace_ms: u64,
+    /// Time from the signal, in seconds, after which the process is killed if it still runs. If set, the process
+    /// ends just before, and `grace_ms` does not apply.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub kill_after_s: Option<f64>,
 }
 
 impl Default for Drain {
     fn default() -> Self {
-        Self { lag_ms: defaults::lag_ms(), grace_ms: defaults::grace_ms() }
+        Self { lag_ms: defaults::lag_ms(), grace_ms: defaults::grace_ms(), kill_after_s: None }
     }
 }
 
@@ -395,18 +403,18 @@
                 seed_port: Some(7401),
             },
             dispatch: Dispatch::default(),
-            drain: Drain::default(),
+            drain: Drain { kill_after_s: Some(120.2), ..Drain::default() },
             log: Log::default(),
         }
     }
 
-    /// Time that the balancer needs to notice that this node is not ready.
-    pub fn lag(&self) -> Duration {
-        Duration::from_millis(self.drain.lag_ms)
-    }
-
-    /// Time from the signal of a planned stop after which the process ends even if requests are in flight.
-    pub fn grace(&self) -> Duration {
-        Duration::from_millis(self.drain.grace_ms)
+    /// The times of a planned stop.
+    pub fn stop_times(&self) -> StopTimes {
+        let Drain { lag_ms, grace_ms, kill_after_s } = self.drain;
+        let end = match kill_after_s {
+            Some(it) => Duration::from_secs_f64(it).saturating_sub(KILL_MARGIN),
+            None => Duration::from_millis(grace_ms),
+        };
+        StopTimes::new(Duration::from_millis(lag_ms), end)
     }
 }
