Stand-ins: section of planned stops, work time of a request, record of work

Cause: tests could set only the lag of a planned stop, no request took an endpoint longer than it drew, and an endpoint recorded neither GET requests nor those whose connection closed before the answer.

Change: `Options::drain` holds the whole section `[drain]`; the query parameter `work_ms` sets the service time; `Upstream::record_work` records when work on each request begins and ends.

--- a/crates/standin/src/node.rs
+++ b/crates/standin/src/node.rs
@@ -46,8 +46,8 @@
     pub mode: String,
     /// Minimum log level, as in the settings.
     pub log_level: String,
-    /// Time until the load balancer stops sending requests to a draining node, in milliseconds.
-    pub lag_ms: u64,
+    /// The section `[drain]` of the settings.
+    pub drain: String,
     /// Addresses of the nodes that a node contacts first to discover others.
     pub seeds: Vec<SocketAddr>,
     /// Floor of the services, which the platform does not provide.
@@ -66,7 +66,7 @@
             platform,
             mode: "permits".into(),
             log_level: "info".into(),
-            lag_ms: 100,
+            drain: "lag_ms = 100".into(),
             seeds: Vec::new(),
             floor: "60%".into(),
             bias: "balanced".into(),
@@ -300,7 +300,7 @@
 [dispatch]
 mode = "{mode}"
 [drain]
-lag_ms = {lag}
+{drain}
 [log]
 level = "{level}"
 "#,
@@ -315,7 +315,7 @@
         endpoint_addrs = endpoint_addrs.join(", "),
         key = key.display(),
         mode = options.mode,
-        lag = options.lag_ms,
+        drain = options.drain,
         level = options.log_level,
     )
 }
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -20,6 +20,8 @@
 
 /// Query parameter that makes every endpoint that starts to run the request crash.
 pub const CRASH_PARAMETER: &str = "crashing";
+/// Query parameter that sets the service time of a request, in milliseconds.
+pub const WORK_PARAMETER: &str = "work_ms";
 /// Time after which a crashed endpoint accepts connections again.
 const RESTART_DELAY: Duration = Duration::from_secs(1);
 /// Maximum number of connections that wait to be accepted after a crash.
@@ -115,6 +117,18 @@
     pub arrivals_ms: Vec<u64>,
 }
 
+/// Work of an endpoint on a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Work {
+    /// When the endpoint had read the request.
+    pub began: std::time::Instant,
+    /// When the answer was ready, or the connection of the request closed.
+    pub ended: Option<std::time::Instant>,
+}
+
+/// Work of an endpoint on each request, by request id.
+pub type WorkLog = FxHashMap<String, Vec<Work>>;
+
 #[derive(Debug)]
 struct State {
     fault: Fault,
@@ -127,6 +141,8 @@
     counts: Counts,
     /// Number of runs of each request other than GET, by request id.
     runs: FxHashMap<String, u32>,
+    /// Work on all requests, if it is recorded.
+    work: Option<WorkLog>,
     /// Times of the crashes.
     crashes: Vec<std::time::Instant>,
     advertised: Advertised,
@@ -160,6 +176,7 @@
             fault_set_at: std::time::Instant::now(),
             counts: Counts::default(),
             runs: FxHashMap::default(),
+            work: None,
             crashes: Vec::new(),
             advertised: Advertised::default(),
             arrivals: Vec::new(),
@@ -239,6 +256,24 @@
         self.state.lock().runs.clone()
     }
 
+    /// Records the work on all requests from now on, also on GET requests and on those without an answer.
+    pub fn record_work(&self) {
+        self.state.lock().work.get_or_insert_default();
+    }
+
+    /// Returns the recorded work.
+    pub fn work(&self) -> WorkLog {
+        self.state.lock().work.clone().unwrap_or_default()
+    }
+
+    /// Records that work on a request begins, if work is recorded.
+    fn begin_work(&self, id: &str) -> Option<OpenWork> {
+        let mut state = self.state.lock();
+        let all = state.work.as_mut()?.entry(id.to_owned()).or_default();
+        all.push(Work { began: std::time::Instant::now(), ended: None });
+        Some(OpenWork { state: self.state.clone(), id: id.to_owned(), index: all.len() - 1 })
+    }
+
     async fn handle(self, req: Request<Incoming>) -> Answer {
         match (req.method(), req.uri().path()) {
             (&Method::PUT, "/_standin/fault") => self.put_fault(&req),
@@ -300,10 +335,13 @@
             return self.crash().await;
         }
         let download = server::query::<usize>(&req, "bytes");
+        let work = server::query(&req, WORK_PARAMETER).map(Duration::from_millis);
         let (parts, body) = req.into_parts();
         let body = body.collect().await.map_err(std::io::Error::other)?.to_bytes();
         let factor = if fault == Fault::Slow { self.state.lock().factor } else { 1.0 };
-        tokio::time::sleep(self.service_time().mul_f64(factor)).await;
+        let service_time = work.unwrap_or_else(|| self.service_time());
+        let _open = self.begin_work(&id);
+        tokio::time::sleep(service_time.mul_f64(factor)).await;
         self.record_run(&id, is_repeatable);
         match fault {
             Fault::Late => tokio::time::sleep(Duration::from_secs(2)).await,
@@ -406,6 +444,21 @@
     }
 }
 
+/// Work that has not ended. Dropping it records the end, also when the connection closes.
+struct OpenWork {
+    state: Arc<Mutex<State>>,
+    id: String,
+    index: usize,
+}
+
+impl Drop for OpenWork {
+    fn drop(&mut self) {
+        let mut state = self.state.lock();
+        let work = state.work.as_mut().and_then(|it| it.get_mut(&self.id)?.get_mut(self.index));
+        work.into_iter().for_each(|it| it.ended = Some(std::time::Instant::now()));
+    }
+}
+
 /// Returns a range of the bytes of a download, which are the same on every endpoint.
 pub fn download_bytes(start: usize, end: usize) -> Bytes {
     (start..end).map(|i| (i % 251) as u8).collect::<Vec<u8>>().into()
