Soak: requests that a planned stop leaves without an answer

Cause: no check judged a request whose connection ended without an answer around a planned stop, a reload or a version. All stops were one SIGTERM with one grace period, and no request took longer than a few milliseconds.

Change: rules `Lost` and `Outlived`, planned stops recorded apart from other disturbances, long requests on routes of their own, callers with a connection of their own, stops with signals in series or one node after the other, lag and grace drawn for each run, cases `stops-in-series` and `rolling-stops`. A caller that gave up and one without a connection are told apart from a broken connection.

--- a/crates/soak/src/cases.rs
+++ b/crates/soak/src/cases.rs
@@ -6,7 +6,7 @@
 use standin::endpoint_link::PathFault;
 
 use crate::link;
-use crate::schedule::{Entry, Fault, Schedule, Scope};
+use crate::schedule::{Drain, Entry, Fault, Schedule, Scope, Series, Signal, Stop};
 
 /// A named schedule.
 #[derive(Clone, Debug)]
@@ -30,7 +30,14 @@
 }
 
 fn case(name: &'static str, nodes: usize, entries: impl IntoIterator<Item = Entry>) -> Case {
-    Case { name, nodes, schedule: Schedule { entries: entries.into_iter().collect() } }
+    let drain = Drain::from_millis(100, 5_000);
+    Case { name, nodes, schedule: Schedule { entries: entries.into_iter().collect(), drain } }
+}
+
+/// Stops nodes, one after the other if there is a gap.
+fn stop(scope: Scope, gap_ms: u64, signals: &[(u64, Signal)]) -> Fault {
+    let gap = Duration::from_millis(gap_ms);
+    Fault::Terminate(Stop { scope, gap, signals: Series::new(signals) })
 }
 
 /// Regression: nodes that took over as reader used connections that had gone silent while idle.
@@ -128,13 +135,48 @@
         entry(1_000, 7_000, Fault::Path(domain(1), PathFault::Hang)),
         entry(4_500, 800, Fault::Kill(Scope::Share(0.15, 5))),
         entry(9_000, 7_000, Fault::Path(Scope::Share(0.5, 2), PathFault::Reset)),
-        entry(11_000, 2_000, Fault::Terminate(Scope::Share(0.15, 6))),
+        entry(11_000, 2_000, stop(Scope::Share(0.15, 6), 0, &[(0, Signal::Term)])),
         entry(17_000, 6_000, Fault::Path(domain(3), PathFault::RefuseNew)),
         entry(18_000, 6_000, Fault::Path(Scope::Share(0.3, 4), PathFault::OneWay)),
     ];
     case("nodes-cut-off-from-endpoints", 12, entries)
 }
 
+/// Regression: a second signal ended the process, with the requests in flight. Stops with signals in series, beside
+/// reloads and versions.
+fn stops_in_series() -> Case {
+    use Signal::{Hup, Int, Term};
+    let [first, second, third] = [1, 2, 3].map(|seed| Scope::Share(0.2, seed));
+    let storm = Fault::Storm(Duration::from_millis(150));
+    let entries = [
+        entry(1_000, 10, stop(first, 0, &[(0, Term), (0, Term), (900, Hup), (300, Term)])),
+        entry(1_200, 1_500, storm),
+        entry(4_500, 10, stop(second, 0, &[(0, Hup), (20, Int), (1_200, Term), (0, Hup)])),
+        entry(4_500, 10, Fault::Hangup(second)),
+        entry(5_000, 10, PUBLISH),
+        entry(8_000, 3_000, stop(third, 0, &[(0, Term), (1_900, Int)])),
+        entry(8_500, 10, Fault::Hangup(Scope::All)),
+        entry(8_600, 1_500, storm),
+    ];
+    let it = case("stops-in-series", 12, entries);
+    Case { schedule: Schedule { drain: Drain::from_millis(800, 3_500), ..it.schedule }, ..it }
+}
+
+/// Nodes stop one after the other, with some stops at once, beside kills of other nodes and versions. Requests may take
+/// longer than what is left of a stop.
+fn rolling_stops() -> Case {
+    let term = [(0, Signal::Term)];
+    let entries = [
+        entry(1_000, 10, stop(Scope::Share(0.5, 1), 500, &term)),
+        entry(2_500, 500, Fault::Kill(Scope::Share(0.1, 2))),
+        entry(3_000, 10, PUBLISH),
+        entry(6_500, 3_500, stop(Scope::Domain(1.0, 3), 400, &term)),
+        entry(7_500, 10, PUBLISH),
+    ];
+    let it = case("rolling-stops", 12, entries);
+    Case { schedule: Schedule { drain: Drain::from_millis(3_500, 4_300), ..it.schedule }, ..it }
+}
+
 /// Returns all named cases.
 pub fn cases() -> Vec<Case> {
     vec![
@@ -145,5 +187,7 @@
         store_unreachable(),
         all_start_on_a_failing_store(),
         cut_off_from_endpoints(),
+        stops_in_series(),
+        rolling_stops(),
     ]
 }
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -6,7 +6,9 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
-use crate::deployment::{ROUTE_LIFETIME, SERVICES};
+use standin::upstream::Work;
+
+use crate::deployment::{LONG_DEADLINE, LONG_SERVICE, ROUTE_DEADLINE, ROUTE_LIFETIME, SERVICES};
 
 /// Time after its acknowledgement by the store within which a version must be in force.
 pub(crate) const IN_FORCE_WITHIN: Duration = Duration::from_secs(2);
@@ -19,6 +21,14 @@
 /// Requests that may fail at nodes that are cut off, and one in this many more, before it counts.
 const TOLERATED_AT_CUT_OFF: (usize, usize) = (10, 50);
 
+/// A request that is cut this much later than it was sent had been read, even if no endpoint worked on it.
+const READ_WITHIN: Duration = Duration::from_millis(200);
+/// Endpoints that work in the last sixth of the grace period excuse the loss of requests that were sent at most this
+/// long after the signal.
+const EXCUSED_WITHIN: Duration = Duration::from_secs(3);
+/// Time around planned work that counts in addition to what it takes, and by which a process may outlive its grace.
+const AFTER_PLANNED_WORK: Duration = Duration::from_secs(1);
+
 /// A guarantee that is checked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rule {
@@ -38,6 +48,10 @@
     NotRun,
     /// A caller received the answer to another request, or an incomplete answer.
     Mixed,
+    /// A planned stop, a reload or a version left a request without an answer that the node had read.
+    Lost,
+    /// A process outlived the grace period of its planned stop.
+    Outlived,
     /// A process exited without being stopped by the test.
     Ended,
     /// A process exceeded its limit for memory or log output.
@@ -66,9 +80,21 @@
     pub(crate) acknowledged: Instant,
 }
 
+/// Kind of a disturbance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Cause {
+    /// A planned stop, from its beginning to the next start of the process.
+    Planned,
+    /// The process is frozen.
+    Freeze,
+    /// Any other fault.
+    Fault,
+}
+
 /// Time span in which a fault affects a node.
 #[derive(Clone, Copy, Debug)]
 struct Disturbance {
+    cause: Cause,
     from: Instant,
     until: Option<Instant>,
 }
@@ -79,6 +105,23 @@
     }
 }
 
+/// A planned stop of a process.
+#[derive(Clone, Copy, Debug)]
+struct PlannedStop {
+    /// When the first stop signal was sent.
+    from: Instant,
+    /// When the process was gone.
+    until: Option<Instant>,
+}
+
+/// What may be the reason for a lost request.
+#[derive(Clone, Copy, Debug)]
+enum PlannedWork {
+    Stop,
+    Reload,
+    Version,
+}
+
 /// Versions, faults and process starts during a run.
 #[derive(Debug)]
 pub(crate) struct History {
@@ -89,6 +132,10 @@
     cut_off: Vec<Vec<Disturbance>>,
     /// Times at which the store was disturbed.
     store_disturbances: Vec<Instant>,
+    /// Planned stops of each node, indexed by node.
+    stops: Vec<Vec<PlannedStop>>,
+    /// Times of SIGHUP at each node, indexed by node.
+    reloads: Vec<Vec<Instant>>,
     /// Start times of the processes of each node, indexed by node.
     starts: Vec<Vec<Instant>>,
 }
@@ -102,6 +149,21 @@
     Booking,
     /// The route that this version has added.
     Added(u64),
+    /// A route that does not move, for a request that takes an endpoint this long.
+    Long(Duration),
+    /// A route like `Long` whose requests must not be repeated.
+    LongBooking(Duration),
+}
+
+impl Target {
+    fn is_long(&self) -> bool {
+        matches!(self, Self::Long(_) | Self::LongBooking(_))
+    }
+
+    /// The deadline of the route.
+    fn deadline(&self) -> Duration {
+        if self.is_long() { LONG_DEADLINE } else { ROUTE_DEADLINE }
+    }
 }
 
 /// Outcome of a request as its caller saw it.
@@ -113,8 +175,12 @@
     Refused(u16, String),
     /// The answer belonged to another request or was malformed.
     Mixed(String),
-    /// The connection broke, or the request timed out.
+    /// The connection broke after the request was sent.
     Broken,
+    /// The caller gave up.
+    TimedOut,
+    /// No connection could be opened.
+    Unsent,
 }
 
 /// Record of one request as its caller saw it.
@@ -135,6 +201,8 @@
             nodes: vec![Vec::new(); nodes],
             cut_off: vec![Vec::new(); nodes],
             store_disturbances: Vec::new(),
+            stops: vec![Vec::new(); nodes],
+            reloads: vec![Vec::new(); nodes],
             starts: vec![Vec::new(); nodes],
         }
     }
@@ -143,22 +211,41 @@
         self.starts[node].push(at);
     }
 
-    pub(crate) fn begin_disturbance(&mut self, nodes: &[usize], from: Instant) {
-        nodes.iter().for_each(|it| self.nodes[*it].push(Disturbance { from, until: None }));
+    pub(crate) fn begin_disturbance(&mut self, cause: Cause, nodes: &[usize], from: Instant) {
+        nodes.iter().for_each(|it| self.nodes[*it].push(Disturbance { cause, from, until: None }));
     }
 
     /// Closes one active disturbance of each of these nodes.
-    pub(crate) fn end_disturbance(&mut self, nodes: &[usize], at: Instant) {
-        nodes.iter().for_each(|it| end_one(&mut self.nodes[*it], at));
+    pub(crate) fn end_disturbance(&mut self, cause: Cause, nodes: &[usize], at: Instant) {
+        nodes.iter().for_each(|it| end_one(&mut self.nodes[*it], cause, at));
+    }
+
+    /// Records a stop signal. Only the first one to a process begins a stop.
+    pub(crate) fn begin_stop(&mut self, node: usize, from: Instant) {
+        if self.stops[node].last().is_none_or(|it| it.until.is_some()) {
+            self.stops[node].push(PlannedStop { from, until: None });
+        }
+    }
+
+    /// Records that the process of a node is gone.
+    pub(crate) fn end_stop(&mut self, node: usize, at: Instant) {
+        let open = self.stops[node].last_mut().filter(|it| it.until.is_none());
+        open.into_iter().for_each(|it| it.until = Some(at));
+    }
+
+    pub(crate) fn record_reload(&mut self, node: usize, at: Instant) {
+        self.reloads[node].push(at);
     }
 
     /// Records that the paths from these nodes to the endpoints fail.
     pub(crate) fn begin_cut_off(&mut self, nodes: &[usize], from: Instant) {
-        nodes.iter().for_each(|it| self.cut_off[*it].push(Disturbance { from, until: None }));
+        nodes.iter().for_each(|it| {
+            self.cut_off[*it].push(Disturbance { cause: Cause::Fault, from, until: None });
+        });
     }
 
     pub(crate) fn end_cut_off(&mut self, nodes: &[usize], at: Instant) {
-        nodes.iter().for_each(|it| end_one(&mut self.cut_off[*it], at));
+        nodes.iter().for_each(|it| end_one(&mut self.cut_off[*it], Cause::Fault, at));
     }
 
     pub(crate) fn record_store_disturbance(&mut self, at: Instant) {
@@ -224,6 +311,9 @@
     pub(crate) fn longest_lag(&self, records: &[RequestRecord]) -> Duration {
         let lag = |it: &RequestRecord| {
             let RequestOutcome::Ran(service) = it.outcome else { return None };
+            if it.target.is_long() {
+                return None;
+            }
             let newest = self.newest_acknowledged_at(it.ended);
             let version = (0..=newest).rev().find(|it| it % SERVICES == service)?;
             let next = self.versions.iter().find(|it| it.number > version)?;
@@ -298,17 +388,20 @@
         };
         let is_valid = match it.target {
             Target::Added(version) => version <= oldest && newest < version + ROUTE_LIFETIME,
-            Target::Moved | Target::Booking => true,
+            Target::Moved | Target::Booking | Target::Long(_) | Target::LongBooking(_) => true,
         };
         match &it.outcome {
             RequestOutcome::Ran(service) => {
-                let allowed = (oldest..=newest).any(|it| it % SERVICES == *service);
+                let allowed = match it.target.is_long() {
+                    true => *service == LONG_SERVICE,
+                    false => (oldest..=newest).any(|it| it % SERVICES == *service),
+                };
                 if is_undisturbed && !allowed { violation(Rule::Stale) } else { None }
             }
             RequestOutcome::Refused(300..=407 | 409..=420 | 422..=428 | 430..=499, _)
                 if is_valid =>
             {
-                let is_always_valid = matches!(it.target, Target::Moved | Target::Booking);
+                let is_always_valid = !matches!(it.target, Target::Added(_));
                 if is_undisturbed || is_always_valid { violation(Rule::Denied) } else { None }
             }
             RequestOutcome::Refused(503, text)
@@ -317,8 +410,154 @@
                 violation(Rule::Unserved)
             }
             RequestOutcome::Mixed(_) => violation(Rule::Mixed),
-            RequestOutcome::Refused(..) | RequestOutcome::Broken => None,
+            RequestOutcome::Refused(..)
+            | RequestOutcome::Broken
+            | RequestOutcome::TimedOut
+            | RequestOutcome::Unsent => None,
+        }
+    }
+
+    /// Whether a fault that nobody planned affected a node. Disturbances of the store are none of the node.
+    fn is_faulted(&self, node: usize, from: Instant, until: Instant) -> bool {
+        let from = from - UNDISTURBED_AFTER;
+        let mut faults = self.nodes[node].iter().filter(|it| it.cause != Cause::Planned);
+        faults.any(|it| it.overlaps(from, until))
+            || self.cut_off[node].iter().any(|it| it.overlaps(from, until))
+    }
+
+    /// The planned stop of the process that had read a request. The times after the grace period belong to
+    /// `Rule::Outlived`.
+    fn stop_around(&self, it: &RequestRecord, grace: Duration) -> Option<PlannedStop> {
+        let is_around = |stop: &&PlannedStop| {
+            stop.from <= it.ended
+                && it.ended <= stop.from + grace + AFTER_PLANNED_WORK
+                && stop.until.is_none_or(|until| it.sent <= until)
+        };
+        self.stops[it.node].iter().find(is_around).copied()
+    }
+
+    /// What was planned around a request that was cut.
+    fn planned_work_around(&self, it: &RequestRecord, grace: Duration) -> Option<PlannedWork> {
+        if self.stop_around(it, grace).is_some() {
+            return Some(PlannedWork::Stop);
+        }
+        let is_reload = |at: &Instant| *at <= it.ended && it.sent <= *at + IN_FORCE_WITHIN;
+        if self.reloads[it.node].iter().any(is_reload) {
+            return Some(PlannedWork::Reload);
         }
+        let used_most_time = it.ended - it.sent >= it.target.deadline() * 7 / 10;
+        let is_version = |version: &Version| {
+            let until = version.acknowledged + IN_FORCE_WITHIN + AFTER_PLANNED_WORK;
+            version.acknowledged <= it.ended && it.ended <= until
+        };
+        let is_near = !used_most_time && self.versions.iter().any(is_version);
+        is_near.then_some(PlannedWork::Version)
+    }
+
+    /// Whether an endpoint was at work on a request in the last sixth of the grace period of a stop.
+    fn is_at_work_to_the_end(
+        it: &RequestRecord,
+        stop: PlannedStop,
+        grace: Duration,
+        work: &[Work],
+    ) -> bool {
+        let (from, until) = (stop.from + grace * 5 / 6, stop.from + grace);
+        let overlaps = |it: &Work| it.began <= until && it.ended.is_none_or(|ended| ended >= from);
+        it.sent <= stop.from + EXCUSED_WITHIN && work.iter().any(overlaps)
+    }
+
+    /// Checks that no request that a node had read was left without an answer around a planned stop, a reload or a
+    /// version. `work` returns the work of endpoints on a request.
+    pub(crate) fn check_lost(
+        &self,
+        records: &[RequestRecord],
+        grace: Duration,
+        work: impl Fn(&str) -> Vec<Work>,
+    ) -> Vec<Violation> {
+        let check = |it: &RequestRecord| {
+            let open = it.ended - it.sent;
+            if it.outcome != RequestOutcome::Broken || open >= it.target.deadline() {
+                return None;
+            }
+            let work = work(&it.id);
+            if work.is_empty() && open <= READ_WITHIN {
+                return None;
+            }
+            if self.is_faulted(it.node, it.sent, it.ended) {
+                return None;
+            }
+            let stop = self.stop_around(it, grace);
+            if stop.is_some_and(|stop| Self::is_at_work_to_the_end(it, stop, grace, &work)) {
+                return None;
+            }
+            let planned = self.planned_work_around(it, grace)?;
+            let after = |from: Instant| match it.sent.checked_duration_since(from) {
+                Some(later) => format!(" {} ms after the signal", later.as_millis()),
+                None => format!(" {} ms before the signal", (from - it.sent).as_millis()),
+            };
+            let RequestRecord { id, node, target, .. } = it;
+            let description = format!(
+                "request {id} at node {node}, {target:?}: no answer, {planned:?}; sent{}, cut after {} ms, endpoints worked on it {} times",
+                stop.map(|it| after(it.from)).unwrap_or_default(),
+                open.as_millis(),
+                work.len()
+            );
+            Some(Violation { rule: Rule::Lost, description })
+        };
+        records.iter().filter_map(check).collect()
+    }
+
+    /// Counts the answers around planned stops that say that the request may have run: all of them, and those before
+    /// the deadline, and before the last sixth of the grace period, on which an endpoint was at work.
+    pub(crate) fn count_unknown(
+        &self,
+        records: &[RequestRecord],
+        grace: Duration,
+        work: impl Fn(&str) -> Vec<Work>,
+    ) -> (usize, usize) {
+        let unknown = records.iter().filter(|it| {
+            matches!(&it.outcome, RequestOutcome::Refused(_, text) if text.contains("may have run"))
+        });
+        let near: Vec<_> =
+            unknown.filter_map(|it| Some((it, self.stop_around(it, grace)?))).collect();
+        let early = near.iter().filter(|(it, stop)| {
+            let work = work(&it.id);
+            let was_at_work =
+                work.iter().any(|work| work.ended.is_none_or(|ended| ended >= it.ended));
+            was_at_work
+                && it.ended - it.sent < it.target.deadline()
+                && !self.is_faulted(it.node, it.sent, it.ended)
+                && !Self::is_at_work_to_the_end(it, *stop, grace, &work)
+        });
+        (near.len(), early.count())
+    }
+
+    /// Checks that no process outlived its grace period, unless it was frozen meanwhile.
+    pub(crate) fn check_stops(&self, grace: Duration) -> Vec<Violation> {
+        let is_frozen = |node: usize, stop: &PlannedStop, until: Instant| {
+            let mut freezes = self.nodes[node].iter().filter(|it| it.cause == Cause::Freeze);
+            freezes.any(|it| it.overlaps(stop.from, until))
+        };
+        let check = |node: usize, stop: &PlannedStop| {
+            let until = stop.until?;
+            let took = until - stop.from;
+            let has_outlived = took > grace + AFTER_PLANNED_WORK && !is_frozen(node, stop, until);
+            has_outlived.then(|| Violation {
+                rule: Rule::Outlived,
+                description: format!(
+                    "the process of node {node} was gone {} ms after the signal, with a grace period of {} ms",
+                    took.as_millis(),
+                    grace.as_millis()
+                ),
+            })
+        };
+        let stops = self.stops.iter().enumerate();
+        stops.flat_map(|(i, all)| all.iter().filter_map(move |it| check(i, it))).collect()
+    }
+
+    /// Number of planned stops.
+    pub(crate) fn count_stops(&self) -> usize {
+        self.stops.iter().map(Vec::len).sum()
     }
 
     /// Checks that no process goes back to an older version than it has used before.
@@ -328,6 +567,9 @@
         let mut incarnation = 0;
         for it in records {
             let RequestOutcome::Ran(service) = it.outcome else { continue };
+            if it.target.is_long() {
+                continue;
+            }
             if self.incarnation(node, it.sent) != self.incarnation(node, it.ended) {
                 continue;
             }
@@ -356,8 +598,8 @@
 }
 
 /// Closes one active disturbance.
-fn end_one(disturbances: &mut [Disturbance], at: Instant) {
-    let open = disturbances.iter_mut().find(|it| it.until.is_none());
+fn end_one(disturbances: &mut [Disturbance], cause: Cause, at: Instant) {
+    let open = disturbances.iter_mut().find(|it| it.until.is_none() && it.cause == cause);
     open.into_iter().for_each(|it| it.until = Some(at));
 }
 
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
@@ -16,11 +17,12 @@
 use standin::server;
 use standin::upstream::{Profile, Upstream};
 use tempfile::TempDir;
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 
-use crate::check::{History, Version};
+use crate::check::{Cause, History, Version};
 use crate::link::{self, Link};
-use crate::schedule::{Fault, Scope};
+use crate::schedule::{Drain, Fault, Scope, Series, Signal, Stop};
 
 /// Failure domains over which nodes and endpoints are spread.
 const FAILURE_DOMAINS: [&str; 3] = ["a", "b", "c"];
@@ -29,14 +31,26 @@
 pub(crate) const SERVICES: u64 = 16;
 /// Number of versions for which a route that a version adds exists.
 pub(crate) const ROUTE_LIFETIME: u64 = 8;
+/// Deadline of the routes.
+pub(crate) const ROUTE_DEADLINE: Duration = Duration::from_secs(2);
+/// Deadline of the routes of long requests.
+pub(crate) const LONG_DEADLINE: Duration = Duration::from_secs(4);
+/// The service of long requests, which follows the others.
+pub(crate) const LONG_SERVICE: u64 = SERVICES;
+/// Number of endpoints of the service of long requests.
+const LONG_ENDPOINTS: usize = 3;
+/// Number of endpoints.
+const ENDPOINTS: usize = SERVICES as usize * ENDPOINTS_PER_SERVICE + LONG_ENDPOINTS;
 /// Number of endpoints of each service.
 const ENDPOINTS_PER_SERVICE: usize = 2;
 /// Number of nodes that serve as seeds for the others.
 const SEEDS: usize = 3;
 /// Limit for the first start of all nodes.
 const START_TIMEOUT: Duration = Duration::from_secs(60);
-/// Limit for a planned stop; a process that is still running after it is killed.
-const STOP_TIMEOUT: Duration = Duration::from_secs(6);
+/// Time after its grace period after which a process that is still running is killed.
+const KILL_AFTER_GRACE: Duration = Duration::from_secs(2);
+/// Interval at which a process that stops is observed.
+const STOP_POLL: Duration = Duration::from_millis(10);
 /// Limit for an answer of the operator API; a frozen process does not answer.
 const OPERATOR_TIMEOUT: Duration = Duration::from_millis(300);
 /// Lowest revision that the store may be restored to.
@@ -53,16 +67,18 @@
     pub(crate) upstreams: Vec<Upstream>,
     endpoints: Vec<Endpoint>,
     pub(crate) history: Mutex<History>,
+    /// Times of planned stops.
+    pub(crate) drain: Drain,
     dir: TempDir,
 }
 
 impl Deployment {
     /// Starts `count` nodes of the program at `bin` and waits until all are ready.
-    pub(crate) async fn start(bin: &Path, count: usize) -> anyhow::Result<Self> {
+    pub(crate) async fn start(bin: &Path, count: usize, drain: Drain) -> anyhow::Result<Self> {
         let dir = tempfile::tempdir()?;
-        let free = node::free_addrs(1 + SERVICES as usize * ENDPOINTS_PER_SERVICE + 4 * count)?;
+        let free = node::free_addrs(1 + ENDPOINTS + 4 * count)?;
         let (store, free) = free.split_first().expect("more than one address was requested");
-        let (endpoint_addrs, free) = free.split_at(SERVICES as usize * ENDPOINTS_PER_SERVICE);
+        let (endpoint_addrs, free) = free.split_at(ENDPOINTS);
         let (link_addrs, node_addrs) = free.split_at(count);
         let platform = Platform::default();
         tokio::spawn(platform.clone().serve(server::bind(*store).await?));
@@ -71,6 +87,7 @@
             let profile =
                 Profile { slots: 8, service_us: 2_000, heavy_tail: false, cold_ms: 0, piece_us: 0 };
             let upstream = Upstream::new(&addr.to_string(), profile);
+            upstream.record_work();
             tokio::spawn(upstream.clone().serve(server::bind(*addr).await?));
             upstreams.push(upstream);
             endpoints.push(endpoint(*addr, FAILURE_DOMAINS[i % FAILURE_DOMAINS.len()]));
@@ -92,12 +109,14 @@
             upstreams,
             endpoints,
             history: Mutex::new(History::new(count)),
+            drain,
             dir,
             addrs,
         };
         deployment.publish();
         for i in 0..count {
             let mut options = NodeOptions::new(bin, deployment.links[i].addr);
+            options.drain = drain.settings();
             options.endpoint_addrs = deployment.endpoint_addrs(i);
             options.seeds = deployment.addrs.iter().take(SEEDS).map(|it| it.fleet).collect();
             let node = Node::start(deployment.dir.path(), &deployment.addrs[i], &options)?;
@@ -127,7 +146,7 @@
     /// Returns the service that an endpoint belongs to.
     pub(crate) fn service_of(&self, endpoint: &str) -> Option<u64> {
         let i = self.upstreams.iter().position(|it| it.name() == endpoint)?;
-        Some((i / ENDPOINTS_PER_SERVICE) as u64)
+        Some(((i / ENDPOINTS_PER_SERVICE) as u64).min(LONG_SERVICE))
     }
 
     /// Publishes the next version and returns its number.
@@ -145,25 +164,30 @@
     /// latest versions added.
     fn resources(&self, version: u64) -> Vec<Resource> {
         let name = |service: u64| format!("service-{service}");
-        let services = (0..SERVICES).map(|i| {
+        let services = (0..=LONG_SERVICE).map(|i| {
             let from = i as usize * ENDPOINTS_PER_SERVICE;
+            let count = if i == LONG_SERVICE { LONG_ENDPOINTS } else { ENDPOINTS_PER_SERVICE };
             json!({
                 "kind": "Service", "name": name(i), "floor": "60%", "slots": 8, "connections": 200,
-                "endpoints": self.endpoints[from..from + ENDPOINTS_PER_SERVICE],
+                "endpoints": self.endpoints[from..from + count],
             })
         });
-        let to = name(version % SERVICES);
-        let route = |path: String, repeat: &str| {
+        let route_to = |service: u64, path: String, repeat: &str, deadline: Duration| {
             json!({
-                "kind": "Route", "name": path.trim_matches('/'), "path": path, "service": to,
-                "deadline_ms": 2_000, "repeat": repeat,
+                "kind": "Route", "name": path.trim_matches('/'), "path": path,
+                "service": name(service), "deadline_ms": deadline.as_millis() as u64,
+                "repeat": repeat,
             })
         };
+        let long = [("/long/", "anytime"), ("/long-bookings/", "if-not-run")]
+            .map(|(path, repeat)| route_to(LONG_SERVICE, path.to_owned(), repeat, LONG_DEADLINE));
+        let route =
+            |path: String, repeat: &str| route_to(version % SERVICES, path, repeat, ROUTE_DEADLINE);
         let moved =
             [route("/moved/".to_owned(), "anytime"), route("/bookings/".to_owned(), "if-not-run")];
         let oldest = version.saturating_sub(ROUTE_LIFETIME - 1).max(1);
         let added = (oldest..=version).map(|it| route(format!("/since-{it}/"), "anytime"));
-        let all = services.chain(moved).chain(added);
+        let all = services.chain(long).chain(moved).chain(added);
         all.map(|it| serde_json::from_value(it).expect("the JSON describes resources")).collect()
     }
 
@@ -199,40 +223,46 @@
     }
 
     /// Injects a fault, waits for its duration and ends it.
-    pub(crate) async fn inject(&self, fault: Fault, duration: Duration) -> anyhow::Result<()> {
+    pub(crate) async fn inject(
+        self: &Arc<Self>,
+        fault: Fault,
+        duration: Duration,
+    ) -> anyhow::Result<()> {
         let began = Instant::now();
         match fault {
             Fault::Kill(scope) => {
-                let nodes = self.begin_disturbance(scope).await;
+                let nodes = self.begin_disturbance(Cause::Fault, scope).await;
                 for i in &nodes {
-                    self.nodes[*i].lock().await.kill();
+                    let mut node = self.nodes[*i].lock().await;
+                    node.kill();
+                    self.history.lock().end_stop(*i, Instant::now());
                 }
                 tokio::time::sleep(duration).await;
-                self.restart(&nodes).await?;
+                for i in &nodes {
+                    self.restart(*i, &mut *self.nodes[*i].lock().await)?;
+                }
+                self.end_disturbance(Cause::Fault, &nodes);
             }
             Fault::Freeze(scope) => {
-                let nodes = self.begin_disturbance(scope).await;
+                let nodes = self.begin_disturbance(Cause::Freeze, scope).await;
                 self.signal(&nodes, "STOP").await;
                 tokio::time::sleep(duration).await;
                 self.signal(&nodes, "CONT").await;
-                self.end_disturbance(&nodes);
-            }
-            Fault::Terminate(scope) => {
-                let nodes = self.begin_disturbance(scope).await;
-                self.signal(&nodes, "TERM").await;
-                self.wait_stopped(&nodes).await?;
-                self.restart(&nodes).await?;
+                self.end_disturbance(Cause::Freeze, &nodes);
             }
+            Fault::Terminate(stop) => self.stop_nodes(stop).await?,
             Fault::Hangup(scope) => {
                 let nodes = self.nodes_in(scope).await;
+                let now = Instant::now();
+                nodes.iter().for_each(|it| self.history.lock().record_reload(*it, now));
                 self.signal(&nodes, "HUP").await;
             }
             Fault::Link(scope, fault) => {
-                let nodes = self.begin_disturbance(scope).await;
+                let nodes = self.begin_disturbance(Cause::Fault, scope).await;
                 self.set_links(&nodes, fault);
                 tokio::time::sleep(duration).await;
                 self.set_links(&nodes, link::Fault::None);
-                self.end_disturbance(&nodes);
+                self.end_disturbance(Cause::Fault, &nodes);
             }
             // Such a node is not disturbed for the purposes of the checks: other nodes reach the endpoints.
             Fault::Path(scope, fault) => {
@@ -244,11 +274,11 @@
                 self.history.lock().end_cut_off(&nodes, Instant::now());
             }
             Fault::Cut(scope) => {
-                let nodes = self.begin_disturbance(scope).await;
+                let nodes = self.begin_disturbance(Cause::Fault, scope).await;
                 self.cut(&nodes, &self.addrs.iter().map(|it| it.fleet).collect::<Vec<_>>()).await;
                 tokio::time::sleep(duration).await;
                 self.cut(&nodes, &[]).await;
-                self.end_disturbance(&nodes);
+                self.end_disturbance(Cause::Fault, &nodes);
             }
             Fault::Forget => {
                 self.platform.discard_history();
@@ -271,45 +301,88 @@
     }
 
     /// Selects the nodes of a scope and records the beginning of a disturbance.
-    async fn begin_disturbance(&self, scope: Scope) -> Vec<usize> {
+    async fn begin_disturbance(&self, cause: Cause, scope: Scope) -> Vec<usize> {
         let nodes = self.nodes_in(scope).await;
-        self.history.lock().begin_disturbance(&nodes, Instant::now());
+        self.history.lock().begin_disturbance(cause, &nodes, Instant::now());
         nodes
     }
 
-    fn end_disturbance(&self, nodes: &[usize]) {
-        self.history.lock().end_disturbance(nodes, Instant::now());
+    fn end_disturbance(&self, cause: Cause, nodes: &[usize]) {
+        self.history.lock().end_disturbance(cause, nodes, Instant::now());
     }
 
-    async fn restart(&self, nodes: &[usize]) -> anyhow::Result<()> {
-        for i in nodes {
-            self.nodes[*i].lock().await.restart()?;
-            self.history.lock().record_start(*i, Instant::now());
-        }
-        self.end_disturbance(nodes);
+    /// Kills the process of a node if it is running and starts a new one.
+    fn restart(&self, i: usize, node: &mut Node) -> anyhow::Result<()> {
+        node.restart()?;
+        let mut history = self.history.lock();
+        history.end_stop(i, Instant::now());
+        history.record_start(i, Instant::now());
         Ok(())
     }
 
-    async fn signal(&self, nodes: &[usize], name: &str) {
-        for i in nodes {
-            // A node without a process was killed by another fault.
-            let _ = self.nodes[*i].lock().await.signal(name);
+    /// Stops nodes, one after the other if there is a gap, and starts them again.
+    async fn stop_nodes(self: &Arc<Self>, stop: Stop) -> anyhow::Result<()> {
+        let mut stops = JoinSet::new();
+        for (n, i) in self.nodes_in(stop.scope).await.into_iter().enumerate() {
+            let deployment = self.clone();
+            stops.spawn(async move {
+                tokio::time::sleep(stop.gap * n as u32).await;
+                deployment.history.lock().begin_disturbance(Cause::Planned, &[i], Instant::now());
+                deployment.stop(i, stop.signals).await?;
+                deployment.end_disturbance(Cause::Planned, &[i]);
+                anyhow::Ok(())
+            });
         }
+        while let Some(ended) = stops.join_next().await {
+            ended??;
+        }
+        Ok(())
     }
 
-    /// Waits until the processes have exited, at most for `STOP_TIMEOUT`.
-    async fn wait_stopped(&self, nodes: &[usize]) -> anyhow::Result<()> {
-        let since = Instant::now();
-        for i in nodes {
-            let mut node = self.nodes[*i].lock().await;
-            while node.pid().is_some()
-                && node.exit_code()?.is_none()
-                && since.elapsed() < STOP_TIMEOUT
+    /// Sends a series of signals to the process of a node and starts it again when it has ended.
+    async fn stop(&self, i: usize, signals: Series) -> anyhow::Result<()> {
+        let limit = self.drain.grace + KILL_AFTER_GRACE;
+        let pid = self.nodes[i].lock().await.pid();
+        let mut signals = signals.iter().peekable();
+        let mut next = Instant::now();
+        let mut since = None;
+        loop {
+            let mut node = self.nodes[i].lock().await;
+            // Another fault has killed the process and starts it again.
+            if pid.is_none() || node.pid() != pid {
+                return Ok(());
+            }
+            let has_ended = node.exit_code()?.is_some();
+            if has_ended {
+                self.history.lock().end_stop(i, Instant::now());
+            }
+            if has_ended || since.is_some_and(|it: Instant| it.elapsed() > limit) {
+                return self.restart(i, &mut node);
+            }
+            while let Some((pause, signal)) =
+                signals.next_if(|(pause, _)| next + *pause <= Instant::now())
             {
-                tokio::time::sleep(Duration::from_millis(20)).await;
+                next += pause;
+                let now = Instant::now();
+                match signal {
+                    Signal::Term | Signal::Int => {
+                        since.get_or_insert(now);
+                        self.history.lock().begin_stop(i, now);
+                    }
+                    Signal::Hup => self.history.lock().record_reload(i, now),
+                }
+                let _ = node.signal(signal.name());
             }
+            drop(node);
+            tokio::time::sleep(STOP_POLL).await;
+        }
+    }
+
+    async fn signal(&self, nodes: &[usize], name: &str) {
+        for i in nodes {
+            // A node without a process was killed by another fault.
+            let _ = self.nodes[*i].lock().await.signal(name);
         }
-        Ok(())
     }
 
     fn set_links(&self, nodes: &[usize], fault: link::Fault) {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -17,4 +17,4 @@
 pub use check::{Rule, Violation};
 pub use link::Fault as LinkFault;
 pub use run::{Options, Outcome, run_schedule};
-pub use schedule::{Entry, Fault, Schedule, Scope};
+pub use schedule::{Drain, Entry, Fault, Schedule, Scope, Series, Signal, Stop};
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -48,6 +48,12 @@
     pub longest_start: Duration,
     /// Number of versions that were published.
     pub versions: usize,
+    /// Number of planned stops.
+    pub stops: usize,
+    /// Answers around planned stops that say that the request may have run.
+    pub unknown: usize,
+    /// Those of them that a node gave, before it had to, while an endpoint was at work on the request.
+    pub unknown_early: usize,
     /// Violated guarantees.
     pub violations: Vec<Violation>,
     /// Directory of the node logs, kept if a guarantee was violated.
@@ -60,7 +66,7 @@
     options: &Options,
     schedule: &Schedule,
 ) -> anyhow::Result<Outcome> {
-    let deployment = Arc::new(Deployment::start(bin, options.nodes).await?);
+    let deployment = Arc::new(Deployment::start(bin, options.nodes, schedule.drain).await?);
     let start = Instant::now();
     let end = start + options.length;
     let mut rng = StdRng::seed_from_u64(options.seed);
@@ -110,6 +116,13 @@
     let mut violations = deployment.history.lock().check(records);
     let runs: Vec<_> = deployment.upstreams.iter().map(|it| it.runs()).collect();
     violations.extend(check_runs(records, |id| runs.iter().filter_map(|it| it.get(id)).sum()));
+    let work: Vec<_> = deployment.upstreams.iter().map(|it| it.work()).collect();
+    let work_on = |id: &str| work.iter().filter_map(|it| it.get(id)).flatten().copied().collect();
+    let grace = deployment.drain.grace;
+    violations.extend(deployment.history.lock().check_lost(records, grace, work_on));
+    violations.extend(deployment.history.lock().check_stops(grace));
+    let (unknown, unknown_early) = deployment.history.lock().count_unknown(records, grace, work_on);
+    let stops = deployment.history.lock().count_stops();
     let max_log_bytes = MAX_LOG_BYTES_PER_S * options.length.as_secs().max(1);
     for (i, it) in deployment.processes().await?.into_iter().enumerate() {
         if it.has_ended {
@@ -135,6 +148,9 @@
         longest_lag,
         longest_start,
         versions,
+        stops,
+        unknown,
+        unknown_early,
         violations,
         logs: deployment.map(Deployment::keep_logs),
     })
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -1,10 +1,11 @@
 //! `cargo xtask soak`: runs soak tests by seed and prints the violated guarantees.
 
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::time::Duration;
 
 use anyhow::{Context, bail, ensure};
-use soak::{Case, Options, Schedule, cases, run_schedule};
+use soak::{Case, Options, Rule, Schedule, Violation, cases, run_schedule};
 
 use crate::demo;
 
@@ -52,6 +53,7 @@
             None => Case { name: "", nodes: args.nodes, schedule: Schedule::random(seed, length) },
         };
         println!("seed {seed}");
+        println!("  planned stops: {}", schedule.drain);
         schedule.entries.iter().for_each(|it| println!("  {it}"));
         let options = Options { seed, length, nodes, rate: args.rate };
         let outcome = runtime.block_on(async {
@@ -71,6 +73,13 @@
             outcome.longest_start.as_millis(),
             outcome.violations.len()
         );
+        println!(
+            "  {} planned stops, {} answers around them say that the request may have run, {} of these while an endpoint was at work and time was left",
+            outcome.stops, outcome.unknown, outcome.unknown_early
+        );
+        for (rule, count) in count_by_rule(&outcome.violations) {
+            println!("  {rule:?}: {count}");
+        }
         outcome.violations.iter().take(MAX_PRINTED_VIOLATIONS).for_each(|it| println!("  {it}"));
         if let Some(logs) = &outcome.logs {
             println!("  logs: {}", logs.display());
@@ -81,6 +90,12 @@
     Ok(())
 }
 
+fn count_by_rule(violations: &[Violation]) -> BTreeMap<Rule, usize> {
+    let mut counts = BTreeMap::new();
+    violations.iter().for_each(|it| *counts.entry(it.rule).or_default() += 1);
+    counts
+}
+
 fn find_case(name: &str) -> anyhow::Result<Case> {
     let found = cases().into_iter().find(|it| it.name == name);
     let names: Vec<_> = cases().iter().map(|it| it.name).collect();
