--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -466,6 +466,42 @@
         it.sent <= stop.from + EXCUSED_WITHIN && work.iter().any(overlaps)
     }
 
+    /// Judges a request that a node had read and left without an answer around a planned stop, a reload or a version:
+    /// whether an endpoint that works to the end of a stop excuses it, and what happened.
+    fn find_loss(
+        &self,
+        it: &RequestRecord,
+        grace: Duration,
+        work: &[Work],
+    ) -> Option<(bool, String)> {
+        let open = it.ended - it.sent;
+        if it.outcome != RequestOutcome::Broken || open >= it.target.deadline() {
+            return None;
+        }
+        if work.is_empty() && open <= READ_WITHIN {
+            return None;
+        }
+        if self.is_faulted(it.node, it.sent, it.ended) {
+            return None;
+        }
+        let planned = self.planned_work_around(it, grace)?;
+        let stop = self.stop_around(it, grace);
+        let is_excused =
+            stop.is_some_and(|stop| Self::is_at_work_to_the_end(it, stop, grace, work));
+        let after = |from: Instant| match it.sent.checked_duration_since(from) {
+            Some(later) => format!(" {} ms after the signal", later.as_millis()),
+            None => format!(" {} ms before the signal", (from - it.sent).as_millis()),
+        };
+        let RequestRecord { id, node, target, .. } = it;
+        let description = format!(
+            "request {id} at node {node}, {target:?}: no answer, {planned:?}; sent{}, cut after {} ms, endpoints worked on it {} times",
+            stop.map(|it| after(it.from)).unwrap_or_default(),
+            open.as_millis(),
+            work.len()
+        );
+        Some((is_excused, description))
+    }
+
     /// Checks that no request that a node had read was left without an answer around a planned stop, a reload or a
     /// version. `work` returns the work of endpoints on a request.
     pub(crate) fn check_lost(
@@ -474,37 +510,22 @@
         grace: Duration,
         work: impl Fn(&str) -> Vec<Work>,
     ) -> Vec<Violation> {
-        let check = |it: &RequestRecord| {
-            let open = it.ended - it.sent;
-            if it.outcome != RequestOutcome::Broken || open >= it.target.deadline() {
-                return None;
-            }
-            let work = work(&it.id);
-            if work.is_empty() && open <= READ_WITHIN {
-                return None;
-            }
-            if self.is_faulted(it.node, it.sent, it.ended) {
-                return None;
-            }
-            let stop = self.stop_around(it, grace);
-            if stop.is_some_and(|stop| Self::is_at_work_to_the_end(it, stop, grace, &work)) {
-                return None;
-            }
-            let planned = self.planned_work_around(it, grace)?;
-            let after = |from: Instant| match it.sent.checked_duration_since(from) {
-                Some(later) => format!(" {} ms after the signal", later.as_millis()),
-                None => format!(" {} ms before the signal", (from - it.sent).as_millis()),
-            };
-            let RequestRecord { id, node, target, .. } = it;
-            let description = format!(
-                "request {id} at node {node}, {target:?}: no answer, {planned:?}; sent{}, cut after {} ms, endpoints worked on it {} times",
-                stop.map(|it| after(it.from)).unwrap_or_default(),
-                open.as_millis(),
-                work.len()
-            );
-            Some(Violation { rule: Rule::Lost, description })
-        };
-        records.iter().filter_map(check).collect()
+        let losses = records.iter().filter_map(|it| self.find_loss(it, grace, &work(&it.id)));
+        losses
+            .filter(|(is_excused, _)| !is_excused)
+            .map(|(_, description)| Violation { rule: Rule::Lost, description })
+            .collect()
+    }
+
+    /// Number of requests without an answer that only work of endpoints to the end of a stop excuses.
+    pub(crate) fn count_excused(
+        &self,
+        records: &[RequestRecord],
+        grace: Duration,
+        work: impl Fn(&str) -> Vec<Work>,
+    ) -> usize {
+        let losses = records.iter().filter_map(|it| self.find_loss(it, grace, &work(&it.id)));
+        losses.filter(|(is_excused, _)| *is_excused).count()
     }
 
     /// Counts the answers around planned stops that say that the request may have run: all of them, and those before
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -50,6 +50,8 @@
     pub versions: usize,
     /// Number of planned stops.
     pub stops: usize,
+    /// Requests without an answer that only work of endpoints in the last sixth of the grace period excuses.
+    pub excused: usize,
     /// Answers around planned stops that say that the request may have run.
     pub unknown: usize,
     /// Those of them that a node gave, before it had to, while an endpoint was at work on the request.
@@ -122,6 +124,7 @@
     violations.extend(deployment.history.lock().check_lost(records, grace, work_on));
     violations.extend(deployment.history.lock().check_stops(grace));
     let (unknown, unknown_early) = deployment.history.lock().count_unknown(records, grace, work_on);
+    let excused = deployment.history.lock().count_excused(records, grace, work_on);
     let stops = deployment.history.lock().count_stops();
     let max_log_bytes = MAX_LOG_BYTES_PER_S * options.length.as_secs().max(1);
     for (i, it) in deployment.processes().await?.into_iter().enumerate() {
@@ -149,6 +152,7 @@
         longest_start,
         versions,
         stops,
+        excused,
         unknown,
         unknown_early,
         violations,
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -203,13 +203,22 @@
 impl Schedule {
     /// Generates the schedule of a seed.
     pub fn random(seed: u64, length: Duration) -> Self {
+        Self::draw(seed, length, random_fault)
+    }
+
+    /// Generates the schedule of a seed with planned stops, and with reloads, versions and kills beside them.
+    pub fn random_stops(seed: u64, length: Duration) -> Self {
+        Self::draw(seed, length, |rng| Fault::Terminate(random_stop(rng)))
+    }
+
+    fn draw(seed: u64, length: Duration, draw_fault: impl Fn(&mut StdRng) -> Fault) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let drain = Drain::random(&mut rng);
         let mut at = Duration::from_millis(rng.random_range(0..2_000));
         let mut entries = Vec::new();
         let end = length.saturating_sub(RECOVERY_TIME);
         while at < end {
-            let fault = random_fault(&mut rng);
+            let fault = draw_fault(&mut rng);
             entries.push(random_entry(&mut rng, at, end, fault));
             if let Fault::Terminate(stop) = fault {
                 for beside in random_faults_beside(&mut rng, stop.scope) {
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -27,6 +27,9 @@
     /// Requests per second to each node.
     #[arg(long, default_value_t = 20.0)]
     rate: f64,
+    /// Draw planned stops, and reloads, versions and kills beside them, but no other faults.
+    #[arg(long)]
+    stops: bool,
     /// Run this named case instead of random schedules.
     #[arg(long)]
     case: Option<String>,
@@ -50,7 +53,10 @@
         let length = Duration::from_secs(args.seconds);
         let Case { nodes, schedule, .. } = match &args.case {
             Some(name) => find_case(name)?,
-            None => Case { name: "", nodes: args.nodes, schedule: Schedule::random(seed, length) },
+            None => {
+                let draw = if args.stops { Schedule::random_stops } else { Schedule::random };
+                Case { name: "", nodes: args.nodes, schedule: draw(seed, length) }
+            }
         };
         println!("seed {seed}");
         println!("  planned stops: {}", schedule.drain);
@@ -74,8 +80,8 @@
             outcome.violations.len()
         );
         println!(
-            "  {} planned stops, {} answers around them say that the request may have run, {} of these while an endpoint was at work and time was left",
-            outcome.stops, outcome.unknown, outcome.unknown_early
+            "  {} planned stops, {} requests without an answer at their ends are excused, {} answers around them say that the request may have run, {} of these while an endpoint was at work and time was left",
+            outcome.stops, outcome.excused, outcome.unknown, outcome.unknown_early
         );
         for (rule, count) in count_by_rule(&outcome.violations) {
             println!("  {rule:?}: {count}");
