--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -338,9 +338,9 @@
         let work = server::query(&req, WORK_PARAMETER).map(Duration::from_millis);
         let (parts, body) = req.into_parts();
         let body = body.collect().await.map_err(std::io::Error::other)?.to_bytes();
+        let _open = self.begin_work(&id);
         let factor = if fault == Fault::Slow { self.state.lock().factor } else { 1.0 };
         let service_time = work.unwrap_or_else(|| self.service_time());
-        let _open = self.begin_work(&id);
         tokio::time::sleep(service_time.mul_f64(factor)).await;
         self.record_run(&id, is_repeatable);
         match fault {
