Node: signals are handled from the start on

A SIGHUP within the first milliseconds ended the process, as its handler was installed by a task; so did SIGTERM before the listener was bound. Seen by the review of the program (SIGHUP) and by reading (SIGTERM).

All three are handled before anything is bound, and one that comes during the start is kept. At the end the traffic threads are shut down before the control thread, so that what is open is logged and its slots are released also if the control thread is late; after a suspension over the end of a stop, answers still have 0.1 s. Not shown by a test: the time before the handlers is now that of the process's own start.

--- a/crates/dappleway/src/node.rs
+++ b/crates/dappleway/src/node.rs
@@ -36,6 +36,8 @@
 use crate::services::name_hash;
 use crate::settings::{Mode, Settings};
 
+/// Least time for the last answers of a planned stop.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
 /// Time limit for dropping what is left on the traffic threads when the process ends.
 const TRAFFIC_END_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -50,6 +52,16 @@
 /// Runs a node until a planned stop is complete.
 pub fn run(path: &Path, settings: Settings, secrets: Secrets) -> anyhow::Result<()> {
     let Secrets { keys, token } = secrets;
+    let traffic = Builder::new_multi_thread()
+        .worker_threads(settings.traffic.threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()?;
+    // Handled from the start on: the default action of a signal would end the process.
+    let (signals, hangup) = {
+        let _context = traffic.enter();
+        (StopSignals::new()?, signal(SignalKind::hangup())?)
+    };
     let registry = Registry::new();
     let Logging { log, level, budget, guard } =
         Logging::new(&settings.log, &settings.node.addr.to_string(), &registry)?;
@@ -58,11 +70,6 @@
     let (events, received) = mpsc::unbounded_channel();
     let (services_tx, services) = watch::channel(Services::default());
     let (token, access) = watch::channel(token);
-    let traffic = Builder::new_multi_thread()
-        .worker_threads(settings.traffic.threads)
-        .thread_name("traffic")
-        .enable_all()
-        .build()?;
     let connector = settings.traffic.connector().counting(metrics.connections.clone());
     let gateway = EndpointGateway::new(events.clone(), connector.clone());
     let tunnels = Tunnels::new(gateway, keys.clone(), traffic.handle().clone());
@@ -79,6 +86,7 @@
     traffic.spawn(
         Reload {
             path: path.to_owned(),
+            hangup,
             settings: settings.clone(),
             level,
             token,
@@ -96,14 +104,15 @@
         services,
         metrics,
         events: events.clone(),
+        signals,
         log,
     };
     let outcome = server.serve(&traffic, control.node);
+    // Drops the requests that are still open, which logs them and releases their slots.
+    traffic.shutdown_timeout(TRAFFIC_END_TIMEOUT);
     // Sending fails only if the control thread has already ended.
     let _ = events.send(Event::Stop);
     let ended = control.thread.join().map_err(|_| anyhow!("the control thread has panicked"));
-    // Drops the requests that are still open, which logs them.
-    traffic.shutdown_timeout(TRAFFIC_END_TIMEOUT);
     logging::flush(guard);
     outcome.and(ended?)
 }
@@ -294,6 +303,7 @@
     services: watch::Receiver<Services>,
     metrics: Metrics,
     events: mpsc::UnboundedSender<Event>,
+    signals: StopSignals,
     log: Logger,
 }
 
@@ -339,7 +349,7 @@
             .with_context(|| format!("TCP {}: choose a free `traffic.listen`", traffic.listen))?;
         info!(self.log, "listening"; "traffic" => %listener.addr()?,
             "operator" => %self.settings.operator.listen);
-        let mut signals = StopSignals::new()?;
+        let mut signals = self.signals;
         let tunnels = self.tunnels;
         let serving = tokio::spawn(async move {
             listener.serve().await;
@@ -368,9 +378,15 @@
                     "in_flight" => in_flight.get());
             }
         };
+        let end_of_stop = async {
+            planned_stop.wait_until(answers).await;
+            // After a suspension both times may have passed at once.
+            let answers_sent = tokio::time::sleep(ANSWER_TIME);
+            tokio::join!(planned_stop.wait_until(end), answers_sent);
+        };
         tokio::select! {
             done = serving => done.context("the listener has panicked")?,
-            () = planned_stop.wait_until(end) => {
+            () = end_of_stop => {
                 warn!(self.log, "the time of the planned stop is over: open connections are closed";
                     "in_flight" => in_flight.get());
             }
--- a/crates/dappleway/src/reload.rs
+++ b/crates/dappleway/src/reload.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use operator::Token;
-use slog::{Logger, error, info, warn};
-use tokio::signal::unix::{SignalKind, signal};
+use slog::{Logger, info, warn};
+use tokio::signal::unix::Signal;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -34,6 +34,8 @@
 pub struct Reload {
     /// Path of the settings file.
     pub path: PathBuf,
+    /// Receives SIGHUP.
+    pub hangup: Signal,
     /// The settings in force.
     pub settings: Settings,
     /// Switch for the lowest severity that is logged.
@@ -49,19 +51,12 @@
 impl Reload {
     /// Runs until the runtime stops.
     pub async fn run(mut self) {
-        let mut hangup = match signal(SignalKind::hangup()) {
-            Ok(it) => it,
-            Err(error) => {
-                error!(self.log, "SIGHUP cannot be handled"; "reason" => %error);
-                return;
-            }
-        };
         let mut checks = interval(CHECK_INTERVAL);
         checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut last_text = std::fs::read_to_string(&self.path).unwrap_or_default();
         loop {
             let is_signalled = tokio::select! {
-                _ = hangup.recv() => true,
+                _ = self.hangup.recv() => true,
                 _ = checks.tick() => false,
             };
             let Ok(text) = std::fs::read_to_string(&self.path) else {
