Planned stop: refuse by what requests take, not by their objective

Change: a request waits until 0.1 s before answers are due, and is judged by what its route takes after the grant, again after a connection through another node was opened. What arrives after the lag is refused, as the balancer sends nobody then. Callers come back after 250 ms: their next connection probably leads elsewhere. The margins of short stops shrink with them, and the lag is no longer cut to half of the stop. An answer whose length is known, or to HEAD, no longer counts as cut when its last byte was handed over.

--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use http::header::{CONNECTION, HeaderValue};
-use http::{Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout};
 
@@ -16,7 +16,7 @@
 use crate::routed_request::{RouteError, RoutedRequest};
 use crate::sending::send_until_done;
 use crate::trace;
-use crate::{Admission, Dispatch};
+use crate::{Admission, Dispatch, headers};
 
 /// Serves one request and keeps it counted as in flight until the end of its answer.
 pub(crate) async fn serve<D: Dispatch>(
@@ -25,6 +25,7 @@
 ) -> Response<CountedBody> {
     let id = req.headers().get(&cx.names.request_id).cloned();
     let in_flight = InFlight::new(&cx, id.clone());
+    let is_head = req.method() == Method::HEAD;
     let mut res = tokio::select! {
         biased;
         res = answer(&cx, req, &in_flight.progress) => res,
@@ -38,7 +39,11 @@
     if cx.stop.elapsed().is_some() {
         res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    res.map(|body| CountedBody::new(body, in_flight))
+    let length = match is_head {
+        true => Some(0),
+        false => headers::content_length(res.headers()),
+    };
+    res.map(|body| CountedBody::new(body, length, in_flight))
 }
 
 /// Routes the request and returns its answer.
@@ -50,6 +55,9 @@
     let started = Instant::now();
     let id = req.headers().get(&cx.names.request_id).cloned();
     match RoutedRequest::new(cx, &req, progress) {
+        _ if !cx.stop.takes_arrivals() => {
+            give_up_unrouted(cx, id.as_ref(), GiveUp::stopping(cx.stop.retry_after()))
+        }
         _ if cx.metrics.in_flight.get() > cx.limits.max_in_flight as i64 => {
             give_up_unrouted(cx, id.as_ref(), GiveUp::too_many_in_flight())
         }
--- a/crates/caller/src/headers.rs
+++ b/crates/caller/src/headers.rs
@@ -141,6 +141,11 @@
     }
 }
 
+/// The length of a body, if the headers announce one.
+pub(crate) fn content_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
 /// Parses the trace and span IDs of a `traceparent` value.
 fn parse_traceparent(text: &str) -> Option<(u128, u64)> {
     let mut parts = text.split('-');
--- a/crates/caller/src/in_flight.rs
+++ b/crates/caller/src/in_flight.rs
@@ -28,7 +28,7 @@
     Sent,
     /// The head of its answer was passed on to the caller.
     Answering,
-    /// All of its answer was passed on to the caller's connection.
+    /// All of its answer was handed to the caller's connection, which may not have sent all of it yet.
     Answered,
 }
 
@@ -119,20 +119,23 @@
 /// The body of an answer; its request counts as in flight until the body is dropped.
 pub(crate) struct CountedBody {
     body: ResponseBody,
+    /// Bytes that are still to come, if the length is known.
+    left: Option<u64>,
     request: InFlight,
 }
 
 impl CountedBody {
-    pub(crate) fn new(body: ResponseBody, request: InFlight) -> Self {
+    /// A body of `length` bytes; `None` if the length is unknown.
+    pub(crate) fn new(body: ResponseBody, length: Option<u64>, request: InFlight) -> Self {
         request.progress.reach(Stage::Answering);
-        let it = Self { body, request };
+        let it = Self { body, left: length, request };
         it.record_end();
         it
     }
 
-    /// Records the end of the answer. The body is not polled again after its last frame.
+    /// Records the end of the answer. The body is not polled again after its last byte.
     fn record_end(&self) {
-        if self.body.is_end_stream() {
+        if self.left == Some(0) || self.body.is_end_stream() {
             self.request.progress.reach(Stage::Answered);
         }
     }
@@ -149,7 +152,11 @@
         let polled = Pin::new(&mut self.body).poll_frame(cx);
         match &polled {
             Poll::Ready(None) => self.request.progress.reach(Stage::Answered),
-            Poll::Ready(Some(Ok(_))) => self.record_end(),
+            Poll::Ready(Some(Ok(frame))) => {
+                let n = frame.data_ref().map_or(0, |it| it.len() as u64);
+                self.left = self.left.map(|it| it.saturating_sub(n));
+                self.record_end();
+            }
             Poll::Ready(Some(Err(_))) | Poll::Pending => {}
         }
         polled
--- a/crates/caller/src/planned_stop.rs
+++ b/crates/caller/src/planned_stop.rs
@@ -73,13 +73,18 @@
         self.elapsed().is_none_or(|since| self.times.may_send(since, time))
     }
 
-    /// Waits until a request with this time is too late to be passed on.
-    pub(crate) async fn too_late_to_send(&self, time: SendTime) {
-        self.wait_until(self.times.last_send(time)).await;
+    /// Whether requests that arrive now are taken.
+    pub(crate) fn takes_arrivals(&self) -> bool {
+        self.elapsed().is_none_or(|since| self.times.takes_arrivals(since))
+    }
+
+    /// Waits until no request is passed on any more.
+    pub(crate) async fn too_late_to_send(&self) {
+        self.wait_until(self.times.last_send()).await;
     }
 
     /// When a caller that is refused now should come back.
     pub(crate) fn retry_after(&self) -> Duration {
-        self.times.retry_after(self.elapsed().unwrap_or_default())
+        self.times.retry_after()
     }
 }
--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -20,6 +20,7 @@
 use crate::active_slot::{ActiveSlot, STALL_AFTER};
 use crate::body::{RelayItem, RequestBody, ResponseBody};
 use crate::cx::Cx;
+use crate::headers::content_length;
 use crate::routed_request::RoutedRequest;
 use crate::sending::acquire_skipping_closed;
 use crate::way::{SendFailure, Way};
@@ -165,6 +166,9 @@
     async fn resume(&mut self) -> bool {
         let give_up_at = Instant::now() + RESUME_TIMEOUT;
         while Instant::now() < give_up_at {
+            if self.cx.stop.left().is_some_and(|it| it < STALL_AFTER) {
+                return false;
+            }
             let Some(resume) = &mut self.resume else { return false };
             let Some(attempts_left) = resume.attempts_left.checked_sub(1) else { return false };
             resume.attempts_left = attempts_left;
@@ -245,7 +249,7 @@
         let etag = headers.get(header::ETAG)?;
         let is_strong = etag.as_bytes().starts_with(b"\"");
         let accepts_ranges = headers.get(header::ACCEPT_RANGES)?.as_bytes() == b"bytes";
-        let total = headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()?;
+        let total = content_length(headers)?;
         let is_complete = parts.status == StatusCode::OK && *method == Method::GET;
         (is_complete && is_strong && accepts_ranges).then(|| Self {
             etag: etag.clone(),
--- a/crates/caller/src/routed_request.rs
+++ b/crates/caller/src/routed_request.rs
@@ -214,7 +214,12 @@
 
     /// Sets the time left until the deadline.
     pub(crate) fn set_deadline(&self, names: &HeaderNames, headers: &mut HeaderMap) {
-        headers.insert(names.deadline.clone(), (self.left().as_millis() as u64).into());
+        let mut left = self.deadline.left();
+        if let Some(stop) = self.stop.left() {
+            // The endpoint's own answer at this limit must arrive before answers are due.
+            left = left.min(stop.saturating_sub(FINAL_ANSWER_GRACE));
+        }
+        headers.insert(names.deadline.clone(), (left.as_millis() as u64).into());
     }
 }
 
--- a/crates/caller/src/sending.rs
+++ b/crates/caller/src/sending.rs
@@ -170,8 +170,8 @@
     }
 }
 
-/// Waits for a slot until the deadline, or until the request cannot be answered before the end of a planned
-/// stop, and records the wait.
+/// Waits for a slot until the deadline, or until a planned stop passes nothing on any more, and records the
+/// wait.
 async fn acquire<D: Dispatch>(
     cx: &Arc<Cx<D>>,
     request: &RoutedRequest,
@@ -180,8 +180,9 @@
     let started = Instant::now();
     let acquire = clock::timeout_at(request.deadline, acquire_skipping_closed(cx, slot_request));
     let slot = tokio::select! {
+        biased;
         it = acquire => it,
-        () = cx.stop.too_late_to_send(request.send_time(request.route.objective())) => {
+        () = cx.stop.too_late_to_send() => {
             Some(Err(Refused::stopping(cx.stop.retry_after())))
         }
     };
--- a/crates/caller/src/way.rs
+++ b/crates/caller/src/way.rs
@@ -88,7 +88,9 @@
         }
         self.is_detour.store(true, Ordering::Relaxed);
         let detour = self.open_detour().await;
-        if self.request.left().is_zero() || !self.request.is_still_authorized(&self.cx) {
+        let time = self.request.send_time(self.grant.stall_after);
+        let is_too_late = self.request.left().is_zero() || !self.cx.stop.may_send(time);
+        if is_too_late || !self.request.is_still_authorized(&self.cx) {
             return Err(SendFailure::Ended(req));
         }
         // The time that the endpoint is given must not include the attempts to connect.
--- a/crates/dappleway/src/settings/check.rs
+++ b/crates/dappleway/src/settings/check.rs
@@ -89,11 +89,11 @@
             "drain.grace_ms",
             "write more than `drain.lag_ms`",
         );
-        let is_usable = |it: f64| (0.5..=86_400.0).contains(&it);
+        let is_usable = |it: f64| (0.1..=86_400.0).contains(&it);
         require(
             drain.kill_after_s.is_none_or(is_usable),
             "drain.kill_after_s",
-            "write 0.5 to 86400.0",
+            "write 0.1 to 86400.0",
         );
         require(self.dispatch.ask_timeout_ms > 0, "dispatch.ask_timeout_ms", "write 1 or more");
         let (ratio, extra) = (self.dispatch.repeat_ratio, self.dispatch.repeat_extra);
--- a/crates/dappleway/src/settings/model.rs
+++ b/crates/dappleway/src/settings/model.rs
@@ -18,6 +18,8 @@
 
 /// Time by which a stopping process ends before it would be killed.
 const KILL_MARGIN: Duration = Duration::from_millis(200);
+/// The part of that time that this margin takes at most.
+const MAX_KILL_MARGIN_SHARE: f64 = 0.05;
 
 /// All settings of a process.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -412,7 +414,10 @@
     pub fn stop_times(&self) -> StopTimes {
         let Drain { lag_ms, grace_ms, kill_after_s } = self.drain;
         let end = match kill_after_s {
-            Some(it) => Duration::from_secs_f64(it).saturating_sub(KILL_MARGIN),
+            Some(it) => {
+                let kill = Duration::from_secs_f64(it);
+                kill - KILL_MARGIN.min(kill.mul_f64(MAX_KILL_MARGIN_SHARE))
+            }
             None => Duration::from_millis(grace_ms),
         };
         StopTimes::new(Duration::from_millis(lag_ms), end)
--- a/crates/policy/src/planned_stop.rs
+++ b/crates/policy/src/planned_stop.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
-/// Part of a stop that is kept for passing answers on, after the last one is due.
+/// Time that is kept for passing answers on, after the last one is due.
 const ANSWER_MARGIN: Duration = Duration::from_millis(300);
-/// Share of a stop that may pass before the node stops accepting connections.
-const MAX_LAG_SHARE: f64 = 0.5;
-/// Least time after which a refused caller should come back.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// The part of a stop that this margin takes at most.
+const MAX_MARGIN_SHARE: f64 = 0.1;
+/// Least time that a request needs at an endpoint. A request that has less left waits for no slot.
+const MIN_SEND_TIME: Duration = Duration::from_millis(100);
+/// When a refused caller should come back. Its next connection probably leads to another node.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// The times of a planned stop, all counted from its signal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,26 +34,30 @@
 impl StopTimes {
     /// The times of a stop that ends at `end` and whose balancer needs `lag`.
     pub fn new(lag: Duration, end: Duration) -> Self {
-        let answers = end.saturating_sub(ANSWER_MARGIN).max(end.mul_f64(MAX_LAG_SHARE));
-        Self { lag: lag.min(answers.mul_f64(MAX_LAG_SHARE)), answers, end }
+        let answers = end.saturating_sub(ANSWER_MARGIN.min(end.mul_f64(MAX_MARGIN_SHARE)));
+        Self { lag: lag.min(answers), answers, end }
+    }
+
+    /// Whether a request that arrives at `since` is taken. Later than `lag` the balancer sends nobody here
+    /// any more, so that a refused caller reaches another node.
+    pub fn takes_arrivals(&self, since: Duration) -> bool {
+        since <= self.lag
     }
 
     /// Whether a request is passed on at `since`. One that would probably be cut is refused instead:
     /// then its caller knows that it did not run. A request that usually ends in time is passed on
-    /// although its deadline lies after the stop, because until `lag` a refused caller would probably
-    /// come back to this node.
+    /// although its deadline lies after the stop.
     pub fn may_send(&self, since: Duration, time: SendTime) -> bool {
         since + time.left.min(time.usual) <= self.answers
     }
 
-    /// Until when a request whose time before the send is unknown may wait to be passed on.
-    pub fn last_send(&self, time: SendTime) -> Duration {
-        self.answers.saturating_sub(time.left.min(time.usual))
+    /// Until when a request may wait to be passed on.
+    pub fn last_send(&self) -> Duration {
+        self.answers.saturating_sub(MIN_SEND_TIME)
     }
 
-    /// When a caller that is refused at `since` should come back: no earlier than the balancer has
-    /// removed this node.
-    pub fn retry_after(&self, since: Duration) -> Duration {
-        self.lag.saturating_sub(since).max(MIN_RETRY_AFTER)
+    /// When a caller that is refused should come back.
+    pub fn retry_after(&self) -> Duration {
+        RETRY_AFTER
     }
 }
--- a/crates/standin/src/bed.rs
+++ b/crates/standin/src/bed.rs
@@ -54,6 +54,8 @@
     pub floor: &'static str,
     /// Deadline of all routes in milliseconds.
     pub deadline_ms: u32,
+    /// Target latency of all routes in milliseconds; 0 for the deadline.
+    pub objective_ms: u32,
     /// How nodes reach endpoints.
     pub paths: Paths,
     /// The section `[drain]` of the nodes' settings.
@@ -83,6 +85,7 @@
             bias: "speed",
             floor: "60%",
             deadline_ms: 1_000,
+            objective_ms: 0,
             paths: Paths::Direct,
             drain: "lag_ms = 100".into(),
         }
@@ -111,6 +114,7 @@
             serde_json::json!({
                 "kind": "Route", "name": name, "path": path,
                 "service": "slot-availability", "deadline_ms": self.deadline_ms,
+                "objective_ms": self.objective_ms,
                 "repeat": repeat, "hedge": name == "lookup", "stream": name == "archive",
             })
         };
