--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -13,6 +13,7 @@
 use parking_lot::Mutex;
 use resources::{Endpoint, Repeat, Resource, Route, Standing};
 use serde::{Deserialize, Serialize};
+use serde_json::value::{RawValue, to_raw_value};
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -51,6 +52,23 @@
     value: Option<Vec<u8>>,
 }
 
+/// A page of items.
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Page {
+    items: Vec<Box<RawValue>>,
+    has_more: bool,
+    current_rev: u64,
+}
+
+/// The changes after a revision.
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Changes {
+    events: Vec<Box<RawValue>>,
+    current_rev: u64,
+}
+
 #[derive(Debug, Default)]
 struct State {
     /// Version of the latest published configuration.
@@ -66,6 +84,8 @@
     discarded_to: u64,
     /// Values that are served instead of the written ones, by key.
     value_overrides: BTreeMap<String, Value>,
+    /// JSON text that is served instead of an item, by key. It need not fit into a `Value`.
+    item_overrides: BTreeMap<String, Box<RawValue>>,
     fault: Fault,
     /// Number of times that the store was restored from an older copy.
     restores: u64,
@@ -108,6 +128,14 @@
         self.history.push(event);
     }
 
+    /// Returns an item in an answer with several of them.
+    fn listed_item(&self, it: &Event) -> Box<RawValue> {
+        match self.item_overrides.get(&it.key) {
+            Some(text) => text.clone(),
+            None => to_raw_value(&self.served_item(it)).expect("all map keys are strings"),
+        }
+    }
+
     /// Returns an item as the store serves it under the current fault.
     fn served_item(&self, it: &Event) -> Value {
         let mut served = item(it);
@@ -203,6 +231,18 @@
         self.put_raw(key, b"");
     }
 
+    /// Makes pages and watches serve a JSON text as the item under a key.
+    pub fn override_item(&self, key: &str, text: String) {
+        let text = RawValue::from_string(text).expect("the text is JSON");
+        self.state.lock().item_overrides.insert(key.to_owned(), text);
+        self.put_raw(key, b"");
+    }
+
+    /// Writes arbitrary bytes as the entry of an endpoint.
+    pub fn put_raw_entry(&self, id: &str, buf: &[u8]) {
+        self.put_raw(&format!("{ENDPOINTS}{id}"), buf);
+    }
+
     /// Registers an endpoint of a service.
     pub fn register(&self, service: &str, endpoint: &Endpoint) {
         let entry = registration(service, endpoint, endpoint.slots).to_string();
@@ -340,10 +380,9 @@
         let state = self.state.lock();
         let found = state.items.values();
         let mut found = found.filter(|it| it.key.starts_with(prefix) && it.key.as_str() > after);
-        let items: Vec<Value> = found.by_ref().take(PAGE).map(|it| state.served_item(it)).collect();
+        let items = found.by_ref().take(PAGE).map(|it| state.listed_item(it)).collect();
         let has_more = found.next().is_some();
-        let revision = state.revision;
-        server::json(&json!({ "items": items, "hasMore": has_more, "currentRev": revision }))
+        server::json(&Page { items, has_more, current_rev: state.revision })
     }
 
     /// Answers with the changes after a revision, after waiting for them at most for `wait`.
@@ -374,10 +413,10 @@
         let served = state.history.iter().filter(|it| {
             it.revision > after && it.key.starts_with(prefix) && state.fault != Fault::Stale
         });
-        let events: Vec<Value> = served.map(|it| state.served_item(it)).collect();
-        let revision = if state.fault == Fault::Stale { after } else { state.revision };
+        let events: Vec<_> = served.map(|it| state.listed_item(it)).collect();
+        let current_rev = if state.fault == Fault::Stale { after } else { state.revision };
         (has_timed_out || !events.is_empty())
-            .then(|| server::json(&json!({ "events": events, "currentRev": revision })))
+            .then(|| server::json(&Changes { events, current_rev }))
     }
 
     async fn put_resources(self, req: Request<Incoming>) -> Answer {
