Caller: an answer without end is cut at the deadline, and counts

On a route that is no stream, an answer of more than a megabyte went on for as long as the endpoint sent: a caller, a slot and a connection were held without limit.

Relayed answers are cut at the deadline unless the route is a stream. The endpoint has failed then, unless the relay waited mostly for the caller. A buffered answer that still trickles at the deadline has failed.

--- a/crates/caller/src/active_slot.rs
+++ b/crates/caller/src/active_slot.rs
@@ -187,6 +187,9 @@
     /// Ends a send without an answer at its deadline. What the silence says is still to be found out if
     /// the deadline came first; the caller does not wait for that.
     pub(crate) fn end_timed_out(mut self, path: impl PathCheck) {
+        if self.is_trickling() {
+            return self.end(Kind::Failed);
+        }
         if self.slot.is_none() || self.is_stall_reported || self.was_paused {
             return self.end(Kind::TimedOut);
         }
@@ -198,6 +201,14 @@
         });
     }
 
+    /// Whether the answer began long ago and still arrives, so that no silence tells that the endpoint fails.
+    fn is_trickling(&self) -> bool {
+        let Some(head_after) = self.head_after else { return false };
+        let since_head = self.started.elapsed().saturating_sub(head_after);
+        let stall_after = self.grant.stall_after;
+        since_head > stall_after && self.last_activity.elapsed() < stall_after
+    }
+
     /// Reports that the endpoint has stopped sending.
     fn report_stall(&mut self) {
         self.is_stall_reported = true;
--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use clock::{Moment, timeout_at};
 use http::header::{self, HeaderValue};
 use http::{Method, StatusCode, response};
 use http_body::Frame;
@@ -42,6 +43,10 @@
     way: Way<D>,
     body: AnswerBody<RequestBody>,
     tx: mpsc::Sender<RelayItem>,
+    /// When the answer is cut; `None` on a route of streams, which may outlast the deadline.
+    cut_at: Option<Moment>,
+    /// Time spent waiting for the caller to take more.
+    waited_for_caller: Duration,
     /// Number of bytes passed on to the caller.
     forwarded: u64,
     resume: Option<Resume>,
@@ -65,6 +70,16 @@
     Broken,
     /// No data arrived in time, because the endpoint stalled or this process was paused.
     Stalled,
+    /// The answer goes on beyond the deadline.
+    Late,
+}
+
+/// Result of passing an item on.
+enum Sent {
+    Taken,
+    CallerLeft,
+    /// The caller has not taken it by the deadline.
+    Late,
 }
 
 impl<D: Dispatch> Relay<D> {
@@ -82,9 +97,20 @@
         active_slot.report_start();
         let (tx, rx) = mpsc::channel(RELAY_CAPACITY);
         let resume = Resume::from_answer(&request.method, parts);
-        tokio::spawn(
-            Self { cx, request, active_slot, way, body, tx, forwarded: 0, resume }.run(start),
-        );
+        let cut_at = (!request.route.stream).then_some(request.give_up_at);
+        let relay = Self {
+            cx,
+            request,
+            active_slot,
+            way,
+            body,
+            tx,
+            cut_at,
+            waited_for_caller: Duration::ZERO,
+            forwarded: 0,
+            resume,
+        };
+        tokio::spawn(relay.run(start));
         ResponseBody::Streamed(rx)
     }
 
@@ -99,15 +125,25 @@
 
     /// Forwards the answer, resuming it on other endpoints where possible.
     async fn forward(mut self, start: Bytes) {
+        let began = Moment::now();
         if !start.is_empty() {
             let item = RelayItem::Frame(Frame::data(start));
-            self.forwarded += item.len();
-            if self.tx.send(item).await.is_err() {
-                return;
+            match self.send(item).await {
+                Sent::Taken => {}
+                Sent::CallerLeft => return,
+                Sent::Late => return self.cut(began),
             }
         }
         loop {
-            let item = match self.read_step().await {
+            let cut_at = self.cut_at;
+            // An endpoint that never pauses would keep the timeout from being noticed.
+            let step = match cut_at {
+                Some(at) if at.left().is_zero() => Step::Late,
+                Some(at) => timeout_at(at, self.read_step()).await.unwrap_or(Step::Late),
+                None => self.read_step().await,
+            };
+            let item = match step {
+                Step::Late => return self.cut(began),
                 Step::Frame(frame) => RelayItem::Frame(frame),
                 Step::End => RelayItem::End,
                 step @ (Step::Broken | Step::Stalled) => {
@@ -116,7 +152,11 @@
                         // account when it chooses the next endpoint.
                         self.active_slot.settle(self.way.classify_break().await);
                     }
-                    match self.resume().await {
+                    let resumed = match cut_at {
+                        Some(at) => timeout_at(at, self.resume()).await.unwrap_or(false),
+                        None => self.resume().await,
+                    };
+                    match resumed {
                         true => continue,
                         // Dropping the channel without `End` aborts the answer to the caller.
                         false => return self.break_off(&step),
@@ -124,9 +164,10 @@
                 }
             };
             let is_end = matches!(item, RelayItem::End);
-            self.forwarded += item.len();
-            if self.tx.send(item).await.is_err() {
-                return;
+            match self.send(item).await {
+                Sent::Taken => {}
+                Sent::CallerLeft => return,
+                Sent::Late => return self.cut(began),
             }
             if is_end {
                 self.active_slot.end(Kind::Answered);
@@ -135,6 +176,30 @@
         }
     }
 
+    /// Passes an item on to the caller.
+    async fn send(&mut self, item: RelayItem) -> Sent {
+        self.forwarded += item.len();
+        let since = Moment::now();
+        let sent = match self.cut_at {
+            Some(at) => timeout_at(at, self.tx.send(item)).await,
+            None => Some(self.tx.send(item).await),
+        };
+        self.waited_for_caller += since.elapsed();
+        match sent {
+            Some(Ok(())) => Sent::Taken,
+            Some(Err(_)) => Sent::CallerLeft,
+            None => Sent::Late,
+        }
+    }
+
+    /// Ends an answer that goes on beyond the deadline. A caller that takes it slowly is not the endpoint's fault.
+    fn cut(mut self, began: Moment) {
+        if self.waited_for_caller > began.elapsed() / 2 {
+            self.active_slot.discard();
+        }
+        self.break_off(&Step::Late);
+    }
+
     /// Reads the next frame, and reports a stall.
     async fn read_step(&mut self) -> Step {
         let read_started = Instant::now();
@@ -186,6 +251,7 @@
     fn break_off(self, step: &Step) {
         let endpoint = self.active_slot.grant().endpoint.clone();
         let reason = match step {
+            Step::Late => "the answer goes on beyond the deadline",
             Step::Stalled => "the endpoint went silent in the middle of its answer",
             _ => "the endpoint broke off its answer",
         };
--- a/crates/caller/tests/common/mod.rs
+++ b/crates/caller/tests/common/mod.rs
@@ -34,7 +34,24 @@
 }
 
 /// Sends a request to a listener that takes its slots from `dispatch`, and returns the raw answer.
+#[allow(dead_code, reason = "not every test file reads complete answers")]
 pub async fn request(dispatch: impl Dispatch) -> String {
+    let mut answer = String::new();
+    // A truncated answer is returned as far as it was received.
+    let _ = open_request(dispatch).await.read_to_string(&mut answer).await;
+    answer
+}
+
+/// Sends a request to a listener that takes its slots from `dispatch`, and returns the caller's connection.
+#[allow(dead_code, reason = "not every test file sends this request")]
+pub async fn open_request(dispatch: impl Dispatch) -> TcpStream {
+    let mut stream = TcpStream::connect(listen(dispatch).await).await.unwrap();
+    stream.write_all(b"GET / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n").await.unwrap();
+    stream
+}
+
+/// Starts a listener that takes its slots from `dispatch`, and returns its address.
+pub async fn listen(dispatch: impl Dispatch) -> SocketAddr {
     let shared = SharedSnapshot::default();
     shared.publish(Config::compile(serde_json::from_str(CONFIG).unwrap()).unwrap());
     let header = HeaderName::from_static;
@@ -51,12 +68,10 @@
     let metrics = Metrics::register(&Registry::new()).unwrap();
     let builder = ListenerBuilder::new(shared, dispatch, names, metrics);
     let listener = builder.bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
-    let mut stream = TcpStream::connect(listener.addr().unwrap()).await.unwrap();
-    let (_stop, stopped) = watch::channel(false);
-    tokio::spawn(listener.serve(stopped));
-    stream.write_all(b"GET / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n").await.unwrap();
-    let mut answer = String::new();
-    // A truncated answer is returned as far as it was received.
-    let _ = stream.read_to_string(&mut answer).await;
-    answer
+    let addr = listener.addr().unwrap();
+    tokio::spawn(async move {
+        let (_stop, stopped) = watch::channel(false);
+        listener.serve(stopped).await;
+    });
+    addr
 }
