Tests: odd entries and answers without end with real processes

Three nodes get each odd entry, item, evacuation and configuration in turn under 100 lookups a second, then follow new endpoints and a new configuration; all lookups are answered and no process ends.

--- /dev/null
+++ b/crates/dappleway/tests/odd_input.rs
@@ -0,0 +1,208 @@
+//! Odd entries in the platform's store, and endpoints that send bytes without end, with real processes.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use resources::{Endpoint, Standing};
+use serde_json::json;
+use standin::bed::{Layout, TestBed};
+use standin::caller;
+use standin::node;
+use standin::server;
+use standin::upstream::Upstream;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::sync::Mutex;
+
+const SERVICE: &str = "slot-availability";
+/// Nesting that exhausts the stack of a thread if each level takes a call.
+const DEPTH: usize = 100_000;
+/// Resident memory that no node may reach, in MB. A node of a small bed takes a tenth of it.
+const MAX_MEMORY_MB: f64 = 400.0;
+
+/// Generous limit for the end of requests with a deadline of a second.
+const LIMIT: Duration = Duration::from_secs(60);
+/// Test beds run one at a time.
+static ONE_BED: Mutex<()> = Mutex::const_new(());
+
+async fn start() -> TestBed {
+    TestBed::start(Path::new(env!("CARGO_BIN_EXE_dappleway")), &Layout::small()).await.unwrap()
+}
+
+fn check_alive(bed: &mut TestBed, what: &str) {
+    for it in &mut bed.nodes {
+        assert_eq!(it.exit_code().unwrap(), None, "{what}");
+    }
+}
+
+fn max_memory_mb(bed: &TestBed) -> f64 {
+    let all = bed.nodes.iter().filter_map(|it| node::memory_mb(it.pid()?));
+    all.fold(0.0, f64::max)
+}
+
+fn lists(report: &serde_json::Value, addr: &str) -> bool {
+    let endpoints = report["services"][0]["endpoints"].as_array().unwrap();
+    endpoints.iter().any(|it| it["addr"] == addr)
+}
+
+fn endpoint(addr: std::net::SocketAddr) -> Endpoint {
+    Endpoint {
+        id: addr.to_string().into(),
+        addr,
+        failure_domain: "a".into(),
+        slots: 4,
+        standing: Standing::Present,
+        warm_up_ms: 0,
+        started_ms: 0,
+    }
+}
+
+/// An entry of the service with one field replaced by this JSON text.
+fn entry_with(field: &str, text: &str) -> String {
+    let mut entry = json!({
+        "service": SERVICE, "address": "127.0.0.1:9", "zone": "a", "slots": 4, "state": "ready",
+    });
+    entry[field] = json!("@");
+    entry.to_string().replace("\"@\"", text)
+}
+
+fn nested() -> String {
+    format!("{}{}", "[".repeat(DEPTH), "]".repeat(DEPTH))
+}
+
+fn odd_entries() -> Vec<String> {
+    let mut all = vec![String::new(), nested(), "[".repeat(DEPTH), "\"x\"".repeat(100)];
+    let long = format!("\"{}\"", "x".repeat(1_000_000));
+    let odd = [
+        ("slots", "4294967295"),
+        ("slots", "1e300"),
+        ("slots", "1e999"),
+        ("slots", "-1"),
+        ("slots", "99999999999999999999"),
+        ("born", "1e999"),
+        ("warmupLeftS", "-1e999"),
+        ("address", r#""127.0.0.1:0""#),
+        ("address", r#""127.0.0.1:65536""#),
+        ("address", r#""0.0.0.0:80""#),
+        ("address", r#""224.0.0.1:80""#),
+        ("service", r#""""#),
+        ("service", &long),
+        ("zone", &long),
+        ("state", &long),
+        ("slots", &nested()),
+    ];
+    all.extend(odd.iter().map(|(field, text)| entry_with(field, text)));
+    all
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_odd_entry_ends_a_node_or_keeps_it_from_following_the_others() {
+    let _one_bed = ONE_BED.lock().await;
+    let mut bed = start().await;
+    let lookups = tokio::spawn(caller::run(bed.lookups(100.0, 12.0)));
+    for (i, entry) in odd_entries().into_iter().enumerate() {
+        bed.platform.put_raw_entry(&format!("odd-{i}"), entry.as_bytes());
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    bed.platform.put_raw_entry(&"\u{1}%\"\\".repeat(45), entry_with("later", &nested()).as_bytes());
+    bed.platform.put_raw_entry("", entry_with("later", "1").as_bytes());
+    bed.platform.put_raw_entry("many-slots", entry_with("slots", "65535").as_bytes());
+    bed.platform.put_raw_entry("cold", entry_with("warmupLeftS", "1e300").as_bytes());
+    bed.platform.put_raw_entry("born", entry_with("born", "18446744073709551615").as_bytes());
+    let deep = nested();
+    for (i, item) in [
+        "{}".to_owned(),
+        deep.clone(),
+        format!(r#"{{"key":"servers/odd","value":{deep},"revision":1}}"#),
+        format!(r#"{{"key":"servers/odd","value":"","revision":{deep}}}"#),
+        r#"{"key":"servers/odd","value":1e999,"revision":1}"#.to_owned(),
+        r#"{"key":"servers/odd","value":"","revision":1e999}"#.to_owned(),
+        r#"{"key":"servers/odd","value":"","revision":18446744073709551615}"#.to_owned(),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        bed.platform.override_item(&format!("servers/item-{i}"), item);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    bed.platform.put_raw("op/evacuate/", deep.as_bytes());
+    bed.platform.put_raw(&format!("op/evacuate/{}", "x".repeat(10_000)), b"{}");
+    bed.platform.put_raw_config(deep.as_bytes());
+    bed.platform.put_raw_config(br#"{"version":1e999,"routes":{},"services":{}}"#);
+    check_alive(&mut bed, "after the odd entries");
+
+    // A new endpoint is followed by watches, and by complete reads.
+    for discards in [false, true] {
+        let listener = server::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        tokio::spawn(Upstream::new(&addr.to_string(), Layout::small().profile).serve(listener));
+        bed.platform.register(SERVICE, &endpoint(addr));
+        if discards {
+            bed.platform.discard_history();
+        }
+        bed.wait_reports(|it| lists(it, &addr.to_string())).await.unwrap();
+    }
+    let version = bed.platform.publish(&bed.resources);
+    bed.wait_in_force(version).await.unwrap();
+    let summary = lookups.await.unwrap();
+    assert_eq!(summary.answered, summary.sent, "{summary:?}");
+    check_alive(&mut bed, "at the end");
+    assert!(max_memory_mb(&bed) < MAX_MEMORY_MB, "{} MB", max_memory_mb(&bed));
+}
+
+/// Answers each connection with another kind of bytes without end.
+async fn serve_endless(listener: TcpListener) {
+    let ok = "HTTP/1.1 200 OK\r\n";
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let kinds = [
+        (ok.to_owned(), "x-more: 1\r\n"),
+        (String::new(), "HTTP/1.1 100 Continue\r\n\r\n"),
+        (chunked.to_owned(), "1\r\nx\r\n"),
+        (format!("{chunked}1;x="), "x"),
+        (format!("{chunked}2\r\nok\r\n0\r\n"), "x-more: 1\r\n"),
+        (format!("{ok}\r\n"), "x"),
+        (format!("{ok}content-length: 2\r\n\r\nok"), "x"),
+    ];
+    for (start, endless) in kinds.into_iter().cycle() {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        tokio::spawn(async move {
+            let _ = stream.read(&mut [0; 4096]).await;
+            let many = endless.repeat(64 * 1024 / endless.len());
+            if stream.write_all(start.as_bytes()).await.is_ok() {
+                while stream.write_all(many.as_bytes()).await.is_ok() {}
+            }
+        });
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_without_end_take_bounded_memory_and_end() {
+    let _one_bed = ONE_BED.lock().await;
+    let mut bed = start().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let endless = tokio::spawn(serve_endless(listener));
+    bed.platform.register(SERVICE, &endpoint(addr));
+    bed.wait_reports(|it| lists(it, &addr.to_string())).await.unwrap();
+    let lookups = tokio::spawn(caller::run(bed.lookups(60.0, 6.0)));
+    let mut max_mb: f64 = 0.0;
+    while !lookups.is_finished() {
+        max_mb = max_mb.max(max_memory_mb(&bed));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let summary = lookups.await.unwrap();
+    println!("largest resident memory: {max_mb:.0} MB, {summary:?}");
+    assert!(max_mb < MAX_MEMORY_MB, "{max_mb} MB");
+    check_alive(&mut bed, "after the answers without end");
+    // No request is left at the endpoint.
+    let until = Instant::now() + LIMIT;
+    while bed.metric("dappleway_requests_in_flight").await.unwrap() > 0.0 {
+        assert!(Instant::now() < until, "requests without end are left");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    endless.abort();
+    bed.platform.remove(&addr.to_string());
+    bed.wait_reports(|it| !lists(it, &addr.to_string())).await.unwrap();
+    let summary = caller::run(bed.lookups(100.0, 1.0)).await;
+    assert_eq!(summary.answered, summary.sent, "{summary:?}");
+}
