Policy: an endpoint has no more slots than connections

An entry may claim any number of slots. Its claim counted as capacity, so that waits seemed short and requests went to it instead of waiting for others, and twice the number overflowed for endpoints in another region.

Each request takes a connection, so that the slots of an endpoint are bounded by the connections that its service allows for one.

tests/odd_slots.rs: with two claims of 21 slots and 20 connections, 54 requests were granted at once before, 52 now. A claim drew no greater share of the requests while others were free, before and after.

--- a/crates/policy/src/dispatcher/placement.rs
+++ b/crates/policy/src/dispatcher/placement.rs
@@ -43,7 +43,7 @@
     match distance {
         Distance::Near => 0,
         Distance::SameRegion => FAR_COST,
-        Distance::OtherRegion => slots * 2,
+        Distance::OtherRegion => slots.saturating_mul(2),
     }
 }
 
--- a/crates/policy/src/rotation.rs
+++ b/crates/policy/src/rotation.rs
@@ -161,6 +161,13 @@
     }
 }
 
+/// Slots of an endpoint. Each request takes a connection, so that more slots than connections are a claim that cannot
+/// be true, and would count as capacity.
+fn slots_of(service: &Service, it: &Endpoint) -> u32 {
+    let claimed = if it.slots == 0 { service.slots } else { it.slots };
+    claimed.min(service.connections).max(1)
+}
+
 impl EndpointStatus {
     fn new(now: Time, service: &Service, it: &Endpoint) -> Self {
         let is_leaving = it.standing == Standing::Leaving;
@@ -169,7 +176,7 @@
             started_ms: it.started_ms,
             addr: it.addr,
             failure_domain: it.failure_domain.clone(),
-            slots: if it.slots == 0 { service.slots } else { it.slots },
+            slots: slots_of(service, it),
             is_missing: it.standing == Standing::Missing,
             is_evacuated: it.standing == Standing::Evacuated,
             warm_up: Duration::from_millis(it.warm_up_ms.into()),
--- a/crates/policy/src/tests.rs
+++ b/crates/policy/src/tests.rs
@@ -18,6 +18,7 @@
 mod kinds;
 mod likelihoods;
 mod notices;
+mod odd_slots;
 mod overload;
 mod places;
 mod queue;
