Fleet: changes with long names do not keep others from the peers

Six changes were put in each frame. With an entry with long names among them the frame was too long for a datagram and was not sent: its other changes came late to the peers, with the next fetch.

Frames of changes are divided by length as well as by number.

tests/wire.rs: the frame of six changes could not be encoded before.

--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -24,7 +24,7 @@
 
 use rejections::Rejections;
 #[cfg(test)]
-pub(crate) use updates::CHANGES_PER_FRAME;
+pub(crate) use updates::{CHANGES_PER_FRAME, frames_of};
 
 /// Interval between gossip rounds.
 pub const ROUND: Duration = Duration::from_millis(1_000);
--- a/crates/fleet/src/exchange/updates.rs
+++ b/crates/fleet/src/exchange/updates.rs
@@ -16,6 +16,9 @@
 
 /// Registry changes in one frame.
 pub(crate) const CHANGES_PER_FRAME: usize = 6;
+/// Encoded registry changes in one frame, in bytes, which leaves room for the rest of the frame. Each change fits: its
+/// names are bounded where entries are decoded.
+const MAX_CHANGES_BYTES: usize = 1_000;
 /// Maximum number of frames sent back to back for one update; of a larger update the peers fetch
 /// what they miss. Sixteen frames of 1 KB to each of ninety nodes occupy a link of 200 Mbit/s for
 /// 60 ms, computed from their lengths.
@@ -203,7 +206,7 @@
         }
         let mut effects = Vec::new();
         let mut after = after;
-        let chunks: Vec<_> = changes.chunks(CHANGES_PER_FRAME).collect();
+        let chunks = frames_of(&changes);
         for (i, chunk) in chunks.iter().enumerate() {
             let is_last = i + 1 == chunks.len();
             let reached = chunk.last().map_or(after, |it| it.at);
@@ -319,3 +322,20 @@
         versions.config > mine.config || versions.registry > mine.registry
     }
 }
+
+/// Divides changes among frames. A frame that is too long would not be sent, and its other changes would be late.
+pub(crate) fn frames_of(changes: &[RegistryChange]) -> Vec<&[RegistryChange]> {
+    let mut frames = Vec::new();
+    let mut rest = changes;
+    while !rest.is_empty() {
+        let mut bytes = 0;
+        let fitting = rest.iter().take(CHANGES_PER_FRAME).take_while(|it| {
+            bytes += postcard::to_stdvec(it).map_or(MAX_CHANGES_BYTES, |it| it.len());
+            bytes <= MAX_CHANGES_BYTES
+        });
+        let (frame, later) = rest.split_at(fitting.count().max(1));
+        frames.push(frame);
+        rest = later;
+    }
+    frames
+}
--- a/crates/fleet/src/tests/wire.rs
+++ b/crates/fleet/src/tests/wire.rs
@@ -6,9 +6,11 @@
     Reply, Reporter, RequestKey, SendKind, Tier,
 };
 use proptest::prelude::*;
-use resources::{Endpoint, Position, Priority, Registration, RegistryChange, Standing};
+use resources::{
+    Endpoint, Position, Priority, Registration, RegistryChange, RegistryEntry, Standing,
+};
 
-use crate::exchange::{CHANGES_PER_FRAME, MAX_GOSSIP};
+use crate::exchange::{CHANGES_PER_FRAME, MAX_GOSSIP, frames_of};
 use crate::replica::Versions;
 use crate::wire::{
     Ack, Batch, Capacity, Features, Frame, Gossip, Key, Keys, LastAnswer, MAX_FRAME_BYTES, Message,
@@ -150,6 +152,46 @@
     }
 }
 
+/// A change of an endpoint with names and an id of the greatest length that entries may have.
+fn change_with_longest_names() -> RegistryChange {
+    let name = "x".repeat(200);
+    let mut change = longest_update().changes.remove(0);
+    change.id = name.as_str().into();
+    if let Some(RegistryEntry::Endpoint(it)) = &mut change.entry {
+        it.service = name.as_str().into();
+        it.endpoint.id = name.as_str().into();
+        it.endpoint.failure_domain = name.into();
+    }
+    change
+}
+
+/// Guards against an entry with long names whose frame is too long to send, so that the other changes in it are late.
+#[test]
+fn changes_with_long_names_fit_a_datagram_with_others() {
+    let usual = longest_update().changes.remove(0);
+    let changes: Vec<_> = (0..20)
+        .map(|i| if i % 3 == 0 { change_with_longest_names() } else { usual.clone() })
+        .collect();
+    let frames = frames_of(&changes);
+    assert_eq!(frames.concat(), changes);
+    for changes in frames {
+        let update = PlatformUpdate { changes: changes.to_vec(), ..longest_update() };
+        let buf = frame(Message::PlatformUpdate(update)).encode(&keys("k"));
+        assert!(buf.is_some(), "{} changes", changes.len());
+    }
+}
+
+/// The copy for peers carries odd text as it is.
+#[test]
+fn odd_ids_and_numbers_round_trip_between_nodes() {
+    let mut change = change_with_longest_names();
+    change.id = "\u{0}\u{fffd}\"\\\n\u{10ffff}".into();
+    let update = PlatformUpdate { changes: vec![change], ..longest_update() };
+    let sent = frame(Message::PlatformUpdate(update));
+    let buf = sent.encode(&keys("k")).expect("the frame fits into a datagram");
+    assert_eq!(Frame::decode(&buf, &keys("k")), Ok(sent));
+}
+
 #[test]
 fn messages_round_trip() {
     let id = PermitId { node: NodeId(1), seq: 2 };
