Tests: platform names stay in the stand-in

The test of names failed: the test with real processes had spelt fields of the platform. The odd bytes are written by the stand-in now.

--- a/crates/dappleway/tests/odd_input.rs
+++ b/crates/dappleway/tests/odd_input.rs
@@ -4,10 +4,10 @@
 use std::time::{Duration, Instant};
 
 use resources::{Endpoint, Standing};
-use serde_json::json;
 use standin::bed::{Layout, TestBed};
 use standin::caller;
 use standin::node;
+use standin::odd;
 use standin::server;
 use standin::upstream::Upstream;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -15,8 +15,6 @@
 use tokio::sync::Mutex;
 
 const SERVICE: &str = "slot-availability";
-/// Nesting that exhausts the stack of a thread if each level takes a call.
-const DEPTH: usize = 100_000;
 /// Resident memory that no node may reach, in MB. A node of a small bed takes a tenth of it.
 const MAX_MEMORY_MB: f64 = 400.0;
 
@@ -57,76 +55,26 @@
     }
 }
 
-/// An entry of the service with one field replaced by this JSON text.
-fn entry_with(field: &str, text: &str) -> String {
-    let mut entry = json!({
-        "service": SERVICE, "address": "127.0.0.1:9", "zone": "a", "slots": 4, "state": "ready",
-    });
-    entry[field] = json!("@");
-    entry.to_string().replace("\"@\"", text)
-}
-
-fn nested() -> String {
-    format!("{}{}", "[".repeat(DEPTH), "]".repeat(DEPTH))
-}
-
-fn odd_entries() -> Vec<String> {
-    let mut all = vec![String::new(), nested(), "[".repeat(DEPTH), "\"x\"".repeat(100)];
-    let long = format!("\"{}\"", "x".repeat(1_000_000));
-    let odd = [
-        ("slots", "4294967295"),
-        ("slots", "1e300"),
-        ("slots", "1e999"),
-        ("slots", "-1"),
-        ("slots", "99999999999999999999"),
-        ("born", "1e999"),
-        ("warmupLeftS", "-1e999"),
-        ("address", r#""127.0.0.1:0""#),
-        ("address", r#""127.0.0.1:65536""#),
-        ("address", r#""0.0.0.0:80""#),
-        ("address", r#""224.0.0.1:80""#),
-        ("service", r#""""#),
-        ("service", &long),
-        ("zone", &long),
-        ("state", &long),
-        ("slots", &nested()),
-    ];
-    all.extend(odd.iter().map(|(field, text)| entry_with(field, text)));
-    all
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn no_odd_entry_ends_a_node_or_keeps_it_from_following_the_others() {
     let _one_bed = ONE_BED.lock().await;
     let mut bed = start().await;
     let lookups = tokio::spawn(caller::run(bed.lookups(100.0, 12.0)));
-    for (i, entry) in odd_entries().into_iter().enumerate() {
+    for (i, entry) in odd::skipped_entries(SERVICE).into_iter().enumerate() {
         bed.platform.put_raw_entry(&format!("odd-{i}"), entry.as_bytes());
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
-    bed.platform.put_raw_entry(&"\u{1}%\"\\".repeat(45), entry_with("later", &nested()).as_bytes());
-    bed.platform.put_raw_entry("", entry_with("later", "1").as_bytes());
-    bed.platform.put_raw_entry("many-slots", entry_with("slots", "65535").as_bytes());
-    bed.platform.put_raw_entry("cold", entry_with("warmupLeftS", "1e300").as_bytes());
-    bed.platform.put_raw_entry("born", entry_with("born", "18446744073709551615").as_bytes());
-    let deep = nested();
-    for (i, item) in [
-        "{}".to_owned(),
-        deep.clone(),
-        format!(r#"{{"key":"servers/odd","value":{deep},"revision":1}}"#),
-        format!(r#"{{"key":"servers/odd","value":"","revision":{deep}}}"#),
-        r#"{"key":"servers/odd","value":1e999,"revision":1}"#.to_owned(),
-        r#"{"key":"servers/odd","value":"","revision":1e999}"#.to_owned(),
-        r#"{"key":"servers/odd","value":"","revision":18446744073709551615}"#.to_owned(),
-    ]
-    .into_iter()
-    .enumerate()
-    {
-        bed.platform.override_item(&format!("servers/item-{i}"), item);
+    bed.platform.put_raw_entry("", odd::entry_with(SERVICE, "later", "1").as_bytes());
+    for (id, entry) in odd::unusual_entries(SERVICE) {
+        bed.platform.put_raw_entry(&id, entry.as_bytes());
+    }
+    for (key, item) in odd::items() {
+        bed.platform.override_item(&key, item);
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
-    bed.platform.put_raw("op/evacuate/", deep.as_bytes());
-    bed.platform.put_raw(&format!("op/evacuate/{}", "x".repeat(10_000)), b"{}");
+    bed.platform.evacuate("");
+    bed.platform.evacuate(&"x".repeat(10_000));
+    let deep = odd::nested();
     bed.platform.put_raw_config(deep.as_bytes());
     bed.platform.put_raw_config(br#"{"version":1e999,"routes":{},"services":{}}"#);
     check_alive(&mut bed, "after the odd entries");
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod endpoint_link;
 pub mod net;
 pub mod node;
+pub mod odd;
 pub mod platform;
 pub mod server;
 pub mod upstream;
