Answers: bytes that are not the endpoint's answer reach no caller

Cause: the check of `Content-Encoding` applied to repeatable routes only, an answer without an id passed the check of the id, and nothing looked for the signature. A resumed download checked none of them. An answer 421 or with the header for "not run" was believed without an id, so that a claim "not run" could come from bytes of any origin.

Why this works: `headers::check_answer` decides on the head of an answer before anything in it is believed. Another id or none, an encoded body, a switch of protocol, or a success (2xx) without a signature make it foreign: the send ends as unknown and as a failure of the endpoint, so a repeatable request is sent again within the usual rules and any other gets 502 with outcome unknown. Answers that are no success need the id alone, as endpoints need not sign them. A node sends the id that it generates for a caller without one, so that answer carries it too. The stand-in endpoint now sends id and signature with each answer, as the raw endpoints of the tests do.

--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::header::CONTENT_ENCODING;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use policy::Kind;
@@ -180,10 +179,9 @@
     is_first: bool,
     way: Way<D>,
 ) -> SendResult {
-    // If the answer carries a request ID, the ID must match: the endpoint may have mixed up the
-    // answers of two requests.
-    let answered_id = res.headers().get(&cx.names.request_id);
-    if answered_id.is_some_and(|it| Some(it) != request.headers.get(&cx.names.request_id)) {
+    let checked = headers::check_answer(&cx.names, &request.headers, res.status(), res.headers());
+    if let Err(foreign) = checked {
+        trace::foreign_answer(cx, request, &active_slot.grant().endpoint, foreign);
         active_slot.end(Kind::Failed);
         return SendResult::Unknown;
     }
@@ -201,10 +199,6 @@
         return SendResult::NotRun;
     }
     let is_repeatable = request.route.repeat == Repeat::Anytime;
-    if is_repeatable && res.headers().contains_key(CONTENT_ENCODING) {
-        active_slot.end(Kind::Failed);
-        return SendResult::Unknown;
-    }
     let is_failure = res.status().is_server_error();
     let (mut parts, body) = res.into_parts();
     headers::strip_hop_by_hop(&mut parts.headers);
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -31,7 +31,7 @@
 pub use dispatch::{
     Admission, DetourRequest, Dispatch, NoDetour, RefusalReason, Refused, Slot, SlotRequest,
 };
-pub use headers::HeaderNames;
+pub use headers::{HeaderNames, IdEcho};
 pub use listener::{Limits, Listener, ListenerBuilder};
 pub use metrics::Metrics;
 pub use snapshot::{SharedSnapshot, Snapshot};
--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -23,7 +23,7 @@
 use crate::routed_request::RoutedRequest;
 use crate::sending::acquire_skipping_closed;
 use crate::way::{SendFailure, Way};
-use crate::{Dispatch, notice, trace};
+use crate::{Dispatch, headers, notice, trace};
 
 /// A stalled body that cannot be resumed elsewhere is aborted after this additional time.
 const STALL_GIVE_UP_AFTER: Duration = Duration::from_secs(30);
@@ -224,6 +224,17 @@
             }
             Err(_) => return None,
         };
+        let checked = headers::check_answer(
+            &self.cx.names,
+            &self.request.headers,
+            res.status(),
+            res.headers(),
+        );
+        if let Err(foreign) = checked {
+            trace::foreign_answer(&self.cx, &self.request, &active_slot.grant().endpoint, foreign);
+            active_slot.end(Kind::Failed);
+            return None;
+        }
         notice::report_notices(&self.cx, &mut active_slot, &res);
         if !resume.matches(&res, self.forwarded) {
             return None;
--- a/crates/caller/src/tests.rs
+++ b/crates/caller/src/tests.rs
@@ -11,7 +11,9 @@
 use crate::answer::GiveUp;
 use crate::attempt::answer_kind;
 use crate::body::ReceivedBody;
-use crate::headers::{HeaderNames, Span, deadline_of, host_of, strip_hop_by_hop};
+use crate::headers::{
+    Foreign, HeaderNames, IdEcho, Span, check_answer, deadline_of, host_of, strip_hop_by_hop,
+};
 use crate::request_key::request_key;
 use crate::snapshot::Snapshot;
 
@@ -25,6 +27,8 @@
 fn names() -> HeaderNames {
     HeaderNames {
         request_id: HeaderName::from_static("x-id"),
+        id_echo: IdEcho::Always,
+        signature: Some(HeaderName::from_static("x-signature")),
         deadline: HeaderName::from_static("x-left"),
         target_endpoint: HeaderName::from_static("x-wanted"),
         not_run: HeaderName::from_static("x-not-run"),
@@ -152,6 +156,37 @@
     request_key(&names(), &method.parse().unwrap(), &uri.parse().unwrap(), &headers(pairs), &body)
 }
 
+#[test]
+fn an_answer_is_foreign_unless_it_has_all_that_this_platform_promises() {
+    let sent = headers(&[("x-id", "1")]);
+    let check = |status: u16, pairs: &[(&'static str, &'static str)]| {
+        check_answer(&names(), &sent, StatusCode::from_u16(status).unwrap(), &headers(pairs))
+    };
+    let (id, signature, encoding) =
+        (("x-id", "1"), ("x-signature", "s"), ("content-encoding", "gzip"));
+    assert_eq!(check(200, &[id, signature]), Ok(()));
+    assert_eq!(check(304, &[id]), Ok(()));
+    assert_eq!(check(503, &[id, ("x-not-run", "1")]), Ok(()));
+    for status in [200, 206, 304, 400, 421, 429, 500, 503] {
+        assert_eq!(check(status, &[signature, ("x-not-run", "1")]), Err(Foreign::NoId));
+        assert_eq!(check(status, &[("x-id", "2"), signature]), Err(Foreign::OtherId));
+        assert_eq!(check(status, &[id, signature, encoding]), Err(Foreign::Encoded));
+    }
+    assert_eq!(check(101, &[id, signature]), Err(Foreign::Switching));
+    assert_eq!(check(206, &[id]), Err(Foreign::Unsigned));
+    assert_eq!(check(200, &[id, ("x-signature", "")]), Err(Foreign::Unsigned));
+}
+
+#[test]
+fn a_platform_without_signatures_and_echoed_ids_is_served() {
+    let names = HeaderNames { id_echo: IdEcho::Optional, signature: None, ..names() };
+    let check = |pairs: &[(&'static str, &'static str)]| {
+        check_answer(&names, &headers(&[("x-id", "1")]), StatusCode::OK, &headers(pairs))
+    };
+    assert_eq!(check(&[]), Ok(()));
+    assert_eq!(check(&[("x-id", "2")]), Err(Foreign::OtherId));
+}
+
 #[test]
 fn requests_that_an_endpoint_treats_alike_have_the_same_key() {
     let usual = [("host", "h"), ("x-organisation", "o"), ("x-request-id", "1")];
--- a/crates/caller/src/trace.rs
+++ b/crates/caller/src/trace.rs
@@ -10,7 +10,7 @@
 
 use crate::answer::GiveUp;
 use crate::cx::Cx;
-use crate::headers::{HeaderNames, InvalidNumber, Span};
+use crate::headers::{Foreign, HeaderNames, InvalidNumber, Span};
 use crate::routed_request::RoutedRequest;
 
 /// Logs a request that has ended, at warning level after a server error.
@@ -101,6 +101,17 @@
     warn!(log, "invalid header in an answer"; "endpoint" => endpoint, "error" => %error);
 }
 
+/// Logs that an endpoint sent bytes that are not its answer to the request.
+pub(crate) fn foreign_answer<D>(
+    cx: &Cx<D>,
+    request: &RoutedRequest,
+    endpoint: &str,
+    foreign: Foreign,
+) {
+    warn!(cx.log, "foreign answer"; "request_id" => request.request_id(&cx.names),
+        "endpoint" => endpoint, "reason" => %foreign);
+}
+
 /// Logs that a download was resumed on another endpoint.
 pub(crate) fn resumed<D>(cx: &Cx<D>, request: &RoutedRequest, endpoint: &str, sent: u64) {
     info!(cx.log, "download resumed"; "request_id" => request.request_id(&cx.names),
--- a/crates/caller/tests/common/mod.rs
+++ b/crates/caller/tests/common/mod.rs
@@ -1,8 +1,11 @@
 //! Runs a listener with slots from the test's own dispatch.
 
+// Each test file uses a part of this.
+#![allow(dead_code)]
+
 use std::net::SocketAddr;
 
-use caller::{Dispatch, HeaderNames, ListenerBuilder, Metrics, SharedSnapshot};
+use caller::{Dispatch, HeaderNames, IdEcho, ListenerBuilder, Metrics, SharedSnapshot};
 use http::HeaderName;
 use policy::{Grant, Tier};
 use prometheus::Registry;
@@ -14,7 +17,8 @@
 
 const CONFIG: &str = r#"{"version": 1, "resources": [
     {"kind": "Service", "name": "s", "slots": 1, "connections": 9, "floor": "50%", "bias": "speed"},
-    {"kind": "Route", "name": "r", "path": "/", "service": "s", "deadline_ms": 5000, "repeat": "anytime"}
+    {"kind": "Route", "name": "r", "path": "/", "service": "s", "deadline_ms": 5000, "repeat": "anytime"},
+    {"kind": "Route", "name": "b", "path": "/bookings", "service": "s", "deadline_ms": 5000, "repeat": "if-not-run"}
 ]}"#;
 
 /// A grant of a slot on the endpoint at `addr`.
@@ -33,13 +37,28 @@
     }
 }
 
-/// Sends a request to a listener that takes its slots from `dispatch`, and returns the raw answer.
+/// A request that may be sent again, with the id that `genuine` answers carry.
+pub const LOOKUP: &str = "GET / HTTP/1.1\r\nx-request-id: r1";
+
+/// Adds to an answer what each answer of an endpoint to `LOOKUP` carries.
+pub fn genuine(answer: &str) -> String {
+    answer.replacen("\r\n", "\r\nx-request-id: r1\r\nx-signature: s\r\n", 1)
+}
+
+/// Sends `LOOKUP` to a listener that takes its slots from `dispatch`, and returns the raw answer.
 pub async fn request(dispatch: impl Dispatch) -> String {
+    send(dispatch, LOOKUP).await
+}
+
+/// Sends a request that starts with `head`.
+pub async fn send(dispatch: impl Dispatch, head: &str) -> String {
     let shared = SharedSnapshot::default();
     shared.publish(Config::compile(serde_json::from_str(CONFIG).unwrap()).unwrap());
     let header = HeaderName::from_static;
     let names = HeaderNames {
         request_id: header("x-request-id"),
+        id_echo: IdEcho::Always,
+        signature: Some(header("x-signature")),
         deadline: header("x-left-ms"),
         target_endpoint: header("x-endpoint"),
         not_run: header("x-not-run"),
@@ -54,7 +73,8 @@
     let mut stream = TcpStream::connect(listener.addr().unwrap()).await.unwrap();
     let (_stop, stopped) = watch::channel(false);
     tokio::spawn(listener.serve(stopped));
-    stream.write_all(b"GET / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n").await.unwrap();
+    let request = format!("{head}\r\nhost: h\r\nconnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
     let mut answer = String::new();
     // A truncated answer is returned as far as it was received.
     let _ = stream.read_to_string(&mut answer).await;
--- a/crates/caller/tests/detours.rs
+++ b/crates/caller/tests/detours.rs
@@ -13,7 +13,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+const ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
 /// Grants slots on one endpoint, for as many sends as given, and records how they ended.
 #[derive(Clone)]
@@ -119,7 +119,7 @@
         while let Ok((mut stream, _)) = listener.accept().await {
             tokio::spawn(async move {
                 if stream.read(&mut [0; 4096]).await.is_ok_and(|n| n > 0) {
-                    let _ = stream.write_all(ANSWER).await;
+                    let _ = stream.write_all(common::genuine(ANSWER).as_bytes()).await;
                 }
             });
         }
--- /dev/null
+++ b/crates/caller/tests/foreign_answers.rs
@@ -0,0 +1,202 @@
+//! Bytes that look like an answer and are not the endpoint's answer to the request.
+
+mod common;
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use caller::{Admission, DetourRequest, Dispatch, NoDetour, Refused, Slot, SlotRequest};
+use policy::{Grant, Kind, Notice};
+use resources::{Name, Route};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::net::TcpListener;
+
+const BOOKING: &str = "POST /bookings HTTP/1.1\r\nx-request-id: r1\r\ncontent-length: 0";
+const ID: &str = "x-request-id: r1\r\n";
+const SIGNED: &str = "x-signature: s\r\n";
+
+/// Grants any number of slots on one endpoint and records how they ended.
+#[derive(Clone)]
+struct Granting {
+    grant: Grant,
+    reports: Arc<Mutex<Vec<String>>>,
+}
+
+impl Slot for Granting {
+    fn grant(&self) -> &Grant {
+        &self.grant
+    }
+
+    fn granted_by(&self) -> &'static str {
+        "test"
+    }
+
+    fn report_stall(&mut self, _: Duration) {}
+
+    fn report_answer_start(&mut self, _: Duration) {}
+
+    fn report_notice(&mut self, notice: Notice) {
+        self.reports.lock().unwrap().push(format!("{notice:?}"));
+    }
+
+    fn end(self, kind: Kind, _: Duration) {
+        self.reports.lock().unwrap().push(format!("{kind:?}"));
+    }
+}
+
+impl Dispatch for Granting {
+    type Slot = Self;
+    type Detour = DuplexStream;
+
+    async fn open_detour(&self, _: DetourRequest) -> Result<DuplexStream, NoDetour> {
+        Err(NoDetour::NoNode)
+    }
+
+    fn record_unserved(&self, _: &Arc<Route>, _: &Name) {}
+
+    fn record_refused(&self, _: &Arc<Route>) {}
+
+    async fn admit(&self, _: u64) -> Admission {
+        Admission::Granted
+    }
+
+    async fn acquire(&self, _: SlotRequest) -> Result<Self, Refused> {
+        Ok(self.clone())
+    }
+}
+
+/// Sends a request to an endpoint that gives these answers, one on each connection, with `{id}` replaced by the
+/// id of the request. Returns the caller's answer and the reports about the endpoint.
+async fn send(request: &str, answers: &[String]) -> (String, String) {
+    let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let grant = common::grant(endpoint.local_addr().unwrap());
+    let granting = Granting { grant, reports: Arc::default() };
+    let answering = async {
+        for answer in answers {
+            // A connection without a request only checks whether the process has ended.
+            let (mut stream, received) = loop {
+                let (mut stream, _) = endpoint.accept().await.unwrap();
+                let mut buf = [0; 4096];
+                let len = stream.read(&mut buf).await.unwrap();
+                if len > 0 {
+                    break (stream, String::from_utf8_lossy(&buf[..len]).into_owned());
+                }
+            };
+            let id = received.lines().find_map(|it| it.strip_prefix("x-request-id: "));
+            let answer = answer.replace("{id}", id.unwrap());
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+        std::future::pending::<()>().await
+    };
+    let answer = tokio::select! {
+        it = common::send(granting.clone(), request) => it,
+        () = answering => unreachable!(),
+    };
+    let reports = granting.reports.lock().unwrap().join(" ");
+    (answer, reports)
+}
+
+/// An answer with a status line, further header lines and a body.
+fn answer(status: &str, headers: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\n{headers}content-length: {}\r\n\r\n{body}", body.len())
+}
+
+fn good() -> String {
+    answer("200 OK", &format!("{ID}{SIGNED}"), "good")
+}
+
+fn foreign_answers() -> Vec<String> {
+    let encoded = format!("{ID}{SIGNED}content-encoding: gzip\r\n");
+    let other_id = format!("x-request-id: r2\r\n{SIGNED}");
+    vec![
+        answer("200 OK", &encoded, "spoilt"),
+        answer("200 OK", "", "spoilt"),
+        answer("200 OK", SIGNED, "spoilt"),
+        answer("200 OK", ID, "spoilt"),
+        answer("204 No Content", ID, ""),
+        answer("206 Partial Content", ID, "spoilt"),
+        answer("200 OK", &other_id, "spoilt"),
+        answer("304 Not Modified", "", ""),
+        answer("404 Not Found", "", "spoilt"),
+        answer("404 Not Found", &encoded, "spoilt"),
+        answer("500 Internal Server Error", "", "spoilt"),
+        answer("421 Misdirected Request", "", "spoilt"),
+        answer("503 Service Unavailable", "x-not-run: 1\r\nretry-after: 9\r\n", "spoilt"),
+        answer("503 Service Unavailable", &format!("{encoded}x-not-run: 1\r\n"), "spoilt"),
+    ]
+}
+
+#[tokio::test]
+async fn a_foreign_answer_to_a_booking_reaches_no_caller_and_says_nothing_about_the_outcome() {
+    for foreign in foreign_answers() {
+        let (got, reports) = send(BOOKING, &[foreign.clone(), good()]).await;
+        assert!(got.starts_with("HTTP/1.1 502"), "{foreign}\n{got}");
+        assert!(got.contains("x-request-outcome: unknown"), "{foreign}\n{got}");
+        assert_eq!(reports, "Failed", "{foreign}");
+    }
+}
+
+#[tokio::test]
+async fn a_lookup_with_a_foreign_answer_is_sent_again() {
+    for foreign in foreign_answers() {
+        let (got, reports) = send(common::LOOKUP, &[foreign.clone(), good()]).await;
+        assert!(got.starts_with("HTTP/1.1 200") && got.ends_with("good"), "{foreign}\n{got}");
+        assert_eq!(reports, "Failed Answered", "{foreign}");
+    }
+}
+
+#[tokio::test]
+async fn genuine_answers_that_are_no_success_reach_the_caller_unsigned() {
+    for status in ["304 Not Modified", "404 Not Found", "500 Internal Server Error"] {
+        let (got, _) = send(BOOKING, &[answer(status, ID, "")]).await;
+        assert!(got.starts_with(&format!("HTTP/1.1 {status}")), "{got}");
+        assert!(!got.contains("x-request-outcome"), "{got}");
+    }
+}
+
+#[tokio::test]
+async fn a_genuine_refusal_to_run_a_booking_is_believed() {
+    for refusal in [
+        answer("503 Service Unavailable", &format!("{ID}x-not-run: 1\r\n"), ""),
+        answer("421 Misdirected Request", ID, ""),
+    ] {
+        let (got, _) = send(BOOKING, &[refusal.clone(), good()]).await;
+        assert!(got.starts_with("HTTP/1.1 200") && got.ends_with("good"), "{refusal}\n{got}");
+    }
+}
+
+#[tokio::test]
+async fn a_caller_without_a_request_id_gets_the_answer_to_the_generated_one() {
+    let echoed = format!("x-request-id: {{id}}\r\n{SIGNED}");
+    let request = "POST /bookings HTTP/1.1\r\ncontent-length: 0";
+    let (got, reports) = send(request, &[answer("200 OK", &echoed, "good")]).await;
+    assert!(got.starts_with("HTTP/1.1 200") && got.ends_with("good"), "{got}");
+    assert_eq!(reports, "Answered");
+}
+
+#[tokio::test]
+async fn a_download_is_not_continued_with_a_foreign_answer() {
+    let total = 2_000_000;
+    let last = total - 1;
+    let start = format!("{ID}{SIGNED}accept-ranges: bytes\r\netag: \"a\"\r\n");
+    let cut = format!(
+        "HTTP/1.1 200 OK\r\n{start}content-length: {total}\r\n\r\n{}",
+        ".".repeat(total - 1)
+    );
+    let range = format!("etag: \"a\"\r\ncontent-range: bytes {last}-{last}/{total}\r\n");
+    let rest = |headers: &str, body| answer("206 Rest", &format!("{headers}{range}"), body);
+    for foreign in [
+        rest("", "x"),
+        rest(ID, "x"),
+        rest(SIGNED, "x"),
+        rest(&format!("x-request-id: r2\r\n{SIGNED}x-leaving: 1\r\n"), "x"),
+        rest(&format!("{ID}{SIGNED}content-encoding: gzip\r\n"), "x"),
+    ] {
+        let answers = [cut.clone(), foreign.clone(), rest(&format!("{ID}{SIGNED}"), ".")];
+        let (got, reports) = send(common::LOOKUP, &answers).await;
+        let (_, body) = got.split_once("\r\n\r\n").unwrap();
+        assert!(!body.contains('x'), "{foreign}");
+        assert_eq!(body.matches('.').count(), total, "{foreign}");
+        assert_eq!(reports, "Failed Failed Answered", "{foreign}");
+    }
+}
--- a/crates/caller/tests/in_transit.rs
+++ b/crates/caller/tests/in_transit.rs
@@ -102,10 +102,9 @@
     let answering = async {
         let (mut stream, _) = endpoint.accept().await.unwrap();
         let _ = stream.read(&mut [0; 4096]).await.unwrap();
-        for (i, part) in parts.iter().enumerate() {
-            if i > 0 {
-                sleep(pause).await;
-            }
+        stream.write_all(common::genuine(parts[0]).as_bytes()).await.unwrap();
+        for part in &parts[1..] {
+            sleep(pause).await;
             stream.write_all(part.as_bytes()).await.unwrap();
         }
         drop(stream);
@@ -201,7 +200,8 @@
                     break stream;
                 }
             };
-            stream.write_all(format!("HTTP/1.1 {head}\r\n\r\n").as_bytes()).await.unwrap();
+            let head = common::genuine(&format!("HTTP/1.1 {head}\r\n\r\n"));
+            stream.write_all(head.as_bytes()).await.unwrap();
             stream.write_all(&body).await.unwrap();
         }
         std::future::pending::<()>().await
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -134,6 +134,8 @@
     arrivals: Vec<std::time::Instant>,
 }
 
+/// Answer header with the endpoint's signature.
+const SIGNATURE: &str = "x-response-signature";
 /// Answer header that repeats the organisation of the received request.
 pub const ECHOED_ORGANISATION: &str = "x-standin-organisation";
 /// Answer header that repeats the API key of the received request.
@@ -247,7 +249,13 @@
             (_, "/_standin/counts") => Ok(json(&self.counts())),
             (_, "/_standin/runs") => Ok(json(&self.runs())),
             _ => {
+                let id = header(&req, "x-request-id");
+                let signature = format!("{}.{id}", self.name);
                 let mut res = self.clone().handle_request(req).await?;
+                for (name, value) in [("x-request-id", id), (SIGNATURE, signature)] {
+                    let value = value.parse().expect("a received header value is valid");
+                    res.headers_mut().entry(name).or_insert(value);
+                }
                 let advertised = self.state.lock().advertised;
                 advertised.add_to(&mut res);
                 Ok(res)
@@ -317,9 +325,10 @@
             None => self.short_answer(&id, &body, fault),
         };
         drop(slot);
-        let answered_id = if fault == Fault::Swap { "another-request".to_owned() } else { id };
-        res.headers_mut()
-            .insert("x-request-id", answered_id.parse().expect("a received header value is valid"));
+        if fault == Fault::Swap {
+            let other = "another-request".parse().expect("a valid header value");
+            res.headers_mut().insert("x-request-id", other);
+        }
         for (name, value) in [ECHOED_ORGANISATION, ECHOED_KEY].into_iter().zip(received) {
             res.headers_mut()
                 .insert(name, value.parse().expect("a received header value is valid"));
