Reader: an answer of the platform is as old as the state that it speaks for

Cause: an answer counted from the moment at which it was handled. A reader that was paused while an answer was on its way took it for the present state, and told the others so with an age of zero; they waited for that reader. The bound asserted in `reader_election` (1.2 s, 0.4 s and 0.4 s within 2 s) holds only from the state that an answer stands for.

Why this works: each read carries the time for which it surely speaks, on the clock that counts suspensions, and that time is confirmed and passed on as the age, in the frames as they are. It is the time at which the call was sent, however long the answer was held up on the network, in the socket or by a pause. Only a watch that ends without changes speaks for the end of its wait, as the platform answers it no sooner; and only if it had not ended before, by a timer that fired in time. As changes end watches early, the next watch waits no longer than until the known state is 0.72 s old, so that the word of a reader in order stays as young as before; that costs at most one more call after a change. An old answer also no longer outweighs what peers reported since.

The number of calls was not measured.

--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -358,14 +358,20 @@
     }
 
     fn now(&self) -> Time {
-        Time(self.clock.elapsed().as_micros() as u64)
+        self.time_of(Moment::now())
+    }
+
+    fn time_of(&self, it: Moment) -> Time {
+        Time(it.since(self.clock).as_micros() as u64)
     }
 
     fn handle_event(&mut self, now: Time, event: Event) {
         match event {
             Event::Command(command) => self.handle_command(now, command),
-            Event::Read(published, calls) => self.apply_read(now, published, calls),
-            Event::ConfigurationRead(it, calls) => self.apply_configuration_read(now, it, calls),
+            Event::Read(published, as_of, calls) => self.apply_read(now, as_of, published, calls),
+            Event::ConfigurationRead(it, as_of, calls) => {
+                self.apply_configuration_read(now, as_of, it, calls)
+            }
             Event::ReadFailed => self.handle_read_failure(now),
             Event::Fetched(published, members) => self.apply_fetched(now, published, members),
             Event::FetchFailed(why) => {
--- a/crates/dappleway/src/control/publications.rs
+++ b/crates/dappleway/src/control/publications.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use clock::Moment;
 use fleet::NodeInfo;
 use operator::Published as InForce;
 use policy::Time;
@@ -30,23 +31,35 @@
 
 impl Control {
     /// Applies data that this node has read from the platform.
-    pub(super) fn apply_read(&mut self, now: Time, mut published: Published, calls: u64) {
+    pub(super) fn apply_read(
+        &mut self,
+        now: Time,
+        as_of: Moment,
+        mut published: Published,
+        calls: u64,
+    ) {
         self.platform_calls = calls;
         if let Some(reason) = &published.unreadable {
             self.unreadable_reason = Some(reason.clone());
         }
         let is_valid = |it: &Document| self.accept_document(now, it, Origin::Platform);
         published.document = published.document.take().filter(is_valid);
-        let effects = self.exchange.platform_read(now, published);
+        let effects = self.exchange.platform_read(now, self.time_of(as_of), published);
         self.apply_effects(now, effects);
         self.update_read_plan(now);
     }
 
     /// Applies a configuration that this node has read from the platform without the registry.
-    pub(super) fn apply_configuration_read(&mut self, now: Time, it: Option<Document>, calls: u64) {
+    pub(super) fn apply_configuration_read(
+        &mut self,
+        now: Time,
+        as_of: Moment,
+        it: Option<Document>,
+        calls: u64,
+    ) {
         self.platform_calls = calls;
         if it.is_some_and(|it| self.accept_document(now, &it, Origin::Platform)) {
-            self.exchange.configuration_read(now);
+            self.exchange.configuration_read(now, self.time_of(as_of));
         }
         self.update_read_plan(now);
     }
--- a/crates/dappleway/src/control/tests.rs
+++ b/crates/dappleway/src/control/tests.rs
@@ -51,7 +51,8 @@
             yield_now().await;
         }
         let document = Some(Document { version: 1, ..Document::default() });
-        urgent.send(Event::Read(Published::configuration_only(document), 1)).unwrap();
+        let read = Published::configuration_only(document);
+        urgent.send(Event::Read(read, Moment::now(), 1)).unwrap();
     });
     let running = tokio::spawn(control.run(received, urgent_received));
     let mut answered_before = 0;
--- a/crates/dappleway/src/event.rs
+++ b/crates/dappleway/src/event.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use caller::{Admission, DetourRequest, Refused, SlotRequest};
+use clock::Moment;
 use fleet::{Bundle, FetchFailure, NodeInfo, Place, TunnelError, TunnelRefusal, TunnelTarget};
 use operator::Report;
 use policy::{Grant, Kind, NodeId, Notice, PermitId};
@@ -18,13 +19,14 @@
 pub enum Event {
     /// A command from a traffic thread.
     Command(Command),
-    /// Data that this node has read from the platform, and the total number of its platform calls.
-    Read(Published, u64),
+    /// Data that this node has read from the platform, the time at which that was the state of the platform, and the
+    /// total number of its platform calls.
+    Read(Published, Moment, u64),
     /// A read of the platform by this node failed.
     ReadFailed,
-    /// The configuration, if there is one, that this node has read from the platform without the registry, and
-    /// the total number of its platform calls.
-    ConfigurationRead(Option<Document>, u64),
+    /// The configuration, if there is one, that this node has read from the platform without the registry, the time
+    /// at which it was the newest, and the total number of its platform calls.
+    ConfigurationRead(Option<Document>, Moment, u64),
     /// Data of the platform that was fetched from a peer, and the members that the peer knows.
     Fetched(Published, Vec<NodeInfo>),
     /// A fetch from a peer failed.
--- a/crates/dappleway/src/reader.rs
+++ b/crates/dappleway/src/reader.rs
@@ -5,8 +5,10 @@
 mod tests;
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
+use clock::Moment;
 use fleet::{FetchError, FetchFailure, Fetched, Keys, NodeInfo, Reads};
 use rand::RngExt;
 use resources::{Document, Position, Published, Source, SourceError};
@@ -16,6 +18,16 @@
 
 use crate::event::Event;
 
+/// Longest wait of a watch. An answer without changes confirms that the platform is still reachable, so this must stay
+/// well below the two seconds within which changes must be in force.
+const WATCH_WAIT: Duration = Duration::from_millis(700);
+/// A watch ends when the state that is known is this old. Beyond the longest wait this leaves the time for one answer, so
+/// that a reader without changes makes no further calls.
+const MAX_KNOWN_AGE: Duration = Duration::from_millis(720);
+/// The platform's timers may be this much ahead of the wait that was asked for.
+const WAIT_TOLERANCE: Duration = Duration::from_millis(20);
+/// A timer that fires later than this shows that the process was paused or got no processor time.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(50);
 /// Minimum time between two calls, so that changes in quick succession are read together.
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(120);
 /// Delay before the first retry of a failed call.
@@ -69,7 +81,15 @@
     log: Logger,
 ) {
     let from = ReadFrom::Copy;
-    let reader = Reader { source, events, log, from, retry_delay: MIN_RETRY_DELAY, outage: None };
+    let reader = Reader {
+        source,
+        events,
+        log,
+        from,
+        known_as_of: Moment::now(),
+        retry_delay: MIN_RETRY_DELAY,
+        outage: None,
+    };
     reader.run(plan).await;
 }
 
@@ -78,6 +98,8 @@
     events: mpsc::UnboundedSender<Event>,
     log: Logger,
     from: ReadFrom,
+    /// When the state of the platform was the one that this node has read; the start before the first read.
+    known_as_of: Moment,
     retry_delay: Duration,
     /// Number of calls that have failed since the last answer, and the time of the first failure.
     outage: Option<(u32, Instant)>,
@@ -114,11 +136,12 @@
                 },
             };
             match read {
-                Ok(published) => {
+                Ok((published, as_of)) => {
                     self.record_answer();
                     self.retry_delay = MIN_RETRY_DELAY;
                     self.from = ReadFrom::LastRead;
-                    send(&self.events, Event::Read(published, self.source.calls()));
+                    self.known_as_of = as_of;
+                    send(&self.events, Event::Read(published, as_of, self.source.calls()));
                     sleep_until(next_call).await;
                 }
                 Err(SourceError::HistoryLost) => {
@@ -153,30 +176,53 @@
 
     /// Reads the next changes. A node that takes over reads the configuration first: peers may know the registry up
     /// to a position without a configuration that was published before it. A configuration that is read first also
-    /// comes into force if the next call fails.
-    async fn read_next(&mut self, known_position: Position) -> Result<Published, SourceError> {
+    /// comes into force if the next call fails. Returns the time for which the answer speaks, too.
+    async fn read_next(
+        &mut self,
+        known_position: Position,
+    ) -> Result<(Published, Moment), SourceError> {
+        let sent_at = Moment::now();
         match self.from {
-            ReadFrom::LastRead => self.source.next().await,
+            ReadFrom::LastRead => self.watch().await,
             ReadFrom::Copy if known_position.is_known() => {
                 let document = self.source.configuration().await?;
-                self.report_configuration(document);
-                self.source.resume(known_position).await
+                self.report_configuration(document, sent_at);
+                let sent_at = Moment::now();
+                Ok((self.source.resume(known_position).await?, sent_at))
             }
-            ReadFrom::Copy | ReadFrom::Start => self.source.read().await,
+            ReadFrom::Copy | ReadFrom::Start => Ok((self.source.read().await?, sent_at)),
         }
     }
 
+    /// Waits for changes. The platform may have answered at any time since the call was sent, as the answer may have been
+    /// held up on its way or while this process was paused. Only an answer without changes speaks for the end of the wait,
+    /// if the answer was not there before.
+    async fn watch(&mut self) -> Result<(Published, Moment), SourceError> {
+        let wait = WATCH_WAIT.min(MAX_KNOWN_AGE.saturating_sub(self.known_as_of.elapsed()));
+        let sent_at = Moment::now();
+        let quiet_until = sent_at + wait.saturating_sub(WAIT_TOLERANCE);
+        let mut call = pin!(self.source.next(wait));
+        let (published, as_of) = match clock::timeout_at(quiet_until, &mut call).await {
+            Some(answer) => (answer?, sent_at),
+            None if quiet_until.elapsed() > MAX_TIMER_DELAY => (call.await?, sent_at),
+            None => (call.await?, quiet_until),
+        };
+        let is_unchanged = published.after == Some(published.complete_to);
+        Ok((published, if is_unchanged { as_of } else { sent_at }))
+    }
+
     /// Reads only the configuration. This takes one call, while a complete read takes a call for each page.
     async fn read_configuration(&mut self) {
+        let sent_at = Moment::now();
         match self.source.configuration().await {
-            Ok(document) => self.report_configuration(document),
+            Ok(document) => self.report_configuration(document, sent_at),
             Err(error) => self.record_failure(&error.to_string()),
         }
     }
 
-    fn report_configuration(&mut self, document: Option<Document>) {
+    fn report_configuration(&mut self, document: Option<Document>, as_of: Moment) {
         self.record_answer();
-        send(&self.events, Event::ConfigurationRead(document, self.source.calls()));
+        send(&self.events, Event::ConfigurationRead(document, as_of, self.source.calls()));
     }
 
     fn record_answer(&mut self) {
--- a/crates/dappleway/tests/older_copy.rs
+++ b/crates/dappleway/tests/older_copy.rs
@@ -54,7 +54,7 @@
         loop {
             let read = match everything {
                 true => self.reader.read().await,
-                false => self.reader.next().await,
+                false => self.reader.next(Duration::from_millis(700)).await,
             };
             match read {
                 Ok(published) => {
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -112,6 +112,8 @@
     last_fetch_unreached: bool,
     /// The newest versions reported by peers, as far as they are missing here.
     newest_reported: Versions,
+    /// When peers last reported newer ones than before.
+    reported_at: Time,
     /// A configuration version that is missing here, and when a reader confirmed it as the newest.
     unconfirmed: Option<(u64, Time)>,
     /// The platform's newest configuration cannot be read here.
@@ -150,6 +152,7 @@
             is_fetching: false,
             last_fetch_unreached: false,
             newest_reported: Versions::default(),
+            reported_at: now,
             unconfirmed: None,
             is_unreadable: false,
             announced_version: 0,
--- a/crates/fleet/src/exchange/updates.rs
+++ b/crates/fleet/src/exchange/updates.rs
@@ -23,9 +23,14 @@
 
 impl Exchange {
     /// Applies what this node has read from the platform, and forwards the changes to its failure
-    /// domain.
-    pub fn platform_read(&mut self, now: Time, mut published: Published) -> Vec<Effect> {
-        self.reader_election.platform_answered(now);
+    /// domain. The answer speaks for the state of the platform at `as_of`.
+    pub fn platform_read(
+        &mut self,
+        now: Time,
+        as_of: Time,
+        mut published: Published,
+    ) -> Vec<Effect> {
+        self.reader_election.platform_answered(now, as_of);
         let before = self.replica.versions();
         // A read follows the previous read of this node without a gap.
         published.after = published.after.map(|_| before.registry);
@@ -33,15 +38,17 @@
         if self.replica.update(now, &published) {
             effects.push(Effect::EndpointsChanged);
         }
-        // An answer of the platform takes precedence over reports of peers.
-        self.newest_reported = self.replica.versions();
+        // An answer of the platform takes precedence over earlier reports of peers.
+        if as_of >= self.reported_at {
+            self.newest_reported = self.replica.versions();
+        }
         self.update_missing(now);
         self.is_unreadable = match &published.document {
             Some(_) => false,
             None => self.is_unreadable || published.unreadable.is_some(),
         };
         if !self.is_unreadable {
-            self.reader_election.confirm(now);
+            self.reader_election.confirm(as_of);
         }
         let has_changes = !published.endpoints.is_empty() || before.config > self.announced_version;
         if has_changes && self.reader_election.reads(now) == Reads::Everything {
@@ -67,11 +74,14 @@
     }
 
     /// Records that this node has read the configuration alone and put it in force if it is newer.
-    pub fn configuration_read(&mut self, now: Time) {
-        // An answer of the platform takes precedence over reports of peers.
-        self.newest_reported.config = self.replica.versions().config;
+    /// The answer speaks for the state of the platform at `as_of`.
+    pub fn configuration_read(&mut self, now: Time, as_of: Time) {
+        // An answer of the platform takes precedence over earlier reports of peers.
+        if as_of >= self.reported_at {
+            self.newest_reported.config = self.replica.versions().config;
+        }
         self.is_unreadable = false;
-        self.reader_election.confirm(now);
+        self.reader_election.confirm(as_of);
         self.update_missing(now);
     }
 
@@ -150,7 +160,7 @@
         if latest.is_known() && self.replica.update(now, &published) {
             effects.push(Effect::EndpointsChanged);
         }
-        self.newest_reported = self.newest_reported.max_of(update.versions);
+        self.record_report(now, update.versions);
         if self.is_behind(update.versions) {
             effects.extend(self.fetch(addr));
         }
@@ -290,7 +300,8 @@
         });
         let NodeInfo { addr, versions, .. } =
             *preferred.choose(rng).or_else(|| newer.choose(rng))?;
-        self.newest_reported.config = self.newest_reported.config.max(versions.config);
+        let registry = self.newest_reported.registry;
+        self.record_report(now, Versions { config: versions.config, registry });
         self.update_missing(now);
         self.fetch(addr)
     }
@@ -304,6 +315,15 @@
         Some(Effect::Fetch(addr))
     }
 
+    /// Records versions that exist according to a peer.
+    fn record_report(&mut self, now: Time, versions: Versions) {
+        let newest = self.newest_reported.max_of(versions);
+        if newest != self.newest_reported {
+            self.newest_reported = newest;
+            self.reported_at = now;
+        }
+    }
+
     fn update_missing(&mut self, now: Time) {
         let mine = self.replica.versions();
         if let Some((_, at)) = self.unconfirmed.take_if(|(version, _)| *version <= mine.config) {
--- a/crates/fleet/src/reader_election.rs
+++ b/crates/fleet/src/reader_election.rs
@@ -114,7 +114,7 @@
     is_fetch_refused: bool,
     /// The last freshness confirmation: the platform had nothing newer than the local copy.
     last_confirmed: Option<Time>,
-    /// The last answer of the platform to this node.
+    /// The time for which the answers of the platform to this node speak.
     last_own_answer: Option<Time>,
     /// The last call of this node to the platform failed.
     is_platform_failing: bool,
@@ -261,9 +261,10 @@
         self.is_fetch_refused = true;
     }
 
-    /// Records an answer of the platform to this node.
-    pub(crate) fn platform_answered(&mut self, now: Time) {
-        self.last_own_answer = Some(now);
+    /// Records an answer of the platform to this node, which speaks for the state at `as_of`. The
+    /// answer may have waited for this process for a long time.
+    pub(crate) fn platform_answered(&mut self, now: Time, as_of: Time) {
+        self.last_own_answer = self.last_own_answer.max(Some(as_of));
         self.is_platform_failing = false;
         self.has_copy = true;
         self.next_announcement = now;
@@ -275,7 +276,7 @@
         self.last_confirmed = self.last_confirmed.max(Some(at));
     }
 
-    /// Time since the last answer of the platform to this node.
+    /// Age of what the platform has answered to this node.
     pub(crate) fn since_own_answer(&self, now: Time) -> Duration {
         self.last_own_answer.map_or(Duration::MAX, |it| now.since(it))
     }
--- a/crates/fleet/src/tests/reader_election.rs
+++ b/crates/fleet/src/tests/reader_election.rs
@@ -79,7 +79,7 @@
 #[test]
 fn a_node_that_the_platform_refuses_does_not_announce_itself() {
     let mut election = ReaderElection::new(ME);
-    election.platform_answered(at(0));
+    election.platform_answered(at(0), at(0));
     election.confirm(at(0));
     assert!(election.announcement_is_due(at(0)));
     assert!(election.platform_failed());
@@ -91,12 +91,26 @@
         Reads::Nothing,
         "the node relies on a reader of worse rank"
     );
-    election.platform_answered(at(1_100));
+    election.platform_answered(at(1_100), at(1_100));
     election.confirm(at(1_100));
     election.receive_status(at(1_200), LAST, ReaderStatus::Confirmed(at(1_200)));
     assert_eq!(election.reads(at(2_500)), Reads::Everything);
 }
 
+/// Guards against a reader that took an old answer for the present state after a pause.
+#[test]
+fn an_answer_that_is_handled_late_is_as_old_as_the_state_that_it_speaks_for() {
+    let ms = Duration::from_millis;
+    let mut election = ReaderElection::new(ME);
+    election.platform_answered(at(1_050), at(10));
+    assert_eq!(election.since_own_answer(at(1_050)), ms(1_040));
+    assert!(election.may_announce(at(1_309)));
+    assert!(!election.may_announce(at(1_310)));
+    election.platform_answered(at(1_400), at(1_390));
+    election.platform_answered(at(1_410), at(100));
+    assert_eq!(election.since_own_answer(at(1_410)), ms(20), "an older answer takes nothing back");
+}
+
 #[test]
 fn updates_that_cannot_be_fetched_from_peers_are_read() {
     let mut election = ReaderElection::new(ME);
@@ -114,7 +128,7 @@
 fn a_copy_becomes_stale_without_freshness_confirmations() {
     let mut election = ReaderElection::new(ME);
     assert!(!election.is_fresh(at(0)));
-    election.platform_answered(at(0));
+    election.platform_answered(at(0), at(0));
     election.confirm(at(0));
     assert!(election.is_fresh(at(1_000)));
     assert!(!election.is_fresh(at(2_000)));
--- a/crates/fleet/tests/exchange.rs
+++ b/crates/fleet/tests/exchange.rs
@@ -1,15 +1,16 @@
 //! The exchange of many nodes over a lossy network in virtual time.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use fleet::{
     Capacity, Effect, Exchange, Features, Gossip, Identity, LastAnswer, Message, Phase,
-    PlatformUpdate, Reads, Verdict, node_id,
+    PlatformUpdate, Reads, Verdict, Versions, node_id,
 };
 use policy::{Rejection, RequestKey, Time};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use resources::{Position, Published};
+use resources::{Document, Position, Published};
 use standin::net::{Net, addr};
 
 /// Nodes that know each other and have configuration 1 in force.
@@ -195,8 +196,8 @@
     let mut node = |i, link_mbps| Exchange::new(Time(0), identity(i, link_mbps), &[], &mut rng);
     let (mut reader, unknown_node) = (node(0, 200), node(1, 20));
     let now = Time(0) + Duration::from_secs(2);
-    reader
-        .platform_read(now, Published { latest: READ, complete_to: READ, ..Published::default() });
+    let read = Published { latest: READ, complete_to: READ, ..Published::default() };
+    reader.platform_read(now, now, read);
     let update = PlatformUpdate {
         sender: unknown_node.info(),
         versions: unknown_node.info().versions,
@@ -214,6 +215,67 @@
     assert_eq!(announcements(Message::PlatformUpdate(update)), 0, "the sender is known now");
 }
 
+/// Guards against a reader that was paused while an answer was on its way to it, and let the others
+/// wait for it while a newer configuration lay in the store.
+#[test]
+fn the_others_take_over_by_the_true_age_of_an_answer_that_a_reader_handled_late() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut node = |i, link_mbps| Exchange::new(Time(0), identity(i, link_mbps), &[], &mut rng);
+    let (mut reader, mut other) = (node(0, 200), node(1, 20));
+    let at = |ms| Time(0) + Duration::from_millis(ms);
+    // Both know each other and have read the same.
+    let read = || Published { latest: READ, complete_to: READ, ..Published::default() };
+    let infos = [other.info(), reader.info()];
+    for (it, peer) in [&mut reader, &mut other].into_iter().zip(infos) {
+        it.platform_read(at(0), at(0), read());
+        it.fetched(at(0), &read(), vec![peer]);
+    }
+    let (sent, handled) = (at(1_000), at(2_050));
+    let document = Document { version: 1, ..Document::default() };
+    for it in [&mut reader, &mut other] {
+        it.replica_mut().accept(Arc::new(document.clone()));
+    }
+    let read = Published { document: Some(document), ..read() };
+    let announced = reader.platform_read(handled, sent, read);
+    let mut frames = 0;
+    for effect in announced {
+        if let Effect::Send(to, message) = effect
+            && to == addr(1)
+        {
+            frames += 1;
+            let frame = reader.frame(message);
+            other.receive(handled, addr(0), frame, &mut StdRng::seed_from_u64(2));
+        }
+    }
+    assert!(frames > 0);
+    assert_eq!(other.reader_election().reads(handled), Reads::Nothing);
+    assert_eq!(other.reader_election().time_since_confirmation(handled), handled.since(sent));
+    assert_eq!(reader.reader_election().time_since_confirmation(handled), handled.since(sent));
+    assert_eq!(other.reader_election().reads(at(3_200)), Reads::Everything);
+}
+
+/// Guards against an old answer that made a node forget the newer configuration that peers had
+/// reported since.
+#[test]
+fn an_answer_takes_no_precedence_over_later_reports() {
+    let (reader, mut other) = reader_and_later(2);
+    let at = |ms| Time(0) + Duration::from_millis(ms);
+    let versions = Versions { config: 7, ..reader.info().versions };
+    let update = PlatformUpdate {
+        sender: reader.info(),
+        versions,
+        after: versions.registry,
+        changes: Vec::new(),
+        last_answer: LastAnswer::Read { age_ms: 0 },
+    };
+    let frame = reader.frame(Message::PlatformUpdate(update));
+    other.receive(at(1_000), addr(0), frame, &mut StdRng::seed_from_u64(2));
+    other.platform_read(at(1_100), at(900), Published::default());
+    assert_eq!(other.newest_known().config, 7);
+    other.platform_read(at(1_200), at(1_150), Published::default());
+    assert_eq!(other.newest_known().config, 0);
+}
+
 #[test]
 fn rejections_of_crashing_requests_soon_reach_every_node_including_later_starts() {
     let contact = Duration::from_secs(3);
@@ -239,6 +301,7 @@
         let mut it = Exchange::new(Time(0), identity(i, 200), &[], &mut rng);
         let read = Position { era, revision: 100 / u64::from(era) };
         it.platform_read(
+            Time(0),
             Time(0),
             Published { latest: read, complete_to: read, ..Published::default() },
         );
--- a/crates/resources/src/source.rs
+++ b/crates/resources/src/source.rs
@@ -1,5 +1,7 @@
 //! The interface to the platform that publishes configurations and endpoints. The `platform` crate implements it.
 
+use std::time::Duration;
+
 use crate::{Document, Position, Published};
 
 /// Why a read failed. The caller retries failed reads.
@@ -34,8 +36,12 @@
         known: Position,
     ) -> impl Future<Output = Result<Published, SourceError>> + Send;
 
-    /// Waits a short time for changes since the last read. An answer without changes confirms that there are none.
-    fn next(&mut self) -> impl Future<Output = Result<Published, SourceError>> + Send;
+    /// Waits for changes since the last read, but no longer than `wait`. An answer without changes comes when `wait` has
+    /// passed at the platform and confirms that there were none until then.
+    fn next(
+        &mut self,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Published, SourceError>> + Send;
 
     /// Returns the number of calls made so far. Each call has a cost for the platform.
     fn calls(&self) -> u64;
--- a/crates/standin/src/net.rs
+++ b/crates/standin/src/net.rs
@@ -188,12 +188,12 @@
             match call.answer {
                 Answer::Update(update) => {
                     self.platform.pauses.remove(&i);
-                    self.apply_update(i, update);
+                    self.apply_update(i, call.sent, update);
                 }
                 Answer::Configuration(document) => {
                     self.platform.pauses.remove(&i);
                     document.iter().for_each(|it| self.accept(i, it));
-                    self.nodes[i].configuration_read(self.now);
+                    self.nodes[i].configuration_read(self.now, call.sent);
                 }
                 Answer::Lost => {
                     let effects = self.nodes[i].read_failed();
@@ -217,7 +217,7 @@
             let pause = self.platform.pauses.entry(i).or_insert(MIN_PAUSE);
             let ends = self.now + WATCH + WATCH_MARGIN + *pause;
             *pause = (*pause * 2).min(MAX_PAUSE);
-            return Call { ends, answer: Answer::Lost };
+            return Call { sent: self.now, ends, answer: Answer::Lost };
         }
         let known_version = self.nodes[i].replica().versions().config;
         let newer = self.platform.newest_document.clone().filter(|it| it.version > known_version);
@@ -237,14 +237,14 @@
             Reads::Configuration => Answer::Configuration(newer),
             _ => Answer::Update(update),
         };
-        Call { ends: self.now + duration, answer }
+        Call { sent: self.now, ends: self.now + duration, answer }
     }
 
-    fn apply_update(&mut self, i: usize, update: Published) {
+    fn apply_update(&mut self, i: usize, as_of: Time, update: Published) {
         if let Some(it) = &update.document {
             self.accept(i, it);
         }
-        let effects = self.nodes[i].platform_read(self.now, update);
+        let effects = self.nodes[i].platform_read(self.now, as_of, update);
         self.record_registry_time(i);
         self.apply(i, effects);
     }
@@ -283,7 +283,8 @@
     /// Makes a node read this version of the configuration from the platform.
     pub fn read_platform(&mut self, i: usize, version: u64) {
         let document = Document { version, ..Document::default() };
-        self.apply_update(i, Published { document: Some(document), ..Published::default() });
+        let update = Published { document: Some(document), ..Published::default() };
+        self.apply_update(i, self.now, update);
     }
 
     /// Sets the phase of a node.
--- a/crates/standin/src/net/platform.rs
+++ b/crates/standin/src/net/platform.rs
@@ -34,6 +34,7 @@
 /// An active call to the platform.
 #[derive(Clone)]
 pub(super) struct Call {
+    pub(super) sent: Time,
     pub(super) ends: Time,
     pub(super) answer: Answer,
 }
