Exchange: a frame that waited for a paused node is as old as its wait

A node that was paused took an announcement of a reader that had waited in its socket for one just sent: its copy counted as fresh for 1.5 s, and that reader as answered for 1.2 s, from the end of the pause.

Cause: the age in an announcement was taken off the time at which the frame was handled.

Why this works: a frame has arrived after the socket was last seen empty. The control loop keeps that time, and if it is more than 0.2 s ago (two ticks of an idle node), the age counts from it. In a node in order frames count as before. What a frame is held up on the network is still not known.

Measured: both new tests fail where the age counts from the handling (0 s instead of 4 s, 0.1 s instead of 2.1 s) and pass now; the other unit tests of `dappleway` (42 in all), those of `fleet` (91), its tests `exchange` (18) and `waits` (3) pass.

--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -159,6 +159,8 @@
     last_tick: Time,
     /// When the last detected pause of this process ended.
     resumed_at: Time,
+    /// When the socket was last seen empty.
+    socket_drained_at: Time,
     next_dispatcher_tick: Time,
     next_readiness: Time,
     next_renewal: Time,
@@ -292,6 +294,7 @@
             draining: false,
             last_tick: now,
             resumed_at: now,
+            socket_drained_at: now,
             next_dispatcher_tick: now,
             next_readiness: now,
             next_renewal: now,
--- a/crates/dappleway/src/control/exchange.rs
+++ b/crates/dappleway/src/control/exchange.rs
@@ -11,6 +11,10 @@
 use crate::reader::fetch_from_peer;
 use crate::settings::Mode;
 
+/// If the socket was last seen empty longer ago than this, twice the tick of an idle node, this process was paused or
+/// overloaded, and frames have waited.
+const MAX_FRAME_DELAY: Duration = Duration::from_millis(200);
+
 /// Frames sent to nodes of other failure domains. Traffic between failure domains costs money.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct FarTraffic {
@@ -29,8 +33,13 @@
 
 impl Control {
     pub(super) fn receive_frames(&mut self, now: Time) {
+        let is_delayed = now.since(self.socket_drained_at) > MAX_FRAME_DELAY;
+        self.exchange.set_delayed_since(is_delayed.then_some(self.socket_drained_at));
         for _ in 0..MAX_BATCH {
-            let Some((from, frame, bytes)) = self.transport.receive() else { return };
+            let Some((from, frame, bytes)) = self.transport.receive() else {
+                self.socket_drained_at = now;
+                return;
+            };
             self.receive_frame(now, from, frame, bytes);
             self.deliver_replies(now);
         }
--- a/crates/dappleway/src/control/tests.rs
+++ b/crates/dappleway/src/control/tests.rs
@@ -8,14 +8,14 @@
 
 use caller::SharedSnapshot;
 use fleet::{
-    Capacity, Directory, Exchange, Features, Frame, Gossip, Identity, Key, Keys, Message, NodeInfo,
-    PermitClient, Phase, Transport,
+    Capacity, Directory, Exchange, Features, Frame, Gossip, Identity, Key, Keys, LastAnswer,
+    Message, NodeInfo, PermitClient, Phase, PlatformUpdate, Transport,
 };
 use policy::{BudgetLimits, DispatchOptions, NodeId, Notice, Precedence, RateLimit, Time};
 use prometheus::Registry;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use resources::{Config, Document, Published};
+use resources::{Config, Document, Position, Published};
 use slog::{Discard, Logger, o};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::yield_now;
@@ -113,6 +113,39 @@
     Control::new(Moment::now(), addr, params)
 }
 
+/// Guards against a paused node that confirms its copy with a frame that waited in its socket.
+#[tokio::test]
+async fn a_frame_that_waited_through_a_pause_is_as_old_as_the_pause() {
+    let (urgent, _received) = mpsc::unbounded_channel();
+    let (mut paused, mut reader) = (control(urgent.clone()).await, control(urgent).await);
+    let to = paused.node_addr;
+    let announce = async |reader: &mut Control| {
+        let update = PlatformUpdate {
+            sender: reader.exchange.info(),
+            versions: Default::default(),
+            after: Position::START,
+            changes: Vec::new(),
+            last_answer: LastAnswer::Read { age_ms: 0 },
+        };
+        let frame = reader.exchange.frame(Message::PlatformUpdate(update));
+        // A new socket is not known to be writable yet.
+        while reader.transport.send(to, &frame) == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    let at = |s| Time(0) + Duration::from_secs(s);
+    let age = |it: &Control, now| it.exchange.reader_election().time_since_confirmation(now);
+    paused.receive_frames(at(5));
+    announce(&mut reader).await;
+    paused.transport.readable().await.unwrap();
+    paused.receive_frames(at(9));
+    assert_eq!(age(&paused, at(9)), Duration::from_secs(4));
+    announce(&mut reader).await;
+    paused.transport.readable().await.unwrap();
+    paused.receive_frames(at(9));
+    assert_eq!(age(&paused, at(9)), Duration::ZERO);
+}
+
 /// The monotonic clock stops while the VM is suspended. With that clock, permits, repeat credits and freshness
 /// confirmations would count as younger than they are by the length of the suspension.
 #[tokio::test]
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -112,6 +112,9 @@
     last_fetch_unreached: bool,
     /// The newest versions reported by peers, as far as they are missing here.
     newest_reported: Versions,
+    /// Since when frames that are received now may have waited for this process; `None` if they are
+    /// received as they arrive.
+    delayed_since: Option<Time>,
     /// When peers last reported newer ones than before.
     reported_at: Time,
     /// A configuration version that is missing here, and when a reader confirmed it as the newest.
@@ -152,6 +155,7 @@
             is_fetching: false,
             last_fetch_unreached: false,
             newest_reported: Versions::default(),
+            delayed_since: None,
             reported_at: now,
             unconfirmed: None,
             is_unreadable: false,
@@ -287,6 +291,12 @@
         }
     }
 
+    /// Sets since when the frames that are received next may have waited for this process; `None` if
+    /// they are received as they arrive.
+    pub fn set_delayed_since(&mut self, it: Option<Time>) {
+        self.delayed_since = it;
+    }
+
     /// Whether rounds are frequent because this node is still discovering others.
     pub fn is_discovering(&self, now: Time) -> bool {
         let is_recently_started = now.since(self.started_at) < RECENTLY_STARTED_FOR;
--- a/crates/fleet/src/exchange/updates.rs
+++ b/crates/fleet/src/exchange/updates.rs
@@ -166,23 +166,30 @@
         }
         self.update_missing(now);
         let from = Rank { link_mbps: update.sender.capacity.link_mbps, node: from };
-        let status = self.reader_status(now, update.last_answer, update.versions.config);
+        let arrived = self.delayed_since.unwrap_or(now);
+        let status = self.reader_status(arrived, update.last_answer, update.versions.config);
         self.reader_election.receive_status(now, from, status);
         effects
     }
 
-    /// Derives from a reader's announcement what it confirms about the local copy.
-    fn reader_status(&mut self, now: Time, last_answer: LastAnswer, version: u64) -> ReaderStatus {
+    /// Derives from a reader's announcement what it confirms about the local copy. The
+    /// announcement arrived at `arrived` or later.
+    fn reader_status(
+        &mut self,
+        arrived: Time,
+        last_answer: LastAnswer,
+        version: u64,
+    ) -> ReaderStatus {
         let age = |ms: u32| Duration::from_millis(ms.into());
         match last_answer {
             LastAnswer::Lost => ReaderStatus::NoAnswer,
-            LastAnswer::Unreadable { age_ms } => ReaderStatus::Unconfirmed(now - age(age_ms)),
+            LastAnswer::Unreadable { age_ms } => ReaderStatus::Unconfirmed(arrived - age(age_ms)),
             // The answer predates this process, and its clock cannot represent the time.
-            LastAnswer::Read { age_ms } if age(age_ms) > now.since(Time(0)) => {
+            LastAnswer::Read { age_ms } if age(age_ms) > arrived.since(Time(0)) => {
                 ReaderStatus::Unconfirmed(Time(0))
             }
             LastAnswer::Read { age_ms } => {
-                let at = now - age(age_ms);
+                let at = arrived - age(age_ms);
                 if version <= self.replica.versions().config {
                     return ReaderStatus::Confirmed(at);
                 }
--- a/crates/fleet/tests/exchange.rs
+++ b/crates/fleet/tests/exchange.rs
@@ -254,6 +254,30 @@
     assert_eq!(other.reader_election().reads(at(3_200)), Reads::Everything);
 }
 
+/// Guards against a node that was paused and takes an announcement that waited in its socket for one
+/// that has just been sent.
+#[test]
+fn an_announcement_that_waited_for_a_paused_process_is_as_old_as_the_wait() {
+    let (reader, mut other) = reader_and_later(2);
+    let at = |ms| Time(0) + Duration::from_millis(ms);
+    let versions = reader.info().versions;
+    let update = PlatformUpdate {
+        sender: reader.info(),
+        versions,
+        after: versions.registry,
+        changes: Vec::new(),
+        last_answer: LastAnswer::Read { age_ms: 100 },
+    };
+    let mut receive = |now, delayed_since| {
+        other.set_delayed_since(delayed_since);
+        let frame = reader.frame(Message::PlatformUpdate(update.clone()));
+        other.receive(now, addr(0), frame, &mut StdRng::seed_from_u64(2));
+        other.reader_election().time_since_confirmation(now)
+    };
+    assert_eq!(receive(at(3_000), Some(at(1_000))), Duration::from_millis(2_100));
+    assert_eq!(receive(at(3_000), None), Duration::from_millis(100));
+}
+
 /// Guards against an old answer that made a node forget the newer configuration that peers had
 /// reported since.
 #[test]
