--- a/crates/caller/tests/endless.rs
+++ b/crates/caller/tests/endless.rs
@@ -95,7 +95,7 @@
         let (mut stream, _) = endpoint.accept().await.unwrap();
         let _ = stream.read(&mut [0; 4096]).await.unwrap();
         let mut sent = 0;
-        if stream.write_all(start.as_bytes()).await.is_err() {
+        if stream.write_all(common::genuine(start).as_bytes()).await.is_err() {
             return sent;
         }
         let many = endless.repeat(64 * 1024 / endless.len());
@@ -115,7 +115,7 @@
         }
     };
     let asking = async {
-        let mut stream = common::open_request(slot.clone()).await;
+        let mut stream = common::open_request(slot.clone(), common::LOOKUP).await;
         let (mut start, mut last) = (Vec::new(), Vec::new());
         let mut buf = vec![0; 64 * 1024];
         // A reset ends the answer as well.
--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -159,6 +159,8 @@
     last_tick: Time,
     /// When the last detected pause of this process ended.
     resumed_at: Time,
+    /// When the socket was last seen empty.
+    socket_drained_at: Time,
     next_dispatcher_tick: Time,
     next_readiness: Time,
     next_renewal: Time,
@@ -292,6 +294,7 @@
             draining: false,
             last_tick: now,
             resumed_at: now,
+            socket_drained_at: now,
             next_dispatcher_tick: now,
             next_readiness: now,
             next_renewal: now,
@@ -358,14 +361,20 @@
     }
 
     fn now(&self) -> Time {
-        Time(self.clock.elapsed().as_micros() as u64)
+        self.time_of(Moment::now())
+    }
+
+    fn time_of(&self, it: Moment) -> Time {
+        Time(it.since(self.clock).as_micros() as u64)
     }
 
     fn handle_event(&mut self, now: Time, event: Event) {
         match event {
             Event::Command(command) => self.handle_command(now, command),
-            Event::Read(published, calls) => self.apply_read(now, published, calls),
-            Event::ConfigurationRead(it, calls) => self.apply_configuration_read(now, it, calls),
+            Event::Read(published, as_of, calls) => self.apply_read(now, as_of, published, calls),
+            Event::ConfigurationRead(it, as_of, calls) => {
+                self.apply_configuration_read(now, as_of, it, calls)
+            }
             Event::ReadFailed => self.handle_read_failure(now),
             Event::Fetched(published, members) => self.apply_fetched(now, published, members),
             Event::FetchFailed(why) => {
--- a/crates/fleet/src/exchange/updates.rs
+++ b/crates/fleet/src/exchange/updates.rs
@@ -26,9 +26,14 @@
 
 impl Exchange {
     /// Applies what this node has read from the platform, and forwards the changes to its failure
-    /// domain.
-    pub fn platform_read(&mut self, now: Time, mut published: Published) -> Vec<Effect> {
-        self.reader_election.platform_answered(now);
+    /// domain. The answer speaks for the state of the platform at `as_of`.
+    pub fn platform_read(
+        &mut self,
+        now: Time,
+        as_of: Time,
+        mut published: Published,
+    ) -> Vec<Effect> {
+        self.reader_election.platform_answered(now, as_of);
         let before = self.replica.versions();
         // A read follows the previous read of this node without a gap.
         published.after = published.after.map(|_| before.registry);
@@ -36,15 +41,17 @@
         if self.replica.update(now, &published) {
             effects.push(Effect::EndpointsChanged);
         }
-        // An answer of the platform takes precedence over reports of peers.
-        self.newest_reported = self.replica.versions();
+        // An answer of the platform takes precedence over earlier reports of peers.
+        if as_of >= self.reported_at {
+            self.newest_reported = self.replica.versions();
+        }
         self.update_missing(now);
         self.is_unreadable = match &published.document {
             Some(_) => false,
             None => self.is_unreadable || published.unreadable.is_some(),
         };
         if !self.is_unreadable {
-            self.reader_election.confirm(now);
+            self.reader_election.confirm(as_of);
         }
         let has_changes = !published.endpoints.is_empty() || before.config > self.announced_version;
         if has_changes && self.reader_election.reads(now) == Reads::Everything {
@@ -70,11 +77,14 @@
     }
 
     /// Records that this node has read the configuration alone and put it in force if it is newer.
-    pub fn configuration_read(&mut self, now: Time) {
-        // An answer of the platform takes precedence over reports of peers.
-        self.newest_reported.config = self.replica.versions().config;
+    /// The answer speaks for the state of the platform at `as_of`.
+    pub fn configuration_read(&mut self, now: Time, as_of: Time) {
+        // An answer of the platform takes precedence over earlier reports of peers.
+        if as_of >= self.reported_at {
+            self.newest_reported.config = self.replica.versions().config;
+        }
         self.is_unreadable = false;
-        self.reader_election.confirm(now);
+        self.reader_election.confirm(as_of);
         self.update_missing(now);
     }
 
@@ -153,29 +163,36 @@
         if latest.is_known() && self.replica.update(now, &published) {
             effects.push(Effect::EndpointsChanged);
         }
-        self.newest_reported = self.newest_reported.max_of(update.versions);
+        self.record_report(now, update.versions);
         if self.is_behind(update.versions) {
             effects.extend(self.fetch(addr));
         }
         self.update_missing(now);
         let from = Rank { link_mbps: update.sender.capacity.link_mbps, node: from };
-        let status = self.reader_status(now, update.last_answer, update.versions.config);
+        let arrived = self.delayed_since.unwrap_or(now);
+        let status = self.reader_status(arrived, update.last_answer, update.versions.config);
         self.reader_election.receive_status(now, from, status);
         effects
     }
 
-    /// Derives from a reader's announcement what it confirms about the local copy.
-    fn reader_status(&mut self, now: Time, last_answer: LastAnswer, version: u64) -> ReaderStatus {
+    /// Derives from a reader's announcement what it confirms about the local copy. The
+    /// announcement arrived at `arrived` or later.
+    fn reader_status(
+        &mut self,
+        arrived: Time,
+        last_answer: LastAnswer,
+        version: u64,
+    ) -> ReaderStatus {
         let age = |ms: u32| Duration::from_millis(ms.into());
         match last_answer {
             LastAnswer::Lost => ReaderStatus::NoAnswer,
-            LastAnswer::Unreadable { age_ms } => ReaderStatus::Unconfirmed(now - age(age_ms)),
+            LastAnswer::Unreadable { age_ms } => ReaderStatus::Unconfirmed(arrived - age(age_ms)),
             // The answer predates this process, and its clock cannot represent the time.
-            LastAnswer::Read { age_ms } if age(age_ms) > now.since(Time(0)) => {
+            LastAnswer::Read { age_ms } if age(age_ms) > arrived.since(Time(0)) => {
                 ReaderStatus::Unconfirmed(Time(0))
             }
             LastAnswer::Read { age_ms } => {
-                let at = now - age(age_ms);
+                let at = arrived - age(age_ms);
                 if version <= self.replica.versions().config {
                     return ReaderStatus::Confirmed(at);
                 }
@@ -293,7 +310,8 @@
         });
         let NodeInfo { addr, versions, .. } =
             *preferred.choose(rng).or_else(|| newer.choose(rng))?;
-        self.newest_reported.config = self.newest_reported.config.max(versions.config);
+        let registry = self.newest_reported.registry;
+        self.record_report(now, Versions { config: versions.config, registry });
         self.update_missing(now);
         self.fetch(addr)
     }
@@ -307,6 +325,15 @@
         Some(Effect::Fetch(addr))
     }
 
+    /// Records versions that exist according to a peer.
+    fn record_report(&mut self, now: Time, versions: Versions) {
+        let newest = self.newest_reported.max_of(versions);
+        if newest != self.newest_reported {
+            self.newest_reported = newest;
+            self.reported_at = now;
+        }
+    }
+
     fn update_missing(&mut self, now: Time) {
         let mine = self.replica.versions();
         if let Some((_, at)) = self.unconfirmed.take_if(|(version, _)| *version <= mine.config) {
