Grants: a slot at an endpoint that has left goes back, whoever grants it

Callers of nodes that were never disturbed had bookings sent to an endpoint up to 3.7 s after its entry had gone (bound 2 s), and lost them when it ended.

Cause: the asking node took each granted slot without a look at its own copy of the registry. The node that granted it had been paused and did not know of the leaving.

Now the asker returns the slot and asks again if its own copy says that this incarnation has said that it leaves, is gone, or has been missing for too long. An endpoint that it does not know may be new and is used. After such a grant its asks name the endpoints of the service that have left (`Ask::closed`, as for those that rest), the granted ones first, so that a stale node grants another endpoint at once. An address that is in use by another endpoint is not named. No frame changes.

--- a/crates/dappleway/src/control/own_slots.rs
+++ b/crates/dappleway/src/control/own_slots.rs
@@ -72,7 +72,7 @@
             send: slot_request.send,
             brings_share: true,
             avoid: slot_request.avoid.clone(),
-            closed: state.direct.closed(now, self.me.node),
+            closed: state.closed(now, self.me.node),
             domains: self.domain_filter(slot_request),
             limits: state.direct.received_limits(now),
             left: slot_request.left,
@@ -201,10 +201,7 @@
             return;
         };
         let Waiter { tx, service, request } = waiter;
-        let direct = self.services.get(service).map(|it| &it.direct);
-        if direct
-            .is_some_and(|it| it.is_closed(now, self.me.node, &grant.endpoint, grant.started_ms))
-        {
+        if self.is_closed(now, service, &grant) {
             self.return_slot(now, place, id);
             // The request may have been cancelled meanwhile.
             let _ = tx.send(Err(Refused::closed()));
@@ -236,6 +233,24 @@
         }
     }
 
+    /// Whether this node must not use a slot. The node that granted it may know less of the endpoint, as after a
+    /// pause. An endpoint that is unknown here may be new.
+    fn is_closed(&mut self, now: Time, service: u64, grant: &Grant) -> bool {
+        let (id, started_ms) = (&grant.endpoint, grant.started_ms);
+        let replica = self.exchange.replica();
+        let Some(state) = self.services.get_mut(service) else {
+            return replica.has_left(now, id, started_ms);
+        };
+        let is_closed = state.direct.is_closed(now, self.me.node, id, started_ms);
+        if !replica.has_left(now, id, started_ms) {
+            return is_closed;
+        }
+        let left = replica.left(now, &state.service.name).into_iter();
+        let left = left.map(|it| it.endpoint.addr).filter(|it| !state.is_in_use(*it)).collect();
+        state.left.granted(now, grant.addr, left);
+        true
+    }
+
     pub(super) fn withdraw(&mut self, now: Time, id: PermitId) {
         let Some(waiter) = self.waiting.remove(&id) else {
             // The slot was granted meanwhile, and nobody receives it.
--- a/crates/dappleway/src/control/tests.rs
+++ b/crates/dappleway/src/control/tests.rs
@@ -1,5 +1,6 @@
 mod detours;
 mod domain_dispatch;
+mod stale_grants;
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/dappleway/src/services.rs
+++ b/crates/dappleway/src/services.rs
@@ -3,21 +3,23 @@
 //! all endpoints of the service, or one for each failure domain whose slots this node grants.
 
 mod failure_domains;
+mod left;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use policy::{
-    BudgetLimits, Change, DispatchOptions, Dispatcher, DomainLoad, MAX_LOAD_AGE, NodeId, Notice,
-    Observation, Precedence, QueuedReply, Rejection, RequestKey, RouteTerms, RunEnd, Time,
-    Topology, stable_hash,
+    Ask, BudgetLimits, Change, DispatchOptions, Dispatcher, DomainLoad, MAX_LOAD_AGE, NodeId,
+    Notice, Observation, Precedence, QueuedReply, Rejection, RequestKey, RouteTerms, RunEnd, State,
+    Time, Topology, stable_hash,
 };
 use rand::Rng;
 use resources::{Config, Endpoint, Name, Registration, Service};
 use rustc_hash::FxHashMap;
 
 pub use self::failure_domains::FailureDomains;
+pub use self::left::LeftEndpoints;
 
 /// How long a service stays dispatched by failure domain after it has ceased to qualify. Endpoints that are missing
 /// for a moment would otherwise change the granting nodes twice, and each change loses what they know.
@@ -57,6 +59,8 @@
     remote_loads: FxHashMap<(u64, NodeId), (DomainLoad, Time)>,
     /// Slots granted to requests of this node.
     pub sends: SendCounts,
+    /// Endpoints that have left and are handed out to this node all the same.
+    pub left: LeftEndpoints,
     routes: Vec<RouteTerms>,
 }
 
@@ -348,6 +352,7 @@
             is_domain_dispatch_allowed: params.is_domain_dispatch_allowed,
             remote_loads: FxHashMap::default(),
             sends: SendCounts::default(),
+            left: LeftEndpoints::default(),
             service,
             routes: routes.to_vec(),
         }
@@ -429,6 +434,20 @@
         Some(name_hash(&self.direct.endpoints()[position].failure_domain))
     }
 
+    /// Addresses of endpoints that accept nothing from the node `me`, for an ask.
+    pub fn closed(&self, now: Time, me: NodeId) -> Vec<SocketAddr> {
+        let mut closed = self.left.named(now).to_vec();
+        let noticed = self.direct.closed(now, me);
+        closed.extend(noticed.into_iter().filter(|it| !self.left.named(now).contains(it)));
+        closed.truncate(Ask::MAX_CLOSED);
+        closed
+    }
+
+    /// Whether an endpoint that may get work has this address now.
+    pub fn is_in_use(&self, addr: SocketAddr) -> bool {
+        self.direct.endpoints().iter().any(|it| it.addr == addr && it.state != State::Leaving)
+    }
+
     /// Counts a slot granted to a request of this node, whose failure domain is `own`.
     pub fn count_send(&mut self, own: u64, endpoint: &str) {
         match self.failure_domain_of(endpoint) {
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -144,6 +144,16 @@
         true
     }
 
+    /// Whether the endpoint gets no more work: it has said that it leaves, or its entry has been away
+    /// for too long.
+    fn has_left(&self, now: Time) -> bool {
+        match self.presence {
+            Presence::Present => self.is_leaving(),
+            Presence::Missing { until, .. } => self.is_leaving() || now >= until,
+            Presence::Gone { .. } => true,
+        }
+    }
+
     /// Whether the entry can be dropped.
     fn is_forgotten(&self, now: Time) -> bool {
         matches!(self.presence, Presence::Gone { until, is_relisted: false } if now >= until)
@@ -271,6 +281,22 @@
         })
     }
 
+    /// Whether an incarnation of an endpoint is known and gets no more work. One that is not known may
+    /// be new.
+    pub fn has_left(&self, now: Time, id: &str, started_ms: u64) -> bool {
+        let known = self.entries.get(id).filter(|it| it.started_ms() == started_ms);
+        known.is_some_and(|it| it.has_left(now))
+    }
+
+    /// The endpoints of a service that get no more work, those that left last first.
+    pub fn left(&self, now: Time, service: &str) -> Vec<&Registration> {
+        let endpoints = self.entries.values().filter_map(|it| Some((it, it.content.endpoint()?)));
+        let left = endpoints.filter(|(it, found)| found.service == service && it.has_left(now));
+        let mut left: Vec<_> = left.map(|(it, found)| (it.at, found)).collect();
+        left.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
+        left.into_iter().map(|(_, it)| it).collect()
+    }
+
     /// The failure domains that are evacuated.
     pub fn evacuated(&self) -> impl Iterator<Item = &Name> {
         self.entries.values().filter_map(Entry::evacuates)
--- a/crates/fleet/src/tests/replica.rs
+++ b/crates/fleet/src/tests/replica.rs
@@ -155,6 +155,29 @@
     assert_eq!(ids(&replica.changes_since(at(2_900)).unwrap()), [("a", 2_999)]);
 }
 
+/// Guards against requests to an endpoint that has left, at a slot from a node that does not know of it yet.
+#[test]
+fn an_endpoint_that_has_left_is_told_from_one_that_is_new_or_missing_for_a_moment() {
+    let mut replica = Replica::default();
+    replica.update(Time(0), &full(5, vec![present("a", 4), present("b", 5)]));
+    replica.update(Time(0), &changes(5, 6, vec![removed("a", 6)]));
+    replica.update(Time(0), &changes(6, 7, vec![entry("b", 7, Standing::Leaving)]));
+    let left = |replica: &Replica, now| {
+        replica.left(now, "s").into_iter().map(|it| it.endpoint.id.to_string()).collect::<Vec<_>>()
+    };
+    assert!(!replica.has_left(Time(0), "a", 0), "missing for a moment");
+    assert!(!replica.has_left(Time(0), "new", 0));
+    assert!(replica.has_left(Time(0), "b", 0));
+    assert!(!replica.has_left(Time(0), "b", 1), "a later incarnation");
+    assert_eq!(left(&replica, Time(0)), ["b"]);
+    let now = Time(0) + MISSING_GRACE;
+    assert!(replica.has_left(now, "a", 0), "before the timers have run");
+    replica.tick(now);
+    assert!(replica.has_left(now, "a", 0));
+    assert_eq!(left(&replica, now), ["b", "a"], "the one that left last comes first");
+    assert_eq!(replica.left(now, "other").len(), 0);
+}
+
 /// State of an earlier incarnation of an endpoint, including its leaving, ends with the next
 /// incarnation.
 #[test]
--- a/crates/policy/src/dispatcher/notices.rs
+++ b/crates/policy/src/dispatcher/notices.rs
@@ -7,7 +7,7 @@
 use crate::notice::Notice;
 use crate::permit::Ask;
 use crate::rendezvous::NodeId;
-use crate::rotation::EndpointStatus;
+use crate::rotation::{EndpointStatus, State};
 use crate::time::Time;
 
 /// Longest time for which an endpoint is treated as full for all nodes after it asked one node to
@@ -49,11 +49,14 @@
         }
     }
 
-    /// Whether an endpoint takes no requests of a node because of its notices, or is evacuated.
+    /// Whether an endpoint takes no requests of a node because it is leaving, because of its notices,
+    /// or because it is evacuated.
     pub fn is_closed(&self, now: Time, node: NodeId, id: &str, started_ms: u64) -> bool {
         let Some(i) = self.detector.rotation.position(id) else { return false };
         let (it, load) = (&self.endpoints()[i], &self.loads[i]);
-        let is_closed = it.is_evacuated || load.advertised.is_closed_to(now, node);
+        let is_closed = it.is_evacuated
+            || it.state == State::Leaving
+            || load.advertised.is_closed_to(now, node);
         is_closed && it.started_ms == started_ms
     }
 
--- a/crates/policy/src/tests/notices.rs
+++ b/crates/policy/src/tests/notices.rs
@@ -4,7 +4,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use resources::{Bias, Service};
+use resources::{Bias, Service, Standing};
 
 use super::fixture::{BUDGET, SECOND, TERMS, ask, reporter, seen, service};
 use crate::{Ask, Dispatcher, Kind, NodeId, Notice, RateLimit, Reply, SendKind, State, Time};
@@ -33,6 +33,17 @@
     assert_eq!(it.ask(Time(0) + SECOND, ask_of(2, 99), &mut rng), Reply::Full);
 }
 
+#[test]
+fn an_endpoint_that_leaves_by_the_registry_is_closed() {
+    let mut service = service(&[1], 1, Bias::Balanced);
+    let (mut it, _) = dispatcher(&service);
+    assert!(!it.is_closed(Time(0), NodeId(1), "i-1000", 0));
+    service.endpoints[0].standing = Standing::Leaving;
+    it.reconfigure(Time(0), &service, &[TERMS]);
+    assert!(it.is_closed(Time(0), NodeId(1), "i-1000", 0));
+    assert!(!it.is_closed(Time(0), NodeId(1), "i-1000", 1), "a later incarnation");
+}
+
 #[test]
 fn a_node_that_is_asked_to_back_off_sends_nothing_until_that_is_over() {
     let (mut it, mut rng) = dispatcher(&service(&[1], 1, Bias::Balanced));
