Readers: a node whose process ends hands over the reading of the platform

After a planned stop of the node that reads, its failure domain learned of changes only when its silence was noticed: 1.2 s after its last answer and a turn of up to 0.4 s.

Cause: a stopping node read to its end and then fell silent.

Now it tells its failure domain at the end of its process that it is answered no more, with the announcement that a refused reader sends (known to older processes), so that the next node reads when its turn has come. If that datagram is lost, the timeouts hold as before.

--- a/crates/dappleway/src/control.rs
+++ b/crates/dappleway/src/control.rs
@@ -326,6 +326,8 @@
                 if matches!(event, Event::Stop) {
                     // The last releases of this node.
                     self.send_due(now);
+                    let effects = self.exchange.ended(now);
+                    self.apply_effects(now, effects);
                     return;
                 }
                 self.handle_event(now, event);
--- a/crates/fleet/src/exchange/updates.rs
+++ b/crates/fleet/src/exchange/updates.rs
@@ -60,6 +60,14 @@
         effects
     }
 
+    /// Lets other nodes take over at once because this process ends now.
+    pub fn ended(&mut self, now: Time) -> Vec<Effect> {
+        if !self.reader_election.may_announce(now) {
+            return Vec::new();
+        }
+        self.send_to_own_domain(Message::PlatformUpdate(self.empty_update(LastAnswer::Lost)))
+    }
+
     /// Records that the platform did not answer, and lets other nodes take over at once.
     pub fn read_failed(&mut self) -> Vec<Effect> {
         if !self.reader_election.platform_failed() {
--- a/crates/fleet/tests/exchange.rs
+++ b/crates/fleet/tests/exchange.rs
@@ -51,6 +51,34 @@
     assert_eq!(net.in_force(), [2; 12]);
 }
 
+/// Guards against a failure domain that learns of changes only when the silence of a reader whose process has ended is
+/// noticed, more than a second later.
+#[test]
+fn other_nodes_take_over_at_once_when_the_process_of_a_reader_ends() {
+    let mut net = started(12, 0.0);
+    net.run_with_platform(Duration::from_secs(1), 1);
+    let reads = |net: &Net, i: usize| net.nodes[i].reader_election().reads(net.now);
+    let readers: Vec<usize> = (0..12).filter(|i| reads(&net, *i) == Reads::Everything).collect();
+    for i in &readers {
+        let me = net.nodes[*i].id();
+        for effect in net.nodes[*i].ended(net.now) {
+            let Effect::Send(to, message) = effect else { continue };
+            let frame = fleet::Frame { from: me, message };
+            let receiver = (0..12).find(|j| addr(*j) == to).unwrap();
+            let mut rng = StdRng::seed_from_u64(1);
+            net.nodes[receiver].receive(net.now, addr(*i), frame, &mut rng);
+        }
+        net.cut.extend((0..12).map(|j| (*i, j)));
+    }
+    // Nodes that know no endpoints back off for longer than others.
+    let later = net.now + Duration::from_millis(900);
+    let took_over = |i: &usize| {
+        !readers.contains(i) && net.nodes[*i].reader_election().reads(later) == Reads::Everything
+    };
+    assert_eq!(readers.len(), 3);
+    assert!((0..12).filter(took_over).count() >= 3);
+}
+
 #[test]
 fn the_byte_budget_is_kept_whatever_the_size() {
     for n in [3, 40, 120] {
