--- a/crates/fleet/src/exchange/updates.rs
+++ b/crates/fleet/src/exchange/updates.rs
@@ -33,14 +33,16 @@
         as_of: Time,
         mut published: Published,
     ) -> Vec<Effect> {
+        let since = self.unknown_since(now);
         self.reader_election.platform_answered(now, as_of);
         let before = self.replica.versions();
         // A read follows the previous read of this node without a gap.
         published.after = published.after.map(|_| before.registry);
         let mut effects = Vec::new();
-        if self.replica.update(now, &published) {
+        if self.replica.update_since(now, since, &published) {
             effects.push(Effect::EndpointsChanged);
         }
+        self.registry_complete_at = Some(as_of);
         // An answer of the platform takes precedence over earlier reports of peers.
         if as_of >= self.reported_at {
             self.newest_reported = self.replica.versions();
@@ -68,6 +70,14 @@
         effects
     }
 
+    /// Lets other nodes take over at once because this process ends now.
+    pub fn ended(&mut self, now: Time) -> Vec<Effect> {
+        if !self.reader_election.may_announce(now) {
+            return Vec::new();
+        }
+        self.send_to_own_domain(Message::PlatformUpdate(self.empty_update(LastAnswer::Lost)))
+    }
+
     /// Records that the platform did not answer, and lets other nodes take over at once.
     pub fn read_failed(&mut self) -> Vec<Effect> {
         if !self.reader_election.platform_failed() {
@@ -101,9 +111,11 @@
             self.reader_election.record_first_copy(now);
         }
         let mut effects = self.record_nodes(now, members);
-        if self.replica.update(now, published) {
+        let since = self.unknown_since(now);
+        if self.replica.update_since(now, since, published) {
             effects.push(Effect::EndpointsChanged);
         }
+        self.registry_complete_at = self.registry_complete_at.or(Some(now));
         self.update_missing(now);
         effects
     }
@@ -160,21 +172,34 @@
             endpoints: update.changes,
         };
         // Without changes there is no position up to which the update would complete this copy.
-        if latest.is_known() && self.replica.update(now, &published) {
+        let since = self.unknown_since(now);
+        if latest.is_known() && self.replica.update_since(now, since, &published) {
             effects.push(Effect::EndpointsChanged);
         }
+        let arrived = self.delayed_since.unwrap_or(now);
+        self.note_complete_registry(arrived, update.last_answer, update.versions.registry);
         self.record_report(now, update.versions);
         if self.is_behind(update.versions) {
             effects.extend(self.fetch(addr));
         }
         self.update_missing(now);
         let from = Rank { link_mbps: update.sender.capacity.link_mbps, node: from };
-        let arrived = self.delayed_since.unwrap_or(now);
         let status = self.reader_status(arrived, update.last_answer, update.versions.config);
         self.reader_election.receive_status(now, from, status);
         effects
     }
 
+    /// Records when the platform had no newer registry than the local copy, by a reader's announcement.
+    fn note_complete_registry(&mut self, arrived: Time, answer: LastAnswer, registry: Position) {
+        let (LastAnswer::Read { age_ms } | LastAnswer::Unreadable { age_ms }) = answer else {
+            return;
+        };
+        let age = Duration::from_millis(age_ms.into());
+        if registry <= self.replica.versions().registry && age <= arrived.since(Time(0)) {
+            self.registry_complete_at = self.registry_complete_at.max(Some(arrived - age));
+        }
+    }
+
     /// Derives from a reader's announcement what it confirms about the local copy. The
     /// announcement arrived at `arrived` or later.
     fn reader_status(
