Soak: half of the runs draw a short lag, half a short end of the grace

Change: lag and the time from its end to that of the grace period are drawn from a short and a long range with equal probability.

--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -109,8 +109,13 @@
     }
 
     fn random(rng: &mut StdRng) -> Self {
-        let lag = rng.random_range(LAG_MS);
-        Self::from_millis(lag, lag + rng.random_range(GRACE_AFTER_LAG_MS))
+        let mut draw = |ranges: [std::ops::Range<u64>; 2]| {
+            let [short, long] = ranges;
+            let drawn = if rng.random_bool(0.5) { short } else { long };
+            rng.random_range(drawn)
+        };
+        let lag = draw(LAG_MS);
+        Self::from_millis(lag, lag + draw(GRACE_AFTER_LAG_MS))
     }
 }
 
@@ -185,10 +190,11 @@
 const GAP_BETWEEN_FAULTS_MS: std::ops::Range<u64> = 500..6_000;
 /// Range of durations of a fault.
 const DURATION_MS: std::ops::Range<u64> = 50..5_000;
-/// Range of the lag of planned stops.
-const LAG_MS: std::ops::Range<u64> = 20..4_000;
-/// Range of the time from the end of the lag to the end of the grace period.
-const GRACE_AFTER_LAG_MS: std::ops::Range<u64> = 300..5_000;
+/// Ranges of the lag of planned stops, which are equally likely.
+const LAG_MS: [std::ops::Range<u64>; 2] = [20..400, 400..4_000];
+/// Ranges of the time from the end of the lag to the end of the grace period. In the shorter ones requests are at work
+/// when the grace period ends.
+const GRACE_AFTER_LAG_MS: [std::ops::Range<u64>; 2] = [300..1_500, 1_500..5_000];
 /// Range of pauses between the signals of a series.
 const SIGNAL_PAUSE_MS: std::ops::Range<u64> = 0..2_000;
 /// Range of times between the beginnings of the stops of two nodes.
