--- a/crates/dappleway/tests/planned_stops.rs
+++ b/crates/dappleway/tests/planned_stops.rs
@@ -145,6 +145,21 @@
     assert!(answer.contains("x-request-outcome: not-run"), "{answer}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_download_that_outlasts_the_stop_never_looks_complete() {
+    let _alone = BED.lock().await;
+    let profile = Profile { piece_us: 50_000, ..Layout::small().profile };
+    let mut bed = start(&Layout { profile, ..layout("lag_ms = 100\ngrace_ms = 2000") }).await;
+    let addr = bed.nodes[0].addrs.traffic;
+    let download = tokio::spawn(client::get(addr, "/archives/x?bytes=3000000"));
+    while bed.upstreams.iter().all(|it| it.arrivals().is_empty()) {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    bed.nodes[0].signal("TERM").unwrap();
+    wait_exit(&mut bed).await;
+    assert!(download.await.unwrap().is_err(), "3 MB take 9 s");
+}
+
 /// What a caller saw of its bookings on one connection.
 #[derive(Default)]
 struct Seen {
