Caller: one retry time for refusals of a stopping node, one look-up of the id

Cause: the change of planned stops brought a retry time of its own, handed through two types, beside RETRY_ELSEWHERE and RETRY_AFTER_FAILURE, which have the same value and reason; the request id was read and cloned twice for each request; relay imported a function and its module.

Change: refusals use the constants that were there, and the id is passed on. Behaviour is as before: callers come back after 250 ms.

--- a/crates/caller/src/answer.rs
+++ b/crates/caller/src/answer.rs
@@ -99,9 +99,9 @@
     }
 
     /// This node is being stopped, and the request would not be answered in time.
-    pub(crate) fn stopping(retry_after: Duration) -> Self {
+    pub(crate) fn stopping() -> Self {
         let reason = "this node is being stopped, and another one takes the request";
-        Self::not_run_because("stopping", reason, retry_after)
+        Self::not_run_because("stopping", reason, RETRY_ELSEWHERE)
     }
 
     /// This node is being stopped, and the endpoint has not answered in time.
--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -28,7 +28,7 @@
     let is_head = req.method() == Method::HEAD;
     let mut res = tokio::select! {
         biased;
-        res = answer(&cx, req, &in_flight.progress) => res,
+        res = answer(&cx, req, id.as_ref(), &in_flight.progress) => res,
         () = cx.stop.wait_until(cx.stop.times().answers) => {
             answer_at_stop(&cx, id.as_ref(), in_flight.progress.stage())
         }
@@ -50,16 +50,14 @@
 async fn answer<D: Dispatch>(
     cx: &Arc<Cx<D>>,
     req: Request<Incoming>,
+    id: Option<&HeaderValue>,
     progress: &Progress,
 ) -> Response<ResponseBody> {
     let started = Instant::now();
-    let id = req.headers().get(&cx.names.request_id).cloned();
     match RoutedRequest::new(cx, &req, progress) {
-        _ if !cx.stop.takes_arrivals() => {
-            give_up_unrouted(cx, id.as_ref(), GiveUp::stopping(cx.stop.retry_after()))
-        }
+        _ if !cx.stop.takes_arrivals() => give_up_unrouted(cx, id, GiveUp::stopping()),
         _ if cx.metrics.in_flight.get() > cx.limits.max_in_flight as i64 => {
-            give_up_unrouted(cx, id.as_ref(), GiveUp::too_many_in_flight())
+            give_up_unrouted(cx, id, GiveUp::too_many_in_flight())
         }
         Ok(request) => match admit(cx, &request).await {
             Ok(()) => read_and_send(cx, request, req.into_body(), started).await,
@@ -68,35 +66,17 @@
                 answer_given_up(cx, &request, give_up, started)
             }
         },
-        Err(RouteError::NoConfiguration) => {
-            give_up_unrouted(cx, id.as_ref(), GiveUp::no_configuration())
-        }
-        Err(RouteError::MayBeOutdated) => {
-            give_up_unrouted(cx, id.as_ref(), GiveUp::may_be_outdated())
-        }
-        Err(RouteError::MayBeLeftOut) => {
-            give_up_unrouted(cx, id.as_ref(), GiveUp::may_be_left_out())
-        }
-        Err(RouteError::Suspended) => give_up_unrouted(cx, id.as_ref(), GiveUp::suspended()),
+        Err(RouteError::NoConfiguration) => give_up_unrouted(cx, id, GiveUp::no_configuration()),
+        Err(RouteError::MayBeOutdated) => give_up_unrouted(cx, id, GiveUp::may_be_outdated()),
+        Err(RouteError::MayBeLeftOut) => give_up_unrouted(cx, id, GiveUp::may_be_left_out()),
+        Err(RouteError::Suspended) => give_up_unrouted(cx, id, GiveUp::suspended()),
         Err(RouteError::Denied(denied)) => {
             cx.metrics.denied.with_label_values(&[denied.name()]).inc();
-            trace::refused(
-                &cx.log,
-                id.as_ref(),
-                config_version(cx),
-                denied.status(),
-                denied.name(),
-            );
+            trace::refused(&cx.log, id, config_version(cx), denied.status(), denied.name());
             refuse(denied.status(), denied.text())
         }
         Err(RouteError::NoRoute) => {
-            trace::refused(
-                &cx.log,
-                id.as_ref(),
-                config_version(cx),
-                StatusCode::NOT_FOUND,
-                "no route",
-            );
+            trace::refused(&cx.log, id, config_version(cx), StatusCode::NOT_FOUND, "no route");
             refuse(StatusCode::NOT_FOUND, "no route: check host, path and method\n")
         }
     }
@@ -109,7 +89,7 @@
     stage: Stage,
 ) -> Response<ResponseBody> {
     let give_up = match stage < Stage::Sent {
-        true => GiveUp::stopping(cx.stop.retry_after()),
+        true => GiveUp::stopping(),
         false => GiveUp::unknown_at_stop(),
     };
     give_up_unrouted(cx, id, give_up)
--- a/crates/caller/src/planned_stop.rs
+++ b/crates/caller/src/planned_stop.rs
@@ -82,9 +82,4 @@
     pub(crate) async fn too_late_to_send(&self) {
         self.wait_until(self.times.last_send()).await;
     }
-
-    /// When a caller that is refused now should come back.
-    pub(crate) fn retry_after(&self) -> Duration {
-        self.times.retry_after()
-    }
 }
--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -21,7 +21,6 @@
 use crate::active_slot::{ActiveSlot, STALL_AFTER};
 use crate::body::{RelayItem, RequestBody, ResponseBody};
 use crate::cx::Cx;
-use crate::headers::content_length;
 use crate::routed_request::RoutedRequest;
 use crate::sending::acquire_skipping_closed;
 use crate::way::{SendFailure, Way};
@@ -326,7 +325,7 @@
         let etag = headers.get(header::ETAG)?;
         let is_strong = etag.as_bytes().starts_with(b"\"");
         let accepts_ranges = headers.get(header::ACCEPT_RANGES)?.as_bytes() == b"bytes";
-        let total = content_length(headers)?;
+        let total = headers::content_length(headers)?;
         let is_complete = parts.status == StatusCode::OK && *method == Method::GET;
         (is_complete && is_strong && accepts_ranges).then(|| Self {
             etag: etag.clone(),
--- a/crates/caller/src/sending.rs
+++ b/crates/caller/src/sending.rs
@@ -79,7 +79,7 @@
             };
         }
         if !cx.stop.may_send(request.send_time(slot.grant().stall_after)) {
-            return final_result(error_answer, Refused::stopping(cx.stop.retry_after()), &progress);
+            return final_result(error_answer, Refused::stopping(RETRY_AFTER_FAILURE), &progress);
         }
         // A streamed body can be sent only once. The deadline is checked again because the process
         // may have been suspended during the wait for a slot, and nothing is sent after the
@@ -165,7 +165,7 @@
                 GiveUp::overloaded(refused.retry_after)
             }
             RefusalReason::CrashesEndpoints => GiveUp::crashes_endpoints(refused.retry_after),
-            RefusalReason::Stopping => GiveUp::stopping(refused.retry_after),
+            RefusalReason::Stopping => GiveUp::stopping(),
         }),
     }
 }
@@ -183,7 +183,7 @@
         biased;
         it = acquire => it,
         () = cx.stop.too_late_to_send() => {
-            Some(Err(Refused::stopping(cx.stop.retry_after())))
+            Some(Err(Refused::stopping(RETRY_AFTER_FAILURE)))
         }
     };
     request.record_slot_wait(started.elapsed());
--- a/crates/policy/src/planned_stop.rs
+++ b/crates/policy/src/planned_stop.rs
@@ -8,8 +8,6 @@
 const MAX_MARGIN_SHARE: f64 = 0.1;
 /// Least time that a request needs at an endpoint. A request that has less left waits for no slot.
 const MIN_SEND_TIME: Duration = Duration::from_millis(100);
-/// When a refused caller should come back. Its next connection probably leads to another node.
-const RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// The times of a planned stop, all counted from its signal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,9 +53,4 @@
     pub fn last_send(&self) -> Duration {
         self.answers.saturating_sub(MIN_SEND_TIME)
     }
-
-    /// When a caller that is refused should come back.
-    pub fn retry_after(&self) -> Duration {
-        RETRY_AFTER
-    }
 }
