Review case 5: a long download is held far beyond its route's timeout

Cause: the relay of an answer of more than 1 MiB has no end on routes of kind `download`. When the connection to the endpoint goes silent, it waits 31 s.

Change: the case as a script.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod route;
 mod silent_departure;
+mod silent_download;
 mod store;
 
 use std::path::PathBuf;
@@ -32,6 +33,7 @@
     let dir = PathBuf::from(dir);
     let result = match case.as_str() {
         "lost-removal" => silent_departure::run(&dir, &lost_removal(trouble)),
+        "silent-download" => silent_download::run(&dir, trouble != "0"),
         _ => Err(std::io::Error::other("no such case")),
     };
     match result {
