--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -34,6 +34,7 @@
     let result = match case.as_str() {
         "lost-removal" => silent_departure::run(&dir, &lost_removal(trouble)),
         "late-removal" => silent_departure::run(&dir, &late_removal(trouble)),
+        "divided-update" => silent_departure::run(&dir, &divided_update(trouble)),
         "silent-download" => silent_download::run(&dir, trouble != "0"),
         _ => Err(std::io::Error::other("no such case")),
     };
@@ -50,7 +51,7 @@
 /// Four of seven processes are killed, and back soon.
 fn lost_removal(trouble: &str) -> Trouble {
     let lost = (trouble != "0").then_some((Lost::ReaderAndSeeds, Duration::from_millis(500)));
-    Trouble { machines: 7, clients: 20, outage: None, lost }
+    Trouble { machines: 7, clients: 20, outage: None, joins: 0, lost }
 }
 
 /// The store is down and back; some seconds later a machine loses power. `outage` and `power` are only one of them.
@@ -58,5 +59,11 @@
     let with = |what| trouble == "1" || trouble == what;
     let outage = with("outage").then_some(Duration::from_millis(4_500));
     let lost = with("power").then_some((Lost::Reader, Duration::from_millis(3_500)));
-    Trouble { machines: 4, clients: 60, outage, lost }
+    Trouble { machines: 4, clients: 60, outage, joins: 0, lost }
+}
+
+/// Endpoints join and leave at the moment at which a machine loses power.
+fn divided_update(trouble: &str) -> Trouble {
+    let lost = (trouble != "0").then_some((Lost::Reader, Duration::from_millis(3_500)));
+    Trouble { machines: 7, clients: 60, outage: None, joins: 7, lost }
 }
--- a/review/standins-2/route.rs
+++ b/review/standins-2/route.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+/// A service without routes.
+pub const OTHER_SERVICE: &str = "reservas";
+
 /// A route, as the operator writes it.
 pub struct Route {
     pub host: &'static str,
@@ -22,8 +25,8 @@
             "{{\"version\":7,\"routes\":{{\"columns\":[\"name\",\"host\",\"pathPrefix\",\"kind\",\"timeoutS\",\
              \"sloS\",\"priority\",\"split\",\"maxAttempts\",\"service\"],\"rows\":[[\"r-1\",\"{host}\",\"{prefix}\",\
              \"{kind}\",{timeout},{objective},2,null,{max_attempts},\"{service}\"]]}},\"services\":{{\"columns\":\
-             [\"name\",\"healthPath\",\"maxConns\",\"protocol\",\"tls\"],\"rows\":[[\"{service}\",\"/healthz\",330,\
-             \"h1\",false]]}},\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\"headerTimeoutS\":3,\
+             [\"name\",\"healthPath\",\"maxConns\",\"protocol\",\"tls\"],\"rows\":[[\"{service}\",\"/healthz\",330,\"h1\",false],\
+             [\"{OTHER_SERVICE}\",\"/healthz\",330,\"h1\",false]]}},\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\"headerTimeoutS\":3,\
              \"idleTimeoutS\":15}}}}"
         )
     }
--- a/review/standins-2/silent_departure.rs
+++ b/review/standins-2/silent_departure.rs
@@ -14,7 +14,7 @@
 use crate::client::{self, Ask, End};
 use crate::endpoint::{Call, Endpoint, Work};
 use crate::fleet::{Fleet, SEEDS, ZONES};
-use crate::route::Route;
+use crate::route::{OTHER_SERVICE, Route};
 use crate::store::Store;
 
 /// `slot-lookup` of the small deployment, with its service.
@@ -55,6 +55,8 @@
     pub clients: usize,
     /// How long the store is down, some seconds before.
     pub outage: Option<Duration>,
+    /// Endpoints of another service that join right before the departure.
+    pub joins: usize,
     /// Which machines are lost, and how long each process is away.
     pub lost: Option<(Lost, Duration)>,
 }
@@ -181,6 +183,11 @@
         }
     };
     lost.iter().for_each(|it| fleet.nodes[*it].kill());
+    for i in 0..trouble.joins {
+        let id = format!("{}-join{i}", endpoint.id);
+        let idle: Work = Arc::new(|_| false);
+        Endpoint::start(store, &id, OTHER_SERVICE, ZONES[0], SLOTS, idle);
+    }
     endpoint.leave_silently(store);
     let at = Instant::now();
     let away = trouble.lost.map_or(Duration::ZERO, |(_, away)| away);
