--- a/review/standins-2/endpoint.rs
+++ b/review/standins-2/endpoint.rs
@@ -82,7 +82,7 @@
             arrivals: Arc::default(),
             has_ended: Arc::default(),
         };
-        it.register(store);
+        it.register(store, "ready");
         let endpoint = it.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -108,11 +108,16 @@
         let _ = TcpStream::connect(self.addr);
     }
 
-    fn register(&self, store: &Store) {
+    /// Says that it leaves. It goes on serving.
+    pub fn say_draining(&self, store: &Store) {
+        self.register(store, "draining");
+    }
+
+    fn register(&self, store: &Store, state: &str) {
         let Self { id, service, addr, zone, slots, .. } = self;
         let entry = format!(
             "{{\"service\":\"{service}\",\"address\":\"{addr}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
-             \"slots\":{slots},\"state\":\"ready\",\"warmupLeftS\":0,\"seq\":1}}"
+             \"slots\":{slots},\"state\":\"{state}\",\"warmupLeftS\":0,\"seq\":1}}"
         );
         store.put(&format!("servers/{id}"), Some(&entry));
     }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -51,7 +51,7 @@
 /// Four of seven processes are killed, and back soon.
 fn lost_removal(trouble: &str) -> Trouble {
     let lost = (trouble != "0").then_some((Lost::ReaderAndSeeds, Duration::from_millis(500)));
-    Trouble { machines: 7, clients: 20, outage: None, joins: 0, lost }
+    Trouble { machines: 7, clients: 20, outage: None, with_others: false, lost }
 }
 
 /// The store is down and back; some seconds later a machine loses power. `outage` and `power` are only one of them.
@@ -59,11 +59,12 @@
     let with = |what| trouble == "1" || trouble == what;
     let outage = with("outage").then_some(Duration::from_millis(4_500));
     let lost = with("power").then_some((Lost::Reader, Duration::from_millis(3_500)));
-    Trouble { machines: 4, clients: 60, outage, joins: 0, lost }
+    Trouble { machines: 4, clients: 60, outage, with_others: false, lost }
 }
 
-/// Endpoints join and leave at the moment at which a machine loses power.
+/// Endpoints join and leave at the moment at which a machine loses power. With `power` only one leaves.
 fn divided_update(trouble: &str) -> Trouble {
     let lost = (trouble != "0").then_some((Lost::Reader, Duration::from_millis(3_500)));
-    Trouble { machines: 7, clients: 60, outage: None, joins: 7, lost }
+    let with_others = trouble != "power";
+    Trouble { machines: 7, clients: 60, outage: None, with_others, lost }
 }
--- a/review/standins-2/silent_departure.rs
+++ b/review/standins-2/silent_departure.rs
@@ -14,7 +14,7 @@
 use crate::client::{self, Ask, End};
 use crate::endpoint::{Call, Endpoint, Work};
 use crate::fleet::{Fleet, SEEDS, ZONES};
-use crate::route::{OTHER_SERVICE, Route};
+use crate::route::{OTHER_SERVICES, Route};
 use crate::store::Store;
 
 /// `slot-lookup` of the small deployment, with its service.
@@ -55,8 +55,8 @@
     pub clients: usize,
     /// How long the store is down, some seconds before.
     pub outage: Option<Duration>,
-    /// Endpoints of another service that join right before the departure.
-    pub joins: usize,
+    /// Whether endpoints of other services join and leave right before the departure.
+    pub with_others: bool,
     /// Which machines are lost, and how long each process is away.
     pub lost: Option<(Lost, Duration)>,
 }
@@ -88,6 +88,12 @@
         )
     };
     let endpoints: Vec<Endpoint> = (0..ENDPOINTS).map(start).collect();
+    let [bookings, archive] = OTHER_SERVICES;
+    let mut others = Vec::new();
+    if trouble.with_others {
+        others.push(Other::start(&store, bookings, 16, 4, 2));
+        others.push(Other::start(&store, archive, 6, 1, 0));
+    }
     let mut fleet = Fleet::start(dir, &vec![ZONES[0]; trouble.machines], &store)?;
     let is_over = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> = (0..trouble.clients)
@@ -106,7 +112,7 @@
     }
     let mut departures = Vec::new();
     for endpoint in &endpoints[..DEPARTURES] {
-        departures.push(leave(&store, &mut fleet, endpoint, trouble)?);
+        departures.push(leave(&store, &mut fleet, endpoint, &mut others, trouble)?);
         thread::sleep(PAUSE);
     }
     is_over.store(true, Ordering::SeqCst);
@@ -158,6 +164,47 @@
     Ok(if is_broken { Verdict::Broken } else { Verdict::Held })
 }
 
+/// A service that gets no requests.
+struct Other {
+    service: &'static str,
+    /// The endpoints that it began with and that have not left.
+    endpoints: Vec<Endpoint>,
+    /// Endpoints that join at each change, and that say `draining`.
+    joining: usize,
+    leaving: usize,
+    joined: usize,
+}
+
+impl Other {
+    fn start(
+        store: &Store,
+        service: &'static str,
+        count: usize,
+        joining: usize,
+        leaving: usize,
+    ) -> Self {
+        let endpoints = (0..count).map(|i| idle(store, service, i)).collect();
+        Self { service, endpoints, joining, leaving, joined: count }
+    }
+
+    /// Endpoints join, and others say that they leave, which are returned.
+    fn change(&mut self, store: &Store) -> Vec<Endpoint> {
+        for _ in 0..self.joining {
+            idle(store, self.service, self.joined);
+            self.joined += 1;
+        }
+        let leaving: Vec<Endpoint> = self.endpoints.drain(..self.leaving).collect();
+        leaving.iter().for_each(|it| it.say_draining(store));
+        leaving
+    }
+}
+
+/// Starts an endpoint that is never asked.
+fn idle(store: &Store, service: &str, number: usize) -> Endpoint {
+    let work: Work = Arc::new(|_| false);
+    Endpoint::start(store, &format!("i-{service}{number}"), service, ZONES[0], SLOTS, work)
+}
+
 /// The departure of one endpoint.
 struct Departure {
     /// When the store had taken it.
@@ -171,6 +218,7 @@
     store: &Store,
     fleet: &mut Fleet,
     endpoint: &Endpoint,
+    others: &mut [Other],
     trouble: &Trouble,
 ) -> io::Result<Departure> {
     let reader = store.next_reader();
@@ -183,11 +231,7 @@
         }
     };
     lost.iter().for_each(|it| fleet.nodes[*it].kill());
-    for i in 0..trouble.joins {
-        let id = format!("{}-join{i}", endpoint.id);
-        let idle: Work = Arc::new(|_| false);
-        Endpoint::start(store, &id, OTHER_SERVICE, ZONES[0], SLOTS, idle);
-    }
+    let leaving = others.iter_mut().map(|it| it.change(store)).collect::<Vec<_>>().concat();
     endpoint.leave_silently(store);
     let at = Instant::now();
     let away = trouble.lost.map_or(Duration::ZERO, |(_, away)| away);
@@ -197,6 +241,10 @@
     }
     thread::sleep(SERVES_ON.saturating_sub(away));
     endpoint.end();
+    for it in leaving {
+        it.leave_silently(store);
+        it.end();
+    }
     Ok(Departure { at, lost })
 }
 
