A copy of the registry is as new as the read that it is complete to

Cause: copies were compared by the position of their newest entry. A complete read does not list removals, so the node that restarted and read the platform first had the same position as the others, which still had the endpoint, and took over as their reader. It never announced the removal, and they took its word for a confirmation of their copy. A second way to the same end was found: the removals that a complete read of an informed reader finds share one position, and were divided among frames of which each claimed that position.

Change: the position of a copy is the revision up to which nothing is missing in it (Published::latest is gone). Updates without changes state since when there have been none, so that copies pass revisions that do not concern the registry without a fetch; builds that say nothing of the kind lack the feature bit 8 and are not believed. Changes of one position are never divided; peers fetch them. `a_copy_of_the_same_content_carries_the_same_revision` asserted the fault: equal content of two lists does not show that nothing was removed between them.

--- a/crates/dappleway/src/control/metrics.rs
+++ b/crates/dappleway/src/control/metrics.rs
@@ -151,7 +151,7 @@
             )?,
             registry_revision: gauge(
                 "dappleway_registry_revision",
-                "Platform revision of the latest known change of the endpoints.",
+                "Platform revision up to which all changes of the endpoints are known.",
             )?,
             nodes: gauge(
                 "dappleway_nodes",
--- a/crates/dappleway/src/control/tests/stale_grants.rs
+++ b/crates/dappleway/src/control/tests/stale_grants.rs
@@ -54,7 +54,6 @@
     let at = |revision| Position { era: 0, revision };
     let published = Published {
         after: after.map(at),
-        latest: at(revision),
         complete_to: at(revision),
         endpoints,
         ..Published::default()
--- a/crates/fleet/src/bundle.rs
+++ b/crates/fleet/src/bundle.rs
@@ -39,7 +39,7 @@
 pub struct RegistryCopy {
     /// Position after which the changes are listed; `None` if all endpoints are listed.
     pub after: Option<Position>,
-    /// Position of the latest known change.
+    /// The same as `complete_to`, for builds that compare copies by their newest entry.
     pub latest: Position,
     /// Position up to which the endpoints are complete.
     pub complete_to: Position,
@@ -79,7 +79,7 @@
             let it = replica.changes_since(have.registry).unwrap_or_else(|| replica.full_copy());
             RegistryCopy {
                 after: it.after,
-                latest: it.latest,
+                latest: it.complete_to,
                 complete_to: it.complete_to,
                 endpoints: it.endpoints,
             }
@@ -98,7 +98,6 @@
         Ok(match self.registry {
             Some(it) => Published {
                 after: it.after,
-                latest: it.latest,
                 complete_to: it.complete_to,
                 document,
                 unreadable: None,
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -413,7 +413,7 @@
             version: self.version,
             phase: self.phase,
             versions: self.replica.versions(),
-            features: self.me.features,
+            features: self.me.features.with(Features::COMPLETE_POSITIONS),
         }
     }
 }
--- a/crates/fleet/src/exchange/updates.rs
+++ b/crates/fleet/src/exchange/updates.rs
@@ -12,7 +12,7 @@
 use crate::bundle::{Bundle, EncodedDocument};
 use crate::reader_election::{Missing, Rank, ReaderStatus, Reads};
 use crate::replica::Versions;
-use crate::wire::{LastAnswer, Message, NodeInfo, PlatformUpdate};
+use crate::wire::{Features, LastAnswer, Message, NodeInfo, PlatformUpdate};
 
 /// Registry changes in one frame.
 pub(crate) const CHANGES_PER_FRAME: usize = 6;
@@ -27,17 +27,11 @@
 impl Exchange {
     /// Applies what this node has read from the platform, and forwards the changes to its failure
     /// domain. The answer speaks for the state of the platform at `as_of`.
-    pub fn platform_read(
-        &mut self,
-        now: Time,
-        as_of: Time,
-        mut published: Published,
-    ) -> Vec<Effect> {
+    pub fn platform_read(&mut self, now: Time, as_of: Time, published: Published) -> Vec<Effect> {
         let since = self.unknown_since(now);
         self.reader_election.platform_answered(now, as_of);
         let before = self.replica.versions();
-        // A read follows the previous read of this node without a gap.
-        published.after = published.after.map(|_| before.registry);
+        let unchanged_since = self.replica.unchanged_since();
         let mut effects = Vec::new();
         if self.replica.update_since(now, since, &published) {
             effects.push(Effect::EndpointsChanged);
@@ -65,7 +59,8 @@
                     .changes_since(before.registry)
                     .map_or(Vec::new(), |it| it.endpoints),
             };
-            effects.extend(self.announce_changes(now, before.registry, changes, before.config));
+            // Peers whose copies stand anywhere in a stretch without changes follow without a gap.
+            effects.extend(self.announce_changes(now, unchanged_since, changes, before.config));
         }
         effects
     }
@@ -161,20 +156,19 @@
         if update.versions.registry.era < self.replica.versions().registry.era {
             return effects;
         }
-        let latest =
-            if update.changes.is_empty() { Position::START } else { update.versions.registry };
-        let published = Published {
-            after: Some(update.after),
-            latest,
-            complete_to: latest,
-            document: None,
-            unreadable: None,
-            endpoints: update.changes,
-        };
-        // Without changes there is no position up to which the update would complete this copy.
-        let since = self.unknown_since(now);
-        if latest.is_known() && self.replica.update_since(now, since, &published) {
-            effects.push(Effect::EndpointsChanged);
+        let is_complete = !update.changes.is_empty()
+            || update.sender.features.contains(Features::COMPLETE_POSITIONS);
+        if is_complete {
+            let published = Published {
+                after: Some(update.after),
+                complete_to: update.versions.registry,
+                endpoints: update.changes,
+                ..Published::default()
+            };
+            let since = self.unknown_since(now);
+            if self.replica.update_since(now, since, &published) {
+                effects.push(Effect::EndpointsChanged);
+            }
         }
         let arrived = self.delayed_since.unwrap_or(now);
         self.note_complete_registry(arrived, update.last_answer, update.versions.registry);
@@ -227,7 +221,8 @@
         }
     }
 
-    /// Sends the changes after `after` to the own failure domain, as a chain of frames.
+    /// Sends the changes after `after` to the own failure domain, as a chain of frames. What does not
+    /// fit into one is left out, and the peers fetch it.
     pub(super) fn announce_changes(
         &mut self,
         now: Time,
@@ -239,16 +234,21 @@
         let empty = self.empty_update(self.last_answer(now));
         let newest = Versions { config: version, registry: self.replica.versions().registry };
         changes.sort_by_key(|it| it.at);
-        if changes.len() > CHANGES_PER_FRAME * MAX_FRAMES {
-            changes.clear();
-        }
-        if changes.is_empty() {
+        let chunks = frames_of(&changes);
+        // A copy at a position has all changes at that position, so these belong into one frame.
+        let splits_position = |it: &[&[RegistryChange]]| {
+            it[0].last().map(|it| it.at) == it[1].first().map(|it| it.at)
+        };
+        if chunks.is_empty()
+            || changes.len() > CHANGES_PER_FRAME * MAX_FRAMES
+            || chunks.windows(2).any(splits_position)
+        {
+            let after = self.replica.unchanged_since();
             let update = PlatformUpdate { versions: newest, after, ..empty };
             return self.send_to_own_domain(Message::PlatformUpdate(update));
         }
         let mut effects = Vec::new();
         let mut after = after;
-        let chunks = frames_of(&changes);
         for (i, chunk) in chunks.iter().enumerate() {
             let is_last = i + 1 == chunks.len();
             let reached = chunk.last().map_or(after, |it| it.at);
@@ -278,7 +278,7 @@
         PlatformUpdate {
             sender: self.info(),
             versions,
-            after: versions.registry,
+            after: self.replica.unchanged_since(),
             changes: Vec::new(),
             last_answer,
         }
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -47,7 +47,9 @@
 pub struct Versions {
     /// Version of the configuration in force; 0 if there is none.
     pub config: u64,
-    /// Position of the latest known registry change; all earlier changes are known too.
+    /// Position of the platform up to which all changes of the registry are known. It also moves past
+    /// revisions that changed nothing in the registry: a complete read shows what exists, but not which
+    /// removals came after the newest entry in it.
     pub registry: Position,
 }
 
@@ -163,10 +165,11 @@
 /// The copy of one node.
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
-    /// Position of the latest known change.
-    latest: Position,
-    /// Entries that are not known here did not exist at this position of the platform.
+    /// All changes up to this position of the platform are known: an entry that is not known here did
+    /// not exist there.
     complete_to: Position,
+    /// Nothing has changed in the registry between this position and `complete_to`.
+    unchanged_since: Position,
     document: Option<Arc<Document>>,
     entries: BTreeMap<Name, Entry>,
     /// The latest changes, oldest first.
@@ -179,7 +182,7 @@
     /// The versions of this copy.
     pub fn versions(&self) -> Versions {
         let config = self.document.as_ref().map_or(0, |it| it.version);
-        Versions { config, registry: self.latest }
+        Versions { config, registry: self.complete_to }
     }
 
     /// The configuration in force.
@@ -221,31 +224,25 @@
         let unlisted =
             if is_full { self.remove_unlisted(now, until, published) } else { Vec::new() };
         let removed = !unlisted.is_empty();
-        let latest = match is_full {
-            true if removed => published.complete_to,
-            // A node that has no entries of it also has to know that a new era has begun.
-            true => published.latest.max(Position { era: published.complete_to.era, revision: 0 }),
-            false => published.latest,
-        };
         // Changes after a position that is unknown here leave a gap before them.
-        if published.after.is_none_or(|it| it <= self.latest) {
-            self.record_history(published, latest, unlisted);
-            self.latest = self.latest.max(latest);
+        if published.after.is_none_or(|it| it <= complete_to) {
+            self.record_history(published, unlisted);
             self.complete_to = complete_to.max(published.complete_to);
         }
         changed || removed
     }
 
-    /// Appends the changes after the latest known position to the history. For a full list the
+    /// Appends the changes after the position of this copy to the history. For a full list the
     /// changes are its new entries and the entries missing from it: otherwise a platform that drops
     /// its history would make every peer fetch the complete registry.
-    fn record_history(&mut self, published: &Published, latest: Position, unlisted: Vec<Name>) {
-        let before = self.latest;
+    fn record_history(&mut self, published: &Published, unlisted: Vec<Name>) {
+        let before = self.complete_to;
         let is_full = published.after.is_none();
         if is_full && (before.era != published.complete_to.era || !before.is_known()) {
-            if latest > before {
+            if published.complete_to > before {
                 self.history.clear();
-                self.history_after = latest;
+                self.history_after = published.complete_to;
+                self.unchanged_since = published.complete_to;
             }
             return;
         }
@@ -254,6 +251,8 @@
             published.endpoints.iter().filter(|it| it.at > before).cloned().collect();
         new.extend(unlisted.into_iter().map(removal));
         new.sort_by_key(|it| it.at);
+        let latest = new.last().map_or(self.unchanged_since, |it| it.at);
+        self.unchanged_since = self.unchanged_since.max(latest);
         self.history.extend(new);
         while self.history.len() > MIN_HISTORY.max(self.entries.len()) {
             let dropped = self.history.pop_front().map_or(Position::START, |it| it.at);
@@ -324,7 +323,6 @@
             .collect();
         Published {
             after: None,
-            latest: self.latest,
             complete_to: self.complete_to,
             document: None,
             unreadable: None,
@@ -332,6 +330,11 @@
         }
     }
 
+    /// A position after which nothing has changed in the registry, as far as this copy is complete.
+    pub fn unchanged_since(&self) -> Position {
+        self.unchanged_since
+    }
+
     /// The changes after the position `have`; `None` if the history does not reach back that far.
     pub fn changes_since(&self, have: Position) -> Option<Published> {
         if have < self.history_after || !have.is_known() {
@@ -343,7 +346,6 @@
         }
         Some(Published {
             after: Some(have),
-            latest: self.latest,
             complete_to: self.complete_to,
             document: None,
             unreadable: None,
--- a/crates/fleet/src/tests/replica.rs
+++ b/crates/fleet/src/tests/replica.rs
@@ -35,7 +35,7 @@
 }
 
 fn full(revision: u64, endpoints: Vec<RegistryChange>) -> Published {
-    Published { latest: at(revision), complete_to: at(revision), endpoints, ..Published::default() }
+    Published { complete_to: at(revision), endpoints, ..Published::default() }
 }
 
 fn changes(after: u64, revision: u64, endpoints: Vec<RegistryChange>) -> Published {
@@ -97,16 +97,37 @@
     assert_eq!(standings, [Standing::Missing, Standing::Present, Standing::Present]);
 }
 
+/// Guards against copies that count as equal because their newest entries are: a complete list does not show what has
+/// been removed since.
 #[test]
-fn a_copy_of_the_same_content_carries_the_same_revision() {
+fn a_copy_that_was_read_later_is_newer_though_it_lists_the_same() {
     let (mut early, mut late) = (Replica::default(), Replica::default());
-    let read = |to| Published { complete_to: at(to), ..full(5, vec![present("a", 5)]) };
-    early.update(Time(0), &read(5));
-    // Other keys of the platform have changed in the meantime.
-    late.update(Time(0), &read(40));
+    early.update(Time(0), &full(5, vec![present("a", 4), present("b", 5)]));
+    late.update(Time(0), &full(40, vec![present("b", 5)]));
+    assert!(early.versions().registry < late.versions().registry);
+    assert!(late.changes_since(early.versions().registry).is_none(), "what went before is unknown");
+    early.update(Time(0), &late.full_copy());
+    assert_eq!(known(&early), [("a".into(), Standing::Missing), ("b".into(), Standing::Present)]);
     assert_eq!(early.versions(), late.versions());
 }
 
+/// Other keys of the platform change as well. Copies with the same content reach the same position without a list.
+#[test]
+fn a_copy_passes_revisions_that_change_nothing_in_the_registry() {
+    let (mut reader, mut peer) = (Replica::default(), Replica::default());
+    for it in [&mut reader, &mut peer] {
+        it.update(Time(0), &full(5, vec![present("a", 5)]));
+    }
+    reader.update(Time(0), &changes(5, 40, Vec::new()));
+    assert_eq!(reader.unchanged_since(), at(5));
+    assert_eq!(ids(&reader.changes_since(at(20)).unwrap()), []);
+    let unchanged = Published { after: Some(reader.unchanged_since()), ..full(40, Vec::new()) };
+    peer.update(Time(0), &unchanged);
+    assert_eq!(peer.versions(), reader.versions());
+    reader.update(Time(0), &changes(40, 41, vec![removed("a", 41)]));
+    assert_eq!(reader.unchanged_since(), at(41));
+}
+
 fn ids(published: &Published) -> Vec<(&str, u64)> {
     published.endpoints.iter().map(|it| (it.id.as_str(), it.at.revision)).collect()
 }
@@ -209,7 +230,6 @@
 fn an_endpoint_listed_by_an_older_copy_is_gone_once_it_is_listed_no_more() {
     let of_era_2 = |revision| Position { era: 2, revision };
     let full_of_era_2 = |revision, endpoints| Published {
-        latest: of_era_2(revision),
         complete_to: of_era_2(revision),
         ..full(revision, endpoints)
     };
--- a/crates/fleet/src/tests/replica_model.rs
+++ b/crates/fleet/src/tests/replica_model.rs
@@ -102,8 +102,6 @@
     /// if the entry is removed.
     entry: Option<(Position, Option<u64>)>,
     /// Position up to which all changes are known.
-    latest: Position,
-    /// Position up to which a full list was received.
     complete_to: Position,
     /// Number of changes after which the node last read the platform; 0 if it has read nothing.
     read_to: usize,
@@ -143,26 +141,21 @@
 
 fn apply_full(known: &mut Known, store: &Store) {
     let is_older_copy = store.now.era > known.complete_to.era;
-    let mut latest = store.at(0);
     match (store.entry, known.entry) {
         (Some((revision, _)), Some((_, None))) if is_older_copy => {
             known.entry = Some((store.at(revision), None));
-            latest = store.at(revision);
         }
         (Some((revision, write)), known_entry) => {
             let at = store.at(revision);
-            latest = at;
             if at > known_entry.map_or(known.complete_to, |(at, _)| at) {
                 known.entry = Some((at, Some(write)));
             }
         }
         (None, Some((at, Some(_)))) if at <= store.now => {
             known.entry = Some((store.now, None));
-            latest = store.now;
         }
         (None, _) => {}
     }
-    known.latest = known.latest.max(latest);
     known.complete_to = known.complete_to.max(store.now);
 }
 
@@ -177,9 +170,7 @@
             known.entry = Some((at, *write));
         }
     }
-    if after <= known.latest {
-        let latest = new.last().map_or(Position::START, |it| store.at(it.0));
-        known.latest = known.latest.max(latest);
+    if after <= known.complete_to {
         known.complete_to = known.complete_to.max(store.now);
     }
 }
@@ -198,11 +189,10 @@
             (Some(after), new.map(|(revision, it)| entry(store.at(*revision), *it)).collect())
         }
     };
-    let latest = endpoints.iter().map(|it| it.at).max().unwrap_or_default();
     let version = store.version;
     let document = (version > 0).then(|| Document { version, ..Document::default() });
     let complete_to = store.now;
-    Published { after, latest, complete_to, document, unreadable: None, endpoints }
+    Published { after, complete_to, document, unreadable: None, endpoints }
 }
 
 /// An entry as written by write number `write`, or its removal.
@@ -240,7 +230,7 @@
         let replica = production_replica(world.schedule, received);
         let context = format!("schedule {}, {received:?}", world.schedule);
         assert_eq!(replica.versions().config, known.version, "{context}");
-        assert_eq!(replica.versions().registry, known.latest, "{context}");
+        assert_eq!(replica.versions().registry, known.complete_to, "{context}");
         let shown = replica.registrations().next().map(|it| it.endpoint);
         let present = shown.filter(|it| it.standing == Standing::Present);
         let expected = known.entry.and_then(|(_, write)| write).map(|it| it as u32);
@@ -311,7 +301,7 @@
         if is_restart {
             continue;
         }
-        assert!(new.version >= old.version && new.latest >= old.latest, "{after:?}");
+        assert!(new.version >= old.version, "{after:?}");
         assert!(new.complete_to >= old.complete_to, "{after:?}");
         let is_full_of_new_era = matches!(after.received[i].last(), Some(Update::Full(_)))
             && new.complete_to.era > old.complete_to.era;
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -112,6 +112,9 @@
     /// Not a part of the protocol but the state of the node: it reaches no endpoint now, so that no
     /// tunnel should lead through it.
     pub const CUT_OFF: Self = Self(4);
+    /// The node's registry position is the one up to which its copy is complete, and an update of
+    /// the platform without changes states that there are none after its `after`.
+    pub const COMPLETE_POSITIONS: Self = Self(8);
 
     /// The encoding of the features of `nodes`, in their order.
     pub(crate) fn of(nodes: &[NodeInfo]) -> impl Iterator<Item = u8> {
@@ -195,7 +198,8 @@
     pub versions: Versions,
     /// The changes are complete after this position of the platform.
     pub after: Position,
-    /// Changes of the registry; empty if there were none or too many to send.
+    /// Changes of the registry; empty if there were none after `after`. Nodes without
+    /// [`Features::COMPLETE_POSITIONS`] also leave out changes that are too many to send.
     pub changes: Vec<RegistryChange>,
     /// The last answer of the platform to the sender.
     pub last_answer: LastAnswer,
--- a/crates/fleet/tests/exchange.rs
+++ b/crates/fleet/tests/exchange.rs
@@ -224,7 +224,7 @@
     let mut node = |i, link_mbps| Exchange::new(Time(0), identity(i, link_mbps), &[], &mut rng);
     let (mut reader, unknown_node) = (node(0, 200), node(1, 20));
     let now = Time(0) + Duration::from_secs(2);
-    let read = Published { latest: READ, complete_to: READ, ..Published::default() };
+    let read = Published { complete_to: READ, ..Published::default() };
     reader.platform_read(now, now, read);
     let update = PlatformUpdate {
         sender: unknown_node.info(),
@@ -252,7 +252,7 @@
     let (mut reader, mut other) = (node(0, 200), node(1, 20));
     let at = |ms| Time(0) + Duration::from_millis(ms);
     // Both know each other and have read the same.
-    let read = || Published { latest: READ, complete_to: READ, ..Published::default() };
+    let read = || Published { complete_to: READ, ..Published::default() };
     let infos = [other.info(), reader.info()];
     for (it, peer) in [&mut reader, &mut other].into_iter().zip(infos) {
         it.platform_read(at(0), at(0), read());
@@ -352,11 +352,7 @@
     let mut node = |i, era| {
         let mut it = Exchange::new(Time(0), identity(i, 200), &[], &mut rng);
         let read = Position { era, revision: 100 / u64::from(era) };
-        it.platform_read(
-            Time(0),
-            Time(0),
-            Published { latest: read, complete_to: read, ..Published::default() },
-        );
+        it.platform_read(Time(0), Time(0), Published { complete_to: read, ..Published::default() });
         it
     };
     (node(0, era), node(1, 2))
--- a/crates/fleet/tests/late_removals.rs
+++ b/crates/fleet/tests/late_removals.rs
@@ -1,71 +1,25 @@
 //! Nodes that learn late that the entry of an endpoint has gone.
 
+mod common;
+
 use std::time::Duration;
 
-use fleet::{
-    Capacity, Exchange, Features, Identity, LastAnswer, Message, PlatformUpdate, Versions,
-};
+use fleet::{Exchange, LastAnswer, Message, PlatformUpdate, Versions};
 use policy::Time;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use resources::{Endpoint, Position, Published, Registration, RegistryChange, Standing};
+use resources::{RegistryChange, Standing};
 use standin::net::addr;
 
+use common::{answer, at, ms, node, present, removed, standings};
+
 /// Time after which an endpoint whose entry has gone gets no more work.
 const LIMIT: Duration = Duration::from_secs(2);
 
-fn ms(ms: u64) -> Time {
-    Time(0) + Duration::from_millis(ms)
-}
-
-fn at(revision: u64) -> Position {
-    Position { era: 0, revision }
-}
-
-fn present(revision: u64) -> RegistryChange {
-    let endpoint = Endpoint {
-        id: "a".into(),
-        addr: ([127, 0, 0, 1], 80).into(),
-        failure_domain: "a".into(),
-        slots: 3,
-        standing: Standing::Present,
-        warm_up_ms: 0,
-        started_ms: 0,
-    };
-    let entry = Some(Registration { service: "s".into(), endpoint }.into());
-    RegistryChange { id: "a".into(), at: at(revision), entry }
-}
-
-fn removed(revision: u64) -> RegistryChange {
-    RegistryChange { id: "a".into(), at: at(revision), entry: None }
-}
-
-/// What the platform answers to a node that knows its state at `after`.
-fn answer(after: Option<u64>, revision: u64, endpoints: Vec<RegistryChange>) -> Published {
-    Published {
-        after: after.map(at),
-        latest: at(revision),
-        complete_to: at(revision),
-        endpoints,
-        ..Published::default()
-    }
-}
-
-fn node(i: usize) -> Exchange {
-    let identity = Identity {
-        addr: addr(i),
-        failure_domain: 0,
-        incarnation: 1,
-        capacity: Capacity::default(),
-        features: Features::NONE,
-    };
-    Exchange::new(Time(0), identity, &[], &mut StdRng::seed_from_u64(1))
-}
-
 /// A node that has read at 1 s that endpoint `a` is there.
 fn informed() -> Exchange {
     let mut it = node(0);
-    it.platform_read(ms(1_000), ms(1_000), answer(None, 5, vec![present(5)]));
+    it.platform_read(ms(1_000), ms(1_000), answer(None, 5, vec![present("a", 5)]));
     it
 }
 
@@ -85,8 +39,7 @@
 }
 
 fn standing(it: &mut Exchange, now: Time) -> Option<Standing> {
-    it.tick(now, &mut StdRng::seed_from_u64(3));
-    it.replica().registrations().next().map(|it| it.endpoint.standing)
+    standings(it, now).first().map(|(_, it)| *it)
 }
 
 /// Guards against a node that hands out an endpoint up to 3.7 s after it has left, because it learned of that from a new
@@ -95,7 +48,7 @@
 fn a_late_removal_counts_from_the_last_time_at_which_the_entry_was_known_to_be_there() {
     for learned in [1_100, 1_500, 2_000, 2_800, 3_500] {
         let mut it = informed();
-        announce(&mut it, ms(learned), 5, vec![removed(6)]);
+        announce(&mut it, ms(learned), 5, vec![removed("a", 6)]);
         let by = ms(1_000).max(ms(learned) - LIMIT) + LIMIT;
         assert_eq!(standing(&mut it, by), None, "learned at {learned} ms");
     }
@@ -107,13 +60,13 @@
     let mut it = informed();
     it.resumed(ms(3_300), ms(1_050));
     announce(&mut it, ms(3_300), 5, Vec::new());
-    announce(&mut it, ms(3_301), 5, vec![removed(6)]);
+    announce(&mut it, ms(3_301), 5, vec![removed("a", 6)]);
     assert_eq!(standing(&mut it, ms(3_302)), None);
     // A reader, whose call was answered in the pause.
     let mut it = informed();
     it.resumed(ms(3_300), ms(1_050));
     it.platform_read(ms(3_300), ms(3_300), answer(Some(5), 5, Vec::new()));
-    it.platform_read(ms(3_400), ms(3_400), answer(Some(5), 6, vec![removed(6)]));
+    it.platform_read(ms(3_400), ms(3_400), answer(Some(5), 6, vec![removed("a", 6)]));
     assert_eq!(standing(&mut it, ms(3_401)), None);
 }
 
@@ -122,13 +75,13 @@
 fn entries_that_lapse_while_the_platform_is_down_are_still_used() {
     let mut it = informed();
     it.read_failed();
-    it.platform_read(ms(9_000), ms(9_000), answer(Some(5), 6, vec![removed(6)]));
+    it.platform_read(ms(9_000), ms(9_000), answer(Some(5), 6, vec![removed("a", 6)]));
     assert_eq!(standing(&mut it, ms(10_600)), Some(Standing::Missing));
     assert_eq!(standing(&mut it, ms(10_700)), None);
     // A node that hears of it from the one that is answered first.
     let mut it = informed();
     it.read_failed();
-    announce(&mut it, ms(9_000), 5, vec![removed(6)]);
+    announce(&mut it, ms(9_000), 5, vec![removed("a", 6)]);
     assert_eq!(standing(&mut it, ms(10_600)), Some(Standing::Missing));
 }
 
@@ -138,8 +91,8 @@
     for now in (1_400..=9_000).step_by(400) {
         announce(&mut it, ms(now), 5, Vec::new());
     }
-    announce(&mut it, ms(9_100), 5, vec![removed(6)]);
+    announce(&mut it, ms(9_100), 5, vec![removed("a", 6)]);
     assert_eq!(standing(&mut it, ms(10_600)), Some(Standing::Missing));
-    announce(&mut it, ms(10_600), 6, vec![present(7)]);
+    announce(&mut it, ms(10_600), 6, vec![present("a", 7)]);
     assert_eq!(standing(&mut it, ms(12_000)), Some(Standing::Present));
 }
--- a/crates/resources/src/document.rs
+++ b/crates/resources/src/document.rs
@@ -159,10 +159,8 @@
 pub struct Published {
     /// All changes after this position are listed; `None` if everything that exists is listed.
     pub after: Option<Position>,
-    /// Position of the latest listed change. Other changes of the platform do not count, so that replicas with the same
-    /// content have the same position.
-    pub latest: Position,
-    /// Position at which the platform was read. Entries that were removed before this position are not listed.
+    /// Position at which the platform was read: no change of the registry up to here is missing. Entries that were
+    /// removed before this position are not listed if everything is listed.
     pub complete_to: Position,
     /// The newest configuration, if it was read.
     pub document: Option<Document>,
--- a/crates/standin/src/net/platform.rs
+++ b/crates/standin/src/net/platform.rs
@@ -91,7 +91,6 @@
         Published {
             unreadable: None,
             after,
-            latest,
             complete_to: latest,
             document,
             endpoints: endpoints.collect(),
