A failed call to the platform counts until any node is answered

Cause: entries that lapse in an outage are soon back, so that a node whose last call failed counts a removal from when it learns of it. That mark was taken off by an answer to this node alone. After an outage one node of a failure domain reads and the others make no further call: they kept the mark for good.

Change: the time of the last failed call is kept, and a removal counts from when it is learned only while that failure is later than the last time at which the copy was known to be complete, by an own answer or a reader's. The election keeps its mark: a node that the platform refuses still relies on any reader. What lapsed in an outage still gets its grace, also if an older answer arrives first or the news come in parts (`entries_that_lapsed_in_an_outage_are_still_used…`).

--- a/crates/dappleway/src/control/publications.rs
+++ b/crates/dappleway/src/control/publications.rs
@@ -67,7 +67,7 @@
     /// Handles a failed read of the platform.
     pub(super) fn handle_read_failure(&mut self, now: Time) {
         self.metrics.count_platform_failure();
-        let effects = self.exchange.read_failed();
+        let effects = self.exchange.read_failed(now);
         self.apply_effects(now, effects);
     }
 
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -266,15 +266,16 @@
         self.pauses.push((since, now));
     }
 
-    /// The time after which what this node learns of the registry now has happened. While the platform
-    /// does not answer, entries lapse that are back soon, so that the time is now.
+    /// The time after which what this node learns of the registry now has happened. If the platform has
+    /// failed to answer since the copy was last complete, entries have lapsed that are back soon, so that
+    /// the time is now.
     fn unknown_since(&self, now: Time) -> Time {
         let recent = self.pauses.iter().filter(|(_, end)| now.since(*end) < IN_FORCE);
         let paused_since = recent.map(|(since, _)| *since).min();
         let Some(complete_at) = self.registry_complete_at else { return now };
         match paused_since {
             Some(it) => it.min(complete_at),
-            None if self.reader_election.is_platform_failing() => now,
+            None if self.reader_election.has_failed_after(complete_at) => now,
             None => complete_at,
         }
     }
--- a/crates/fleet/src/exchange/updates.rs
+++ b/crates/fleet/src/exchange/updates.rs
@@ -74,8 +74,8 @@
     }
 
     /// Records that the platform did not answer, and lets other nodes take over at once.
-    pub fn read_failed(&mut self) -> Vec<Effect> {
-        if !self.reader_election.platform_failed() {
+    pub fn read_failed(&mut self, now: Time) -> Vec<Effect> {
+        if !self.reader_election.platform_failed(now) {
             return Vec::new();
         }
         self.send_to_own_domain(Message::PlatformUpdate(self.empty_update(LastAnswer::Lost)))
--- a/crates/fleet/src/reader_election.rs
+++ b/crates/fleet/src/reader_election.rs
@@ -118,6 +118,8 @@
     last_own_answer: Option<Time>,
     /// The last call of this node to the platform failed.
     is_platform_failing: bool,
+    /// When a call of this node to the platform last failed.
+    last_failure: Option<Time>,
     /// Since when no reader is known that this node relies on; in the future while a reader may
     /// still announce itself.
     vacant_since: Time,
@@ -140,6 +142,7 @@
             last_confirmed: None,
             last_own_answer: None,
             is_platform_failing: false,
+            last_failure: None,
             vacant_since: Time(0),
             backoff: Duration::ZERO,
             has_copy: true,
@@ -283,13 +286,15 @@
 
     /// Records a failed call of this node to the platform; returns whether the call before it
     /// succeeded.
-    pub(crate) fn platform_failed(&mut self) -> bool {
+    pub(crate) fn platform_failed(&mut self, now: Time) -> bool {
+        self.last_failure = Some(now);
         !std::mem::replace(&mut self.is_platform_failing, true)
     }
 
-    /// Whether the last call of this node to the platform failed.
-    pub(crate) fn is_platform_failing(&self) -> bool {
-        self.is_platform_failing
+    /// Whether a call of this node to the platform has failed after `at`. A node makes no further
+    /// calls while it relies on a reader, so that only a later answer, to any node, ends a failure.
+    pub(crate) fn has_failed_after(&self, at: Time) -> bool {
+        self.last_failure > Some(at)
     }
 
     /// Whether this node may announce itself as reader.
--- a/crates/fleet/src/tests/reader_election.rs
+++ b/crates/fleet/src/tests/reader_election.rs
@@ -82,8 +82,8 @@
     election.platform_answered(at(0), at(0));
     election.confirm(at(0));
     assert!(election.announcement_is_due(at(0)));
-    assert!(election.platform_failed());
-    assert!(!election.platform_failed(), "only the first failure is a change");
+    assert!(election.platform_failed(Time(0)));
+    assert!(!election.platform_failed(Time(0)), "only the first failure is a change");
     election.receive_status(at(500), LAST, ReaderStatus::Confirmed(at(500)));
     assert!(!election.announcement_is_due(at(1_000)));
     assert_eq!(
--- a/crates/fleet/tests/late_removals.rs
+++ b/crates/fleet/tests/late_removals.rs
@@ -25,6 +25,17 @@
 
 /// An announcement of the reader, whose last answer was just received.
 fn announce(to: &mut Exchange, now: Time, after: u64, changes: Vec<RegistryChange>) {
+    announce_with_age(to, now, 0, after, changes);
+}
+
+/// An announcement of the reader, whose last answer is `age_ms` old.
+fn announce_with_age(
+    to: &mut Exchange,
+    now: Time,
+    age_ms: u32,
+    after: u64,
+    changes: Vec<RegistryChange>,
+) {
     let reader = node(1);
     let registry = changes.last().map_or(at(after), |it| it.at);
     let update = PlatformUpdate {
@@ -32,7 +43,7 @@
         versions: Versions { config: 0, registry },
         after: at(after),
         changes,
-        last_answer: LastAnswer::Read { age_ms: 0 },
+        last_answer: LastAnswer::Read { age_ms },
     };
     let frame = reader.frame(Message::PlatformUpdate(update));
     to.receive(now, addr(1), frame, &mut StdRng::seed_from_u64(2));
@@ -74,17 +85,44 @@
 #[test]
 fn entries_that_lapse_while_the_platform_is_down_are_still_used() {
     let mut it = informed();
-    it.read_failed();
+    it.read_failed(ms(5_000));
     it.platform_read(ms(9_000), ms(9_000), answer(Some(5), 6, vec![removed("a", 6)]));
     assert_eq!(standing(&mut it, ms(10_600)), Some(Standing::Missing));
     assert_eq!(standing(&mut it, ms(10_700)), None);
     // A node that hears of it from the one that is answered first.
     let mut it = informed();
-    it.read_failed();
+    it.read_failed(ms(5_000));
     announce(&mut it, ms(9_000), 5, vec![removed("a", 6)]);
     assert_eq!(standing(&mut it, ms(10_600)), Some(Standing::Missing));
 }
 
+/// Guards against nodes that take the platform for down long after an outage, because another node of their failure
+/// domain has read it since, and count a removal from when they learn of it.
+#[test]
+fn a_removal_after_an_outage_counts_as_before_it_once_the_platform_has_answered_any_node() {
+    let mut it = informed();
+    it.read_failed(ms(5_000));
+    for now in (6_000..=12_000).step_by(400) {
+        announce(&mut it, ms(now), 5, Vec::new());
+    }
+    // The reader is lost, and the next one announces the removal.
+    announce(&mut it, ms(13_600), 5, vec![removed("a", 6)]);
+    assert_eq!(standing(&mut it, ms(13_700)), None);
+}
+
+/// Guards against the loss of endpoints that lapsed in an outage, at a node that learns of them in several frames, or
+/// after an answer from before the outage.
+#[test]
+fn entries_that_lapsed_in_an_outage_are_still_used_whatever_arrives_before_them() {
+    let mut it = informed();
+    it.read_failed(ms(5_000));
+    // The answer is older than the outage.
+    announce_with_age(&mut it, ms(5_100), 500, 5, Vec::new());
+    announce(&mut it, ms(9_000), 5, vec![removed("other", 6)]);
+    announce(&mut it, ms(9_001), 6, vec![removed("a", 7)]);
+    assert_eq!(standing(&mut it, ms(10_600)), Some(Standing::Missing));
+}
+
 #[test]
 fn an_entry_that_lapses_while_the_reader_is_heard_is_used_as_long_as_before() {
     let mut it = informed();
--- a/crates/standin/src/net.rs
+++ b/crates/standin/src/net.rs
@@ -196,7 +196,7 @@
                     self.nodes[i].configuration_read(self.now, call.sent);
                 }
                 Answer::Lost => {
-                    let effects = self.nodes[i].read_failed();
+                    let effects = self.nodes[i].read_failed(self.now);
                     self.apply(i, effects);
                 }
             }
