A part of an update does not make a copy complete

Cause: more than six changes are sent in several frames. Each frame carried the age of the reader's last answer and a position of its own, so that a copy that had taken in the first frame counted as complete as of that answer. Removals in the frames after it then counted from that moment instead of from when the copy was last complete, up to 1.6 s before.

Evidence: late_removals.rs `a_removal_in_a_divided_update_counts_as_one_in_a_whole_update` fails on the code before: the endpoint is in use 1.7 s after the last complete state, with no frame lost.

Change: an announcement says how far its sender's copy is complete (the versions of `sender`, in the same frame), and a copy counts as complete only once it has reached that. The frames themselves are the same.

--- a/crates/fleet/src/exchange/updates.rs
+++ b/crates/fleet/src/exchange/updates.rs
@@ -171,7 +171,9 @@
             }
         }
         let arrived = self.delayed_since.unwrap_or(now);
-        self.note_complete_registry(arrived, update.last_answer, update.versions.registry);
+        // A part of a divided update speaks for its own changes only; the answer was about all of them.
+        let answered = update.sender.versions.registry.max(update.versions.registry);
+        self.note_complete_registry(arrived, update.last_answer, answered);
         self.record_report(now, update.versions);
         if self.is_behind(update.versions) {
             effects.extend(self.fetch(addr));
@@ -183,13 +185,14 @@
         effects
     }
 
-    /// Records when the platform had no newer registry than the local copy, by a reader's announcement.
-    fn note_complete_registry(&mut self, arrived: Time, answer: LastAnswer, registry: Position) {
+    /// Records when the platform had no newer registry than the local copy, by a reader's last answer,
+    /// which is complete to the position `answered`.
+    fn note_complete_registry(&mut self, arrived: Time, answer: LastAnswer, answered: Position) {
         let (LastAnswer::Read { age_ms } | LastAnswer::Unreadable { age_ms }) = answer else {
             return;
         };
         let age = Duration::from_millis(age_ms.into());
-        if registry <= self.replica.versions().registry && age <= arrived.since(Time(0)) {
+        if answered <= self.replica.versions().registry && age <= arrived.since(Time(0)) {
             self.registry_complete_at = self.registry_complete_at.max(Some(arrived - age));
         }
     }
--- a/crates/fleet/tests/late_removals.rs
+++ b/crates/fleet/tests/late_removals.rs
@@ -8,10 +8,10 @@
 use policy::Time;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use resources::{RegistryChange, Standing};
+use resources::{Name, RegistryChange, Standing};
 use standin::net::addr;
 
-use common::{answer, at, ms, node, present, removed, standings};
+use common::{answer, at, deliver, ms, node, present, removed, standings};
 
 /// Time after which an endpoint whose entry has gone gets no more work.
 const LIMIT: Duration = Duration::from_secs(2);
@@ -134,3 +134,29 @@
     announce(&mut it, ms(10_600), 6, vec![present("a", 7)]);
     assert_eq!(standing(&mut it, ms(12_000)), Some(Standing::Present));
 }
+
+/// Guards against a copy that counts as complete with the first part of a divided update, so that removals in the other
+/// parts count from when they are learned, up to 1.6 s after a reader is lost.
+#[test]
+fn a_removal_in_a_divided_update_counts_as_one_in_a_whole_update() {
+    for lost in [None, Some(0), Some(1)] {
+        let (mut reader, mut other) = (node(0), node(1));
+        other.bundle(ms(900), reader.info());
+        for it in [&mut reader, &mut other] {
+            it.platform_read(ms(1_000), ms(1_000), answer(None, 5, vec![present("a", 5)]));
+        }
+        reader.bundle(ms(1_000), other.info());
+        let mut changes: Vec<_> =
+            (6..15).map(|revision| present(&format!("e{revision}"), revision)).collect();
+        changes.push(removed("a", 15));
+        let announced = reader.platform_read(ms(2_500), ms(2_500), answer(Some(5), 15, changes));
+        let is_lost = |n| Some(n) == lost;
+        deliver(ms(2_500), (0, &mut reader), (1, &mut other), announced, is_lost);
+        let announced = reader.tick(ms(2_600), &mut StdRng::seed_from_u64(1));
+        deliver(ms(2_600), (0, &mut reader), (1, &mut other), announced, |_| false);
+        let in_use: Vec<Name> =
+            standings(&mut other, ms(2_701)).into_iter().map(|(id, _)| id).collect();
+        assert!(!in_use.contains(&"a".into()), "frame {lost:?} is lost: {in_use:?}");
+        assert_eq!(in_use.len(), 9);
+    }
+}
