A first copy from a peer is complete as of the start, not of its arrival

A node whose first copy comes late, over a thin link, could use an endpoint that has left for up to 1.7 s after that copy. No caller was seen to suffer from it: it takes a first copy more than 1.3 s after the start.

Evidence: late_removals.rs `what_a_first_copy_lacks_may_have_gone_at_any_time_since_the_start` fails on the code before (Missing instead of gone).

Change: until a reader's answer confirms the copy, it counts as complete as of the start of the process.

--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -121,8 +121,9 @@
     unconfirmed: Option<(u64, Time)>,
     /// The platform's newest configuration cannot be read here.
     is_unreadable: bool,
-    /// When the local copy of the registry was last known to be complete.
-    registry_complete_at: Option<Time>,
+    /// When the local copy of the registry was last known to be complete; the start before the first
+    /// such time, because a copy from a peer is of unknown age.
+    registry_complete_at: Time,
     /// Beginning and end of recent pauses of this process.
     pauses: Vec<(Time, Time)>,
     /// The version last sent to the own failure domain.
@@ -163,7 +164,7 @@
             reported_at: now,
             unconfirmed: None,
             is_unreadable: false,
-            registry_complete_at: None,
+            registry_complete_at: now,
             pauses: Vec::new(),
             announced_version: 0,
             encoded_document: None,
@@ -272,7 +273,7 @@
     fn unknown_since(&self, now: Time) -> Time {
         let recent = self.pauses.iter().filter(|(_, end)| now.since(*end) < IN_FORCE);
         let paused_since = recent.map(|(since, _)| *since).min();
-        let Some(complete_at) = self.registry_complete_at else { return now };
+        let complete_at = self.registry_complete_at;
         match paused_since {
             Some(it) => it.min(complete_at),
             None if self.reader_election.has_failed_after(complete_at) => now,
--- a/crates/fleet/src/exchange/updates.rs
+++ b/crates/fleet/src/exchange/updates.rs
@@ -36,7 +36,7 @@
         if self.replica.update_since(now, since, &published) {
             effects.push(Effect::EndpointsChanged);
         }
-        self.registry_complete_at = Some(as_of);
+        self.registry_complete_at = as_of;
         // An answer of the platform takes precedence over earlier reports of peers.
         if as_of >= self.reported_at {
             self.newest_reported = self.replica.versions();
@@ -110,7 +110,6 @@
         if self.replica.update_since(now, since, published) {
             effects.push(Effect::EndpointsChanged);
         }
-        self.registry_complete_at = self.registry_complete_at.or(Some(now));
         self.update_missing(now);
         effects
     }
@@ -193,7 +192,7 @@
         };
         let age = Duration::from_millis(age_ms.into());
         if answered <= self.replica.versions().registry && age <= arrived.since(Time(0)) {
-            self.registry_complete_at = self.registry_complete_at.max(Some(arrived - age));
+            self.registry_complete_at = self.registry_complete_at.max(arrived - age);
         }
     }
 
--- a/crates/fleet/tests/late_removals.rs
+++ b/crates/fleet/tests/late_removals.rs
@@ -160,3 +160,16 @@
         assert_eq!(in_use.len(), 9);
     }
 }
+
+/// Guards against a node that takes its first copy, which a peer has had for a while, for the state of the moment at which
+/// it arrives.
+#[test]
+fn what_a_first_copy_lacks_may_have_gone_at_any_time_since_the_start() {
+    let mut peer = informed();
+    // It starts at 0 s, and the copy reaches it late, over a thin link.
+    let mut it = node(1);
+    let (bundle, _) = peer.bundle(ms(2_400), it.info());
+    it.fetched(ms(2_400), &bundle.decode().unwrap(), Vec::new());
+    announce(&mut it, ms(2_500), 5, vec![removed("a", 6)]);
+    assert_eq!(standing(&mut it, ms(2_501)), None);
+}
