Exchange: the features of every build are set in one place

Cause: the feature bit of complete positions was added where a node's state is sent, so that set_features compared sets with and without it and announced a state that had not changed. Change: Exchange adds it to the features that it is given. The test of cut off nodes expects the bit, exactly.

--- a/crates/dappleway/src/control/tests/detours.rs
+++ b/crates/dappleway/src/control/tests/detours.rs
@@ -115,7 +115,8 @@
     control.set_cut_off(now, true);
     assert!(control.exchange.info().features.contains(Features::CUT_OFF));
     control.set_cut_off(now, false);
-    assert_eq!(control.exchange.info().features, Features::TUNNELS);
+    let expected = Features::TUNNELS.with(Features::COMPLETE_POSITIONS);
+    assert_eq!(control.exchange.info().features, expected);
 }
 
 #[tokio::test]
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -26,6 +26,8 @@
 #[cfg(test)]
 pub(crate) use updates::{CHANGES_PER_FRAME, frames_of};
 
+/// Optional parts of the protocol that every exchange of this build supports.
+const OWN_FEATURES: Features = Features::COMPLETE_POSITIONS;
 /// Interval between gossip rounds.
 pub const ROUND: Duration = Duration::from_millis(1_000);
 /// A node that has discovered no other node for this long knows all of them.
@@ -137,7 +139,8 @@
 impl Exchange {
     /// Creates the exchange of a node that starts now. The node contacts the `seeds` until it knows
     /// other nodes.
-    pub fn new(now: Time, me: Identity, seeds: &[SocketAddr], rng: &mut impl Rng) -> Self {
+    pub fn new(now: Time, mut me: Identity, seeds: &[SocketAddr], rng: &mut impl Rng) -> Self {
+        me.features = me.features.with(OWN_FEATURES);
         let id = node_id(me.addr);
         let rank = Rank { link_mbps: me.capacity.link_mbps, node: id };
         Self {
@@ -245,6 +248,7 @@
     /// Changes the features and notifies all peers at once, because they choose the nodes for tunnels
     /// by them.
     pub fn set_features(&mut self, features: Features) -> Vec<Effect> {
+        let features = features.with(OWN_FEATURES);
         if features == self.me.features {
             return Vec::new();
         }
@@ -415,7 +419,7 @@
             version: self.version,
             phase: self.phase,
             versions: self.replica.versions(),
-            features: self.me.features.with(Features::COMPLETE_POSITIONS),
+            features: self.me.features,
         }
     }
 }
