Long answers are buffered within a memory budget of the node

Cause: the memory budget for long bodies counted request bodies only. In addition hyper reads up to 400 KB ahead on each connection to an endpoint.

Change: answers beyond 64 KiB are buffered only while an eighth of the node's memory, a budget of its own, has room for what is known of them; others are streamed, with back pressure. The reservation is tied to the bytes, since the HTTP library holds them after the body is gone. At most 64 KiB are read ahead on a connection to an endpoint, which is also the longest head of an answer. Metric dappleway_held_answer_bytes.

--- a/crates/caller/src/active_slot.rs
+++ b/crates/caller/src/active_slot.rs
@@ -15,6 +15,7 @@
 
 use crate::Slot;
 use crate::body::{AnswerReader, AnswerStart};
+use crate::body_memory::BodyMemory;
 
 /// A timer that fires later than this indicates that the process was paused. The delay is then not
 /// attributed to the endpoint.
@@ -245,18 +246,19 @@
         }
     }
 
-    /// Reads the body of an answer until it is complete or too long to buffer. Meanwhile reports that
-    /// the answer has begun and whether it has stalled.
+    /// Reads the body of an answer until it is complete or cannot be buffered any further in `memory`.
+    /// Meanwhile reports that the answer has begun and whether it has stalled.
     pub(crate) async fn receive<B>(
         &mut self,
         body: B,
+        memory: &BodyMemory,
         deadline: Moment,
         path: &impl PathCheck,
     ) -> Waited<Result<AnswerStart<B>, B::Error>>
     where
         B: Body<Data = Bytes> + Unpin,
     {
-        let mut reader = AnswerReader::new(body);
+        let mut reader = AnswerReader::new(body, memory);
         loop {
             let next_report = self.next_report();
             let until = next_report.map_or(deadline, |(at, _)| at.min(deadline));
--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -207,7 +207,8 @@
     if !is_failure {
         active_slot.record_head();
     }
-    let received = active_slot.receive(body, request.give_up_at, &way).await;
+    let memory = &cx.answer_memory;
+    let received = active_slot.receive(body, memory, request.give_up_at, &way).await;
     let start = match received {
         Waited::TimedOut => {
             active_slot.end_timed_out(way);
--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -12,7 +12,7 @@
 use crate::body_memory::{BodyMemory, Reservation};
 
 /// Request bodies up to this length are always kept until the request is answered, so that it can
-/// be sent again.
+/// be sent again, and answers up to this length are always buffered.
 const ALWAYS_KEPT_BYTES: usize = 64 * 1024;
 /// Request bodies up to this length are kept while the node's memory budget for long bodies allows.
 const MAX_KEPT_BYTES: usize = 1024 * 1024;
@@ -171,56 +171,81 @@
     }
 }
 
-/// Answers up to this length are buffered until they are complete, so that after a truncated one
-/// the request can be sent again before the caller has received any of it. The archives that users
-/// download are a tenth to a half of this length.
+/// Answers up to this length are buffered until they are complete, while the node's memory budget for
+/// long answers allows, so that after a truncated one the request can be sent again before the caller
+/// has received any of it. The archives that users download are a tenth to a half of this length.
 const MAX_BUFFERED_ANSWER_BYTES: usize = 1024 * 1024;
 
 /// The buffered start of an answer.
 pub(crate) enum AnswerStart<B> {
     /// The complete body.
     Complete(Bytes),
-    /// The first bytes of a body that is too long to buffer, and the rest.
+    /// The first bytes of a body that is too long to buffer, or for which no memory is free, and the rest.
     Partial(Bytes, B),
 }
 
-/// Reads an answer until it ends or is too long to buffer.
-pub(crate) struct AnswerReader<B> {
+/// Reads an answer until it ends or cannot be buffered any further.
+pub(crate) struct AnswerReader<'a, B> {
     /// `None` once the start was returned.
     body: Option<B>,
     buf: BytesMut,
+    memory: &'a BodyMemory,
+    reservation: Reservation,
 }
 
-impl<B> AnswerReader<B>
+impl<'a, B> AnswerReader<'a, B>
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    /// Starts to read `body`.
-    pub(crate) fn new(body: B) -> Self {
-        Self { body: Some(body), buf: BytesMut::new() }
+    /// Starts to read `body`. What is buffered of a long body counts against `memory` for as long as
+    /// any of it is held.
+    pub(crate) fn new(body: B, memory: &'a BodyMemory) -> Self {
+        let reservation = Reservation::default();
+        Self { body: Some(body), buf: BytesMut::new(), memory, reservation }
     }
 
-    /// Reads the next frame. Returns the start of the answer once it is complete or too long to
-    /// buffer. Cancel safe.
+    /// Reads the next frame. Returns the start of the answer once it is complete or cannot be buffered
+    /// any further. Cancel safe.
     pub(crate) async fn read_frame(&mut self) -> Result<Option<AnswerStart<B>>, B::Error> {
-        let Some(body) = &mut self.body else { return Ok(None) };
-        let is_too_long = body.size_hint().lower() > MAX_BUFFERED_ANSWER_BYTES as u64;
-        if !is_too_long {
+        if self.may_buffer() {
+            let Some(body) = &mut self.body else { return Ok(None) };
             match body.frame().await {
-                None => return Ok(Some(AnswerStart::Complete(self.buf.split().freeze()))),
+                None => return Ok(Some(AnswerStart::Complete(self.take_buf()))),
                 Some(frame) => {
                     if let Ok(data) = frame?.into_data() {
                         self.buf.extend_from_slice(&data);
                     }
                 }
             }
+            if self.may_buffer() {
+                return Ok(None);
+            }
         }
-        if !is_too_long && self.buf.len() <= MAX_BUFFERED_ANSWER_BYTES {
-            return Ok(None);
-        }
-        let start = self.buf.split().freeze();
+        let start = self.take_buf();
         Ok(self.body.take().map(|body| AnswerStart::Partial(start, body)))
     }
+
+    /// Whether what was read and the known remainder may be buffered.
+    fn may_buffer(&mut self) -> bool {
+        let Some(body) = &self.body else { return true };
+        let known_len = (self.buf.len() as u64).saturating_add(body.size_hint().lower());
+        match usize::try_from(known_len) {
+            Ok(len) if len <= ALWAYS_KEPT_BYTES => true,
+            Ok(len) if len <= MAX_BUFFERED_ANSWER_BYTES => {
+                let is_reserved = self.memory.grow(&mut self.reservation, len);
+                if is_reserved {
+                    // A buffer that grows by itself takes up to twice its length.
+                    self.buf.reserve(len - self.buf.len());
+                }
+                is_reserved && self.memory.grow(&mut self.reservation, self.buf.capacity())
+            }
+            _ => false,
+        }
+    }
+
+    fn take_buf(&mut self) -> Bytes {
+        std::mem::take(&mut self.reservation).attach_to(self.buf.split().freeze())
+    }
 }
 
 /// The body of a caller's request after its start, or all of it, has been read.
--- a/crates/caller/src/body_memory.rs
+++ b/crates/caller/src/body_memory.rs
@@ -1,14 +1,16 @@
-//! The memory budget of a node for long request bodies that are kept for a repeat.
+//! The memory budgets of a node for long bodies: of requests that are kept for a repeat, and of answers that are
+//! buffered until they are complete.
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use prometheus::IntGauge;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// Granularity of reservations in bytes.
 const CHUNK_BYTES: usize = 16 * 1024;
 
-/// The memory budget of a node.
+/// A memory budget of a node.
 pub(crate) struct BodyMemory {
     free: Arc<Semaphore>,
     /// Number of reserved bytes.
@@ -49,6 +51,29 @@
     }
 }
 
+impl Reservation {
+    /// Ties the reservation to `buf`: it is released when the last handle to the bytes is dropped, which may be long
+    /// after the body that they belong to.
+    pub(crate) fn attach_to(self, buf: Bytes) -> Bytes {
+        match self.chunks {
+            Some(_) => Bytes::from_owner(ReservedBytes { buf, _reservation: self }),
+            None => buf,
+        }
+    }
+}
+
+/// Bytes with their reservation.
+struct ReservedBytes {
+    buf: Bytes,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for ReservedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.buf
+    }
+}
+
 impl Drop for Reservation {
     fn drop(&mut self) {
         if let (Some(chunks), Some(used)) = (&self.chunks, &self.used) {
--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -32,6 +32,9 @@
     /// Memory budget in bytes for long request bodies that are kept for a repeat. Bodies that do
     /// not fit are streamed.
     pub held_body_bytes: usize,
+    /// Memory budget in bytes for long answers that are buffered until they are complete. Answers that
+    /// do not fit are streamed.
+    pub held_answer_bytes: usize,
 }
 
 impl Default for Limits {
@@ -41,6 +44,7 @@
             read_timeout: Duration::from_secs(10),
             max_in_flight: 4_096,
             held_body_bytes: 32 * 1024 * 1024,
+            held_answer_bytes: 32 * 1024 * 1024,
         }
     }
 }
@@ -69,6 +73,10 @@
             pool: Pool::new(Connector::new(DEFAULT_CONNECT_TIMEOUT)),
             unreachable: UnreachableEndpoints::default(),
             body_memory: BodyMemory::new(limits.held_body_bytes, metrics.held_body_bytes.clone()),
+            answer_memory: BodyMemory::new(
+                limits.held_answer_bytes,
+                metrics.held_answer_bytes.clone(),
+            ),
             names,
             limits,
             metrics,
@@ -94,6 +102,8 @@
     pub fn limits(mut self, limits: Limits) -> Self {
         self.cx.body_memory =
             BodyMemory::new(limits.held_body_bytes, self.cx.metrics.held_body_bytes.clone());
+        self.cx.answer_memory =
+            BodyMemory::new(limits.held_answer_bytes, self.cx.metrics.held_answer_bytes.clone());
         self.cx.limits = limits;
         self
     }
--- a/crates/caller/src/metrics.rs
+++ b/crates/caller/src/metrics.rs
@@ -34,6 +34,8 @@
     pub in_flight: IntGauge,
     /// Memory used by long request bodies that are kept for a repeat, in bytes.
     pub held_body_bytes: IntGauge,
+    /// Memory used by long answers that are buffered until they are complete and read, in bytes.
+    pub held_answer_bytes: IntGauge,
     /// Time from a request's head to the head of its answer by outcome, in seconds.
     pub latency: HistogramVec,
     /// Time that a send waits for its slot, in seconds.
@@ -100,6 +102,10 @@
                 "dappleway_held_body_bytes",
                 "Memory used by long request bodies that are kept for a repeat.",
             )?,
+            held_answer_bytes: IntGauge::new(
+                "dappleway_held_answer_bytes",
+                "Memory used by long answers that are buffered until they are complete and read.",
+            )?,
             latency: HistogramVec::new(latency, &["outcome"])?,
             slot_wait: Histogram::with_opts(slot_wait)?,
         };
@@ -116,6 +122,7 @@
         registry.register(Box::new(metrics.cut.clone()))?;
         registry.register(Box::new(metrics.in_flight.clone()))?;
         registry.register(Box::new(metrics.held_body_bytes.clone()))?;
+        registry.register(Box::new(metrics.held_answer_bytes.clone()))?;
         registry.register(Box::new(metrics.latency.clone()))?;
         registry.register(Box::new(metrics.slot_wait.clone()))?;
         Ok(metrics)
--- a/crates/dappleway/src/node.rs
+++ b/crates/dappleway/src/node.rs
@@ -336,6 +336,7 @@
             max_in_flight: traffic.max_in_flight,
             read_timeout: Duration::from_millis(traffic.read_timeout_ms),
             held_body_bytes: self.settings.node.held_body_bytes(),
+            held_answer_bytes: self.settings.node.held_answer_bytes(),
         };
         let planned_stop = PlannedStop::new(self.settings.stop_times());
         let in_flight = self.metrics.in_flight.clone();
--- a/crates/dappleway/src/settings/model.rs
+++ b/crates/dappleway/src/settings/model.rs
@@ -66,7 +66,7 @@
     #[serde(default = "defaults::cpu_share")]
     pub cpu_share: f64,
     /// Memory that this process may use, in MB. An eighth of the memory is reserved for long request bodies that are
-    /// kept for another send.
+    /// kept for another send, and an eighth for long answers that are buffered until they are complete.
     #[serde(default = "defaults::memory_mb")]
     pub memory_mb: u32,
     /// The region of each failure domain. A failure domain that is not listed counts as near all others.
@@ -80,6 +80,11 @@
         self.memory_mb as usize * 1024 * 1024 / 8
     }
 
+    /// Memory for long answers that are buffered until they are complete, in bytes.
+    pub fn held_answer_bytes(&self) -> usize {
+        self.memory_mb as usize * 1024 * 1024 / 8
+    }
+
     /// The mapping of failure domains to regions.
     pub fn topology(&self) -> Topology {
         let all = self.regions.iter();
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -35,6 +35,10 @@
 /// the caller waits meanwhile.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// What is read ahead on one connection, in bytes, and the longest head of an answer. An endpoint that
+/// sends without end fills this much on each of its connections.
+const MAX_READ_BYTES: usize = 64 * 1024;
+
 /// Whether a send may use an idle connection.
 ///
 /// A new connection proves that the endpoint is reachable before anything is written. A request
@@ -228,7 +232,10 @@
     B: Body<Data = Bytes> + Send + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let (tx, conn) = http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_READ_BYTES);
+    let (tx, conn) =
+        builder.handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
     tokio::spawn(conn);
     Ok(tx)
 }
