Relay: a caller of a stream may be idle no longer than a connection

Answers beyond it are streamed, and on a route of streams nothing bounded the time for which a caller reads nothing, so that it kept an endpoint at work for as long as it liked. Change: a stream is cut when its caller has taken nothing for the time that the configuration lets a connection be idle.

--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -45,6 +45,8 @@
     tx: mpsc::Sender<RelayItem>,
     /// When the answer is cut; `None` on a route of streams, which may outlast the deadline.
     cut_at: Option<Moment>,
+    /// The caller may take nothing for this long.
+    caller_idle_limit: Duration,
     /// Time spent waiting for the caller to take more.
     waited_for_caller: Duration,
     /// Number of bytes passed on to the caller.
@@ -78,7 +80,7 @@
 enum Sent {
     Taken,
     CallerLeft,
-    /// The caller has not taken it by the deadline.
+    /// The caller has not taken it by the deadline, or for as long as a connection may be idle.
     Late,
 }
 
@@ -98,6 +100,7 @@
         let (tx, rx) = mpsc::channel(RELAY_CAPACITY);
         let resume = Resume::from_answer(&request.method, parts);
         let cut_at = (!request.route.stream).then_some(request.give_up_at);
+        let caller_idle_limit = request.snapshot.config.limits.next_head();
         let relay = Self {
             cx,
             request,
@@ -106,6 +109,7 @@
             body,
             tx,
             cut_at,
+            caller_idle_limit,
             waited_for_caller: Duration::ZERO,
             forwarded: 0,
             resume,
@@ -180,10 +184,10 @@
     async fn send(&mut self, item: RelayItem) -> Sent {
         self.forwarded += item.len();
         let since = Moment::now();
-        let sent = match self.cut_at {
-            Some(at) => timeout_at(at, self.tx.send(item)).await,
-            None => Some(self.tx.send(item).await),
-        };
+        // A caller that takes nothing would keep the endpoint at work for as long as it likes.
+        let idle_at = since + self.caller_idle_limit;
+        let until = self.cut_at.map_or(idle_at, |it| it.min(idle_at));
+        let sent = timeout_at(until, self.tx.send(item)).await;
         self.waited_for_caller += since.elapsed();
         match sent {
             Some(Ok(())) => Sent::Taken,
--- a/crates/caller/tests/common/mod.rs
+++ b/crates/caller/tests/common/mod.rs
@@ -68,8 +68,13 @@
 
 /// Starts a listener that takes its slots from `dispatch`, and returns its address.
 pub async fn listen(dispatch: impl Dispatch) -> SocketAddr {
+    listen_with(CONFIG, dispatch).await
+}
+
+/// Starts a listener with a configuration of the test.
+pub async fn listen_with(config: &str, dispatch: impl Dispatch) -> SocketAddr {
     let shared = SharedSnapshot::default();
-    shared.publish(Config::compile(serde_json::from_str(CONFIG).unwrap()).unwrap());
+    shared.publish(Config::compile(serde_json::from_str(config).unwrap()).unwrap());
     let header = HeaderName::from_static;
     let names = HeaderNames {
         request_id: header("x-request-id"),
--- a/crates/caller/tests/endless.rs
+++ b/crates/caller/tests/endless.rs
@@ -239,6 +239,32 @@
     }
 }
 
+/// A route of streams whose callers may be idle for a second.
+const STREAMS: &str = r#"{"version": 1, "limits": {"head_timeout_ms": 1000, "idle_timeout_ms": 1000}, "resources": [
+    {"kind": "Service", "name": "s", "slots": 1, "connections": 9, "floor": "50%", "bias": "speed"},
+    {"kind": "Route", "name": "r", "path": "/", "service": "s", "deadline_ms": 500, "repeat": "anytime", "stream": true}
+]}"#;
+
+/// Guards against callers that keep endpoints at work for good by reading nothing of a stream.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_its_caller_does_not_read_is_cut() {
+    let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let grant = common::grant(endpoint.local_addr().unwrap());
+    let addr = common::listen_with(STREAMS, OneSlot { grant, ends: Arc::default() }).await;
+    let mut caller = tokio::net::TcpStream::connect(addr).await.unwrap();
+    let request = format!("{}\r\nhost: h\r\n\r\n", common::LOOKUP);
+    caller.write_all(request.as_bytes()).await.unwrap();
+    let (mut stream, _) = endpoint.accept().await.unwrap();
+    let _ = stream.read(&mut [0; 4096]).await.unwrap();
+    let head = common::genuine("HTTP/1.1 200 OK\r\ncontent-length: 4000000000\r\n\r\n");
+    let sending = async {
+        stream.write_all(head.as_bytes()).await.unwrap();
+        while stream.write_all(&[b'x'; 64 * 1024]).await.is_ok() {}
+    };
+    timeout(LIMIT, sending).await.expect("the endpoint's connection closes");
+    drop(caller);
+}
+
 /// Sends `start` and then `endless` again and again as a caller, until the connection closes. Returns the answer.
 async fn call(start: &str, endless: &str, speed: Speed) -> String {
     let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
