Relay: a stream whose endpoint is silent ends at its deadline

Cause: a stream may outlast its deadline, and a silence that cannot be resumed elsewhere was waited out for 30 s whatever the deadline. Shorter answers and routes without streams end in time.

Evidence: endless.rs `a_stream_that_falls_silent_is_cut_once_its_deadline_has_passed` waits for its limit of 20 s on the code before, with a deadline of 0.5 s.

Change: the wait for a silent endpoint ends at the deadline; a stream outlasts it only while data arrives.

--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -26,7 +26,8 @@
 use crate::way::{SendFailure, Way};
 use crate::{Dispatch, headers, notice, trace};
 
-/// A stalled body that cannot be resumed elsewhere is aborted after this additional time.
+/// A stalled body that cannot be resumed elsewhere is aborted after this additional time, and at the
+/// deadline if that comes first: a stream may outlast it only while data arrives.
 const STALL_GIVE_UP_AFTER: Duration = Duration::from_secs(30);
 /// Time limit for resuming a download on another endpoint.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(10);
@@ -217,7 +218,8 @@
                 if self.resume.is_some() {
                     return Step::Stalled;
                 }
-                match timeout(STALL_GIVE_UP_AFTER, self.body.frame()).await {
+                let patience = self.request.give_up_at.left().min(STALL_GIVE_UP_AFTER);
+                match timeout(patience, self.body.frame()).await {
                     Ok(frame) => frame,
                     Err(_) => return Step::Broken,
                 }
--- a/crates/caller/tests/endless.rs
+++ b/crates/caller/tests/endless.rs
@@ -14,6 +14,8 @@
 
 /// Generous limit for the end of a request with a deadline of five seconds.
 const LIMIT: Duration = Duration::from_secs(40);
+/// Generous limit for the end of a stream with a deadline of half a second whose endpoint has fallen silent.
+const SILENCE_LIMIT: Duration = Duration::from_secs(20);
 /// Pause between two bytes of a slow endpoint, shorter than the stall timeout.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -265,6 +267,29 @@
     drop(caller);
 }
 
+/// Guards against a download that is held for half a minute beyond its deadline after its connection went silent, while the
+/// caller could ask for it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_falls_silent_is_cut_once_its_deadline_has_passed() {
+    let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let grant = common::grant(endpoint.local_addr().unwrap());
+    let addr = common::listen_with(STREAMS, OneSlot { grant, ends: Arc::default() }).await;
+    let mut caller = tokio::net::TcpStream::connect(addr).await.unwrap();
+    let request = format!("{}\r\nhost: h\r\n\r\n", common::LOOKUP);
+    caller.write_all(request.as_bytes()).await.unwrap();
+    let (mut stream, _) = endpoint.accept().await.unwrap();
+    let _ = stream.read(&mut [0; 4096]).await.unwrap();
+    let head = common::genuine("HTTP/1.1 200 OK\r\ncontent-length: 4000000\r\n\r\n");
+    let start = format!("{head}{}", "x".repeat(2_000_000));
+    let sending = async { stream.write_all(start.as_bytes()).await.unwrap() };
+    let reading = async {
+        let mut buf = vec![0; 64 * 1024];
+        while caller.read(&mut buf).await.is_ok_and(|n| n > 0) {}
+    };
+    let both = async { tokio::join!(sending, reading) };
+    timeout(SILENCE_LIMIT, both).await.expect("the caller's connection closes");
+}
+
 /// Sends `start` and then `endless` again and again as a caller, until the connection closes. Returns the answer.
 async fn call(start: &str, endless: &str, speed: Speed) -> String {
     let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
