Exchange, caller tests: a chain of frames has one place, and the tests one dispatch

Cause: read as a newcomer: announce_changes encoded thousands of changes before it looked at their number, and two test files had a copy of the same dispatch. Change: chain_of divides the changes or says that no chain can carry them; common::Slots; a name and two comments. No behaviour changed, but that a long list is no longer encoded for nothing.

--- a/crates/caller/src/cx.rs
+++ b/crates/caller/src/cx.rs
@@ -16,6 +16,7 @@
     pub(crate) unreachable: UnreachableEndpoints,
     /// Memory budget for long request bodies that are kept for a repeat.
     pub(crate) body_memory: BodyMemory,
+    /// Memory budget for long answers that are buffered until they are complete.
     pub(crate) answer_memory: BodyMemory,
     pub(crate) names: HeaderNames,
     pub(crate) limits: Limits,
--- a/crates/caller/tests/common/mod.rs
+++ b/crates/caller/tests/common/mod.rs
@@ -4,14 +4,18 @@
 #![allow(dead_code)]
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 
-use caller::{Dispatch, HeaderNames, IdEcho, ListenerBuilder, Metrics, SharedSnapshot};
+use caller::{
+    Admission, DetourRequest, Dispatch, HeaderNames, IdEcho, ListenerBuilder, Metrics, NoDetour,
+    Refused, SharedSnapshot, Slot, SlotRequest,
+};
 use http::HeaderName;
-use policy::{Grant, Tier};
+use policy::{Grant, Kind, Notice, SendKind, Tier};
 use prometheus::Registry;
-use resources::Config;
-use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use resources::{Config, Name, Route};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio::net::TcpStream;
 
 const CONFIG: &str = r#"{"version": 1, "resources": [
@@ -95,3 +99,49 @@
     tokio::spawn(listener.serve());
     addr
 }
+
+/// Grants a slot to every request, once.
+#[derive(Clone)]
+pub struct Slots(pub Grant);
+
+impl Slot for Slots {
+    fn grant(&self) -> &Grant {
+        &self.0
+    }
+
+    fn granted_by(&self) -> &'static str {
+        "test"
+    }
+
+    fn report_stall(&mut self, _: Duration) {}
+
+    fn report_answer_start(&mut self, _: Duration) {}
+
+    fn report_notice(&mut self, _: Notice) {}
+
+    fn end(self, _: Kind, _: Duration) {}
+}
+
+impl Dispatch for Slots {
+    type Slot = Self;
+    type Detour = DuplexStream;
+
+    async fn open_detour(&self, _: DetourRequest) -> Result<DuplexStream, NoDetour> {
+        Err(NoDetour::NoNode)
+    }
+
+    fn record_unserved(&self, _: &Arc<Route>, _: &Name) {}
+
+    fn record_refused(&self, _: &Arc<Route>) {}
+
+    async fn admit(&self, _: u64) -> Admission {
+        Admission::Granted
+    }
+
+    async fn acquire(&self, request: SlotRequest) -> Result<Self, Refused> {
+        match request.send {
+            SendKind::First => Ok(self.clone()),
+            _ => Err(Refused::no_capacity(Duration::ZERO)),
+        }
+    }
+}
--- a/crates/caller/tests/cut_heads.rs
+++ b/crates/caller/tests/cut_heads.rs
@@ -6,10 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use caller::{Admission, DetourRequest, Dispatch, NoDetour, Refused, Slot, SlotRequest};
-use policy::{Grant, Kind, Notice, SendKind};
-use resources::{Name, Route};
-use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
@@ -20,52 +17,6 @@
 /// Cases that run at the same time.
 const AT_ONCE: usize = 32;
 
-/// Grants a slot to every request, once.
-#[derive(Clone)]
-struct Slots(Grant);
-
-impl Slot for Slots {
-    fn grant(&self) -> &Grant {
-        &self.0
-    }
-
-    fn granted_by(&self) -> &'static str {
-        "test"
-    }
-
-    fn report_stall(&mut self, _: Duration) {}
-
-    fn report_answer_start(&mut self, _: Duration) {}
-
-    fn report_notice(&mut self, _: Notice) {}
-
-    fn end(self, _: Kind, _: Duration) {}
-}
-
-impl Dispatch for Slots {
-    type Slot = Self;
-    type Detour = DuplexStream;
-
-    async fn open_detour(&self, _: DetourRequest) -> Result<DuplexStream, NoDetour> {
-        Err(NoDetour::NoNode)
-    }
-
-    fn record_unserved(&self, _: &Arc<Route>, _: &Name) {}
-
-    fn record_refused(&self, _: &Arc<Route>) {}
-
-    async fn admit(&self, _: u64) -> Admission {
-        Admission::Granted
-    }
-
-    async fn acquire(&self, request: SlotRequest) -> Result<Self, Refused> {
-        match request.send {
-            SendKind::First => Ok(self.clone()),
-            _ => Err(Refused::no_capacity(Duration::ZERO)),
-        }
-    }
-}
-
 /// What an endpoint does with a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Manner {
@@ -83,7 +34,7 @@
 /// connection.
 async fn run(part: Arc<str>, manner: Manner) -> (String, bool) {
     let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let addr = common::listen(Slots(common::grant(endpoint.local_addr().unwrap()))).await;
+    let addr = common::listen(common::Slots(common::grant(endpoint.local_addr().unwrap()))).await;
     let answering = tokio::spawn(async move {
         let (mut stream, _) = endpoint.accept().await.unwrap();
         let mut buf = [0; 4096];
--- a/crates/caller/tests/held_answers.rs
+++ b/crates/caller/tests/held_answers.rs
@@ -5,10 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use caller::{Admission, DetourRequest, Dispatch, NoDetour, Refused, Slot, SlotRequest};
-use policy::{Grant, Kind, Notice, SendKind};
-use resources::{Name, Route};
-use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
@@ -21,52 +18,6 @@
 /// their way to the caller, and as much again for buffers that grow.
 const PER_REQUEST_MB: f64 = 0.5;
 
-/// Grants a slot to every request, once.
-#[derive(Clone)]
-struct Slots(Grant);
-
-impl Slot for Slots {
-    fn grant(&self) -> &Grant {
-        &self.0
-    }
-
-    fn granted_by(&self) -> &'static str {
-        "test"
-    }
-
-    fn report_stall(&mut self, _: Duration) {}
-
-    fn report_answer_start(&mut self, _: Duration) {}
-
-    fn report_notice(&mut self, _: Notice) {}
-
-    fn end(self, _: Kind, _: Duration) {}
-}
-
-impl Dispatch for Slots {
-    type Slot = Self;
-    type Detour = DuplexStream;
-
-    async fn open_detour(&self, _: DetourRequest) -> Result<DuplexStream, NoDetour> {
-        Err(NoDetour::NoNode)
-    }
-
-    fn record_unserved(&self, _: &Arc<Route>, _: &Name) {}
-
-    fn record_refused(&self, _: &Arc<Route>) {}
-
-    async fn admit(&self, _: u64) -> Admission {
-        Admission::Granted
-    }
-
-    async fn acquire(&self, request: SlotRequest) -> Result<Self, Refused> {
-        match request.send {
-            SendKind::First => Ok(self.clone()),
-            _ => Err(Refused::no_capacity(Duration::ZERO)),
-        }
-    }
-}
-
 /// Resident memory of this process in MB.
 fn memory_mb() -> f64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap();
@@ -100,7 +51,7 @@
 /// long answers without an end.
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_without_an_end_take_bounded_memory_all_together() {
-    let addr = common::listen(Slots(common::grant(endpoint().await))).await;
+    let addr = common::listen(common::Slots(common::grant(endpoint().await))).await;
     let before = memory_mb();
     let mut callers = Vec::new();
     for _ in 0..REQUESTS {
--- a/crates/fleet/src/exchange/updates.rs
+++ b/crates/fleet/src/exchange/updates.rs
@@ -155,9 +155,9 @@
         if update.versions.registry.era < self.replica.versions().registry.era {
             return effects;
         }
-        let is_complete = !update.changes.is_empty()
+        let lists_all_changes = !update.changes.is_empty()
             || update.sender.features.contains(Features::COMPLETE_POSITIONS);
-        if is_complete {
+        if lists_all_changes {
             let published = Published {
                 after: Some(update.after),
                 complete_to: update.versions.registry,
@@ -236,15 +236,8 @@
         let empty = self.empty_update(self.last_answer(now));
         let newest = Versions { config: version, registry: self.replica.versions().registry };
         changes.sort_by_key(|it| it.at);
-        let chunks = frames_of(&changes);
-        // A copy at a position has all changes at that position, so these belong into one frame.
-        let splits_position = |it: &[&[RegistryChange]]| {
-            it[0].last().map(|it| it.at) == it[1].first().map(|it| it.at)
-        };
-        if chunks.is_empty()
-            || changes.len() > CHANGES_PER_FRAME * MAX_FRAMES
-            || chunks.windows(2).any(splits_position)
-        {
+        let chunks = chain_of(&changes);
+        if chunks.is_empty() {
             let after = self.replica.unchanged_since();
             let update = PlatformUpdate { versions: newest, after, ..empty };
             return self.send_to_own_domain(Message::PlatformUpdate(update));
@@ -377,6 +370,21 @@
     }
 }
 
+/// Divides changes among the frames of a chain; empty if there are none, or if no chain can carry them.
+fn chain_of(changes: &[RegistryChange]) -> Vec<&[RegistryChange]> {
+    if changes.len() > CHANGES_PER_FRAME * MAX_FRAMES {
+        return Vec::new();
+    }
+    let chunks = frames_of(changes);
+    // A copy at a position has all changes at that position, so one frame has to carry them.
+    let splits_position =
+        |it: &[&[RegistryChange]]| it[0].last().map(|it| it.at) == it[1].first().map(|it| it.at);
+    match chunks.windows(2).any(splits_position) {
+        true => Vec::new(),
+        false => chunks,
+    }
+}
+
 /// Divides changes among frames. A frame that is too long would not be sent, and its other changes would be late.
 pub(crate) fn frames_of(changes: &[RegistryChange]) -> Vec<&[RegistryChange]> {
     let mut frames = Vec::new();
