--- a/crates/caller/tests/endless.rs
+++ b/crates/caller/tests/endless.rs
@@ -9,7 +9,7 @@
 use policy::{Grant, Kind, Notice, SendKind};
 use resources::{Name, Route};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
 /// Generous limit for the end of a request with a deadline of five seconds.
@@ -247,17 +247,23 @@
     {"kind": "Route", "name": "r", "path": "/", "service": "s", "deadline_ms": 500, "repeat": "anytime", "stream": true}
 ]}"#;
 
-/// Guards against callers that keep endpoints at work for good by reading nothing of a stream.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_stream_that_its_caller_does_not_read_is_cut() {
+/// Asks for a stream; returns the connections of the caller and of the endpoint, which has read the request.
+async fn open_stream() -> (TcpStream, TcpStream) {
     let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let grant = common::grant(endpoint.local_addr().unwrap());
     let addr = common::listen_with(STREAMS, OneSlot { grant, ends: Arc::default() }).await;
-    let mut caller = tokio::net::TcpStream::connect(addr).await.unwrap();
+    let mut caller = TcpStream::connect(addr).await.unwrap();
     let request = format!("{}\r\nhost: h\r\n\r\n", common::LOOKUP);
     caller.write_all(request.as_bytes()).await.unwrap();
     let (mut stream, _) = endpoint.accept().await.unwrap();
     let _ = stream.read(&mut [0; 4096]).await.unwrap();
+    (caller, stream)
+}
+
+/// Guards against callers that keep endpoints at work for good by reading nothing of a stream.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_its_caller_does_not_read_is_cut() {
+    let (caller, mut stream) = open_stream().await;
     let head = common::genuine("HTTP/1.1 200 OK\r\ncontent-length: 4000000000\r\n\r\n");
     let sending = async {
         stream.write_all(head.as_bytes()).await.unwrap();
@@ -271,14 +277,7 @@
 /// caller could ask for it again.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_falls_silent_is_cut_once_its_deadline_has_passed() {
-    let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let grant = common::grant(endpoint.local_addr().unwrap());
-    let addr = common::listen_with(STREAMS, OneSlot { grant, ends: Arc::default() }).await;
-    let mut caller = tokio::net::TcpStream::connect(addr).await.unwrap();
-    let request = format!("{}\r\nhost: h\r\n\r\n", common::LOOKUP);
-    caller.write_all(request.as_bytes()).await.unwrap();
-    let (mut stream, _) = endpoint.accept().await.unwrap();
-    let _ = stream.read(&mut [0; 4096]).await.unwrap();
+    let (mut caller, mut stream) = open_stream().await;
     let head = common::genuine("HTTP/1.1 200 OK\r\ncontent-length: 4000000\r\n\r\n");
     let start = format!("{head}{}", "x".repeat(2_000_000));
     let sending = async { stream.write_all(start.as_bytes()).await.unwrap() };
@@ -305,7 +304,7 @@
         }
     });
     let addr = common::listen(OneSlot { grant, ends: Arc::default() }).await;
-    let (mut rx, mut tx) = tokio::net::TcpStream::connect(addr).await.unwrap().into_split();
+    let (mut rx, mut tx) = TcpStream::connect(addr).await.unwrap().into_split();
     let start = start.to_owned();
     let many = endless.repeat(64 * 1024 / endless.len());
     let mut bytes = endless.to_owned().into_bytes().into_iter().cycle();
