--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -46,8 +46,6 @@
     tx: mpsc::Sender<RelayItem>,
     /// When the answer is cut; `None` on a route of streams, which may outlast the deadline.
     cut_at: Option<Moment>,
-    /// The caller may take nothing for this long.
-    caller_idle_limit: Duration,
     /// Time spent waiting for the caller to take more.
     waited_for_caller: Duration,
     /// Number of bytes passed on to the caller.
@@ -101,7 +99,6 @@
         let (tx, rx) = mpsc::channel(RELAY_CAPACITY);
         let resume = Resume::from_answer(&request.method, parts);
         let cut_at = (!request.route.stream).then_some(request.give_up_at);
-        let caller_idle_limit = request.snapshot.config.limits.next_head();
         let relay = Self {
             cx,
             request,
@@ -110,7 +107,6 @@
             body,
             tx,
             cut_at,
-            caller_idle_limit,
             waited_for_caller: Duration::ZERO,
             forwarded: 0,
             resume,
@@ -186,7 +182,7 @@
         self.forwarded += item.len();
         let since = Moment::now();
         // A caller that takes nothing would keep the endpoint at work for as long as it likes.
-        let idle_at = since + self.caller_idle_limit;
+        let idle_at = since + self.request.snapshot.config.limits.next_head();
         let until = self.cut_at.map_or(idle_at, |it| it.min(idle_at));
         let sent = timeout_at(until, self.tx.send(item)).await;
         self.waited_for_caller += since.elapsed();
--- a/crates/caller/tests/suspended.rs
+++ b/crates/caller/tests/suspended.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use caller::{Admission, DetourRequest, Dispatch, NoDetour, Refused, Slot, SlotRequest};
-use policy::{Grant, Kind, Notice};
+use caller::{Admission, DetourRequest, Dispatch, NoDetour, Refused, SlotRequest};
+use policy::Grant;
 use resources::{Name, Route};
 use tokio::io::DuplexStream;
 use tokio::net::TcpListener;
@@ -15,28 +15,8 @@
 #[derive(Clone)]
 struct SuspendingDispatch(Grant);
 
-struct GrantedSlot(Grant);
-
-impl Slot for GrantedSlot {
-    fn grant(&self) -> &Grant {
-        &self.0
-    }
-
-    fn granted_by(&self) -> &'static str {
-        "test"
-    }
-
-    fn report_stall(&mut self, _: Duration) {}
-
-    fn report_answer_start(&mut self, _: Duration) {}
-
-    fn report_notice(&mut self, _: Notice) {}
-
-    fn end(self, _: Kind, _: Duration) {}
-}
-
 impl Dispatch for SuspendingDispatch {
-    type Slot = GrantedSlot;
+    type Slot = common::Slots;
     type Detour = DuplexStream;
 
     async fn open_detour(&self, _: DetourRequest) -> Result<DuplexStream, NoDetour> {
@@ -51,9 +31,9 @@
         Admission::Granted
     }
 
-    async fn acquire(&self, _: SlotRequest) -> Result<GrantedSlot, Refused> {
+    async fn acquire(&self, _: SlotRequest) -> Result<common::Slots, Refused> {
         clock::simulate_suspension(Duration::from_secs(60));
-        Ok(GrantedSlot(self.0.clone()))
+        Ok(common::Slots(self.0.clone()))
     }
 }
 
