Caller tests: an exchange with an endpoint that gives chosen answers has one place

Cause: tests of spoilt answers need the dispatch of foreign_answers.rs, also for an endpoint behind another node. Change: the dispatch and the exchange move to tests/common; an exchange takes the path to the endpoint. No assertion changed.

--- a/crates/caller/tests/common/mod.rs
+++ b/crates/caller/tests/common/mod.rs
@@ -4,7 +4,7 @@
 #![allow(dead_code)]
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use caller::{
@@ -16,7 +16,7 @@
 use prometheus::Registry;
 use resources::{Config, Name, Route};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 const CONFIG: &str = r#"{"version": 1, "resources": [
     {"kind": "Service", "name": "s", "slots": 1, "connections": 9, "floor": "50%", "bias": "speed"},
@@ -43,6 +43,9 @@
 /// A request that may be sent again, with the id that `genuine` answers carry.
 pub const LOOKUP: &str = "GET / HTTP/1.1\r\nx-request-id: r1";
 
+/// A request that may not be sent again once it may have run, with the same id.
+pub const BOOKING: &str = "POST /bookings HTTP/1.1\r\nx-request-id: r1\r\ncontent-length: 0";
+
 /// Adds to an answer what each answer of an endpoint to `LOOKUP` carries.
 pub fn genuine(answer: &str) -> String {
     answer.replacen("\r\n", "\r\nx-request-id: r1\r\nx-signature: s\r\n", 1)
@@ -145,3 +148,117 @@
         }
     }
 }
+
+/// The path to the endpoint of an `exchange`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Path {
+    Direct,
+    /// This node cannot connect to the endpoint; another node can.
+    ThroughNode,
+}
+
+/// Grants any number of slots on one endpoint and records what is reported about it.
+#[derive(Clone)]
+pub struct Recording {
+    pub grant: Grant,
+    /// Address at which another node reaches the endpoint.
+    pub detour: Option<SocketAddr>,
+    pub reports: Arc<Mutex<Vec<String>>>,
+}
+
+impl Recording {
+    pub async fn new(path: Path, endpoint: SocketAddr) -> Self {
+        let (addr, detour) = match path {
+            Path::Direct => (endpoint, None),
+            Path::ThroughNode => (closed_addr().await, Some(endpoint)),
+        };
+        Self { grant: grant(addr), detour, reports: Arc::default() }
+    }
+
+    pub fn reports(&self) -> String {
+        self.reports.lock().unwrap().join(" ")
+    }
+}
+
+/// An address that refuses connections.
+async fn closed_addr() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
+}
+
+impl Slot for Recording {
+    fn grant(&self) -> &Grant {
+        &self.grant
+    }
+
+    fn granted_by(&self) -> &'static str {
+        "test"
+    }
+
+    fn report_stall(&mut self, _: Duration) {}
+
+    fn report_answer_start(&mut self, _: Duration) {}
+
+    fn report_notice(&mut self, notice: Notice) {
+        self.reports.lock().unwrap().push(format!("{notice:?}"));
+    }
+
+    fn end(self, kind: Kind, _: Duration) {
+        self.reports.lock().unwrap().push(format!("{kind:?}"));
+    }
+}
+
+impl Dispatch for Recording {
+    type Slot = Self;
+    type Detour = TcpStream;
+
+    async fn open_detour(&self, _: DetourRequest) -> Result<TcpStream, NoDetour> {
+        let addr = self.detour.ok_or(NoDetour::NoNode)?;
+        Ok(TcpStream::connect(addr).await.unwrap())
+    }
+
+    fn record_unserved(&self, _: &Arc<Route>, _: &Name) {}
+
+    fn record_refused(&self, _: &Arc<Route>) {}
+
+    async fn admit(&self, _: u64) -> Admission {
+        Admission::Granted
+    }
+
+    async fn acquire(&self, _: SlotRequest) -> Result<Self, Refused> {
+        Ok(self.clone())
+    }
+}
+
+/// Sends a request to an endpoint that gives these answers, one on each connection, with `{id}` replaced by the
+/// id of the request. Returns the caller's answer and the reports about the endpoint.
+pub async fn exchange(path: Path, request: &str, answers: &[String]) -> (String, String) {
+    let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let recording = Recording::new(path, endpoint.local_addr().unwrap()).await;
+    let answering = async {
+        for answer in answers {
+            let (mut stream, received) = accept_request(&endpoint).await;
+            let id = received.lines().find_map(|it| it.strip_prefix("x-request-id: "));
+            let answer = answer.replace("{id}", id.unwrap());
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+        std::future::pending::<()>().await
+    };
+    let answer = tokio::select! {
+        it = send(recording.clone(), request) => it,
+        () = answering => unreachable!(),
+    };
+    (answer, recording.reports())
+}
+
+/// Accepts the next connection with a request, and reads the request. A connection without one only checks whether the
+/// process has ended.
+pub async fn accept_request(endpoint: &TcpListener) -> (TcpStream, String) {
+    loop {
+        let (mut stream, _) = endpoint.accept().await.unwrap();
+        let mut buf = [0; 4096];
+        let len = stream.read(&mut buf).await.unwrap();
+        if len > 0 {
+            return (stream, String::from_utf8_lossy(&buf[..len]).into_owned());
+        }
+    }
+}
--- a/crates/caller/tests/foreign_answers.rs
+++ b/crates/caller/tests/foreign_answers.rs
@@ -2,100 +2,11 @@
 
 mod common;
 
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use common::{BOOKING, Path, exchange};
 
-use caller::{Admission, DetourRequest, Dispatch, NoDetour, Refused, Slot, SlotRequest};
-use policy::{Grant, Kind, Notice};
-use resources::{Name, Route};
-use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
-use tokio::net::TcpListener;
-
-const BOOKING: &str = "POST /bookings HTTP/1.1\r\nx-request-id: r1\r\ncontent-length: 0";
 const ID: &str = "x-request-id: r1\r\n";
 const SIGNED: &str = "x-signature: s\r\n";
 
-/// Grants any number of slots on one endpoint and records how they ended.
-#[derive(Clone)]
-struct Granting {
-    grant: Grant,
-    reports: Arc<Mutex<Vec<String>>>,
-}
-
-impl Slot for Granting {
-    fn grant(&self) -> &Grant {
-        &self.grant
-    }
-
-    fn granted_by(&self) -> &'static str {
-        "test"
-    }
-
-    fn report_stall(&mut self, _: Duration) {}
-
-    fn report_answer_start(&mut self, _: Duration) {}
-
-    fn report_notice(&mut self, notice: Notice) {
-        self.reports.lock().unwrap().push(format!("{notice:?}"));
-    }
-
-    fn end(self, kind: Kind, _: Duration) {
-        self.reports.lock().unwrap().push(format!("{kind:?}"));
-    }
-}
-
-impl Dispatch for Granting {
-    type Slot = Self;
-    type Detour = DuplexStream;
-
-    async fn open_detour(&self, _: DetourRequest) -> Result<DuplexStream, NoDetour> {
-        Err(NoDetour::NoNode)
-    }
-
-    fn record_unserved(&self, _: &Arc<Route>, _: &Name) {}
-
-    fn record_refused(&self, _: &Arc<Route>) {}
-
-    async fn admit(&self, _: u64) -> Admission {
-        Admission::Granted
-    }
-
-    async fn acquire(&self, _: SlotRequest) -> Result<Self, Refused> {
-        Ok(self.clone())
-    }
-}
-
-/// Sends a request to an endpoint that gives these answers, one on each connection, with `{id}` replaced by the
-/// id of the request. Returns the caller's answer and the reports about the endpoint.
-async fn send(request: &str, answers: &[String]) -> (String, String) {
-    let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let grant = common::grant(endpoint.local_addr().unwrap());
-    let granting = Granting { grant, reports: Arc::default() };
-    let answering = async {
-        for answer in answers {
-            // A connection without a request only checks whether the process has ended.
-            let (mut stream, received) = loop {
-                let (mut stream, _) = endpoint.accept().await.unwrap();
-                let mut buf = [0; 4096];
-                let len = stream.read(&mut buf).await.unwrap();
-                if len > 0 {
-                    break (stream, String::from_utf8_lossy(&buf[..len]).into_owned());
-                }
-            };
-            let id = received.lines().find_map(|it| it.strip_prefix("x-request-id: "));
-            let answer = answer.replace("{id}", id.unwrap());
-            let _ = stream.write_all(answer.as_bytes()).await;
-        }
-        std::future::pending::<()>().await
-    };
-    let answer = tokio::select! {
-        it = common::send(granting.clone(), request) => it,
-        () = answering => unreachable!(),
-    };
-    let reports = granting.reports.lock().unwrap().join(" ");
-    (answer, reports)
-}
-
 /// An answer with a status line, further header lines and a body.
 fn answer(status: &str, headers: &str, body: &str) -> String {
     format!("HTTP/1.1 {status}\r\n{headers}content-length: {}\r\n\r\n{body}", body.len())
@@ -129,7 +40,7 @@
 #[tokio::test]
 async fn a_foreign_answer_to_a_booking_reaches_no_caller_and_says_nothing_about_the_outcome() {
     for foreign in foreign_answers() {
-        let (got, reports) = send(BOOKING, &[foreign.clone(), good()]).await;
+        let (got, reports) = exchange(Path::Direct, BOOKING, &[foreign.clone(), good()]).await;
         assert!(got.starts_with("HTTP/1.1 502"), "{foreign}\n{got}");
         assert!(got.contains("x-request-outcome: unknown"), "{foreign}\n{got}");
         assert_eq!(reports, "Failed", "{foreign}");
@@ -139,7 +50,8 @@
 #[tokio::test]
 async fn a_lookup_with_a_foreign_answer_is_sent_again() {
     for foreign in foreign_answers() {
-        let (got, reports) = send(common::LOOKUP, &[foreign.clone(), good()]).await;
+        let (got, reports) =
+            exchange(Path::Direct, common::LOOKUP, &[foreign.clone(), good()]).await;
         assert!(got.starts_with("HTTP/1.1 200") && got.ends_with("good"), "{foreign}\n{got}");
         assert_eq!(reports, "Failed Answered", "{foreign}");
     }
@@ -148,7 +60,7 @@
 #[tokio::test]
 async fn genuine_answers_that_are_no_success_reach_the_caller_unsigned() {
     for status in ["304 Not Modified", "404 Not Found", "500 Internal Server Error"] {
-        let (got, _) = send(BOOKING, &[answer(status, ID, "")]).await;
+        let (got, _) = exchange(Path::Direct, BOOKING, &[answer(status, ID, "")]).await;
         assert!(got.starts_with(&format!("HTTP/1.1 {status}")), "{got}");
         assert!(!got.contains("x-request-outcome"), "{got}");
     }
@@ -160,7 +72,7 @@
         answer("503 Service Unavailable", &format!("{ID}x-not-run: 1\r\n"), ""),
         answer("421 Misdirected Request", ID, ""),
     ] {
-        let (got, _) = send(BOOKING, &[refusal.clone(), good()]).await;
+        let (got, _) = exchange(Path::Direct, BOOKING, &[refusal.clone(), good()]).await;
         assert!(got.starts_with("HTTP/1.1 200") && got.ends_with("good"), "{refusal}\n{got}");
     }
 }
@@ -169,7 +81,8 @@
 async fn a_caller_without_a_request_id_gets_the_answer_to_the_generated_one() {
     let echoed = format!("x-request-id: {{id}}\r\n{SIGNED}");
     let request = "POST /bookings HTTP/1.1\r\ncontent-length: 0";
-    let (got, reports) = send(request, &[answer("200 OK", &echoed, "good")]).await;
+    let (got, reports) =
+        exchange(Path::Direct, request, &[answer("200 OK", &echoed, "good")]).await;
     assert!(got.starts_with("HTTP/1.1 200") && got.ends_with("good"), "{got}");
     assert_eq!(reports, "Answered");
 }
@@ -193,7 +106,7 @@
         rest(&format!("{ID}{SIGNED}content-encoding: gzip\r\n"), "x"),
     ] {
         let answers = [cut.clone(), foreign.clone(), rest(&format!("{ID}{SIGNED}"), ".")];
-        let (got, reports) = send(common::LOOKUP, &answers).await;
+        let (got, reports) = exchange(Path::Direct, common::LOOKUP, &answers).await;
         let (_, body) = got.split_once("\r\n\r\n").unwrap();
         assert!(!body.contains('x'), "{foreign}");
         assert_eq!(body.matches('.').count(), total, "{foreign}");
