Caller: what counts as an answer has a file of its own

Cause: the check of answers stood among the parsing of single headers and is about to grow. Change: `Foreign` and `check_answer` move from headers.rs to foreign.rs; no behaviour changed. Conclusion: one file says what is not an answer of the endpoint.

--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -13,6 +13,7 @@
 use crate::active_slot::{ActiveSlot, HedgeRace, Waited};
 use crate::body::{AnswerStart, RequestBody, ResponseBody};
 use crate::cx::Cx;
+use crate::foreign::check_answer;
 use crate::headers;
 use crate::in_flight::Stage;
 use crate::relay::Relay;
@@ -181,7 +182,7 @@
     is_first: bool,
     way: Way<D>,
 ) -> SendResult {
-    let checked = headers::check_answer(&cx.names, &request.headers, res.status(), res.headers());
+    let checked = check_answer(&cx.names, &request.headers, res.status(), res.headers());
     if let Err(foreign) = checked {
         trace::foreign_answer(cx, request, &active_slot.grant().endpoint, foreign);
         active_slot.end(Kind::Failed);
--- a/crates/caller/src/headers.rs
+++ b/crates/caller/src/headers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::header::{self, HeaderName, HeaderValue};
-use http::{HeaderMap, StatusCode, Uri};
+use http::{HeaderMap, Uri};
 use policy::RateLimit;
 use rand::RngExt;
 
@@ -41,47 +41,6 @@
     Optional,
 }
 
-/// Why bytes that look like an answer are not the answer of the endpoint to a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub(crate) enum Foreign {
-    #[error("it carries no request id")]
-    NoId,
-    #[error("it carries the id of another request")]
-    OtherId,
-    #[error("its body is encoded")]
-    Encoded,
-    #[error("it switches to a protocol that was not asked for")]
-    Switching,
-    #[error("it is a success without a signature")]
-    Unsigned,
-}
-
-/// Checks that an answer is the endpoint's answer to the request with these headers. Until then
-/// nothing in it can be believed, not even that the request has not run.
-pub(crate) fn check_answer(
-    names: &HeaderNames,
-    sent: &HeaderMap,
-    status: StatusCode,
-    answered: &HeaderMap,
-) -> Result<(), Foreign> {
-    match answered.get(&names.request_id) {
-        None if names.id_echo == IdEcho::Always => return Err(Foreign::NoId),
-        Some(id) if Some(id) != sent.get(&names.request_id) => return Err(Foreign::OtherId),
-        _ => {}
-    }
-    if answered.contains_key(header::CONTENT_ENCODING) {
-        return Err(Foreign::Encoded);
-    }
-    if status.is_informational() {
-        return Err(Foreign::Switching);
-    }
-    let is_signed = |name| answered.get(name).is_some_and(|it| !it.is_empty());
-    if status.is_success() && !names.signature.as_ref().is_none_or(is_signed) {
-        return Err(Foreign::Unsigned);
-    }
-    Ok(())
-}
-
 /// W3C trace context header.
 pub(crate) const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
 const HOP_BY_HOP: [HeaderName; 8] = [
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -12,6 +12,7 @@
 mod cx;
 mod dispatch;
 mod exchange;
+mod foreign;
 mod headers;
 mod identity;
 mod in_flight;
--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -21,6 +21,7 @@
 use crate::active_slot::{ActiveSlot, STALL_AFTER};
 use crate::body::{RelayItem, RequestBody, ResponseBody};
 use crate::cx::Cx;
+use crate::foreign::check_answer;
 use crate::routed_request::RoutedRequest;
 use crate::sending::acquire_skipping_closed;
 use crate::way::{SendFailure, Way};
@@ -295,12 +296,8 @@
             }
             Err(_) => return None,
         };
-        let checked = headers::check_answer(
-            &self.cx.names,
-            &self.request.headers,
-            res.status(),
-            res.headers(),
-        );
+        let checked =
+            check_answer(&self.cx.names, &self.request.headers, res.status(), res.headers());
         if let Err(foreign) = checked {
             trace::foreign_answer(&self.cx, &self.request, &active_slot.grant().endpoint, foreign);
             active_slot.end(Kind::Failed);
--- a/crates/caller/src/tests.rs
+++ b/crates/caller/src/tests.rs
@@ -11,9 +11,8 @@
 use crate::answer::GiveUp;
 use crate::attempt::answer_kind;
 use crate::body::ReceivedBody;
-use crate::headers::{
-    Foreign, HeaderNames, IdEcho, Span, check_answer, deadline_of, host_of, strip_hop_by_hop,
-};
+use crate::foreign::{Foreign, check_answer};
+use crate::headers::{HeaderNames, IdEcho, Span, deadline_of, host_of, strip_hop_by_hop};
 use crate::request_key::request_key;
 use crate::snapshot::Snapshot;
 
--- a/crates/caller/src/trace.rs
+++ b/crates/caller/src/trace.rs
@@ -10,7 +10,8 @@
 
 use crate::answer::GiveUp;
 use crate::cx::Cx;
-use crate::headers::{Foreign, HeaderNames, InvalidNumber, Span};
+use crate::foreign::Foreign;
+use crate::headers::{HeaderNames, InvalidNumber, Span};
 use crate::in_flight::Stage;
 use crate::routed_request::RoutedRequest;
 
