Caller tests: spoilt answers that are refused already

Cause: the incident of broken answers names lines that are no field, status 000, names with a blank or a control byte, and lengths; no test sent such answers. Change: spoilt_answers.rs with an endpoint that sends them, directly and through another node, with each kind of status. Whole answers with an unusual head are passed on. Through another node such bytes are no evidence against the endpoint.

--- /dev/null
+++ b/crates/caller/tests/spoilt_answers.rs
@@ -0,0 +1,188 @@
+//! Endpoints that spoil their answers: the status, the fields, or what the head says of the length of the body. The
+//! true body is always `body`, and each answer carries the id of the request and a signature.
+
+mod common;
+
+use common::{BOOKING, LOOKUP, Path, exchange};
+
+/// The true body as one chunk.
+const CHUNKS: &str = "4\r\nbody\r\n0\r\n\r\n";
+/// Statuses of spoilt answers. If the last one could be believed, the request has not run.
+const STATUSES: [&str; 4] =
+    ["200 OK", "404 Not Found", "500 Oh", "503 Full\r\nx-not-run: 1\r\nretry-after: 9"];
+/// Paths to the endpoint.
+const PATHS: [Path; 2] = [Path::Direct, Path::ThroughNode];
+
+/// How far a spoilt answer can be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Readable {
+    /// The head can be parsed, so that the endpoint itself must have sent it.
+    Head,
+    /// Nothing. If the bytes come through another node, they are no evidence against the endpoint.
+    Nothing,
+}
+
+impl Readable {
+    /// The report about the endpoint after one such answer.
+    fn report(self, path: Path) -> &'static str {
+        match (self, path) {
+            (Self::Nothing, Path::ThroughNode) => "",
+            _ => "Failed",
+        }
+    }
+}
+
+/// An answer with these lines in its head.
+fn answer(status: &str, lines: &str, body: &str) -> String {
+    common::genuine(&format!("HTTP/1.1 {status}\r\n{lines}\r\n\r\n{body}"))
+}
+
+fn good() -> String {
+    answer("200 OK", "content-length: 4", "good")
+}
+
+/// Checks that a booking with this answer gets 502, and that a lookup is sent again.
+async fn check_refused(readable: Readable, path: Path, spoilt: &str) {
+    let context = format!("{path:?} {:?}", &spoilt[..spoilt.len().min(300)]);
+    let answers = [spoilt.to_owned(), good()];
+    let (got, reports) = exchange(path, BOOKING, &answers).await;
+    let is_unknown = got.contains("x-request-outcome: unknown");
+    assert!(got.starts_with("HTTP/1.1 502") && is_unknown, "{context}\n{got:.500?}");
+    assert_eq!(reports, readable.report(path), "{context}");
+    let (got, reports) = exchange(path, LOOKUP, &answers).await;
+    assert!(got.starts_with("HTTP/1.1 200") && got.ends_with("good"), "{context}\n{got:.500?}");
+    let expected = format!("{} Answered", readable.report(path));
+    assert_eq!(reports, expected.trim(), "{context}");
+}
+
+/// Checks heads with these lines, with each status and on each path.
+async fn check_lines(readable: Readable, lines: &[&str], body: &str) {
+    for lines in lines {
+        for status in STATUSES {
+            for path in PATHS {
+                check_refused(readable, path, &answer(status, lines, body)).await;
+            }
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_with_a_line_that_is_no_field_is_refused() {
+    let lines = [
+        "content-length 4",
+        "content-length: 4\r\nno colon",
+        "content-length: 4\r\n: nothing before the colon",
+        "content-length: 4\r\n folded",
+        "content-length : 4",
+        "content -length: 4",
+        "content\x01-length: 4",
+        "content-length: 4\r\nx spoilt: 1",
+        "content-length: 4\r\nx\tspoilt: 1",
+        "content-length: 4\r\nx\x01spoilt: 1",
+        "content-length: 4\r\nx\0spoilt: 1",
+        "content-length: 4\r\nx\x7fspoilt: 1",
+        "content-length: 4\r\nx(spoilt): 1",
+        "content-length: 4\r\nx\u{e9}: 1",
+        "content-length: 4\r\nx: \0",
+        "content-length: 4\r\nx: \x01",
+        "content-length: 4\r\nx: 1\ry: 2",
+    ];
+    check_lines(Readable::Nothing, &lines, "body").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_whose_status_is_too_small_or_no_number_is_refused() {
+    for status in ["000", "001", "099", "20", "2000", "2x0", "+20", "-20", ""] {
+        for path in PATHS {
+            let spoilt = answer(&format!("{status} Oh"), "content-length: 4", "body");
+            check_refused(Readable::Nothing, path, &spoilt).await;
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_whose_length_is_no_number_is_refused() {
+    let lines = [
+        "content-length: x",
+        "content-length: 4x",
+        "content-length: 0x4",
+        "content-length: +4",
+        "content-length: -4",
+        "content-length: 4.0",
+        "content-length:",
+        "content-length: 4 4",
+        "content-length: \"4\"",
+        "content-length: 99999999999999999999",
+        "content-length: 4,5",
+        "content-length: 4\r\ncontent-length: 5",
+        "content-length: 4\x01",
+    ];
+    check_lines(Readable::Nothing, &lines, "body").await;
+}
+
+/// The head is whole, so what it says is believed: a refusal to run the request is not checked here.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_with_spoilt_chunks_is_refused() {
+    let bodies = [
+        "x\r\nbody\r\n0\r\n\r\n",
+        "-4\r\nbody\r\n0\r\n\r\n",
+        "+4\r\nbody\r\n0\r\n\r\n",
+        " \r\nbody\r\n0\r\n\r\n",
+        "ffffffffffffffffff\r\nbody\r\n0\r\n\r\n",
+        "4\r\nbodybody\r\n0\r\n\r\n",
+        "4\r\nbody0\r\n\r\n",
+        "4\r\nbody\r\n",
+        "9\r\nbody\r\n0\r\n\r\n",
+        "4\r\nbody\r\n0\r\nno colon\r\n\r\n",
+    ];
+    for body in bodies {
+        for status in &STATUSES[..3] {
+            for path in PATHS {
+                let spoilt = answer(status, "transfer-encoding: chunked", body);
+                check_refused(Readable::Nothing, path, &spoilt).await;
+            }
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_after_a_spoilt_interim_answer_is_refused() {
+    for interim in ["HTTP/1.1 100 Continue\r\nno colon\r\n\r\n", "HTTP/1.1 000 Oh\r\n\r\n"] {
+        for path in PATHS {
+            check_refused(Readable::Nothing, path, &format!("{interim}{}", good())).await;
+        }
+    }
+}
+
+/// Heads that every reader frames alike, however unusual they look.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unusual_answer_that_is_whole_is_passed_on() {
+    for (lines, body) in [
+        ("Transfer-Encoding: CHUNKED", CHUNKS),
+        ("transfer-encoding:\tchunked \t", CHUNKS),
+        ("content-length: 0004", "body"),
+        ("content-length: \t4 ", "body"),
+        ("connection: close", "body"),
+    ] {
+        for status in ["200 OK", "404 Not Found", "599 Oh"] {
+            for path in PATHS {
+                let (got, reports) = exchange(path, BOOKING, &[answer(status, lines, body)]).await;
+                assert!(got.starts_with(&format!("HTTP/1.1 {}", &status[..3])), "{lines}\n{got}");
+                assert!(got.ends_with("\r\n\r\nbody"), "{lines}\n{got}");
+                let expected = if status.starts_with('5') { "Failed" } else { "Answered" };
+                assert_eq!(reports, expected, "{lines}");
+            }
+        }
+    }
+}
+
+/// The length that the body of an answer to `GET` would have is passed on.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_to_head_says_the_length_of_a_body() {
+    let request = "HEAD / HTTP/1.1\r\nx-request-id: r1";
+    let whole = answer("200 OK", "content-length: 4", "");
+    let (got, reports) = exchange(Path::Direct, request, &[whole]).await;
+    assert!(got.starts_with("HTTP/1.1 200 OK"), "{got}");
+    assert!(got.contains("\r\ncontent-length: 4\r\n"), "{got}");
+    assert_eq!(reports, "Answered");
+}
