Caller: an answer whose transfer coding is not just `chunked` is not passed on

Seen by callers: a 200, 404 or 500 whose body was the raw chunk lines, with a content-length that fits them; or, with `gzip, chunked`, an encoded body that looks plain. Short and long answers alike. Cause: the client reads a body whose last transfer coding is not `chunked` until its connection closes, and ignores what else the coding says; the header is hop by hop, so nothing of it reached the caller. check_answer looked at content-encoding alone. Change: check_answer refuses an answer with a transfer coding other than a single `chunked`, in any case of letters. So it is no proof that a request has not run, reports no notice, counts as a failure of the endpoint, and is sent again where the route allows. Evidence: the test failed before with "HTTP/1.1 200 OK ... content-length: 14 ... 4\r\nbody\r\n0" for `chunke`. Now 13 codings pass with four statuses, and through another node; `CHUNKED` and blanks around it are passed on as before. Why this works: a coding that no request asked for is refused before its body is read, whatever the client makes of it.

--- a/crates/caller/src/foreign.rs
+++ b/crates/caller/src/foreign.rs
@@ -13,6 +13,8 @@
     OtherId,
     #[error("its body is encoded")]
     Encoded,
+    #[error("its transfer coding is not `chunked`")]
+    TransferCoding,
     #[error("it switches to a protocol that was not asked for")]
     Switching,
     #[error("it is a success without a signature")]
@@ -35,6 +37,7 @@
     if answered.contains_key(header::CONTENT_ENCODING) {
         return Err(Foreign::Encoded);
     }
+    check_transfer_coding(answered)?;
     if status.is_informational() {
         return Err(Foreign::Switching);
     }
@@ -44,3 +47,14 @@
     }
     Ok(())
 }
+
+/// Checks that the body has no transfer coding, or is in plain chunks. The client reads a body with any other coding
+/// until its connection closes, and passes it on as it came. No request asks for another one.
+fn check_transfer_coding(headers: &HeaderMap) -> Result<(), Foreign> {
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    match (codings.next(), codings.next()) {
+        (None, _) => Ok(()),
+        (Some(it), None) if it.as_bytes().eq_ignore_ascii_case(b"chunked") => Ok(()),
+        _ => Err(Foreign::TransferCoding),
+    }
+}
--- a/crates/caller/tests/spoilt_answers.rs
+++ b/crates/caller/tests/spoilt_answers.rs
@@ -10,6 +10,8 @@
 /// Statuses of spoilt answers. If the last one could be believed, the request has not run.
 const STATUSES: [&str; 4] =
     ["200 OK", "404 Not Found", "500 Oh", "503 Full\r\nx-not-run: 1\r\nretry-after: 9"];
+/// Length of a body that is streamed.
+const LONG: usize = 3 << 20;
 /// Paths to the endpoint.
 const PATHS: [Path; 2] = [Path::Direct, Path::ThroughNode];
 
@@ -65,6 +67,11 @@
     }
 }
 
+/// A long body as one chunk.
+fn long_chunks() -> String {
+    format!("{LONG:x}\r\n{}\r\n0\r\n\r\n", "x".repeat(LONG))
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_with_a_line_that_is_no_field_is_refused() {
     let lines = [
@@ -185,3 +192,25 @@
     assert!(got.contains("\r\ncontent-length: 4\r\n"), "{got}");
     assert_eq!(reports, "Answered");
 }
+
+/// Guards against raw chunks, or an encoded body, as the body of an answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_whose_transfer_coding_is_not_just_chunked_is_refused() {
+    let lines = [
+        "transfer-encoding: chunke",
+        "transfer-encoding: \"chunked\"",
+        "transfer-encoding: chunked;q=1",
+        "transfer-encoding: chunked,",
+        "transfer-encoding:",
+        "transfer-encoding: identity",
+        "transfer-encoding: chunked\r\ntransfer-encoding: x",
+        "transfer-encoding: chunked\r\ntransfer-encoding:",
+        "transfer-encoding: chunke\r\ncontent-length: 14",
+        "transfer-encoding: gzip, chunked",
+        "transfer-encoding: gzip\r\ntransfer-encoding: chunked",
+        "transfer-encoding: chunked, chunked",
+        "transfer-encoding: chunked\r\ntransfer-encoding: chunked",
+    ];
+    check_lines(Readable::Head, &lines, CHUNKS).await;
+    check_lines(Readable::Head, &lines[..1], &long_chunks()).await;
+}
