Caller: an answer that is in chunks and has a length is not passed on

Seen by callers: a 200 with `content-length: 2` before a body of four bytes, the rest of which is read as the start of the next answer; a long one cut to its length and framed as whole; no answer at all where the length was no number. Cause: the client goes by the chunks and leaves content-length in the head; transfer-encoding is hop by hop and is dropped, so the length that the endpoint sent beside it framed what went on. Change: check_answer refuses an answer with both. Evidence: the test failed before (release build): "HTTP/1.1 200 OK ... content-length: 2 ... body"; a debug build panicked in the writing side. Now five heads pass with four statuses, short and long, and through another node. Why this works: what goes on carries a content-length only if the body was read by it. HTTP/1.1 forbids a sender both, so no sound endpoint is refused.

--- a/crates/caller/src/foreign.rs
+++ b/crates/caller/src/foreign.rs
@@ -15,6 +15,8 @@
     Encoded,
     #[error("its transfer coding is not `chunked`")]
     TransferCoding,
+    #[error("it has a length although its body is in chunks")]
+    TwoLengths,
     #[error("it switches to a protocol that was not asked for")]
     Switching,
     #[error("it is a success without a signature")]
@@ -37,7 +39,7 @@
     if answered.contains_key(header::CONTENT_ENCODING) {
         return Err(Foreign::Encoded);
     }
-    check_transfer_coding(answered)?;
+    check_framing(answered)?;
     if status.is_informational() {
         return Err(Foreign::Switching);
     }
@@ -48,13 +50,16 @@
     Ok(())
 }
 
-/// Checks that the body has no transfer coding, or is in plain chunks. The client reads a body with any other coding
-/// until its connection closes, and passes it on as it came. No request asks for another one.
-fn check_transfer_coding(headers: &HeaderMap) -> Result<(), Foreign> {
+/// Checks that every reader of the head finds the same end of the body. The head may give its length or announce chunks;
+/// with neither, the body ends with its connection.
+fn check_framing(headers: &HeaderMap) -> Result<(), Foreign> {
     let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
     match (codings.next(), codings.next()) {
         (None, _) => Ok(()),
+        // A caller would take the length that is passed on for that of the chunks.
+        (Some(_), _) if headers.contains_key(header::CONTENT_LENGTH) => Err(Foreign::TwoLengths),
         (Some(it), None) if it.as_bytes().eq_ignore_ascii_case(b"chunked") => Ok(()),
+        // The client reads a body with any other coding until its connection closes, and passes it on as it came.
         _ => Err(Foreign::TransferCoding),
     }
 }
--- a/crates/caller/tests/spoilt_answers.rs
+++ b/crates/caller/tests/spoilt_answers.rs
@@ -214,3 +214,17 @@
     check_lines(Readable::Head, &lines, CHUNKS).await;
     check_lines(Readable::Head, &lines[..1], &long_chunks()).await;
 }
+
+/// Guards against an answer that was read by its chunks and that its caller reads by its length.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_with_chunks_and_a_length_is_refused() {
+    let lines = [
+        "transfer-encoding: chunked\r\ncontent-length: 2",
+        "transfer-encoding: chunked\r\ncontent-length: 4",
+        "content-length: 9\r\ntransfer-encoding: chunked",
+        "transfer-encoding: chunked\r\ncontent-length: x",
+        "transfer-encoding: chunked\r\ncontent-length:",
+    ];
+    check_lines(Readable::Head, &lines, CHUNKS).await;
+    check_lines(Readable::Head, &lines[2..4], &long_chunks()).await;
+}
