Caller: an answer whose length is not a single number is not passed on

Seen by callers: `content-length: 4,4` as it came, which readers take for 4, for nothing or for an error; in an answer to HEAD also `x`, `+4` or nothing at all. Cause: the client accepts a list of equal numbers, and does not look at the length of an answer that has no body; the header went on unchanged. Change: check_answer refuses a length that is repeated or not in digits. Evidence: both tests failed before: "HTTP/1.1 200 OK ... content-length: 4,4 ... body" and "... content-length: x". Now four heads pass with four statuses and through another node, and four answers to HEAD. Why this works: a content-length that goes on is one number in digits, by which the client has read the body.

--- a/crates/caller/src/foreign.rs
+++ b/crates/caller/src/foreign.rs
@@ -2,7 +2,7 @@
 
 use http::{HeaderMap, StatusCode, header};
 
-use crate::{HeaderNames, IdEcho};
+use crate::{HeaderNames, IdEcho, headers};
 
 /// Why bytes that look like an answer are not the answer of the endpoint to a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -17,6 +17,8 @@
     TransferCoding,
     #[error("it has a length although its body is in chunks")]
     TwoLengths,
+    #[error("its length is not a single number")]
+    Length,
     #[error("it switches to a protocol that was not asked for")]
     Switching,
     #[error("it is a success without a signature")]
@@ -55,7 +57,7 @@
 fn check_framing(headers: &HeaderMap) -> Result<(), Foreign> {
     let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
     match (codings.next(), codings.next()) {
-        (None, _) => Ok(()),
+        (None, _) => check_length(headers),
         // A caller would take the length that is passed on for that of the chunks.
         (Some(_), _) if headers.contains_key(header::CONTENT_LENGTH) => Err(Foreign::TwoLengths),
         (Some(it), None) if it.as_bytes().eq_ignore_ascii_case(b"chunked") => Ok(()),
@@ -63,3 +65,11 @@
         _ => Err(Foreign::TransferCoding),
     }
 }
+
+/// Checks that the length, if there is one, is a single number. The client takes a list of equal numbers too, and does not
+/// look at the length of an answer to `HEAD`; both would be passed on as they are.
+fn check_length(headers: &HeaderMap) -> Result<(), Foreign> {
+    let lengths = headers.get_all(header::CONTENT_LENGTH).iter().count();
+    let is_number = lengths == 1 && headers::content_length(headers).is_some();
+    if lengths == 0 || is_number { Ok(()) } else { Err(Foreign::Length) }
+}
--- a/crates/caller/src/headers.rs
+++ b/crates/caller/src/headers.rs
@@ -154,9 +154,11 @@
     }
 }
 
-/// The length of a body, if the headers announce one.
+/// The length of a body, if the headers announce one in digits.
 pub(crate) fn content_length(headers: &HeaderMap) -> Option<u64> {
-    headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+    let text = headers.get(header::CONTENT_LENGTH)?.to_str().ok()?;
+    // Parsing alone would accept a sign.
+    text.bytes().all(|it| it.is_ascii_digit()).then(|| text.parse().ok())?
 }
 
 /// Parses the trace and span IDs of a `traceparent` value.
--- a/crates/caller/tests/spoilt_answers.rs
+++ b/crates/caller/tests/spoilt_answers.rs
@@ -228,3 +228,32 @@
     check_lines(Readable::Head, &lines, CHUNKS).await;
     check_lines(Readable::Head, &lines[2..4], &long_chunks()).await;
 }
+
+/// Guards against a length that readers may take for different numbers.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_repeats_its_length_is_refused() {
+    let lines = [
+        "content-length: 4,4",
+        "content-length: 4, 4",
+        "content-length: 4\r\ncontent-length: 4",
+        "content-length: 4\r\ncontent-length: 04",
+    ];
+    check_lines(Readable::Head, &lines, "body").await;
+}
+
+/// No body follows, whatever the head says; what it says would reach the caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_to_head_whose_length_is_spoilt_is_refused() {
+    let request = "HEAD / HTTP/1.1\r\nx-request-id: r1";
+    for lines in
+        ["content-length: x", "content-length: +4", "content-length:", "content-length: 4,4"]
+    {
+        for path in PATHS {
+            let spoilt = answer("200 OK", lines, "");
+            let (got, reports) = exchange(path, request, &[spoilt, good()]).await;
+            assert!(got.starts_with("HTTP/1.1 200 OK"), "{lines}\n{got}");
+            assert!(got.contains("\r\ncontent-length: 4\r\n"), "{lines}\n{got}");
+            assert_eq!(reports, "Failed Answered", "{lines}");
+        }
+    }
+}
