Caller: a 204 whose head announces a body is not passed on

Seen by callers: an empty 204 where the endpoint sent a body; its status or its length is spoilt. Cause: the client goes by the status and leaves the bytes on the connection; nothing compared the two. Change: check_answer refuses a 204 with chunks or with a length other than 0. Evidence: the test failed before: "HTTP/1.1 204 No Content" for a head with `content-length: 4` and a body. Now two heads pass on both paths, and a 204 without a length or with 0 is passed on as before. Why this works: HTTP forbids both headers in a 204; a length of 0, which some servers send, contradicts nothing.

--- a/crates/caller/src/foreign.rs
+++ b/crates/caller/src/foreign.rs
@@ -19,6 +19,8 @@
     TwoLengths,
     #[error("its length is not a single number")]
     Length,
+    #[error("it announces a body although its status allows none")]
+    UnexpectedBody,
     #[error("it switches to a protocol that was not asked for")]
     Switching,
     #[error("it is a success without a signature")]
@@ -41,7 +43,7 @@
     if answered.contains_key(header::CONTENT_ENCODING) {
         return Err(Foreign::Encoded);
     }
-    check_framing(answered)?;
+    check_framing(status, answered)?;
     if status.is_informational() {
         return Err(Foreign::Switching);
     }
@@ -54,15 +56,23 @@
 
 /// Checks that every reader of the head finds the same end of the body. The head may give its length or announce chunks;
 /// with neither, the body ends with its connection.
-fn check_framing(headers: &HeaderMap) -> Result<(), Foreign> {
+fn check_framing(status: StatusCode, headers: &HeaderMap) -> Result<(), Foreign> {
     let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
     match (codings.next(), codings.next()) {
-        (None, _) => check_length(headers),
+        (None, _) => check_length(headers)?,
         // A caller would take the length that is passed on for that of the chunks.
-        (Some(_), _) if headers.contains_key(header::CONTENT_LENGTH) => Err(Foreign::TwoLengths),
-        (Some(it), None) if it.as_bytes().eq_ignore_ascii_case(b"chunked") => Ok(()),
+        (Some(_), _) if headers.contains_key(header::CONTENT_LENGTH) => {
+            return Err(Foreign::TwoLengths);
+        }
+        (Some(it), None) if it.as_bytes().eq_ignore_ascii_case(b"chunked") => {}
         // The client reads a body with any other coding until its connection closes, and passes it on as it came.
-        _ => Err(Foreign::TransferCoding),
+        _ => return Err(Foreign::TransferCoding),
+    }
+    let is_announced = headers.contains_key(header::TRANSFER_ENCODING)
+        || headers::content_length(headers).is_some_and(|it| it > 0);
+    match status == StatusCode::NO_CONTENT && is_announced {
+        true => Err(Foreign::UnexpectedBody),
+        false => Ok(()),
     }
 }
 
--- a/crates/caller/tests/spoilt_answers.rs
+++ b/crates/caller/tests/spoilt_answers.rs
@@ -257,3 +257,19 @@
         }
     }
 }
+
+/// Guards against an empty success in place of a body.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_has_no_body_by_its_status_and_one_by_its_head_is_refused() {
+    for (lines, body) in [("content-length: 4", "body"), ("transfer-encoding: chunked", CHUNKS)] {
+        for path in PATHS {
+            check_refused(Readable::Head, path, &answer("204 No Content", lines, body)).await;
+        }
+    }
+    for lines in ["etag: \"1\"", "content-length: 0"] {
+        let (got, reports) =
+            exchange(Path::Direct, BOOKING, &[answer("204 No Content", lines, "")]).await;
+        assert!(got.starts_with("HTTP/1.1 204") && got.ends_with("\r\n\r\n"), "{lines}\n{got}");
+        assert_eq!(reports, "Answered", "{lines}");
+    }
+}
