Caller: an answer with a status above 599 is not passed on

Seen by callers: status 600 or 999, which they cannot tell a success or a failure by. To the node it was a good answer. Cause: the types of the library allow 100 to 999; nothing checked the upper end. Change: check_answer refuses a status above 599. Evidence: the test failed before: "HTTP/1.1 600 Oh ... body". Why this works: no status above 599 is defined, so no sound endpoint sends one. 000 to 099 are refused by the parser.

--- a/crates/caller/src/foreign.rs
+++ b/crates/caller/src/foreign.rs
@@ -21,6 +21,8 @@
     Length,
     #[error("it announces a body although its status allows none")]
     UnexpectedBody,
+    #[error("its status is above 599")]
+    Status,
     #[error("it switches to a protocol that was not asked for")]
     Switching,
     #[error("it is a success without a signature")]
@@ -44,8 +46,10 @@
         return Err(Foreign::Encoded);
     }
     check_framing(status, answered)?;
-    if status.is_informational() {
-        return Err(Foreign::Switching);
+    match status.as_u16() {
+        ..200 => return Err(Foreign::Switching),
+        200..600 => {}
+        600.. => return Err(Foreign::Status),
     }
     let is_signed = |name| answered.get(name).is_some_and(|it| !it.is_empty());
     if status.is_success() && !names.signature.as_ref().is_none_or(is_signed) {
--- a/crates/caller/tests/spoilt_answers.rs
+++ b/crates/caller/tests/spoilt_answers.rs
@@ -273,3 +273,15 @@
         assert_eq!(reports, "Answered", "{lines}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_whose_status_is_too_large_is_refused() {
+    for status in ["600 Oh", "999 Oh", "700 Full\r\nx-not-run: 1"] {
+        for path in PATHS {
+            let spoilt = answer(status, "content-length: 4", "body");
+            check_refused(Readable::Head, path, &spoilt).await;
+        }
+        let long = answer(status, "transfer-encoding: chunked", &long_chunks());
+        check_refused(Readable::Head, Path::Direct, &long).await;
+    }
+}
