Upstream: the connection of an answer that is refused does not return to the pool

Seen by callers: nothing wrong where ids are echoed, but a repeat more than needed: an empty answer to an earlier request, or a spoilt one, left its connection to the next request, whose answer was then one behind. Cause: the connection of an answer without a body went back to the pool with its head, before the head was checked. Change: it goes back when the caller of the pool has accepted the head (AnswerBody::release_if_empty), or has read the body. An answer that is dropped unread closes its connection. Now it is closed after each of five answers; a test of the pool shows that accepted empty answers keep theirs. Why this works: every place that reads answers checks the head first, and nothing else returns a connection.

--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -178,7 +178,7 @@
     cx: &Arc<Cx<D>>,
     request: &Arc<RoutedRequest>,
     mut active_slot: ActiveSlot<D::Slot>,
-    res: Response<AnswerBody<RequestBody>>,
+    mut res: Response<AnswerBody<RequestBody>>,
     is_first: bool,
     way: Way<D>,
 ) -> SendResult {
@@ -188,6 +188,7 @@
         active_slot.end(Kind::Failed);
         return SendResult::Unknown;
     }
+    res.body_mut().release_if_empty();
     if res.status() == StatusCode::MISDIRECTED_REQUEST {
         // The address now belongs to a different endpoint; the intended one is gone.
         active_slot.end(Kind::Failed);
--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -288,7 +288,7 @@
         );
         resume.set_range_headers(req.headers_mut(), self.forwarded);
         let way = Way::new(&self.cx, &self.request, active_slot.grant().clone());
-        let res = match timeout(STALL_AFTER, way.send(req, Reuse::Allowed)).await.ok()? {
+        let mut res = match timeout(STALL_AFTER, way.send(req, Reuse::Allowed)).await.ok()? {
             Ok(res) => res,
             Err(SendFailure::Broken(_)) => {
                 active_slot.settle(way.classify_break().await);
@@ -303,6 +303,7 @@
             active_slot.end(Kind::Failed);
             return None;
         }
+        res.body_mut().release_if_empty();
         notice::report_notices(&self.cx, &mut active_slot, &res);
         if !resume.matches(&res, self.forwarded) {
             return None;
--- a/crates/caller/tests/foreign_answers.rs
+++ b/crates/caller/tests/foreign_answers.rs
@@ -2,7 +2,15 @@
 
 mod common;
 
-use common::{BOOKING, Path, exchange};
+use std::time::Duration;
+
+use common::{BOOKING, Path, Recording, accept_request, exchange};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::time::timeout;
+
+/// Generous limit for the end of a connection.
+const LIMIT: Duration = Duration::from_secs(4);
 
 const ID: &str = "x-request-id: r1\r\n";
 const SIGNED: &str = "x-signature: s\r\n";
@@ -113,3 +121,32 @@
         assert_eq!(reports, "Failed Failed Answered", "{foreign}");
     }
 }
+
+/// Guards against an answer to an earlier request that is waiting on the connection when the next request is sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_connection_of_a_foreign_answer_without_a_body_is_closed() {
+    for foreign in [
+        answer("200 OK", &format!("x-request-id: r2\r\n{SIGNED}"), ""),
+        answer("404 Not Found", "", ""),
+        answer("503 Full", "x-not-run: 1\r\n", ""),
+        answer("600 Oh", ID, ""),
+        format!("HTTP/1.1 204 No Content\r\n{ID}\r\n"),
+    ] {
+        let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let recording = Recording::new(Path::Direct, endpoint.local_addr().unwrap());
+        let answering = async {
+            let (mut first, _) = accept_request(&endpoint).await;
+            first.write_all(foreign.as_bytes()).await.unwrap();
+            let mut buf = [0; 4096];
+            let read = timeout(LIMIT, first.read(&mut buf))
+                .await
+                .expect("the connection is closed")
+                .unwrap();
+            assert_eq!(read, 0, "the connection is used again: {foreign}");
+            let (mut second, _) = accept_request(&endpoint).await;
+            second.write_all(good().as_bytes()).await.unwrap();
+        };
+        let (got, ()) = tokio::join!(common::send(recording, common::LOOKUP), answering);
+        assert!(got.starts_with("HTTP/1.1 200") && got.ends_with("good"), "{foreign}\n{got}");
+    }
+}
--- a/crates/upstream/src/answer.rs
+++ b/crates/upstream/src/answer.rs
@@ -1,5 +1,6 @@
-//! The body of an answer. Its connection returns to the pool only after the complete body was read.
-//! After a timeout, a cancellation or an error the connection is closed.
+//! The body of an answer. Its connection returns to the pool only after the complete body was read, or
+//! after the head if there is no body. After a timeout, a cancellation, an error or an answer that is
+//! dropped unread the connection is closed.
 
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
@@ -25,11 +26,15 @@
     B: Body<Data = Bytes> + Send + Unpin + 'static,
 {
     pub(crate) fn new(body: Incoming, conn: Option<ReusableConnection<B>>) -> Self {
-        let mut it = Self { body, conn };
-        if it.body.is_end_stream() {
-            it.return_to_pool();
+        Self { body, conn }
+    }
+
+    /// Returns the connection to the pool if the answer has no body. To be called once the head is known to belong to the
+    /// request; after any other head the connection may carry further answers that belong to none.
+    pub fn release_if_empty(&mut self) {
+        if self.body.is_end_stream() {
+            self.return_to_pool();
         }
-        it
     }
 
     fn return_to_pool(&mut self) {
--- a/crates/upstream/src/tests/pool.rs
+++ b/crates/upstream/src/tests/pool.rs
@@ -1,4 +1,6 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -126,3 +128,41 @@
     let body = res.into_body().collect().await.unwrap().to_bytes();
     assert_eq!(&body[..], b"ok");
 }
+
+/// Answers all requests without a body, and counts the connections.
+async fn serve_empty() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let connections = Arc::new(AtomicUsize::new(0));
+    let count = connections.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            count.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(async move {
+                let empty = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                while stream.read(&mut [0; 1024]).await.is_ok_and(|n| n > 0) {
+                    stream.write_all(empty).await.unwrap();
+                }
+            });
+        }
+    });
+    (addr, connections)
+}
+
+#[tokio::test]
+async fn a_connection_is_reused_after_an_empty_answer_only_if_the_head_was_accepted() {
+    for (is_accepted, expected) in [(true, 1), (false, 2)] {
+        let (addr, connections) = serve_empty().await;
+        let pool = pool();
+        for _ in 0..2 {
+            let mut res = pool.send(addr, post(), Reuse::Allowed).await.ok().unwrap();
+            if is_accepted {
+                res.body_mut().release_if_empty();
+            }
+            drop(res);
+            // Lets the connection return to the pool.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(connections.load(Ordering::Relaxed), expected);
+    }
+}
