Caller: a success whose signature is hop by hop is not passed on

Seen by callers: a 200 without the endpoint's signature. Cause: the signature was looked for in the head as it came; then the headers that `Connection` names were removed, and a spoilt `Connection` may name the signature. Change: a signature counts only if it is passed on. Evidence: the test failed before: "HTTP/1.1 200 OK ... spoilt" without a signature, for `connection: x-signature`. Now three forms get 502. Why this works: the check asks what the caller will see, by the same function that decides what is removed.

--- a/crates/caller/src/foreign.rs
+++ b/crates/caller/src/foreign.rs
@@ -1,6 +1,6 @@
 //! Tells the endpoint's answer to a request from bytes that only look like one.
 
-use http::{HeaderMap, StatusCode, header};
+use http::{HeaderMap, HeaderName, StatusCode, header};
 
 use crate::{HeaderNames, IdEcho, headers};
 
@@ -53,7 +53,11 @@
         200..600 => {}
         600.. => return Err(Foreign::Status),
     }
-    let is_signed = |name| answered.get(name).is_some_and(|it| !it.is_empty());
+    // A signature that is hop by hop would not be passed on.
+    let is_signed = |name: &HeaderName| {
+        answered.get(name).is_some_and(|it| !it.is_empty())
+            && headers::named_by_connection(answered).all(|it| it != *name)
+    };
     if status.is_success() && !names.signature.as_ref().is_none_or(is_signed) {
         return Err(Foreign::Unsigned);
     }
--- a/crates/caller/src/headers.rs
+++ b/crates/caller/src/headers.rs
@@ -54,15 +54,19 @@
     header::UPGRADE,
 ];
 
-/// Removes the hop-by-hop headers, including those named by `Connection`.
-pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
+/// The headers that `Connection` names as hop by hop.
+pub(crate) fn named_by_connection(headers: &HeaderMap) -> impl Iterator<Item = HeaderName> {
+    headers
         .get_all(header::CONNECTION)
         .iter()
         .filter_map(|it| it.to_str().ok())
         .flat_map(|it| it.split(','))
         .filter_map(|it| it.trim().parse().ok())
-        .collect();
+}
+
+/// Removes the hop-by-hop headers, including those named by `Connection`.
+pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = named_by_connection(headers).collect();
     for it in named.iter().chain(&HOP_BY_HOP) {
         headers.remove(it);
     }
--- a/crates/caller/tests/foreign_answers.rs
+++ b/crates/caller/tests/foreign_answers.rs
@@ -150,3 +150,15 @@
         assert!(got.starts_with("HTTP/1.1 200") && got.ends_with("good"), "{foreign}\n{got}");
     }
 }
+
+/// Guards against a success that reaches the caller without the endpoint's signature.
+#[tokio::test]
+async fn an_answer_whose_signature_is_for_one_connection_only_is_refused() {
+    for connection in ["x-signature", "close, X-Signature", "close\r\nconnection: x-signature"] {
+        let unsigned =
+            answer("200 OK", &format!("{ID}{SIGNED}connection: {connection}\r\n"), "spoilt");
+        let (got, reports) = exchange(Path::Direct, BOOKING, &[unsigned]).await;
+        assert!(got.starts_with("HTTP/1.1 502"), "{connection}\n{got}");
+        assert_eq!(reports, "Failed", "{connection}");
+    }
+}
