Caller: an answer that also carries the id of another request is not passed on

Seen by callers: a 200 whose head names their request and another one; the id of the request was then written over both. Cause: only the first id in the head was compared. Change: each id has to be that of the request. Evidence: the test failed before for the right id first: "HTTP/1.1 200 OK ... spoilt". Now both orders get 502. Why this works: a head with two ids does not say whose answer it is.

--- a/crates/caller/src/foreign.rs
+++ b/crates/caller/src/foreign.rs
@@ -39,10 +39,12 @@
     status: StatusCode,
     answered: &HeaderMap,
 ) -> Result<(), Foreign> {
-    match answered.get(&names.request_id) {
-        None if names.id_echo == IdEcho::Always => return Err(Foreign::NoId),
-        Some(id) if Some(id) != sent.get(&names.request_id) => return Err(Foreign::OtherId),
-        _ => {}
+    let (mut ids, id) = (answered.get_all(&names.request_id).iter(), sent.get(&names.request_id));
+    if names.id_echo == IdEcho::Always && !answered.contains_key(&names.request_id) {
+        return Err(Foreign::NoId);
+    }
+    if ids.any(|it| Some(it) != id) {
+        return Err(Foreign::OtherId);
     }
     if answered.contains_key(header::CONTENT_ENCODING) {
         return Err(Foreign::Encoded);
--- a/crates/caller/tests/foreign_answers.rs
+++ b/crates/caller/tests/foreign_answers.rs
@@ -162,3 +162,15 @@
         assert_eq!(reports, "Failed", "{connection}");
     }
 }
+
+#[tokio::test]
+async fn an_answer_with_the_id_of_another_request_beside_the_right_one_is_refused() {
+    for ids in
+        ["x-request-id: r1\r\nx-request-id: r2\r\n", "x-request-id: r2\r\nx-request-id: r1\r\n"]
+    {
+        let crossed = answer("200 OK", &format!("{ids}{SIGNED}"), "spoilt");
+        let (got, reports) = exchange(Path::Direct, BOOKING, &[crossed]).await;
+        assert!(got.starts_with("HTTP/1.1 502"), "{ids}\n{got}");
+        assert_eq!(reports, "Failed", "{ids}");
+    }
+}
