--- a/crates/caller/tests/common/mod.rs
+++ b/crates/caller/tests/common/mod.rs
@@ -58,16 +58,25 @@
 
 /// Sends a request that starts with `head`, and returns the raw answer.
 pub async fn send(dispatch: impl Dispatch, head: &str) -> String {
+    send_to(listen(dispatch).await, head).await
+}
+
+/// Sends a request that starts with `head` to a listener, and returns the raw answer.
+pub async fn send_to(listener: SocketAddr, head: &str) -> String {
     let mut answer = String::new();
     // A truncated answer is returned as far as it was received.
-    let _ = open_request(dispatch, head).await.read_to_string(&mut answer).await;
+    let _ = open_request_to(listener, head).await.read_to_string(&mut answer).await;
     answer
 }
 
 /// Sends a request that starts with `head` to a listener that takes its slots from `dispatch`, and returns the
 /// caller's connection.
 pub async fn open_request(dispatch: impl Dispatch, head: &str) -> TcpStream {
-    let mut stream = TcpStream::connect(listen(dispatch).await).await.unwrap();
+    open_request_to(listen(dispatch).await, head).await
+}
+
+async fn open_request_to(listener: SocketAddr, head: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(listener).await.unwrap();
     let request = format!("{head}\r\nhost: h\r\nconnection: close\r\n\r\n");
     stream.write_all(request.as_bytes()).await.unwrap();
     stream
--- a/crates/caller/tests/spoilt_answers.rs
+++ b/crates/caller/tests/spoilt_answers.rs
@@ -3,7 +3,17 @@
 
 mod common;
 
-use common::{BOOKING, LOOKUP, Path, exchange};
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::{BOOKING, LOOKUP, Path, Recording, accept_request, exchange};
+use http::{Request, StatusCode};
+use http_body_util::Empty;
+use hyper::client::conn::http2;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
 
 /// The true body as one chunk.
 const CHUNKS: &str = "4\r\nbody\r\n0\r\n\r\n";
@@ -374,3 +384,105 @@
         }
     }
 }
+
+/// Heads with a body that no caller may get, one of each kind.
+const SPOILT: [(&str, &str, &str); 7] = [
+    ("200 OK", "transfer-encoding: chunke", CHUNKS),
+    ("200 OK", "transfer-encoding: chunked\r\ncontent-length: 2", CHUNKS),
+    ("200 OK", "content-length: 4,4", "body"),
+    ("200 OK", "content-length: 4x", "body"),
+    ("200 OK", "content-length: 4\r\nno colon", "body"),
+    ("600 Oh", "content-length: 4", "body"),
+    ("000 Oh", "content-length: 4", "body"),
+];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_whose_first_line_is_spoilt_is_refused() {
+    let good = good();
+    for line in
+        ["HTTP/1.1200 OK", "HTTP/1.1\t200 OK", "http/1.1 200 OK", "HTTP/2 200 OK", "", "200 OK"]
+    {
+        let spoilt = good.replacen("HTTP/1.1 200 OK", line, 1);
+        for path in PATHS {
+            check_refused(Readable::Nothing, path, &spoilt).await;
+        }
+    }
+}
+
+/// A final answer is checked as any other if interim ones come first.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_spoilt_answer_after_interim_answers_is_refused() {
+    let interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n";
+    for (status, lines, body) in SPOILT {
+        let spoilt = format!("{interim}{}", answer(status, lines, body));
+        let (got, reports) = exchange(Path::Direct, BOOKING, &[spoilt]).await;
+        assert!(got.starts_with("HTTP/1.1 502"), "{status} {lines}\n{got}");
+        assert_eq!(reports, "Failed", "{status} {lines}");
+    }
+}
+
+/// Guards against a spoilt answer on a connection that has carried a good one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_spoilt_answer_on_a_kept_connection_is_refused() {
+    let mut kept = 0;
+    for (status, lines, body) in SPOILT {
+        let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let recording = Recording::new(Path::Direct, endpoint.local_addr().unwrap());
+        let addr = common::listen(recording.clone()).await;
+        let answering = async {
+            let (mut first, _) = accept_request(&endpoint).await;
+            first.write_all(good().as_bytes()).await.unwrap();
+            // The node may have opened another connection before the first one was idle.
+            let mut buf = [0; 4096];
+            let (mut next, is_kept) = tokio::select! {
+                _ = first.read(&mut buf) => (first, 1),
+                (other, _) = accept_request(&endpoint) => (other, 0),
+            };
+            next.write_all(answer(status, lines, body).as_bytes()).await.unwrap();
+            drop(next);
+            let (mut other, _) = accept_request(&endpoint).await;
+            other.write_all(good().as_bytes()).await.unwrap();
+            is_kept
+        };
+        let asking = async {
+            for _ in 0..2 {
+                let got = common::send_to(addr, LOOKUP).await;
+                assert!(got.starts_with("HTTP/1.1 200") && got.ends_with("good"), "{lines}\n{got}");
+                // Lets the connection return to the pool.
+                sleep(Duration::from_millis(50)).await;
+            }
+        };
+        let (is_kept, ()) = tokio::join!(answering, asking);
+        kept += is_kept;
+        assert_eq!(recording.reports(), "Answered Failed Answered", "{status} {lines}");
+    }
+    assert!(kept > SPOILT.len() / 2, "{kept} on a kept connection");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_speaks_http_2_gets_no_spoilt_answer() {
+    for (status, lines, body) in SPOILT {
+        let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let recording = Recording::new(Path::Direct, endpoint.local_addr().unwrap());
+        let addr = common::listen(recording.clone()).await;
+        let stream = TokioIo::new(TcpStream::connect(addr).await.unwrap());
+        let (mut tx, conn) = http2::handshake(TokioExecutor::new(), stream).await.unwrap();
+        tokio::spawn(conn);
+        let req = Request::post(format!("http://{addr}/bookings")).header("x-request-id", "r1");
+        let asking = tx.send_request(req.body(Empty::<Bytes>::new()).unwrap());
+        let answering = async {
+            let (mut stream, _) = accept_request(&endpoint).await;
+            stream.write_all(answer(status, lines, body).as_bytes()).await.unwrap();
+            drop(stream);
+            // The node checks whether the endpoint still accepts connections.
+            std::future::pending::<()>().await
+        };
+        let got = tokio::select! {
+            it = asking => it.unwrap(),
+            () = answering => unreachable!(),
+        };
+        assert_eq!(got.status(), StatusCode::BAD_GATEWAY, "{status} {lines}");
+        assert_eq!(got.headers()["x-request-outcome"], "unknown", "{status} {lines}");
+        assert_eq!(recording.reports(), "Failed", "{status} {lines}");
+    }
+}
