Caller tests: closed addresses are reserved in detours.rs too, and exchanges share listeners

Cause: seven of the nine tests of detours.rs failed once, after runs of spoilt_answers.rs had left 8,681 local ports in TIME_WAIT: the port of a closed listener went to another test. Trace: the reports and statuses were those of the other tests. In the same minute a resumed download failed once, because its caller had the last byte before the end was reported. Change: the address that refuses belongs to a socket that does not listen; the cases of one test share a listener and an endpoint; the reports after a download are waited for. No assertion changed.

--- a/crates/caller/tests/common/mod.rs
+++ b/crates/caller/tests/common/mod.rs
@@ -158,6 +158,22 @@
     }
 }
 
+/// An address that refuses connections until this is dropped.
+#[derive(Clone)]
+pub struct ClosedAddr {
+    pub addr: SocketAddr,
+    /// Bound, so that no other test gets the address, and not listening.
+    _socket: Arc<TcpSocket>,
+}
+
+impl ClosedAddr {
+    pub fn new() -> Self {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        Self { addr: socket.local_addr().unwrap(), _socket: Arc::new(socket) }
+    }
+}
+
 /// The path to the endpoint of an `exchange`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Path {
@@ -172,8 +188,7 @@
     pub grant: Grant,
     /// Address at which another node reaches the endpoint.
     detour: Option<SocketAddr>,
-    /// Not listening, so that its address refuses connections and no other test gets it.
-    _closed: Option<Arc<TcpSocket>>,
+    _closed: Option<ClosedAddr>,
     reports: Arc<Mutex<Vec<String>>>,
 }
 
@@ -183,10 +198,8 @@
         if path == Path::Direct {
             return Self { grant: grant(endpoint), detour: None, _closed: None, reports };
         }
-        let closed = TcpSocket::new_v4().unwrap();
-        closed.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        let grant = grant(closed.local_addr().unwrap());
-        Self { grant, detour: Some(endpoint), _closed: Some(Arc::new(closed)), reports }
+        let closed = ClosedAddr::new();
+        Self { grant: grant(closed.addr), detour: Some(endpoint), _closed: Some(closed), reports }
     }
 
     pub fn reports(&self) -> String {
@@ -238,25 +251,50 @@
     }
 }
 
-/// Sends a request to an endpoint that gives these answers, one on each connection, with `{id}` replaced by the
-/// id of the request. Returns the caller's answer and the reports about the endpoint.
+/// A listener, and an endpoint that gives chosen answers.
+pub struct Exchange {
+    endpoint: TcpListener,
+    recording: Recording,
+    listener: SocketAddr,
+}
+
+impl Exchange {
+    pub async fn new(path: Path) -> Self {
+        let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let recording = Recording::new(path, endpoint.local_addr().unwrap());
+        let listener = listen(recording.clone()).await;
+        Self { endpoint, recording, listener }
+    }
+
+    /// Sends a request to an endpoint that gives these answers, one on each connection, with `{id}` replaced by the id of
+    /// the request. Returns the caller's answer and the reports about the endpoint.
+    pub async fn run(&self, request: &str, answers: &[String]) -> (String, String) {
+        self.recording.reports.lock().unwrap().clear();
+        let answering = async {
+            for answer in answers {
+                let (mut stream, received) = accept_request(&self.endpoint).await;
+                let id = received.lines().find_map(|it| it.strip_prefix("x-request-id: "));
+                let answer = answer.replace("{id}", id.unwrap());
+                let _ = stream.write_all(answer.as_bytes()).await;
+            }
+            std::future::pending::<()>().await
+        };
+        let answer = tokio::select! {
+            it = send_to(self.listener, request) => it,
+            () = answering => unreachable!(),
+        };
+        (answer, self.reports())
+    }
+
+    /// The reports about the endpoint since the last request was sent.
+    pub fn reports(&self) -> String {
+        self.recording.reports()
+    }
+}
+
+/// Runs one exchange with a listener and an endpoint of its own.
 pub async fn exchange(path: Path, request: &str, answers: &[String]) -> (String, String) {
-    let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let recording = Recording::new(path, endpoint.local_addr().unwrap());
-    let answering = async {
-        for answer in answers {
-            let (mut stream, received) = accept_request(&endpoint).await;
-            let id = received.lines().find_map(|it| it.strip_prefix("x-request-id: "));
-            let answer = answer.replace("{id}", id.unwrap());
-            let _ = stream.write_all(answer.as_bytes()).await;
-        }
-        std::future::pending::<()>().await
-    };
-    let answer = tokio::select! {
-        it = send(recording.clone(), request) => it,
-        () = answering => unreachable!(),
-    };
-    (answer, recording.reports())
+    Exchange::new(path).await.run(request, answers).await
 }
 
 /// Accepts the next connection with a request, and reads the request. A connection without one only checks whether the
--- a/crates/caller/tests/detours.rs
+++ b/crates/caller/tests/detours.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use caller::{Admission, DetourRequest, Dispatch, NoDetour, Refused, Slot, SlotRequest};
+use common::ClosedAddr;
 use policy::{Grant, Kind, Notice, SendKind};
 use resources::{Name, Route};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -107,11 +108,6 @@
     (listener, addr)
 }
 
-/// An address that refuses connections.
-async fn closed() -> SocketAddr {
-    listener().await.1
-}
-
 /// An endpoint that answers every request.
 async fn answering() -> SocketAddr {
     let (listener, addr) = listener().await;
@@ -157,19 +153,22 @@
 
 #[tokio::test]
 async fn an_endpoint_that_only_another_node_reaches_answers_and_is_not_blamed() {
-    check(Detouring::new(closed().await, Ok(answering().await)), 200, &["Answered"]).await;
+    let closed = ClosedAddr::new();
+    check(Detouring::new(closed.addr, Ok(answering().await)), 200, &["Answered"]).await;
 }
 
 #[tokio::test]
 async fn an_endpoint_that_no_node_reaches_is_reported() {
+    let closed = ClosedAddr::new();
     for why in [NoDetour::Refused, NoDetour::Silent, NoDetour::NoNode] {
-        check(Detouring::new(closed().await, Err(why)), 503, &["Unreachable"]).await;
+        check(Detouring::new(closed.addr, Err(why)), 503, &["Unreachable"]).await;
     }
 }
 
 #[tokio::test]
 async fn an_endpoint_that_leaves_according_to_another_node_is_not_blamed() {
-    check(Detouring::new(closed().await, Err(NoDetour::Closed)), 503, &[]).await;
+    let closed = ClosedAddr::new();
+    check(Detouring::new(closed.addr, Err(NoDetour::Closed)), 503, &[]).await;
 }
 
 #[tokio::test]
@@ -201,6 +200,7 @@
 
 #[tokio::test]
 async fn a_node_that_is_lost_during_a_send_says_nothing_about_the_endpoint() {
+    let closed = ClosedAddr::new();
     let (other_node, addr) = listener().await;
     tokio::spawn(async move {
         let (mut stream, _) = other_node.accept().await.unwrap();
@@ -211,12 +211,13 @@
         let _next = other_node.accept().await;
         std::future::pending::<()>().await;
     });
-    check(Detouring::new(closed().await, Ok(addr)), 502, &[]).await;
+    check(Detouring::new(closed.addr, Ok(addr)), 502, &[]).await;
 }
 
 #[tokio::test]
 async fn a_connection_through_another_node_that_takes_long_is_no_silence() {
-    let dispatch = Detouring::new(closed().await, Ok(answering().await));
+    let closed = ClosedAddr::new();
+    let dispatch = Detouring::new(closed.addr, Ok(answering().await));
     *dispatch.first_detour_takes.lock().unwrap() = dispatch.grant.stall_after * 3;
     check(dispatch, 200, &["Answered"]).await;
 }
--- a/crates/caller/tests/spoilt_answers.rs
+++ b/crates/caller/tests/spoilt_answers.rs
@@ -6,20 +6,22 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{BOOKING, LOOKUP, Path, Recording, accept_request, exchange};
+use common::{BOOKING, Exchange, LOOKUP, Path, Recording, accept_request, exchange};
 use http::{Request, StatusCode};
 use http_body_util::Empty;
 use hyper::client::conn::http2;
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// The true body as one chunk.
 const CHUNKS: &str = "4\r\nbody\r\n0\r\n\r\n";
 /// Statuses of spoilt answers. If the last one could be believed, the request has not run.
 const STATUSES: [&str; 4] =
     ["200 OK", "404 Not Found", "500 Oh", "503 Full\r\nx-not-run: 1\r\nretry-after: 9"];
+/// Generous limit for the reports about an endpoint.
+const LIMIT: Duration = Duration::from_secs(20);
 /// Length of a body that is streamed.
 const LONG: usize = 3 << 20;
 /// Paths to the endpoint.
@@ -50,18 +52,23 @@
 }
 
 fn good() -> String {
-    answer("200 OK", "content-length: 4", "good")
+    answer("200 OK", "connection: close\r\ncontent-length: 4", "good")
 }
 
 /// Checks that a booking with this answer gets 502, and that a lookup is sent again.
 async fn check_refused(readable: Readable, path: Path, spoilt: &str) {
+    check_refused_by(&Exchange::new(path).await, readable, path, spoilt).await;
+}
+
+/// The same with a given listener, which saves the ports of a new one.
+async fn check_refused_by(exchange: &Exchange, readable: Readable, path: Path, spoilt: &str) {
     let context = format!("{path:?} {:?}", &spoilt[..spoilt.len().min(300)]);
     let answers = [spoilt.to_owned(), good()];
-    let (got, reports) = exchange(path, BOOKING, &answers).await;
+    let (got, reports) = exchange.run(BOOKING, &answers).await;
     let is_unknown = got.contains("x-request-outcome: unknown");
     assert!(got.starts_with("HTTP/1.1 502") && is_unknown, "{context}\n{got:.500?}");
     assert_eq!(reports, readable.report(path), "{context}");
-    let (got, reports) = exchange(path, LOOKUP, &answers).await;
+    let (got, reports) = exchange.run(LOOKUP, &answers).await;
     assert!(got.starts_with("HTTP/1.1 200") && got.ends_with("good"), "{context}\n{got:.500?}");
     let expected = format!("{} Answered", readable.report(path));
     assert_eq!(reports, expected.trim(), "{context}");
@@ -69,9 +76,11 @@
 
 /// Checks heads with these lines, with each status, and a success through another node.
 async fn check_lines(readable: Readable, lines: &[&str], body: &str) {
+    let direct = Exchange::new(Path::Direct).await;
     for lines in lines {
         for status in STATUSES {
-            check_refused(readable, Path::Direct, &answer(status, lines, body)).await;
+            let spoilt = answer(status, lines, body);
+            check_refused_by(&direct, readable, Path::Direct, &spoilt).await;
         }
         check_refused(readable, Path::ThroughNode, &answer(STATUSES[0], lines, body)).await;
     }
@@ -305,23 +314,30 @@
     answer("206 Partial Content", &format!("{range}\r\n{lines}"), body)
 }
 
-/// Asks for a download that breaks off and is continued with these answers. Returns the body that reaches the caller, all
-/// dots if it is the true one, and the reports about the endpoint.
-async fn download(path: Path, answers: &[&str]) -> (String, String) {
+/// Asks for a download that breaks off and is continued with these answers, and waits for the reports about the endpoint.
+/// Returns the body that reaches the caller, all dots if it is the true one.
+async fn download(path: Path, answers: &[&str], expected_reports: &str) -> String {
     let head = format!("accept-ranges: bytes\r\netag: \"a\"\r\ncontent-length: {TOTAL}");
     let mut all = vec![answer("200 OK", &head, &".".repeat(TOTAL - 10))];
     all.extend(answers.iter().map(|it| (*it).to_owned()));
-    let (got, reports) = exchange(path, LOOKUP, &all).await;
+    let exchange = Exchange::new(path).await;
+    let (got, mut reports) = exchange.run(LOOKUP, &all).await;
     let (_, body) = got.split_once("\r\n\r\n").unwrap();
     assert!(body.bytes().all(|it| it == b'.'), "{path:?} {answers:?}");
-    (body.to_owned(), reports)
+    // The caller may have the last byte before the end of the answer is reported.
+    let until = Instant::now() + LIMIT;
+    while reports != expected_reports && Instant::now() < until {
+        sleep(Duration::from_millis(1)).await;
+        reports = exchange.reports();
+    }
+    assert_eq!(reports, expected_reports, "{path:?} {answers:?}");
+    body.to_owned()
 }
 
 /// Checks that a download that is continued with a spoilt answer reaches the caller whole with the help of the last one.
 async fn check_resumed(path: Path, spoilt: &str, last: &str, expected_reports: &str) {
-    let (body, reports) = download(path, &[spoilt, last]).await;
+    let body = download(path, &[spoilt, last], expected_reports).await;
     assert_eq!(body.len(), TOTAL, "{path:?} {spoilt}");
-    assert_eq!(reports, expected_reports, "{path:?} {spoilt}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -378,9 +394,8 @@
         for (path, expected_reports) in
             [(Path::Direct, "Failed Failed"), (Path::ThroughNode, "Failed")]
         {
-            let (body, reports) = download(path, &[&spoilt, &last]).await;
+            let body = download(path, &[&spoilt, &last], expected_reports).await;
             assert!(body.len() < TOTAL, "{path:?} {spoilt}");
-            assert_eq!(reports, expected_reports, "{path:?} {spoilt}");
         }
     }
 }
@@ -431,7 +446,8 @@
         let addr = common::listen(recording.clone()).await;
         let answering = async {
             let (mut first, _) = accept_request(&endpoint).await;
-            first.write_all(good().as_bytes()).await.unwrap();
+            let kept = answer("200 OK", "content-length: 4", "good");
+            first.write_all(kept.as_bytes()).await.unwrap();
             // The node may have opened another connection before the first one was idle.
             let mut buf = [0; 4096];
             let (mut next, is_kept) = tokio::select! {
