Caller: chunks that the head does not announce are not passed on as a body

Seen by callers: a 200 whose body was the raw chunk lines, where the name of the header `Transfer-Encoding` was misspelt. Cause: such a head announces neither a length nor chunks, so the client reads the body until its connection closes, which is allowed. Change: a body that ends with its connection and reads as chunks up to the last one is refused; of a long one, the start that is buffered, if it reads as chunks and has at least one. Evidence: the test failed before: "HTTP/1.1 200 OK ... transfer-encodin: chunked ... content-length: 14 ... 4\r\nbody". Now four bodies with two misspelt names and three statuses pass, and through another node. Plain text, lines of numbers, an empty body and chunks without a last one are passed on as before. Why this works: a body that reads as chunks to its very end is chunks; plain text does not end that way by chance. Left: a misspelt length cannot be told; the body is whole if the connection ends cleanly. A long body in one chunk that is longer than the buffered start passes.

--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -13,7 +13,7 @@
 use crate::active_slot::{ActiveSlot, HedgeRace, Waited};
 use crate::body::{AnswerStart, RequestBody, ResponseBody};
 use crate::cx::Cx;
-use crate::foreign::check_answer;
+use crate::foreign::{Foreign, check_answer, check_unannounced};
 use crate::headers;
 use crate::in_flight::Stage;
 use crate::relay::Relay;
@@ -173,6 +173,18 @@
     }
 }
 
+/// Ends a send whose answer is not that of the endpoint.
+fn end_foreign<D: Dispatch>(
+    cx: &Cx<D>,
+    request: &RoutedRequest,
+    active_slot: ActiveSlot<D::Slot>,
+    foreign: Foreign,
+) -> SendResult {
+    trace::foreign_answer(cx, request, &active_slot.grant().endpoint, foreign);
+    active_slot.end(Kind::Failed);
+    SendResult::Unknown
+}
+
 /// Checks the head of an answer, reads the body as far as it is buffered and reports the outcome.
 async fn handle_answer<D: Dispatch>(
     cx: &Arc<Cx<D>>,
@@ -184,9 +196,7 @@
 ) -> SendResult {
     let checked = check_answer(&cx.names, &request.headers, res.status(), res.headers());
     if let Err(foreign) = checked {
-        trace::foreign_answer(cx, request, &active_slot.grant().endpoint, foreign);
-        active_slot.end(Kind::Failed);
-        return SendResult::Unknown;
+        return end_foreign(cx, request, active_slot, foreign);
     }
     res.body_mut().release_if_empty();
     if res.status() == StatusCode::MISDIRECTED_REQUEST {
@@ -205,6 +215,7 @@
     let is_repeatable = request.route.repeat == Repeat::Anytime;
     let is_failure = res.status().is_server_error();
     let (mut parts, body) = res.into_parts();
+    let ends_with_connection = headers::ends_with_connection(&parts.headers);
     headers::strip_hop_by_hop(&mut parts.headers);
     if !is_failure {
         active_slot.record_head();
@@ -220,6 +231,9 @@
         Waited::Done(Err(_)) => return end_broken(active_slot, &way).await,
         Waited::Done(Ok(start)) => start,
     };
+    if ends_with_connection && let Err(foreign) = check_unannounced(start.bytes(), start.extent()) {
+        return end_foreign(cx, request, active_slot, foreign);
+    }
     let out = match start {
         AnswerStart::Complete(buf) => {
             active_slot.end(answer_kind(parts.status, request.left()));
--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -10,6 +10,7 @@
 use tokio::sync::mpsc;
 
 use crate::body_memory::{BodyMemory, Reservation};
+use crate::chunks::Extent;
 
 /// Request bodies up to this length are always kept until the request is answered, so that it can
 /// be sent again, and answers up to this length are always buffered.
@@ -189,6 +190,23 @@
     Partial(Bytes, B),
 }
 
+impl<B> AnswerStart<B> {
+    /// The bytes that were read.
+    pub(crate) fn bytes(&self) -> &[u8] {
+        match self {
+            Self::Complete(buf) | Self::Partial(buf, _) => buf,
+        }
+    }
+
+    /// Whether they are the whole body.
+    pub(crate) fn extent(&self) -> Extent {
+        match self {
+            Self::Complete(_) => Extent::Whole,
+            Self::Partial(..) => Extent::Start,
+        }
+    }
+}
+
 /// Reads an answer until it ends or cannot be buffered any further.
 pub(crate) struct AnswerReader<'a, B> {
     /// `None` once the start was returned.
--- a/crates/caller/src/foreign.rs
+++ b/crates/caller/src/foreign.rs
@@ -2,6 +2,7 @@
 
 use http::{HeaderMap, HeaderName, StatusCode, header};
 
+use crate::chunks::{Extent, is_chunked};
 use crate::{HeaderNames, IdEcho, headers};
 
 /// Why bytes that look like an answer are not the answer of the endpoint to a request.
@@ -15,6 +16,8 @@
     Encoded,
     #[error("its transfer coding is not `chunked`")]
     TransferCoding,
+    #[error("its body is in chunks that its head does not announce")]
+    UnannouncedChunks,
     #[error("it has a length although its body is in chunks")]
     TwoLengths,
     #[error("its length is not a single number")]
@@ -66,6 +69,15 @@
     Ok(())
 }
 
+/// Checks a body whose head announces neither a length nor chunks, as a misspelt header does not either. `start` is the
+/// body as far as it was read.
+pub(crate) fn check_unannounced(start: &[u8], extent: Extent) -> Result<(), Foreign> {
+    match is_chunked(start, extent) {
+        true => Err(Foreign::UnannouncedChunks),
+        false => Ok(()),
+    }
+}
+
 /// Checks that every reader of the head finds the same end of the body. The head may give its length or announce chunks;
 /// with neither, the body ends with its connection.
 fn check_framing(status: StatusCode, headers: &HeaderMap) -> Result<(), Foreign> {
--- a/crates/caller/src/headers.rs
+++ b/crates/caller/src/headers.rs
@@ -165,6 +165,12 @@
     text.bytes().all(|it| it.is_ascii_digit()).then(|| text.parse().ok())?
 }
 
+/// Whether the headers announce a body that ends with its connection.
+pub(crate) fn ends_with_connection(headers: &HeaderMap) -> bool {
+    !headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Parses the trace and span IDs of a `traceparent` value.
 fn parse_traceparent(text: &str) -> Option<(u128, u64)> {
     let mut parts = text.split('-');
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod body;
 mod body_memory;
+mod chunks;
 mod cx;
 mod dispatch;
 mod exchange;
--- a/crates/caller/tests/spoilt_answers.rs
+++ b/crates/caller/tests/spoilt_answers.rs
@@ -502,3 +502,39 @@
         assert_eq!(recording.reports(), "Failed", "{status} {lines}");
     }
 }
+
+/// Guards against raw chunks as the body of an answer whose `Transfer-Encoding` has another name.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_with_chunks_that_its_head_does_not_announce_is_refused() {
+    let several = "2;x=y\r\nbo\r\n2\r\ndy\r\n0\r\nx-trailer: 1\r\n\r\n";
+    let empty = "0\r\n\r\n";
+    let long = format!("{}0\r\n\r\n", format!("1000\r\n{}\r\n", "x".repeat(0x1000)).repeat(800));
+    for lines in ["transfer-encodin: chunked", "ransfer-encoding: chunked\r\nconnection: close"] {
+        for status in &STATUSES[..3] {
+            for body in [CHUNKS, several, empty, &long] {
+                check_refused(Readable::Head, Path::Direct, &answer(status, lines, body)).await;
+            }
+            check_refused(Readable::Head, Path::ThroughNode, &answer(status, lines, CHUNKS)).await;
+        }
+    }
+}
+
+/// An answer without a length ends with its connection, whatever its head says of that.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_a_length_is_passed_on() {
+    // Numbers in lines, which are no chunks of that length.
+    let long = "13\r\n".repeat(300_000);
+    for lines in ["etag: \"1\"", "connection: close"] {
+        for body in
+            ["body", "", "3\r\nabc\r\n", "3\r\nabc\r\n0\r\n", "ffffffffffffffff\r\n", "-0\r\n\r\n"]
+        {
+            let (got, reports) =
+                exchange(Path::Direct, BOOKING, &[answer("200 OK", lines, body)]).await;
+            assert!(got.starts_with("HTTP/1.1 200"), "{lines} {body:?}\n{got}");
+            assert_eq!(got.split_once("\r\n\r\n").unwrap().1, body, "{lines}");
+            assert_eq!(reports, "Answered", "{lines} {body:?}");
+        }
+        let (got, _) = exchange(Path::Direct, BOOKING, &[answer("200 OK", lines, &long)]).await;
+        assert!(got.starts_with("HTTP/1.1 200") && got.contains("13\r\n13\r\n"), "{lines}");
+    }
+}
