Upstream: an answer with more bytes than its length is refused if they are there when it ends

Seen by callers: a 200 whose body was cut to a spoilt content-length (0, 2 or 3 of four bytes), framed as whole. Cause: the client reads as many bytes as the head says; what it had received beyond them ended the connection, unnoticed. Change: after a body that was delimited by its length, AnswerBody waits until the connection is idle or has ended, and asks what was left on it. Bytes that are neither an empty line nor the start of another answer may belong to the body: the answer is refused as foreign. A connection that is busy, because the endpoint answered before it has read the request, is waited for 5 ms at most. Answers that are streamed are not checked: their bytes have been passed on. Why this works: a sound endpoint sends nothing after an answer, and a body that is cut leaves its rest on the connection. Left: a rest that arrives in a later packet, and a rest that itself begins like an answer.

--- a/crates/caller/src/attempt.rs
+++ b/crates/caller/src/attempt.rs
@@ -8,7 +8,7 @@
 use policy::Kind;
 use resources::Repeat;
 use tokio::time::Instant;
-use upstream::{AnswerBody, Reuse};
+use upstream::{AnswerBody, AnswerError, Reuse};
 
 use crate::active_slot::{ActiveSlot, HedgeRace, Waited};
 use crate::body::{AnswerStart, RequestBody, ResponseBody};
@@ -190,7 +190,7 @@
     cx: &Arc<Cx<D>>,
     request: &Arc<RoutedRequest>,
     mut active_slot: ActiveSlot<D::Slot>,
-    mut res: Response<AnswerBody<RequestBody>>,
+    res: Response<AnswerBody<RequestBody>>,
     is_first: bool,
     way: Way<D>,
 ) -> SendResult {
@@ -198,9 +198,9 @@
     if let Err(foreign) = checked {
         return end_foreign(cx, request, active_slot, foreign);
     }
-    res.body_mut().release_if_empty();
     if res.status() == StatusCode::MISDIRECTED_REQUEST {
         // The address now belongs to a different endpoint; the intended one is gone.
+        res.into_body().release_if_empty();
         active_slot.end(Kind::Failed);
         return SendResult::NotRun;
     }
@@ -209,6 +209,7 @@
         if is_first {
             cx.metrics.first_shed.inc();
         }
+        res.into_body().release_if_empty();
         active_slot.end(Kind::Shed);
         return SendResult::NotRun;
     }
@@ -228,7 +229,10 @@
             return SendResult::TimedOut;
         }
         Waited::PathLost => return SendResult::PathLost,
-        Waited::Done(Err(_)) => return end_broken(active_slot, &way).await,
+        Waited::Done(Err(AnswerError::Broken(_))) => return end_broken(active_slot, &way).await,
+        Waited::Done(Err(AnswerError::Excess)) => {
+            return end_foreign(cx, request, active_slot, Foreign::Excess);
+        }
         Waited::Done(Ok(start)) => start,
     };
     if ends_with_connection && let Err(foreign) = check_unannounced(start.bytes(), start.extent()) {
--- a/crates/caller/src/foreign.rs
+++ b/crates/caller/src/foreign.rs
@@ -22,6 +22,8 @@
     TwoLengths,
     #[error("its length is not a single number")]
     Length,
+    #[error("more bytes follow than its length announces")]
+    Excess,
     #[error("it announces a body although its status allows none")]
     UnexpectedBody,
     #[error("its length is not that of the part that was asked for")]
--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -16,7 +16,7 @@
 use policy::{Kind, SendKind};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
-use upstream::{AnswerBody, Reuse};
+use upstream::{AnswerBody, AnswerError, Reuse};
 
 use crate::active_slot::{ActiveSlot, STALL_AFTER};
 use crate::body::{RelayItem, RequestBody, ResponseBody, data_len};
@@ -95,9 +95,10 @@
         mut active_slot: ActiveSlot<D::Slot>,
         parts: &response::Parts,
         start: Bytes,
-        body: AnswerBody<RequestBody>,
+        mut body: AnswerBody<RequestBody>,
         way: Way<D>,
     ) -> ResponseBody {
+        body.skip_check();
         active_slot.report_start();
         let (tx, rx) = mpsc::channel(RELAY_CAPACITY);
         let resume = Resume::from_answer(&request.method, parts);
@@ -232,7 +233,8 @@
             Some(Ok(frame)) if missing.is_some_and(|it| it < data_len(&frame)) => Step::TooLong,
             None => Step::End,
             Some(Ok(frame)) => Step::Frame(frame),
-            Some(Err(_)) => Step::Broken,
+            Some(Err(AnswerError::Excess)) => Step::TooLong,
+            Some(Err(AnswerError::Broken(_))) => Step::Broken,
         }
     }
 
@@ -296,7 +298,7 @@
         );
         resume.set_range_headers(req.headers_mut(), self.forwarded);
         let way = Way::new(&self.cx, &self.request, active_slot.grant().clone());
-        let mut res = match timeout(STALL_AFTER, way.send(req, Reuse::Allowed)).await.ok()? {
+        let res = match timeout(STALL_AFTER, way.send(req, Reuse::Allowed)).await.ok()? {
             Ok(res) => res,
             Err(SendFailure::Broken(_)) => {
                 active_slot.settle(way.classify_break().await);
@@ -312,7 +314,6 @@
             active_slot.end(Kind::Failed);
             return None;
         }
-        res.body_mut().release_if_empty();
         notice::report_notices(&self.cx, &mut active_slot, &res);
         if !resume.matches(&res, self.forwarded) {
             return None;
@@ -320,6 +321,7 @@
         active_slot.record_head();
         active_slot.report_start();
         self.body = res.into_body();
+        self.body.skip_check();
         self.way = way;
         let old = std::mem::replace(&mut self.active_slot, active_slot);
         old.end(Kind::Failed);
--- a/crates/caller/tests/spoilt_answers.rs
+++ b/crates/caller/tests/spoilt_answers.rs
@@ -538,3 +538,31 @@
         assert!(got.starts_with("HTTP/1.1 200") && got.contains("13\r\n13\r\n"), "{lines}");
     }
 }
+
+/// Guards against a body that is cut to a spoilt length.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_is_longer_than_its_length_is_refused() {
+    for lines in
+        ["content-length: 2", "content-length: 0", "connection: close\r\ncontent-length: 3"]
+    {
+        for status in &STATUSES[..3] {
+            for path in PATHS {
+                check_refused(Readable::Head, path, &answer(status, lines, "body")).await;
+            }
+        }
+    }
+}
+
+/// The bytes after a whole answer belong to no request, and cannot be the rest of its body.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_another_one_or_an_empty_line_follows_is_passed_on() {
+    let extra = answer("200 OK", "content-length: 5", "extra").replace("r1", "r2");
+    for rest in [&extra, "HTTP", "\r\n", "\r\n\r\nHTTP/1.1 "] {
+        for path in PATHS {
+            let followed = answer("200 OK", "content-length: 4", &format!("body{rest}"));
+            let (got, reports) = exchange(path, BOOKING, &[followed]).await;
+            assert!(got.starts_with("HTTP/1.1 200") && got.ends_with("\r\n\r\nbody"), "{got}");
+            assert_eq!(reports, "Answered", "{rest}");
+        }
+    }
+}
--- a/crates/upstream/src/answer.rs
+++ b/crates/upstream/src/answer.rs
@@ -9,7 +9,18 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 
-use crate::pool::ReusableConnection;
+use crate::pool::{AfterBody, AnsweringConnection};
+
+/// Why the body of an answer cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum AnswerError {
+    /// The connection broke before the body was complete, or the body is malformed.
+    #[error("the connection broke before the answer was complete ({0})")]
+    Broken(#[from] hyper::Error),
+    /// Further bytes followed a body of the announced length, so that the length may be wrong.
+    #[error("more bytes follow the body than its head announces")]
+    Excess,
+}
 
 /// The body of an answer. hyper checks its length or its final chunk. A body with neither ends with
 /// its connection: a clean close means that the body is complete, a reset that it is truncated.
@@ -18,28 +29,47 @@
     B: Body<Data = Bytes> + Send + Unpin + 'static,
 {
     body: Incoming,
-    conn: Option<ReusableConnection<B>>,
+    /// `None` once the body has ended.
+    conn: Option<AnsweringConnection<B>>,
+    state: State,
+}
+
+/// What is still to be done for a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// Its frames are read, and then what follows it is checked.
+    Reading,
+    /// Its frames are read.
+    Streaming,
+    /// What follows it is checked.
+    Checking,
 }
 
 impl<B> AnswerBody<B>
 where
     B: Body<Data = Bytes> + Send + Unpin + 'static,
 {
-    pub(crate) fn new(body: Incoming, conn: Option<ReusableConnection<B>>) -> Self {
-        Self { body, conn }
+    pub(crate) fn new(body: Incoming, conn: AnsweringConnection<B>) -> Self {
+        Self { body, conn: Some(conn), state: State::Reading }
     }
 
-    /// Returns the connection to the pool if the answer has no body. To be called once the head is known to belong to the
-    /// request; after any other head the connection may carry further answers that belong to none.
-    pub fn release_if_empty(&mut self) {
+    /// Returns the connection of an answer that is not read to the pool, if the answer has no body. To be
+    /// called once the head is known to belong to the request; after any other head the connection may
+    /// carry further answers that belong to none.
+    pub fn release_if_empty(mut self) {
         if self.body.is_end_stream() {
-            self.return_to_pool();
+            self.release();
         }
     }
 
-    fn return_to_pool(&mut self) {
+    /// Skips the check of what follows the body, for a reader that has passed the body on before its end.
+    pub fn skip_check(&mut self) {
+        self.state = State::Streaming;
+    }
+
+    fn release(&mut self) {
         if let Some(conn) = self.conn.take() {
-            conn.return_to_pool();
+            conn.release();
         }
     }
 }
@@ -49,24 +79,49 @@
     B: Body<Data = Bytes> + Send + Unpin + 'static,
 {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = AnswerError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
-        match &frame {
-            None => self.return_to_pool(),
-            Some(Err(_)) => self.conn = None,
-            Some(Ok(_)) if self.body.is_end_stream() => self.return_to_pool(),
-            Some(Ok(_)) => {}
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        if self.state == State::Reading && self.body.is_end_stream() {
+            self.state = State::Checking;
+        }
+        if self.state != State::Checking {
+            match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
+                Some(Ok(frame)) => {
+                    if self.state == State::Streaming && self.body.is_end_stream() {
+                        self.release();
+                    }
+                    return Poll::Ready(Some(Ok(frame)));
+                }
+                Some(Err(error)) => {
+                    self.conn = None;
+                    return Poll::Ready(Some(Err(error.into())));
+                }
+                None if self.state == State::Streaming => {
+                    self.release();
+                    return Poll::Ready(None);
+                }
+                None => self.state = State::Checking,
+            }
+        }
+        let Some(conn) = &mut self.conn else { return Poll::Ready(None) };
+        match ready!(conn.poll_after_body(cx)) {
+            AfterBody::Nothing | AfterBody::Busy => {
+                self.release();
+                Poll::Ready(None)
+            }
+            AfterBody::Excess => {
+                self.conn = None;
+                Poll::Ready(Some(Err(AnswerError::Excess)))
+            }
         }
-        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.conn.is_none() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -9,7 +9,7 @@
 mod paths;
 mod pool;
 
-pub use answer::AnswerBody;
+pub use answer::{AnswerBody, AnswerError};
 pub use connector::Connector;
 pub use paths::PathState;
 pub use pool::{Failure, Pool, Probe, Reuse, SendError};
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -1,21 +1,25 @@
 //! A pool of HTTP/1.1 connections per endpoint. HTTP/1.1 suffices because an endpoint has few
 //! slots, and with one request per connection, closing the connection cancels exactly that request.
 
+use std::future::poll_fn;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use clock::Moment;
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body::Body;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use rustc_hash::FxHashMap;
 use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::sync::oneshot;
+use tokio::time::{Sleep, sleep};
 
 use crate::{AnswerBody, Connector};
 
@@ -39,6 +43,10 @@
 /// sends without end fills this much on each of its connections.
 const MAX_READ_BYTES: usize = 64 * 1024;
 
+/// How long a connection may be busy after its answer before the answer counts as the whole one. The
+/// endpoint may have answered before it has read a long request.
+const MAX_WAIT_AFTER_BODY: Duration = Duration::from_millis(5);
+
 /// Whether a send may use an idle connection.
 ///
 /// A new connection proves that the endpoint is reachable before anything is written. A request
@@ -107,10 +115,17 @@
 
 /// An idle connection and the time until which it may be used.
 struct Idle<B> {
-    tx: SendRequest<B>,
+    conn: OpenConnection<B>,
     expires: Moment,
 }
 
+/// An open connection.
+struct OpenConnection<B> {
+    tx: SendRequest<B>,
+    /// Tells what was left on the connection when it ended.
+    rest: oneshot::Receiver<Rest>,
+}
+
 impl<B> Clone for Pool<B> {
     fn clone(&self) -> Self {
         Self { inner: self.inner.clone() }
@@ -145,7 +160,7 @@
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
         match open_http(stream).await {
-            Ok(tx) => self.exchange(addr, tx, req, Reuse::Never).await,
+            Ok(conn) => self.exchange(addr, conn, req, Reuse::Never).await,
             Err(error) => Err(SendError { failure: Failure::Connect(error), req: Some(req) }),
         }
     }
@@ -158,8 +173,8 @@
         mut req: Request<B>,
         reuse: Reuse,
     ) -> Result<Response<AnswerBody<B>>, SendError<B>> {
-        while let Some(tx) = self.inner.take(addr).filter(|_| reuse == Reuse::Allowed) {
-            match self.exchange(addr, tx, req, reuse).await {
+        while let Some(conn) = self.inner.take(addr).filter(|_| reuse == Reuse::Allowed) {
+            match self.exchange(addr, conn, req, reuse).await {
                 // The upstream has closed the idle connection. Nothing was written, and a closed
                 // idle connection is no sign of a failure.
                 Err(SendError { failure: Failure::NotWritten, req: Some(unsent) }) => req = unsent,
@@ -167,7 +182,7 @@
             }
         }
         match self.connect(addr).await {
-            Ok(tx) => self.exchange(addr, tx, req, reuse).await,
+            Ok(conn) => self.exchange(addr, conn, req, reuse).await,
             Err(error) => Err(SendError { failure: Failure::Connect(error), req: Some(req) }),
         }
     }
@@ -187,12 +202,24 @@
     async fn exchange(
         &self,
         addr: SocketAddr,
-        mut tx: SendRequest<B>,
+        mut conn: OpenConnection<B>,
         req: Request<B>,
         reuse: Reuse,
     ) -> Result<Response<AnswerBody<B>>, SendError<B>> {
-        match tx.try_send_request(req).await {
-            Ok(res) => Ok(self.attach_connection(addr, tx, res, reuse)),
+        let method = req.method().clone();
+        match conn.tx.try_send_request(req).await {
+            Ok(res) => {
+                let conn = AnsweringConnection {
+                    conn,
+                    addr,
+                    reuse,
+                    max_idle: max_idle_time(res.headers()),
+                    has_length: is_delimited_by_length(&method, &res),
+                    patience: None,
+                    pool: self.inner.clone(),
+                };
+                Ok(res.map(|body| AnswerBody::new(body, conn)))
+            }
             Err(mut error) => {
                 let req = error.take_message();
                 let failure = match req {
@@ -204,29 +231,13 @@
         }
     }
 
-    /// Attaches the connection to the body of the answer if the connection may be used again.
-    fn attach_connection(
-        &self,
-        addr: SocketAddr,
-        tx: SendRequest<B>,
-        res: Response<Incoming>,
-        reuse: Reuse,
-    ) -> Response<AnswerBody<B>> {
-        let max_idle = max_idle_time(res.headers());
-        // A connection that will not be used again is closed after its answer, because endpoints
-        // accept few connections.
-        let reusable = (reuse == Reuse::Allowed)
-            .then(|| ReusableConnection::new(tx, addr, max_idle, &self.inner));
-        res.map(|body| AnswerBody::new(body, reusable))
-    }
-
     /// Opens a connection.
-    async fn connect(&self, addr: SocketAddr) -> std::io::Result<SendRequest<B>> {
+    async fn connect(&self, addr: SocketAddr) -> std::io::Result<OpenConnection<B>> {
         open_http(self.inner.connector.connect(addr).await?).await
     }
 }
 
-async fn open_http<S, B>(stream: S) -> std::io::Result<SendRequest<B>>
+async fn open_http<S, B>(stream: S) -> std::io::Result<OpenConnection<B>>
 where
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     B: Body<Data = Bytes> + Send + Unpin + 'static,
@@ -234,10 +245,15 @@
 {
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_READ_BYTES);
-    let (tx, conn) =
+    let (tx, mut conn) =
         builder.handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
-    tokio::spawn(conn);
-    Ok(tx)
+    let (rest_tx, rest) = oneshot::channel();
+    tokio::spawn(async move {
+        let _ = poll_fn(|cx| conn.poll_without_shutdown(cx)).await;
+        let parts = conn.into_parts();
+        let _ = rest_tx.send(Rest::of(&parts.read_buf));
+    });
+    Ok(OpenConnection { tx, rest })
 }
 
 impl<B> Inner<B>
@@ -245,53 +261,125 @@
     B: Body<Data = Bytes> + Send + Unpin + 'static,
 {
     /// Takes an idle connection that can still be used.
-    fn take(&self, addr: SocketAddr) -> Option<SendRequest<B>> {
+    fn take(&self, addr: SocketAddr) -> Option<OpenConnection<B>> {
         let mut idle = self.idle.lock();
         let conns = idle.get_mut(&addr)?;
         while let Some(it) = conns.pop() {
-            if it.tx.is_ready() && Moment::now() < it.expires {
-                return Some(it.tx);
+            if it.conn.tx.is_ready() && Moment::now() < it.expires {
+                return Some(it.conn);
             }
         }
         None
     }
 
-    /// Returns a connection to the pool once it is ready for the next request.
-    async fn put(&self, addr: SocketAddr, mut tx: SendRequest<B>, max_idle: Duration) {
-        if tx.ready().await.is_err() {
-            return;
-        }
+    /// Adds a connection that is ready for the next request.
+    fn put(&self, addr: SocketAddr, conn: OpenConnection<B>, max_idle: Duration) {
         let now = Moment::now();
         let mut idle = self.idle.lock();
         let conns = idle.entry(addr).or_default();
         conns.retain(|it| now < it.expires);
         if conns.len() < MAX_IDLE {
-            conns.push(Idle { tx, expires: now + max_idle });
+            conns.push(Idle { conn, expires: now + max_idle });
         }
     }
 }
 
-/// A connection that returns to the pool after the complete answer was read.
-pub(crate) struct ReusableConnection<B> {
-    tx: SendRequest<B>,
+/// A connection whose answer is being read.
+pub(crate) struct AnsweringConnection<B> {
+    conn: OpenConnection<B>,
     addr: SocketAddr,
+    reuse: Reuse,
     max_idle: Duration,
+    /// Whether a length in the head delimits the body.
+    has_length: bool,
+    /// Ends the wait for a connection that is busy after its answer.
+    patience: Option<Pin<Box<Sleep>>>,
     pool: Arc<Inner<B>>,
 }
 
-impl<B> ReusableConnection<B>
+/// What follows a body that was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AfterBody {
+    /// Nothing, as far as is known.
+    Nothing,
+    /// Bytes that may belong to the body.
+    Excess,
+    /// Nothing so far; the request is still being sent.
+    Busy,
+}
+
+impl<B> AnsweringConnection<B>
 where
     B: Body<Data = Bytes> + Send + Unpin + 'static,
 {
-    fn new(tx: SendRequest<B>, addr: SocketAddr, max_idle: Duration, pool: &Arc<Inner<B>>) -> Self {
-        Self { tx, addr, max_idle, pool: pool.clone() }
+    /// Waits until the connection is idle or has ended, and tells what follows the body.
+    pub(crate) fn poll_after_body(&mut self, cx: &mut Context<'_>) -> Poll<AfterBody> {
+        match self.conn.tx.poll_ready(cx) {
+            Poll::Ready(Ok(())) => Poll::Ready(AfterBody::Nothing),
+            Poll::Ready(Err(_)) if !self.has_length => Poll::Ready(AfterBody::Nothing),
+            Poll::Ready(Err(_)) => match ready!(Pin::new(&mut self.conn.rest).poll(cx)) {
+                Ok(Rest::Other) => Poll::Ready(AfterBody::Excess),
+                Ok(Rest::Nothing | Rest::Answer) | Err(_) => Poll::Ready(AfterBody::Nothing),
+            },
+            Poll::Pending => {
+                let patience =
+                    self.patience.get_or_insert_with(|| Box::pin(sleep(MAX_WAIT_AFTER_BODY)));
+                patience.as_mut().poll(cx).map(|()| AfterBody::Busy)
+            }
+        }
     }
 
-    pub(crate) fn return_to_pool(self) {
-        tokio::spawn(async move { self.pool.put(self.addr, self.tx, self.max_idle).await });
+    /// Returns the connection to the pool if it may be used again.
+    pub(crate) fn release(self) {
+        // A connection that will not be used again is closed after its answer, because endpoints
+        // accept few connections.
+        if self.reuse == Reuse::Never {
+            return;
+        }
+        let Self { mut conn, addr, max_idle, pool, .. } = self;
+        if conn.tx.is_ready() {
+            return pool.put(addr, conn, max_idle);
+        }
+        tokio::spawn(async move {
+            if conn.tx.ready().await.is_ok() {
+                pool.put(addr, conn, max_idle);
+            }
+        });
     }
 }
 
+/// What was left on a connection that has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Rest {
+    /// Nothing but empty lines.
+    Nothing,
+    /// The start of another answer.
+    Answer,
+    /// Anything else, such as the rest of a body whose length is spoilt.
+    Other,
+}
+
+impl Rest {
+    fn of(bytes: &[u8]) -> Self {
+        const START: &[u8] = b"HTTP/";
+        match bytes.trim_ascii_start() {
+            [] => Self::Nothing,
+            it if it.starts_with(START) || START.starts_with(it) => Self::Answer,
+            _ => Self::Other,
+        }
+    }
+}
+
+/// Whether a length in the head delimits the body of an answer.
+fn is_delimited_by_length<B>(method: &Method, res: &Response<B>) -> bool {
+    let headers = res.headers();
+    let has_no_body = *method == Method::HEAD
+        || matches!(res.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    !has_no_body
+        && headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// How long a connection may stay idle. Respects `Keep-Alive: timeout=…` in the answer.
 fn max_idle_time(headers: &HeaderMap) -> Duration {
     let announced = headers.get("keep-alive").and_then(|it| it.to_str().ok());
