--- a/crates/upstream/src/tests/pool.rs
+++ b/crates/upstream/src/tests/pool.rs
@@ -179,7 +179,8 @@
 #[tokio::test]
 async fn an_answer_to_a_request_that_is_still_being_sent_is_whole() {
     for reuse in [Reuse::Allowed, Reuse::Never] {
-        let addr = serve(&[Script::Answer("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")]).await;
+        let addr =
+            serve(&[Script::AnswerAndWait("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")]).await;
         let (mut tx, body) = Channel::<Bytes>::new(1);
         tx.send_data(Bytes::from_static(b"the beginning")).await.unwrap();
         let req = Request::post("/x").header("host", "h").body(body).unwrap();
