--- a/crates/dappleway/tests/odd_input.rs
+++ b/crates/dappleway/tests/odd_input.rs
@@ -1,6 +1,8 @@
-//! Odd entries in the platform's store, and endpoints that send bytes without end, with real processes.
+//! Odd entries in the platform's store, and endpoints that send bytes without end or spoilt answers, with real processes.
 
 use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use resources::{Endpoint, Standing};
@@ -154,3 +156,69 @@
     let summary = caller::run(bed.lookups(100.0, 1.0)).await;
     assert_eq!(summary.answered, summary.sent, "{summary:?}");
 }
+
+/// Number of endpoints that spoil their answers.
+const SPOILING: usize = 4;
+
+/// Answers each request with another kind of spoilt answer, beginning with the `first`. The true body is the id of the
+/// request, of which no spoilt body has all in one piece.
+async fn serve_spoilt(listener: TcpListener, first: usize, served: Arc<AtomicUsize>) {
+    let kinds = [
+        "200 OK|transfer-encoding: chunke",
+        "200 OK|transfer-encodin: chunked",
+        "200 OK|transfer-encoding: gzip, chunked",
+        "200 OK|transfer-encoding: chunked\r\ncontent-length: 2",
+        "200 OK|content-length: 2",
+        "200 OK|content-length: 2,2",
+        "200 OK|content-length: 2x",
+        "200 OK|content-length: 999",
+        "200 OK|content-length: 2\r\nno colon",
+        "200 OK|content-length: 2\r\nx spoilt: 1",
+        "204 No Content|content-length: 2",
+        "600 Oh|content-length: 2",
+        "000 Oh|content-length: 2",
+    ];
+    for kind in kinds.into_iter().cycle().skip(first) {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let served = served.clone();
+        tokio::spawn(async move {
+            let mut buf = [0; 4096];
+            let len = stream.read(&mut buf).await.unwrap_or(0);
+            let request = String::from_utf8_lossy(&buf[..len]);
+            let Some(id) = request.lines().find_map(|it| it.strip_prefix("x-request-id: ")) else {
+                return;
+            };
+            served.fetch_add(1, Ordering::Relaxed);
+            let (status, lines) = kind.split_once('|').unwrap();
+            let fields = format!("x-request-id: {id}\r\nx-response-signature: s");
+            let (first, rest) = id.split_at(2);
+            let body = match lines.contains("chunk") {
+                true => format!("2\r\n{first}\r\n{:x}\r\n{rest}\r\n0\r\n\r\n", rest.len()),
+                false => id.to_owned(),
+            };
+            let answer = format!("HTTP/1.1 {status}\r\n{fields}\r\n{lines}\r\n\r\n{body}");
+            let _ = stream.write_all(answer.as_bytes()).await;
+        });
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn spoilt_answers_reach_no_caller() {
+    let _one_bed = ONE_BED.lock().await;
+    let mut bed = start().await;
+    let served = Arc::new(AtomicUsize::new(0));
+    for i in 0..SPOILING {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        tokio::spawn(serve_spoilt(listener, 3 * i, served.clone()));
+        bed.platform.register(SERVICE, &endpoint(addr));
+        bed.wait_reports(|it| lists(it, &addr.to_string())).await.unwrap();
+    }
+    let summary = caller::run(bed.lookups(100.0, 8.0)).await;
+    println!("{} spoilt answers, {summary:?}", served.load(Ordering::Relaxed));
+    assert!(served.load(Ordering::Relaxed) >= SPOILING, "all endpoints are asked");
+    assert_eq!((summary.crossed, summary.broken, summary.other), (0, 0, 0), "{summary:?}");
+    let statuses: Vec<_> = summary.statuses.keys().collect();
+    assert!(statuses.iter().all(|it| [200, 502, 503].contains(*it)), "{summary:?}");
+    check_alive(&mut bed, "after the spoilt answers");
+}
