--- a/crates/caller/src/chunks.rs
+++ b/crates/caller/src/chunks.rs
@@ -1,9 +1,9 @@
-//! Recognizes bodies in chunks by their bytes.
+//! Recognizes bodies in the chunked transfer coding by their bytes.
 
 /// Longest first line of a chunk.
 const MAX_LINE_BYTES: usize = 1024;
 
-/// How much of a body is there.
+/// How much of a body some bytes are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Extent {
     Whole,
--- a/crates/caller/src/tests.rs
+++ b/crates/caller/src/tests.rs
@@ -11,6 +11,7 @@
 use crate::answer::GiveUp;
 use crate::attempt::answer_kind;
 use crate::body::ReceivedBody;
+use crate::chunks::{Extent, is_chunked};
 use crate::foreign::{Foreign, check_answer};
 use crate::headers::{HeaderNames, IdEcho, Span, deadline_of, host_of, strip_hop_by_hop};
 use crate::request_key::request_key;
@@ -176,6 +177,26 @@
     assert_eq!(check(200, &[id, ("x-signature", "")]), Err(Foreign::Unsigned));
 }
 
+#[test]
+fn bodies_in_chunks_are_recognized() {
+    let check = |body: &str, whole, start| {
+        assert_eq!(is_chunked(body.as_bytes(), Extent::Whole), whole, "{body:?}");
+        assert_eq!(is_chunked(body.as_bytes(), Extent::Start), start, "{body:?}");
+    };
+    check("2\r\nok\r\n0\r\n\r\n", true, false);
+    check("2;a=b\r\nok\r\n0\r\nx: y\r\n\r\n", true, false);
+    check("0\r\n\r\n", true, false);
+    check("2\r\nok\r\n2\r\no", false, true);
+    check("2\r\nok\r\n", false, true);
+    for body in
+        ["", "2", "2\r\no", "2\r\nok\r", "0\r\n", "0\r\n1\r\n", "2\r\nokay\r\n", "+2\r\nok\r\n"]
+    {
+        check(body, false, false);
+    }
+    check("ffffffffffffffff\r\nok\r\n", false, false);
+    check(&"1".repeat(2_000), false, false);
+}
+
 #[test]
 fn a_platform_without_signatures_and_echoed_ids_is_served() {
     let names = HeaderNames { id_echo: IdEcho::Optional, signature: None, ..names() };
--- a/crates/caller/tests/common/mod.rs
+++ b/crates/caller/tests/common/mod.rs
@@ -51,6 +51,11 @@
     answer.replacen("\r\n", "\r\nx-request-id: r1\r\nx-signature: s\r\n", 1)
 }
 
+/// A genuine answer to `LOOKUP` with these lines in its head.
+pub fn genuine_answer(status: &str, lines: &str, body: &str) -> String {
+    genuine(&format!("HTTP/1.1 {status}\r\n{lines}\r\n\r\n{body}"))
+}
+
 /// Sends `LOOKUP` to a listener that takes its slots from `dispatch`, and returns the raw answer.
 pub async fn request(dispatch: impl Dispatch) -> String {
     send(dispatch, LOOKUP).await
--- a/crates/upstream/src/answer.rs
+++ b/crates/upstream/src/answer.rs
@@ -9,7 +9,7 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 
-use crate::pool::{AfterBody, AnsweringConnection};
+use crate::pool::AnsweringConnection;
 
 /// Why the body of an answer cannot be used.
 #[derive(Debug, thiserror::Error)]
@@ -34,14 +34,14 @@
     state: State,
 }
 
-/// What is still to be done for a body.
+/// How far a body was read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
-    /// Its frames are read, and then what follows it is checked.
+    /// Frames may come, and then what follows the body is checked.
     Reading,
-    /// Its frames are read.
-    Streaming,
-    /// What follows it is checked.
+    /// Frames may come, and nothing is checked after them.
+    ReadingUnchecked,
+    /// All frames have come, and what follows them is checked.
     Checking,
 }
 
@@ -64,7 +64,7 @@
 
     /// Skips the check of what follows the body, for a reader that has passed the body on before its end.
     pub fn skip_check(&mut self) {
-        self.state = State::Streaming;
+        self.state = State::ReadingUnchecked;
     }
 
     fn release(&mut self) {
@@ -91,7 +91,7 @@
         if self.state != State::Checking {
             match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
                 Some(Ok(frame)) => {
-                    if self.state == State::Streaming && self.body.is_end_stream() {
+                    if self.state == State::ReadingUnchecked && self.body.is_end_stream() {
                         self.release();
                     }
                     return Poll::Ready(Some(Ok(frame)));
@@ -100,7 +100,7 @@
                     self.conn = None;
                     return Poll::Ready(Some(Err(error.into())));
                 }
-                None if self.state == State::Streaming => {
+                None if self.state == State::ReadingUnchecked => {
                     self.release();
                     return Poll::Ready(None);
                 }
@@ -108,16 +108,12 @@
             }
         }
         let Some(conn) = &mut self.conn else { return Poll::Ready(None) };
-        match ready!(conn.poll_after_body(cx)) {
-            AfterBody::Nothing | AfterBody::Busy => {
-                self.release();
-                Poll::Ready(None)
-            }
-            AfterBody::Excess => {
-                self.conn = None;
-                Poll::Ready(Some(Err(AnswerError::Excess)))
-            }
+        if ready!(conn.poll_has_excess(cx)) {
+            self.conn = None;
+            return Poll::Ready(Some(Err(AnswerError::Excess)));
         }
+        self.release();
+        Poll::Ready(None)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -5,6 +5,7 @@
 //! that may have been written.
 
 mod answer;
+mod connection;
 mod connector;
 mod paths;
 mod pool;
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -1,26 +1,23 @@
 //! A pool of HTTP/1.1 connections per endpoint. HTTP/1.1 suffices because an endpoint has few
 //! slots, and with one request per connection, closing the connection cancels exactly that request.
 
-use std::future::poll_fn;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use clock::Moment;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body::Body;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use rustc_hash::FxHashMap;
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::sync::oneshot;
 use tokio::time::{Sleep, sleep};
 
+use crate::connection::{Connection, Rest};
 use crate::{AnswerBody, Connector};
 
 /// Maximum number of idle connections per endpoint.
@@ -39,13 +36,9 @@
 /// the caller waits meanwhile.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// What is read ahead on one connection, in bytes, and the longest head of an answer. An endpoint that
-/// sends without end fills this much on each of its connections.
-const MAX_READ_BYTES: usize = 64 * 1024;
-
-/// How long a connection may be busy after its answer before the answer counts as the whole one. The
-/// endpoint may have answered before it has read a long request.
-const MAX_WAIT_AFTER_BODY: Duration = Duration::from_millis(5);
+/// How long a connection may be busy after its answer before the answer counts as whole. An endpoint may
+/// answer before it has read all of a long request.
+const MAX_BUSY_AFTER_ANSWER: Duration = Duration::from_millis(5);
 
 /// Whether a send may use an idle connection.
 ///
@@ -115,17 +108,10 @@
 
 /// An idle connection and the time until which it may be used.
 struct Idle<B> {
-    conn: OpenConnection<B>,
+    conn: Connection<B>,
     expires: Moment,
 }
 
-/// An open connection.
-struct OpenConnection<B> {
-    tx: SendRequest<B>,
-    /// Tells what was left on the connection when it ended.
-    rest: oneshot::Receiver<Rest>,
-}
-
 impl<B> Clone for Pool<B> {
     fn clone(&self) -> Self {
         Self { inner: self.inner.clone() }
@@ -159,7 +145,7 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        match open_http(stream).await {
+        match Connection::open(stream).await {
             Ok(conn) => self.exchange(addr, conn, req, Reuse::Never).await,
             Err(error) => Err(SendError { failure: Failure::Connect(error), req: Some(req) }),
         }
@@ -202,7 +188,7 @@
     async fn exchange(
         &self,
         addr: SocketAddr,
-        mut conn: OpenConnection<B>,
+        mut conn: Connection<B>,
         req: Request<B>,
         reuse: Reuse,
     ) -> Result<Response<AnswerBody<B>>, SendError<B>> {
@@ -215,7 +201,7 @@
                     reuse,
                     max_idle: max_idle_time(res.headers()),
                     has_length: is_delimited_by_length(&method, &res),
-                    patience: None,
+                    busy_limit: None,
                     pool: self.inner.clone(),
                 };
                 Ok(res.map(|body| AnswerBody::new(body, conn)))
@@ -232,36 +218,17 @@
     }
 
     /// Opens a connection.
-    async fn connect(&self, addr: SocketAddr) -> std::io::Result<OpenConnection<B>> {
-        open_http(self.inner.connector.connect(addr).await?).await
+    async fn connect(&self, addr: SocketAddr) -> std::io::Result<Connection<B>> {
+        Connection::open(self.inner.connector.connect(addr).await?).await
     }
 }
 
-async fn open_http<S, B>(stream: S) -> std::io::Result<OpenConnection<B>>
-where
-    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
-    B: Body<Data = Bytes> + Send + Unpin + 'static,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-{
-    let mut builder = http1::Builder::new();
-    builder.max_buf_size(MAX_READ_BYTES);
-    let (tx, mut conn) =
-        builder.handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
-    let (rest_tx, rest) = oneshot::channel();
-    tokio::spawn(async move {
-        let _ = poll_fn(|cx| conn.poll_without_shutdown(cx)).await;
-        let parts = conn.into_parts();
-        let _ = rest_tx.send(Rest::of(&parts.read_buf));
-    });
-    Ok(OpenConnection { tx, rest })
-}
-
 impl<B> Inner<B>
 where
     B: Body<Data = Bytes> + Send + Unpin + 'static,
 {
     /// Takes an idle connection that can still be used.
-    fn take(&self, addr: SocketAddr) -> Option<OpenConnection<B>> {
+    fn take(&self, addr: SocketAddr) -> Option<Connection<B>> {
         let mut idle = self.idle.lock();
         let conns = idle.get_mut(&addr)?;
         while let Some(it) = conns.pop() {
@@ -273,7 +240,7 @@
     }
 
     /// Adds a connection that is ready for the next request.
-    fn put(&self, addr: SocketAddr, conn: OpenConnection<B>, max_idle: Duration) {
+    fn put(&self, addr: SocketAddr, conn: Connection<B>, max_idle: Duration) {
         let now = Moment::now();
         let mut idle = self.idle.lock();
         let conns = idle.entry(addr).or_default();
@@ -286,47 +253,29 @@
 
 /// A connection whose answer is being read.
 pub(crate) struct AnsweringConnection<B> {
-    conn: OpenConnection<B>,
+    conn: Connection<B>,
     addr: SocketAddr,
     reuse: Reuse,
     max_idle: Duration,
     /// Whether a length in the head delimits the body.
     has_length: bool,
     /// Ends the wait for a connection that is busy after its answer.
-    patience: Option<Pin<Box<Sleep>>>,
+    busy_limit: Option<Pin<Box<Sleep>>>,
     pool: Arc<Inner<B>>,
 }
 
-/// What follows a body that was read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum AfterBody {
-    /// Nothing, as far as is known.
-    Nothing,
-    /// Bytes that may belong to the body.
-    Excess,
-    /// Nothing so far; the request is still being sent.
-    Busy,
-}
-
 impl<B> AnsweringConnection<B>
 where
     B: Body<Data = Bytes> + Send + Unpin + 'static,
 {
-    /// Waits until the connection is idle or has ended, and tells what follows the body.
-    pub(crate) fn poll_after_body(&mut self, cx: &mut Context<'_>) -> Poll<AfterBody> {
-        match self.conn.tx.poll_ready(cx) {
-            Poll::Ready(Ok(())) => Poll::Ready(AfterBody::Nothing),
-            Poll::Ready(Err(_)) if !self.has_length => Poll::Ready(AfterBody::Nothing),
-            Poll::Ready(Err(_)) => match ready!(Pin::new(&mut self.conn.rest).poll(cx)) {
-                Ok(Rest::Other) => Poll::Ready(AfterBody::Excess),
-                Ok(Rest::Nothing | Rest::Answer) | Err(_) => Poll::Ready(AfterBody::Nothing),
-            },
-            Poll::Pending => {
-                let patience =
-                    self.patience.get_or_insert_with(|| Box::pin(sleep(MAX_WAIT_AFTER_BODY)));
-                patience.as_mut().poll(cx).map(|()| AfterBody::Busy)
-            }
+    /// Waits until the connection is idle, has ended, or was busy for too long, and returns whether the bytes that
+    /// follow the body may belong to it.
+    pub(crate) fn poll_has_excess(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
+        if let Poll::Ready(rest) = self.conn.poll_rest(cx) {
+            return Poll::Ready(self.has_length && rest == Rest::Other);
         }
+        let limit = self.busy_limit.get_or_insert_with(|| Box::pin(sleep(MAX_BUSY_AFTER_ANSWER)));
+        limit.as_mut().poll(cx).map(|()| false)
     }
 
     /// Returns the connection to the pool if it may be used again.
@@ -348,28 +297,6 @@
     }
 }
 
-/// What was left on a connection that has ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Rest {
-    /// Nothing but empty lines.
-    Nothing,
-    /// The start of another answer.
-    Answer,
-    /// Anything else, such as the rest of a body whose length is spoilt.
-    Other,
-}
-
-impl Rest {
-    fn of(bytes: &[u8]) -> Self {
-        const START: &[u8] = b"HTTP/";
-        match bytes.trim_ascii_start() {
-            [] => Self::Nothing,
-            it if it.starts_with(START) || START.starts_with(it) => Self::Answer,
-            _ => Self::Other,
-        }
-    }
-}
-
 /// Whether a length in the head delimits the body of an answer.
 fn is_delimited_by_length<B>(method: &Method, res: &Response<B>) -> bool {
     let headers = res.headers();
