--- a/crates/dappleway/tests/odd_input.rs
+++ b/crates/dappleway/tests/odd_input.rs
@@ -11,7 +11,7 @@
 use standin::node;
 use standin::odd;
 use standin::server;
-use standin::upstream::Upstream;
+use standin::upstream::{SIGNATURE, Upstream};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::sync::Mutex;
@@ -190,7 +190,7 @@
             };
             served.fetch_add(1, Ordering::Relaxed);
             let (status, lines) = kind.split_once('|').unwrap();
-            let fields = format!("x-request-id: {id}\r\nx-response-signature: s");
+            let fields = format!("x-request-id: {id}\r\n{SIGNATURE}: s");
             let (first, rest) = id.split_at(2);
             let body = match lines.contains("chunk") {
                 true => format!("2\r\n{first}\r\n{:x}\r\n{rest}\r\n0\r\n\r\n", rest.len()),
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -151,7 +151,7 @@
 }
 
 /// Answer header with the endpoint's signature.
-const SIGNATURE: &str = "x-response-signature";
+pub const SIGNATURE: &str = "x-response-signature";
 /// Answer header that repeats the organisation of the received request.
 pub const ECHOED_ORGANISATION: &str = "x-standin-organisation";
 /// Answer header that repeats the API key of the received request.
