Upstream: only answers of a known length wait for what follows them

Cause: an answer in chunks, or one that ends with its connection, waited up to 5 ms for a connection that was busy with the rest of its request, although nothing is checked there. Result: all tests of upstream and caller pass; the delay itself was not measured. Conclusion: read, not seen; no caller gains by that wait.

--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -268,11 +268,14 @@
 where
     B: Body<Data = Bytes> + Send + Unpin + 'static,
 {
-    /// Waits until the connection is idle, has ended, or was busy for too long, and returns whether the bytes that
-    /// follow the body may belong to it.
+    /// Returns whether bytes follow the body that may belong to it. Waits for that until the connection is idle, has
+    /// ended, or was busy for too long.
     pub(crate) fn poll_has_excess(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
+        if !self.has_length {
+            return Poll::Ready(false);
+        }
         if let Poll::Ready(rest) = self.conn.poll_rest(cx) {
-            return Poll::Ready(self.has_length && rest == Rest::Other);
+            return Poll::Ready(rest == Rest::Other);
         }
         let limit = self.busy_limit.get_or_insert_with(|| Box::pin(sleep(MAX_BUSY_AFTER_ANSWER)));
         limit.as_mut().poll(cx).map(|()| false)
