Upstream: the last bytes of a streamed answer are held back until nothing follows them

Seen by callers: a streamed 200 cut to a spoilt content-length, framed as whole. Cause: the check of what follows a body was skipped for answers that are streamed, because their bytes have been passed on. Change: AnswerBody keeps the last frame of a body of known length until the check; if bytes follow that may belong to the body, the frame is dropped and the answer broken off. Its state is the frame, in place of an enum, and nothing skips the check. Why this works: a caller takes an answer for whole once it has its last byte.

--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -95,10 +95,9 @@
         mut active_slot: ActiveSlot<D::Slot>,
         parts: &response::Parts,
         start: Bytes,
-        mut body: AnswerBody<RequestBody>,
+        body: AnswerBody<RequestBody>,
         way: Way<D>,
     ) -> ResponseBody {
-        body.skip_check();
         active_slot.report_start();
         let (tx, rx) = mpsc::channel(RELAY_CAPACITY);
         let resume = Resume::from_answer(&request.method, parts);
@@ -321,7 +320,6 @@
         active_slot.record_head();
         active_slot.report_start();
         self.body = res.into_body();
-        self.body.skip_check();
         self.way = way;
         let old = std::mem::replace(&mut self.active_slot, active_slot);
         old.end(Kind::Failed);
--- a/crates/caller/tests/spoilt_answers.rs
+++ b/crates/caller/tests/spoilt_answers.rs
@@ -466,3 +466,27 @@
         }
     }
 }
+
+/// Guards against a streamed body that is cut to a spoilt length and looks whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_streamed_answer_that_is_longer_than_its_length_is_cut() {
+    let body = "x".repeat(LONG);
+    let announced = LONG - 4;
+    for lines in ["x: y", "etag: \"a\"\r\naccept-ranges: bytes"] {
+        for (request, path) in [(BOOKING, PATHS[0]), (LOOKUP, PATHS[0]), (LOOKUP, PATHS[1])] {
+            let exchange = Exchange::new(path).await;
+            let spoilt =
+                answer("200 OK", &format!("{lines}\r\ncontent-length: {announced}"), &body);
+            let (got, mut reports) = exchange.run(request, &[spoilt]).await;
+            let (head, got) = got.split_once("\r\n\r\n").unwrap();
+            assert!(head.contains(&format!("content-length: {announced}")), "{head}");
+            assert!(got.len() < announced, "{} bytes, {request} {path:?} {lines}", got.len());
+            // The caller's connection may end before the answer is reported.
+            while reports.is_empty() {
+                sleep(Duration::from_millis(1)).await;
+                reports = exchange.reports();
+            }
+            assert_eq!(reports, "Failed", "{request} {path:?} {lines}");
+        }
+    }
+}
--- a/crates/upstream/src/answer.rs
+++ b/crates/upstream/src/answer.rs
@@ -23,7 +23,9 @@
 }
 
 /// The body of an answer. hyper checks its length or its final chunk. A body with neither ends with
-/// its connection: a clean close means that the body is complete, a reset that it is truncated.
+/// its connection: a clean close means that the body is complete, a reset that it is truncated. The last
+/// frame of a body of known length comes only if nothing follows it that may belong to the body, so that
+/// a body that was passed on meanwhile is visibly cut otherwise.
 pub struct AnswerBody<B>
 where
     B: Body<Data = Bytes> + Send + Unpin + 'static,
@@ -31,18 +33,8 @@
     body: Incoming,
     /// `None` once the body has ended.
     conn: Option<AnsweringConnection<B>>,
-    state: State,
-}
-
-/// How far a body was read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    /// Frames may come, and then what follows the body is checked.
-    Reading,
-    /// Frames may come, and nothing is checked after them.
-    ReadingUnchecked,
-    /// All frames have come, and what follows them is checked.
-    Checking,
+    /// The last frame of a body of known length, until what follows it is checked.
+    last: Option<Frame<Bytes>>,
 }
 
 impl<B> AnswerBody<B>
@@ -50,7 +42,7 @@
     B: Body<Data = Bytes> + Send + Unpin + 'static,
 {
     pub(crate) fn new(body: Incoming, conn: AnsweringConnection<B>) -> Self {
-        Self { body, conn: Some(conn), state: State::Reading }
+        Self { body, conn: Some(conn), last: None }
     }
 
     /// Returns the connection of an answer that is not read to the pool, if the answer has no body. To be
@@ -62,11 +54,6 @@
         }
     }
 
-    /// Skips the check of what follows the body, for a reader that has passed the body on before its end.
-    pub fn skip_check(&mut self) {
-        self.state = State::ReadingUnchecked;
-    }
-
     fn release(&mut self) {
         if let Some(conn) = self.conn.take() {
             conn.release();
@@ -85,26 +72,15 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
-        if self.state == State::Reading && self.body.is_end_stream() {
-            self.state = State::Checking;
-        }
-        if self.state != State::Checking {
+        if self.conn.is_some() && self.last.is_none() && !self.body.is_end_stream() {
             match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
-                Some(Ok(frame)) => {
-                    if self.state == State::ReadingUnchecked && self.body.is_end_stream() {
-                        self.release();
-                    }
-                    return Poll::Ready(Some(Ok(frame)));
-                }
+                Some(Ok(frame)) if self.body.is_end_stream() => self.last = Some(frame),
+                Some(Ok(frame)) => return Poll::Ready(Some(Ok(frame))),
                 Some(Err(error)) => {
                     self.conn = None;
                     return Poll::Ready(Some(Err(error.into())));
                 }
-                None if self.state == State::ReadingUnchecked => {
-                    self.release();
-                    return Poll::Ready(None);
-                }
-                None => self.state = State::Checking,
+                None => {}
             }
         }
         let Some(conn) = &mut self.conn else { return Poll::Ready(None) };
@@ -113,11 +89,11 @@
             return Poll::Ready(Some(Err(AnswerError::Excess)));
         }
         self.release();
-        Poll::Ready(None)
+        Poll::Ready(self.last.take().map(Ok))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.conn.is_none() && self.body.is_end_stream()
+        self.conn.is_none()
     }
 
     fn size_hint(&self) -> SizeHint {
