Caller tests: no other test gets the port of an endpoint in detours.rs that refuses connections

With thousands of ports in TIME_WAIT, a listener on port 0 may get one that another test has just closed, while that test still expects it to refuse. Change: each listener of the file has a loopback address of its own. No assertion changed.

--- a/crates/caller/tests/detours.rs
+++ b/crates/caller/tests/detours.rs
@@ -3,7 +3,8 @@
 
 mod common;
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -102,8 +103,12 @@
     }
 }
 
+/// A listener whose loopback address no other listener has, so that nobody gets its port once it is closed.
 async fn listener() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    static COUNT: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, high | 0x80, low, COUNT.fetch_add(1, Ordering::Relaxed));
+    let listener = TcpListener::bind((ip, 0)).await.unwrap();
     let addr = listener.local_addr().unwrap();
     (listener, addr)
 }
