Read once more: tests wait for the reports after a streamed answer in one place

Cause: spoilt_downloads.rs and spoilt_answers.rs each had a loop for it, the second without a bound, so that a lost report would hang the test; foreign_answers.rs compared at once, although its caller may have the last byte before the report. Change: Exchange::wait_reports, used by the three. No assertion changed; the wait ends after 20 s everywhere.

--- a/crates/caller/tests/common/mod.rs
+++ b/crates/caller/tests/common/mod.rs
@@ -17,6 +17,10 @@
 use resources::{Config, Name, Route};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::{Instant, sleep};
+
+/// Generous limit for the reports about an endpoint.
+const REPORTS_LIMIT: Duration = Duration::from_secs(20);
 
 const CONFIG: &str = r#"{"version": 1, "resources": [
     {"kind": "Service", "name": "s", "slots": 1, "connections": 9, "floor": "50%", "bias": "speed"},
@@ -288,12 +292,20 @@
             it = send_to(self.listener, request) => it,
             () = answering => unreachable!(),
         };
-        (answer, self.reports())
+        (answer, self.recording.reports())
     }
 
-    /// The reports about the endpoint since the last request was sent.
-    pub fn reports(&self) -> String {
-        self.recording.reports()
+    /// Waits for these reports about the endpoint since the last request was sent, and returns those that there are. The
+    /// caller may have the last byte of a streamed answer before its end is reported.
+    pub async fn wait_reports(&self, expected: &str) -> String {
+        let until = Instant::now() + REPORTS_LIMIT;
+        loop {
+            let reports = self.recording.reports();
+            if reports == expected || Instant::now() > until {
+                return reports;
+            }
+            sleep(Duration::from_millis(1)).await;
+        }
     }
 }
 
--- a/crates/caller/tests/foreign_answers.rs
+++ b/crates/caller/tests/foreign_answers.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{BOOKING, Path, Recording, accept_request, exchange};
+use common::{BOOKING, Exchange, Path, Recording, accept_request, exchange};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::time::timeout;
@@ -114,11 +114,13 @@
         rest(&format!("{ID}{SIGNED}content-encoding: gzip\r\n"), "x"),
     ] {
         let answers = [cut.clone(), foreign.clone(), rest(&format!("{ID}{SIGNED}"), ".")];
-        let (got, reports) = exchange(Path::Direct, common::LOOKUP, &answers).await;
+        let exchange = Exchange::new(Path::Direct).await;
+        let (got, _) = exchange.run(common::LOOKUP, &answers).await;
         let (_, body) = got.split_once("\r\n\r\n").unwrap();
         assert!(!body.contains('x'), "{foreign}");
         assert_eq!(body.matches('.').count(), total, "{foreign}");
-        assert_eq!(reports, "Failed Failed Answered", "{foreign}");
+        let expected = "Failed Failed Answered";
+        assert_eq!(exchange.wait_reports(expected).await, expected, "{foreign}");
     }
 }
 
--- a/crates/caller/tests/spoilt_answers.rs
+++ b/crates/caller/tests/spoilt_answers.rs
@@ -477,15 +477,11 @@
             let exchange = Exchange::new(path).await;
             let spoilt =
                 answer("200 OK", &format!("{lines}\r\ncontent-length: {announced}"), &body);
-            let (got, mut reports) = exchange.run(request, &[spoilt]).await;
+            let (got, _) = exchange.run(request, &[spoilt]).await;
             let (head, got) = got.split_once("\r\n\r\n").unwrap();
             assert!(head.contains(&format!("content-length: {announced}")), "{head}");
             assert!(got.len() < announced, "{} bytes, {request} {path:?} {lines}", got.len());
-            // The caller's connection may end before the answer is reported.
-            while reports.is_empty() {
-                sleep(Duration::from_millis(1)).await;
-                reports = exchange.reports();
-            }
+            let reports = exchange.wait_reports("Failed").await;
             assert_eq!(reports, "Failed", "{request} {path:?} {lines}");
         }
     }
--- a/crates/caller/tests/spoilt_downloads.rs
+++ b/crates/caller/tests/spoilt_downloads.rs
@@ -2,13 +2,8 @@
 
 mod common;
 
-use std::time::Duration;
-
 use common::{Exchange, LOOKUP, Path, genuine_answer as answer};
-use tokio::time::{Instant, sleep};
 
-/// Generous limit for the reports about an endpoint.
-const LIMIT: Duration = Duration::from_secs(20);
 /// Length of a download whose last ten bytes are missing at first.
 const TOTAL: usize = 2_000_000;
 
@@ -25,15 +20,10 @@
     let mut all = vec![answer("200 OK", &head, &".".repeat(TOTAL - 10))];
     all.extend(answers.iter().map(|it| (*it).to_owned()));
     let exchange = Exchange::new(path).await;
-    let (got, mut reports) = exchange.run(LOOKUP, &all).await;
+    let (got, _) = exchange.run(LOOKUP, &all).await;
     let (_, body) = got.split_once("\r\n\r\n").unwrap();
     assert!(body.bytes().all(|it| it == b'.'), "{path:?} {answers:?}");
-    // The caller may have the last byte before the end of the answer is reported.
-    let until = Instant::now() + LIMIT;
-    while reports != expected_reports && Instant::now() < until {
-        sleep(Duration::from_millis(1)).await;
-        reports = exchange.reports();
-    }
+    let reports = exchange.wait_reports(expected_reports).await;
     assert_eq!(reports, expected_reports, "{path:?} {answers:?}");
     body.to_owned()
 }
